--- /dev/null
+++ b/internal/admin/client.go
@@ -0,0 +1,125 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"topazmoor/internal/catalog"
+	"topazmoor/internal/frontdoor"
+)
+
+// Client calls the administration API of one node.
+type Client struct {
+	// Addr is IP:port of the node's admin listener.
+	Addr  string
+	token string
+	http  *http.Client
+}
+
+// clientTimeout bounds one call.
+const clientTimeout = 30 * time.Second
+
+// NewClient returns a client with an operator's token.
+func NewClient(addr, token string) *Client {
+	return &Client{Addr: addr, token: token, http: &http.Client{Timeout: clientTimeout}}
+}
+
+// RefusedError is a refusal by the node.
+type RefusedError struct {
+	Conflict
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.Code, e.Verdict, e.Detail)
+}
+
+// Apply submits a manifest.
+func (c *Client) Apply(ctx context.Context, req ApplyRequest) (ApplyResult, error) {
+	var out ApplyResult
+	err := c.call(ctx, http.MethodPost, PathConfig, req, &out)
+	return out, err
+}
+
+// Status describes the node.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var out Status
+	err := c.call(ctx, http.MethodGet, PathStatus, nil, &out)
+	return out, err
+}
+
+// Get returns one object of the configuration.
+func (c *Client) Get(ctx context.Context, kind catalog.Kind, name string) (json.RawMessage, error) {
+	var out json.RawMessage
+	err := c.call(ctx, http.MethodGet, PathConfig+"/"+url.PathEscape(string(kind))+"/"+url.PathEscape(name), nil, &out)
+	return out, err
+}
+
+// Audit returns the changes after a revision; by and object filter them.
+func (c *Client) Audit(ctx context.Context, after int64, by, object string) ([]catalog.Change, error) {
+	q := url.Values{"after": {strconv.FormatInt(after, 10)}, "by": {by}, "object": {object}}
+	var out []catalog.Change
+	err := c.call(ctx, http.MethodGet, PathAudit+"?"+q.Encode(), nil, &out)
+	return out, err
+}
+
+// Drain orders that a target host gets no new work; end lifts the order.
+func (c *Client) Drain(ctx context.Context, host, reason string, end bool) (ApplyResult, error) {
+	method := http.MethodPut
+	if end {
+		method = http.MethodDelete
+	}
+	q := url.Values{"reason": {reason}}
+	var out ApplyResult
+	err := c.call(ctx, method, PathDrains+url.PathEscape(host)+"?"+q.Encode(), nil, &out)
+	return out, err
+}
+
+// Stop starts the graceful shutdown of the node.
+func (c *Client) Stop(ctx context.Context) (Status, error) {
+	var out Status
+	err := c.call(ctx, http.MethodPost, PathStop, nil, &out)
+	return out, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return eris.Wrap(err, "encode request")
+		}
+		body = io.MultiReader(bytes.NewReader(b))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.Addr+path, body)
+	if err != nil {
+		return eris.Wrap(err, "build request")
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "call node")
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return refusal(resp)
+	}
+	return eris.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxBody)).Decode(out), "decode answer")
+}
+
+func refusal(resp *http.Response) error {
+	e := &RefusedError{Conflict{Problem: frontdoor.Problem{Status: resp.StatusCode}}}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBody)).Decode(&e.Conflict); err != nil {
+		return eris.Errorf("node answered %d", resp.StatusCode)
+	}
+	return e
+}
--- /dev/null
+++ b/internal/caller/caller.go
@@ -0,0 +1,198 @@
+// Package caller is a client of the caller API. It never repeats a request by
+// itself; the demo, the load command and tests use it.
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"topazmoor/internal/dispatch"
+	"topazmoor/internal/frontdoor"
+)
+
+// Request is one run call.
+type Request struct {
+	// Addr is IP:port of an entry node and Token the account's token.
+	Addr, Token string
+	Pipeline    string
+	Input       any
+	// Key is the request key; empty for none.
+	Key      string
+	Class    string
+	Deadline time.Duration
+	Stream   bool
+}
+
+// Result is the answer to one run call: either Reply or Problem is set.
+type Result struct {
+	Status   int
+	Reply    *frontdoor.Reply
+	Problem  *frontdoor.Problem
+	Replayed bool
+	// Tokens are the streamed tokens in the order of arrival, First the time
+	// to the first one and Gaps the times between them.
+	Tokens []dispatch.Token
+	First  time.Duration
+	Gaps   []time.Duration
+	Took   time.Duration
+}
+
+// Verdict returns "ran" for an answer, the verdict of a refusal otherwise.
+func (r *Result) Verdict() string {
+	if r.Problem != nil {
+		return r.Problem.Verdict
+	}
+	return "ran"
+}
+
+// Client sends requests. It is safe for concurrent use.
+type Client struct{ http *http.Client }
+
+// Dial opens a connection; net.Dialer.DialContext in production.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// New returns a Client.
+func New(dial Dial) *Client {
+	tr := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: 20 * time.Second}
+	return &Client{http: &http.Client{Transport: tr}}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// opaque hides the type of a reader, so that net/http cannot repeat the call.
+type opaque struct{ io.Reader }
+
+// Run sends one request. An error means that no complete answer arrived.
+func (c *Client) Run(ctx context.Context, q Request) (*Result, error) {
+	start := time.Now()
+	req, err := q.build(ctx)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, eris.Wrap(err, "send request")
+	}
+	defer resp.Body.Close()
+	res := &Result{Status: resp.StatusCode, Replayed: resp.Header.Get(frontdoor.HeaderReplayed) != ""}
+	if strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		err = res.readEvents(resp.Body, start)
+	} else {
+		err = res.readBody(resp)
+	}
+	res.Took = time.Since(start)
+	return res, err
+}
+
+func (q *Request) build(ctx context.Context) (*http.Request, error) {
+	body, err := json.Marshal(map[string]any{"input": q.Input, "stream": q.Stream})
+	if err != nil {
+		return nil, eris.Wrap(err, "encode request")
+	}
+	url := "http://" + q.Addr + frontdoor.PathRun + q.Pipeline
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, opaque{bytes.NewReader(body)})
+	if err != nil {
+		return nil, eris.Wrap(err, "build request")
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Authorization", "Bearer "+q.Token)
+	if q.Key != "" {
+		req.Header.Set(frontdoor.HeaderKey, q.Key)
+	}
+	if q.Class != "" {
+		req.Header.Set(frontdoor.HeaderClass, q.Class)
+	}
+	if q.Deadline > 0 {
+		req.Header.Set(frontdoor.HeaderDeadline, q.Deadline.String())
+	}
+	return req, nil
+}
+
+func (r *Result) readBody(resp *http.Response) error {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return eris.Wrap(err, "read answer")
+	}
+	return r.decode(resp.StatusCode >= http.StatusBadRequest, body)
+}
+
+func (r *Result) decode(problem bool, body []byte) error {
+	if problem {
+		r.Problem = &frontdoor.Problem{}
+		return eris.Wrap(json.Unmarshal(body, r.Problem), "decode problem")
+	}
+	r.Reply = &frontdoor.Reply{}
+	return eris.Wrap(json.Unmarshal(body, r.Reply), "decode answer")
+}
+
+// maxEvent bounds one event, in bytes.
+const maxEvent = 16 << 20
+
+func (r *Result) readEvents(body io.Reader, start time.Time) error {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4096), maxEvent)
+	event, last := "", start
+	for lines.Scan() {
+		if name, ok := strings.CutPrefix(lines.Text(), "event: "); ok {
+			event = name
+			continue
+		}
+		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
+		if !ok {
+			continue
+		}
+		if event != "token" {
+			return r.decode(event == "error", data)
+		}
+		var t dispatch.Token
+		if err := json.Unmarshal(data, &t); err != nil {
+			return eris.Wrap(err, "decode token")
+		}
+		last = r.note(t, start, last)
+	}
+	if err := lines.Err(); err != nil {
+		return eris.Wrap(err, "read events")
+	}
+	return eris.New("the stream ended without an answer")
+}
+
+func (r *Result) note(t dispatch.Token, start, last time.Time) time.Time {
+	now := time.Now()
+	if len(r.Tokens) == 0 {
+		r.First = now.Sub(start)
+	} else {
+		r.Gaps = append(r.Gaps, now.Sub(last))
+	}
+	r.Tokens = append(r.Tokens, t)
+	return now
+}
+
+// Ticket fetches a request ticket.
+func (c *Client) Ticket(ctx context.Context, addr, token string) (string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+frontdoor.PathTickets, nil)
+	if err != nil {
+		return "", eris.Wrap(err, "build request")
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return "", eris.Wrap(err, "send request")
+	}
+	defer resp.Body.Close()
+	var t frontdoor.Ticket
+	if resp.StatusCode != http.StatusOK {
+		return "", eris.Errorf("no ticket: status %d", resp.StatusCode)
+	}
+	err = json.NewDecoder(resp.Body).Decode(&t)
+	return t.Ticket, eris.Wrap(err, "decode ticket")
+}
--- /dev/null
+++ b/internal/catalog/compile.go
@@ -0,0 +1,366 @@
+package catalog
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"strings"
+	"time"
+
+	"topazmoor/internal/settings"
+	"topazmoor/internal/strictjson"
+)
+
+// Plan is the compiled, immutable pipeline of one binding.
+type Plan struct {
+	Template   string
+	Class      Class
+	Deadline   time.Duration
+	Idempotent bool
+	Stages     []PlanStage
+}
+
+// PlanStage is a stage with its pool resolved.
+type PlanStage struct {
+	Stage
+	Kind settings.PoolKind
+}
+
+// CompiledAccount is an account with its plans by pipeline name.
+type CompiledAccount struct {
+	Account
+	Plans map[string]*Plan
+}
+
+// Compiled is a whole configuration, ready to serve. It is immutable.
+type Compiled struct {
+	Revision  int64
+	templates map[string]*Template
+	accounts  map[string]*CompiledAccount
+	tokens    map[string]*CompiledAccount
+	drains    map[string]Drain
+	pools     map[string]settings.Pool
+	plans     map[string]*Plan
+}
+
+// defaultAttempts is Stage.Attempts when a template leaves it out.
+const defaultAttempts = 3
+
+// New returns an empty configuration over the given pools.
+func New(pools []settings.Pool) *Compiled {
+	byName := make(map[string]settings.Pool)
+	for _, p := range pools {
+		byName[p.Name] = p
+	}
+	return &Compiled{
+		templates: make(map[string]*Template),
+		accounts:  make(map[string]*CompiledAccount),
+		tokens:    make(map[string]*CompiledAccount),
+		drains:    make(map[string]Drain),
+		plans:     make(map[string]*Plan),
+		pools:     byName,
+	}
+}
+
+// Account returns the account with this name, or nil.
+func (c *Compiled) Account(name string) *CompiledAccount { return c.accounts[name] }
+
+// ByToken returns the account whose token has this SHA-256 in hex, or nil.
+func (c *Compiled) ByToken(sha256Hex string) *CompiledAccount { return c.tokens[sha256Hex] }
+
+// Template returns the template with this name, or nil.
+func (c *Compiled) Template(name string) *Template { return c.templates[name] }
+
+// Accounts returns the number of accounts.
+func (c *Compiled) Accounts() int { return len(c.accounts) }
+
+// Drained reports whether an operator ordered the host drained.
+func (c *Compiled) Drained(host string) bool {
+	_, ok := c.drains[host]
+	return ok
+}
+
+// Drains returns all drain orders by host.
+func (c *Compiled) Drains() map[string]Drain { return maps.Clone(c.drains) }
+
+// Object returns the current object of kind and name as JSON, or nil.
+func (c *Compiled) Object(kind Kind, name string) json.RawMessage {
+	var v any
+	switch kind {
+	case TemplateItem:
+		if t := c.templates[name]; t != nil {
+			v = t
+		}
+	case AccountItem:
+		if a := c.accounts[name]; a != nil {
+			v = a.Account
+		}
+	case DrainItem:
+		if d, ok := c.drains[name]; ok {
+			v = d
+		}
+	}
+	if v == nil {
+		return nil
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+// Apply returns the configuration after the items, at the given revision. The
+// receiver stays as it was. The error is a strictjson.Problems; the whole
+// change is rejected when one item is faulty.
+//
+// The cost grows with the number of accounts (the index is copied) but only
+// the accounts that the items touch are compiled.
+func (c *Compiled) Apply(revision int64, items []Item) (*Compiled, error) {
+	next := &Compiled{
+		Revision:  revision,
+		templates: maps.Clone(c.templates),
+		accounts:  maps.Clone(c.accounts),
+		tokens:    maps.Clone(c.tokens),
+		drains:    maps.Clone(c.drains),
+		plans:     maps.Clone(c.plans),
+		pools:     c.pools,
+	}
+	var probs strictjson.Problems
+	changed := next.applyTemplates(items, &probs)
+	touched := next.applyAccounts(items, &probs)
+	next.applyDrains(items, &probs)
+	if len(changed) > 0 {
+		next.plans = make(map[string]*Plan)
+		next.touchUsers(changed, touched)
+	}
+	for name := range touched {
+		next.compileAccount(name, &probs)
+	}
+	if err := probs.Err(); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+func (c *Compiled) applyTemplates(items []Item, probs *strictjson.Problems) map[string]bool {
+	changed := make(map[string]bool)
+	for _, it := range items {
+		if it.Kind != TemplateItem {
+			continue
+		}
+		changed[it.Name] = true
+		delete(c.templates, it.Name)
+		if it.Value == nil {
+			continue
+		}
+		var t Template
+		if err := strictjson.Decode(it.Value, &t); err != nil {
+			addAll(probs, it.Key(), err)
+			continue
+		}
+		checkParameters(probs, it.Key(), t)
+		c.templates[it.Name] = &t
+	}
+	return changed
+}
+
+func (c *Compiled) applyAccounts(items []Item, probs *strictjson.Problems) map[string]bool {
+	touched := make(map[string]bool)
+	for _, it := range items {
+		if it.Kind != AccountItem {
+			continue
+		}
+		c.dropAccount(it.Name)
+		if it.Value == nil {
+			delete(touched, it.Name)
+			continue
+		}
+		var a Account
+		if err := strictjson.Decode(it.Value, &a); err != nil {
+			addAll(probs, it.Key(), err)
+			continue
+		}
+		c.accounts[it.Name] = &CompiledAccount{Account: a}
+		touched[it.Name] = true
+	}
+	return touched
+}
+
+func (c *Compiled) applyDrains(items []Item, probs *strictjson.Problems) {
+	for _, it := range items {
+		if it.Kind != DrainItem {
+			continue
+		}
+		delete(c.drains, it.Name)
+		if it.Value == nil {
+			continue
+		}
+		var d Drain
+		if err := strictjson.Decode(it.Value, &d); err != nil {
+			addAll(probs, it.Key(), err)
+			continue
+		}
+		c.drains[it.Name] = d
+	}
+}
+
+func (c *Compiled) dropAccount(name string) {
+	old := c.accounts[name]
+	if old == nil {
+		return
+	}
+	delete(c.accounts, name)
+	for _, h := range old.TokensSHA256 {
+		if c.tokens[h] == old {
+			delete(c.tokens, h)
+		}
+	}
+}
+
+// touchUsers adds the accounts that use a changed template.
+func (c *Compiled) touchUsers(changed, touched map[string]bool) {
+	for name, a := range c.accounts {
+		for _, b := range a.Pipelines {
+			if changed[b.Template] {
+				touched[name] = true
+			}
+		}
+	}
+}
+
+func (c *Compiled) compileAccount(name string, probs *strictjson.Problems) {
+	old := c.accounts[name]
+	path := Item{Kind: AccountItem, Name: name}.Key()
+	a := &CompiledAccount{Account: old.Account, Plans: make(map[string]*Plan)}
+	for i, b := range a.Pipelines {
+		at := fmt.Sprintf("%s.pipelines[%d]", path, i)
+		if a.Plans[b.Name] != nil {
+			probs.Add(at+".name", "%q stands twice: give each pipeline a name of its own", b.Name)
+			continue
+		}
+		if p := c.plan(at, b, probs); p != nil {
+			a.Plans[b.Name] = p
+		}
+	}
+	c.accounts[name] = a
+	c.indexTokens(path, a, probs)
+}
+
+func (c *Compiled) indexTokens(path string, a *CompiledAccount, probs *strictjson.Problems) {
+	for i, h := range a.TokensSHA256 {
+		at := fmt.Sprintf("%s.tokens_sha256[%d]", path, i)
+		if len(h) != 64 || strings.Trim(h, "0123456789abcdef") != "" {
+			probs.Add(at, "is not 64 lower-case hex digits: write the output of `topazmoor check --hash TOKEN`")
+			continue
+		}
+		if other := c.tokens[h]; other != nil && other.Name != a.Name {
+			probs.Add(at, "is the token of another account: make a new token")
+			continue
+		}
+		c.tokens[h] = a
+	}
+}
+
+// plan compiles a binding; equal bindings share one plan.
+func (c *Compiled) plan(at string, b Binding, probs *strictjson.Problems) *Plan {
+	key, err := json.Marshal(b.Parameters)
+	if err != nil {
+		probs.Add(at+".parameters", "cannot be encoded: %v", err)
+		return nil
+	}
+	cacheKey := b.Template + "\x00" + string(key)
+	if p := c.plans[cacheKey]; p != nil {
+		return p
+	}
+	t := c.templates[b.Template]
+	if t == nil {
+		probs.Add(at+".template", "%q does not exist: submit the template first or in the same change", b.Template)
+		return nil
+	}
+	p := c.compilePlan(at, t, b, probs)
+	if p != nil {
+		c.plans[cacheKey] = p
+	}
+	return p
+}
+
+func (c *Compiled) compilePlan(at string, t *Template, b Binding, probs *strictjson.Problems) *Plan {
+	before := len(*probs)
+	values := bindParameters(probs, at+".parameters", t, b.Parameters)
+	tree := substitute(probs, at+".template", t.Pipeline, values)
+	if len(*probs) > before {
+		return nil
+	}
+	var p Pipeline
+	if err := strictjson.DecodeTree(tree, &p); err != nil {
+		addAll(probs, "template/"+t.Name+".pipeline", err)
+		return nil
+	}
+	c.checkPipeline(probs, "template/"+t.Name+".pipeline", p)
+	if len(*probs) > before {
+		return nil
+	}
+	plan := &Plan{Template: t.Name, Class: p.Class, Deadline: p.Deadline.Std(), Idempotent: p.Idempotent}
+	for _, s := range p.Stages {
+		if s.Attempts == 0 {
+			s.Attempts = defaultAttempts
+		}
+		plan.Stages = append(plan.Stages, PlanStage{Stage: s, Kind: c.pools[s.Pool].Kind})
+	}
+	return plan
+}
+
+func (c *Compiled) checkPipeline(probs *strictjson.Problems, path string, p Pipeline) {
+	if p.Deadline <= 0 {
+		probs.Add(path+".deadline", "is not above zero: write a duration such as \"9s\"")
+	}
+	if len(p.Stages) == 0 {
+		probs.Add(path+".stages", "is empty: write at least one stage")
+	}
+	seen := make(map[string]bool)
+	for i, s := range p.Stages {
+		at := fmt.Sprintf("%s.stages[%d]", path, i)
+		if seen[s.Name] {
+			probs.Add(at+".name", "%q stands twice: give each stage a name of its own", s.Name)
+		}
+		seen[s.Name] = true
+		pool, ok := c.pools[s.Pool]
+		if !ok {
+			probs.Add(at+".pool", "%q is not a pool of the settings", s.Pool)
+		}
+		if ok && pool.Kind == settings.Generate && s.MaxTokens <= 0 {
+			probs.Add(at+".max_tokens", "is missing: write the most tokens that the stage may generate")
+		}
+		if s.Attempts < 0 {
+			probs.Add(at+".attempts", "is below zero: write 1 for no retry")
+		}
+	}
+}
+
+func addAll(probs *strictjson.Problems, path string, err error) {
+	list, ok := err.(strictjson.Problems)
+	if !ok {
+		probs.Add(path, "%v", err)
+		return
+	}
+	for _, p := range list {
+		probs.Add(path+"."+p.Path, "%s", p.Reason)
+	}
+}
+
+// Items returns the whole configuration as items, for a peer that starts
+// without the table service.
+func (c *Compiled) Items() []Item {
+	var items []Item
+	for name := range c.templates {
+		items = append(items, Item{Kind: TemplateItem, Name: name, Value: c.Object(TemplateItem, name)})
+	}
+	for name := range c.accounts {
+		items = append(items, Item{Kind: AccountItem, Name: name, Value: c.Object(AccountItem, name)})
+	}
+	for name := range c.drains {
+		items = append(items, Item{Kind: DrainItem, Name: name, Value: c.Object(DrainItem, name)})
+	}
+	return items
+}
--- /dev/null
+++ b/internal/config/follower.go
@@ -0,0 +1,183 @@
+package config
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"topazmoor/internal/blackboard"
+	"topazmoor/internal/catalog"
+	"topazmoor/internal/settings"
+)
+
+// Peers is how a follower learns from other nodes.
+type Peers interface {
+	// Push tells other nodes of a change.
+	Push(c catalog.Change)
+	// Snapshot returns the configuration of the peer with the highest
+	// revision; revision 0 means that no peer has one.
+	Snapshot(ctx context.Context) (int64, []catalog.Item, error)
+}
+
+// Follower keeps a node's configuration at the highest revision that it has
+// heard of. It never goes back to a lower one.
+type Follower struct {
+	store *Store
+	cell  *blackboard.Cell[*catalog.Compiled]
+	empty *catalog.Compiled
+	peers Peers
+	every time.Duration
+	log   *slog.Logger
+	wake  chan struct{}
+
+	mu       sync.Mutex
+	lastRead time.Time
+	broken   int64
+}
+
+// NewFollower returns a follower that publishes into cell.
+func NewFollower(s *Store, cell *blackboard.Cell[*catalog.Compiled], pools []settings.Pool, peers Peers, every time.Duration, log *slog.Logger) *Follower {
+	empty := catalog.New(pools)
+	cell.Store(empty)
+	return &Follower{store: s, cell: cell, empty: empty, peers: peers, every: every, log: log, wake: make(chan struct{}, 1)}
+}
+
+// LastRead returns when the head was last read from the table service.
+func (f *Follower) LastRead() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lastRead
+}
+
+// Serve polls the head until ctx ends. The interval is jittered, so that the
+// nodes' reads spread out, also after an outage.
+func (f *Follower) Serve(ctx context.Context) error {
+	for {
+		f.poll(ctx)
+		wait := f.every/2 + rand.N(f.every)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-f.wake:
+		case <-time.After(wait):
+		}
+	}
+}
+
+// Poke makes the follower read the head now.
+func (f *Follower) Poke() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Follower) poll(ctx context.Context) {
+	head, err := f.store.Head(ctx)
+	if err != nil {
+		f.log.Warn("configuration head not read; asking peers", "err", err)
+		f.fromPeers(ctx)
+		return
+	}
+	f.mu.Lock()
+	f.lastRead = time.Now()
+	f.mu.Unlock()
+	for f.cell.Get().Revision < head {
+		if !f.catchUp(ctx) {
+			return
+		}
+	}
+}
+
+// catchUp applies stored changes, or loads everything at the first time. It
+// reports whether it got further.
+func (f *Follower) catchUp(ctx context.Context) bool {
+	have := f.cell.Get().Revision
+	if have == 0 {
+		rev, items, err := f.store.Load(ctx)
+		if err != nil {
+			f.log.Warn("configuration not loaded", "err", err)
+			return false
+		}
+		return f.Adopt(rev, items)
+	}
+	changes, err := f.store.Changes(ctx, have, scanPage)
+	if err != nil {
+		f.log.Warn("configuration changes not read", "err", err)
+		return false
+	}
+	for _, c := range changes {
+		f.Offer(c)
+	}
+	return f.cell.Get().Revision > have
+}
+
+func (f *Follower) fromPeers(ctx context.Context) {
+	rev, items, err := f.peers.Snapshot(ctx)
+	if err != nil {
+		f.log.Warn("no configuration from peers", "err", err)
+		return
+	}
+	f.Adopt(rev, items)
+}
+
+// Adopt replaces the configuration by a whole snapshot if that is newer. It
+// reports whether it was.
+func (f *Follower) Adopt(revision int64, items []catalog.Item) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if revision <= f.cell.Get().Revision {
+		return false
+	}
+	return f.apply(f.empty, revision, items)
+}
+
+// Offer applies a change if it is the next one, and passes it on to peers. A
+// change further ahead makes the follower read the store. It reports whether
+// the change was news.
+func (f *Follower) Offer(c catalog.Change) bool {
+	f.mu.Lock()
+	cur := f.cell.Get()
+	if c.Revision <= cur.Revision {
+		f.mu.Unlock()
+		return false
+	}
+	if c.Revision > cur.Revision+1 {
+		f.mu.Unlock()
+		f.Poke()
+		return true
+	}
+	ok := f.apply(cur, c.Revision, c.Items)
+	f.mu.Unlock()
+	if ok {
+		f.peers.Push(c)
+	}
+	return ok
+}
+
+// apply compiles beside the old configuration and swaps it in whole. It is
+// called with the lock held.
+func (f *Follower) apply(base *catalog.Compiled, revision int64, items []catalog.Item) bool {
+	next, err := base.Apply(revision, items)
+	if err != nil {
+		if f.broken != revision {
+			f.log.Error("accepted configuration does not compile here: compare the pools of this node's settings", "revision", revision, "err", err)
+		}
+		f.broken = revision
+		return false
+	}
+	f.cell.Store(next)
+	f.log.Info("configuration in force", "revision", revision, "items", len(items))
+	return true
+}
+
+// Alone is the Peers of a node without peers.
+type Alone struct{}
+
+// Push implements Peers.
+func (Alone) Push(catalog.Change) {}
+
+// Snapshot implements Peers.
+func (Alone) Snapshot(context.Context) (int64, []catalog.Item, error) { return 0, nil, nil }
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,197 @@
+// Package dispatch makes one attempt of one stage call at one target over
+// HTTP and says, by the verdict of its error, whether the target may have run
+// it.
+//
+// net/http repeats some requests by itself on a reused connection that breaks.
+// Calls made here cannot be repeated once a byte was written: their bodies
+// cannot be rewound and they never carry an Idempotency-Key header. HTTP/2 is
+// not spoken to targets. Source: docs/design/001-verdicts.md.
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"topazmoor/internal/verdict"
+)
+
+// IdentityHeader carries the identity of an attempt to the target, which
+// returns it with the answer.
+const IdentityHeader = "Topazmoor-Attempt"
+
+// RequestIDHeader carries the request's ID for the target's own logs.
+const RequestIDHeader = "X-Request-Id"
+
+// Identity names one attempt at one stage of one request.
+type Identity struct {
+	Request string
+	Stage   string
+	Attempt int
+}
+
+// String returns the header form.
+func (i Identity) String() string {
+	return fmt.Sprintf("%s/%s/%d", i.Request, i.Stage, i.Attempt)
+}
+
+// Call is one attempt at one target.
+type Call struct {
+	Identity Identity
+	// Target is the target's ID for logs and errors; Addr is its IP:port.
+	Target, Addr string
+	// Path is the HTTP path and Body the JSON body of the POST.
+	Path string
+	Body []byte
+	// RefusalStatuses are the statuses that prove that nothing was started.
+	RefusalStatuses []int
+	// Echoes says that the target returns IdentityHeader.
+	Echoes bool
+}
+
+// Client makes calls. It is safe for concurrent use.
+type Client struct {
+	http     *http.Client
+	maxBytes int64
+	wrong    atomic.Int64
+}
+
+// New returns a Client that reads at most maxBytes of an answer.
+func New(dial Dial, maxBytes int64) *Client {
+	tr := &http.Transport{
+		DialContext:         tracked(dial),
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 32,
+		IdleConnTimeout:     20 * time.Second,
+		Protocols:           new(http.Protocols),
+	}
+	tr.Protocols.SetHTTP1(true)
+	return &Client{
+		maxBytes: maxBytes,
+		http: &http.Client{
+			Transport:     tr,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// WrongAnswers returns how many answers were dropped because they belonged to
+// another attempt.
+func (c *Client) WrongAnswers() int64 { return c.wrong.Load() }
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Do makes the call and returns the JSON body of the answer.
+func (c *Client) Do(ctx context.Context, call Call) ([]byte, error) {
+	resp, h, err := c.send(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := c.readAll(resp.Body)
+	if err != nil {
+		return nil, c.failure(ctx, call, h, err)
+	}
+	if !json.Valid(body) {
+		return nil, verdict.New(verdict.MayHaveRun, verdict.TargetFailed, "the answer is not complete JSON").
+			At(call.Identity.Stage, call.Target)
+	}
+	return body, nil
+}
+
+func (c *Client) readAll(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, c.maxBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > c.maxBytes {
+		return nil, eris.Errorf("the answer is over %d bytes", c.maxBytes)
+	}
+	return body, nil
+}
+
+// opaque hides the type of a reader, so that net/http cannot rewind it.
+type opaque struct{ io.Reader }
+
+// send writes the call and checks the head of the answer. On success the
+// caller owns the body.
+func (c *Client) send(ctx context.Context, call Call) (*http.Response, *handover, error) {
+	h := &handover{}
+	url := "http://" + call.Addr + call.Path
+	req, err := http.NewRequestWithContext(h.trace(ctx), http.MethodPost, url, opaque{bytes.NewReader(call.Body)})
+	if err != nil {
+		return nil, nil, verdict.Wrap(err, verdict.NotRun, verdict.Internal, "the call cannot be built").
+			At(call.Identity.Stage, call.Target)
+	}
+	req.ContentLength = int64(len(call.Body))
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(IdentityHeader, call.Identity.String())
+	req.Header.Set(RequestIDHeader, call.Identity.Request)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, nil, c.failure(ctx, call, h, err)
+	}
+	if err := c.checkHead(resp, call); err != nil {
+		// Not read to the end on purpose: the connection is closed, so that a
+		// target that mixed up answers cannot do so again on it.
+		resp.Body.Close()
+		return nil, nil, err
+	}
+	return resp, h, nil
+}
+
+func (c *Client) checkHead(resp *http.Response, call Call) error {
+	if call.Echoes && resp.Header.Get(IdentityHeader) != call.Identity.String() {
+		c.wrong.Add(1)
+		return verdict.New(verdict.MayHaveRun, verdict.WrongAnswer,
+			"the target answered for %q", resp.Header.Get(IdentityHeader)).At(call.Identity.Stage, call.Target)
+	}
+	if resp.StatusCode == http.StatusOK {
+		return nil
+	}
+	if slices.Contains(call.RefusalStatuses, resp.StatusCode) {
+		return verdict.New(verdict.NotRun, verdict.TargetRefused, "the target refused with status %d", resp.StatusCode).
+			After(retryAfter(resp.Header)).At(call.Identity.Stage, call.Target)
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.TargetFailed, "the target failed with status %d", resp.StatusCode).
+		At(call.Identity.Stage, call.Target)
+}
+
+// failure turns a transport error into a verdict.
+func (c *Client) failure(ctx context.Context, call Call, h *handover, err error) error {
+	v := verdict.MayHaveRun
+	if h.nothingWritten() {
+		v = verdict.NotRun
+	}
+	code, reason := verdict.TargetFailed, "the connection to the target failed"
+	var op *net.OpError
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		code, reason = verdict.DeadlineExceeded, "the target did not answer in time"
+	case ctx.Err() != nil:
+		code, reason = verdict.Canceled, "the call was cancelled"
+	case errors.As(err, &op) && op.Op == "dial":
+		reason = "the target cannot be reached"
+	}
+	return verdict.Wrap(err, v, code, "%s", reason).At(call.Identity.Stage, call.Target)
+}
+
+func retryAfter(h http.Header) time.Duration {
+	sec, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || sec < 0 {
+		return 0
+	}
+	return time.Duration(sec) * time.Second
+}
--- /dev/null
+++ b/internal/dispatch/stream.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"topazmoor/internal/verdict"
+)
+
+// Token is one generated token of a stream.
+type Token struct {
+	// Index counts the tokens of the whole generation from 0, resumed parts
+	// included.
+	Index int    `json:"index"`
+	Text  string `json:"text"`
+}
+
+// chunk is one event of an engine's completions stream.
+type chunk struct {
+	Choices []struct {
+		Text       string `json:"text"`
+		TokenIndex int    `json:"token_index"`
+	} `json:"choices"`
+}
+
+var (
+	dataPrefix = []byte("data: ")
+	doneMark   = []byte("[DONE]")
+)
+
+// maxEvent bounds one event of a stream, in bytes.
+const maxEvent = 1 << 20
+
+// Stall bounds the silence of a stream.
+type Stall struct {
+	// First bounds the wait for the first token, Next for each later one.
+	First, Next time.Duration
+}
+
+// Stream makes the call and hands each token to emit, starting with index
+// next. A token out of order ends the stream: a gap or a doubled token never
+// reaches emit. It returns nil only after the engine marked the end.
+//
+// An error of emit is returned as it is.
+func (c *Client) Stream(ctx context.Context, call Call, next int, stall Stall, emit func(Token) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(stall.First, func() { cancel(errStalled) })
+	defer watchdog.Stop()
+	resp, h, err := c.send(ctx, call)
+	if err != nil {
+		return stalled(ctx, err, call)
+	}
+	defer resp.Body.Close()
+	events := bufio.NewScanner(resp.Body)
+	events.Buffer(make([]byte, 0, 4096), maxEvent)
+	for events.Scan() {
+		data, ok := bytes.CutPrefix(events.Bytes(), dataPrefix)
+		if !ok {
+			continue
+		}
+		watchdog.Reset(stall.Next)
+		if bytes.Equal(data, doneMark) {
+			return nil
+		}
+		next, err = emitChunk(data, next, emit, call)
+		if err != nil {
+			return err
+		}
+	}
+	err = events.Err()
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return stalled(ctx, c.failure(ctx, call, h, err), call)
+}
+
+var errStalled = eris.New("dispatch: stream stalled")
+
+// stalled replaces the error of a call that the watchdog ended: it is the
+// target's failure, not the caller's cancellation.
+func stalled(ctx context.Context, err error, call Call) error {
+	if context.Cause(ctx) != errStalled {
+		return err
+	}
+	return verdict.Wrap(errStalled, verdict.Of(err), verdict.TargetFailed, "the stream stalled").
+		At(call.Identity.Stage, call.Target)
+}
+
+func emitChunk(data []byte, next int, emit func(Token) error, call Call) (int, error) {
+	var ch chunk
+	if err := json.Unmarshal(data, &ch); err != nil {
+		return next, verdict.Wrap(err, verdict.MayHaveRun, verdict.TargetFailed, "the stream is not valid JSON").
+			At(call.Identity.Stage, call.Target)
+	}
+	for _, choice := range ch.Choices {
+		if choice.TokenIndex != next {
+			return next, verdict.New(verdict.MayHaveRun, verdict.WrongAnswer,
+				"the stream sent token %d, want %d", choice.TokenIndex, next).At(call.Identity.Stage, call.Target)
+		}
+		if err := emit(Token{Index: next, Text: choice.Text}); err != nil {
+			return next, err
+		}
+		next++
+	}
+	return next, nil
+}
--- /dev/null
+++ b/internal/frontdoor/frontdoor.go
@@ -0,0 +1,253 @@
+// Package frontdoor serves the caller API: it authenticates the client
+// account, admits the request, claims its key where it may not be repeated,
+// and answers once, completely or with an honest refusal.
+package frontdoor
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"topazmoor/internal/catalog"
+	"topazmoor/internal/ledger"
+	"topazmoor/internal/pipeline"
+	"topazmoor/internal/verdict"
+)
+
+// Config is what a Server is built from.
+type Config struct {
+	// Node is the name of this node.
+	Node string
+	// Catalog returns the configuration in force.
+	Catalog func() *catalog.Compiled
+	// Runner runs the pipelines.
+	Runner *pipeline.Runner
+	// Ledger keeps claims of request keys.
+	Ledger ledger.Book
+	// IssueTicket returns a new request ticket for an account.
+	IssueTicket func(account string) string
+	// NewID returns an ID unique over all nodes.
+	NewID func() string
+	// Share returns the part of an account's rate that this node may use.
+	Share func() float64
+	// BodyBytes and Requests are the limits of the settings.
+	BodyBytes int64
+	Requests  int
+	// ReadTimeout ends the reading of one body.
+	ReadTimeout time.Duration
+	Observer    Observer
+	Log         *slog.Logger
+}
+
+// Observer is told about every request; it must not block.
+type Observer interface {
+	// RequestDone notes one request. code is empty for a complete answer.
+	RequestDone(account, pipeline string, class catalog.Class, code verdict.Code, took time.Duration, met bool)
+}
+
+// Server serves the caller API. It implements http.Handler.
+type Server struct {
+	cfg      Config
+	mux      *http.ServeMux
+	limits   *accountLimits
+	inFlight atomic.Int64
+	work     sync.WaitGroup
+}
+
+// Paths of the caller API.
+const (
+	PathRun     = "/v1/pipelines/"
+	PathTickets = "/v1/tickets"
+	PathLookup  = "/v1/requests/"
+)
+
+// New returns a Server.
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg, mux: http.NewServeMux(), limits: newAccountLimits(cfg.Share)}
+	s.mux.HandleFunc("POST "+PathRun+"{pipeline}", s.run)
+	s.mux.HandleFunc("POST "+PathTickets, s.ticket)
+	s.mux.HandleFunc("GET "+PathLookup+"{key}", s.lookup)
+	s.mux.HandleFunc("/", s.unknown)
+	return s
+}
+
+// Handle adds a route for authenticated callers.
+func (s *Server) Handle(pattern string, h func(w http.ResponseWriter, r *http.Request, acct *catalog.CompiledAccount)) {
+	s.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		acct, err := s.authenticate(r)
+		if err != nil {
+			s.refuse(w, err, "")
+			return
+		}
+		h(w, r, acct)
+	})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// InFlight returns the number of requests that are being worked on.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// Wait returns when the work of all requests has ended, detached work whose
+// callers left included, or when ctx ends.
+func (s *Server) Wait(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		s.work.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *Server) unknown(w http.ResponseWriter, r *http.Request) {
+	s.refuse(w, verdict.New(verdict.NotRun, verdict.NotFound, "%s %s is not part of the caller API", r.Method, r.URL.Path), "")
+}
+
+func (s *Server) refuse(w http.ResponseWriter, err error, requestID string) {
+	NewProblem(err, requestID, s.cfg.Node).Write(w)
+}
+
+// authenticate finds the account of the bearer token. Only the hash of the
+// token is compared and kept.
+func (s *Server) authenticate(r *http.Request) (*catalog.CompiledAccount, error) {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || token == "" {
+		return nil, verdict.New(verdict.NotRun, verdict.Unauthenticated, "send the account's token as Authorization: Bearer TOKEN")
+	}
+	sum := sha256.Sum256([]byte(token))
+	acct := s.cfg.Catalog().ByToken(hex.EncodeToString(sum[:]))
+	if acct == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.Unauthenticated, "the token belongs to no client account")
+	}
+	return acct, nil
+}
+
+func (s *Server) ticket(w http.ResponseWriter, r *http.Request) {
+	acct, err := s.authenticate(r)
+	if err != nil {
+		s.refuse(w, err, "")
+		return
+	}
+	body, err := json.Marshal(Ticket{Ticket: s.cfg.IssueTicket(acct.Name), Node: s.cfg.Node})
+	if err != nil {
+		s.refuse(w, err, "")
+		return
+	}
+	writeBody(w, http.StatusOK, body, 0)
+}
+
+// Ticket is the body of a ticket's answer.
+type Ticket struct {
+	// Ticket is used as the Idempotency-Key of one request.
+	Ticket string `json:"ticket"`
+	Node   string `json:"node"`
+}
+
+// KeyStatus is the body of a lookup.
+type KeyStatus struct {
+	Key string `json:"key"`
+	// State is unknown, in_progress, finished or lost (the holder died).
+	State string `json:"state"`
+	// Status and Answer are what the caller was told; for state finished.
+	Status int             `json:"status,omitempty"`
+	Answer json.RawMessage `json:"answer,omitempty"`
+}
+
+func (s *Server) lookup(w http.ResponseWriter, r *http.Request) {
+	acct, err := s.authenticate(r)
+	if err != nil {
+		s.refuse(w, err, "")
+		return
+	}
+	key := r.PathValue("key")
+	rec, found, err := s.cfg.Ledger.Lookup(r.Context(), ledger.Key{Account: acct.Name, Key: key})
+	if err != nil {
+		s.refuse(w, verdict.WithPrior(err, verdict.MayHaveRun), "")
+		return
+	}
+	body, err := json.Marshal(keyStatus(key, rec, found, time.Now()))
+	if err != nil {
+		s.refuse(w, err, "")
+		return
+	}
+	writeBody(w, http.StatusOK, body, 0)
+}
+
+func keyStatus(key string, rec ledger.Record, found bool, now time.Time) KeyStatus {
+	st := KeyStatus{Key: key, State: "in_progress"}
+	switch {
+	case !found:
+		st.State = "unknown"
+	case rec.Outcome != nil:
+		st.State, st.Status, st.Answer = "finished", rec.Outcome.Status, rec.Outcome.Body
+	case now.After(rec.Until):
+		st.State = "lost"
+	}
+	return st
+}
+
+// run answers a run call.
+func (s *Server) run(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	id := s.cfg.NewID()
+	w.Header().Set(HeaderRequestID, id)
+	acct, err := s.authenticate(r)
+	if err != nil {
+		s.refuse(w, err, id)
+		return
+	}
+	name := r.PathValue("pipeline")
+	plan := acct.Plans[name]
+	if plan == nil {
+		s.refuse(w, verdict.New(verdict.NotRun, verdict.UnknownPipeline, "the account has no pipeline %q", name), id)
+		return
+	}
+	body, err := readBody(w, r, s.cfg.BodyBytes, s.cfg.ReadTimeout)
+	if err != nil {
+		s.refuse(w, err, id)
+		return
+	}
+	call, err := parseRun(r, body, plan)
+	if err != nil {
+		s.refuse(w, err, id)
+		return
+	}
+	req := &pipeline.Request{
+		ID: id, Account: acct.Name, Pipeline: name, Plan: plan,
+		Class: call.class, Deadline: arrived.Add(call.deadline), Input: call.input,
+	}
+	e := &exchange{s: s, w: w, r: r, acct: acct, req: req, call: call, arrived: arrived, revision: s.cfg.Catalog().Revision}
+	e.serve()
+}
+
+// enter admits a request to the node's and the account's limits.
+func (s *Server) enter(acct *catalog.CompiledAccount) (leave func(), err error) {
+	if s.inFlight.Add(1) > int64(s.cfg.Requests) {
+		s.inFlight.Add(-1)
+		return nil, verdict.New(verdict.NotRun, verdict.Overloaded, "the node works on %d requests", s.cfg.Requests).After(time.Second)
+	}
+	release, err := s.limits.enter(acct, time.Now())
+	if err != nil {
+		s.inFlight.Add(-1)
+		return nil, err
+	}
+	s.work.Add(1)
+	return func() {
+		release()
+		s.inFlight.Add(-1)
+		s.work.Done()
+	}, nil
+}
--- /dev/null
+++ b/internal/frontdoor/reply.go
@@ -0,0 +1,119 @@
+package frontdoor
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"topazmoor/internal/pipeline"
+	"topazmoor/internal/verdict"
+)
+
+// Reply is the body of a complete answer.
+type Reply struct {
+	RequestID string          `json:"request_id"`
+	Pipeline  string          `json:"pipeline"`
+	Revision  int64           `json:"revision"`
+	Node      string          `json:"node"`
+	Output    json.RawMessage `json:"output"`
+	// DeadlineMet says whether the answer was complete in time.
+	DeadlineMet bool `json:"deadline_met"`
+	// LatencyMS is the time from arrival to the complete answer.
+	LatencyMS float64              `json:"latency_ms"`
+	Stages    []pipeline.StageCost `json:"stages"`
+}
+
+// Problem is the body of a refusal, as RFC 9457 problem details.
+type Problem struct {
+	// Type is a URI reference made from the code.
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+	// Code is the stable reason.
+	Code verdict.Code `json:"code"`
+	// Verdict says whether the request, in any attempt with its key, may have
+	// run: not_run or may_have_run.
+	Verdict string `json:"verdict"`
+	// AttemptVerdict says the same of this submission alone. A caller that
+	// never sent the key before can rely on it.
+	AttemptVerdict string `json:"attempt_verdict"`
+	// RetryAfterMS is when a repeat has a fair chance; 0 for unknown.
+	RetryAfterMS int64                `json:"retry_after_ms,omitempty"`
+	RequestID    string               `json:"request_id,omitempty"`
+	Stage        string               `json:"stage,omitempty"`
+	Node         string               `json:"node"`
+	Stages       []pipeline.StageCost `json:"stages,omitempty"`
+}
+
+// statuses maps codes to HTTP statuses.
+var statuses = map[verdict.Code]int{
+	verdict.InvalidRequest:      http.StatusBadRequest,
+	verdict.Unauthenticated:     http.StatusUnauthorized,
+	verdict.Forbidden:           http.StatusForbidden,
+	verdict.UnknownPipeline:     http.StatusNotFound,
+	verdict.NotFound:            http.StatusNotFound,
+	verdict.TooLarge:            http.StatusRequestEntityTooLarge,
+	verdict.RateLimited:         http.StatusTooManyRequests,
+	verdict.Overloaded:          http.StatusServiceUnavailable,
+	verdict.DeadlineUnreachable: http.StatusServiceUnavailable,
+	verdict.DeadlineExceeded:    http.StatusGatewayTimeout,
+	verdict.Canceled:            499,
+	verdict.NoTarget:            http.StatusServiceUnavailable,
+	verdict.TargetRefused:       http.StatusServiceUnavailable,
+	verdict.TargetFailed:        http.StatusBadGateway,
+	verdict.WrongAnswer:         http.StatusBadGateway,
+	verdict.KeyReused:           http.StatusUnprocessableEntity,
+	verdict.KeyInProgress:       http.StatusConflict,
+	verdict.KeyOutcomeUnknown:   http.StatusConflict,
+	verdict.StoreUnavailable:    http.StatusServiceUnavailable,
+	verdict.RevisionConflict:    http.StatusConflict,
+	verdict.Stopping:            http.StatusServiceUnavailable,
+}
+
+// StatusOf returns the HTTP status of a code.
+func StatusOf(c verdict.Code) int {
+	if s, ok := statuses[c]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+// NewProblem describes err. The caller may still raise Verdict when the key of
+// the request may have run in another attempt.
+func NewProblem(err error, requestID, node string) Problem {
+	e := verdict.As(err)
+	v := e.Verdict.Refusal().String()
+	return Problem{
+		Type: "urn:topazmoor:" + string(e.Code), Title: string(e.Code), Status: StatusOf(e.Code),
+		Detail: e.Reason, Code: e.Code, Verdict: v, AttemptVerdict: v,
+		RetryAfterMS: e.RetryAfter.Milliseconds(), RequestID: requestID, Stage: e.Stage, Node: node,
+	}
+}
+
+// Write sends the problem.
+func (p Problem) Write(w http.ResponseWriter) {
+	body, err := json.Marshal(p)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	writeBody(w, p.Status, body, p.RetryAfterMS)
+}
+
+// writeBody sends an answer or a problem.
+func writeBody(w http.ResponseWriter, status int, body []byte, retryAfterMS int64) {
+	contentType := "application/json"
+	if status >= http.StatusBadRequest {
+		contentType = "application/problem+json"
+	}
+	w.Header().Set("Content-Type", contentType)
+	if retryAfterMS > 0 {
+		// Rounded up: the header knows whole seconds only.
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(float64(retryAfterMS)/1000))))
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	// A failed write means that the caller left.
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/ledger/ticket.go
@@ -0,0 +1,206 @@
+package ledger
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"topazmoor/internal/verdict"
+)
+
+// ticketPrefix marks idempotency keys that are tickets.
+const ticketPrefix = "tk1."
+
+// ticketBookLimit is the most redeemed tickets that a book holds.
+const ticketBookLimit = 200_000
+
+// Ticket is a decoded request ticket: an idempotency key that only the process
+// that issued it can grant.
+type Ticket struct {
+	// Node and Incarnation name the process that issued it.
+	Node, Incarnation string
+	Nonce             string
+	Expires           time.Time
+}
+
+// IsTicket reports whether an idempotency key is a ticket.
+func IsTicket(key string) bool { return strings.HasPrefix(key, ticketPrefix) }
+
+// Tickets makes and checks tickets. Every node can check, because the secret
+// is shared; only the issuing process can grant.
+type Tickets struct {
+	secret      []byte
+	node        string
+	incarnation string
+	life        time.Duration
+	nonce       func() string
+}
+
+// NewTickets returns the tickets of one process. The incarnation must be
+// unique to the process; nonce must not repeat.
+func NewTickets(secret []byte, node, incarnation string, life time.Duration, nonce func() string) *Tickets {
+	return &Tickets{secret: secret, node: node, incarnation: incarnation, life: life, nonce: nonce}
+}
+
+// Issue returns a new ticket for an account. Nothing is stored until it is
+// redeemed.
+func (t *Tickets) Issue(account string, now time.Time) string {
+	expires := strconv.FormatInt(now.Add(t.life).Unix(), 36)
+	node := base64.RawURLEncoding.EncodeToString([]byte(t.node))
+	payload := ticketPrefix + strings.Join([]string{node, t.incarnation, t.nonce(), expires}, ".")
+	return payload + "." + t.mac(account, payload)
+}
+
+func (t *Tickets) mac(account, payload string) string {
+	m := hmac.New(sha256.New, t.secret)
+	m.Write([]byte("ticket\x00" + account + "\x00" + payload))
+	return base64.RawURLEncoding.EncodeToString(m.Sum(nil)[:16])
+}
+
+// Parse checks that key is a ticket of this account. It does not check the
+// expiry: an expired ticket may still be looked up.
+func (t *Tickets) Parse(account, key string) (Ticket, error) {
+	bad := verdict.New(verdict.NotRun, verdict.InvalidRequest, "the ticket is not one of this account: get one by POST /v1/tickets")
+	parts := strings.Split(key, ".")
+	if len(parts) != 6 || !IsTicket(key) {
+		return Ticket{}, bad
+	}
+	payload := strings.Join(parts[:5], ".")
+	if !hmac.Equal([]byte(t.mac(account, payload)), []byte(parts[5])) {
+		return Ticket{}, bad
+	}
+	node, err := base64.RawURLEncoding.DecodeString(parts[1])
+	if err != nil {
+		return Ticket{}, bad
+	}
+	expires, err := strconv.ParseInt(parts[4], 36, 64)
+	if err != nil {
+		return Ticket{}, bad
+	}
+	return Ticket{Node: string(node), Incarnation: parts[2], Nonce: parts[3], Expires: time.Unix(expires, 0)}, nil
+}
+
+// TicketBook keeps the claims of the tickets that this process issued, in
+// memory. It needs neither the table service nor other nodes: no other process
+// can grant these tickets, whatever is paused, cut off or dead.
+type TicketBook struct {
+	tickets *Tickets
+
+	mu      sync.Mutex
+	records map[Key]*ticketRecord
+	sweep   time.Time
+}
+
+type ticketRecord struct {
+	Record
+	expires time.Time
+}
+
+// sweepInterval is the time between removals of expired records.
+const sweepInterval = 10 * time.Second
+
+// NewTicketBook returns an empty book.
+func NewTicketBook(t *Tickets) *TicketBook {
+	return &TicketBook{tickets: t, records: make(map[Key]*ticketRecord)}
+}
+
+// errIssuerGone answers for tickets of a process that is not reachable: it may
+// have granted the ticket before.
+func errIssuerGone() error {
+	return verdict.New(verdict.MayHaveRun, verdict.KeyOutcomeUnknown,
+		"the node that issued the ticket is gone; if you have not sent the ticket before, get a new one")
+}
+
+// own checks that this process issued the ticket.
+func (b *TicketBook) own(k Key) (Ticket, error) {
+	t, err := b.tickets.Parse(k.Account, k.Key)
+	if err != nil {
+		return Ticket{}, err
+	}
+	if t.Node != b.tickets.node || t.Incarnation != b.tickets.incarnation {
+		return Ticket{}, errIssuerGone()
+	}
+	return t, nil
+}
+
+// Claim implements Book.
+func (b *TicketBook) Claim(_ context.Context, c Claim) (Grant, error) {
+	t, err := b.own(c.Key)
+	if err != nil {
+		return Grant{}, err
+	}
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.removeExpired(now)
+	if rec := b.records[c.Key]; rec != nil {
+		return Grant{Granted: rec.Attempt == c.Attempt && rec.Outcome == nil, Existing: rec.Record}, nil
+	}
+	if !now.Before(t.Expires) {
+		return Grant{}, verdict.New(verdict.MayHaveRun, verdict.KeyOutcomeUnknown,
+			"the ticket expired; if you have not sent it before, get a new one")
+	}
+	if len(b.records) >= ticketBookLimit {
+		return Grant{}, verdict.New(verdict.NotRun, verdict.Overloaded, "too many tickets are in use").After(sweepInterval)
+	}
+	// Records outlive their tickets, so that a clock that is set back does not
+	// make a used ticket look new.
+	keep := laterOf(t.Expires, c.Until).Add(b.tickets.life)
+	b.records[c.Key] = &ticketRecord{Record: Record{Claim: c}, expires: keep}
+	return Grant{Granted: true}, nil
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Finish implements Book.
+func (b *TicketBook) Finish(_ context.Context, c Claim, out *Outcome) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	rec := b.records[c.Key]
+	if rec == nil || rec.Attempt != c.Attempt || rec.Outcome != nil {
+		return nil
+	}
+	if out == nil {
+		delete(b.records, c.Key)
+		return nil
+	}
+	rec.Outcome = out
+	return nil
+}
+
+// Lookup implements Book.
+func (b *TicketBook) Lookup(_ context.Context, k Key) (Record, bool, error) {
+	if _, err := b.own(k); err != nil {
+		return Record{}, false, err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	rec := b.records[k]
+	if rec == nil {
+		return Record{}, false, nil
+	}
+	return rec.Record, true, nil
+}
+
+// removeExpired drops records of tickets that cannot be redeemed any more.
+func (b *TicketBook) removeExpired(now time.Time) {
+	if now.Before(b.sweep) {
+		return
+	}
+	b.sweep = now.Add(sweepInterval)
+	for k, rec := range b.records {
+		if now.After(rec.expires) {
+			delete(b.records, k)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,278 @@
+// Package node assembles one process of the system from its settings: it
+// provisions every part, runs them under a supervisor, and stops gracefully.
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/thejerf/suture/v4"
+
+	"topazmoor/internal/admin"
+	"topazmoor/internal/blackboard"
+	"topazmoor/internal/catalog"
+	"topazmoor/internal/config"
+	"topazmoor/internal/dispatch"
+	"topazmoor/internal/frontdoor"
+	"topazmoor/internal/ledger"
+	"topazmoor/internal/metrics"
+	"topazmoor/internal/pipeline"
+	"topazmoor/internal/platform"
+	"topazmoor/internal/scheduler"
+	"topazmoor/internal/settings"
+)
+
+// Env is the outside world of a node; tests replace it.
+type Env struct {
+	// Dial opens connections to targets and peers.
+	Dial dispatch.Dial
+	// Listen opens a TCP listener.
+	Listen func(addr string) (net.Listener, error)
+	// Store is the platform.
+	Store platform.Store
+	// PeerKey is the secret that all nodes share.
+	PeerKey []byte
+	// NewID returns IDs unique over all nodes and restarts.
+	NewID func() string
+	// Seed seeds random choices that need not be secret.
+	Seed uint64
+	Log  *slog.Logger
+}
+
+// Board is the node's blackboard.
+type Board struct {
+	Catalog blackboard.Cell[*catalog.Compiled]
+	Hosts   blackboard.Cell[HostView]
+}
+
+// HostView is the last host list that was read.
+type HostView struct {
+	Hosts []platform.Host
+	Read  time.Time
+}
+
+// Node is one process of the system.
+type Node struct {
+	s     settings.Settings
+	env   Env
+	log   *slog.Logger
+	board Board
+
+	metrics  *metrics.Set
+	sched    *scheduler.Scheduler
+	calls    *dispatch.Client
+	follower *config.Follower
+	ledger   *ledger.Router
+	table    *ledger.TableBook
+	front    *frontdoor.Server
+	admin    *admin.Server
+	servers  []*server
+	started  time.Time
+
+	stopOnce sync.Once
+	stopping chan struct{}
+}
+
+// Provision builds a node and opens its listeners. Nothing is served yet. On
+// an error everything is closed again.
+func Provision(s settings.Settings, env Env) (*Node, error) {
+	n := &Node{
+		s: s, env: env, stopping: make(chan struct{}), metrics: metrics.New(), started: time.Now(),
+		log: env.Log.With("node", s.Node.Name),
+	}
+	n.sched = scheduler.New(scheduler.DefaultConfig(s.Node.DataCentre, env.Seed))
+	n.calls = dispatch.New(env.Dial, s.Limits.AnswerBytes)
+	store := config.NewStore(env.Store)
+	n.follower = config.NewFollower(store, &n.board.Catalog, s.Pools, config.Alone{}, s.Platform.ConfigPoll.Std(), n.log)
+	n.provisionLedger()
+	n.provisionFront()
+	n.provisionAdmin(store)
+	n.provisionGauges()
+	if err := n.provisionServers(); err != nil {
+		n.cleanup()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) provisionLedger() {
+	incarnation := n.env.NewID()
+	tickets := ledger.NewTickets(n.env.PeerKey, n.s.Node.Name, incarnation, n.s.Ledger.TicketLife.Std(), n.env.NewID)
+	n.table = ledger.NewTableBook(n.env.Store, n.s.Ledger.CommitInterval.Std(), n.log)
+	n.ledger = ledger.NewRouter(n.s.Node.Name, tickets, ledger.NewTicketBook(tickets), n.table, ledger.Alone{})
+}
+
+func (n *Node) provisionFront() {
+	runner := pipeline.NewRunner(n.sched, n.calls, n.s.Pools, n.metrics, n.log)
+	n.front = frontdoor.New(frontdoor.Config{
+		Node: n.s.Node.Name, Catalog: n.board.Catalog.Get, Runner: runner,
+		Ledger: n.ledger, IssueTicket: n.ledger.Issue, NewID: n.env.NewID,
+		Share:     func() float64 { return 1 },
+		BodyBytes: n.s.Limits.BodyBytes, Requests: n.s.Limits.Requests, ReadTimeout: n.s.Limits.ReadTimeout.Std(),
+		Observer: n.metrics, Log: n.log,
+	})
+}
+
+func (n *Node) provisionAdmin(store *config.Store) {
+	n.admin = admin.New(admin.Config{
+		Node: n.s.Node.Name, Operators: n.s.Operators, Catalog: n.board.Catalog.Get,
+		Store: store, Offer: n.follower.Offer, Status: n.Status,
+		Stop:  func(string) { n.RequestStop() },
+		NewID: n.env.NewID, Log: n.log,
+	})
+}
+
+func (n *Node) provisionGauges() {
+	n.metrics.Gauge("topazmoor_requests_in_flight", "Requests being worked on.", func() float64 { return float64(n.front.InFlight()) })
+	n.metrics.Gauge("topazmoor_config_revision", "Configuration revision in force.", func() float64 { return float64(n.board.Catalog.Get().Revision) })
+	n.metrics.Gauge("topazmoor_wrong_answers_total", "Answers dropped because they belonged to another attempt.", func() float64 { return float64(n.calls.WrongAnswers()) })
+	n.metrics.Gauge("topazmoor_ledger_commits_total", "Grouped commits of claims and outcomes.", func() float64 { return float64(n.table.Stats().Commits) })
+}
+
+func (n *Node) provisionServers() error {
+	observe := http.NewServeMux()
+	observe.Handle("GET /metrics", n.metrics.Handler())
+	observe.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	observe.HandleFunc("GET /readyz", n.serveReady)
+	for _, l := range []struct {
+		name    string
+		listen  settings.Listener
+		handler http.Handler
+		conns   int
+	}{
+		{callerServer, n.s.Listen.Caller, n.front, n.s.Limits.Connections},
+		{adminServer, n.s.Listen.Admin, n.admin, sideConnections},
+		{observeServer, n.s.Listen.Observe, observe, sideConnections},
+	} {
+		srv, err := newServer(l.name, l.listen, l.handler, l.conns, n.s.Limits.ReadTimeout.Std(), n.env.Listen)
+		if err != nil {
+			return err
+		}
+		n.servers = append(n.servers, srv)
+	}
+	return nil
+}
+
+// Addr returns the address that a server listens on: "caller", "admin" or
+// "observe".
+func (n *Node) Addr(name string) string {
+	for _, s := range n.servers {
+		if s.name == name {
+			return s.listener.Addr().String()
+		}
+	}
+	return ""
+}
+
+// Serve runs the node until ctx ends or a graceful stop is complete.
+func (n *Node) Serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sup := suture.New(n.s.Node.Name, suture.Spec{EventHook: func(e suture.Event) { n.log.Warn("supervisor", "event", e.String()) }})
+	sup.Add(n.follower)
+	sup.Add(&hostPoller{n: n})
+	sup.Add(&loadPoller{n: n})
+	for _, s := range n.servers {
+		sup.Add(s)
+	}
+	done := sup.ServeBackground(ctx)
+	n.log.Info("node serves", "caller", n.Addr(callerServer), "admin", n.Addr(adminServer), "observe", n.Addr(observeServer))
+	select {
+	case <-ctx.Done():
+	case <-n.stopping:
+		n.drain(ctx)
+	}
+	cancel()
+	err := <-done
+	n.cleanup()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return eris.Wrap(err, "supervisor")
+}
+
+// RequestStop starts the graceful shutdown.
+func (n *Node) RequestStop() {
+	n.stopOnce.Do(func() { close(n.stopping) })
+}
+
+// drain is the graceful shutdown: readiness has fallen already; wait for the
+// balancer to notice, then for the requests in flight.
+func (n *Node) drain(ctx context.Context) {
+	n.log.Info("stopping: readiness is down, waiting for the balancer", "lag", n.s.Stop.BalancerLag.Std())
+	select {
+	case <-ctx.Done():
+	case <-time.After(n.s.Stop.BalancerLag.Std()):
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.s.Stop.Drain.Std())
+	defer cancel()
+	err := errors.Join(n.caller().http.Shutdown(ctx), n.front.Wait(ctx))
+	if err != nil {
+		n.log.Error("stop.drain was too short: requests are cut and told may_have_run", "in_flight", n.front.InFlight())
+		return
+	}
+	n.log.Info("stopped: no request was interrupted")
+}
+
+func (n *Node) caller() *server {
+	for _, s := range n.servers {
+		if s.name == callerServer {
+			return s
+		}
+	}
+	panic("node: no caller server")
+}
+
+func (n *Node) cleanup() {
+	for _, s := range n.servers {
+		s.close()
+	}
+	n.calls.Close()
+}
+
+// Ready reports whether the balancer should send callers here, and why not.
+func (n *Node) Ready() (bool, string) {
+	select {
+	case <-n.stopping:
+		return false, "stopping"
+	default:
+	}
+	if n.board.Catalog.Get().Revision == 0 {
+		return false, "no configuration yet: neither the table service nor a peer gave one"
+	}
+	if len(n.board.Hosts.Get().Hosts) == 0 {
+		return false, "no target hosts yet: the host list was not read"
+	}
+	return true, ""
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	ready, reason := n.Ready()
+	if !ready {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Status implements the status call of the administration API.
+func (n *Node) Status() admin.Status {
+	ready, reason := n.Ready()
+	cfg := n.board.Catalog.Get()
+	st := admin.Status{
+		Node: n.s.Node.Name, Ready: ready, Reason: reason, Revision: cfg.Revision,
+		Accounts: cfg.Accounts(), InFlight: n.front.InFlight(), Hosts: len(n.board.Hosts.Get().Hosts),
+		Drained: []string{},
+		Nodes:   []admin.NodeStatus{{Name: n.s.Node.Name, DataCentre: n.s.Node.DataCentre, State: "self", Revision: cfg.Revision}},
+	}
+	for host := range cfg.Drains() {
+		st.Drained = append(st.Drained, host)
+	}
+	return st
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,172 @@
+// Package platform is the one way to the outside services that keep state for
+// the system: the transactional table service, the object store and the host
+// list. It holds the interfaces' types, an HTTP client, and an in-memory twin
+// with faults that tests and the stand-in use.
+//
+// A call can end in three ways: it took effect, it did not (ErrUnavailable),
+// or nobody can say (ErrUnknown, a lost reply). Callers must handle the third
+// by reading back what they wrote; see docs/design/002-platform.md.
+package platform
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// ErrUnavailable: the service did not take the call; nothing was applied.
+var ErrUnavailable = errors.New("platform: service unavailable")
+
+// ErrUnknown: the reply was lost; the call may or may not have been applied.
+var ErrUnknown = errors.New("platform: reply lost, outcome unknown")
+
+// ErrNotFound: no such row or object.
+var ErrNotFound = errors.New("platform: not found")
+
+// Row is one row of a table.
+type Row struct {
+	Table string `json:"table"`
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+	// Version is the commit number of the last write; it grows with each
+	// commit of the service and is never 0 for a row that exists.
+	Version int64 `json:"version"`
+}
+
+// Condition demands that a row has exactly this version; 0 demands that the
+// row does not exist.
+type Condition struct {
+	Table   string `json:"table"`
+	Key     string `json:"key"`
+	Version int64  `json:"version"`
+}
+
+// Write sets or deletes one row.
+type Write struct {
+	Table  string `json:"table"`
+	Key    string `json:"key"`
+	Value  []byte `json:"value,omitempty"`
+	Delete bool   `json:"delete,omitempty"`
+}
+
+// Tx is one transaction: if every condition holds, every write is applied,
+// otherwise none.
+type Tx struct {
+	Conditions []Condition `json:"conditions,omitempty"`
+	Writes     []Write     `json:"writes"`
+}
+
+// ConflictError reports the conditions of a transaction that did not hold.
+type ConflictError struct {
+	// Failed indexes Tx.Conditions.
+	Failed []int `json:"failed"`
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string { return "platform: conditions not met" }
+
+// Tables is the transactional table service.
+type Tables interface {
+	// Commit applies tx and returns its commit number. It fails with
+	// *ConflictError, ErrUnavailable or ErrUnknown.
+	Commit(ctx context.Context, tx Tx) (int64, error)
+	// Get returns one row, or ErrNotFound.
+	Get(ctx context.Context, table, key string) (Row, error)
+	// Scan returns up to limit rows whose keys start with prefix and are
+	// greater than after, in key order.
+	Scan(ctx context.Context, table, prefix, after string, limit int) ([]Row, error)
+}
+
+// Objects is the object store.
+type Objects interface {
+	// Put replaces an object. A repeat of the same Put is harmless.
+	Put(ctx context.Context, key string, value []byte) error
+	// GetObject returns an object, or ErrNotFound.
+	GetObject(ctx context.Context, key string) ([]byte, error)
+}
+
+// HostState is what the host list says of a target host.
+type HostState string
+
+// The states of a host.
+const (
+	Live    HostState = "live"
+	Leaving HostState = "leaving"
+)
+
+// Host is one target host of the host list.
+type Host struct {
+	// ID is unique and never used again for another host.
+	ID string `json:"id"`
+	// Addr is IP:port.
+	Addr string `json:"addr"`
+	// Pool is the stage pool, engine pool or service that it serves.
+	Pool       string `json:"pool"`
+	DataCentre string `json:"data_centre"`
+	// Models and Adapters are loaded now; empty for plain services.
+	Models   []string `json:"models,omitempty"`
+	Adapters []string `json:"adapters,omitempty"`
+	// Slots is how many calls it works on at once.
+	Slots int       `json:"slots"`
+	State HostState `json:"state"`
+}
+
+// Hosts is the host list. It lags behind reality.
+type Hosts interface {
+	// ListHosts returns all hosts that the platform knows of.
+	ListHosts(ctx context.Context) ([]Host, error)
+}
+
+// Store is everything that the platform keeps.
+type Store interface {
+	Tables
+	Objects
+	Hosts
+}
+
+// Applied settles a commit whose reply may be lost. It reads back one row that
+// the transaction wrote: if the row holds want, the transaction was applied.
+// Because a transaction is atomic one row is enough, provided that want is
+// unique to this transaction.
+//
+// It returns ErrUnknown while the service cannot be read.
+func Applied(ctx context.Context, t Tables, table, key string, want []byte) (bool, error) {
+	row, err := t.Get(ctx, table, key)
+	if errors.Is(err, ErrNotFound) {
+		return false, nil
+	}
+	if err != nil {
+		return false, ErrUnknown
+	}
+	return string(row.Value) == string(want), nil
+}
+
+// CommitSettled commits tx and, after a lost reply, reads back the row written
+// by tx.Writes[0] until it knows the outcome or ctx ends. The value of that
+// row must be unique to this transaction.
+//
+// A transaction that was sent but not yet applied can still be applied after
+// it was read back as absent. The result false therefore means "not applied
+// so far"; a caller that must exclude a late commit needs a condition that the
+// late commit would break.
+func CommitSettled(ctx context.Context, t Tables, tx Tx, pause time.Duration) (bool, error) {
+	_, err := t.Commit(ctx, tx)
+	if err == nil {
+		return true, nil
+	}
+	if !errors.Is(err, ErrUnknown) {
+		return false, err
+	}
+	w := tx.Writes[0]
+	for {
+		ok, err := Applied(ctx, t, w.Table, w.Key, w.Value)
+		if err == nil {
+			return ok, nil
+		}
+		select {
+		case <-ctx.Done():
+			return false, ErrUnknown
+		case <-time.After(pause):
+		}
+	}
+}
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,544 @@
+// Package scheduler applies the decisions of flow and routing to the calls of
+// one node: it queues calls by pool, grants each a target, and keeps the live
+// state of the targets that the decisions read.
+package scheduler
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"topazmoor/internal/catalog"
+	"topazmoor/internal/flow"
+	"topazmoor/internal/platform"
+	"topazmoor/internal/routing"
+	"topazmoor/internal/verdict"
+)
+
+// Config is what a Scheduler is built from.
+type Config struct {
+	// DataCentre is where the node stands.
+	DataCentre string
+	// RemoteCost is what a call to another data centre costs more.
+	RemoteCost time.Duration
+	// PrefixGain is the time that a cached prompt prefix saves.
+	PrefixGain time.Duration
+	// QueueLimit is the most waiting calls of a pool.
+	QueueLimit int
+	// RetryRatio is the share of calls that may be retried or hedged.
+	RetryRatio float64
+	// Seed seeds the random choice between equal targets.
+	Seed uint64
+}
+
+// DefaultConfig returns the values used in production.
+func DefaultConfig(dataCentre string, seed uint64) Config {
+	return Config{
+		DataCentre: dataCentre,
+		RemoteCost: time.Millisecond,
+		PrefixGain: 50 * time.Millisecond,
+		QueueLimit: 4096,
+		RetryRatio: 0.1,
+		Seed:       seed,
+	}
+}
+
+// Call describes one call that needs a target.
+type Call struct {
+	Pool, Model, Adapter string
+	Account              string
+	Class                catalog.Class
+	// Stage is the key of the stage's service-time estimate.
+	Stage string
+	// Latest is the latest start at which the request can still finish.
+	Latest time.Time
+	// Prefix is the hash of the prompt's prefix; 0 for none.
+	Prefix uint64
+	// Exclude lists targets that failed this request; they are used again
+	// only when no other target is left.
+	Exclude []string
+}
+
+// Outcome says how a granted call ended, for the target's live state.
+type Outcome uint8
+
+// The outcomes of a call.
+const (
+	// Succeeded: the target answered.
+	Succeeded Outcome = iota
+	// Refused: the target stated that it did not start the call.
+	Refused
+	// Failed: the target broke the call or timed out.
+	Failed
+	// Abandoned: the caller left or another attempt won.
+	Abandoned
+)
+
+// Scheduler grants targets to the calls of one node. All methods may be
+// called concurrently.
+type Scheduler struct {
+	cfg Config
+
+	mu     sync.Mutex
+	rng    *rand.Rand
+	pools  map[string]*pool
+	stages map[string]*flow.Estimate
+	share  map[string]float64
+}
+
+type pool struct {
+	name    string
+	targets []*target
+	// cands mirrors targets for routing.Pick.
+	cands  []routing.Candidate
+	queue  flow.Queue
+	budget flow.Budget
+	timer  *time.Timer
+}
+
+type target struct {
+	id      string
+	limit   flow.Limit
+	service flow.Estimate
+	breaker routing.Breaker
+	sent    int
+	slots   int
+}
+
+// unknownService is the service time assumed before the first sample.
+const unknownService = 50 * time.Millisecond
+
+// pumpInterval is how often a queue is looked at while all its targets are
+// set aside.
+const pumpInterval = 100 * time.Millisecond
+
+// New returns a Scheduler without targets.
+func New(cfg Config) *Scheduler {
+	return &Scheduler{
+		cfg:    cfg,
+		rng:    rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		pools:  make(map[string]*pool),
+		stages: make(map[string]*flow.Estimate),
+		share:  make(map[string]float64),
+	}
+}
+
+// SetHosts replaces the targets. The live state of hosts that stay is kept. A
+// host is leaving when the host list says so or drained reports it.
+func (s *Scheduler) SetHosts(hosts []platform.Host, drained func(id string) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	byPool := make(map[string][]platform.Host)
+	for _, h := range hosts {
+		byPool[h.Pool] = append(byPool[h.Pool], h)
+	}
+	for name, p := range s.pools {
+		if byPool[name] == nil {
+			p.set(nil, nil, s.cfg.DataCentre, 1)
+		}
+	}
+	for name, list := range byPool {
+		p := s.pool(name)
+		p.set(list, drained, s.cfg.DataCentre, s.shareOf(name))
+		s.pump(p)
+	}
+}
+
+// SetShare sets which part of a pool's slots this node may use, from 0 to 1.
+func (s *Scheduler) SetShare(poolName string, share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.share[poolName] = share
+	p := s.pool(poolName)
+	for i, t := range p.targets {
+		t.limit.SetCeiling(float64(t.slots) * share)
+		p.cands[i].Limit = t.limit.Calls()
+	}
+	s.pump(p)
+}
+
+func (s *Scheduler) shareOf(poolName string) float64 {
+	if v, ok := s.share[poolName]; ok {
+		return v
+	}
+	return 1
+}
+
+// Demand returns the number of calls in flight or waiting of each pool.
+func (s *Scheduler) Demand() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.pools))
+	for name, p := range s.pools {
+		n := p.queue.Len()
+		for _, t := range p.targets {
+			n += t.sent
+		}
+		out[name] = n
+	}
+	return out
+}
+
+// Report notes a target's load report: its calls in flight and waiting, taken
+// when this node had sentAt calls there.
+func (s *Scheduler) Report(poolName, id string, calls, sentAt int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pool(poolName)
+	for i := range p.cands {
+		if p.cands[i].ID == id {
+			p.cands[i].Reported = calls
+			p.cands[i].SentAtReport = sentAt
+		}
+	}
+}
+
+// Sent returns the number of this node's calls in flight at a target.
+func (s *Scheduler) Sent(poolName, id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.pool(poolName).targets {
+		if t.id == id {
+			return t.sent
+		}
+	}
+	return 0
+}
+
+// Retry reports whether the retry budget of a pool allows one more attempt,
+// and uses it up.
+func (s *Scheduler) Retry(poolName string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool(poolName).budget.Take()
+}
+
+// Estimate returns the mean and the high service time of a stage; both are 0
+// while unknown.
+func (s *Scheduler) Estimate(stage string) (mean, high time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.stages[stage]
+	if e == nil {
+		return 0, 0
+	}
+	return e.Mean(), e.High()
+}
+
+// Demand of one stage in an admission estimate.
+type StageDemand struct {
+	// Pool serves the stage; Stage is its estimate's key.
+	Pool, Stage string
+}
+
+// Remaining estimates the time that the stages need from now on: for each the
+// wait in its queue and the mean service time.
+func (s *Scheduler) Remaining(stages []StageDemand, class catalog.Class) (total, wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, d := range stages {
+		mean := s.mean(d.Stage)
+		w := s.pool(d.Pool).wait(class, mean)
+		wait += w
+		total += w + mean
+	}
+	return total, wait
+}
+
+func (s *Scheduler) mean(stage string) time.Duration {
+	if e := s.stages[stage]; e != nil {
+		return e.Mean()
+	}
+	return 0
+}
+
+func (s *Scheduler) pool(name string) *pool {
+	p := s.pools[name]
+	if p == nil {
+		p = &pool{name: name, budget: flow.NewBudget(s.cfg.RetryRatio)}
+		s.pools[name] = p
+	}
+	return p
+}
+
+// Acquire waits for a target. The error is a *verdict.Error with NotRun.
+func (s *Scheduler) Acquire(ctx context.Context, c Call) (*Lease, error) {
+	w := &waiter{call: c, granted: make(chan *Lease, 1)}
+	s.mu.Lock()
+	p := s.pool(c.Pool)
+	if err := p.refuse(s.cfg.QueueLimit, &c); err != nil {
+		s.mu.Unlock()
+		return nil, err
+	}
+	if len(c.Exclude) == 0 {
+		p.budget.Call()
+	}
+	cost := s.mean(c.Stage)
+	if cost == 0 {
+		cost = unknownService
+	}
+	it := &flow.Item{Class: c.Class, Account: c.Account, Latest: c.Latest, Cost: cost, Value: w}
+	p.queue.Push(it, time.Now())
+	s.pump(p)
+	s.mu.Unlock()
+	return s.wait(ctx, p, it, w)
+}
+
+func (s *Scheduler) wait(ctx context.Context, p *pool, it *flow.Item, w *waiter) (*Lease, error) {
+	select {
+	case l := <-w.granted:
+		return l, nil
+	default:
+	}
+	timer := time.NewTimer(time.Until(it.Latest))
+	defer timer.Stop()
+	var err *verdict.Error
+	select {
+	case l := <-w.granted:
+		return l, nil
+	case <-ctx.Done():
+		err = verdict.New(verdict.NotRun, verdict.Canceled, "the call was cancelled while it waited for pool %s", p.name)
+	case <-timer.C:
+		err = verdict.New(verdict.NotRun, verdict.DeadlineUnreachable,
+			"no target of pool %s came free in time", p.name).After(s.retryAfter(p, it.Class))
+	}
+	s.mu.Lock()
+	removed := p.queue.Remove(it)
+	s.mu.Unlock()
+	if !removed {
+		// Granted in the same moment: give the slot back.
+		l := <-w.granted
+		l.Release(Abandoned)
+	}
+	return nil, err
+}
+
+// retryAfter is when the queue as it stands will have been served.
+func (s *Scheduler) retryAfter(p *pool, class catalog.Class) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(p.wait(class, unknownService), time.Second)
+}
+
+// pump grants targets to waiting calls while some fit. It is called with the
+// lock held.
+func (s *Scheduler) pump(p *pool) {
+	now := time.Now()
+	p.refresh(now)
+	for p.queue.Len() > 0 && p.anyFree() {
+		pick := -1
+		it := p.queue.Pop(now, func(it *flow.Item) bool {
+			return s.pick(p, &it.Value.(*waiter).call) >= 0
+		})
+		if it == nil {
+			break
+		}
+		w := it.Value.(*waiter)
+		pick = s.pick(p, &w.call)
+		w.granted <- s.grant(p, pick, &w.call, now)
+	}
+	s.arm(p)
+}
+
+// arm schedules another look at a queue whose targets may come back without
+// any call ending.
+func (s *Scheduler) arm(p *pool) {
+	if p.queue.Len() == 0 || p.timer != nil {
+		return
+	}
+	p.timer = time.AfterFunc(pumpInterval, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		p.timer = nil
+		s.pump(p)
+	})
+}
+
+func (s *Scheduler) pick(p *pool, c *Call) int {
+	q := routing.Query{
+		Model: c.Model, Adapter: c.Adapter, DataCentre: s.cfg.DataCentre,
+		Prefix: c.Prefix, Exclude: c.Exclude,
+		RemoteCost: s.cfg.RemoteCost, PrefixGain: s.cfg.PrefixGain,
+	}
+	if i := routing.Pick(&q, p.cands, s.rng); i >= 0 || len(c.Exclude) == 0 {
+		return i
+	}
+	if p.othersLeft(&q) {
+		return -1
+	}
+	q.Exclude = nil
+	return routing.Pick(&q, p.cands, s.rng)
+}
+
+func (s *Scheduler) grant(p *pool, i int, c *Call, now time.Time) *Lease {
+	t := p.targets[i]
+	t.sent++
+	t.breaker.Start()
+	p.cands[i].Sent = t.sent
+	p.cands[i].Down = t.breaker.Down(now)
+	return &Lease{Target: p.cands[i].Target, s: s, p: p, t: t, stage: c.Stage, start: now}
+}
+
+// Lease is the right to make one call at a target.
+type Lease struct {
+	// Target is where the call goes.
+	Target routing.Target
+
+	s     *Scheduler
+	p     *pool
+	t     *target
+	stage string
+	start time.Time
+	once  sync.Once
+}
+
+// Release gives the slot back and notes how the call ended. Only the first
+// Release counts.
+func (l *Lease) Release(o Outcome) {
+	l.once.Do(func() { l.release(o) })
+}
+
+func (l *Lease) release(o Outcome) {
+	now := time.Now()
+	took := now.Sub(l.start)
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	t := l.t
+	t.sent--
+	switch o {
+	case Succeeded:
+		t.breaker.Success()
+		t.limit.Done(took, now)
+		t.service.Add(took)
+		l.s.observe(l.stage, took)
+	case Refused:
+		t.breaker.Abandon()
+		t.limit.Refused(now)
+	case Failed:
+		t.breaker.Failure(now)
+	case Abandoned:
+		t.breaker.Abandon()
+	}
+	l.s.pump(l.p)
+}
+
+func (s *Scheduler) observe(stage string, took time.Duration) {
+	e := s.stages[stage]
+	if e == nil {
+		e = &flow.Estimate{}
+		s.stages[stage] = e
+	}
+	e.Add(took)
+}
+
+type waiter struct {
+	call    Call
+	granted chan *Lease
+}
+
+// set replaces the targets of a pool, keeping the state of those that stay.
+func (p *pool) set(hosts []platform.Host, drained func(string) bool, dc string, share float64) {
+	known := make(map[string]*target, len(p.targets))
+	loads := make(map[string]routing.Load, len(p.targets))
+	for i, t := range p.targets {
+		known[t.id] = t
+		loads[t.id] = p.cands[i].Load
+	}
+	p.targets = p.targets[:0:0]
+	p.cands = p.cands[:0:0]
+	for _, h := range hosts {
+		t := known[h.ID]
+		if t == nil {
+			t = &target{id: h.ID, slots: h.Slots, limit: flow.NewLimit(float64(h.Slots) * share)}
+		}
+		if t.slots != h.Slots {
+			t.slots = h.Slots
+			t.limit.SetCeiling(float64(h.Slots) * share)
+		}
+		load := loads[h.ID]
+		load.Leaving = h.State != platform.Live || drained(h.ID)
+		p.targets = append(p.targets, t)
+		p.cands = append(p.cands, routing.Candidate{Target: targetOf(h), Load: load})
+	}
+}
+
+func targetOf(h platform.Host) routing.Target {
+	return routing.Target{
+		ID: h.ID, Addr: h.Addr, DataCentre: h.DataCentre,
+		Models: h.Models, Adapters: h.Adapters,
+		Slots: h.Slots, Hash: xxhash.Sum64String(h.ID),
+	}
+}
+
+// refresh copies the state of the targets into the candidates.
+func (p *pool) refresh(now time.Time) {
+	for i, t := range p.targets {
+		c := &p.cands[i]
+		c.Sent = t.sent
+		c.Limit = t.limit.Calls()
+		c.Down = t.breaker.Down(now)
+		c.Service = t.service.Mean()
+		if c.Service == 0 {
+			c.Service = unknownService
+		}
+	}
+}
+
+func (p *pool) anyFree() bool {
+	for i := range p.cands {
+		c := &p.cands[i]
+		if !c.Leaving && !c.Down && c.Sent < c.Limit {
+			return true
+		}
+	}
+	return false
+}
+
+// othersLeft reports whether a target outside q.Exclude can serve q later.
+func (p *pool) othersLeft(q *routing.Query) bool {
+	for i := range p.cands {
+		switch routing.Filter(q, &p.cands[i]) {
+		case routing.Eligible, routing.AtLimit:
+			return true
+		}
+	}
+	return false
+}
+
+// refuse returns the refusal of a call that cannot be queued, or nil.
+func (p *pool) refuse(limit int, c *Call) error {
+	if p.queue.Len() >= limit {
+		return verdict.New(verdict.NotRun, verdict.Overloaded, "pool %s has %d calls waiting", p.name, limit).
+			After(time.Second).At(c.Stage, "")
+	}
+	q := routing.Query{Model: c.Model, Adapter: c.Adapter}
+	for i := range p.cands {
+		switch routing.Filter(&q, &p.cands[i]) {
+		case routing.WrongModel, routing.IsLeaving:
+		default:
+			return nil
+		}
+	}
+	return verdict.New(verdict.NotRun, verdict.NoTarget,
+		"no target of pool %s serves model %q with adapter %q", p.name, c.Model, c.Adapter).
+		After(2*time.Second).At(c.Stage, "")
+}
+
+// wait estimates how long a new call of this class waits in the queue.
+func (p *pool) wait(class catalog.Class, mean time.Duration) time.Duration {
+	capacity, busy := 0, 0
+	for i := range p.cands {
+		if !p.cands[i].Leaving && !p.cands[i].Down {
+			capacity += p.cands[i].Limit
+			busy += min(p.targets[i].sent, p.cands[i].Limit)
+		}
+	}
+	ahead := p.queue.Ahead(class)
+	if capacity == 0 || (ahead == 0 && busy < capacity) {
+		return 0
+	}
+	return mean * time.Duration(ahead+1) / time.Duration(capacity)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,380 @@
+// Package settings defines what a process is told at its start: who it is,
+// where it listens, where the platform is, and how the pools of targets
+// behave. What changes while the system runs (templates, client accounts,
+// drains) is not here but in the catalog.
+//
+// The field comments are the reference manual; docs/examples/settings.hujson
+// shows every setting.
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"topazmoor/internal/strictjson"
+)
+
+// Duration is a length of time written such as "9s".
+type Duration = strictjson.Duration
+
+// Settings are the settings of one node.
+type Settings struct {
+	// Node says who this process is.
+	Node Node `json:"node" need:"true"`
+	// Listen gives the addresses that the node serves.
+	Listen Listen `json:"listen" need:"true"`
+	// Platform says where the table service, object store and host list are.
+	Platform Platform `json:"platform" need:"true"`
+	// Peers configures the connections between nodes.
+	Peers Peers `json:"peers" need:"true"`
+	// Operators may use the administration API.
+	Operators []Operator `json:"operators"`
+	// Pools lists the pools of targets and how each behaves.
+	Pools []Pool `json:"pools" need:"true"`
+	// Limits bounds what a caller can make the node hold.
+	Limits Limits `json:"limits"`
+	// Stop configures the graceful shutdown.
+	Stop Stop `json:"stop"`
+	// Ledger configures claims of idempotency keys.
+	Ledger Ledger `json:"ledger"`
+	// Log configures the log.
+	Log Log `json:"log"`
+}
+
+// Node identifies a process.
+type Node struct {
+	// Name is unique among the nodes.
+	Name string `json:"name" need:"true"`
+	// DataCentre is where the host stands; calls stay there when they can.
+	DataCentre string `json:"data_centre" need:"true"`
+	// Region groups data centres; empty where there is only one.
+	Region string `json:"region"`
+}
+
+// Listen gives the addresses of a node.
+type Listen struct {
+	// Caller serves the caller API.
+	Caller Listener `json:"caller" need:"true"`
+	// Admin serves the administration API.
+	Admin Listener `json:"admin" need:"true"`
+	// Peer serves other nodes.
+	Peer Listener `json:"peer" need:"true"`
+	// Observe serves metrics, health and readiness.
+	Observe Listener `json:"observe" need:"true"`
+}
+
+// Listener is one listening address.
+type Listener struct {
+	// Addr is IP:port, such as "10.0.0.7:8080". Port 0 takes a free one.
+	Addr string `json:"addr" need:"true"`
+	// TLS secures the listener; leave it out for plain TCP.
+	TLS *TLS `json:"tls"`
+}
+
+// TLS names the files of a certificate.
+type TLS struct {
+	// CertFile and KeyFile are PEM files.
+	CertFile string `json:"cert_file" need:"true"`
+	KeyFile  string `json:"key_file" need:"true"`
+	// ClientCAFile, when set, demands client certificates signed by it.
+	ClientCAFile string `json:"client_ca_file"`
+}
+
+// Platform locates the platform.
+type Platform struct {
+	// Addr is IP:port of the platform's HTTP interface.
+	Addr string `json:"addr" need:"true"`
+	// TokenFile holds the token that the platform asks for; empty for none.
+	TokenFile string `json:"token_file"`
+	// Timeout ends each call to the platform. Default 2s.
+	Timeout Duration `json:"timeout"`
+	// HostPoll is the interval between reads of the host list. Default 1s.
+	HostPoll Duration `json:"host_poll"`
+	// ConfigPoll is the interval between reads of the configuration head.
+	// Default 3s.
+	ConfigPoll Duration `json:"config_poll"`
+}
+
+// Peers configures the connections between nodes.
+type Peers struct {
+	// Seeds are the peer addresses (IP:port) that a new node tries first.
+	Seeds []string `json:"seeds"`
+	// KeyFile holds the secret (32 bytes or more) that all nodes share; nodes
+	// prove to each other that they know it.
+	KeyFile string `json:"key_file" need:"true"`
+	// Interval is the time between two gossip rounds. Default 1s.
+	Interval Duration `json:"interval"`
+	// SuspectAfter is how long a peer may be silent before it is taken as
+	// failed. Default 5s.
+	SuspectAfter Duration `json:"suspect_after"`
+}
+
+// Operator is a person or script that may use the administration API.
+type Operator struct {
+	// Name stands in the audit trail.
+	Name string `json:"name" need:"true"`
+	// TokenSHA256 is the SHA-256 of the token in hex; the token itself is
+	// never stored. `topazmoor check --hash TOKEN` prints it.
+	TokenSHA256 string `json:"token_sha256" need:"true"`
+	// ReadOnly forbids changes.
+	ReadOnly bool `json:"read_only"`
+}
+
+// PoolKind is the protocol that the targets of a pool speak.
+type PoolKind string
+
+// The kinds of pools.
+const (
+	Encode   PoolKind = "encode"
+	Retrieve PoolKind = "retrieve"
+	Rerank   PoolKind = "rerank"
+	Generate PoolKind = "generate"
+	Service  PoolKind = "service"
+)
+
+// Kinds lists all kinds.
+var Kinds = []PoolKind{Encode, Retrieve, Rerank, Generate, Service}
+
+// Pool describes a pool of targets. Its members come from the host list.
+type Pool struct {
+	// Name is the pool's name in the host list.
+	Name string `json:"name" need:"true"`
+	// Kind is one of encode, retrieve, rerank, generate, service.
+	Kind PoolKind `json:"kind" need:"true"`
+	// Path is the path of a service's calls; only for kind service.
+	// Default "/v1/call".
+	Path string `json:"path"`
+	// RefusalStatuses are the HTTP statuses by which a target of this pool
+	// states that it did not start the call. Default 429. Add a status only if
+	// the target documents it so: topazmoor tells callers "not run" on the
+	// strength of it.
+	RefusalStatuses []int `json:"refusal_statuses"`
+	// EchoesIdentity says that targets return the Topazmoor-Attempt header of
+	// the call, so that a misdirected answer is noticed. Default true.
+	EchoesIdentity *bool `json:"echoes_identity"`
+	// HonoursFencing says that targets refuse an order with an old fencing
+	// number.
+	HonoursFencing bool `json:"honours_fencing"`
+}
+
+// Echoes returns EchoesIdentity or its default.
+func (p Pool) Echoes() bool { return p.EchoesIdentity == nil || *p.EchoesIdentity }
+
+// Limits bounds what callers can make a node hold.
+type Limits struct {
+	// BodyBytes is the largest request body. Default 1 MiB.
+	BodyBytes int64 `json:"body_bytes"`
+	// ReadTimeout ends the reading of one request's header and body.
+	// Default 5s.
+	ReadTimeout Duration `json:"read_timeout"`
+	// Requests is the number of requests that the node works on at once;
+	// more are refused at once. Default 4096.
+	Requests int `json:"requests"`
+	// Connections is the number of open caller connections. Default 8192.
+	Connections int `json:"connections"`
+	// AnswerBytes is the largest answer of one stage. Default 8 MiB.
+	AnswerBytes int64 `json:"answer_bytes"`
+}
+
+// Stop configures the graceful shutdown.
+type Stop struct {
+	// BalancerLag is how long the node goes on accepting after its readiness
+	// fell, so that the balancer notices. Default 3s.
+	BalancerLag Duration `json:"balancer_lag"`
+	// Drain bounds the wait for requests in flight. Default 30s.
+	Drain Duration `json:"drain"`
+}
+
+// Ledger configures claims of idempotency keys.
+type Ledger struct {
+	// RepeatWindow is how long a key is remembered. Default 24h.
+	RepeatWindow Duration `json:"repeat_window"`
+	// CommitInterval is the least time between two grouped commits of one
+	// node. It and the number of committers set the writes a second.
+	// Default 20ms.
+	CommitInterval Duration `json:"commit_interval"`
+	// Committers is how many nodes at most commit claims; the others send
+	// theirs to one of them. Default 8.
+	Committers int `json:"committers"`
+	// TicketLife is how long a request ticket can be redeemed. Default 15m.
+	TicketLife Duration `json:"ticket_life"`
+}
+
+// Log configures the log.
+type Log struct {
+	// Level is debug, info, warn or error. Default info.
+	Level string `json:"level"`
+	// Format is text or json. Default json.
+	Format string `json:"format"`
+}
+
+// Parse reads settings from JSON with comments, fills in the defaults and
+// validates. The error is a strictjson.Problems with every fault.
+func Parse(src []byte) (Settings, error) {
+	var s Settings
+	if err := strictjson.Decode(src, &s); err != nil {
+		return Settings{}, err
+	}
+	s.SetDefaults()
+	if err := s.validate().Err(); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// Load reads settings from a file.
+func Load(path string) (Settings, error) {
+	src, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "read settings")
+	}
+	return Parse(src)
+}
+
+func defaultTo[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// SetDefaults fills in what was left out.
+func (s *Settings) SetDefaults() {
+	defaultTo(&s.Platform.Timeout, Duration(2*time.Second))
+	defaultTo(&s.Platform.HostPoll, Duration(time.Second))
+	defaultTo(&s.Platform.ConfigPoll, Duration(3*time.Second))
+	defaultTo(&s.Peers.Interval, Duration(time.Second))
+	defaultTo(&s.Peers.SuspectAfter, Duration(5*time.Second))
+	defaultTo(&s.Limits.BodyBytes, 1<<20)
+	defaultTo(&s.Limits.ReadTimeout, Duration(5*time.Second))
+	defaultTo(&s.Limits.Requests, 4096)
+	defaultTo(&s.Limits.Connections, 8192)
+	defaultTo(&s.Limits.AnswerBytes, 8<<20)
+	defaultTo(&s.Stop.BalancerLag, Duration(3*time.Second))
+	defaultTo(&s.Stop.Drain, Duration(30*time.Second))
+	defaultTo(&s.Ledger.RepeatWindow, Duration(24*time.Hour))
+	defaultTo(&s.Ledger.CommitInterval, Duration(20*time.Millisecond))
+	defaultTo(&s.Ledger.Committers, 8)
+	defaultTo(&s.Ledger.TicketLife, Duration(15*time.Minute))
+	defaultTo(&s.Log.Level, "info")
+	defaultTo(&s.Log.Format, "json")
+	for i := range s.Pools {
+		if s.Pools[i].RefusalStatuses == nil {
+			s.Pools[i].RefusalStatuses = []int{429}
+		}
+		if s.Pools[i].Kind == Service {
+			defaultTo(&s.Pools[i].Path, "/v1/call")
+		}
+	}
+}
+
+func (s *Settings) validate() strictjson.Problems {
+	var p strictjson.Problems
+	required(&p, "node.name", s.Node.Name)
+	required(&p, "node.data_centre", s.Node.DataCentre)
+	checkAddr(&p, "listen.caller.addr", s.Listen.Caller.Addr)
+	checkAddr(&p, "listen.admin.addr", s.Listen.Admin.Addr)
+	checkAddr(&p, "listen.peer.addr", s.Listen.Peer.Addr)
+	checkAddr(&p, "listen.observe.addr", s.Listen.Observe.Addr)
+	checkAddr(&p, "platform.addr", s.Platform.Addr)
+	for i, seed := range s.Peers.Seeds {
+		checkAddr(&p, index("peers.seeds", i), seed)
+	}
+	s.validateOperators(&p)
+	s.validatePools(&p)
+	s.validateRanges(&p)
+	return p
+}
+
+func (s *Settings) validateOperators(p *strictjson.Problems) {
+	seen := make(map[string]bool)
+	for i, o := range s.Operators {
+		path := index("operators", i)
+		if !isSHA256(o.TokenSHA256) {
+			p.Add(path+".token_sha256", "is not 64 hex digits: write the output of `topazmoor check --hash TOKEN`")
+		}
+		if seen[o.Name] {
+			p.Add(path+".name", "%q stands twice: give each operator a name of its own", o.Name)
+		}
+		seen[o.Name] = true
+	}
+}
+
+func (s *Settings) validatePools(p *strictjson.Problems) {
+	seen := make(map[string]bool)
+	for i, pool := range s.Pools {
+		path := index("pools", i)
+		required(p, path+".name", pool.Name)
+		if !slices.Contains(Kinds, pool.Kind) {
+			p.Add(path+".kind", "%q is not a kind: write one of encode, retrieve, rerank, generate, service", pool.Kind)
+		}
+		if seen[pool.Name] {
+			p.Add(path+".name", "%q stands twice: give each pool a name of its own", pool.Name)
+		}
+		seen[pool.Name] = true
+		if pool.Path != "" && pool.Path[0] != '/' {
+			p.Add(path+".path", "%q does not start with a slash: write a path such as \"/v1/call\"", pool.Path)
+		}
+		for j, st := range pool.RefusalStatuses {
+			if st < 400 || st > 599 {
+				p.Add(index(path+".refusal_statuses", j), "%d is not an HTTP error status: write one from 400 to 599", st)
+			}
+		}
+	}
+}
+
+func (s *Settings) validateRanges(p *strictjson.Problems) {
+	positive(p, "platform.timeout", int64(s.Platform.Timeout))
+	positive(p, "platform.host_poll", int64(s.Platform.HostPoll))
+	positive(p, "platform.config_poll", int64(s.Platform.ConfigPoll))
+	positive(p, "peers.interval", int64(s.Peers.Interval))
+	positive(p, "limits.body_bytes", s.Limits.BodyBytes)
+	positive(p, "limits.requests", int64(s.Limits.Requests))
+	positive(p, "ledger.committers", int64(s.Ledger.Committers))
+	if s.Peers.SuspectAfter < 2*s.Peers.Interval {
+		p.Add("peers.suspect_after", "is under two gossip intervals: write at least %v", 2*s.Peers.Interval.Std())
+	}
+	if !slices.Contains([]string{"debug", "info", "warn", "error"}, s.Log.Level) {
+		p.Add("log.level", "%q is not a level: write debug, info, warn or error", s.Log.Level)
+	}
+	if !slices.Contains([]string{"text", "json"}, s.Log.Format) {
+		p.Add("log.format", "%q is not a format: write text or json", s.Log.Format)
+	}
+}
+
+// Config returns the tls.Config of a listener, or nil for plain TCP.
+func (t *TLS) Config() (*tls.Config, error) {
+	if t == nil {
+		return nil, nil
+	}
+	cert, err := tls.LoadX509KeyPair(t.CertFile, t.KeyFile)
+	if err != nil {
+		return nil, eris.Wrap(err, "load certificate")
+	}
+	cfg := &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
+	if t.ClientCAFile == "" {
+		return cfg, nil
+	}
+	pem, err := os.ReadFile(t.ClientCAFile)
+	if err != nil {
+		return nil, eris.Wrap(err, "read client CA")
+	}
+	cfg.ClientCAs = x509.NewCertPool()
+	if !cfg.ClientCAs.AppendCertsFromPEM(pem) {
+		return nil, eris.Errorf("%s holds no PEM certificate", t.ClientCAFile)
+	}
+	cfg.ClientAuth = tls.RequireAndVerifyClientCert
+	return cfg, nil
+}
+
+func checkAddr(p *strictjson.Problems, path, addr string) {
+	if _, err := netip.ParseAddrPort(addr); err != nil {
+		p.Add(path, "%q is not an IP number and port: write one such as \"10.0.0.7:8080\"", addr)
+	}
+}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,105 @@
+package standin
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"topazmoor/internal/platform"
+	"topazmoor/internal/settings"
+)
+
+// PoolSpec describes the targets of one pool of a World.
+type PoolSpec struct {
+	Pool    settings.Pool
+	Targets int
+	Slots   int
+	// Service is the time of one call, or of one token of an engine.
+	Service time.Duration
+	Models  []string
+}
+
+// World is a set of stand-in targets, listed in a stand-in platform.
+type World struct {
+	Store   *platform.Memory
+	Targets map[string]*Target
+	// Addrs holds the address of each target by ID.
+	Addrs   map[string]string
+	specs   []PoolSpec
+	servers []*http.Server
+}
+
+// Harbour is the example deployment of docs/examples/harbour.hujson in small.
+func Harbour() []PoolSpec {
+	adapters := []string{"atlas-7b"}
+	return []PoolSpec{
+		{Pool: settings.Pool{Name: "encoders", Kind: settings.Encode}, Targets: 2, Slots: 8, Service: 5 * time.Millisecond},
+		{Pool: settings.Pool{Name: "retrievers", Kind: settings.Retrieve}, Targets: 2, Slots: 8, Service: 8 * time.Millisecond},
+		{Pool: settings.Pool{Name: "rerankers", Kind: settings.Rerank}, Targets: 2, Slots: 8, Service: 10 * time.Millisecond},
+		{Pool: settings.Pool{Name: "engines", Kind: settings.Generate}, Targets: 3, Slots: 16, Service: 2 * time.Millisecond, Models: adapters},
+		{Pool: settings.Pool{Name: "pilot-confirmation", Kind: settings.Service}, Targets: 2, Slots: 4, Service: 10 * time.Millisecond},
+		{Pool: settings.Pool{Name: "dock-intake", Kind: settings.Service}, Targets: 2, Slots: 4, Service: 10 * time.Millisecond},
+	}
+}
+
+// NewWorld starts the targets on loopback addresses given by listen, spread
+// over two data centres.
+func NewWorld(specs []PoolSpec, listen func(addr string) (net.Listener, error)) (*World, error) {
+	w := &World{Store: platform.NewMemory(), Targets: make(map[string]*Target), Addrs: make(map[string]string), specs: specs}
+	for _, spec := range specs {
+		for i := range spec.Targets {
+			if err := w.add(spec, i, listen); err != nil {
+				w.Close()
+				return nil, err
+			}
+		}
+	}
+	return w, nil
+}
+
+func (w *World) add(spec PoolSpec, i int, listen func(addr string) (net.Listener, error)) error {
+	ln, err := listen("127.0.0.1:0")
+	if err != nil {
+		return eris.Wrap(err, "listen")
+	}
+	id := fmt.Sprintf("%s-%d", spec.Pool.Name, i+1)
+	t := NewTarget(TargetConfig{Kind: spec.Pool.Kind, Slots: spec.Slots, Service: spec.Service, Models: spec.Models})
+	srv := &http.Server{Handler: t, ReadHeaderTimeout: 5 * time.Second}
+	w.Targets[id] = t
+	w.Addrs[id] = ln.Addr().String()
+	w.servers = append(w.servers, srv)
+	w.Store.SetHost(platform.Host{
+		ID: id, Addr: ln.Addr().String(), Pool: spec.Pool.Name, DataCentre: fmt.Sprintf("dc-%d", i%2+1),
+		Models: spec.Models, Slots: spec.Slots, State: platform.Live,
+	})
+	go func() { _ = srv.Serve(ln) }()
+	return nil
+}
+
+// Pools returns the settings of the pools.
+func (w *World) Pools() []settings.Pool {
+	var out []settings.Pool
+	for _, s := range w.specs {
+		out = append(out, s.Pool)
+	}
+	return out
+}
+
+// Runs returns how often the work of a request was started at any target.
+func (w *World) Runs(request string) int {
+	n := 0
+	for _, t := range w.Targets {
+		n += t.Runs(request)
+	}
+	return n
+}
+
+// Close stops the targets.
+func (w *World) Close() {
+	for _, s := range w.servers {
+		s.Close()
+	}
+}
