--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -50,6 +50,8 @@
 	Offer func(catalog.Change) bool
 	// Status describes the node and its peers.
 	Status func() Status
+	// Refresh asks the peers for their revisions before a status.
+	Refresh func(ctx context.Context)
 	// Stop starts the graceful shutdown of this node.
 	Stop  func(by string)
 	NewID func() string
@@ -178,7 +180,10 @@
 	_ = json.NewEncoder(w).Encode(Conflict{Problem: p, Base: c.Base, Head: c.Head, Since: c.Since})
 }
 
-func (s *Server) status(*http.Request, settings.Operator) (any, error) { return s.cfg.Status(), nil }
+func (s *Server) status(r *http.Request, _ settings.Operator) (any, error) {
+	s.cfg.Refresh(r.Context())
+	return s.cfg.Status(), nil
+}
 
 func (s *Server) object(r *http.Request, _ settings.Operator) (any, error) {
 	obj := s.cfg.Catalog().Object(catalog.Kind(r.PathValue("kind")), r.PathValue("name"))
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -18,6 +18,7 @@
 	"topazmoor/docs/examples"
 	"topazmoor/internal/admin"
 	"topazmoor/internal/caller"
+	"topazmoor/internal/membership"
 	"topazmoor/internal/node"
 	"topazmoor/internal/pipeline"
 	"topazmoor/internal/platform"
@@ -116,7 +117,7 @@
 	}
 	for i := range d.Nodes {
 		env := node.Env{
-			Dial: (&net.Dialer{}).DialContext, Listen: listenTCP, Store: world.Store, PeerKey: key,
+			Dial: (&net.Dialer{}).DialContext, Listen: listenTCP, ListenPacket: listenUDP, Store: world.Store, PeerKey: key,
 			NewID: newID, Seed: uint64(i), Log: newLogger(logs, "info", "text"),
 		}
 		n, err := node.Provision(demoSettings(i, world.Pools(), run.peerAddrs()), env)
@@ -310,6 +311,7 @@
 		row.Problem = "want an answer"
 		return row
 	}
+	q.Addr = r.nodes[len(r.nodes)-1].Addr("caller")
 	_, again := r.send(ctx, "", q)
 	return r.checkOnce(row, res, again, before)
 }
@@ -383,6 +385,8 @@
 	return strings.Join(parts, ", ")
 }
 
+func listenUDP(addr string) (membership.PacketConn, error) { return net.ListenPacket("udp", addr) }
+
 func listenTCP(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 
 // newID returns 128 random bits in hex.
--- a/internal/config/follower.go
+++ b/internal/config/follower.go
@@ -14,8 +14,8 @@
 
 // Peers is how a follower learns from other nodes.
 type Peers interface {
-	// Push tells other nodes of a change.
-	Push(c catalog.Change)
+	// Announce tells other nodes of the revision in force here.
+	Announce(revision int64)
 	// Snapshot returns the configuration of the peer with the highest
 	// revision; revision 0 means that no peer has one.
 	Snapshot(ctx context.Context) (int64, []catalog.Item, error)
@@ -35,8 +35,12 @@
 	mu       sync.Mutex
 	lastRead time.Time
 	broken   int64
+	recent   []catalog.Change
 }
 
+// recentChanges is how many changes are kept for peers that are behind.
+const recentChanges = 64
+
 // NewFollower returns a follower that publishes into cell.
 func NewFollower(s *Store, cell *blackboard.Cell[*catalog.Compiled], pools []settings.Pool, peers Peers, every time.Duration, log *slog.Logger) *Follower {
 	empty := catalog.New(pools)
@@ -127,11 +131,16 @@
 // reports whether it was.
 func (f *Follower) Adopt(revision int64, items []catalog.Item) bool {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	if revision <= f.cell.Get().Revision {
+		f.mu.Unlock()
 		return false
 	}
-	return f.apply(f.empty, revision, items)
+	ok := f.apply(f.empty, revision, items)
+	f.mu.Unlock()
+	if ok {
+		f.peers.Announce(revision)
+	}
+	return ok
 }
 
 // Offer applies a change if it is the next one, and passes it on to peers. A
@@ -150,13 +159,30 @@
 		return true
 	}
 	ok := f.apply(cur, c.Revision, c.Items)
+	if ok {
+		f.recent = append(f.recent, c)
+		f.recent = f.recent[max(0, len(f.recent)-recentChanges):]
+	}
 	f.mu.Unlock()
 	if ok {
-		f.peers.Push(c)
+		f.peers.Announce(c.Revision)
 	}
 	return ok
 }
 
+// Since returns the changes after a revision for a peer that is behind, or nil
+// when they are not remembered.
+func (f *Follower) Since(after int64) []catalog.Change {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, c := range f.recent {
+		if c.Revision == after+1 {
+			return append([]catalog.Change(nil), f.recent[i:]...)
+		}
+	}
+	return nil
+}
+
 // apply compiles beside the old configuration and swaps it in whole. It is
 // called with the lock held.
 func (f *Follower) apply(base *catalog.Compiled, revision int64, items []catalog.Item) bool {
@@ -176,8 +202,8 @@
 // Alone is the Peers of a node without peers.
 type Alone struct{}
 
-// Push implements Peers.
-func (Alone) Push(catalog.Change) {}
+// Announce implements Peers.
+func (Alone) Announce(int64) {}
 
 // Snapshot implements Peers.
 func (Alone) Snapshot(context.Context) (int64, []catalog.Item, error) { return 0, nil, nil }
--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -128,7 +128,11 @@
 		return nil, verdict.New(verdict.NotRun, verdict.Unauthenticated, "send the account's token as Authorization: Bearer TOKEN")
 	}
 	sum := sha256.Sum256([]byte(token))
-	acct := s.cfg.Catalog().ByToken(hex.EncodeToString(sum[:]))
+	cfg := s.cfg.Catalog()
+	acct := cfg.ByToken(hex.EncodeToString(sum[:]))
+	if acct == nil && cfg.Revision == 0 {
+		return nil, verdict.New(verdict.NotRun, verdict.NotReady, "the node has no configuration yet").After(time.Second)
+	}
 	if acct == nil {
 		return nil, verdict.New(verdict.NotRun, verdict.Unauthenticated, "the token belongs to no client account")
 	}
@@ -204,33 +208,49 @@
 	arrived := time.Now()
 	id := s.cfg.NewID()
 	w.Header().Set(HeaderRequestID, id)
-	acct, err := s.authenticate(r)
+	e, err := s.accept(w, r, id, arrived)
 	if err != nil {
-		s.refuse(w, err, id)
+		s.refuseEarly(w, r, err, id)
 		return
 	}
+	e.serve()
+}
+
+// refuseEarly refuses a run call before its pipeline is known. This attempt did
+// not run, but an earlier one with the same key may have, at another node or
+// under another configuration.
+func (s *Server) refuseEarly(w http.ResponseWriter, r *http.Request, err error, id string) {
+	p := NewProblem(err, id, s.cfg.Node)
+	if r.Header.Get(HeaderKey) != "" {
+		p.Verdict = verdict.MayHaveRun.String()
+	}
+	p.Write(w)
+}
+
+// accept authenticates and checks a run call.
+func (s *Server) accept(w http.ResponseWriter, r *http.Request, id string, arrived time.Time) (*exchange, error) {
+	acct, err := s.authenticate(r)
+	if err != nil {
+		return nil, err
+	}
 	name := r.PathValue("pipeline")
 	plan := acct.Plans[name]
 	if plan == nil {
-		s.refuse(w, verdict.New(verdict.NotRun, verdict.UnknownPipeline, "the account has no pipeline %q", name), id)
-		return
+		return nil, verdict.New(verdict.NotRun, verdict.UnknownPipeline, "the account has no pipeline %q", name)
 	}
 	body, err := readBody(w, r, s.cfg.BodyBytes, s.cfg.ReadTimeout)
 	if err != nil {
-		s.refuse(w, err, id)
-		return
+		return nil, err
 	}
 	call, err := parseRun(r, body, plan)
 	if err != nil {
-		s.refuse(w, err, id)
-		return
+		return nil, err
 	}
 	req := &pipeline.Request{
 		ID: id, Account: acct.Name, Pipeline: name, Plan: plan,
 		Class: call.class, Deadline: arrived.Add(call.deadline), Input: call.input,
 	}
-	e := &exchange{s: s, w: w, r: r, acct: acct, req: req, call: call, arrived: arrived, revision: s.cfg.Catalog().Revision}
-	e.serve()
+	return &exchange{s: s, w: w, r: r, acct: acct, req: req, call: call, arrived: arrived, revision: s.cfg.Catalog().Revision}, nil
 }
 
 // enter admits a request to the node's and the account's limits.
--- a/internal/frontdoor/reply.go
+++ b/internal/frontdoor/reply.go
@@ -70,6 +70,7 @@
 	verdict.StoreUnavailable:    http.StatusServiceUnavailable,
 	verdict.RevisionConflict:    http.StatusConflict,
 	verdict.Stopping:            http.StatusServiceUnavailable,
+	verdict.NotReady:            http.StatusServiceUnavailable,
 }
 
 // StatusOf returns the HTTP status of a code.
--- a/internal/ledger/router.go
+++ b/internal/ledger/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"topazmoor/internal/verdict"
@@ -85,17 +86,43 @@
 		if err != nil {
 			return Grant{}, err
 		}
-		return b.Claim(ctx, c)
+		g, err := b.Claim(ctx, c)
+		return g, r.settle(b, c, err)
 	}
 	if b := r.committer(c); b != nil {
 		g, err := b.Claim(ctx, c)
-		if err == nil || verdict.CodeOf(err) != verdict.Internal {
+		if err == nil || refusedByBook(err) {
 			return g, err
 		}
 	}
 	return r.table.Claim(ctx, c)
 }
 
+// refusedByBook reports whether the book itself refused; otherwise its answer
+// may have been lost on the way.
+func refusedByBook(err error) bool {
+	var e *verdict.Error
+	return errors.As(err, &e) && e.Code != verdict.Internal
+}
+
+// settle releases a ticket whose grant may have been lost on the way, so that
+// a repeat is not told that it may have run. The attempt will not run: the
+// error says so.
+func (r *Router) settle(b Book, c Claim, err error) error {
+	if err == nil || refusedByBook(err) {
+		return err
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		_ = b.Finish(ctx, c, nil)
+	}()
+	return errIssuerGone()
+}
+
+// releaseTimeout bounds the release of a ticket whose grant was lost.
+const releaseTimeout = 10 * time.Second
+
 // Finish implements Book.
 func (r *Router) Finish(ctx context.Context, c Claim, out *Outcome) error {
 	if IsTicket(c.Key.Key) {
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,510 @@
+// Package membership keeps each node's view of the other nodes: who they are,
+// whether they answer, and their addresses. Only speed rests on it, never
+// correctness.
+//
+// Each interval a node pings one other, in a random order that visits all; a
+// node that does not answer is pinged through others, then suspected, then
+// taken as dead unless it refutes. News travels piggybacked on pings and a
+// hash over the whole view is compared with one random node from time to time.
+// The protocol is that of SWIM (Das, Gupta, Motivala, 2002), with the
+// anti-entropy of Z-Ring, section 4.1. Source: docs/design/008-membership.md.
+//
+// State is pure: time, randomness and messages are passed in.
+package membership
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"topazmoor/internal/peer/peerpb"
+	"topazmoor/internal/routing"
+)
+
+// Health is what a node believes of another.
+type Health uint32
+
+// The states of a member.
+const (
+	Alive Health = iota
+	Suspect
+	Dead
+	Left
+)
+
+// String returns the name used in status and logs.
+func (h Health) String() string {
+	switch h {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Dead:
+		return "dead"
+	case Left:
+		return "left"
+	}
+	return "unknown"
+}
+
+// Member is one node.
+type Member struct {
+	Name, Addr, DataCentre string
+	// Incarnation grows with every restart and every refutation.
+	Incarnation uint64
+	Health      Health
+	// Revision is the configuration revision that it was last heard to have.
+	Revision int64
+}
+
+// Config sets the pace of the protocol.
+type Config struct {
+	// Interval is the time between two pings of a node.
+	Interval time.Duration
+	// SuspectFor is how long a suspect may refute.
+	SuspectFor time.Duration
+	// ForgetAfter is how long a dead or left member is remembered.
+	ForgetAfter time.Duration
+}
+
+const (
+	// helpers is the number of nodes that are asked to ping a silent one.
+	helpers = 3
+	// newsPerMessage bounds the news of one message, and thereby its size.
+	newsPerMessage = 12
+	// newsFactor times log2 of the nodes is how often a piece of news is sent.
+	newsFactor = 3
+	// syncEvery is the number of intervals between two comparisons of views.
+	syncEvery = 15
+	// announceFanout is the number of nodes that a new revision is told to.
+	announceFanout = 5
+)
+
+// Packet is a message to send.
+type Packet struct {
+	Addr string
+	Msg  *peerpb.Datagram
+}
+
+// State is one node's view. It is not safe for concurrent use.
+type State struct {
+	cfg      Config
+	self     Member
+	members  map[string]*member
+	order    []string
+	next     int
+	ticks    int
+	seq      uint32
+	pings    map[uint32]*ping
+	relays   map[uint32]relay
+	news     []*newsItem
+	rng      *rand.Rand
+	revision int64
+	seeds    []string
+}
+
+type member struct {
+	Member
+	changed time.Time
+}
+
+// ping is an unanswered ping of this node.
+type ping struct {
+	name   string
+	sent   time.Time
+	helped bool
+}
+
+// relay is a ping made for another node.
+type relay struct {
+	addr string
+	seq  uint32
+	sent time.Time
+}
+
+type newsItem struct {
+	member *peerpb.Member
+	sent   int
+}
+
+// New returns the view of a node that knows nobody. Seeds are the addresses
+// that it pings until it knows somebody.
+func New(self Member, seeds []string, cfg Config, rng *rand.Rand) *State {
+	return &State{
+		cfg: cfg, self: self, seeds: seeds, rng: rng,
+		members: make(map[string]*member), pings: make(map[uint32]*ping), relays: make(map[uint32]relay),
+	}
+}
+
+// SetSeeds replaces the addresses that are pinged while nobody is known.
+func (s *State) SetSeeds(seeds []string) { s.seeds = seeds }
+
+// Self returns this node as it presents itself.
+func (s *State) Self() Member {
+	m := s.self
+	m.Revision = s.revision
+	return m
+}
+
+// Members returns all other nodes that are known, sorted by name.
+func (s *State) Members() []Member {
+	out := make([]Member, 0, len(s.members))
+	for _, m := range s.members {
+		out = append(out, m.Member)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// SetRevision notes the revision in force here, and returns announcements to a
+// few nodes if it is new.
+func (s *State) SetRevision(rev int64) []Packet {
+	if rev <= s.revision {
+		return nil
+	}
+	s.revision = rev
+	var out []Packet
+	for _, m := range s.random(announceFanout, "") {
+		out = append(out, s.packet(m.Addr, peerpb.Datagram_ANNOUNCE, 0, ""))
+	}
+	return out
+}
+
+// PingAll pings every known node, for a fresh picture of their revisions.
+func (s *State) PingAll(now time.Time) []Packet {
+	var out []Packet
+	for _, m := range s.members {
+		if m.Health <= Suspect {
+			out = append(out, s.ping(m, now))
+		}
+	}
+	return out
+}
+
+// Leave tells a few nodes that this one stops.
+func (s *State) Leave() []Packet {
+	s.self.Health = Left
+	s.self.Incarnation++
+	s.spread(s.self)
+	var out []Packet
+	for _, m := range s.random(announceFanout, "") {
+		out = append(out, s.packet(m.Addr, peerpb.Datagram_ANNOUNCE, 0, ""))
+	}
+	return out
+}
+
+// Tick does the work of one interval.
+func (s *State) Tick(now time.Time) []Packet {
+	s.ticks++
+	out := s.checkPings(now)
+	s.checkSuspects(now)
+	if m := s.nextMember(); m != nil {
+		out = append(out, s.ping(m, now))
+	} else {
+		out = append(out, s.pingSeeds()...)
+	}
+	if s.ticks%syncEvery == 0 {
+		out = append(out, s.antiEntropy()...)
+	}
+	return out
+}
+
+// antiEntropy compares views with one live node, and tries one that is thought
+// dead and one seed, so that the halves of a partition find each other again.
+func (s *State) antiEntropy() []Packet {
+	var out []Packet
+	for _, m := range s.random(1, "") {
+		out = append(out, s.sync(m.Addr))
+	}
+	var dead []*member
+	for _, m := range s.members {
+		if m.Health == Dead {
+			dead = append(dead, m)
+		}
+	}
+	if len(dead) > 0 {
+		m := dead[s.rng.IntN(len(dead))]
+		p := s.sync(m.Addr)
+		// It refutes when it hears this.
+		p.Msg.News = append(p.Msg.News, toMessage(m.Member))
+		out = append(out, p)
+	}
+	if len(s.seeds) > 0 {
+		if addr := s.seeds[s.rng.IntN(len(s.seeds))]; addr != s.self.Addr {
+			out = append(out, s.sync(addr))
+		}
+	}
+	return out
+}
+
+// pingSeeds presents this node to the seeds; the whole view comes back.
+func (s *State) pingSeeds() []Packet {
+	var out []Packet
+	for _, addr := range s.seeds {
+		if addr != s.self.Addr {
+			out = append(out, s.sync(addr))
+		}
+	}
+	return out
+}
+
+// nextMember walks all live members in an order that is shuffled each round.
+func (s *State) nextMember() *member {
+	for range 2 {
+		for s.next < len(s.order) {
+			m := s.members[s.order[s.next]]
+			s.next++
+			if m != nil && m.Health <= Suspect {
+				return m
+			}
+		}
+		s.order = s.order[:0]
+		for name := range s.members {
+			s.order = append(s.order, name)
+		}
+		sort.Strings(s.order)
+		s.rng.Shuffle(len(s.order), func(i, j int) { s.order[i], s.order[j] = s.order[j], s.order[i] })
+		s.next = 0
+	}
+	return nil
+}
+
+func (s *State) ping(m *member, now time.Time) Packet {
+	s.seq++
+	s.pings[s.seq] = &ping{name: m.Name, sent: now}
+	return s.packet(m.Addr, peerpb.Datagram_PING, s.seq, m.Name)
+}
+
+// checkPings asks helpers for pings that are not answered after half an
+// interval, and suspects the node after two more.
+func (s *State) checkPings(now time.Time) []Packet {
+	var out []Packet
+	for seq, p := range s.pings {
+		m := s.members[p.name]
+		age := now.Sub(p.sent)
+		switch {
+		case m == nil || m.Health > Suspect:
+			delete(s.pings, seq)
+		case age >= 5*s.cfg.Interval/2:
+			delete(s.pings, seq)
+			s.suspect(m, now)
+		case age >= s.cfg.Interval/2 && !p.helped:
+			p.helped = true
+			for _, h := range s.random(helpers, p.name) {
+				out = append(out, s.packet(h.Addr, peerpb.Datagram_PING_REQUEST, seq, p.name))
+			}
+		}
+	}
+	for seq, r := range s.relays {
+		if now.Sub(r.sent) > 4*s.cfg.Interval {
+			delete(s.relays, seq)
+		}
+	}
+	return out
+}
+
+func (s *State) suspect(m *member, now time.Time) {
+	if m.Health == Alive {
+		m.Health = Suspect
+		m.changed = now
+		s.spread(m.Member)
+	}
+}
+
+func (s *State) checkSuspects(now time.Time) {
+	for name, m := range s.members {
+		age := now.Sub(m.changed)
+		if m.Health == Suspect && age >= s.cfg.SuspectFor {
+			m.Health = Dead
+			m.changed = now
+			s.spread(m.Member)
+		}
+		if m.Health > Suspect && age >= s.cfg.ForgetAfter {
+			delete(s.members, name)
+		}
+	}
+}
+
+// Receive handles a message and returns the answers. heard is the sender's
+// revision.
+func (s *State) Receive(now time.Time, addr string, msg *peerpb.Datagram) (out []Packet, heard int64) {
+	for _, n := range msg.News {
+		s.learn(now, n)
+	}
+	if m := s.members[msg.From]; m != nil {
+		m.Revision = max(m.Revision, msg.Revision)
+	}
+	switch msg.Kind {
+	case peerpb.Datagram_PING:
+		if msg.Subject == s.self.Name {
+			out = append(out, s.packet(addr, peerpb.Datagram_ACK, msg.Seq, s.self.Name))
+		}
+	case peerpb.Datagram_ACK:
+		out = s.acked(now, msg)
+	case peerpb.Datagram_PING_REQUEST:
+		out = s.relayPing(now, addr, msg)
+	case peerpb.Datagram_SYNC:
+		if msg.Digest != s.digest() {
+			out = append(out, s.view(addr)...)
+		}
+	}
+	return out, msg.Revision
+}
+
+func (s *State) acked(now time.Time, msg *peerpb.Datagram) []Packet {
+	if r, ok := s.relays[msg.Seq]; ok {
+		delete(s.relays, msg.Seq)
+		return []Packet{s.packet(r.addr, peerpb.Datagram_ACK, r.seq, msg.Subject)}
+	}
+	if p := s.pings[msg.Seq]; p != nil {
+		delete(s.pings, msg.Seq)
+	}
+	// An answer clears a suspicion of this node; the others hear of it by the
+	// refutation.
+	if m := s.members[msg.From]; m != nil && m.Health == Suspect {
+		m.Health = Alive
+		m.changed = now
+	}
+	return nil
+}
+
+func (s *State) relayPing(now time.Time, addr string, msg *peerpb.Datagram) []Packet {
+	m := s.members[msg.Subject]
+	if m == nil {
+		return nil
+	}
+	s.seq++
+	s.relays[s.seq] = relay{addr: addr, seq: msg.Seq, sent: now}
+	return []Packet{s.packet(m.Addr, peerpb.Datagram_PING, s.seq, msg.Subject)}
+}
+
+// learn takes in news of a member if it is newer than what is known: a higher
+// incarnation, or a worse state of the same one.
+func (s *State) learn(now time.Time, n *peerpb.Member) {
+	if n.Name == s.self.Name {
+		s.refute(n)
+		return
+	}
+	m := s.members[n.Name]
+	if m != nil && (n.Incarnation < m.Incarnation || (n.Incarnation == m.Incarnation && Health(n.State) <= m.Health)) {
+		return
+	}
+	if m == nil && Health(n.State) > Suspect {
+		// Gone before this node knew it; taking it in would keep it in
+		// circulation for ever.
+		return
+	}
+	if m == nil {
+		m = &member{}
+		s.members[n.Name] = m
+	}
+	m.Name, m.Addr, m.DataCentre = n.Name, n.Addr, n.DataCentre
+	m.Incarnation, m.Health, m.changed = n.Incarnation, Health(n.State), now
+	s.spread(m.Member)
+}
+
+// refute answers news that this node is not alive with a higher incarnation.
+func (s *State) refute(n *peerpb.Member) {
+	if s.self.Health != Alive || Health(n.State) == Alive || n.Incarnation < s.self.Incarnation {
+		return
+	}
+	s.self.Incarnation = n.Incarnation + 1
+	s.spread(s.self)
+}
+
+// spread queues news; it replaces older news of the same member.
+func (s *State) spread(m Member) {
+	item := &newsItem{member: toMessage(m)}
+	for i, n := range s.news {
+		if n.member.Name == m.Name {
+			s.news[i] = item
+			return
+		}
+	}
+	s.news = append(s.news, item)
+}
+
+// packet builds a message with the news that was sent least.
+func (s *State) packet(addr string, kind peerpb.Datagram_Kind, seq uint32, subject string) Packet {
+	msg := &peerpb.Datagram{Kind: kind, From: s.self.Name, Seq: seq, Subject: subject, Revision: s.revision}
+	sort.SliceStable(s.news, func(i, j int) bool { return s.news[i].sent < s.news[j].sent })
+	for _, n := range s.news[:min(len(s.news), newsPerMessage)] {
+		n.sent++
+		msg.News = append(msg.News, n.member)
+	}
+	s.dropOldNews()
+	return Packet{Addr: addr, Msg: msg}
+}
+
+func (s *State) dropOldNews() {
+	limit := newsFactor
+	for n := len(s.members) + 1; n > 1; n /= 2 {
+		limit += newsFactor
+	}
+	keep := s.news[:0]
+	for _, n := range s.news {
+		if n.sent < limit {
+			keep = append(keep, n)
+		}
+	}
+	s.news = keep
+}
+
+// sync builds a message that presents this node and the hash of its view.
+func (s *State) sync(addr string) Packet {
+	p := s.packet(addr, peerpb.Datagram_SYNC, 0, "")
+	p.Msg.Digest = s.digest()
+	p.Msg.News = append([]*peerpb.Member{toMessage(s.self)}, p.Msg.News...)
+	return p
+}
+
+// view builds messages with the whole view, in pieces that fit a datagram.
+func (s *State) view(addr string) []Packet {
+	all := []*peerpb.Member{toMessage(s.self)}
+	for _, m := range s.members {
+		all = append(all, toMessage(m.Member))
+	}
+	var out []Packet
+	for len(all) > 0 {
+		n := min(len(all), newsPerMessage)
+		msg := &peerpb.Datagram{Kind: peerpb.Datagram_ANNOUNCE, From: s.self.Name, Revision: s.revision, News: all[:n]}
+		out = append(out, Packet{Addr: addr, Msg: msg})
+		all = all[n:]
+	}
+	return out
+}
+
+// digest hashes the members that are not gone: equal views have equal digests
+// whatever the order.
+func (s *State) digest() uint64 {
+	sum := memberHash(s.self)
+	for _, m := range s.members {
+		if m.Health <= Suspect {
+			sum ^= memberHash(m.Member)
+		}
+	}
+	return sum
+}
+
+func memberHash(m Member) uint64 {
+	return routing.Mix(xxhash.Sum64String(m.Name), m.Incarnation<<2|uint64(m.Health))
+}
+
+// random returns up to n live members other than the excluded one.
+func (s *State) random(n int, exclude string) []*member {
+	var live []*member
+	for name, m := range s.members {
+		if m.Health == Alive && name != exclude {
+			live = append(live, m)
+		}
+	}
+	sort.Slice(live, func(i, j int) bool { return live[i].Name < live[j].Name })
+	s.rng.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:min(n, len(live))]
+}
+
+func toMessage(m Member) *peerpb.Member {
+	return &peerpb.Member{Name: m.Name, Addr: m.Addr, DataCentre: m.DataCentre, Incarnation: m.Incarnation, State: uint32(m.Health)}
+}
--- /dev/null
+++ b/internal/node/cluster_test.go
@@ -0,0 +1,237 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"topazmoor/docs/examples"
+	"topazmoor/internal/caller"
+	"topazmoor/internal/catalog"
+	"topazmoor/internal/config"
+	"topazmoor/internal/membership"
+	"topazmoor/internal/platform"
+	"topazmoor/internal/settings"
+	"topazmoor/internal/standin"
+	"topazmoor/internal/standin/memnet"
+)
+
+// cluster is a set of real nodes over an in-memory network, for use inside a
+// synctest bubble.
+type cluster struct {
+	net   *memnet.Network
+	world *standin.World
+	nodes []*testNode
+	// retired are the processes that restart replaced.
+	retired []*testNode
+	deadIPs sync.Map
+	caller  *caller.Client
+	ids     atomic.Int64
+	ips     int
+	log     *slog.Logger
+	adjust  func(*settings.Settings)
+}
+
+type testNode struct {
+	*Node
+	ip     string
+	gate   *standin.Gate
+	cancel context.CancelFunc
+	done   chan error
+	dead   atomic.Bool
+}
+
+const callerIP = "10.9.9.9"
+
+func newCluster(nodes int) (*cluster, error) {
+	return newClusterWith(nodes, standin.Harbour(), func(*settings.Settings) {})
+}
+
+// emptyPools drops what sync.Pools hold. yamux keeps timers in one, and a timer
+// of an earlier synctest bubble must not be used in a later one; two garbage
+// collections empty every pool.
+func emptyPools() {
+	runtime.GC()
+	runtime.GC()
+}
+
+func newClusterWith(nodes int, specs []standin.PoolSpec, adjust func(*settings.Settings)) (*cluster, error) {
+	emptyPools()
+	c := &cluster{net: memnet.New(), log: slog.New(slog.NewTextHandler(io.Discard, nil)), adjust: adjust}
+	world, err := standin.NewWorld(specs, c.net.Listen)
+	if err != nil {
+		return nil, err
+	}
+	c.world = world
+	c.caller = caller.New(c.net.DialFrom(callerIP))
+	for range nodes {
+		if err := c.start(); err != nil {
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *cluster) newID() string { return fmt.Sprintf("id%08d", c.ids.Add(1)) }
+
+// start adds a node with a new name and address.
+func (c *cluster) start() error {
+	n, err := c.startAs(fmt.Sprintf("entry-%d", len(c.nodes)+1))
+	if err != nil {
+		return err
+	}
+	c.nodes = append(c.nodes, n)
+	return nil
+}
+
+// restart replaces node i by a new process of the same name at a new address.
+func (c *cluster) restart(i int) error {
+	c.kill(i)
+	old := c.nodes[i]
+	c.retired = append(c.retired, old)
+	n, err := c.startAs(old.s.Node.Name)
+	if err != nil {
+		return err
+	}
+	c.nodes[i] = n
+	return nil
+}
+
+func (c *cluster) startAs(name string) (*testNode, error) {
+	c.ips++
+	ip := fmt.Sprintf("10.1.%d.%d", c.ips/250, c.ips%250+1)
+	any := settings.Listener{Addr: ip + ":0"}
+	s := settings.Settings{
+		Node:      settings.Node{Name: name, DataCentre: fmt.Sprintf("dc-%d", c.ips%2+1)},
+		Listen:    settings.Listen{Caller: any, Admin: any, Peer: any, Observe: any},
+		Peers:     settings.Peers{KeyFile: "-"},
+		Operators: []settings.Operator{{Name: "op", TokenSHA256: "-"}},
+		Pools:     c.world.Pools(),
+	}
+	c.adjust(&s)
+	s.SetDefaults()
+	gate := standin.NewGate(c.world.Store)
+	n, err := Provision(s, Env{
+		Dial:         c.net.DialFrom(ip),
+		Listen:       c.net.Listen,
+		ListenPacket: func(addr string) (membership.PacketConn, error) { return c.net.ListenPacket(addr) },
+		Store:        gate, PeerKey: []byte("a key that all nodes share......"),
+		NewID: c.newID, Seed: uint64(c.ips), Log: c.log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	tn := &testNode{Node: n, ip: ip, gate: gate, cancel: cancel, done: make(chan error, 1)}
+	go func() { tn.done <- n.Serve(ctx) }()
+	return tn, nil
+}
+
+// kill ends a node as a crash does: from this moment nothing that it still
+// does reaches anybody.
+func (c *cluster) kill(i int) {
+	n := c.nodes[i]
+	if n.dead.Swap(true) {
+		return
+	}
+	c.deadIPs.Store(n.ip, true)
+	n.gate.SetCut(true)
+	n.gate.Thaw()
+	c.partition()
+	c.net.Thaw(n.ip)
+	n.cancel()
+}
+
+// partition cuts dead nodes off.
+func (c *cluster) partition(extra ...func(from, to string) bool) {
+	isDead := func(ip string) bool {
+		_, ok := c.deadIPs.Load(ip)
+		return ok
+	}
+	c.net.SetCut(func(from, to string) bool {
+		for _, f := range extra {
+			if f(from, to) {
+				return true
+			}
+		}
+		return isDead(from) || isDead(to)
+	})
+}
+
+// apply submits the example configuration directly to the store and waits
+// until all nodes have it.
+func (c *cluster) apply() error {
+	m, err := catalog.ParseManifest([]byte(examples.Harbour))
+	if err != nil {
+		return err
+	}
+	items, err := m.Items()
+	if err != nil {
+		return err
+	}
+	return c.submit(items)
+}
+
+func (c *cluster) submit(items []catalog.Item) error {
+	n := c.nodes[0]
+	change := catalog.Change{ID: c.newID(), By: "test", Items: items}
+	accepted, err := config.NewStore(n.gate).Submit(context.Background(), n.board.Catalog.Get().Revision, change)
+	if err != nil {
+		return err
+	}
+	n.follower.Offer(accepted)
+	return nil
+}
+
+// waitReady returns when all nodes have the revision and serve.
+func (c *cluster) waitReady(revision int64, limit time.Duration) bool {
+	deadline := time.Now().Add(limit)
+	for time.Now().Before(deadline) {
+		all := true
+		for _, n := range c.nodes {
+			ready, _ := n.Ready()
+			all = all && (n.dead.Load() || (ready && n.board.Catalog.Get().Revision >= revision))
+		}
+		if all {
+			return true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
+
+// close ends everything; the bubble can exit afterwards.
+func (c *cluster) close() {
+	c.world.Store.SetFaults(platform.Faults{})
+	for i := range c.nodes {
+		c.kill(i)
+	}
+	for _, n := range append(c.retired, c.nodes...) {
+		<-n.done
+	}
+	c.caller.Close()
+	c.world.Close()
+	// Let what is still retrying run into its limits: a bubble must not end
+	// with sleepers.
+	time.Sleep(settleTime)
+}
+
+// settleTime is longer than every time-out of a node.
+const settleTime = 10 * time.Minute
+
+func (c *cluster) addr(i int) string { return c.nodes[i].Addr(callerServer) }
+
+var tctx = context.Background()
+
+func timeoutCtx(d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(tctx, d)
+}
+
+func seedWith(addr string) func(*settings.Settings) {
+	return func(s *settings.Settings) { s.Peers.Seeds = []string{addr} }
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"topazmoor/internal/dispatch"
 	"topazmoor/internal/frontdoor"
 	"topazmoor/internal/ledger"
+	"topazmoor/internal/membership"
 	"topazmoor/internal/metrics"
 	"topazmoor/internal/pipeline"
 	"topazmoor/internal/platform"
@@ -34,6 +35,8 @@
 	Dial dispatch.Dial
 	// Listen opens a TCP listener.
 	Listen func(addr string) (net.Listener, error)
+	// ListenPacket opens a datagram socket.
+	ListenPacket func(addr string) (membership.PacketConn, error)
 	// Store is the platform.
 	Store platform.Store
 	// PeerKey is the secret that all nodes share.
@@ -49,6 +52,8 @@
 type Board struct {
 	Catalog blackboard.Cell[*catalog.Compiled]
 	Hosts   blackboard.Cell[HostView]
+	// Members are the other nodes.
+	Members blackboard.Cell[[]membership.Member]
 }
 
 // HostView is the last host list that was read.
@@ -72,6 +77,7 @@
 	table    *ledger.TableBook
 	front    *frontdoor.Server
 	admin    *admin.Server
+	peers    *peers
 	servers  []*server
 	started  time.Time
 
@@ -88,8 +94,11 @@
 	}
 	n.sched = scheduler.New(scheduler.DefaultConfig(s.Node.DataCentre, env.Seed))
 	n.calls = dispatch.New(env.Dial, s.Limits.AnswerBytes)
+	if err := n.provisionPeers(); err != nil {
+		return nil, err
+	}
 	store := config.NewStore(env.Store)
-	n.follower = config.NewFollower(store, &n.board.Catalog, s.Pools, config.Alone{}, s.Platform.ConfigPoll.Std(), n.log)
+	n.follower = config.NewFollower(store, &n.board.Catalog, s.Pools, n.peers, s.Platform.ConfigPoll.Std(), n.log)
 	n.provisionLedger()
 	n.provisionFront()
 	n.provisionAdmin(store)
@@ -105,7 +114,7 @@
 	incarnation := n.env.NewID()
 	tickets := ledger.NewTickets(n.env.PeerKey, n.s.Node.Name, incarnation, n.s.Ledger.TicketLife.Std(), n.env.NewID)
 	n.table = ledger.NewTableBook(n.env.Store, n.s.Ledger.CommitInterval.Std(), n.log)
-	n.ledger = ledger.NewRouter(n.s.Node.Name, tickets, ledger.NewTicketBook(tickets), n.table, ledger.Alone{})
+	n.ledger = ledger.NewRouter(n.s.Node.Name, tickets, ledger.NewTicketBook(tickets), n.table, n.peers)
 }
 
 func (n *Node) provisionFront() {
@@ -113,7 +122,7 @@
 	n.front = frontdoor.New(frontdoor.Config{
 		Node: n.s.Node.Name, Catalog: n.board.Catalog.Get, Runner: runner,
 		Ledger: n.ledger, IssueTicket: n.ledger.Issue, NewID: n.env.NewID,
-		Share:     func() float64 { return 1 },
+		Share:     func() float64 { return 1 / float64(n.peers.nodes()) },
 		BodyBytes: n.s.Limits.BodyBytes, Requests: n.s.Limits.Requests, ReadTimeout: n.s.Limits.ReadTimeout.Std(),
 		Observer: n.metrics, Log: n.log,
 	})
@@ -122,7 +131,7 @@
 func (n *Node) provisionAdmin(store *config.Store) {
 	n.admin = admin.New(admin.Config{
 		Node: n.s.Node.Name, Operators: n.s.Operators, Catalog: n.board.Catalog.Get,
-		Store: store, Offer: n.follower.Offer, Status: n.Status,
+		Store: store, Offer: n.follower.Offer, Status: n.Status, Refresh: n.peers.refresh,
 		Stop:  func(string) { n.RequestStop() },
 		NewID: n.env.NewID, Log: n.log,
 	})
@@ -159,9 +168,12 @@
 	return nil
 }
 
-// Addr returns the address that a server listens on: "caller", "admin" or
-// "observe".
+// Addr returns the address that a server listens on: "caller", "admin",
+// "peer" or "observe".
 func (n *Node) Addr(name string) string {
+	if name == peerServer {
+		return n.peers.server.Addr()
+	}
 	for _, s := range n.servers {
 		if s.name == name {
 			return s.listener.Addr().String()
@@ -176,6 +188,9 @@
 	defer cancel()
 	sup := suture.New(n.s.Node.Name, suture.Spec{EventHook: func(e suture.Event) { n.log.Warn("supervisor", "event", e.String()) }})
 	sup.Add(n.follower)
+	sup.Add(n.peers)
+	sup.Add(n.peers.server)
+	sup.Add(n.peers.runner)
 	sup.Add(&hostPoller{n: n})
 	sup.Add(&loadPoller{n: n})
 	for _, s := range n.servers {
@@ -217,6 +232,7 @@
 		n.log.Error("stop.drain was too short: requests are cut and told may_have_run", "in_flight", n.front.InFlight())
 		return
 	}
+	n.peers.leave(ctx)
 	n.log.Info("stopped: no request was interrupted")
 }
 
@@ -233,6 +249,7 @@
 	for _, s := range n.servers {
 		s.close()
 	}
+	n.peers.close()
 	n.calls.Close()
 }
 
@@ -271,6 +288,9 @@
 		Drained: []string{},
 		Nodes:   []admin.NodeStatus{{Name: n.s.Node.Name, DataCentre: n.s.Node.DataCentre, State: "self", Revision: cfg.Revision}},
 	}
+	for _, m := range n.board.Members.Get() {
+		st.Nodes = append(st.Nodes, admin.NodeStatus{Name: m.Name, DataCentre: m.DataCentre, State: m.Health.String(), Revision: m.Revision})
+	}
 	for host := range cfg.Drains() {
 		st.Drained = append(st.Drained, host)
 	}
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,211 @@
+package node
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"topazmoor/internal/caller"
+	"topazmoor/internal/platform"
+	"topazmoor/internal/standin"
+	"topazmoor/internal/verdict"
+)
+
+// inCluster runs f in virtual time over ready nodes with the example
+// configuration.
+func inCluster(t *testing.T, nodes int, f func(c *qt.C, cl *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cl, err := newCluster(nodes)
+		c.Assert(err, qt.IsNil)
+		defer cl.close()
+		c.Assert(cl.apply(), qt.IsNil)
+		c.Assert(cl.waitReady(1, time.Minute), qt.IsTrue)
+		f(c, cl)
+	})
+}
+
+func (c *cluster) confirm(i int, input, key string) (*caller.Result, error) {
+	return c.caller.Run(tctx, caller.Request{
+		Addr: c.addr(i), Token: "pilots-token", Pipeline: "berth-confirmation", Input: input, Key: key,
+	})
+}
+
+func (c *cluster) ask(i int, input string, stream bool) (*caller.Result, error) {
+	return c.caller.Run(tctx, caller.Request{
+		Addr: c.addr(i), Token: "dispatch-desk-token", Pipeline: "radio-desk", Input: input, Stream: stream,
+	})
+}
+
+// wantText is what the stand-in engines generate for a radio-desk request.
+func wantText(input string) string {
+	var docs []string
+	for _, i := range []string{"0", "1", "2"} {
+		docs = append(docs, "document "+i+" for "+input)
+	}
+	prompt := strings.Join(append(docs, input), "\n")
+	var b strings.Builder
+	for i := range 64 {
+		b.WriteString(standin.TokenText(prompt, i))
+	}
+	return b.String()
+}
+
+func TestEveryNodeAnswersCompletely(t *testing.T) {
+	inCluster(t, 3, func(c *qt.C, cl *cluster) {
+		for i := range cl.nodes {
+			res, err := cl.ask(i, "which tug", i == 1)
+			c.Assert(err, qt.IsNil)
+			c.Assert(res.Problem, qt.IsNil)
+			c.Assert(string(res.Reply.Output), qt.Contains, wantText("which tug")[:200])
+			c.Assert(res.Reply.Stages, qt.HasLen, 4)
+			c.Assert(res.Reply.DeadlineMet, qt.IsTrue)
+		}
+	})
+}
+
+// TestBrokenStreamIsResumed cuts streams in the middle: the caller gets each
+// token once and the whole text.
+func TestBrokenStreamIsResumed(t *testing.T) {
+	inCluster(t, 1, func(c *qt.C, cl *cluster) {
+		for id, target := range cl.world.Targets {
+			if strings.HasPrefix(id, "engines") {
+				target.SetFaults(standin.TargetFaults{CutStreams: 1})
+			}
+		}
+		res, err := cl.ask(0, "resume me", true)
+		c.Assert(err, qt.IsNil)
+		c.Assert(res.Problem, qt.IsNil)
+		var text strings.Builder
+		for i, tok := range res.Tokens {
+			c.Assert(tok.Index, qt.Equals, i)
+			text.WriteString(tok.Text)
+		}
+		c.Assert(text.String(), qt.Equals, wantText("resume me"))
+		c.Assert(res.Reply.Stages[3].Attempts > 1, qt.IsTrue)
+	})
+}
+
+// TestCallerThatLeavesFreesItsWork checks that the engine stops soon after the
+// caller left.
+func TestCallerThatLeavesFreesItsWork(t *testing.T) {
+	inCluster(t, 1, func(c *qt.C, cl *cluster) {
+		ctx, cancel := timeoutCtx(60 * time.Millisecond)
+		defer cancel()
+		_, err := cl.caller.Run(ctx, caller.Request{
+			Addr: cl.addr(0), Token: "dispatch-desk-token", Pipeline: "radio-desk", Input: "x", Stream: true,
+		})
+		c.Assert(err, qt.IsNotNil)
+		time.Sleep(20 * time.Millisecond)
+		for _, n := range cl.nodes[0].sched.Demand() {
+			c.Assert(n, qt.Equals, 0)
+		}
+		c.Assert(cl.nodes[0].front.InFlight(), qt.Equals, int64(0))
+	})
+}
+
+func TestKeyRunsOnceOverNodes(t *testing.T) {
+	inCluster(t, 3, func(c *qt.C, cl *cluster) {
+		results := make(chan *caller.Result, 3)
+		for i := range 3 {
+			go func() {
+				res, _ := cl.confirm(i, "ship", "k1")
+				results <- res
+			}()
+		}
+		var ids []string
+		for range 3 {
+			res := <-results
+			c.Assert(res, qt.IsNotNil)
+			c.Assert(res.Problem, qt.IsNil)
+			ids = append(ids, res.Reply.RequestID)
+		}
+		c.Assert(ids[0], qt.Equals, ids[1])
+		c.Assert(ids[0], qt.Equals, ids[2])
+		c.Assert(cl.world.Starts(`"ship"`), qt.HasLen, 1)
+	})
+}
+
+func TestKeyOfAnotherRequestIsRefused(t *testing.T) {
+	inCluster(t, 1, func(c *qt.C, cl *cluster) {
+		_, err := cl.confirm(0, "ship", "k1")
+		c.Assert(err, qt.IsNil)
+		res, err := cl.confirm(0, "other ship", "k1")
+		c.Assert(err, qt.IsNil)
+		c.Assert(res.Problem.Code, qt.Equals, verdict.KeyReused)
+		c.Assert(cl.world.Starts(`"other ship"`), qt.HasLen, 0)
+	})
+}
+
+// TestOutageWhatTheCallerIsTold states the answers of docs/design/003 during an
+// outage of the platform.
+func TestOutageWhatTheCallerIsTold(t *testing.T) {
+	inCluster(t, 2, func(c *qt.C, cl *cluster) {
+		ticket, err := cl.caller.Ticket(tctx, cl.addr(0), "pilots-token")
+		c.Assert(err, qt.IsNil)
+		cl.world.Store.SetFaults(platform.Faults{Down: true})
+
+		byKey, err := cl.confirm(0, "by key", "k1")
+		c.Assert(err, qt.IsNil)
+		c.Assert(byKey.Problem.Code, qt.Equals, verdict.StoreUnavailable)
+		c.Assert(byKey.Problem.Verdict, qt.Equals, "may_have_run")
+		c.Assert(byKey.Problem.AttemptVerdict, qt.Equals, "not_run")
+		c.Assert(byKey.Problem.RetryAfterMS > 0, qt.IsTrue)
+
+		byTicket, err := cl.confirm(1, "by ticket", ticket)
+		c.Assert(err, qt.IsNil)
+		c.Assert(byTicket.Problem, qt.IsNil)
+
+		keyless, err := cl.confirm(1, "keyless", "")
+		c.Assert(err, qt.IsNil)
+		c.Assert(keyless.Problem, qt.IsNil)
+
+		cl.kill(0)
+		again, err := cl.confirm(1, "by ticket", ticket)
+		c.Assert(err, qt.IsNil)
+		c.Assert(again.Problem.Code, qt.Equals, verdict.KeyOutcomeUnknown)
+		c.Assert(again.Problem.Verdict, qt.Equals, "may_have_run")
+		c.Assert(cl.world.Starts(`"by ticket"`), qt.HasLen, 1)
+	})
+}
+
+func TestOutageNewNodeStartsFromPeers(t *testing.T) {
+	inCluster(t, 2, func(c *qt.C, cl *cluster) {
+		cl.adjust = seedWith(cl.nodes[0].Addr(peerServer))
+		cl.world.Store.SetFaults(platform.Faults{Down: true})
+		c.Assert(cl.start(), qt.IsNil)
+		time.Sleep(20 * time.Second)
+		c.Assert(cl.nodes[2].board.Catalog.Get().Revision, qt.Equals, int64(1))
+	})
+}
+
+// TestStopInterruptsNothing stops a node while a request runs on it.
+func TestStopInterruptsNothing(t *testing.T) {
+	inCluster(t, 2, func(c *qt.C, cl *cluster) {
+		done := make(chan *caller.Result, 1)
+		go func() {
+			res, _ := cl.ask(0, "long", true)
+			done <- res
+		}()
+		time.Sleep(50 * time.Millisecond)
+		cl.nodes[0].RequestStop()
+		ready, reason := cl.nodes[0].Ready()
+		c.Assert(ready, qt.IsFalse)
+		c.Assert(reason, qt.Equals, "stopping")
+		// The balancer has not noticed yet: new requests are still answered.
+		late, err := cl.ask(0, "late", false)
+		c.Assert(err, qt.IsNil)
+		c.Assert(late.Problem, qt.IsNil)
+		res := <-done
+		c.Assert(res, qt.IsNotNil)
+		c.Assert(res.Problem, qt.IsNil)
+		c.Assert(<-cl.nodes[0].done, qt.IsNil)
+		cl.nodes[0].done <- nil
+		_, err = cl.ask(0, "too late", false)
+		c.Assert(err, qt.IsNotNil)
+	})
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,293 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"topazmoor/internal/catalog"
+	"topazmoor/internal/ledger"
+	"topazmoor/internal/membership"
+	"topazmoor/internal/peer"
+	"topazmoor/internal/platform"
+	"topazmoor/internal/routing"
+)
+
+// nodeTable is the table in which nodes enter their peer addresses at start.
+const nodeTable = "node"
+
+const (
+	// nodeListPoll is the time between two reads of the node table.
+	nodeListPoll = time.Minute
+	// nodeListRetry is the time between tries while the service is down.
+	nodeListRetry = 2 * time.Second
+	// nodeListLimit bounds one read of the node table.
+	nodeListLimit = 1000
+	// revisionWait is how long answers to a revision poll are waited for.
+	revisionWait = 300 * time.Millisecond
+	// listenTries bounds the search for a port that is free for TCP and UDP.
+	listenTries = 20
+	// forgetAfter is how long a dead node is remembered; longer than regions
+	// are cut from each other.
+	forgetAfter = 6 * time.Hour
+)
+
+// peers is the node's side of the other nodes. It implements config.Peers,
+// ledger.Remote and suture.Service.
+type peers struct {
+	n      *Node
+	client *peer.Client
+	server *peer.Server
+	runner *membership.Runner
+}
+
+func (n *Node) provisionPeers() error {
+	p := &peers{n: n}
+	ln, pc, err := listenBoth(n.env, n.s.Listen.Peer.Addr)
+	if err != nil {
+		return eris.Wrap(err, "listen.peer.addr")
+	}
+	self := membership.Member{
+		Name: n.s.Node.Name, Addr: ln.Addr().String(), DataCentre: n.s.Node.DataCentre,
+		Incarnation: uint64(n.started.UnixNano()),
+	}
+	cfg := membership.Config{Interval: n.s.Peers.Interval.Std(), SuspectFor: n.s.Peers.SuspectAfter.Std(), ForgetAfter: forgetAfter}
+	st := membership.New(self, n.s.Peers.Seeds, cfg, rand.New(rand.NewPCG(n.env.Seed, self.Incarnation)))
+	p.runner = membership.NewRunner(pc, n.env.PeerKey, st, &n.board.Members, p.heard, n.log)
+	p.client = peer.NewClient(peer.Dial(n.env.Dial), n.env.PeerKey, self.Name)
+	h := peer.Handler{
+		Books:    lateBooks{n},
+		Changes:  func(after int64) []catalog.Change { return n.follower.Since(after) },
+		Snapshot: func() (int64, []catalog.Item) { c := n.board.Catalog.Get(); return c.Revision, c.Items() },
+	}
+	p.server = peer.NewServer(ln, n.env.PeerKey, self.Name, h, n.log)
+	n.peers = p
+	return nil
+}
+
+// lateBooks resolves the ledger at the time of a call, because the ledger and
+// the peers refer to each other.
+type lateBooks struct{ n *Node }
+
+// Claim implements ledger.Book.
+func (b lateBooks) Claim(ctx context.Context, c ledger.Claim) (ledger.Grant, error) {
+	return b.n.ledger.Local().Claim(ctx, c)
+}
+
+// Finish implements ledger.Book.
+func (b lateBooks) Finish(ctx context.Context, c ledger.Claim, out *ledger.Outcome) error {
+	return b.n.ledger.Local().Finish(ctx, c, out)
+}
+
+// Lookup implements ledger.Book.
+func (b lateBooks) Lookup(ctx context.Context, k ledger.Key) (ledger.Record, bool, error) {
+	return b.n.ledger.Local().Lookup(ctx, k)
+}
+
+// listenBoth opens the same port for calls (TCP) and datagrams (UDP).
+func listenBoth(env Env, addr string) (net.Listener, membership.PacketConn, error) {
+	var err error
+	for range listenTries {
+		var ln net.Listener
+		ln, err = env.Listen(addr)
+		if err != nil {
+			return nil, nil, err
+		}
+		var pc membership.PacketConn
+		pc, err = env.ListenPacket(ln.Addr().String())
+		if err == nil {
+			return ln, pc, nil
+		}
+		ln.Close()
+	}
+	return nil, nil, err
+}
+
+// Announce implements config.Peers.
+func (p *peers) Announce(revision int64) { p.runner.SetRevision(revision) }
+
+// Snapshot implements config.Peers: it asks the member with the highest
+// revision that it hears of.
+func (p *peers) Snapshot(ctx context.Context) (int64, []catalog.Item, error) {
+	p.refresh(ctx)
+	var best membership.Member
+	for _, m := range p.live() {
+		if m.Revision > best.Revision {
+			best = m
+		}
+	}
+	if best.Revision <= p.n.board.Catalog.Get().Revision {
+		return 0, nil, nil
+	}
+	return p.client.Snapshot(ctx, best.Addr)
+}
+
+// heard fetches what a peer with a higher revision has.
+func (p *peers) heard(addr string, revision int64) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if err := p.fetch(ctx, addr, revision); err != nil {
+			p.n.log.Debug("configuration not fetched from peer", "addr", addr, "revision", revision, "err", err)
+			p.n.follower.Poke()
+		}
+	}()
+}
+
+func (p *peers) fetch(ctx context.Context, addr string, revision int64) error {
+	have := p.n.board.Catalog.Get().Revision
+	if have >= revision {
+		return nil
+	}
+	changes, err := p.client.Changes(ctx, addr, have)
+	if err != nil {
+		return err
+	}
+	for _, c := range changes {
+		p.n.follower.Offer(c)
+	}
+	if p.n.board.Catalog.Get().Revision >= revision {
+		return nil
+	}
+	rev, items, err := p.client.Snapshot(ctx, addr)
+	if err != nil {
+		return err
+	}
+	p.n.follower.Adopt(rev, items)
+	return nil
+}
+
+// refresh asks all nodes for their revisions and waits for the answers.
+func (p *peers) refresh(ctx context.Context) {
+	p.runner.PingAll()
+	select {
+	case <-ctx.Done():
+	case <-time.After(revisionWait):
+	}
+}
+
+// live returns the members that answer.
+func (p *peers) live() []membership.Member {
+	var out []membership.Member
+	for _, m := range p.n.board.Members.Get() {
+		if m.Health <= membership.Suspect {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Book implements ledger.Remote. A node that is thought dead is tried all the
+// same: the view may be wrong.
+func (p *peers) Book(node string) ledger.Book {
+	for _, m := range p.n.board.Members.Get() {
+		if m.Name == node {
+			return p.client.Book(m.Addr)
+		}
+	}
+	return nil
+}
+
+// Committer implements ledger.Remote: while there are few nodes each commits
+// its own claims, otherwise a few do for all.
+func (p *peers) Committer(rowKey string) string {
+	names := []string{p.n.s.Node.Name}
+	for _, m := range p.live() {
+		names = append(names, m.Name)
+	}
+	limit := p.n.s.Ledger.Committers
+	if len(names) <= limit {
+		return ""
+	}
+	sort.Slice(names, func(i, j int) bool { return xxhash.Sum64String(names[i]) < xxhash.Sum64String(names[j]) })
+	return rendezvous(names[:limit], xxhash.Sum64String(rowKey))
+}
+
+// rendezvous returns the name with the highest hash for the key.
+func rendezvous(names []string, key uint64) string {
+	best, bestHash := "", uint64(0)
+	for _, name := range names {
+		if h := routing.Mix(key, xxhash.Sum64String(name)); best == "" || h > bestHash {
+			best, bestHash = name, h
+		}
+	}
+	return best
+}
+
+// nodes returns the number of live nodes, this one included.
+func (p *peers) nodes() int { return len(p.live()) + 1 }
+
+// Serve enters this node into the node table and reads the others' addresses
+// from it.
+func (p *peers) Serve(ctx context.Context) error {
+	entered := false
+	for {
+		wait := nodeListPoll/2 + rand.N(nodeListPoll)
+		entered = entered || p.enter(ctx)
+		if !p.readSeeds(ctx) || !entered {
+			wait = nodeListRetry
+		}
+		p.client.CloseIdle(time.Now())
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(wait):
+		}
+	}
+}
+
+// nodeRow is a row of the node table.
+type nodeRow struct {
+	Addr        string `json:"addr"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// enter writes this node's row. A repeat is harmless: the row is this
+// process's own.
+func (p *peers) enter(ctx context.Context) bool {
+	self := p.runner.Self()
+	value, err := json.Marshal(nodeRow{Addr: self.Addr, Incarnation: self.Incarnation})
+	if err != nil {
+		return false
+	}
+	w := platform.Write{Table: nodeTable, Key: self.Name, Value: value}
+	_, err = p.n.env.Store.Commit(ctx, platform.Tx{Writes: []platform.Write{w}})
+	return err == nil
+}
+
+// leave removes the row at a planned stop, best effort.
+func (p *peers) leave(ctx context.Context) {
+	p.runner.Leave()
+	w := platform.Write{Table: nodeTable, Key: p.n.s.Node.Name, Delete: true}
+	if _, err := p.n.env.Store.Commit(ctx, platform.Tx{Writes: []platform.Write{w}}); err != nil {
+		p.n.log.Warn("node row not removed", "err", err)
+	}
+}
+
+func (p *peers) readSeeds(ctx context.Context) bool {
+	rows, err := p.n.env.Store.Scan(ctx, nodeTable, "", "", nodeListLimit)
+	if err != nil {
+		return false
+	}
+	seeds := append([]string(nil), p.n.s.Peers.Seeds...)
+	for _, row := range rows {
+		var nr nodeRow
+		if json.Unmarshal(row.Value, &nr) == nil && row.Key != p.n.s.Node.Name {
+			seeds = append(seeds, nr.Addr)
+		}
+	}
+	p.runner.SetSeeds(seeds)
+	return true
+}
+
+// close ends all connections.
+func (p *peers) close() {
+	p.server.Close()
+	p.client.Close()
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -20,6 +20,7 @@
 	callerServer  = "caller"
 	adminServer   = "admin"
 	observeServer = "observe"
+	peerServer    = "peer"
 )
 
 const (
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,193 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+
+	"topazmoor/internal/catalog"
+	"topazmoor/internal/ledger"
+	"topazmoor/internal/peer/peerpb"
+)
+
+// callTimeout bounds one call when its context has no earlier deadline.
+const callTimeout = 5 * time.Second
+
+// idleAfter is how long an unused connection is kept.
+const idleAfter = time.Minute
+
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// Client calls other nodes. It keeps one connection to each node that it
+// called lately. It is safe for concurrent use.
+type Client struct {
+	dial Dial
+	key  []byte
+	node string
+
+	mu       sync.Mutex
+	sessions map[string]*session
+}
+
+type session struct {
+	mu   sync.Mutex
+	mux  *yamux.Session
+	used time.Time
+}
+
+// NewClient returns a Client that presents itself as node.
+func NewClient(dial Dial, key []byte, node string) *Client {
+	return &Client{dial: dial, key: key, node: node, sessions: make(map[string]*session)}
+}
+
+// Close drops all connections.
+func (c *Client) Close() { c.closeIf(func(*session) bool { return true }) }
+
+// CloseIdle drops connections that were not used lately.
+func (c *Client) CloseIdle(now time.Time) {
+	c.closeIf(func(s *session) bool { return now.Sub(s.used) > idleAfter && s.mux.NumStreams() == 0 })
+}
+
+func (c *Client) closeIf(drop func(*session) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, s := range c.sessions {
+		if !s.mu.TryLock() {
+			continue
+		}
+		if s.mux != nil && drop(s) {
+			s.mux.Close()
+			delete(c.sessions, addr)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// stream opens a stream to the node at addr, connecting if needed.
+func (c *Client) stream(ctx context.Context, addr string) (*yamux.Stream, error) {
+	c.mu.Lock()
+	s := c.sessions[addr]
+	if s == nil {
+		s = &session{}
+		c.sessions[addr] = s
+	}
+	c.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.used = time.Now()
+	if s.mux != nil && !s.mux.IsClosed() {
+		if st, err := s.mux.OpenStream(); err == nil {
+			return st, nil
+		}
+		s.mux.Close()
+	}
+	mux, err := c.connect(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	s.mux = mux
+	return mux.OpenStream()
+}
+
+func (c *Client) connect(ctx context.Context, addr string) (*yamux.Session, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	conn, err := c.dial(ctx, "tcp", addr)
+	if err != nil {
+		return nil, eris.Wrap(err, "connect to peer")
+	}
+	if _, err := handshake(conn, c.key, c.node, true); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	mux, err := yamux.Client(conn, muxConfig())
+	return mux, eris.Wrap(err, "connect to peer")
+}
+
+// call sends one request. The error is a *verdict.Error when the peer refused,
+// another error when no answer came.
+func (c *Client) call(ctx context.Context, addr string, req *peerpb.Request) (*peerpb.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	st, err := c.stream(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	defer st.Close()
+	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if deadline, ok := ctx.Deadline(); ok {
+		// Deadlines of an open stream cannot fail.
+		_ = st.SetDeadline(deadline)
+	}
+	if err := writeFrame(st, req); err != nil {
+		return nil, eris.Wrap(err, "send to peer")
+	}
+	resp := &peerpb.Response{}
+	if err := readFrame(st, resp, maxFrame); err != nil {
+		return nil, eris.Wrap(err, "answer of peer")
+	}
+	if resp.Refusal != nil {
+		return nil, refusalFrom(resp.Refusal)
+	}
+	return resp, nil
+}
+
+// Changes asks a node for the changes after a revision. It returns nil when
+// the node does not remember them all.
+func (c *Client) Changes(ctx context.Context, addr string, after int64) ([]catalog.Change, error) {
+	resp, err := c.call(ctx, addr, &peerpb.Request{Call: &peerpb.Request_Changes{Changes: &peerpb.Since{Revision: after}}})
+	if err != nil {
+		return nil, err
+	}
+	return changesFrom(resp.GetChanges())
+}
+
+// Snapshot asks a node for its whole configuration.
+func (c *Client) Snapshot(ctx context.Context, addr string) (int64, []catalog.Item, error) {
+	resp, err := c.call(ctx, addr, &peerpb.Request{Call: &peerpb.Request_Snapshot{Snapshot: &peerpb.Empty{}}})
+	if err != nil {
+		return 0, nil, err
+	}
+	return snapshotFrom(resp.GetSnapshot())
+}
+
+// Book returns the books of the node at addr.
+func (c *Client) Book(addr string) ledger.Book { return remoteBook{c: c, addr: addr} }
+
+type remoteBook struct {
+	c    *Client
+	addr string
+}
+
+// Claim implements ledger.Book. A claim whose answer was lost is sent again:
+// the same attempt is granted again.
+func (b remoteBook) Claim(ctx context.Context, cl ledger.Claim) (ledger.Grant, error) {
+	resp, err := b.c.call(ctx, b.addr, &peerpb.Request{Call: &peerpb.Request_Claim{Claim: claimTo(cl)}})
+	if err != nil {
+		return ledger.Grant{}, err
+	}
+	return grantFrom(resp.GetGrant()), nil
+}
+
+// Finish implements ledger.Book.
+func (b remoteBook) Finish(ctx context.Context, cl ledger.Claim, out *ledger.Outcome) error {
+	msg := &peerpb.Finish{Claim: claimTo(cl), Outcome: outcomeTo(out)}
+	_, err := b.c.call(ctx, b.addr, &peerpb.Request{Call: &peerpb.Request_Finish{Finish: msg}})
+	return err
+}
+
+// Lookup implements ledger.Book.
+func (b remoteBook) Lookup(ctx context.Context, k ledger.Key) (ledger.Record, bool, error) {
+	resp, err := b.c.call(ctx, b.addr, &peerpb.Request{Call: &peerpb.Request_Lookup{Lookup: keyTo(k)}})
+	if err != nil {
+		return ledger.Record{}, false, err
+	}
+	f := resp.GetFound()
+	return recordFrom(f.GetRecord()), f.GetFound(), nil
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,161 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/thejerf/suture/v4"
+
+	"topazmoor/internal/catalog"
+	"topazmoor/internal/ledger"
+	"topazmoor/internal/peer/peerpb"
+	"topazmoor/internal/verdict"
+)
+
+// serveTimeout bounds the work for one call of a peer.
+const serveTimeout = 30 * time.Second
+
+// maxSessions bounds the connections of a server.
+const maxSessions = 1024
+
+// Handler answers the calls of other nodes.
+type Handler struct {
+	// Books are this node's own books.
+	Books ledger.Book
+	// Changes returns the accepted changes after a revision that this node
+	// still remembers, or nil when it cannot.
+	Changes func(after int64) []catalog.Change
+	// Snapshot returns the configuration in force.
+	Snapshot func() (int64, []catalog.Item)
+}
+
+// Server accepts connections of other nodes. It implements suture.Service.
+type Server struct {
+	listener net.Listener
+	key      []byte
+	node     string
+	h        Handler
+	log      *slog.Logger
+
+	mu       sync.Mutex
+	sessions map[*yamux.Session]bool
+}
+
+// NewServer returns a server on a listener.
+func NewServer(l net.Listener, key []byte, node string, h Handler, log *slog.Logger) *Server {
+	return &Server{listener: l, key: key, node: node, h: h, log: log, sessions: make(map[*yamux.Session]bool)}
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Close ends everything at once.
+func (s *Server) Close() {
+	s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for sess := range s.sessions {
+		sess.Close()
+	}
+}
+
+// Serve implements suture.Service.
+func (s *Server) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, s.Close)
+	defer stop()
+	for {
+		c, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			return suture.ErrDoNotRestart
+		}
+		if err != nil {
+			return err
+		}
+		go s.session(ctx, c)
+	}
+}
+
+func (s *Server) session(ctx context.Context, c net.Conn) {
+	defer c.Close()
+	peer, err := handshake(c, s.key, s.node, false)
+	if err != nil {
+		s.log.Warn("peer refused", "remote", c.RemoteAddr().String(), "err", err)
+		return
+	}
+	sess, err := yamux.Server(c, muxConfig())
+	if err != nil {
+		return
+	}
+	defer sess.Close()
+	if !s.add(sess) {
+		s.log.Warn("peer refused: too many connections", "peer", peer)
+		return
+	}
+	defer s.remove(sess)
+	for {
+		st, err := sess.AcceptStream()
+		if err != nil {
+			return
+		}
+		go s.call(ctx, st)
+	}
+}
+
+func (s *Server) add(sess *yamux.Session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.sessions) >= maxSessions {
+		return false
+	}
+	s.sessions[sess] = true
+	return true
+}
+
+func (s *Server) remove(sess *yamux.Session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, sess)
+}
+
+func (s *Server) call(ctx context.Context, st *yamux.Stream) {
+	defer st.Close()
+	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+	defer cancel()
+	// Deadlines of an open stream cannot fail.
+	_ = st.SetDeadline(time.Now().Add(serveTimeout))
+	req := &peerpb.Request{}
+	if err := readFrame(st, req, maxFrame); err != nil {
+		return
+	}
+	resp, err := s.answer(ctx, req)
+	if err != nil {
+		resp = &peerpb.Response{Refusal: refusalOf(err)}
+	}
+	if err := writeFrame(st, resp); err != nil {
+		s.log.Debug("peer left before its answer", "err", err)
+	}
+}
+
+func (s *Server) answer(ctx context.Context, req *peerpb.Request) (*peerpb.Response, error) {
+	switch call := req.Call.(type) {
+	case *peerpb.Request_Claim:
+		g, err := s.h.Books.Claim(ctx, claimFrom(call.Claim))
+		return &peerpb.Response{Result: &peerpb.Response_Grant{Grant: grantTo(g)}}, err
+	case *peerpb.Request_Finish:
+		err := s.h.Books.Finish(ctx, claimFrom(call.Finish.GetClaim()), outcomeFrom(call.Finish.Outcome))
+		return &peerpb.Response{Result: &peerpb.Response_Done{Done: &peerpb.Empty{}}}, err
+	case *peerpb.Request_Lookup:
+		rec, found, err := s.h.Books.Lookup(ctx, keyFrom(call.Lookup))
+		return &peerpb.Response{Result: &peerpb.Response_Found{Found: foundTo(rec, found)}}, err
+	case *peerpb.Request_Changes:
+		return changesTo(s.h.Changes(call.Changes.Revision))
+	case *peerpb.Request_Snapshot:
+		return snapshotTo(s.h.Snapshot())
+	}
+	return nil, verdict.New(verdict.NotRun, verdict.Internal, "the call is not known to this version")
+}
--- a/internal/pipeline/stage.go
+++ b/internal/pipeline/stage.go
@@ -32,6 +32,9 @@
 	cost    StageCost
 	soFar   verdict.Verdict
 	exclude []string
+	// counted is the number of attempts that count against the stage's limit:
+	// all but streams that brought tokens before they broke.
+	counted int
 	// lastErr is the error of the last attempt that failed.
 	lastErr error
 }
@@ -62,7 +65,7 @@
 // run is repeated only for idempotent pipelines; a refusal by the target is
 // always safe to send elsewhere.
 func (s *stageRun) mayRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || s.cost.Attempts >= s.st.Attempts {
+	if ctx.Err() != nil || s.counted >= s.st.Attempts {
 		return false
 	}
 	if verdict.Of(err) != verdict.NotRun && !s.req.Plan.Idempotent {
@@ -168,6 +171,7 @@
 		return nil, err
 	}
 	s.cost.Attempts++
+	s.counted++
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{number: s.cost.Attempts, lease: lease, start: time.Now(), cancel: cancel}
 	s.exclude = append(s.exclude, lease.Target.ID)
@@ -302,7 +306,11 @@
 	}
 	call := s.call(a, PathGenerate, body)
 	stall := dispatch.Stall{First: firstTokenStall, Next: nextTokenStall}
-	a.err = s.r.calls.Stream(ctx, call, len(sink.tokens), stall, sink.take)
+	had := len(sink.tokens)
+	a.err = s.r.calls.Stream(ctx, call, had, stall, sink.take)
+	if len(sink.tokens) == had {
+		s.counted++
+	}
 	return a, nil
 }
 
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -21,7 +21,9 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	conns     map[*side]bool
+	sockets   map[string]*PacketConn
 	cut       func(from, to string) bool
+	frozen    map[string]chan struct{}
 	nextPort  uint16
 }
 
@@ -30,6 +32,8 @@
 	return &Network{
 		listeners: make(map[string]*listener),
 		conns:     make(map[*side]bool),
+		sockets:   make(map[string]*PacketConn),
+		frozen:    make(map[string]chan struct{}),
 		cut:       func(string, string) bool { return false },
 		nextPort:  20000,
 	}
@@ -52,6 +56,36 @@
 	}
 }
 
+// Freeze holds all traffic of a host, as if its process were paused, until
+// Thaw.
+func (n *Network) Freeze(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.frozen[host] == nil {
+		n.frozen[host] = make(chan struct{})
+	}
+}
+
+// Thaw ends a freeze.
+func (n *Network) Thaw(host string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if ch := n.frozen[host]; ch != nil {
+		close(ch)
+		delete(n.frozen, host)
+	}
+}
+
+// wait returns when the host is not frozen.
+func (n *Network) wait(host string) {
+	n.mu.Lock()
+	ch := n.frozen[host]
+	n.mu.Unlock()
+	if ch != nil {
+		<-ch
+	}
+}
+
 // Listen opens a listener on addr (IP:port; port 0 takes a free one).
 func (n *Network) Listen(addr string) (net.Listener, error) {
 	ap, err := netip.ParseAddrPort(addr)
@@ -86,6 +120,7 @@
 		return nil, eris.Wrap(err, "memnet: address")
 	}
 	to := ap.Addr().String()
+	n.wait(from)
 	n.mu.Lock()
 	l := n.listeners[addr]
 	refused := l == nil || n.cut(from, to)
@@ -109,6 +144,84 @@
 	return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ErrRefused}
 }
 
+// packet is one datagram on its way.
+type packet struct {
+	data []byte
+	from net.Addr
+}
+
+// PacketConn is an in-memory datagram socket.
+type PacketConn struct {
+	net  *Network
+	addr netip.AddrPort
+	in   chan packet
+	done chan struct{}
+	once sync.Once
+}
+
+// packetQueue is how many datagrams wait for a reader; more are lost.
+const packetQueue = 256
+
+// ListenPacket opens a datagram socket on addr (IP:port).
+func (n *Network) ListenPacket(addr string) (*PacketConn, error) {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, eris.Wrap(err, "memnet: address")
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.sockets[addr] != nil {
+		return nil, eris.Errorf("memnet: %s is in use", addr)
+	}
+	c := &PacketConn{net: n, addr: ap, in: make(chan packet, packetQueue), done: make(chan struct{})}
+	n.sockets[addr] = c
+	return c, nil
+}
+
+// ReadFrom implements membership.PacketConn.
+func (c *PacketConn) ReadFrom(b []byte) (int, net.Addr, error) {
+	select {
+	case p := <-c.in:
+		c.net.wait(c.addr.Addr().String())
+		return copy(b, p.data), p.from, nil
+	case <-c.done:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+// WriteTo implements membership.PacketConn. Datagrams across a cut, to nobody
+// or to a full queue are lost.
+func (c *PacketConn) WriteTo(b []byte, to net.Addr) (int, error) {
+	dst, err := netip.ParseAddrPort(to.String())
+	if err != nil {
+		return 0, eris.Wrap(err, "memnet: address")
+	}
+	c.net.wait(c.addr.Addr().String())
+	c.net.mu.Lock()
+	peer := c.net.sockets[dst.String()]
+	lost := peer == nil || c.net.cut(c.addr.Addr().String(), dst.Addr().String())
+	c.net.mu.Unlock()
+	if lost {
+		return len(b), nil
+	}
+	select {
+	case peer.in <- packet{data: append([]byte(nil), b...), from: net.UDPAddrFromAddrPort(c.addr)}:
+	default:
+	}
+	return len(b), nil
+}
+
+// Close implements membership.PacketConn.
+func (c *PacketConn) Close() error {
+	c.once.Do(func() {
+		c.net.mu.Lock()
+		delete(c.net.sockets, c.addr.String())
+		c.net.mu.Unlock()
+		close(c.done)
+	})
+	return nil
+}
+
 type listener struct {
 	net    *Network
 	addr   netip.AddrPort
@@ -155,12 +268,19 @@
 // Read implements net.Conn. A closed pipe reads as a reset, not as an end.
 func (s *side) Read(b []byte) (int, error) {
 	n, err := s.Conn.Read(b)
+	s.net.wait(s.from)
 	if err == io.ErrClosedPipe {
 		err = net.ErrClosed
 	}
 	return n, err
 }
 
+// Write implements net.Conn.
+func (s *side) Write(b []byte) (int, error) {
+	s.net.wait(s.from)
+	return s.Conn.Write(b)
+}
+
 // Close implements net.Conn.
 func (s *side) Close() error {
 	s.net.mu.Lock()
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -4,6 +4,7 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -32,7 +33,8 @@
 	CutAnswers int `json:"cut_answers"`
 	// CutStreams ends the next N streams after half of their tokens.
 	CutStreams int `json:"cut_streams"`
-	// WrongIdentity answers the next N calls with another call's identity.
+	// WrongIdentity runs the next N calls and answers them with the identity
+	// and the answer of another call.
 	WrongIdentity int `json:"wrong_identity"`
 	// Hang runs the next N calls and never answers.
 	Hang int `json:"hang"`
@@ -57,6 +59,7 @@
 	mu      sync.Mutex
 	faults  TargetFaults
 	runs    map[string]int
+	inputs  map[string][]time.Time
 	busy    int
 	waiting int
 	ended   int
@@ -64,7 +67,7 @@
 
 // NewTarget returns a healthy target.
 func NewTarget(cfg TargetConfig) *Target {
-	return &Target{cfg: cfg, slots: make(chan struct{}, cfg.Slots), runs: make(map[string]int)}
+	return &Target{cfg: cfg, slots: make(chan struct{}, cfg.Slots), runs: make(map[string]int), inputs: make(map[string][]time.Time)}
 }
 
 // SetFaults replaces the faults.
@@ -116,7 +119,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	identity := r.Header.Get(dispatch.IdentityHeader)
-	if take(t, func(f *TargetFaults) *int { return &f.WrongIdentity }) {
+	mixedUp := take(t, func(f *TargetFaults) *int { return &f.WrongIdentity })
+	if mixedUp {
 		identity = "another" + identity
 	}
 	w.Header().Set(dispatch.IdentityHeader, identity)
@@ -129,11 +133,14 @@
 		return
 	}
 	defer t.leave()
-	t.run(w, r, body)
+	t.run(w, r, body, mixedUp)
 }
 
-func (t *Target) run(w http.ResponseWriter, r *http.Request, body []byte) {
-	t.started(r.Header.Get(dispatch.RequestIDHeader))
+func (t *Target) run(w http.ResponseWriter, r *http.Request, body []byte, mixedUp bool) {
+	t.started(r.Header.Get(dispatch.RequestIDHeader), body)
+	if mixedUp {
+		body = bytes.ReplaceAll(body, []byte(`"input":"`), []byte(`"input":"another `))
+	}
 	if take(t, func(f *TargetFaults) *int { return &f.Hang }) {
 		<-r.Context().Done()
 		return
@@ -193,10 +200,22 @@
 	t.ended++
 }
 
-func (t *Target) started(request string) {
+func (t *Target) started(request string, body []byte) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.runs[request]++
+	var call pipeline.ServiceRequest
+	if t.cfg.Kind == settings.Service && json.Unmarshal(body, &call) == nil {
+		t.inputs[string(call.Input)] = append(t.inputs[string(call.Input)], time.Now())
+	}
+}
+
+// Starts returns when calls of a service with this input, a JSON value, were
+// started here.
+func (t *Target) Starts(input string) []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.inputs[input]
 }
 
 // work spends the time of n units; it reports false when the caller left.
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -97,6 +97,15 @@
 	return n
 }
 
+// Starts returns when calls with this input were started at any service.
+func (w *World) Starts(input string) []time.Time {
+	var out []time.Time
+	for _, t := range w.Targets {
+		out = append(out, t.Starts(input)...)
+	}
+	return out
+}
+
 // Close stops the targets.
 func (w *World) Close() {
 	for _, s := range w.servers {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -83,6 +83,7 @@
 	StoreUnavailable    Code = "store_unavailable"
 	RevisionConflict    Code = "revision_conflict"
 	Stopping            Code = "stopping"
+	NotReady            Code = "not_ready"
 	Internal            Code = "internal"
 )
 
