--- /dev/null
+++ b/internal/batch/api.go
@@ -0,0 +1,101 @@
+package batch
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"topazmoor/internal/catalog"
+	"topazmoor/internal/frontdoor"
+	"topazmoor/internal/platform"
+	"topazmoor/internal/strictjson"
+	"topazmoor/internal/verdict"
+)
+
+// retryAfter is when a refused submission has a fair chance.
+const retryAfter = 5 * time.Second
+
+// PathBatches is the path of batches in the caller API.
+const PathBatches = "/v1/batches"
+
+// SubmitRequest is the body of a submission.
+type SubmitRequest struct {
+	Pipeline string `json:"pipeline" need:"true"`
+	// Inputs are the items, each a string or any JSON value.
+	Inputs []any `json:"inputs" need:"true"`
+}
+
+// Status describes a batch.
+type Status struct {
+	ID       string `json:"id"`
+	Pipeline string `json:"pipeline"`
+	Items    int    `json:"items"`
+	Finished int    `json:"finished"`
+	Done     bool   `json:"done"`
+}
+
+// Routes adds the batch calls to the caller API.
+func Routes(front *frontdoor.Server, s *Store) {
+	front.Handle("POST "+PathBatches, func(w http.ResponseWriter, r *http.Request, acct *catalog.CompiledAccount) {
+		b, err := submit(front, s, w, r, acct)
+		respond(front, w, http.StatusAccepted, statusOf(b), err)
+	})
+	front.Handle("GET "+PathBatches+"/{id}", func(w http.ResponseWriter, r *http.Request, acct *catalog.CompiledAccount) {
+		b, err := s.Get(r.Context(), acct.Name, r.PathValue("id"))
+		respond(front, w, http.StatusOK, statusOf(b), err)
+	})
+	front.Handle("GET "+PathBatches+"/{id}/results", func(w http.ResponseWriter, r *http.Request, acct *catalog.CompiledAccount) {
+		b, err := s.Get(r.Context(), acct.Name, r.PathValue("id"))
+		var res []Result
+		if err == nil {
+			res, err = s.Results(r.Context(), b)
+		}
+		respond(front, w, http.StatusOK, res, err)
+	})
+}
+
+func statusOf(b Batch) Status {
+	return Status{ID: b.ID, Pipeline: b.Pipeline, Items: b.Items, Finished: b.Finished(), Done: b.Done()}
+}
+
+func submit(front *frontdoor.Server, s *Store, w http.ResponseWriter, r *http.Request, acct *catalog.CompiledAccount) (Batch, error) {
+	body, err := front.ReadBody(w, r)
+	if err != nil {
+		return Batch{}, err
+	}
+	var req SubmitRequest
+	if err := strictjson.Decode(body, &req); err != nil {
+		return Batch{}, verdict.New(verdict.NotRun, verdict.InvalidRequest, "%v", err)
+	}
+	if acct.Plans[req.Pipeline] == nil {
+		return Batch{}, verdict.New(verdict.NotRun, verdict.UnknownPipeline, "the account has no pipeline %q", req.Pipeline)
+	}
+	if len(req.Inputs) == 0 || len(req.Inputs) > MaxItems {
+		return Batch{}, verdict.New(verdict.NotRun, verdict.InvalidRequest, "inputs: write 1 to %d items", MaxItems)
+	}
+	inputs := make([]json.RawMessage, len(req.Inputs))
+	for i, in := range req.Inputs {
+		if inputs[i], err = json.Marshal(in); err != nil {
+			return Batch{}, verdict.Wrap(err, verdict.NotRun, verdict.InvalidRequest, "inputs[%d] cannot be encoded", i)
+		}
+	}
+	return s.Submit(r.Context(), acct.Name, req.Pipeline, r.Header.Get(frontdoor.HeaderKey), inputs)
+}
+
+// respond sends a value, or the refusal. A batch that was not acknowledged may
+// still be stored when the table service's answer was lost.
+func respond(front *frontdoor.Server, w http.ResponseWriter, status int, v any, err error) {
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		err = verdict.New(verdict.NotRun, verdict.NotFound, "the account has no such batch, or its results are gone")
+	case errors.Is(err, ErrKeyReused):
+		err = verdict.New(verdict.NotRun, verdict.KeyReused, "the request key was used for another batch: use a new key")
+	case errors.Is(err, platform.ErrUnavailable):
+		err = verdict.New(verdict.NotRun, verdict.StoreUnavailable, "the platform does not answer; the batch was not stored").After(retryAfter)
+	case errors.Is(err, platform.ErrUnknown):
+		err = verdict.New(verdict.MayHaveRun, verdict.StoreUnavailable,
+			"the platform did not confirm; submit it again with the same Idempotency-Key").After(retryAfter)
+	}
+	front.Respond(w, status, v, err)
+}
--- a/internal/frontdoor/exchange.go
+++ b/internal/frontdoor/exchange.go
@@ -183,21 +183,25 @@
 // with its delivery.
 func (e *exchange) runClaimed(c ledger.Claim) {
 	o := e.execute(context.WithoutCancel(e.r.Context()))
+	e.record(c, o)
+	e.answer(o)
+}
+
+// record writes the outcome of a claim into the ledger beside its delivery. A
+// request that provably did not run releases its key.
+func (e *exchange) record(c ledger.Claim, o outcome) {
 	recorded := &o.Outcome
 	if o.notRun {
 		recorded = nil
 	}
-	e.s.work.Add(1)
-	go func() {
-		defer e.s.work.Done()
+	e.s.work.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 		defer cancel()
 		if err := e.s.cfg.Ledger.Finish(ctx, c, recorded); err != nil {
 			e.s.cfg.Log.Error("outcome not recorded; repeats of the key are told may_have_run",
 				"request", e.req.ID, "account", e.acct.Name, "err", err)
 		}
-	}()
-	e.answer(o)
+	})
 }
 
 // join answers from the attempt that holds the key. It reports false when the
--- a/internal/ledger/table.go
+++ b/internal/ledger/table.go
@@ -47,8 +47,20 @@
 	last    time.Time
 	down    time.Time
 	stats   TableStats
+	// versions holds the row versions of claims granted here, so that their
+	// outcomes need no read first.
+	versions map[string]rowVersion
 }
 
+// rowVersion is the version that an attempt's claim gave its row.
+type rowVersion struct {
+	attempt string
+	version int64
+}
+
+// versionsLimit bounds the versions held.
+const versionsLimit = 50_000
+
 // TableStats counts the work of a TableBook.
 type TableStats struct {
 	// Commits is the number of transactions sent and Ops the operations in
@@ -82,7 +94,7 @@
 
 // NewTableBook returns a TableBook that starts at most one commit an interval.
 func NewTableBook(t platform.Tables, interval time.Duration, log *slog.Logger) *TableBook {
-	return &TableBook{tables: t, interval: interval, log: log}
+	return &TableBook{tables: t, interval: interval, log: log, versions: make(map[string]rowVersion)}
 }
 
 // Stats returns the counts so far.
@@ -145,21 +157,11 @@
 }
 
 func (b *TableBook) tryFinish(ctx context.Context, c Claim, out *Outcome) error {
-	row, err := b.tables.Get(ctx, claimTable, c.rowKey())
-	if errors.Is(err, platform.ErrNotFound) {
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	rec, err := decodeRecord(row)
-	if err != nil {
+	version, held, err := b.heldVersion(ctx, c)
+	if err != nil || !held {
 		return err
 	}
-	if rec.Attempt != c.Attempt || rec.Outcome != nil {
-		return nil
-	}
-	w := platform.Write{Table: claimTable, Key: row.Key, Delete: out == nil}
+	w := platform.Write{Table: claimTable, Key: c.rowKey(), Delete: out == nil}
 	if out != nil {
 		w.Value, err = json.Marshal(Record{Claim: c, Outcome: out})
 		if err != nil {
@@ -167,7 +169,7 @@
 		}
 	}
 	o := &op{
-		kind: finishOp, ctx: ctx, claim: c, write: w, version: row.Version,
+		kind: finishOp, ctx: ctx, claim: c, write: w, version: version,
 		until: time.Now().Add(finishTimeout), done: make(chan opResult, 1),
 	}
 	if err := b.enqueue(o); err != nil {
@@ -176,6 +178,45 @@
 	return (<-o.done).err
 }
 
+// heldVersion returns the version of the row if the attempt still holds it
+// without an outcome.
+func (b *TableBook) heldVersion(ctx context.Context, c Claim) (version int64, held bool, err error) {
+	b.mu.Lock()
+	v, ok := b.versions[c.rowKey()]
+	delete(b.versions, c.rowKey())
+	b.mu.Unlock()
+	if ok && v.attempt == c.Attempt {
+		return v.version, true, nil
+	}
+	row, err := b.tables.Get(ctx, claimTable, c.rowKey())
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, false, nil
+	}
+	if err != nil {
+		return 0, false, err
+	}
+	rec, err := decodeRecord(row)
+	if err != nil {
+		return 0, false, err
+	}
+	return row.Version, rec.Attempt == c.Attempt && rec.Outcome == nil, nil
+}
+
+// remember notes the versions of claims that a commit granted.
+func (b *TableBook) remember(group []*op, version int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.versions) >= versionsLimit {
+		// Claims that were never finished; outcomes read the row instead.
+		clear(b.versions)
+	}
+	for _, o := range group {
+		if o.kind == claimOp {
+			b.versions[o.write.Key] = rowVersion{attempt: o.claim.Attempt, version: version}
+		}
+	}
+}
+
 // Lookup implements Book.
 func (b *TableBook) Lookup(ctx context.Context, k Key) (Record, bool, error) {
 	row, err := b.tables.Get(ctx, claimTable, k.rowKey())
@@ -266,12 +307,13 @@
 func (b *TableBook) commit(group []*op) {
 	for len(group) > 0 {
 		ctx, cancel := context.WithDeadline(context.Background(), latest(group))
-		_, err := b.tables.Commit(ctx, transaction(group))
+		version, err := b.tables.Commit(ctx, transaction(group))
 		cancel()
 		b.count(len(group))
 		var conflict *platform.ConflictError
 		switch {
 		case err == nil:
+			b.remember(group, version)
 			succeed(group)
 			return
 		case errors.As(err, &conflict):
--- /dev/null
+++ b/internal/node/batch_test.go
@@ -0,0 +1,209 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"topazmoor/internal/batch"
+	"topazmoor/internal/frontdoor"
+	"topazmoor/internal/platform"
+	"topazmoor/internal/standin"
+)
+
+// batchCall makes one call of the batch API at a node.
+func (c *cluster) batchCall(i int, method, path, token, key string, in, out any) (int, error) {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return 0, err
+	}
+	req, err := http.NewRequest(method, "http://"+c.addr(i)+path, strings.NewReader(string(body)))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Authorization", "Bearer "+token)
+	if key != "" {
+		req.Header.Set(frontdoor.HeaderKey, key)
+	}
+	tr := &http.Transport{DialContext: c.net.DialFrom(callerIP), DisableKeepAlives: true}
+	resp, err := (&http.Client{Transport: tr, Timeout: 20 * time.Second}).Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode, json.NewDecoder(resp.Body).Decode(out)
+}
+
+// submitBatch submits n items with inputs of their own.
+func (c *cluster) submitBatch(i int, token, pipeline, name string, n int) (batch.Status, int, error) {
+	req := batch.SubmitRequest{Pipeline: pipeline}
+	for k := range n {
+		req.Inputs = append(req.Inputs, fmt.Sprintf("%s item %d", name, k))
+	}
+	var st batch.Status
+	code, err := c.batchCall(i, http.MethodPost, batch.PathBatches, token, name, req, &st)
+	return st, code, err
+}
+
+// results waits until a batch is done.
+func (c *cluster) results(i int, token, id string, limit time.Duration) ([]batch.Result, error) {
+	deadline := time.Now().Add(limit)
+	for {
+		var st batch.Status
+		_, err := c.batchCall(i, http.MethodGet, batch.PathBatches+"/"+id, token, "", nil, &st)
+		if err == nil && st.Done {
+			break
+		}
+		if time.Now().After(deadline) {
+			return nil, fmt.Errorf("batch %s: %d of %d items after %v (%v)", id, st.Finished, st.Items, limit, err)
+		}
+		time.Sleep(time.Second)
+	}
+	var res []batch.Result
+	_, err := c.batchCall(i, http.MethodGet, batch.PathBatches+"/"+id+"/results", token, "", nil, &res)
+	return res, err
+}
+
+func TestBatchIsCarriedOnAfterItsOwnerDies(t *testing.T) {
+	inCluster(t, 3, func(c *qt.C, cl *cluster) {
+		st, code, err := cl.submitBatch(0, "pilots-token", "berth-confirmation", "b1", 100)
+		c.Assert(err, qt.IsNil)
+		c.Assert(code, qt.Equals, http.StatusAccepted)
+		again, _, err := cl.submitBatch(1, "pilots-token", "berth-confirmation", "b1", 100)
+		c.Assert(err, qt.IsNil)
+		c.Assert(again.ID, qt.Equals, st.ID)
+		_, code, err = cl.submitBatch(1, "pilots-token", "berth-confirmation", "b1", 99)
+		c.Assert(err, qt.IsNil)
+		c.Assert(code, qt.Equals, http.StatusUnprocessableEntity)
+		owner := -1
+		for owner < 0 {
+			for i, n := range cl.nodes {
+				if n.batches.Running() > 0 {
+					owner = i
+				}
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(60 * time.Millisecond)
+		cl.kill(owner)
+		other := (owner + 1) % 3
+		res, err := cl.results(other, "pilots-token", st.ID, 3*time.Minute)
+		c.Assert(err, qt.IsNil)
+		c.Assert(checkOnceResults("b1", 100, res, cl.world), qt.HasLen, 0)
+		_, err = cl.results(other, "dispatch-desk-token", st.ID, 0)
+		c.Assert(err, qt.IsNotNil)
+	})
+}
+
+// checkOnceResults checks a batch of items that may not be repeated.
+func checkOnceResults(name string, n int, res []batch.Result, world *standin.World) []string {
+	var out []string
+	if len(res) != n {
+		return []string{fmt.Sprintf("%s: %d results for %d items", name, len(res), n)}
+	}
+	for i, r := range res {
+		input := mustJSON(fmt.Sprintf("%s item %d", name, i))
+		starts := len(world.Starts(input))
+		var problem frontdoor.Problem
+		var reply frontdoor.Reply
+		switch {
+		case r.Index != i:
+			out = append(out, fmt.Sprintf("%s: result %d has index %d", name, i, r.Index))
+		case starts > 1:
+			out = append(out, fmt.Sprintf("%s: item %d ran %d times", name, i, starts))
+		case r.Status == http.StatusOK:
+			if json.Unmarshal(r.Body, &reply) != nil || !strings.Contains(string(reply.Output), input) {
+				out = append(out, fmt.Sprintf("%s: item %d has a foreign answer %s", name, i, r.Body))
+			}
+		case json.Unmarshal(r.Body, &problem) != nil:
+			out = append(out, fmt.Sprintf("%s: item %d has no verdict: %s", name, i, r.Body))
+		case problem.Verdict == "not_run" && starts > 0:
+			out = append(out, fmt.Sprintf("%s: item %d is called not_run but ran", name, i))
+		}
+	}
+	return out
+}
+
+// batchStep is one failure while batches run.
+type batchStep struct {
+	at   time.Duration
+	kind string
+	node int
+	span time.Duration
+	n    int
+}
+
+// TestOracleBatches submits batches, restarts and pauses nodes and breaks the
+// platform, and then demands one result for every item of every batch that was
+// acknowledged.
+func TestOracleBatches(t *testing.T) {
+	kinds := []string{"restart", "restart", "freeze", "platform-down", "lose-replies", "drop-commits", "late-commits", "target-reset-after", "target-hang"}
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(rt, "steps")
+		steps := make([]batchStep, n)
+		for i := range steps {
+			steps[i] = batchStep{
+				at:   time.Duration(rapid.IntRange(0, 6000).Draw(rt, "at")) * time.Millisecond,
+				kind: rapid.SampledFrom(kinds).Draw(rt, "kind"), node: rapid.IntRange(0, oracleNodes-1).Draw(rt, "node"),
+				span: time.Duration(rapid.IntRange(100, 25_000).Draw(rt, "span")) * time.Millisecond,
+				n:    rapid.IntRange(1, 3).Draw(rt, "n"),
+			}
+		}
+		var violations []string
+		synctest.Test(t, func(*testing.T) { violations = executeBatches(steps) })
+		if len(violations) > 0 {
+			rt.Fatalf("%s", strings.Join(violations, "\n"))
+		}
+	})
+}
+
+func executeBatches(steps []batchStep) []string {
+	cl, err := newCluster(oracleNodes)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	defer cl.close()
+	if err := cl.apply(); err != nil {
+		return []string{err.Error()}
+	}
+	if !cl.waitReady(1, time.Minute) {
+		return []string{"the nodes did not become ready"}
+	}
+	r := &run{cluster: cl, start: time.Now(), tickets: make(map[int]string)}
+	for i, s := range steps {
+		time.AfterFunc(s.at, func() {
+			r.apply(step{kind: s.kind, node: s.node, span: s.span, count: s.n, target: i % 2})
+		})
+	}
+	acked := make(map[string]string)
+	for i := range 2 {
+		time.Sleep(time.Second)
+		name := fmt.Sprint("batch", i)
+		st, code, err := cl.submitBatch(i, "pilots-token", "berth-confirmation", name, 70)
+		if err == nil && code == http.StatusAccepted {
+			acked[name] = st.ID
+		}
+	}
+	time.Sleep(40 * time.Second)
+	cl.world.Store.SetFaults(platform.Faults{})
+	if !cl.waitReady(1, time.Minute) {
+		return []string{"the nodes did not become ready again"}
+	}
+	var out []string
+	for name, id := range acked {
+		res, err := cl.results(0, "pilots-token", id, 5*time.Minute)
+		if err != nil {
+			out = append(out, err.Error())
+			continue
+		}
+		out = append(out, checkOnceResults(name, 70, res, cl.world)...)
+	}
+	return out
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"topazmoor/internal/admin"
+	"topazmoor/internal/batch"
 	"topazmoor/internal/blackboard"
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/config"
@@ -76,6 +77,7 @@
 	ledger   *ledger.Router
 	table    *ledger.TableBook
 	front    *frontdoor.Server
+	batches  *batch.Runner
 	admin    *admin.Server
 	peers    *peers
 	servers  []*server
@@ -101,6 +103,7 @@
 	n.follower = config.NewFollower(store, &n.board.Catalog, s.Pools, n.peers, s.Platform.ConfigPoll.Std(), n.log)
 	n.provisionLedger()
 	n.provisionFront()
+	n.provisionBatches()
 	n.provisionAdmin(store)
 	n.provisionGauges()
 	if err := n.provisionServers(); err != nil {
@@ -128,6 +131,15 @@
 	})
 }
 
+func (n *Node) provisionBatches() {
+	store := batch.NewStore(n.env.Store, n.env.NewID)
+	batch.Routes(n.front, store)
+	execute := func(ctx context.Context, it batch.Item) (int, []byte) {
+		return n.front.RunItem(ctx, frontdoor.Item(it))
+	}
+	n.batches = batch.NewRunner(store, n.s.Node.Name, execute, n.peers.firstChoice, n.log)
+}
+
 func (n *Node) provisionAdmin(store *config.Store) {
 	n.admin = admin.New(admin.Config{
 		Node: n.s.Node.Name, Operators: n.s.Operators, Catalog: n.board.Catalog.Get,
@@ -193,6 +205,7 @@
 	sup.Add(n.peers.runner)
 	sup.Add(&hostPoller{n: n})
 	sup.Add(&loadPoller{n: n})
+	sup.Add(n.batches)
 	for _, s := range n.servers {
 		sup.Add(s)
 	}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -220,6 +220,16 @@
 	return best
 }
 
+// firstChoice reports whether this node is the one that a batch, or another
+// piece of control work, hashes to.
+func (p *peers) firstChoice(id string) bool {
+	names := []string{p.n.s.Node.Name}
+	for _, m := range p.live() {
+		names = append(names, m.Name)
+	}
+	return rendezvous(names, xxhash.Sum64String(id)) == p.n.s.Node.Name
+}
+
 // nodes returns the number of live nodes, this one included.
 func (p *peers) nodes() int { return len(p.live()) + 1 }
 
