--- a/internal/node/pollers.go
+++ b/internal/node/pollers.go
@@ -25,11 +25,13 @@
 	defer next.Stop()
 	for {
 		changed := p.n.board.Catalog.Changed()
+		members := p.n.board.Members.Changed()
 		p.publish()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-changed:
+		case <-members:
 		case <-next.C:
 			p.read(ctx)
 			next.Reset(every/2 + rand.N(every))
@@ -47,6 +49,7 @@
 }
 
 func (p *hostPoller) publish() {
+	p.n.sched.SetNodes(p.n.peers.nodes())
 	view := p.n.board.Hosts.Get()
 	if view.Hosts == nil {
 		return
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -86,7 +86,8 @@
 	rng    *rand.Rand
 	pools  map[string]*pool
 	stages map[string]*flow.Estimate
-	share  map[string]float64
+	// share is the part of each target's slots that this node may use.
+	share float64
 }
 
 type pool struct {
@@ -122,7 +123,7 @@
 		rng:    rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		pools:  make(map[string]*pool),
 		stages: make(map[string]*flow.Estimate),
-		share:  make(map[string]float64),
+		share:  1,
 	}
 }
 
@@ -142,29 +143,31 @@
 	}
 	for name, list := range byPool {
 		p := s.pool(name)
-		p.set(list, drained, s.cfg.DataCentre, s.shareOf(name))
+		p.set(list, drained, s.cfg.DataCentre, s.share)
 		s.pump(p)
 	}
 }
 
-// SetShare sets which part of a pool's slots this node may use, from 0 to 1.
-func (s *Scheduler) SetShare(poolName string, share float64) {
+// overcommit is how many times its even share of a target's slots a node may
+// use. Above 1, slots that other nodes leave idle are used; the load reports
+// keep the nodes from all doing so at once. See docs/design/005-flow.md.
+const overcommit = 3
+
+// SetNodes tells how many nodes share the targets.
+func (s *Scheduler) SetNodes(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.share[poolName] = share
-	p := s.pool(poolName)
-	for i, t := range p.targets {
-		t.limit.SetCeiling(float64(t.slots) * share)
-		p.cands[i].Limit = t.limit.Calls()
+	share := min(1, overcommit/float64(max(n, 1)))
+	if share == s.share {
+		return
 	}
-	s.pump(p)
-}
-
-func (s *Scheduler) shareOf(poolName string) float64 {
-	if v, ok := s.share[poolName]; ok {
-		return v
+	s.share = share
+	for _, p := range s.pools {
+		for _, t := range p.targets {
+			t.limit.SetCeiling(float64(t.slots) * share)
+		}
+		s.pump(p)
 	}
-	return 1
 }
 
 // Demand returns the number of calls in flight or waiting of each pool.
