Estimate service times by class and let urgent calls reach further

Cause: (1) urgent calls waited at the node for slots that the node's own batch calls held in engine queues; (2) admission judged urgent requests by the mean over all classes, which batch calls waiting at the engines drive up. Ruled out: gating all classes by the reported load of a target.

Change: a limit per target times 2, 1 and 0.75 by class; estimates by stage and class.

--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -88,7 +88,7 @@
 // Admit refuses a request that cannot finish in time: the estimate covers the
 // queues and service times of all its stages. The error is NotRun.
 func (r *Runner) Admit(req *Request) error {
-	need, wait := r.sched.Remaining(demands(req.Plan, 0), req.Class)
+	need, wait := r.sched.Remaining(demands(req, 0), req.Class)
 	if need <= time.Until(req.Deadline) {
 		return nil
 	}
@@ -98,15 +98,20 @@
 		After(max(wait, time.Second))
 }
 
-func demands(p *catalog.Plan, from int) []scheduler.StageDemand {
-	out := make([]scheduler.StageDemand, 0, len(p.Stages)-from)
-	for i := from; i < len(p.Stages); i++ {
-		out = append(out, scheduler.StageDemand{Pool: p.Stages[i].Pool, Stage: stageKey(p, i)})
+func demands(req *Request, from int) []scheduler.StageDemand {
+	stages := req.Plan.Stages
+	out := make([]scheduler.StageDemand, 0, len(stages)-from)
+	for i := from; i < len(stages); i++ {
+		out = append(out, scheduler.StageDemand{Pool: stages[i].Pool, Stage: stageKey(req, i)})
 	}
 	return out
 }
 
-func stageKey(p *catalog.Plan, i int) string { return p.Template + "/" + p.Stages[i].Name }
+// stageKey names the service-time estimate of a stage. Classes have estimates
+// of their own, because targets serve them in the order of priority.
+func stageKey(req *Request, i int) string {
+	return req.Plan.Template + "/" + req.Plan.Stages[i].Name + "/" + req.Class.String()
+}
 
 // Run runs all stages. The error is a *verdict.Error whose verdict covers all
 // attempts at all stages. It returns the costs in both cases.
@@ -134,7 +139,7 @@
 func (r *Runner) latest(req *Request, i int) time.Time {
 	var need time.Duration
 	for j := i; j < len(req.Plan.Stages); j++ {
-		mean, _ := r.sched.Estimate(stageKey(req.Plan, j))
+		mean, _ := r.sched.Estimate(stageKey(req, j))
 		need += mean
 	}
 	return req.Deadline.Add(-need)
--- a/internal/pipeline/stage.go
+++ b/internal/pipeline/stage.go
@@ -51,7 +51,7 @@
 	return s.soFar, err
 }
 
-func (s *stageRun) key() string { return stageKey(s.req.Plan, s.index) }
+func (s *stageRun) key() string { return stageKey(s.req, s.index) }
 
 func (s *stageRun) acquire(ctx context.Context) (*scheduler.Lease, error) {
 	return s.r.sched.Acquire(ctx, scheduler.Call{
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -59,6 +59,10 @@
 	DataCentre string
 	// Prefix is the hash of the prompt's prefix; 0 for no affinity.
 	Prefix uint64
+	// Reach multiplies the limit of a target for this call. A higher class
+	// reaches further, so that it never waits for what lower classes of the same
+	// node hold. 0 counts as 1.
+	Reach float64
 	// Exclude lists target IDs that failed this request already.
 	Exclude []string
 	// RemoteCost is what a call to another data centre costs more.
@@ -91,12 +95,21 @@
 		return Excluded
 	case c.Down:
 		return IsDown
-	case c.Sent >= c.Limit:
+	case full(q, c):
 		return AtLimit
 	}
 	return Eligible
 }
 
+// full reports whether the node has as many calls at c as q's class may add to.
+func full(q *Query, c *Candidate) bool {
+	reach := q.Reach
+	if reach == 0 {
+		reach = 1
+	}
+	return float64(c.Sent) >= reach*float64(c.Limit)
+}
+
 func serves(loaded []string, want string) bool {
 	return want == "" || len(loaded) == 0 || slices.Contains(loaded, want)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -363,7 +363,7 @@
 func (s *Scheduler) pick(p *pool, c *Call) int {
 	q := routing.Query{
 		Model: c.Model, Adapter: c.Adapter, DataCentre: s.cfg.DataCentre,
-		Prefix: c.Prefix, Exclude: c.Exclude,
+		Prefix: c.Prefix, Exclude: c.Exclude, Reach: reach[c.Class],
 		RemoteCost: s.cfg.RemoteCost, PrefixGain: s.cfg.PrefixGain,
 	}
 	if i := routing.Pick(&q, p.cands, s.rng); i >= 0 || len(c.Exclude) == 0 {
@@ -385,6 +385,10 @@
 	return &Lease{Target: p.cands[i].Target, s: s, p: p, t: t, stage: c.Stage, start: now}
 }
 
+// reach is how far the calls of each class may fill a target, as a multiple of
+// its slots; see docs/design/005-flow.md.
+var reach = [catalog.Classes]float64{catalog.Urgent: 2, catalog.Standard: 1, catalog.Batch: 0.75}
+
 // Lease is the right to make one call at a target.
 type Lease struct {
 	// Target is where the call goes.
@@ -493,7 +497,7 @@
 func (p *pool) anyFree() bool {
 	for i := range p.cands {
 		c := &p.cands[i]
-		if !c.Leaving && !c.Down && c.Sent < c.Limit {
+		if !c.Leaving && !c.Down && float64(c.Sent) < reach[catalog.Urgent]*float64(c.Limit) {
 			return true
 		}
 	}
