Treat a refused connection as proof and as news of the target

Cause: a dead target looks idle, so calls went to it again and again; a refused connection used up one of three attempts although nothing had run, and the target was set aside only after three failures of each node.

Change: the first refused connection opens the breaker; attempts that provably did not run do not count against the limit (a bound of three times it stays).

--- a/internal/pipeline/stage.go
+++ b/internal/pipeline/stage.go
@@ -17,6 +17,9 @@
 	// it is resumed at another engine.
 	firstTokenStall = 4 * time.Second
 	nextTokenStall  = time.Second
+	// attemptsFactor times the stage's attempts bounds the calls in all, those
+	// that did not run included.
+	attemptsFactor = 3
 	// minHedgeDelay keeps hedges away from calls that are quick anyway.
 	minHedgeDelay = 20 * time.Millisecond
 )
@@ -32,9 +35,10 @@
 	cost    StageCost
 	soFar   verdict.Verdict
 	exclude []string
-	// counted is the number of attempts that count against the stage's limit:
-	// all but streams that brought tokens before they broke.
-	counted int
+	// failed is the number of attempts that count against the stage's limit:
+	// those that may have run, but for streams that brought tokens before they
+	// broke.
+	failed int
 	// lastErr is the error of the last attempt that failed.
 	lastErr error
 }
@@ -65,10 +69,11 @@
 // run is repeated only for idempotent pipelines; a refusal by the target is
 // always safe to send elsewhere.
 func (s *stageRun) mayRetry(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || s.counted >= s.st.Attempts {
+	notRun := err != nil && verdict.Of(err) == verdict.NotRun
+	if ctx.Err() != nil || s.failed >= s.st.Attempts || s.cost.Attempts >= attemptsFactor*s.st.Attempts {
 		return false
 	}
-	if verdict.Of(err) != verdict.NotRun && !s.req.Plan.Idempotent {
+	if !notRun && !s.req.Plan.Idempotent {
 		return false
 	}
 	if !time.Now().Before(s.r.latest(s.req, s.index)) {
@@ -83,6 +88,8 @@
 	lease  *scheduler.Lease
 	start  time.Time
 	cancel context.CancelFunc
+	// had is the number of tokens before this stream.
+	had    int
 	answer []byte
 	err    error
 }
@@ -171,7 +178,6 @@
 		return nil, err
 	}
 	s.cost.Attempts++
-	s.counted++
 	ctx, cancel := context.WithCancel(ctx)
 	a := &attempt{number: s.cost.Attempts, lease: lease, start: time.Now(), cancel: cancel}
 	s.exclude = append(s.exclude, lease.Target.ID)
@@ -207,7 +213,7 @@
 	s.r.obs.StageCall(s.st.Pool, s.st.Name, took, a.err)
 	s.soFar = s.soFar.Combine(verdict.Of(a.err))
 	if a.err != nil {
-		s.lastErr = a.err
+		s.countFailure(a.err)
 		s.waste(took)
 		s.logFailure(a)
 		return false
@@ -216,6 +222,13 @@
 	return true
 }
 
+func (s *stageRun) countFailure(err error) {
+	s.lastErr = err
+	if verdict.Of(err) != verdict.NotRun {
+		s.failed++
+	}
+}
+
 func (s *stageRun) logFailure(a *attempt) {
 	s.r.log.Warn("stage call failed", "request", s.req.ID, "account", s.req.Account,
 		"pipeline", s.req.Pipeline, "stage", s.st.Name, "target", a.lease.Target.ID,
@@ -247,6 +260,9 @@
 	case verdict.Canceled:
 		return scheduler.Abandoned
 	}
+	if verdict.Of(err) == verdict.NotRun {
+		return scheduler.Unreachable
+	}
 	return scheduler.Failed
 }
 
@@ -306,11 +322,8 @@
 	}
 	call := s.call(a, PathGenerate, body)
 	stall := dispatch.Stall{First: firstTokenStall, Next: nextTokenStall}
-	had := len(sink.tokens)
-	a.err = s.r.calls.Stream(ctx, call, had, stall, sink.take)
-	if len(sink.tokens) == had {
-		s.counted++
-	}
+	a.had = len(sink.tokens)
+	a.err = s.r.calls.Stream(ctx, call, a.had, stall, sink.take)
 	return a, nil
 }
 
@@ -324,13 +337,14 @@
 	s.soFar = s.soFar.Combine(verdict.Of(a.err))
 	s.cost.Tokens = len(sink.tokens)
 	if a.err != nil {
-		s.lastErr = a.err
 		// The tokens that arrived are used by the resumed stream; time without
 		// any token was wasted.
-		if len(sink.tokens) == 0 {
-			s.waste(took)
-		} else {
+		s.lastErr = a.err
+		if len(sink.tokens) > a.had {
 			s.cost.TargetMS += ms(took)
+		} else {
+			s.countFailure(a.err)
+			s.waste(took)
 		}
 		s.logFailure(a)
 		return false
--- a/internal/routing/breaker.go
+++ b/internal/routing/breaker.go
@@ -41,6 +41,13 @@
 // such as one that the caller cancelled.
 func (b *Breaker) Abandon() { b.probing = false }
 
+// Unreachable notes that the target refused the connection: strong evidence,
+// which opens the breaker at once.
+func (b *Breaker) Unreachable(now time.Time) {
+	b.failures = max(b.failures, breakerFailures-1)
+	b.Failure(now)
+}
+
 // Failure notes a failed call and opens the breaker after three in a row.
 func (b *Breaker) Failure(now time.Time) {
 	b.failures++
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -73,6 +73,8 @@
 	Refused
 	// Failed: the target broke the call or timed out.
 	Failed
+	// Unreachable: the target refused the connection.
+	Unreachable
 	// Abandoned: the caller left or another attempt won.
 	Abandoned
 )
@@ -426,6 +428,8 @@
 		t.limit.Refused(now)
 	case Failed:
 		t.breaker.Failure(now)
+	case Unreachable:
+		t.breaker.Unreachable(now)
 	case Abandoned:
 		t.breaker.Abandon()
 	}
