Measure membership and the spread of changes; calm the protocol down

Cause: with 3 s pauses and 10% loss 400 nodes suspected each other all the time: news saturated the messages and views were exchanged whole.

Change: a ping is repeated each interval and a node suspected after four intervals instead of two and a half; news is sent 1+log2(n) times, not 3(1+log2(n)). Ways compared in BenchmarkMembership: SWIM, digests of heartbeat counters between random nodes, heartbeats in the table service.

Conclusion: SWIM is kept.

--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"fmt"
 	"sort"
 	"testing"
 	"testing/synctest"
@@ -73,3 +74,22 @@
 		}
 	}
 }
+
+// BenchmarkMembership compares the ways to keep membership; see
+// docs/design/008-membership.md.
+func BenchmarkMembership(b *testing.B) {
+	for _, way := range []string{"swim", "digest", "table"} {
+		for _, n := range []int{8, 100, 400} {
+			b.Run(fmt.Sprintf("%s/%d", way, n), func(b *testing.B) {
+				var res MembershipResult
+				for b.Loop() {
+					res = RunMembership(way, n, benchSeed)
+				}
+				b.ReportMetric(res.BytesPerSecond, "bytes/s/node")
+				b.ReportMetric(res.Detect.Seconds(), "detect-s")
+				b.ReportMetric(res.False, "false%")
+				b.ReportMetric(res.StoreOps, "store-ops/s")
+			})
+		}
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -70,12 +70,16 @@
 }
 
 const (
+	// suspectAfter is the number of intervals without an answer, directly or
+	// through helpers, after which a node is suspected. A node that paused for
+	// less answers what waits in its socket when it wakes.
+	suspectAfter = 4
 	// helpers is the number of nodes that are asked to ping a silent one.
 	helpers = 3
 	// newsPerMessage bounds the news of one message, and thereby its size.
 	newsPerMessage = 12
-	// newsFactor times log2 of the nodes is how often a piece of news is sent.
-	newsFactor = 3
+	// newsFactor times log2 of the nodes, plus one, is how often a piece of news is sent.
+	newsFactor = 1
 	// syncEvery is the number of intervals between two comparisons of views.
 	syncEvery = 15
 	// announceFanout is the number of nodes that a new revision is told to.
@@ -158,6 +162,15 @@
 	return out
 }
 
+// Health returns what is believed of a node; known is false for a stranger.
+func (s *State) Health(name string) (h Health, known bool) {
+	m := s.members[name]
+	if m == nil {
+		return 0, false
+	}
+	return m.Health, true
+}
+
 // SetRevision notes the revision in force here, and returns announcements to a
 // few nodes if it is new.
 func (s *State) SetRevision(rev int64) []Packet {
@@ -278,7 +291,8 @@
 }
 
 // checkPings asks helpers for pings that are not answered after half an
-// interval, and suspects the node after two more.
+// interval, repeats them at every later one, and suspects the node after
+// suspectAfter intervals.
 func (s *State) checkPings(now time.Time) []Packet {
 	var out []Packet
 	for seq, p := range s.pings {
@@ -287,7 +301,7 @@
 		switch {
 		case m == nil || m.Health > Suspect:
 			delete(s.pings, seq)
-		case age >= 5*s.cfg.Interval/2:
+		case age >= suspectAfter*s.cfg.Interval:
 			delete(s.pings, seq)
 			s.suspect(m, now)
 		case age >= s.cfg.Interval/2 && !p.helped:
@@ -295,6 +309,9 @@
 			for _, h := range s.random(helpers, p.name) {
 				out = append(out, s.packet(h.Addr, peerpb.Datagram_PING_REQUEST, seq, p.name))
 			}
+		case p.helped:
+			// Either the ping or the answers were lost: once more.
+			out = append(out, s.packet(m.Addr, peerpb.Datagram_PING, seq, p.name))
 		}
 	}
 	for seq, r := range s.relays {
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -186,3 +186,96 @@
 	time.Sleep(time.Second)
 	return counts.Commits, counts.Reads, time.Duration(total.Load() / int64(n))
 }
+
+// BenchmarkConfigSpread measures, with whole nodes in virtual time, how long an
+// accepted change takes to be in force at every node, one of which is lost
+// while it spreads, and what a node sends and receives meanwhile. The network
+// has no latency of its own: the figure is the protocol's.
+func BenchmarkConfigSpread(b *testing.B) {
+	for _, n := range []int{8, 100, 400} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var res spreadResult
+			for b.Loop() {
+				inBubble(b, func() { res = spread(n) })
+			}
+			if res.err != nil {
+				b.Fatal(res.err)
+			}
+			b.ReportMetric(res.effect.Seconds(), "effect-s")
+			b.ReportMetric(res.down.Seconds(), "effect-storedown-s")
+			b.ReportMetric(res.bytes, "bytes/s/node")
+			b.ReportMetric(res.reads, "store-reads/s")
+			b.ReportMetric(res.writes, "store-writes/s")
+		})
+	}
+}
+
+type spreadResult struct {
+	effect, down         time.Duration
+	bytes, reads, writes float64
+	err                  error
+}
+
+func spread(n int) (res spreadResult) {
+	cl, err := newCluster(n)
+	if err != nil {
+		return spreadResult{err: err}
+	}
+	defer cl.close()
+	const settle = 2 * time.Minute
+	time.Sleep(settle)
+	if res.err = cl.apply(); res.err != nil {
+		return res
+	}
+	start := time.Now()
+	cl.kill(n / 2)
+	for !cl.waitRevision(1) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	res.effect = time.Since(start)
+	before, counts := cl.traffic(), cl.world.Store.Counts()
+	time.Sleep(settle)
+	after, later := cl.traffic(), cl.world.Store.Counts()
+	res.bytes = float64(after-before) / settle.Seconds() / float64(n)
+	res.reads = float64(later.Reads-counts.Reads) / settle.Seconds()
+	res.writes = float64(later.Commits-counts.Commits) / settle.Seconds()
+	res.down, res.err = cl.spreadWithoutStore()
+	return res
+}
+
+// spreadWithoutStore lets one node alone reach the store: the others have the
+// change from their peers.
+func (c *cluster) spreadWithoutStore() (time.Duration, error) {
+	for _, n := range c.all()[1:] {
+		n.gate.SetCut(true)
+	}
+	start := time.Now()
+	err := c.submit([]catalog.Item{{Kind: catalog.DrainItem, Name: "x", Value: []byte(`{"host":"x"}`)}})
+	if err != nil {
+		return 0, err
+	}
+	for !c.waitRevision(2) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(start), nil
+}
+
+// waitRevision reports whether all live nodes have the revision.
+func (c *cluster) waitRevision(rev int64) bool {
+	for _, n := range c.all() {
+		if !n.dead.Load() && n.board.Catalog.Get().Revision < rev {
+			return false
+		}
+	}
+	return true
+}
+
+// traffic is the bytes of all datagrams sent and received.
+func (c *cluster) traffic() int64 {
+	var sum int64
+	for _, n := range c.all() {
+		t := n.peers.runner.Traffic()
+		sum += t.InBytes + t.OutBytes
+	}
+	return sum
+}
