Fit control into a node's budget: subsets, paced reports, host list by tag

Cause: at 400 nodes and 670 targets each node would ask every target for its load each second (268,000 calls a second in all), fetch a host list of some 100 KB each second, and hold 33 MB of decoded accounts, which the collector's headroom doubles past the limit of 64 MB.

Change: a node takes 20 targets of a large pool by rendezvous hashing, a few of each set of models at least; at most 16 reports a second; the host list is fetched only when its entity tag changed; accounts are kept as JSON with plans beside.

Subset and report figures are in docs/CAPACITY.md.

--- a/internal/batch/api.go
+++ b/internal/batch/api.go
@@ -68,7 +68,7 @@
 	if err := strictjson.Decode(body, &req); err != nil {
 		return Batch{}, verdict.New(verdict.NotRun, verdict.InvalidRequest, "%v", err)
 	}
-	if acct.Plans[req.Pipeline] == nil {
+	if acct.Plan(req.Pipeline) == nil {
 		return Batch{}, verdict.New(verdict.NotRun, verdict.UnknownPipeline, "the account has no pipeline %q", req.Pipeline)
 	}
 	if len(req.Inputs) == 0 || len(req.Inputs) > MaxItems {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -43,7 +43,7 @@
 	c := qt.New(t)
 	cfg, err := New(testPools()).Apply(1, loadExample(c, "harbour.hujson"))
 	c.Assert(err, qt.IsNil)
-	plan := cfg.Account("dispatch-desk").Plans["handover-notes"]
+	plan := cfg.Account("dispatch-desk").Plan("handover-notes")
 	c.Assert(plan.Class, qt.Equals, Batch)
 	c.Assert(plan.Deadline.Seconds(), qt.Equals, 30.0)
 	c.Assert(plan.Stages[3].MaxTokens, qt.Equals, 64)
@@ -79,9 +79,9 @@
 		"name":"confirm","parameters":[{"name":"pool","type":"string"}],
 		"pipeline":{"class":"urgent","deadline":"5s","stages":[{"name":"confirm","pool":"${pool}"}]}}`)}})
 	c.Assert(err, qt.IsNil)
-	c.Assert(old.Account("pilots").Plans["berth-confirmation"].Deadline.Seconds(), qt.Equals, 2.0)
-	c.Assert(next.Account("pilots").Plans["berth-confirmation"].Deadline.Seconds(), qt.Equals, 5.0)
-	c.Assert(next.ByToken(next.Account("pilots").TokensSHA256[0]).Plans["berth-confirmation"].Deadline.Seconds(), qt.Equals, 5.0)
+	c.Assert(old.Account("pilots").Plan("berth-confirmation").Deadline.Seconds(), qt.Equals, 2.0)
+	c.Assert(next.Account("pilots").Plan("berth-confirmation").Deadline.Seconds(), qt.Equals, 5.0)
+	c.Assert(next.ByToken("pilots-token").Plan("berth-confirmation").Deadline.Seconds(), qt.Equals, 5.0)
 }
 
 func TestTemplateInUseCannotBeDeleted(t *testing.T) {
--- a/internal/catalog/compile.go
+++ b/internal/catalog/compile.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -26,10 +28,50 @@
 	Kind settings.PoolKind
 }
 
-// CompiledAccount is an account with its plans by pipeline name.
+// CompiledAccount is an account with its plans. It keeps the account as JSON
+// instead of decoded, because a node holds tens of thousands of them.
 type CompiledAccount struct {
-	Account
-	Plans map[string]*Plan
+	Name          string
+	RatePerSecond float64
+	Concurrent    int
+
+	plans  []namedPlan
+	source []byte
+}
+
+// namedPlan is a plan under the account's name for it.
+type namedPlan struct {
+	name string
+	plan *Plan
+}
+
+// Plan returns the plan of a pipeline, or nil.
+func (a *CompiledAccount) Plan(pipeline string) *Plan {
+	for _, p := range a.plans {
+		if p.name == pipeline {
+			return p.plan
+		}
+	}
+	return nil
+}
+
+// decode returns the account as it was submitted.
+func (a *CompiledAccount) decode() Account {
+	var acct Account
+	// It was decoded before it was taken in.
+	_ = strictjson.Decode(a.source, &acct)
+	return acct
+}
+
+// tokenHash is the SHA-256 of a token.
+type tokenHash [sha256.Size]byte
+
+func parseTokenHash(s string) (h tokenHash, ok bool) {
+	b, err := hex.DecodeString(s)
+	if err != nil || len(b) != len(h) || strings.ToLower(s) != s {
+		return h, false
+	}
+	return tokenHash(b), true
 }
 
 // Compiled is a whole configuration, ready to serve. It is immutable.
@@ -37,7 +79,7 @@
 	Revision  int64
 	templates map[string]*Template
 	accounts  map[string]*CompiledAccount
-	tokens    map[string]*CompiledAccount
+	tokens    map[tokenHash]*CompiledAccount
 	drains    map[string]Drain
 	pools     map[string]settings.Pool
 	plans     map[string]*Plan
@@ -55,7 +97,7 @@
 	return &Compiled{
 		templates: make(map[string]*Template),
 		accounts:  make(map[string]*CompiledAccount),
-		tokens:    make(map[string]*CompiledAccount),
+		tokens:    make(map[tokenHash]*CompiledAccount),
 		drains:    make(map[string]Drain),
 		plans:     make(map[string]*Plan),
 		pools:     byName,
@@ -65,8 +107,10 @@
 // Account returns the account with this name, or nil.
 func (c *Compiled) Account(name string) *CompiledAccount { return c.accounts[name] }
 
-// ByToken returns the account whose token has this SHA-256 in hex, or nil.
-func (c *Compiled) ByToken(sha256Hex string) *CompiledAccount { return c.tokens[sha256Hex] }
+// ByToken returns the account of a token, or nil.
+func (c *Compiled) ByToken(token string) *CompiledAccount {
+	return c.tokens[sha256.Sum256([]byte(token))]
+}
 
 // Template returns the template with this name, or nil.
 func (c *Compiled) Template(name string) *Template { return c.templates[name] }
@@ -93,7 +137,7 @@
 		}
 	case AccountItem:
 		if a := c.accounts[name]; a != nil {
-			v = a.Account
+			return a.source
 		}
 	case DrainItem:
 		if d, ok := c.drains[name]; ok {
@@ -159,6 +203,7 @@
 			addAll(probs, it.Key(), err)
 			continue
 		}
+		checkName(probs, it, t.Name)
 		checkParameters(probs, it.Key(), t)
 		c.templates[it.Name] = &t
 	}
@@ -181,12 +226,22 @@
 			addAll(probs, it.Key(), err)
 			continue
 		}
-		c.accounts[it.Name] = &CompiledAccount{Account: a}
+		checkName(probs, it, a.Name)
+		c.accounts[it.Name] = &CompiledAccount{
+			Name: it.Name, RatePerSecond: a.RatePerSecond, Concurrent: a.Concurrent, source: it.Value,
+		}
 		touched[it.Name] = true
 	}
 	return touched
 }
 
+// checkName demands that an object is stored under its own name.
+func checkName(probs *strictjson.Problems, it Item, name string) {
+	if name != it.Name || name == "" {
+		probs.Add(it.Key()+".name", "is %q: write %q", name, it.Name)
+	}
+}
+
 func (c *Compiled) applyDrains(items []Item, probs *strictjson.Problems) {
 	for _, it := range items {
 		if it.Kind != DrainItem {
@@ -211,8 +266,8 @@
 		return
 	}
 	delete(c.accounts, name)
-	for _, h := range old.TokensSHA256 {
-		if c.tokens[h] == old {
+	for _, s := range old.decode().TokensSHA256 {
+		if h, ok := parseTokenHash(s); ok && c.tokens[h] == old {
 			delete(c.tokens, h)
 		}
 	}
@@ -221,8 +276,8 @@
 // touchUsers adds the accounts that use a changed template.
 func (c *Compiled) touchUsers(changed, touched map[string]bool) {
 	for name, a := range c.accounts {
-		for _, b := range a.Pipelines {
-			if changed[b.Template] {
+		for _, p := range a.plans {
+			if changed[p.plan.Template] {
 				touched[name] = true
 			}
 		}
@@ -232,25 +287,28 @@
 func (c *Compiled) compileAccount(name string, probs *strictjson.Problems) {
 	old := c.accounts[name]
 	path := Item{Kind: AccountItem, Name: name}.Key()
-	a := &CompiledAccount{Account: old.Account, Plans: make(map[string]*Plan)}
-	for i, b := range a.Pipelines {
+	acct := old.decode()
+	a := *old
+	a.plans = make([]namedPlan, 0, len(acct.Pipelines))
+	for i, b := range acct.Pipelines {
 		at := fmt.Sprintf("%s.pipelines[%d]", path, i)
-		if a.Plans[b.Name] != nil {
+		if a.Plan(b.Name) != nil {
 			probs.Add(at+".name", "%q stands twice: give each pipeline a name of its own", b.Name)
 			continue
 		}
 		if p := c.plan(at, b, probs); p != nil {
-			a.Plans[b.Name] = p
+			a.plans = append(a.plans, namedPlan{name: b.Name, plan: p})
 		}
 	}
-	c.accounts[name] = a
-	c.indexTokens(path, a, probs)
+	c.accounts[name] = &a
+	c.indexTokens(path, &a, acct.TokensSHA256, probs)
 }
 
-func (c *Compiled) indexTokens(path string, a *CompiledAccount, probs *strictjson.Problems) {
-	for i, h := range a.TokensSHA256 {
+func (c *Compiled) indexTokens(path string, a *CompiledAccount, hashes []string, probs *strictjson.Problems) {
+	for i, s := range hashes {
 		at := fmt.Sprintf("%s.tokens_sha256[%d]", path, i)
-		if len(h) != 64 || strings.Trim(h, "0123456789abcdef") != "" {
+		h, ok := parseTokenHash(s)
+		if !ok {
 			probs.Add(at, "is not 64 lower-case hex digits: write the output of `topazmoor check --hash TOKEN`")
 			continue
 		}
--- /dev/null
+++ b/internal/dispatch/conn_test.go
@@ -0,0 +1,37 @@
+package dispatch
+
+import (
+	"net"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestSealForbidsLaterWrites: a call that is proved not to have been written
+// must not be written afterwards by the transport, which may still hold it.
+func TestSealForbidsLaterWrites(t *testing.T) {
+	c := qt.New(t)
+	client, server := net.Pipe()
+	defer client.Close()
+	defer server.Close()
+	cn := &conn{Conn: client}
+	h := &handover{conns: []mark{{conn: cn, written: 0}}}
+	c.Assert(h.nothingWritten(), qt.IsTrue)
+	_, err := cn.Write([]byte("POST"))
+	c.Assert(err, qt.Equals, errSealed)
+}
+
+func TestWrittenByteIsNoProof(t *testing.T) {
+	c := qt.New(t)
+	client, server := net.Pipe()
+	defer client.Close()
+	defer server.Close()
+	cn := &conn{Conn: client}
+	go func() { _, _ = server.Read(make([]byte, 1)) }()
+	_, err := cn.Write([]byte("P"))
+	c.Assert(err, qt.IsNil)
+	h := &handover{conns: []mark{{conn: cn, written: 0}}}
+	c.Assert(h.nothingWritten(), qt.IsFalse)
+	unknown := &handover{lost: true}
+	c.Assert(unknown.nothingWritten(), qt.IsFalse)
+}
--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"log/slog"
 	"net/http"
@@ -128,7 +126,7 @@
 		return nil, verdict.New(verdict.NotRun, verdict.Unauthenticated, "send the account's token as Authorization: Bearer TOKEN")
 	}
 	cfg := s.cfg.Catalog()
-	acct := cfg.ByToken(sha256Hex(token))
+	acct := cfg.ByToken(token)
 	if acct == nil && cfg.Revision == 0 {
 		return nil, verdict.New(verdict.NotRun, verdict.NotReady, "the node has no configuration yet").After(time.Second)
 	}
@@ -138,11 +136,6 @@
 	return acct, nil
 }
 
-func sha256Hex(token string) string {
-	sum := sha256.Sum256([]byte(token))
-	return hex.EncodeToString(sum[:])
-}
-
 func (s *Server) ticket(w http.ResponseWriter, r *http.Request) {
 	acct, err := s.authenticate(r)
 	if err != nil {
@@ -238,7 +231,7 @@
 		return nil, err
 	}
 	name := r.PathValue("pipeline")
-	plan := acct.Plans[name]
+	plan := acct.Plan(name)
 	if plan == nil {
 		return nil, verdict.New(verdict.NotRun, verdict.UnknownPipeline, "the account has no pipeline %q", name)
 	}
--- a/internal/frontdoor/frontdoor_test.go
+++ b/internal/frontdoor/frontdoor_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"io"
@@ -65,7 +67,7 @@
 
 func testItems() []catalog.Item {
 	account := func(name, token, extra string) catalog.Item {
-		return catalog.Item{Kind: catalog.AccountItem, Name: name, Value: []byte(`{"name":"` + name + `","tokens_sha256":["` + sha256Hex(token) + `"],` + extra +
+		return catalog.Item{Kind: catalog.AccountItem, Name: name, Value: []byte(`{"name":"` + name + `","tokens_sha256":["` + hashOf(token) + `"],` + extra +
 			`"pipelines":[{"name":"once","template":"t","parameters":{"again":false}},{"name":"again","template":"t","parameters":{"again":true}}]}`)}
 	}
 	return []catalog.Item{
@@ -77,6 +79,11 @@
 	}
 }
 
+func hashOf(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
 func post(s *Server, path, token, body string, headers ...string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
 	if token != "" {
--- a/internal/frontdoor/item.go
+++ b/internal/frontdoor/item.go
@@ -80,12 +80,12 @@
 	e := &exchange{s: s, arrived: time.Now(), revision: s.cfg.Catalog().Revision}
 	e.req = &pipeline.Request{ID: id, Account: it.Account, Pipeline: it.Pipeline, Class: catalog.Batch, Input: it.Input}
 	acct := s.cfg.Catalog().Account(it.Account)
-	if acct == nil || acct.Plans[it.Pipeline] == nil {
+	if acct == nil || acct.Plan(it.Pipeline) == nil {
 		gone := verdict.New(verdict.NotRun, verdict.UnknownPipeline, "the account has no pipeline %q any more", it.Pipeline)
 		return itemOutcome{outcome: e.problem(gone, nil)}
 	}
 	e.acct = acct
-	e.req.Plan = acct.Plans[it.Pipeline]
+	e.req.Plan = acct.Plan(it.Pipeline)
 	e.req.Deadline = e.arrived.Add(e.req.Plan.Deadline)
 	if e.req.Plan.Idempotent {
 		o := e.execute(ctx)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -171,6 +171,9 @@
 	return m.Health, true
 }
 
+// NewsWaiting returns the number of pieces of news that are still spread.
+func (s *State) NewsWaiting() int { return len(s.news) }
+
 // SetRevision notes the revision in force here, and returns announcements to a
 // few nodes if it is new.
 func (s *State) SetRevision(rev int64) []Packet {
--- a/internal/node/pollers.go
+++ b/internal/node/pollers.go
@@ -6,12 +6,14 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"golang.org/x/sync/errgroup"
 
 	"topazmoor/internal/platform"
+	"topazmoor/internal/routing"
+	"topazmoor/internal/scheduler"
 )
 
 // hostPoller reads the host list and keeps the scheduler's targets up to date
@@ -54,60 +56,85 @@
 	if view.Hosts == nil {
 		return
 	}
-	p.n.sched.SetHosts(view.Hosts, p.n.board.Catalog.Get().Drained)
+	drained := p.n.board.Catalog.Get().Drained
+	p.n.sched.SetHosts(routing.Subset(p.n.s.Node.Name, serving(view.Hosts, drained)), drained)
+}
+
+// serving returns the hosts that may get new work.
+func serving(hosts []platform.Host, drained func(string) bool) []platform.Host {
+	out := make([]platform.Host, 0, len(hosts))
+	for _, h := range hosts {
+		if h.State == platform.Live && !drained(h.ID) {
+			out = append(out, h)
+		}
+	}
+	return out
 }
 
 const (
-	// loadInterval is the time between two load reports of a target.
+	// loadInterval is the time between two load reports of a target while there
+	// are few.
 	loadInterval = time.Second
+	// loadBudget is the most reports a second that a node asks for; with more
+	// targets the interval grows. It holds the node's bytes and processor time
+	// for control, see docs/CAPACITY.md.
+	loadBudget = 16
 	// loadTimeout bounds one report.
 	loadTimeout = 500 * time.Millisecond
-	// loadParallel is how many reports are asked for at once.
-	loadParallel = 16
 	// maxLoadReport bounds the body of a report, in bytes.
 	maxLoadReport = 4 << 10
 )
 
-// loadPoller asks targets for their load. It implements suture.Service.
+// loadPoller asks targets for their load, in turn. It implements
+// suture.Service.
 type loadPoller struct{ n *Node }
 
 // Serve implements suture.Service.
 func (p *loadPoller) Serve(ctx context.Context) error {
-	tr := &http.Transport{DialContext: p.n.env.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * loadInterval}
+	tr := &http.Transport{DialContext: p.n.env.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
 	defer tr.CloseIdleConnections()
 	client := &http.Client{Transport: tr, Timeout: loadTimeout}
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	for {
-		p.round(ctx, client)
-		select {
-		case <-ctx.Done():
+		targets := p.n.sched.Targets()
+		for _, t := range targets {
+			wg.Go(func() { p.report(ctx, client, t) })
+			if !sleep(ctx, pace(len(targets))) {
+				return ctx.Err()
+			}
+		}
+		if len(targets) == 0 && !sleep(ctx, loadInterval) {
 			return ctx.Err()
-		case <-time.After(loadInterval/2 + rand.N(loadInterval)):
 		}
 	}
 }
 
-func (p *loadPoller) round(ctx context.Context, client *http.Client) {
-	var g errgroup.Group
-	g.SetLimit(loadParallel)
-	for _, h := range p.n.board.Hosts.Get().Hosts {
-		g.Go(func() error {
-			p.report(ctx, client, h)
-			return nil
-		})
+// pace is the pause between two reports.
+func pace(targets int) time.Duration {
+	return max(loadInterval/time.Duration(max(targets, 1)), time.Second/loadBudget)
+}
+
+// sleep reports false when ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
 	}
-	_ = g.Wait()
 }
 
 // report asks one target. A failure leaves the last report in use: whether the
 // target works is learned from its calls.
-func (p *loadPoller) report(ctx context.Context, client *http.Client, h platform.Host) {
-	sent := p.n.sched.Sent(h.Pool, h.ID)
-	calls, err := fetchLoad(ctx, client, h.Addr)
+func (p *loadPoller) report(ctx context.Context, client *http.Client, t scheduler.TargetRef) {
+	sent := p.n.sched.Sent(t.Pool, t.ID)
+	calls, err := fetchLoad(ctx, client, t.Addr)
 	if err != nil {
-		p.n.log.Debug("no load report", "target", h.ID, "err", err)
+		p.n.log.Debug("no load report", "target", t.ID, "err", err)
 		return
 	}
-	p.n.sched.Report(h.Pool, h.ID, calls, sent)
+	p.n.sched.Report(t.Pool, t.ID, calls, sent)
 }
 
 func fetchLoad(ctx context.Context, client *http.Client, addr string) (int, error) {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -34,6 +35,12 @@
 	token   string
 	timeout time.Duration
 	http    *http.Client
+
+	// mu guards the last host list, which is fetched again only when its
+	// entity tag changed.
+	mu    sync.Mutex
+	etag  string
+	hosts []Host
 }
 
 // NewClient returns a client of the platform at addr (IP:port). Each call ends
@@ -90,11 +97,40 @@
 	return b, readError(err)
 }
 
-// ListHosts implements Hosts.
+// ListHosts implements Hosts. A platform that sends entity tags sends the list
+// only when it changed.
 func (c *Client) ListHosts(ctx context.Context) ([]Host, error) {
+	c.mu.Lock()
+	etag := c.etag
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+PathHosts, nil)
+	if err != nil {
+		return nil, eris.Wrap(err, "build platform request")
+	}
+	req.Header.Set("Authorization", "Bearer "+c.token)
+	if etag != "" {
+		req.Header.Set("If-None-Match", etag)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, readError(classify(err))
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotModified {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.hosts, nil
+	}
 	var hosts []Host
-	err := c.call(ctx, http.MethodGet, PathHosts, nil, &hosts)
-	return hosts, readError(err)
+	if err := decodeReply(resp, &hosts); err != nil {
+		return nil, readError(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.etag, c.hosts = resp.Header.Get("ETag"), hosts
+	return hosts, nil
 }
 
 // readError maps a lost reply of a read to ErrUnavailable: a read changes
--- /dev/null
+++ b/internal/routing/subset_test.go
@@ -0,0 +1,64 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"topazmoor/internal/platform"
+)
+
+func subsetHosts(n, models int) []platform.Host {
+	var hosts []platform.Host
+	for i := range n {
+		hosts = append(hosts, platform.Host{ID: fmt.Sprintf("h%03d", i), Pool: "p", Models: []string{fmt.Sprint("m", i%models)}})
+	}
+	return hosts
+}
+
+func TestSubsetKeepsSmallPoolsWhole(t *testing.T) {
+	qt.Assert(t, Subset("n", subsetHosts(18, 3)), qt.HasLen, 18)
+}
+
+func TestSubsetCoversEveryHostAndModel(t *testing.T) {
+	c := qt.New(t)
+	hosts := subsetHosts(300, 10)
+	seen := make(map[string]int)
+	for n := range 400 {
+		models := make(map[string]int)
+		sub := Subset(fmt.Sprint("node", n), hosts)
+		c.Assert(len(sub) < 100, qt.IsTrue)
+		for _, h := range sub {
+			seen[h.ID]++
+			models[h.Models[0]]++
+		}
+		c.Assert(models, qt.HasLen, 10)
+	}
+	mean := 0
+	for _, n := range seen {
+		mean += n
+	}
+	mean /= len(hosts)
+	for _, h := range hosts {
+		c.Assert(seen[h.ID] > mean/2 && seen[h.ID] < 2*mean, qt.IsTrue, qt.Commentf("%s has %d nodes, mean %d", h.ID, seen[h.ID], mean))
+	}
+}
+
+func TestSubsetMovesLittle(t *testing.T) {
+	c := qt.New(t)
+	hosts := subsetHosts(100, 1)
+	before := Subset("n", hosts)
+	after := Subset("n", hosts[1:])
+	kept := make(map[string]bool)
+	for _, h := range after {
+		kept[h.ID] = true
+	}
+	moved := 0
+	for _, h := range before {
+		if !kept[h.ID] {
+			moved++
+		}
+	}
+	c.Assert(moved <= 1, qt.IsTrue)
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -213,6 +213,22 @@
 	return 0
 }
 
+// TargetRef names a target.
+type TargetRef struct{ Pool, ID, Addr string }
+
+// Targets returns all targets.
+func (s *Scheduler) Targets() []TargetRef {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []TargetRef
+	for name, p := range s.pools {
+		for i := range p.cands {
+			out = append(out, TargetRef{Pool: name, ID: p.cands[i].ID, Addr: p.cands[i].Addr})
+		}
+	}
+	return out
+}
+
 // Retry reports whether the retry budget of a pool allows one more attempt,
 // and uses it up.
 func (s *Scheduler) Retry(poolName string) bool {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -3,10 +3,13 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 
+	"github.com/cespare/xxhash/v2"
+
 	"topazmoor/internal/platform"
 )
 
@@ -80,7 +83,21 @@
 
 func (p *Platform) hosts(w http.ResponseWriter, r *http.Request) {
 	hosts, err := p.store.ListHosts(r.Context())
-	reply(w, hosts, err)
+	if err != nil {
+		reply(w, nil, err)
+		return
+	}
+	body, err := json.Marshal(hosts)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	etag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(body), 36))
+	w.Header().Set("ETag", etag)
+	if r.Header.Get("If-None-Match") == etag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	write(w, body)
 }
 
 func (p *Platform) setFaults(w http.ResponseWriter, r *http.Request) {
