Cut off slow senders; TLS for peers; tests of hedges, limits and the baseline

Found by a test that fails without the fix: a body that never ended held its connection for ever. The read deadline was lifted after the failed read, and net/http then waited for the rest of the body before it closed. The deadline now stays after a failure; the sender is answered 400 after read_timeout and cut off.

The demo uses both example deployments.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -26,12 +26,12 @@
 	c.Assert(code, qt.Equals, ExitOK, qt.Commentf("%s%s", out, errs))
 	var rows []demoRow
 	c.Assert(json.Unmarshal([]byte(out), &rows), qt.IsNil)
-	c.Assert(rows, qt.HasLen, 8)
+	c.Assert(rows, qt.HasLen, 9)
 	verdicts := make(map[string]int)
 	for _, r := range rows {
 		verdicts[r.Verdict]++
 	}
-	c.Assert(verdicts, qt.DeepEquals, map[string]int{"ran": 6, "not_run": 2})
+	c.Assert(verdicts, qt.DeepEquals, map[string]int{"ran": 7, "not_run": 2})
 }
 
 // TestDemoFailsWhenSomethingIsWrong applies a manifest without the pipelines
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -159,7 +159,7 @@
 }
 
 func (d *demoCmd) apply(ctx context.Context, run *demo) error {
-	manifests := []string{examples.Harbour}
+	manifests := []string{examples.Harbour, examples.Utility}
 	if len(d.Templates) > 0 {
 		manifests = nil
 	}
@@ -220,6 +220,9 @@
 		}))
 	}
 	last := r.nodes[len(r.nodes)-1].Addr("caller")
+	rows = append(rows, r.answered(ctx, "second deployment", caller.Request{
+		Addr: last, Token: "receiving-dock-token", Pipeline: "certificate-summary", Input: "heat numbers of coil 17",
+	}))
 	rows = append(rows, r.streamed(ctx, last), r.confirmedOnce(ctx), r.confirmedByTicket(ctx), r.refused(ctx), r.unauthenticated(ctx))
 	return rows
 }
--- a/internal/frontdoor/request.go
+++ b/internal/frontdoor/request.go
@@ -55,22 +55,23 @@
 	return verdict.New(verdict.NotRun, verdict.InvalidRequest, format, args...)
 }
 
-// readBody reads at most limit bytes within timeout. The deadline is lifted
-// afterwards: http.Server.ReadTimeout would go on counting while the request
-// runs and cancel it.
+// readBody reads at most limit bytes within timeout. On success the deadline is
+// lifted, because http.Server.ReadTimeout would go on counting while the
+// request runs and cancel it. After a failure it stays, so that the server does
+// not wait for the rest of the body either.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
 	conn := http.NewResponseController(w)
 	// Not every writer has deadlines; those that do not need none.
 	_ = conn.SetReadDeadline(time.Now().Add(timeout))
-	defer func() { _ = conn.SetReadDeadline(time.Time{}) }()
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, verdict.New(verdict.NotRun, verdict.TooLarge, "the body is over %d bytes", limit)
 	}
 	if err != nil {
-		return nil, invalid("the body could not be read")
+		return nil, invalid("the body could not be read within %v", timeout)
 	}
+	_ = conn.SetReadDeadline(time.Time{})
 	return b, nil
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,14 +1,22 @@
 package node
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"topazmoor/internal/caller"
+	"topazmoor/internal/dispatch"
+	"topazmoor/internal/naive"
+	"topazmoor/internal/pipeline"
 	"topazmoor/internal/platform"
 	"topazmoor/internal/standin"
 	"topazmoor/internal/verdict"
@@ -183,6 +191,119 @@
 	})
 }
 
+// TestSlowSenderIsCutOff sends a body that never ends.
+func TestSlowSenderIsCutOff(t *testing.T) {
+	inCluster(t, 1, func(c *qt.C, cl *cluster) {
+		conn, err := cl.net.DialFrom(callerIP)(tctx, "tcp", cl.addr(0))
+		c.Assert(err, qt.IsNil)
+		defer conn.Close()
+		start := time.Now()
+		_, err = io.WriteString(conn, "POST /v1/pipelines/radio-desk HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer dispatch-desk-token\r\nContent-Length: 100\r\n\r\n{")
+		c.Assert(err, qt.IsNil)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(resp.StatusCode, qt.Equals, http.StatusBadRequest)
+		c.Assert(time.Since(start), qt.Equals, 5*time.Second)
+	})
+}
+
+// TestSlowTargetIsHedgedAndTheLoserCancelled makes one encoder hang: the stage
+// is answered by the other, and the first call is ended.
+func TestSlowTargetIsHedgedAndTheLoserCancelled(t *testing.T) {
+	inCluster(t, 1, func(c *qt.C, cl *cluster) {
+		for range 20 {
+			_, err := cl.ask(0, "warm up", false)
+			c.Assert(err, qt.IsNil)
+		}
+		// The encoder of the node's own data centre is the one that is chosen.
+		local := cl.world.Targets["encoders-2"]
+		local.SetFaults(standin.TargetFaults{Hang: 1})
+		hedged := 0
+		for range 4 {
+			start := time.Now()
+			res, err := cl.ask(0, "hedge me", false)
+			c.Assert(err, qt.IsNil)
+			c.Assert(res.Problem, qt.IsNil)
+			c.Assert(time.Since(start) < time.Second, qt.IsTrue)
+			if res.Reply.Stages[0].Attempts == 2 {
+				hedged++
+				c.Assert(res.Reply.Stages[0].WastedMS > 0, qt.IsTrue)
+			}
+		}
+		c.Assert(hedged, qt.Equals, 1)
+		time.Sleep(time.Second)
+		c.Assert(local.Busy(), qt.Equals, 0)
+	})
+}
+
+// TestNoRetryPastTheDeadline breaks every call of a pool: the refusal comes
+// before the deadline and within the retry limits.
+func TestNoRetryPastTheDeadline(t *testing.T) {
+	inCluster(t, 1, func(c *qt.C, cl *cluster) {
+		for id, target := range cl.world.Targets {
+			if strings.HasPrefix(id, "encoders") {
+				target.SetFaults(standin.TargetFaults{ResetBefore: 1000})
+			}
+		}
+		start := time.Now()
+		res, err := cl.ask(0, "x", false)
+		c.Assert(err, qt.IsNil)
+		c.Assert(res.Problem.Code, qt.Equals, verdict.TargetFailed)
+		c.Assert(time.Since(start) < 9*time.Second, qt.IsTrue)
+		c.Assert(res.Problem.Stages[0].Attempts <= 3, qt.IsTrue)
+	})
+}
+
+// TestOracleDifferentialAgainstNaive runs the same calls through the nodes and
+// through the naive runner on one process: on a healthy system the answers are
+// the same.
+func TestOracleDifferentialAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		inputs := rapid.SliceOfN(rapid.StringMatching(`[a-z]{1,12}( [a-z]{1,12}){0,4}`), 1, 5).Draw(rt, "inputs")
+		var diff []string
+		synctest.Test(t, func(*testing.T) { diff = differ(inputs) })
+		if len(diff) > 0 {
+			rt.Fatalf("%s", strings.Join(diff, "\n"))
+		}
+	})
+}
+
+func differ(inputs []string) []string {
+	cl, err := newCluster(2)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	defer cl.close()
+	if err := cl.apply(); err != nil {
+		return []string{err.Error()}
+	}
+	if !cl.waitReady(1, time.Minute) {
+		return []string{"the nodes did not become ready"}
+	}
+	hosts, err := cl.world.Store.ListHosts(tctx)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	calls := dispatch.New(cl.net.DialFrom("10.8.8.8"), 1<<20)
+	defer calls.Close()
+	base := naive.New(calls, hosts)
+	plan := cl.node(0).board.Catalog.Get().Account("pilots").Plan("berth-confirmation")
+	var out []string
+	for i, in := range inputs {
+		res, err := cl.confirm(i%2, in, fmt.Sprint("key", i))
+		if err != nil || res.Reply == nil {
+			out = append(out, fmt.Sprintf("%q: no answer: %v %+v", in, err, res))
+			continue
+		}
+		body := []byte(`{"input":` + mustJSON(in) + `}`)
+		want, err := base.Run(tctx, &pipeline.Request{ID: fmt.Sprint("naive", i), Plan: plan, Deadline: time.Now().Add(time.Minute), Input: body})
+		if err != nil || string(res.Reply.Output) != string(want.Output) {
+			out = append(out, fmt.Sprintf("%q: %s, naive %s (%v)", in, res.Reply.Output, want.Output, err))
+		}
+	}
+	return out
+}
+
 // TestStopInterruptsNothing stops a node while a request runs on it.
 func TestStopInterruptsNothing(t *testing.T) {
 	inCluster(t, 2, func(c *qt.C, cl *cluster) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"math/rand/v2"
 	"net"
@@ -49,10 +50,17 @@
 
 func (n *Node) provisionPeers() error {
 	p := &peers{n: n}
+	secure, err := n.s.Listen.Peer.TLS.Config()
+	if err != nil {
+		return eris.Wrap(err, "listen.peer.tls")
+	}
 	ln, pc, err := listenBoth(n.env, n.s.Listen.Peer.Addr)
 	if err != nil {
 		return eris.Wrap(err, "listen.peer.addr")
 	}
+	if secure != nil {
+		ln = tls.NewListener(ln, secure)
+	}
 	self := membership.Member{
 		Name: n.s.Node.Name, Addr: ln.Addr().String(), DataCentre: n.s.Node.DataCentre,
 		Incarnation: uint64(n.started.UnixNano()),
@@ -60,7 +68,11 @@
 	cfg := membership.Config{Interval: n.s.Peers.Interval.Std(), SuspectFor: n.s.Peers.SuspectAfter.Std(), ForgetAfter: forgetAfter}
 	st := membership.New(self, n.s.Peers.Seeds, cfg, rand.New(rand.NewPCG(n.env.Seed, self.Incarnation)))
 	p.runner = membership.NewRunner(pc, n.env.PeerKey, st, &n.board.Members, p.heard, n.log)
-	p.client = peer.NewClient(peer.Dial(n.env.Dial), n.env.PeerKey, self.Name)
+	dial, err := n.peerDial()
+	if err != nil {
+		return err
+	}
+	p.client = peer.NewClient(dial, n.env.PeerKey, self.Name)
 	h := peer.Handler{
 		Books:    lateBooks{n},
 		Changes:  func(after int64) []catalog.Change { return n.follower.Since(after) },
@@ -71,6 +83,31 @@
 	return nil
 }
 
+// peerDial returns the dial function for calls to other nodes.
+func (n *Node) peerDial() (peer.Dial, error) {
+	secure, err := n.s.Listen.Peer.TLS.DialConfig()
+	if err != nil {
+		return nil, eris.Wrap(err, "listen.peer.tls")
+	}
+	if secure == nil {
+		return peer.Dial(n.env.Dial), nil
+	}
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := n.env.Dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		cfg := secure.Clone()
+		cfg.ServerName, _, _ = net.SplitHostPort(addr)
+		tc := tls.Client(c, cfg)
+		if err := tc.HandshakeContext(ctx); err != nil {
+			c.Close()
+			return nil, eris.Wrap(err, "peer TLS")
+		}
+		return tc, nil
+	}, nil
+}
+
 // lateBooks resolves the ledger at the time of a call, because the ledger and
 // the peers refer to each other.
 type lateBooks struct{ n *Node }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -63,7 +63,9 @@
 	Caller Listener `json:"caller" need:"true"`
 	// Admin serves the administration API.
 	Admin Listener `json:"admin" need:"true"`
-	// Peer serves other nodes.
+	// Peer serves other nodes, over TCP and, on the same port, UDP. With TLS the
+	// certificate must name the IP number, and client_ca_file must be the CA of
+	// all nodes. Datagrams are authenticated but not encrypted.
 	Peer Listener `json:"peer" need:"true"`
 	// Observe serves metrics, health and readiness.
 	Observe Listener `json:"observe" need:"true"`
@@ -373,6 +375,17 @@
 	return cfg, nil
 }
 
+// DialConfig returns the tls.Config with which a node dials listeners that have
+// the same settings: it presents the certificate and trusts ClientCAFile. It
+// is nil for plain TCP.
+func (t *TLS) DialConfig() (*tls.Config, error) {
+	cfg, err := t.Config()
+	if cfg == nil || err != nil {
+		return nil, err
+	}
+	return &tls.Config{Certificates: cfg.Certificates, RootCAs: cfg.ClientCAs, MinVersion: cfg.MinVersion}, nil
+}
+
 func checkAddr(p *strictjson.Problems, path, addr string) {
 	if _, err := netip.ParseAddrPort(addr); err != nil {
 		p.Add(path, "%q is not an IP number and port: write one such as \"10.0.0.7:8080\"", addr)
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -96,6 +96,13 @@
 	return n
 }
 
+// Busy returns how many calls are being worked on.
+func (t *Target) Busy() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.busy
+}
+
 // Load is the body of a load report.
 type Load struct {
 	Running int `json:"running"`
