--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -10,11 +10,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"topazmoor/internal/batch"
 	"topazmoor/internal/dispatch"
 	"topazmoor/internal/frontdoor"
 )
@@ -179,20 +181,66 @@
 
 // Ticket fetches a request ticket.
 func (c *Client) Ticket(ctx context.Context, addr, token string) (string, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+frontdoor.PathTickets, nil)
+	var t frontdoor.Ticket
+	err := c.call(ctx, http.MethodPost, addr, frontdoor.PathTickets, token, "", nil, &t)
+	return t.Ticket, err
+}
+
+// SubmitBatch submits a batch; key makes a repeat find the same batch.
+func (c *Client) SubmitBatch(ctx context.Context, addr, token, key string, req batch.SubmitRequest) (batch.Status, error) {
+	var st batch.Status
+	err := c.call(ctx, http.MethodPost, addr, batch.PathBatches, token, key, req, &st)
+	return st, err
+}
+
+// BatchStatus describes a batch.
+func (c *Client) BatchStatus(ctx context.Context, addr, token, id string) (batch.Status, error) {
+	var st batch.Status
+	err := c.call(ctx, http.MethodGet, addr, batch.PathBatches+"/"+url.PathEscape(id), token, "", nil, &st)
+	return st, err
+}
+
+// BatchResults returns the results of the finished items.
+func (c *Client) BatchResults(ctx context.Context, addr, token, id string) ([]batch.Result, error) {
+	var res []batch.Result
+	err := c.call(ctx, http.MethodGet, addr, batch.PathBatches+"/"+url.PathEscape(id)+"/results", token, "", nil, &res)
+	return res, err
+}
+
+// RefusedError is a refusal by the node.
+type RefusedError struct{ frontdoor.Problem }
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return string(e.Code) + " (" + e.Verdict + "): " + e.Detail
+}
+
+// call makes one call with JSON bodies. A refusal is a *RefusedError.
+func (c *Client) call(ctx context.Context, method, addr, path, token, key string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return eris.Wrap(err, "encode request")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, opaque{bytes.NewReader(body)})
 	if err != nil {
-		return "", eris.Wrap(err, "build request")
+		return eris.Wrap(err, "build request")
 	}
+	req.ContentLength = int64(len(body))
 	req.Header.Set("Authorization", "Bearer "+token)
+	if key != "" {
+		req.Header.Set(frontdoor.HeaderKey, key)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return "", eris.Wrap(err, "send request")
+		return eris.Wrap(err, "send request")
 	}
 	defer resp.Body.Close()
-	var t frontdoor.Ticket
-	if resp.StatusCode != http.StatusOK {
-		return "", eris.Errorf("no ticket: status %d", resp.StatusCode)
+	if resp.StatusCode < http.StatusBadRequest {
+		return eris.Wrap(json.NewDecoder(resp.Body).Decode(out), "decode answer")
+	}
+	refused := &RefusedError{}
+	if err := json.NewDecoder(resp.Body).Decode(&refused.Problem); err != nil {
+		return eris.Errorf("node answered %d", resp.StatusCode)
 	}
-	err = json.NewDecoder(resp.Body).Decode(&t)
-	return t.Ticket, eris.Wrap(err, "decode ticket")
+	return refused
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -47,6 +47,7 @@
 	Stop    *stopCmd    `arg:"subcommand:stop" help:"stop a node gracefully"`
 	Status  *statusCmd  `arg:"subcommand:status" help:"describe a node and the nodes it knows"`
 	Audit   *auditCmd   `arg:"subcommand:audit" help:"print who changed what"`
+	Batch   *batchCmd   `arg:"subcommand:batch" help:"submit a durable batch, show its progress or its results"`
 	Load    *loadCmd    `arg:"subcommand:load" help:"send requests at a fixed rate and report"`
 	Version *versionCmd `arg:"subcommand:version" help:"print the version"`
 
@@ -68,6 +69,25 @@
 	run(ctx context.Context, c *console) error
 }
 
+// command returns the subcommand that was given; go-arg itself would return the
+// innermost one.
+func (a *args) command() (command, bool) {
+	for _, c := range []struct {
+		given bool
+		cmd   command
+	}{
+		{a.Serve != nil, a.Serve}, {a.Demo != nil, a.Demo}, {a.Standin != nil, a.Standin}, {a.Check != nil, a.Check},
+		{a.Apply != nil, a.Apply}, {a.Get != nil, a.Get}, {a.Drain != nil, a.Drain}, {a.Stop != nil, a.Stop},
+		{a.Status != nil, a.Status}, {a.Audit != nil, a.Audit}, {a.Batch != nil, a.Batch}, {a.Load != nil, a.Load},
+		{a.Version != nil, a.Version},
+	} {
+		if c.given {
+			return c.cmd, true
+		}
+	}
+	return nil, false
+}
+
 // console is where a command writes.
 type console struct {
 	out    io.Writer
@@ -117,7 +137,7 @@
 		fmt.Fprintln(stderr, "error:", err)
 		return ExitUsage
 	}
-	cmd, ok := p.Subcommand().(command)
+	cmd, ok := a.command()
 	if !ok {
 		p.WriteHelp(stderr)
 		return ExitUsage
--- a/internal/dispatch/conn_test.go
+++ b/internal/dispatch/conn_test.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"bytes"
 	"net"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"topazmoor/internal/verdict"
 )
 
 // TestSealForbidsLaterWrites: a call that is proved not to have been written
@@ -35,3 +38,20 @@
 	unknown := &handover{lost: true}
 	c.Assert(unknown.nothingWritten(), qt.IsFalse)
 }
+
+func FuzzReadStream(f *testing.F) {
+	f.Add([]byte("data: {\"choices\":[{\"text\":\"a\",\"token_index\":0}]}\n\ndata: [DONE]\n\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		next := 0
+		_, err := readStream(bytes.NewReader(b), 0, func() {}, func(tok Token) error {
+			if tok.Index != next {
+				t.Fatalf("token %d came as number %d", tok.Index, next)
+			}
+			next++
+			return nil
+		}, Call{})
+		if err != nil && verdict.Of(err) != verdict.MayHaveRun {
+			t.Fatalf("a broken stream has verdict %v", verdict.Of(err))
+		}
+	})
+}
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -58,27 +58,34 @@
 		return stalled(ctx, err, call)
 	}
 	defer resp.Body.Close()
-	events := bufio.NewScanner(resp.Body)
+	alive := func() { watchdog.Reset(stall.Next) }
+	done, err := readStream(resp.Body, next, alive, emit, call)
+	if done || err != nil {
+		return err
+	}
+	return stalled(ctx, c.failure(ctx, call, h, io.ErrUnexpectedEOF), call)
+}
+
+// readStream reads events until the mark of the end. It returns false when the
+// stream broke before; an error is one of the content or of emit.
+func readStream(body io.Reader, next int, alive func(), emit func(Token) error, call Call) (done bool, err error) {
+	events := bufio.NewScanner(body)
 	events.Buffer(make([]byte, 0, 4096), maxEvent)
 	for events.Scan() {
 		data, ok := bytes.CutPrefix(events.Bytes(), dataPrefix)
 		if !ok {
 			continue
 		}
-		watchdog.Reset(stall.Next)
+		alive()
 		if bytes.Equal(data, doneMark) {
-			return nil
+			return true, nil
 		}
 		next, err = emitChunk(data, next, emit, call)
 		if err != nil {
-			return err
+			return false, err
 		}
 	}
-	err = events.Err()
-	if err == nil {
-		err = io.ErrUnexpectedEOF
-	}
-	return stalled(ctx, c.failure(ctx, call, h, err), call)
+	return false, nil
 }
 
 var errStalled = eris.New("dispatch: stream stalled")
--- a/internal/node/batch_test.go
+++ b/internal/node/batch_test.go
@@ -18,70 +18,42 @@
 	"topazmoor/internal/standin"
 )
 
-// batchCall makes one call of the batch API at a node.
-func (c *cluster) batchCall(i int, method, path, token, key string, in, out any) (int, error) {
-	body, err := json.Marshal(in)
-	if err != nil {
-		return 0, err
-	}
-	req, err := http.NewRequest(method, "http://"+c.addr(i)+path, strings.NewReader(string(body)))
-	if err != nil {
-		return 0, err
-	}
-	req.Header.Set("Authorization", "Bearer "+token)
-	if key != "" {
-		req.Header.Set(frontdoor.HeaderKey, key)
-	}
-	tr := &http.Transport{DialContext: c.net.DialFrom(callerIP), DisableKeepAlives: true}
-	resp, err := (&http.Client{Transport: tr, Timeout: 20 * time.Second}).Do(req)
-	if err != nil {
-		return 0, err
-	}
-	defer resp.Body.Close()
-	return resp.StatusCode, json.NewDecoder(resp.Body).Decode(out)
-}
-
 // submitBatch submits n items with inputs of their own.
-func (c *cluster) submitBatch(i int, token, pipeline, name string, n int) (batch.Status, int, error) {
+func (c *cluster) submitBatch(i int, token, pipeline, name string, n int) (batch.Status, error) {
 	req := batch.SubmitRequest{Pipeline: pipeline}
 	for k := range n {
 		req.Inputs = append(req.Inputs, fmt.Sprintf("%s item %d", name, k))
 	}
-	var st batch.Status
-	code, err := c.batchCall(i, http.MethodPost, batch.PathBatches, token, name, req, &st)
-	return st, code, err
+	ctx, cancel := timeoutCtx(20 * time.Second)
+	defer cancel()
+	return c.caller.SubmitBatch(ctx, c.addr(i), token, name, req)
 }
 
 // results waits until a batch is done.
 func (c *cluster) results(i int, token, id string, limit time.Duration) ([]batch.Result, error) {
-	deadline := time.Now().Add(limit)
+	ctx, cancel := timeoutCtx(limit)
+	defer cancel()
 	for {
-		var st batch.Status
-		_, err := c.batchCall(i, http.MethodGet, batch.PathBatches+"/"+id, token, "", nil, &st)
+		st, err := c.caller.BatchStatus(ctx, c.addr(i), token, id)
 		if err == nil && st.Done {
-			break
+			return c.caller.BatchResults(ctx, c.addr(i), token, id)
 		}
-		if time.Now().After(deadline) {
+		if ctx.Err() != nil {
 			return nil, fmt.Errorf("batch %s: %d of %d items after %v (%v)", id, st.Finished, st.Items, limit, err)
 		}
 		time.Sleep(time.Second)
 	}
-	var res []batch.Result
-	_, err := c.batchCall(i, http.MethodGet, batch.PathBatches+"/"+id+"/results", token, "", nil, &res)
-	return res, err
 }
 
 func TestBatchIsCarriedOnAfterItsOwnerDies(t *testing.T) {
 	inCluster(t, 3, func(c *qt.C, cl *cluster) {
-		st, code, err := cl.submitBatch(0, "pilots-token", "berth-confirmation", "b1", 100)
+		st, err := cl.submitBatch(0, "pilots-token", "berth-confirmation", "b1", 100)
 		c.Assert(err, qt.IsNil)
-		c.Assert(code, qt.Equals, http.StatusAccepted)
-		again, _, err := cl.submitBatch(1, "pilots-token", "berth-confirmation", "b1", 100)
+		again, err := cl.submitBatch(1, "pilots-token", "berth-confirmation", "b1", 100)
 		c.Assert(err, qt.IsNil)
 		c.Assert(again.ID, qt.Equals, st.ID)
-		_, code, err = cl.submitBatch(1, "pilots-token", "berth-confirmation", "b1", 99)
-		c.Assert(err, qt.IsNil)
-		c.Assert(code, qt.Equals, http.StatusUnprocessableEntity)
+		_, err = cl.submitBatch(1, "pilots-token", "berth-confirmation", "b1", 99)
+		c.Assert(err, qt.ErrorMatches, "key_reused .*")
 		owner := -1
 		for owner < 0 {
 			for i, n := range cl.nodes {
@@ -97,8 +69,8 @@
 		res, err := cl.results(other, "pilots-token", st.ID, 3*time.Minute)
 		c.Assert(err, qt.IsNil)
 		c.Assert(checkOnceResults("b1", 100, res, cl.world), qt.HasLen, 0)
-		_, err = cl.results(other, "dispatch-desk-token", st.ID, 0)
-		c.Assert(err, qt.IsNotNil)
+		_, err = cl.caller.BatchStatus(tctx, cl.addr(other), "dispatch-desk-token", st.ID)
+		c.Assert(err, qt.ErrorMatches, "not_found .*")
 	})
 }
 
@@ -186,8 +158,8 @@
 	for i := range 2 {
 		time.Sleep(time.Second)
 		name := fmt.Sprint("batch", i)
-		st, code, err := cl.submitBatch(i, "pilots-token", "berth-confirmation", name, 70)
-		if err == nil && code == http.StatusAccepted {
+		st, err := cl.submitBatch(i, "pilots-token", "berth-confirmation", name, 70)
+		if err == nil {
 			acked[name] = st.ID
 		}
 	}
--- a/internal/node/oracle_test.go
+++ b/internal/node/oracle_test.go
@@ -2,6 +2,27 @@
 
 // The oracle tests run real nodes in virtual time under random failures, and
 // compare what each caller was told with what the targets really ran.
+//
+// Deliberate defects that were tried, and the number of scripts until
+// TestOracleOutcomes caught each (seed 1):
+//
+//	claim row created without its condition (fencing removed)       6
+//	pipeline run before the claim (claim after dispatch)            1
+//	non-idempotent call retried after a reset                       6
+//	lost commit reply taken for success (guess on a lost reply)    11
+//	every failed call reported as not run                           6
+//	identity of answers not checked                                 6
+//	refusal of a keyed request reported as not_run                  6
+//	claim of a dead holder taken over by a repeat                  75
+//	ticket of an earlier incarnation granted                       38
+//	ticket granted when its issuer did not answer                  15
+//	key released after any refusal                                  6
+//
+// Not caught, and why: a lost commit reply taken for failure (sound, it only
+// leaves a claim without an owner); a connection not sealed (needs a race that
+// the scripts do not make; TestSealForbidsLaterWrites covers it).
+// TestOracleBatches caught items that may not be repeated run without a claim
+// at its first script.
 
 import (
 	"context"
