--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -16,7 +16,8 @@
 
 // standinCmd runs the stand-in platform and targets as one process.
 type standinCmd struct {
-	Addr string `arg:"--addr" default:"127.0.0.1:9000" help:"IP:port of the stand-in platform"`
+	Addr  string `arg:"--addr" default:"127.0.0.1:9000" help:"IP:port of the stand-in platform"`
+	Scale int    `arg:"--scale" default:"1" help:"multiply the number of targets of each pool"`
 }
 
 // maxFaults bounds the body of a fault call, in bytes.
@@ -29,7 +30,11 @@
 }
 
 func (s *standinCmd) run(ctx context.Context, c *console) error {
-	world, err := standin.NewWorld(standin.Harbour(), listenTCP)
+	specs := standin.Harbour()
+	for i := range specs {
+		specs[i].Targets *= max(s.Scale, 1)
+	}
+	world, err := standin.NewWorld(specs, listenTCP)
 	if err != nil {
 		return err
 	}
