Run control work in fenced shards; schedule and spread stops; record events

Checked: TestOracleShardFence (100 scripts of pauses and cuts), stops at their time and not obeyed by a successor, shards taken over after a death.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -18,6 +18,7 @@
 
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/config"
+	"topazmoor/internal/control"
 	"topazmoor/internal/frontdoor"
 	"topazmoor/internal/platform"
 	"topazmoor/internal/settings"
@@ -30,6 +31,7 @@
 	PathStatus = "/v1/status"
 	PathConfig = "/v1/config"
 	PathAudit  = "/v1/audit"
+	PathEvents = "/v1/events"
 	PathDrains = "/v1/drains/"
 	PathStop   = "/v1/stop"
 )
@@ -46,16 +48,21 @@
 	Operators []settings.Operator
 	Catalog   func() *catalog.Compiled
 	Store     *config.Store
+	// Events returns the events after a time, and RecordEvent stores one.
+	Events      func(ctx context.Context, after time.Time, limit int) ([]control.Event, error)
+	RecordEvent func(ctx context.Context, e control.Event) error
 	// Offer puts an accepted change in force here and tells the peers.
 	Offer func(catalog.Change) bool
 	// Status describes the node and its peers.
 	Status func() Status
 	// Refresh asks the peers for their revisions before a status.
 	Refresh func(ctx context.Context)
-	// Stop starts the graceful shutdown of this node.
-	Stop  func(by string)
-	NewID func() string
-	Log   *slog.Logger
+	// Stop starts the graceful shutdown of this node, which takes StopTime at
+	// most.
+	Stop     func(by string)
+	StopTime time.Duration
+	NewID    func() string
+	Log      *slog.Logger
 }
 
 // Status is the answer of a status call.
@@ -84,8 +91,9 @@
 
 // Server serves the administration API. It implements http.Handler.
 type Server struct {
-	cfg Config
-	mux *http.ServeMux
+	cfg      Config
+	mux      *http.ServeMux
+	refusals refusals
 }
 
 // New returns a Server.
@@ -94,10 +102,13 @@
 	s.read("GET "+PathStatus, s.status)
 	s.read("GET "+PathConfig+"/{kind}/{name}", s.object)
 	s.read("GET "+PathAudit, s.audit)
+	s.read("GET "+PathEvents, s.events)
 	s.write("POST "+PathConfig, s.apply)
 	s.write("PUT "+PathDrains+"{host}", s.drain)
 	s.write("DELETE "+PathDrains+"{host}", s.undrain)
 	s.write("POST "+PathStop, s.stop)
+	s.write("PUT "+PathStop+"/{node}", s.scheduleStop)
+	s.write("DELETE "+PathStop+"/{node}", s.cancelStop)
 	return s
 }
 
@@ -140,10 +151,12 @@
 		}
 		if changes && op.ReadOnly {
 			s.cfg.Log.Warn("operator refused", "operator", op.Name, "method", r.Method, "path", r.URL.Path)
+			s.refusals.note(op.Name + " (read only)")
 			return op, verdict.New(verdict.NotRun, verdict.Forbidden, "operator %s may only read", op.Name)
 		}
 		return op, nil
 	}
+	s.refusals.note("unknown token from " + hostOf(r.RemoteAddr))
 	s.cfg.Log.Warn("unknown operator token", "remote", r.RemoteAddr, "method", r.Method, "path", r.URL.Path)
 	return settings.Operator{}, verdict.New(verdict.NotRun, verdict.Unauthenticated, "send an operator's token as Authorization: Bearer TOKEN")
 }
@@ -231,6 +244,18 @@
 	return false
 }
 
+// events returns what happened beside changes: take-overs and refusals.
+func (s *Server) events(r *http.Request, _ settings.Operator) (any, error) {
+	var after time.Time
+	if v := r.URL.Query().Get("after"); v != "" {
+		var err error
+		if after, err = time.Parse(time.RFC3339, v); err != nil {
+			return nil, verdict.New(verdict.NotRun, verdict.InvalidRequest, "after: write a time such as 2026-12-02T15:04:05Z")
+		}
+	}
+	return s.cfg.Events(r.Context(), after, auditPage)
+}
+
 // ApplyRequest is the body of an apply call.
 type ApplyRequest struct {
 	// Base is the revision that the operator looked at; 0 takes the current.
@@ -339,9 +364,3 @@
 func (s *Server) undrain(r *http.Request, op settings.Operator) (any, error) {
 	return s.submit(r.Context(), op, ApplyRequest{Note: "end drain"}, []catalog.Item{{Kind: catalog.DrainItem, Name: r.PathValue("host")}})
 }
-
-func (s *Server) stop(_ *http.Request, op settings.Operator) (any, error) {
-	s.cfg.Log.Info("stop ordered", "operator", op.Name)
-	s.cfg.Stop(op.Name)
-	return s.cfg.Status(), nil
-}
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/catalog"
+	"topazmoor/internal/control"
 	"topazmoor/internal/frontdoor"
 )
 
@@ -86,6 +87,14 @@
 	return out, err
 }
 
+// Events returns what happened beside changes after a time, in RFC 3339; "" for
+// all.
+func (c *Client) Events(ctx context.Context, after string) ([]control.Event, error) {
+	var out []control.Event
+	err := c.call(ctx, http.MethodGet, PathEvents+"?"+url.Values{"after": {after}}.Encode(), nil, &out)
+	return out, err
+}
+
 // Drain orders that a target host gets no new work; end lifts the order.
 func (c *Client) Drain(ctx context.Context, host, reason string, end bool) (ApplyResult, error) {
 	method := http.MethodPut
@@ -105,6 +114,17 @@
 	return out, err
 }
 
+// ScheduleStop orders that a node stops at a time; an empty time cancels.
+func (c *Client) ScheduleStop(ctx context.Context, node, at string) (ApplyResult, error) {
+	method := http.MethodPut
+	if at == "" {
+		method = http.MethodDelete
+	}
+	var out ApplyResult
+	err := c.call(ctx, method, PathStop+"/"+url.PathEscape(node)+"?"+url.Values{"at": {at}}.Encode(), nil, &out)
+	return out, err
+}
+
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
 	var body io.Reader
 	if in != nil {
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -161,6 +161,7 @@
 	TemplateItem Kind = "template"
 	AccountItem  Kind = "account"
 	DrainItem    Kind = "drain"
+	StopItem     Kind = "stop"
 )
 
 // Item is one created, replaced or deleted object of a change.
@@ -196,6 +197,14 @@
 	Reason string `json:"reason"`
 }
 
+// Stop is an operator's order that a node stops gracefully at a time.
+type Stop struct {
+	// Node is the name of the node. A process that was started after At ignores
+	// the order.
+	Node string    `json:"node" need:"true"`
+	At   time.Time `json:"at" need:"true"`
+}
+
 // Manifest is what an operator submits in one file: objects to create or
 // replace and names to delete.
 type Manifest struct {
--- a/internal/catalog/compile.go
+++ b/internal/catalog/compile.go
@@ -81,6 +81,7 @@
 	accounts  map[string]*CompiledAccount
 	tokens    map[tokenHash]*CompiledAccount
 	drains    map[string]Drain
+	stops     map[string]Stop
 	pools     map[string]settings.Pool
 	plans     map[string]*Plan
 }
@@ -99,6 +100,7 @@
 		accounts:  make(map[string]*CompiledAccount),
 		tokens:    make(map[tokenHash]*CompiledAccount),
 		drains:    make(map[string]Drain),
+		stops:     make(map[string]Stop),
 		plans:     make(map[string]*Plan),
 		pools:     byName,
 	}
@@ -127,6 +129,15 @@
 // Drains returns all drain orders by host.
 func (c *Compiled) Drains() map[string]Drain { return maps.Clone(c.drains) }
 
+// Stops returns all scheduled stops by node.
+func (c *Compiled) Stops() map[string]Stop { return maps.Clone(c.stops) }
+
+// Stop returns the scheduled stop of a node.
+func (c *Compiled) Stop(node string) (Stop, bool) {
+	s, ok := c.stops[node]
+	return s, ok
+}
+
 // Object returns the current object of kind and name as JSON, or nil.
 func (c *Compiled) Object(kind Kind, name string) json.RawMessage {
 	var v any
@@ -143,6 +154,10 @@
 		if d, ok := c.drains[name]; ok {
 			v = d
 		}
+	case StopItem:
+		if st, ok := c.stops[name]; ok {
+			v = st
+		}
 	}
 	if v == nil {
 		return nil
@@ -167,13 +182,15 @@
 		accounts:  maps.Clone(c.accounts),
 		tokens:    maps.Clone(c.tokens),
 		drains:    maps.Clone(c.drains),
+		stops:     maps.Clone(c.stops),
 		plans:     maps.Clone(c.plans),
 		pools:     c.pools,
 	}
 	var probs strictjson.Problems
 	changed := next.applyTemplates(items, &probs)
 	touched := next.applyAccounts(items, &probs)
-	next.applyDrains(items, &probs)
+	applyObjects(next.drains, DrainItem, items, &probs)
+	applyObjects(next.stops, StopItem, items, &probs)
 	if len(changed) > 0 {
 		next.plans = make(map[string]*Plan)
 		next.touchUsers(changed, touched)
@@ -242,21 +259,22 @@
 	}
 }
 
-func (c *Compiled) applyDrains(items []Item, probs *strictjson.Problems) {
+// applyObjects applies the items of one kind that need no compilation.
+func applyObjects[T any](objects map[string]T, kind Kind, items []Item, probs *strictjson.Problems) {
 	for _, it := range items {
-		if it.Kind != DrainItem {
+		if it.Kind != kind {
 			continue
 		}
-		delete(c.drains, it.Name)
+		delete(objects, it.Name)
 		if it.Value == nil {
 			continue
 		}
-		var d Drain
-		if err := strictjson.Decode(it.Value, &d); err != nil {
+		var v T
+		if err := strictjson.Decode(it.Value, &v); err != nil {
 			addAll(probs, it.Key(), err)
 			continue
 		}
-		c.drains[it.Name] = d
+		objects[it.Name] = v
 	}
 }
 
@@ -420,5 +438,8 @@
 	for name := range c.drains {
 		items = append(items, Item{Kind: DrainItem, Name: name, Value: c.Object(DrainItem, name)})
 	}
+	for name := range c.stops {
+		items = append(items, Item{Kind: StopItem, Name: name, Value: c.Object(StopItem, name)})
+	}
 	return items
 }
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -15,6 +15,7 @@
 
 	"topazmoor/internal/admin"
 	"topazmoor/internal/catalog"
+	"topazmoor/internal/control"
 	"topazmoor/internal/verdict"
 )
 
@@ -198,14 +199,22 @@
 	return c.print(res, func(w io.Writer) { printApply(w, res) })
 }
 
-// stopCmd starts the graceful shutdown of a node.
-type stopCmd struct{ adminArgs }
+// stopCmd stops nodes gracefully.
+type stopCmd struct {
+	adminArgs
+	Node   string `arg:"--node" help:"with --at or --cancel: the node's name"`
+	At     string `arg:"--at" placeholder:"TIME" help:"stop then, such as 2026-12-02T15:04:05Z (default: stop the asked node now)"`
+	Cancel bool   `arg:"--cancel" help:"cancel the scheduled stop of --node"`
+}
 
 func (s *stopCmd) run(ctx context.Context, c *console) error {
 	cl, err := s.client()
 	if err != nil {
 		return err
 	}
+	if s.At != "" || s.Cancel {
+		return s.schedule(ctx, c, cl)
+	}
 	st, err := cl.Stop(ctx)
 	if err != nil {
 		return adminError(err)
@@ -213,6 +222,17 @@
 	return c.print(st, func(w io.Writer) { fmt.Fprintf(w, "%s stops; %d requests in flight\n", st.Node, st.InFlight) })
 }
 
+func (s *stopCmd) schedule(ctx context.Context, c *console, cl *admin.Client) error {
+	if s.Node == "" || (s.At != "" && s.Cancel) {
+		return usage(eris.New("give --node with --at TIME or --cancel"))
+	}
+	res, err := cl.ScheduleStop(ctx, s.Node, s.At)
+	if err != nil {
+		return adminError(err)
+	}
+	return c.print(res, func(w io.Writer) { printApply(w, res) })
+}
+
 // statusCmd describes a node and the nodes that it knows.
 type statusCmd struct{ adminArgs }
 
@@ -249,6 +269,8 @@
 	After  int64  `arg:"--after" help:"only changes after this revision"`
 	By     string `arg:"--by" placeholder:"OPERATOR" help:"only changes by this operator"`
 	Object string `arg:"--object" placeholder:"KIND/NAME" help:"only changes of this object, such as account/pilots"`
+	Events bool   `arg:"--events" help:"show what happened beside changes: take-overs of control work, refused operators"`
+	Since  string `arg:"--since" placeholder:"TIME" help:"with --events: only after this time, such as 2026-12-02T15:04:05Z"`
 }
 
 func (a *auditCmd) run(ctx context.Context, c *console) error {
@@ -256,6 +278,13 @@
 	if err != nil {
 		return err
 	}
+	if a.Events {
+		events, err := cl.Events(ctx, a.Since)
+		if err != nil {
+			return adminError(err)
+		}
+		return c.print(events, func(w io.Writer) { printEvents(w, events) })
+	}
 	changes, err := cl.Audit(ctx, a.After, a.By, a.Object)
 	if err != nil {
 		return adminError(err)
@@ -263,6 +292,15 @@
 	return c.print(changes, func(w io.Writer) { printAudit(w, changes) })
 }
 
+func printEvents(out io.Writer, events []control.Event) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "TIME\tNODE\tWHAT\tOBJECT\tDETAIL")
+	for _, e := range events {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", e.At.Format(time.RFC3339), e.Node, e.Kind, e.Object, e.Detail)
+	}
+	w.Flush()
+}
+
 func printAudit(out io.Writer, changes []catalog.Change) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "REVISION\tTIME\tBY\tOBJECTS\tNOTE")
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,159 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"topazmoor/internal/platform"
+	"topazmoor/internal/standin"
+	_ "topazmoor/internal/standin/fixedseed"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// counter is a task whose every step adds one row under a number that must not
+// be used twice: it reads the last number and writes the next, without a
+// condition of its own, so that only the fence keeps owners apart.
+type counter struct {
+	tables platform.Tables
+	node   string
+}
+
+func (c *counter) Step(ctx context.Context) ([]platform.Condition, []platform.Write, error) {
+	rows, err := c.tables.Scan(ctx, "count", "", "", 10_000)
+	if err != nil {
+		return nil, nil, err
+	}
+	// The owner is paused here, between the read and the commit, by the test.
+	w := platform.Write{Table: "count", Key: fmt.Sprintf("%06d", len(rows)), Value: []byte(c.node)}
+	return nil, []platform.Write{w}, nil
+}
+
+// tracked notes every write of a counter row, so that an overwritten one shows.
+type tracked struct {
+	*standin.Gate
+	mu     *sync.Mutex
+	writes map[string]int
+}
+
+func (t tracked) Commit(ctx context.Context, tx platform.Tx) (int64, error) {
+	v, err := t.Gate.Commit(ctx, tx)
+	if err == nil {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		for _, w := range tx.Writes {
+			if w.Table == "count" {
+				t.writes[w.Key]++
+			}
+		}
+	}
+	return v, err
+}
+
+// TestOracleShardFence pauses and cuts owners at random; no effect of a replaced
+// owner may be committed.
+func TestOracleShardFence(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(0, 6).Draw(rt, "faults")
+		type fault struct {
+			at, span time.Duration
+			node     int
+			freeze   bool
+		}
+		faults := make([]fault, n)
+		for i := range faults {
+			faults[i] = fault{
+				at:   time.Duration(rapid.IntRange(0, 120).Draw(rt, "at")) * time.Second,
+				span: time.Duration(rapid.IntRange(1, 90).Draw(rt, "span")) * time.Second,
+				node: rapid.IntRange(0, 2).Draw(rt, "node"), freeze: rapid.Bool().Draw(rt, "freeze"),
+			}
+		}
+		var twice, steps int
+		synctest.Test(t, func(*testing.T) {
+			store := platform.NewMemory()
+			writes := make(map[string]int)
+			var mu sync.Mutex
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			var gates []*standin.Gate
+			for i := range 3 {
+				g := standin.NewGate(store)
+				gates = append(gates, g)
+				tables := tracked{Gate: g, mu: &mu, writes: writes}
+				name := fmt.Sprint("n", i)
+				id := 0
+				s := &Shard{
+					Name: "s", Node: name, Task: &counter{tables: tables, node: name}, Tables: tables, Log: quiet,
+					Mine: func(string) bool { return true }, NewID: func() string { id++; return fmt.Sprint(name, "-", id) },
+				}
+				wg.Go(func() { _ = s.Serve(ctx) })
+			}
+			for _, f := range faults {
+				time.AfterFunc(f.at, func() {
+					if f.freeze {
+						gates[f.node].Freeze()
+						time.AfterFunc(f.span, gates[f.node].Thaw)
+						return
+					}
+					gates[f.node].SetCut(true)
+					time.AfterFunc(f.span, func() { gates[f.node].SetCut(false) })
+				})
+			}
+			time.Sleep(5 * time.Minute)
+			cancel()
+			wg.Wait()
+			for _, n := range writes {
+				steps++
+				if n > 1 {
+					twice++
+				}
+			}
+		})
+		if twice > 0 {
+			rt.Fatalf("%d numbers were written by two owners", twice)
+		}
+		if steps < 10 {
+			rt.Fatalf("only %d steps in five minutes: nobody owns the shard", steps)
+		}
+	})
+}
+
+func TestSweepDeletesOnlyOldRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store := platform.NewMemory()
+		for i := range 600 {
+			age := "new"
+			if i%2 == 0 {
+				age = "old"
+			}
+			_, err := store.Commit(t.Context(), platform.Tx{Writes: []platform.Write{{Table: "t", Key: fmt.Sprintf("a%04d", i), Value: []byte(age)}}})
+			c.Assert(err, qt.IsNil)
+		}
+		sweep := &Sweep{Tables: store, Table: "t", Prefixes: []string{"a"}, Old: func(r platform.Row, _ time.Time) bool { return string(r.Value) == "old" }}
+		id := 0
+		s := &Shard{Name: "s", Node: "n", Task: sweep, Tables: store, Log: quiet, Mine: func(string) bool { return true }, NewID: func() string { id++; return fmt.Sprint(id) }}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- s.Serve(ctx) }()
+		time.Sleep(time.Minute)
+		cancel()
+		<-done
+		rows, err := store.Scan(t.Context(), "t", "", "", 1000)
+		c.Assert(err, qt.IsNil)
+		c.Assert(rows, qt.HasLen, 300)
+		events, err := Events(t.Context(), store, time.Time{}, 10)
+		c.Assert(err, qt.IsNil)
+		c.Assert(events, qt.HasLen, 1)
+		c.Assert(events[0].Kind, qt.Equals, TakeOver)
+	})
+}
--- /dev/null
+++ b/internal/control/event.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"topazmoor/internal/platform"
+)
+
+// eventTable holds what happened beside changes of the configuration.
+const eventTable = "event"
+
+// Event is a record of the audit trail that is not a change of the
+// configuration.
+type Event struct {
+	At   time.Time `json:"at"`
+	Node string    `json:"node"`
+	// Kind is one of the kinds below.
+	Kind EventKind `json:"kind"`
+	// Object is what it concerns, such as "shard/claims-3".
+	Object string `json:"object"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// EventKind says what happened.
+type EventKind string
+
+// The kinds of events.
+const (
+	// TakeOver: a node became the owner of a control shard.
+	TakeOver EventKind = "take-over"
+	// Refused: operators were refused at a node.
+	Refused EventKind = "refused"
+)
+
+// eventsKept is how long events are kept.
+const eventsKept = 90 * 24 * time.Hour
+
+// SweepEvents returns the task that deletes old events.
+func SweepEvents(t platform.Tables) *Sweep {
+	return &Sweep{Tables: t, Table: eventTable, Prefixes: []string{""}, Old: func(r platform.Row, now time.Time) bool {
+		var e Event
+		return json.Unmarshal(r.Value, &e) == nil && now.Sub(e.At) > eventsKept
+	}}
+}
+
+// write returns the write that records the event. The key orders events by
+// time and is unique by id.
+func (e Event) write(id string) (platform.Write, error) {
+	value, err := json.Marshal(e)
+	if err != nil {
+		return platform.Write{}, eris.Wrap(err, "encode event")
+	}
+	return platform.Write{Table: eventTable, Key: fmt.Sprintf("%020d-%s", e.At.UnixNano(), id), Value: value}, nil
+}
+
+// Record stores an event by itself.
+func Record(ctx context.Context, t platform.Tables, id string, e Event) error {
+	w, err := e.write(id)
+	if err != nil {
+		return err
+	}
+	_, err = t.Commit(ctx, platform.Tx{Writes: []platform.Write{w}})
+	return err
+}
+
+// Events returns up to limit events after a time, in order.
+func Events(ctx context.Context, t platform.Tables, after time.Time, limit int) ([]Event, error) {
+	from := ""
+	if !after.IsZero() {
+		from = fmt.Sprintf("%020d~", after.UnixNano())
+	}
+	rows, err := t.Scan(ctx, eventTable, "", from, limit)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]Event, 0, len(rows))
+	for _, r := range rows {
+		var e Event
+		if err := json.Unmarshal(r.Value, &e); err != nil {
+			return nil, eris.Wrapf(err, "decode event %s", r.Key)
+		}
+		out = append(out, e)
+	}
+	return out, nil
+}
--- a/internal/ledger/table.go
+++ b/internal/ledger/table.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"topazmoor/internal/control"
 	"topazmoor/internal/platform"
 	"topazmoor/internal/verdict"
 )
@@ -17,6 +18,24 @@
 // claimTable is the table of claims.
 const claimTable = "claim"
 
+// SweepShards is the number of shards in which old claims are deleted; their
+// prefixes are the first hex digits of row keys.
+const SweepShards = 8
+
+// Sweep returns the task of sweep shard i: it deletes claims whose attempt
+// ended longer ago than the repeat window. A key is not protected after that.
+func Sweep(t platform.Tables, i int, window time.Duration) *control.Sweep {
+	return &control.Sweep{
+		Tables: t, Table: claimTable, Prefixes: []string{hexDigit(2 * i), hexDigit(2*i + 1)},
+		Old: func(r platform.Row, now time.Time) bool {
+			rec, err := decodeRecord(r)
+			return err == nil && now.Sub(rec.Until) > window
+		},
+	}
+}
+
+func hexDigit(i int) string { return "0123456789abcdef"[i : i+1] }
+
 const (
 	// groupLimit is the most operations of one commit.
 	groupLimit = 256
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"topazmoor/internal/blackboard"
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/config"
+	"topazmoor/internal/control"
 	"topazmoor/internal/dispatch"
 	"topazmoor/internal/frontdoor"
 	"topazmoor/internal/ledger"
@@ -144,8 +145,15 @@
 	n.admin = admin.New(admin.Config{
 		Node: n.s.Node.Name, Operators: n.s.Operators, Catalog: n.board.Catalog.Get,
 		Store: store, Offer: n.follower.Offer, Status: n.Status, Refresh: n.peers.refresh,
-		Stop:  func(string) { n.RequestStop() },
-		NewID: n.env.NewID, Log: n.log,
+		Stop:     func(string) { n.RequestStop() },
+		StopTime: n.s.Stop.BalancerLag.Std() + n.s.Stop.Drain.Std(),
+		NewID:    n.env.NewID, Log: n.log,
+		Events: func(ctx context.Context, after time.Time, limit int) ([]control.Event, error) {
+			return control.Events(ctx, n.env.Store, after, limit)
+		},
+		RecordEvent: func(ctx context.Context, e control.Event) error {
+			return control.Record(ctx, n.env.Store, n.env.NewID(), e)
+		},
 	})
 }
 
@@ -206,9 +214,14 @@
 	sup.Add(&hostPoller{n: n})
 	sup.Add(&loadPoller{n: n})
 	sup.Add(n.batches)
+	sup.Add(&stopper{n: n})
+	sup.Add(n.admin)
 	for _, s := range n.servers {
 		sup.Add(s)
 	}
+	for _, s := range n.controlShards() {
+		sup.Add(s)
+	}
 	done := sup.ServeBackground(ctx)
 	n.log.Info("node serves", "caller", n.Addr(callerServer), "admin", n.Addr(adminServer), "observe", n.Addr(observeServer))
 	select {
@@ -230,6 +243,31 @@
 	n.stopOnce.Do(func() { close(n.stopping) })
 }
 
+// stopper obeys the scheduled stop of this node. It implements suture.Service.
+type stopper struct{ n *Node }
+
+// Serve implements suture.Service.
+func (s *stopper) Serve(ctx context.Context) error {
+	for {
+		changed := s.n.board.Catalog.Changed()
+		var due <-chan time.Time
+		st, ok := s.n.board.Catalog.Get().Stop(s.n.s.Node.Name)
+		// An order from before this process was obeyed by the one before it.
+		if ok && st.At.After(s.n.started) {
+			due = time.After(time.Until(st.At))
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-due:
+			s.n.log.Info("scheduled stop", "at", st.At)
+			s.n.RequestStop()
+			return suture.ErrDoNotRestart
+		}
+	}
+}
+
 // drain is the graceful shutdown: readiness has fallen already; wait for the
 // balancer to notice, then for the requests in flight.
 func (n *Node) drain(ctx context.Context) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -14,6 +14,8 @@
 	"pgregory.net/rapid"
 
 	"topazmoor/internal/caller"
+	"topazmoor/internal/catalog"
+	"topazmoor/internal/control"
 	"topazmoor/internal/dispatch"
 	"topazmoor/internal/naive"
 	"topazmoor/internal/pipeline"
@@ -330,3 +332,52 @@
 		c.Assert(err, qt.IsNotNil)
 	})
 }
+
+// TestStopAtAScheduledTime schedules a stop, and a second one that would take
+// too many nodes at once.
+func TestStopAtAScheduledTime(t *testing.T) {
+	inCluster(t, 3, func(c *qt.C, cl *cluster) {
+		at := time.Now().Add(time.Minute)
+		value := fmt.Sprintf(`{"node":"entry-2","at":%q}`, at.Format(time.RFC3339Nano))
+		c.Assert(cl.submit([]catalog.Item{{Kind: catalog.StopItem, Name: "entry-2", Value: []byte(value)}}), qt.IsNil)
+		time.Sleep(59 * time.Second)
+		ready, _ := cl.node(1).Ready()
+		c.Assert(ready, qt.IsTrue)
+		time.Sleep(2 * time.Second)
+		ready, reason := cl.node(1).Ready()
+		c.Assert(ready, qt.IsFalse)
+		c.Assert(reason, qt.Equals, "stopping")
+		c.Assert(<-cl.node(1).done, qt.IsNil)
+		cl.node(1).done <- nil
+		// Its successor of the same name does not obey the old order.
+		c.Assert(cl.restart(1), qt.IsNil)
+		c.Assert(cl.waitReady(2, time.Minute), qt.IsTrue)
+		time.Sleep(time.Minute)
+		ready, _ = cl.node(1).Ready()
+		c.Assert(ready, qt.IsTrue)
+	})
+}
+
+// TestControlShardsAreTakenAndRecorded checks that the control work is taken
+// and recorded, and that it goes on after its owner died.
+func TestControlShardsAreTakenAndRecorded(t *testing.T) {
+	inCluster(t, 3, func(c *qt.C, cl *cluster) {
+		time.Sleep(3 * time.Minute)
+		shards := make(map[string]bool)
+		for _, e := range events(c, cl) {
+			c.Assert(e.Kind, qt.Equals, control.TakeOver)
+			shards[e.Object] = true
+		}
+		c.Assert(shards, qt.HasLen, 10)
+		cl.kill(0)
+		before := len(events(c, cl))
+		time.Sleep(5 * time.Minute)
+		c.Assert(len(events(c, cl)) > before, qt.IsTrue)
+	})
+}
+
+func events(c *qt.C, cl *cluster) []control.Event {
+	out, err := control.Events(tctx, cl.world.Store, time.Time{}, 1000)
+	c.Assert(err, qt.IsNil)
+	return out
+}
