Split grown files; share the tests' ready cluster and virtual-time benchmarks

Also: a session of the peer client is guarded by a channel, so that who waits for a connection under way can give up with its context. Found when 2,000 oracle scripts hung: a frozen in-memory connection did not notice its own close, and yamux then held a mutex, which virtual time cannot pass; mended in memnet.

--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -278,38 +278,32 @@
 }
 
 // confirmedOnce sends one request that may not be repeated to two nodes with
-// the same key: it must run once and be answered twice alike.
+// the same key.
 func (r *demo) confirmedOnce(ctx context.Context) demoRow {
-	q := caller.Request{
-		Addr: r.nodes[0].Addr("caller"), Token: "pilots-token", Pipeline: "berth-confirmation",
-		Input: map[string]string{"ship": "Aurora", "berth": "4"}, Key: "berth-4-aurora",
-	}
-	before := r.serviceRuns()
-	row, res := r.send(ctx, "once, by key, twice", q)
-	if res == nil || res.Reply == nil {
-		row.Problem = "want an answer"
-		return row
-	}
-	q.Addr = r.nodes[len(r.nodes)-1].Addr("caller")
-	_, again := r.send(ctx, "", q)
-	return r.checkOnce(row, res, again, before)
+	return r.confirmTwice(ctx, "once, by key, twice", "Aurora", "berth-4-aurora")
 }
 
 // confirmedByTicket does the same with a ticket while the platform is down.
 func (r *demo) confirmedByTicket(ctx context.Context) demoRow {
-	addr := r.nodes[0].Addr("caller")
-	ticket, err := r.caller.Ticket(ctx, addr, "pilots-token")
+	const name = "once, by ticket, platform down"
+	ticket, err := r.caller.Ticket(ctx, r.nodes[0].Addr("caller"), "pilots-token")
 	if err != nil {
-		return demoRow{Request: "once, by ticket", Problem: err.Error()}
+		return demoRow{Request: name, Problem: err.Error()}
 	}
 	r.world.Store.SetFaults(platform.Faults{Down: true})
 	defer r.world.Store.SetFaults(platform.Faults{})
-	before := r.serviceRuns()
+	return r.confirmTwice(ctx, name, "Boreal", ticket)
+}
+
+// confirmTwice sends a confirmation to the first and the last node: it must run
+// once and be answered twice alike.
+func (r *demo) confirmTwice(ctx context.Context, name, ship, key string) demoRow {
 	q := caller.Request{
-		Addr: addr, Token: "pilots-token", Pipeline: "berth-confirmation",
-		Input: map[string]string{"ship": "Boreal", "berth": "2"}, Key: ticket,
+		Addr: r.nodes[0].Addr("caller"), Token: "pilots-token", Pipeline: "berth-confirmation",
+		Input: map[string]string{"ship": ship}, Key: key,
 	}
-	row, res := r.send(ctx, "once, by ticket, platform down", q)
+	before := r.serviceRuns()
+	row, res := r.send(ctx, name, q)
 	if res == nil || res.Reply == nil {
 		row.Problem = "want an answer"
 		return row
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -5,22 +5,12 @@
 	"sort"
 	"testing"
 	"testing/synctest"
+
+	"topazmoor/internal/standin/bubble"
 )
 
 const benchSeed = 1
 
-// inBubble runs f in virtual time inside a benchmark.
-func inBubble(b *testing.B, f func()) {
-	b.Helper()
-	ok := testing.RunTests(func(string, string) (bool, error) { return true, nil }, []testing.InternalTest{{
-		Name: b.Name(),
-		F:    func(t *testing.T) { synctest.Test(t, func(*testing.T) { f() }) },
-	}})
-	if !ok {
-		b.Fatal("the bubble failed")
-	}
-}
-
 // BenchmarkAttainment runs every scenario under both policies. The figures are
 // in virtual time; ns/op is the cost of the experiment itself.
 func BenchmarkAttainment(b *testing.B) {
@@ -30,7 +20,7 @@
 				b.Run(d.Name+"/"+sc.Name+"/"+policy, func(b *testing.B) {
 					var res Result
 					for b.Loop() {
-						inBubble(b, func() { res = Run(d, sc, policy, benchSeed) })
+						bubble.Run(b, func() { res = Run(d, sc, policy, benchSeed) })
 					}
 					report(b, res)
 				})
--- a/internal/node/batch_test.go
+++ b/internal/node/batch_test.go
@@ -137,17 +137,11 @@
 }
 
 func executeBatches(steps []batchStep) []string {
-	cl, err := newCluster(oracleNodes)
+	cl, err := readyCluster(oracleNodes)
 	if err != nil {
 		return []string{err.Error()}
 	}
 	defer cl.close()
-	if err := cl.apply(); err != nil {
-		return []string{err.Error()}
-	}
-	if !cl.waitReady(1, time.Minute) {
-		return []string{"the nodes did not become ready"}
-	}
 	r := &run{cluster: cl, start: time.Now(), tickets: make(map[int]string)}
 	for i, s := range steps {
 		time.AfterFunc(s.at, func() {
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -11,7 +11,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"topazmoor/docs/examples"
@@ -23,6 +22,7 @@
 	"topazmoor/internal/platform"
 	"topazmoor/internal/settings"
 	"topazmoor/internal/standin"
+	"topazmoor/internal/standin/bubble"
 )
 
 // startOnLoopback runs one node and its world over real TCP.
@@ -129,18 +129,6 @@
 	})
 }
 
-// inBubble runs f in virtual time inside a benchmark.
-func inBubble(b *testing.B, f func()) {
-	b.Helper()
-	ok := testing.RunTests(func(string, string) (bool, error) { return true, nil }, []testing.InternalTest{{
-		Name: b.Name(),
-		F:    func(t *testing.T) { synctest.Test(t, func(*testing.T) { f() }) },
-	}})
-	if !ok {
-		b.Fatal("the bubble failed")
-	}
-}
-
 // BenchmarkClaims measures, in virtual time over a store that takes 5 ms a
 // call, how many commits a second claims need and what they add to a request.
 func BenchmarkClaims(b *testing.B) {
@@ -150,7 +138,7 @@
 			var commits, reads int64
 			var added time.Duration
 			for b.Loop() {
-				inBubble(b, func() { commits, reads, added = claimAtRate(rate, span) })
+				bubble.Run(b, func() { commits, reads, added = claimAtRate(rate, span) })
 			}
 			b.ReportMetric(float64(commits)/span.Seconds(), "commits/s")
 			b.ReportMetric(float64(reads)/span.Seconds(), "reads/s")
@@ -196,7 +184,7 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			var res spreadResult
 			for b.Loop() {
-				inBubble(b, func() { res = spread(n) })
+				bubble.Run(b, func() { res = spread(n) })
 			}
 			if res.err != nil {
 				b.Fatal(res.err)
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"topazmoor/docs/examples"
 	"topazmoor/internal/caller"
 	"topazmoor/internal/catalog"
@@ -62,6 +64,23 @@
 	runtime.GC()
 }
 
+// readyCluster returns nodes that serve the example configuration.
+func readyCluster(nodes int) (*cluster, error) {
+	cl, err := newCluster(nodes)
+	if err != nil {
+		return nil, err
+	}
+	if err := cl.apply(); err != nil {
+		cl.close()
+		return nil, err
+	}
+	if !cl.waitReady(1, time.Minute) {
+		cl.close()
+		return nil, eris.New("the nodes did not become ready")
+	}
+	return cl, nil
+}
+
 func newClusterWith(nodes int, specs []standin.PoolSpec, adjust func(*settings.Settings)) (*cluster, error) {
 	emptyPools()
 	c := &cluster{net: memnet.New(), log: slog.New(slog.NewTextHandler(io.Discard, nil)), adjust: adjust}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -30,11 +30,9 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		cl, err := newCluster(nodes)
+		cl, err := readyCluster(nodes)
 		c.Assert(err, qt.IsNil)
 		defer cl.close()
-		c.Assert(cl.apply(), qt.IsNil)
-		c.Assert(cl.waitReady(1, time.Minute), qt.IsTrue)
 		f(c, cl)
 	})
 }
@@ -271,17 +269,11 @@
 }
 
 func differ(inputs []string) []string {
-	cl, err := newCluster(2)
+	cl, err := readyCluster(2)
 	if err != nil {
 		return []string{err.Error()}
 	}
 	defer cl.close()
-	if err := cl.apply(); err != nil {
-		return []string{err.Error()}
-	}
-	if !cl.waitReady(1, time.Minute) {
-		return []string{"the nodes did not become ready"}
-	}
 	hosts, err := cl.world.Store.ListHosts(tctx)
 	if err != nil {
 		return []string{err.Error()}
--- a/internal/node/oracle_test.go
+++ b/internal/node/oracle_test.go
@@ -127,17 +127,11 @@
 }
 
 func execute(script []step) []string {
-	cl, err := newCluster(oracleNodes)
+	cl, err := readyCluster(oracleNodes)
 	if err != nil {
 		return []string{err.Error()}
 	}
 	defer cl.close()
-	if err := cl.apply(); err != nil {
-		return []string{err.Error()}
-	}
-	if !cl.waitReady(1, time.Minute) {
-		return []string{"the nodes did not become ready"}
-	}
 	r := &run{cluster: cl, start: time.Now(), tickets: make(map[int]string)}
 	for _, s := range script {
 		time.Sleep(time.Until(r.start.Add(s.at)))
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -34,8 +34,11 @@
 	sessions map[string]*session
 }
 
+// session is the connection to one node.
 type session struct {
-	mu   sync.Mutex
+	// lock holds one token; a channel, so that who waits for a connection that
+	// is being made can give up.
+	lock chan struct{}
 	mux  *yamux.Session
 	used time.Time
 }
@@ -57,14 +60,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for addr, s := range c.sessions {
-		if !s.mu.TryLock() {
+		select {
+		case s.lock <- struct{}{}:
+		default:
 			continue
 		}
 		if s.mux != nil && drop(s) {
 			s.mux.Close()
 			delete(c.sessions, addr)
 		}
-		s.mu.Unlock()
+		<-s.lock
 	}
 }
 
@@ -73,12 +78,16 @@
 	c.mu.Lock()
 	s := c.sessions[addr]
 	if s == nil {
-		s = &session{}
+		s = &session{lock: make(chan struct{}, 1)}
 		c.sessions[addr] = s
 	}
 	c.mu.Unlock()
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	select {
+	case s.lock <- struct{}{}:
+	case <-ctx.Done():
+		return nil, eris.Wrap(ctx.Err(), "connect to peer")
+	}
+	defer func() { <-s.lock }()
 	s.used = time.Now()
 	if s.mux != nil && !s.mux.IsClosed() {
 		if st, err := s.mux.OpenStream(); err == nil {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -9,8 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/flow"
 	"topazmoor/internal/platform"
@@ -92,25 +90,6 @@
 	share float64
 }
 
-type pool struct {
-	name    string
-	targets []*target
-	// cands mirrors targets for routing.Pick.
-	cands  []routing.Candidate
-	queue  flow.Queue
-	budget flow.Budget
-	timer  *time.Timer
-}
-
-type target struct {
-	id      string
-	limit   flow.Limit
-	service flow.Estimate
-	breaker routing.Breaker
-	sent    int
-	slots   int
-}
-
 // unknownService is the service time assumed before the first sample.
 const unknownService = 50 * time.Millisecond
 
@@ -407,165 +386,7 @@
 // its slots; see docs/design/005-flow.md.
 var reach = [catalog.Classes]float64{catalog.Urgent: 2, catalog.Standard: 1, catalog.Batch: 0.75}
 
-// Lease is the right to make one call at a target.
-type Lease struct {
-	// Target is where the call goes.
-	Target routing.Target
-
-	s     *Scheduler
-	p     *pool
-	t     *target
-	stage string
-	start time.Time
-	once  sync.Once
-}
-
-// Release gives the slot back and notes how the call ended. Only the first
-// Release counts.
-func (l *Lease) Release(o Outcome) {
-	l.once.Do(func() { l.release(o) })
-}
-
-func (l *Lease) release(o Outcome) {
-	now := time.Now()
-	took := now.Sub(l.start)
-	l.s.mu.Lock()
-	defer l.s.mu.Unlock()
-	t := l.t
-	t.sent--
-	switch o {
-	case Succeeded:
-		t.breaker.Success()
-		t.limit.Done(took, now)
-		t.service.Add(took)
-		l.s.observe(l.stage, took)
-	case Refused:
-		t.breaker.Abandon()
-		t.limit.Refused(now)
-	case Failed:
-		t.breaker.Failure(now)
-	case Unreachable:
-		t.breaker.Unreachable(now)
-	case Abandoned:
-		t.breaker.Abandon()
-	}
-	l.s.pump(l.p)
-}
-
-func (s *Scheduler) observe(stage string, took time.Duration) {
-	e := s.stages[stage]
-	if e == nil {
-		e = &flow.Estimate{}
-		s.stages[stage] = e
-	}
-	e.Add(took)
-}
-
 type waiter struct {
 	call    Call
 	granted chan *Lease
 }
-
-// set replaces the targets of a pool, keeping the state of those that stay.
-func (p *pool) set(hosts []platform.Host, drained func(string) bool, dc string, share float64) {
-	known := make(map[string]*target, len(p.targets))
-	loads := make(map[string]routing.Load, len(p.targets))
-	for i, t := range p.targets {
-		known[t.id] = t
-		loads[t.id] = p.cands[i].Load
-	}
-	p.targets = p.targets[:0:0]
-	p.cands = p.cands[:0:0]
-	for _, h := range hosts {
-		t := known[h.ID]
-		if t == nil {
-			t = &target{id: h.ID, slots: h.Slots, limit: flow.NewLimit(float64(h.Slots) * share)}
-		}
-		if t.slots != h.Slots {
-			t.slots = h.Slots
-			t.limit.SetCeiling(float64(h.Slots) * share)
-		}
-		load := loads[h.ID]
-		load.Leaving = h.State != platform.Live || drained(h.ID)
-		p.targets = append(p.targets, t)
-		p.cands = append(p.cands, routing.Candidate{Target: targetOf(h), Load: load})
-	}
-}
-
-func targetOf(h platform.Host) routing.Target {
-	return routing.Target{
-		ID: h.ID, Addr: h.Addr, DataCentre: h.DataCentre,
-		Models: h.Models, Adapters: h.Adapters,
-		Slots: h.Slots, Hash: xxhash.Sum64String(h.ID),
-	}
-}
-
-// refresh copies the state of the targets into the candidates.
-func (p *pool) refresh(now time.Time) {
-	for i, t := range p.targets {
-		c := &p.cands[i]
-		c.Sent = t.sent
-		c.Limit = t.limit.Calls()
-		c.Down = t.breaker.Down(now)
-		c.Service = t.service.Mean()
-		if c.Service == 0 {
-			c.Service = unknownService
-		}
-	}
-}
-
-func (p *pool) anyFree() bool {
-	for i := range p.cands {
-		c := &p.cands[i]
-		if routing.Filter(&routing.Query{Reach: reach[catalog.Urgent]}, c) == routing.Eligible {
-			return true
-		}
-	}
-	return false
-}
-
-// othersLeft reports whether a target outside q.Exclude can serve q later.
-func (p *pool) othersLeft(q *routing.Query) bool {
-	for i := range p.cands {
-		switch routing.Filter(q, &p.cands[i]) {
-		case routing.Eligible, routing.AtLimit:
-			return true
-		}
-	}
-	return false
-}
-
-// refuse returns the refusal of a call that cannot be queued, or nil.
-func (p *pool) refuse(limit int, c *Call) error {
-	if p.queue.Len() >= limit {
-		return verdict.New(verdict.NotRun, verdict.Overloaded, "pool %s has %d calls waiting", p.name, limit).
-			After(time.Second).At(c.Stage, "")
-	}
-	q := routing.Query{Model: c.Model, Adapter: c.Adapter}
-	for i := range p.cands {
-		switch routing.Filter(&q, &p.cands[i]) {
-		case routing.WrongModel, routing.IsLeaving:
-		default:
-			return nil
-		}
-	}
-	return verdict.New(verdict.NotRun, verdict.NoTarget,
-		"no target of pool %s serves model %q with adapter %q", p.name, c.Model, c.Adapter).
-		After(2*time.Second).At(c.Stage, "")
-}
-
-// wait estimates how long a new call of this class waits in the queue.
-func (p *pool) wait(class catalog.Class, mean time.Duration) time.Duration {
-	capacity, busy := 0, 0
-	for i := range p.cands {
-		if !p.cands[i].Leaving && !p.cands[i].Down {
-			capacity += p.cands[i].Limit
-			busy += min(p.targets[i].sent, p.cands[i].Limit)
-		}
-	}
-	ahead := p.queue.Ahead(class)
-	if capacity == 0 || (ahead == 0 && busy < capacity) {
-		return 0
-	}
-	return mean * time.Duration(ahead+1) / time.Duration(capacity)
-}
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -76,13 +76,18 @@
 	}
 }
 
-// wait returns when the host is not frozen.
-func (n *Network) wait(host string) {
+// wait returns when the host is not frozen, or when done is closed; a nil done
+// never is.
+func (n *Network) wait(host string, done <-chan struct{}) {
 	n.mu.Lock()
 	ch := n.frozen[host]
 	n.mu.Unlock()
-	if ch != nil {
-		<-ch
+	if ch == nil {
+		return
+	}
+	select {
+	case <-ch:
+	case <-done:
 	}
 }
 
@@ -120,7 +125,7 @@
 		return nil, eris.Wrap(err, "memnet: address")
 	}
 	to := ap.Addr().String()
-	n.wait(from)
+	n.wait(from, nil)
 	n.mu.Lock()
 	l := n.listeners[addr]
 	refused := l == nil || n.cut(from, to)
@@ -129,8 +134,8 @@
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ErrRefused}
 	}
 	a, b := net.Pipe()
-	client := &side{Conn: a, net: n, from: from, to: to, remote: ap}
-	server := &side{Conn: b, net: n, from: to, to: from, remote: netip.MustParseAddrPort(from + ":1")}
+	client := &side{Conn: a, net: n, from: from, to: to, remote: ap, done: make(chan struct{})}
+	server := &side{Conn: b, net: n, from: to, to: from, remote: netip.MustParseAddrPort(from + ":1"), done: make(chan struct{})}
 	n.mu.Lock()
 	n.conns[client] = true
 	n.mu.Unlock()
@@ -182,7 +187,7 @@
 func (c *PacketConn) ReadFrom(b []byte) (int, net.Addr, error) {
 	select {
 	case p := <-c.in:
-		c.net.wait(c.addr.Addr().String())
+		c.net.wait(c.addr.Addr().String(), c.done)
 		return copy(b, p.data), p.from, nil
 	case <-c.done:
 		return 0, nil, net.ErrClosed
@@ -196,7 +201,7 @@
 	if err != nil {
 		return 0, eris.Wrap(err, "memnet: address")
 	}
-	c.net.wait(c.addr.Addr().String())
+	c.net.wait(c.addr.Addr().String(), c.done)
 	c.net.mu.Lock()
 	peer := c.net.sockets[dst.String()]
 	lost := peer == nil || c.net.cut(c.addr.Addr().String(), dst.Addr().String())
@@ -260,6 +265,8 @@
 	net      *Network
 	from, to string
 	remote   netip.AddrPort
+	done     chan struct{}
+	once     sync.Once
 }
 
 // RemoteAddr implements net.Conn.
@@ -268,7 +275,7 @@
 // Read implements net.Conn. A closed pipe reads as a reset, not as an end.
 func (s *side) Read(b []byte) (int, error) {
 	n, err := s.Conn.Read(b)
-	s.net.wait(s.from)
+	s.net.wait(s.from, s.done)
 	if err == io.ErrClosedPipe {
 		err = net.ErrClosed
 	}
@@ -277,7 +284,7 @@
 
 // Write implements net.Conn.
 func (s *side) Write(b []byte) (int, error) {
-	s.net.wait(s.from)
+	s.net.wait(s.from, s.done)
 	return s.Conn.Write(b)
 }
 
@@ -286,5 +293,6 @@
 	s.net.mu.Lock()
 	delete(s.net.conns, s)
 	s.net.mu.Unlock()
+	s.once.Do(func() { close(s.done) })
 	return s.Conn.Close()
 }
