Balance models between engines by fenced orders

Cause: a model with one engine and twice its load answered half of its requests in time while five engines of another model idled.

--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -75,6 +75,10 @@
 	owned   bool
 }
 
+// Epoch returns the epoch under which this node owns the shard. It is for the
+// shard's own Task.
+func (s *Shard) Epoch() int64 { return s.cur.Epoch }
+
 // Serve implements suture.Service.
 func (s *Shard) Serve(ctx context.Context) error {
 	for {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/thejerf/suture/v4"
@@ -10,6 +11,7 @@
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/membership"
 	"topazmoor/internal/platform"
+	"topazmoor/internal/settings"
 )
 
 // controlShards returns the background work of which one node at a time is the
@@ -27,9 +29,17 @@
 	}
 	add("events", control.SweepEvents(n.env.Store))
 	add("nodes", n.sweepNodes())
+	if n.balances() {
+		out = append(out, n.balanceShard())
+	}
 	return out
 }
 
+// balances reports whether the settings let engines of any pool be balanced.
+func (n *Node) balances() bool {
+	return slices.ContainsFunc(n.s.Pools, func(p settings.Pool) bool { return p.Balance })
+}
+
 // sweepNodes deletes the rows of nodes that stopped or died: new nodes would
 // try their addresses for nothing. The row of a node that came back under its
 // name has another version.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -18,6 +18,7 @@
 	"topazmoor/internal/peer"
 	"topazmoor/internal/platform"
 	"topazmoor/internal/routing"
+	"topazmoor/internal/scheduler"
 )
 
 // nodeTable is the table in which nodes enter their peer addresses at start.
@@ -77,6 +78,7 @@
 		Books:    lateBooks{n},
 		Changes:  func(after int64) []catalog.Change { return n.follower.Since(after) },
 		Snapshot: func() (int64, []catalog.Item) { c := n.board.Catalog.Get(); return c.Revision, c.Items() },
+		Demand:   func() []scheduler.ModelDemand { return n.sched.ModelDemand() },
 	}
 	p.server = peer.NewServer(ln, n.env.PeerKey, self.Name, h, n.log)
 	n.peers = p
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -12,6 +12,7 @@
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/peer/peerpb"
+	"topazmoor/internal/scheduler"
 )
 
 // callTimeout bounds one call when its context has no earlier deadline.
@@ -166,6 +167,15 @@
 	return snapshotFrom(resp.GetSnapshot())
 }
 
+// Demand asks a node for its demand by model.
+func (c *Client) Demand(ctx context.Context, addr string) ([]scheduler.ModelDemand, error) {
+	resp, err := c.call(ctx, addr, &peerpb.Request{Call: &peerpb.Request_Demand{Demand: &peerpb.Empty{}}})
+	if err != nil {
+		return nil, err
+	}
+	return demandFrom(resp.GetDemand()), nil
+}
+
 // Book returns the books of the node at addr.
 func (c *Client) Book(addr string) ledger.Book { return remoteBook{c: c, addr: addr} }
 
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -9,6 +9,7 @@
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/peer/peerpb"
+	"topazmoor/internal/scheduler"
 	"topazmoor/internal/verdict"
 )
 
@@ -125,3 +126,19 @@
 	}
 	return m.GetRevision(), items, nil
 }
+
+func demandTo(list []scheduler.ModelDemand) *peerpb.Response {
+	out := &peerpb.Demand{}
+	for _, d := range list {
+		out.Model = append(out.Model, &peerpb.Demand_Model{Pool: d.Pool, Model: d.Model, Calls: uint32(d.Calls)})
+	}
+	return &peerpb.Response{Result: &peerpb.Response_Demand{Demand: out}}
+}
+
+func demandFrom(m *peerpb.Demand) []scheduler.ModelDemand {
+	var out []scheduler.ModelDemand
+	for _, d := range m.GetModel() {
+		out = append(out, scheduler.ModelDemand{Pool: d.Pool, Model: d.Model, Calls: int(d.Calls)})
+	}
+	return out
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -14,6 +14,7 @@
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/peer/peerpb"
+	"topazmoor/internal/scheduler"
 	"topazmoor/internal/verdict"
 )
 
@@ -32,6 +33,8 @@
 	Changes func(after int64) []catalog.Change
 	// Snapshot returns the configuration in force.
 	Snapshot func() (int64, []catalog.Item)
+	// Demand returns the demand by model at this node.
+	Demand func() []scheduler.ModelDemand
 }
 
 // Server accepts connections of other nodes. It implements suture.Service.
@@ -156,6 +159,8 @@
 		return changesTo(s.h.Changes(call.Changes.Revision))
 	case *peerpb.Request_Snapshot:
 		return snapshotTo(s.h.Snapshot())
+	case *peerpb.Request_Demand:
+		return demandTo(s.h.Demand()), nil
 	}
 	return nil, verdict.New(verdict.NotRun, verdict.Internal, "the call is not known to this version")
 }
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -17,6 +17,7 @@
 	p     *pool
 	t     *target
 	stage string
+	model string
 	start time.Time
 	once  sync.Once
 }
@@ -34,6 +35,7 @@
 	defer l.s.mu.Unlock()
 	t := l.t
 	t.sent--
+	l.p.left(l.model)
 	switch o {
 	case Succeeded:
 		t.breaker.Success()
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -21,6 +21,8 @@
 	cands  []routing.Candidate
 	queue  flow.Queue
 	budget flow.Budget
+	// demand counts the calls that wait or run, by model.
+	demand map[string]int
 	timer  *time.Timer
 }
 
@@ -33,6 +35,14 @@
 	slots   int
 }
 
+// left notes that a call of a model ended or gave up.
+func (p *pool) left(model string) {
+	p.demand[model]--
+	if p.demand[model] == 0 {
+		delete(p.demand, model)
+	}
+}
+
 // set replaces the targets of a pool, keeping the state of those that stay.
 func (p *pool) set(hosts []platform.Host, drained func(string) bool, dc string, share float64) {
 	known := make(map[string]*target, len(p.targets))
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -166,6 +166,25 @@
 	return out
 }
 
+// ModelDemand is the number of calls of a model that wait or run.
+type ModelDemand struct {
+	Pool, Model string
+	Calls       int
+}
+
+// ModelDemand returns the demand by model at this node.
+func (s *Scheduler) ModelDemand() []ModelDemand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []ModelDemand
+	for name, p := range s.pools {
+		for model, n := range p.demand {
+			out = append(out, ModelDemand{Pool: name, Model: model, Calls: n})
+		}
+	}
+	return out
+}
+
 // Report notes a target's load report: its calls in flight and waiting, taken
 // when this node had sentAt calls there.
 func (s *Scheduler) Report(poolName, id string, calls, sentAt int) {
@@ -258,7 +277,7 @@
 func (s *Scheduler) pool(name string) *pool {
 	p := s.pools[name]
 	if p == nil {
-		p = &pool{name: name, budget: flow.NewBudget(s.cfg.RetryRatio)}
+		p = &pool{name: name, budget: flow.NewBudget(s.cfg.RetryRatio), demand: make(map[string]int)}
 		s.pools[name] = p
 	}
 	return p
@@ -282,6 +301,7 @@
 	}
 	it := &flow.Item{Class: c.Class, Account: c.Account, Latest: c.Latest, Cost: cost, Value: w}
 	p.queue.Push(it, time.Now())
+	p.demand[c.Model]++
 	s.pump(p)
 	s.mu.Unlock()
 	return s.wait(ctx, p, it, w)
@@ -307,6 +327,9 @@
 	}
 	s.mu.Lock()
 	removed := p.queue.Remove(it)
+	if removed {
+		p.left(w.call.Model)
+	}
 	s.mu.Unlock()
 	if !removed {
 		// Granted in the same moment: give the slot back.
@@ -379,7 +402,7 @@
 	t.breaker.Start()
 	p.cands[i].Sent = t.sent
 	p.cands[i].Down = t.breaker.Down(now)
-	return &Lease{Target: p.cands[i].Target, s: s, p: p, t: t, stage: c.Stage, start: now}
+	return &Lease{Target: p.cands[i].Target, s: s, p: p, t: t, stage: c.Stage, model: c.Model, start: now}
 }
 
 // reach is how far the calls of each class may fill a target, as a multiple of
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -161,8 +161,11 @@
 	// the call, so that a misdirected answer is noticed. Default true.
 	EchoesIdentity *bool `json:"echoes_identity"`
 	// HonoursFencing says that targets refuse an order with an old fencing
-	// number.
+	// number. Orders are safe without it too, but may be corrected later.
 	HonoursFencing bool `json:"honours_fencing"`
+	// Balance lets the engines of the pool be ordered to load other models when
+	// one model is short of engines and another has room. Default false.
+	Balance bool `json:"balance"`
 }
 
 // Echoes returns EchoesIdentity or its default.
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"topazmoor/internal/dispatch"
+	"topazmoor/internal/fleet"
 	"topazmoor/internal/pipeline"
 	"topazmoor/internal/settings"
 )
@@ -49,6 +50,12 @@
 	Service time.Duration
 	// Models lists the models of an engine; empty accepts any.
 	Models []string
+	// LoadTime is the time to load models by order. HonoursFencing refuses
+	// orders with an old fencing number.
+	LoadTime       time.Duration
+	HonoursFencing bool
+	// Loaded is told when an order is done.
+	Loaded func(models []string)
 }
 
 // Target is a stand-in of one target host. It implements http.Handler.
@@ -60,6 +67,7 @@
 	faults  TargetFaults
 	runs    map[string]int
 	inputs  map[string][]time.Time
+	fencing int64
 	busy    int
 	waiting int
 	ended   int
@@ -118,6 +126,10 @@
 		t.serveLoad(w)
 		return
 	}
+	if r.URL.Path == fleet.PathOrders {
+		t.order(w, r)
+		return
+	}
 	if take(t, func(f *TargetFaults) *int { return &f.ResetBefore }) {
 		panic(http.ErrAbortHandler)
 	}
@@ -263,6 +275,25 @@
 	_, _ = w.Write(b)
 }
 
+// order takes an order to hold other models; they are loaded in the background.
+func (t *Target) order(w http.ResponseWriter, r *http.Request) {
+	var o fleet.EngineOrder
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxTargetBody)).Decode(&o); err != nil {
+		http.Error(w, `{"error":"bad body"}`, http.StatusBadRequest)
+		return
+	}
+	t.mu.Lock()
+	old := o.Fencing < t.fencing
+	t.fencing = max(t.fencing, o.Fencing)
+	t.mu.Unlock()
+	if old && t.cfg.HonoursFencing {
+		http.Error(w, `{"error":"old fencing number"}`, http.StatusConflict)
+		return
+	}
+	time.AfterFunc(t.cfg.LoadTime, func() { t.cfg.Loaded(o.Models) })
+	write(w, []byte("{}"))
+}
+
 func (t *Target) serveLoad(w http.ResponseWriter) {
 	t.mu.Lock()
 	l := Load{Running: t.busy, Waiting: t.waiting}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -19,7 +19,20 @@
 	Slots   int
 	// Service is the time of one call, or of one token of an engine.
 	Service time.Duration
-	Models  []string
+	// Models are held by every engine, unless Held gives those of each.
+	Models []string
+	Held   [][]string
+}
+
+// loadTime is how long a stand-in engine loads models.
+const loadTime = 10 * time.Second
+
+// modelsOf returns the models of engine i.
+func (s PoolSpec) modelsOf(i int) []string {
+	if s.Held != nil {
+		return s.Held[i]
+	}
+	return s.Models
 }
 
 // World is a set of stand-in targets, listed in a stand-in platform.
@@ -66,15 +79,24 @@
 		return eris.Wrap(err, "listen")
 	}
 	id := fmt.Sprintf("%s-%d", spec.Pool.Name, i+1)
-	t := NewTarget(TargetConfig{Kind: spec.Pool.Kind, Slots: spec.Slots, Service: spec.Service, Models: spec.Models})
+	host := platform.Host{
+		ID: id, Addr: ln.Addr().String(), Pool: spec.Pool.Name, DataCentre: fmt.Sprintf("dc-%d", i%2+1),
+		Models: spec.modelsOf(i), Slots: spec.Slots, State: platform.Live,
+	}
+	t := NewTarget(TargetConfig{
+		Kind: spec.Pool.Kind, Slots: spec.Slots, Service: spec.Service, Models: host.Models,
+		LoadTime: loadTime, HonoursFencing: spec.Pool.HonoursFencing,
+		Loaded: func(models []string) {
+			loaded := host
+			loaded.Models = models
+			w.Store.SetHost(loaded)
+		},
+	})
 	srv := &http.Server{Handler: t, ReadHeaderTimeout: 5 * time.Second}
 	w.Targets[id] = t
 	w.Addrs[id] = ln.Addr().String()
 	w.servers = append(w.servers, srv)
-	w.Store.SetHost(platform.Host{
-		ID: id, Addr: ln.Addr().String(), Pool: spec.Pool.Name, DataCentre: fmt.Sprintf("dc-%d", i%2+1),
-		Models: spec.Models, Slots: spec.Slots, State: platform.Live,
-	})
+	w.Store.SetHost(host)
 	go func() { _ = srv.Serve(ln) }()
 	return nil
 }
