Refuse waiting calls at once when their last target leaves

Cause: a call that waited for a model whose last target was drained kept its caller until the deadline, although nothing could come of it.

Change: taking in a host list ends the wait of calls that no target serves any more with no_target and a time to come back. TestDrainRefusesWaitingCallsAtOnce fails without it (the refusal came after 60 s, not 1 s).

--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -67,6 +67,7 @@
 	lost  bool
 }
 
+// mark is how much was written to a connection when a call got it.
 type mark struct {
 	conn    *conn
 	written int64
--- a/internal/flow/queue.go
+++ b/internal/flow/queue.go
@@ -104,6 +104,24 @@
 	return true
 }
 
+// Drop takes out and returns all items that unfit reports.
+func (q *Queue) Drop(unfit func(*Item) bool) []*Item {
+	var out []*Item
+	for c := range q.classes {
+		for _, aq := range q.classes[c].accounts {
+			for _, it := range aq.items {
+				if unfit(it) {
+					out = append(out, it)
+				}
+			}
+		}
+	}
+	for _, it := range out {
+		q.Remove(it)
+	}
+	return out
+}
+
 func (q *Queue) removed(it *Item) {
 	cq := &q.classes[it.Class]
 	if it.queue.items.Len() == 0 {
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -12,7 +12,7 @@
 	"topazmoor/internal/peer/peerpb"
 )
 
-// net is a lossless network of states; blocked pairs lose everything.
+// network is a lossless network of states; blocked pairs lose everything.
 type network struct {
 	now     time.Time
 	states  map[string]*State
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -44,7 +44,7 @@
 }
 
 // set replaces the targets of a pool, keeping the state of those that stay.
-func (p *pool) set(hosts []platform.Host, drained func(string) bool, dc string, share float64) {
+func (p *pool) set(hosts []platform.Host, drained func(string) bool, share float64) {
 	known := make(map[string]*target, len(p.targets))
 	loads := make(map[string]routing.Load, len(p.targets))
 	for i, t := range p.targets {
@@ -118,17 +118,41 @@
 		return verdict.New(verdict.NotRun, verdict.Overloaded, "pool %s has %d calls waiting", p.name, limit).
 			After(time.Second).At(c.Stage, "")
 	}
+	if p.serves(c) {
+		return nil
+	}
+	return noTarget(p.name, c)
+}
+
+func noTarget(pool string, c *Call) error {
+	return verdict.New(verdict.NotRun, verdict.NoTarget,
+		"no target of pool %s serves model %q with adapter %q", pool, c.Model, c.Adapter).
+		After(2*time.Second).At(c.Stage, "")
+}
+
+// serves reports whether any target may serve the call, now or when it is free
+// or up again.
+func (p *pool) serves(c *Call) bool {
 	q := routing.Query{Model: c.Model, Adapter: c.Adapter}
 	for i := range p.cands {
 		switch routing.Filter(&q, &p.cands[i]) {
 		case routing.WrongModel, routing.IsLeaving:
 		default:
-			return nil
+			return true
 		}
 	}
-	return verdict.New(verdict.NotRun, verdict.NoTarget,
-		"no target of pool %s serves model %q with adapter %q", p.name, c.Model, c.Adapter).
-		After(2*time.Second).At(c.Stage, "")
+	return false
+}
+
+// refuseUnserved ends the wait of calls whose last target left: their answer is
+// final, so it is not held back until their deadline.
+func (p *pool) refuseUnserved() {
+	unserved := func(it *flow.Item) bool { return !p.serves(&it.Value.(*waiter).call) }
+	for _, it := range p.queue.Drop(unserved) {
+		w := it.Value.(*waiter)
+		p.left(w.call.Model)
+		w.done <- grant{err: noTarget(p.name, &w.call)}
+	}
 }
 
 // wait estimates how long a new call of this class waits in the queue.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -119,26 +119,25 @@
 	}
 	for name, p := range s.pools {
 		if byPool[name] == nil {
-			p.set(nil, nil, s.cfg.DataCentre, 1)
+			p.set(nil, drained, s.share)
+			p.refuseUnserved()
 		}
 	}
 	for name, list := range byPool {
 		p := s.pool(name)
-		p.set(list, drained, s.cfg.DataCentre, s.share)
+		p.set(list, drained, s.share)
+		p.refuseUnserved()
 		s.pump(p)
 	}
 }
 
-// overcommit is how many times its even share of a target's slots a node may
-// use. Above 1, slots that other nodes leave idle are used; the load reports
-// keep the nodes from all doing so at once. See docs/design/005-flow.md.
-const overcommit = 1
-
-// SetNodes tells how many nodes share the targets.
+// SetNodes tells how many nodes share the targets. Each may use an even share
+// of the slots, and what the load reports show to be idle; see
+// docs/design/005-flow.md.
 func (s *Scheduler) SetNodes(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	share := min(1, overcommit/float64(max(n, 1)))
+	share := 1 / float64(max(n, 1))
 	if share == s.share {
 		return
 	}
@@ -247,7 +246,7 @@
 	return e.Mean(), e.High()
 }
 
-// Demand of one stage in an admission estimate.
+// StageDemand is one stage in an admission estimate.
 type StageDemand struct {
 	// Pool serves the stage; Stage is its estimate's key.
 	Pool, Stage string
@@ -285,7 +284,7 @@
 
 // Acquire waits for a target. The error is a *verdict.Error with NotRun.
 func (s *Scheduler) Acquire(ctx context.Context, c Call) (*Lease, error) {
-	w := &waiter{call: c, granted: make(chan *Lease, 1)}
+	w := &waiter{call: c, done: make(chan grant, 1)}
 	s.mu.Lock()
 	p := s.pool(c.Pool)
 	if err := p.refuse(s.cfg.QueueLimit, &c); err != nil {
@@ -309,16 +308,16 @@
 
 func (s *Scheduler) wait(ctx context.Context, p *pool, it *flow.Item, w *waiter) (*Lease, error) {
 	select {
-	case l := <-w.granted:
-		return l, nil
+	case g := <-w.done:
+		return g.lease, g.err
 	default:
 	}
 	timer := time.NewTimer(time.Until(it.Latest))
 	defer timer.Stop()
 	var err *verdict.Error
 	select {
-	case l := <-w.granted:
-		return l, nil
+	case g := <-w.done:
+		return g.lease, g.err
 	case <-ctx.Done():
 		err = verdict.New(verdict.NotRun, verdict.Canceled, "the call was cancelled while it waited for pool %s", p.name)
 	case <-timer.C:
@@ -332,9 +331,10 @@
 	}
 	s.mu.Unlock()
 	if !removed {
-		// Granted in the same moment: give the slot back.
-		l := <-w.granted
-		l.Release(Abandoned)
+		// Settled in the same moment: a slot is given back.
+		if g := <-w.done; g.lease != nil {
+			g.lease.Release(Abandoned)
+		}
 	}
 	return nil, err
 }
@@ -351,17 +351,14 @@
 func (s *Scheduler) pump(p *pool) {
 	now := time.Now()
 	p.refresh(now)
+	fits := func(it *flow.Item) bool { return s.pick(p, &it.Value.(*waiter).call) >= 0 }
 	for p.queue.Len() > 0 && p.anyFree() {
-		pick := -1
-		it := p.queue.Pop(now, func(it *flow.Item) bool {
-			return s.pick(p, &it.Value.(*waiter).call) >= 0
-		})
+		it := p.queue.Pop(now, fits)
 		if it == nil {
 			break
 		}
 		w := it.Value.(*waiter)
-		pick = s.pick(p, &w.call)
-		w.granted <- s.grant(p, pick, &w.call, now)
+		w.done <- grant{lease: s.grant(p, s.pick(p, &w.call), &w.call, now)}
 	}
 	s.arm(p)
 }
@@ -409,7 +406,14 @@
 // its slots; see docs/design/005-flow.md.
 var reach = [catalog.Classes]float64{catalog.Urgent: 2, catalog.Standard: 1, catalog.Batch: 0.75}
 
+// waiter is a call in the queue of a pool.
 type waiter struct {
-	call    Call
-	granted chan *Lease
+	call Call
+	done chan grant
+}
+
+// grant ends the wait of a call: a target, or the refusal.
+type grant struct {
+	lease *Lease
+	err   error
 }
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -96,6 +96,24 @@
 	})
 }
 
+// TestDrainRefusesWaitingCallsAtOnce: when the last target leaves, calls that
+// wait for it get their final answer then, not at their deadline.
+func TestDrainRefusesWaitingCallsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newScheduler(host("t1", 1))
+		l, err := s.Acquire(t.Context(), call(time.Minute))
+		c.Assert(err, qt.IsNil)
+		defer l.Release(Succeeded)
+		time.AfterFunc(time.Second, func() { s.SetHosts(nil, never) })
+		start := time.Now()
+		_, err = s.Acquire(t.Context(), call(time.Minute))
+		c.Assert(verdict.CodeOf(err), qt.Equals, verdict.NoTarget)
+		c.Assert(time.Since(start), qt.Equals, time.Second)
+		c.Assert(s.ModelDemand()[0].Calls, qt.Equals, 1)
+	})
+}
+
 func TestFailingTargetIsSetAsideAndProbed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
