--- a/internal/frontdoor/exchange.go
+++ b/internal/frontdoor/exchange.go
@@ -5,9 +5,12 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/dispatch"
 	"topazmoor/internal/ledger"
@@ -109,7 +112,14 @@
 	return outcome{Outcome: ledger.Outcome{Status: http.StatusOK, Body: body}, met: reply.DeadlineMet}
 }
 
+// ErrStopping is the cause with which a node that stops cancels the requests
+// that it cannot wait for.
+var ErrStopping = eris.New("frontdoor: the node stops")
+
 func (e *exchange) problem(err error, ans *pipeline.Answer) outcome {
+	if e.r != nil && errors.Is(context.Cause(e.r.Context()), ErrStopping) {
+		err = verdict.Wrap(err, verdict.Of(err), verdict.Stopping, "the node stopped before the request ended").After(time.Second)
+	}
 	p := NewProblem(err, e.req.ID, e.s.cfg.Node)
 	if ans != nil {
 		p.Stages = ans.Stages
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -280,13 +280,29 @@
 	defer cancel()
 	err := errors.Join(n.caller().http.Shutdown(ctx), n.front.Wait(ctx))
 	if err != nil {
-		n.log.Error("stop.drain was too short: requests are cut and told may_have_run", "in_flight", n.front.InFlight())
+		n.log.Error("stop.drain was too short: requests are cut", "in_flight", n.front.InFlight())
+		n.cut()
 		return
 	}
 	n.peers.leave(ctx)
 	n.log.Info("stopped: no request was interrupted")
 }
 
+// cutTime is how long requests that are cut have to tell their callers so.
+const cutTime = time.Second
+
+// cut ends the requests in flight; their callers are told whether they may have
+// run. Claimed requests run on until the process ends, and their callers get no
+// answer.
+func (n *Node) cut() {
+	n.caller().cancel(frontdoor.ErrStopping)
+	ctx, cancel := context.WithTimeout(context.Background(), cutTime)
+	defer cancel()
+	if err := n.front.Wait(ctx); err != nil {
+		n.log.Error("callers got no answer", "in_flight", n.front.InFlight())
+	}
+}
+
 func (n *Node) caller() *server {
 	for _, s := range n.servers {
 		if s.name == callerServer {
@@ -317,9 +333,23 @@
 	if len(n.board.Hosts.Get().Hosts) == 0 {
 		return false, "no target hosts yet: the host list was not read"
 	}
+	if n.cutOff() {
+		return false, "cut off: neither the platform nor any of the known nodes answers"
+	}
 	return true, ""
 }
 
+// cutOffAfter is how long the platform may be silent before a node without
+// peers is taken as cut off.
+const cutOffAfter = 30 * time.Second
+
+// cutOff reports whether the node hears nobody while it knows that there are
+// others. A node that is alone by design goes on through an outage.
+func (n *Node) cutOff() bool {
+	known := n.board.Members.Get()
+	return len(known) > 0 && len(n.peers.live()) == 0 && time.Since(n.follower.LastRead()) > cutOffAfter
+}
+
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	ready, reason := n.Ready()
 	if !ready {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -20,6 +20,7 @@
 	"topazmoor/internal/naive"
 	"topazmoor/internal/pipeline"
 	"topazmoor/internal/platform"
+	"topazmoor/internal/settings"
 	"topazmoor/internal/standin"
 	"topazmoor/internal/verdict"
 )
@@ -191,6 +192,31 @@
 	})
 }
 
+// TestOutageCutOffNodeIsNotReady cuts one node off from everybody, then from the
+// platform alone.
+func TestOutageCutOffNodeIsNotReady(t *testing.T) {
+	inCluster(t, 3, func(c *qt.C, cl *cluster) {
+		time.Sleep(20 * time.Second)
+		n := cl.node(0)
+		n.gate.SetCut(true)
+		time.Sleep(2 * time.Minute)
+		ready, _ := n.Ready()
+		c.Assert(ready, qt.IsTrue, qt.Commentf("its peers answer"))
+		cl.partition(func(from, to string) bool { return from == n.ip || to == n.ip })
+		time.Sleep(2 * time.Minute)
+		ready, reason := n.Ready()
+		c.Assert(ready, qt.IsFalse)
+		c.Assert(reason, qt.Contains, "cut off")
+		other, _ := cl.node(1).Ready()
+		c.Assert(other, qt.IsTrue)
+		n.gate.SetCut(false)
+		cl.partition()
+		time.Sleep(2 * time.Minute)
+		ready, _ = n.Ready()
+		c.Assert(ready, qt.IsTrue)
+	})
+}
+
 // TestSlowSenderIsCutOff sends a body that never ends.
 func TestSlowSenderIsCutOff(t *testing.T) {
 	inCluster(t, 1, func(c *qt.C, cl *cluster) {
@@ -325,6 +351,33 @@
 	})
 }
 
+// TestStopTellsWhomItCuts stops a node whose request outlasts stop.drain.
+func TestStopTellsWhomItCuts(t *testing.T) {
+	inCluster(t, 1, func(c *qt.C, cl *cluster) {
+		for id, target := range cl.world.Targets {
+			if strings.HasPrefix(id, "engines") {
+				target.SetFaults(standin.TargetFaults{SlowFactor: 1000})
+			}
+		}
+		cl.adjust = func(s *settings.Settings) { s.Stop.Drain = settings.Duration(time.Second) }
+		c.Assert(cl.restart(0), qt.IsNil)
+		c.Assert(cl.waitReady(1, time.Minute), qt.IsTrue)
+		done := make(chan *caller.Result, 1)
+		go func() {
+			res, _ := cl.ask(0, "long", false)
+			done <- res
+		}()
+		time.Sleep(100 * time.Millisecond)
+		cl.node(0).RequestStop()
+		res := <-done
+		c.Assert(res, qt.IsNotNil)
+		c.Assert(res.Problem.Code, qt.Equals, verdict.Stopping)
+		c.Assert(res.Problem.Verdict, qt.Equals, "may_have_run")
+		c.Assert(<-cl.node(0).done, qt.IsNil)
+		cl.node(0).done <- nil
+	})
+}
+
 // TestStopAtAScheduledTime schedules a stop, and a second one that would take
 // too many nodes at once.
 func TestStopAtAScheduledTime(t *testing.T) {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -37,7 +37,7 @@
 	name     string
 	listener net.Listener
 	http     *http.Server
-	cancel   context.CancelFunc
+	cancel   context.CancelCauseFunc
 }
 
 func newServer(name string, l settings.Listener, h http.Handler, conns int, readTimeout time.Duration, listen func(string) (net.Listener, error)) (*server, error) {
@@ -53,7 +53,7 @@
 	if cfg != nil {
 		ln = tls.NewListener(ln, cfg)
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancelCause(context.Background())
 	srv := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: readTimeout,
@@ -77,7 +77,7 @@
 
 // close ends everything at once.
 func (s *server) close() {
-	s.cancel()
+	s.cancel(nil)
 	s.http.Close()
 	s.listener.Close()
 }
