--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -44,6 +44,10 @@
 	tokenTime   = 15 * time.Millisecond
 	prefillTime = 250 * time.Millisecond
 	maxTokens   = 64
+	// The rerankers are sized so that five times slower they are the bottleneck.
+	rerankTargets = 4
+	rerankSlots   = 5
+	rerankTime    = 60 * time.Millisecond
 	// span is the time over which requests arrive.
 	span = 40 * time.Second
 	// prefixes is the number of distinct prompt prefixes.
@@ -59,7 +63,7 @@
 	return []PoolModel{
 		{Pool: pool("encoders", settings.Encode), Targets: 4, Slots: 4, Service: 20 * time.Millisecond},
 		{Pool: pool("retrievers", settings.Retrieve), Targets: 4, Slots: 4, Service: 40 * time.Millisecond},
-		{Pool: pool("rerankers", settings.Rerank), Targets: 4, Slots: 8, Service: 60 * time.Millisecond},
+		{Pool: pool("rerankers", settings.Rerank), Targets: rerankTargets, Slots: rerankSlots, Service: rerankTime},
 		{Pool: pool("engines", settings.Generate), Targets: d.Engines, Slots: engineSlots, Service: tokenTime, Prefill: prefillTime},
 		{Pool: pool("service", settings.Service), Targets: d.Services, Slots: 4, Service: 30 * time.Millisecond},
 	}
@@ -338,8 +342,8 @@
 	}
 	served := min(float64(generations), slots*seconds/least)
 	if sc.SlowPool == "rerankers" {
-		perSecond := 32 / (0.06 * sc.SlowFactor)
-		served = min(served, perSecond*(seconds-10)+10*32/0.06)
+		healthy := rerankTargets * rerankSlots / rerankTime.Seconds()
+		served = min(served, healthy/sc.SlowFactor*(seconds-10)+healthy*10)
 	}
 	return 100 * (served + float64(len(out)-generations)) / float64(max(len(out), 1))
 }
