Admit what may still finish: a margin on the estimate

Cause: the admission estimate counts calls ahead in the queues that will be refused or leave themselves, so bursts were refused too early.

Change: 0.8 of the estimated need must fit the deadline.

--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -85,11 +85,15 @@
 	return &Runner{sched: s, calls: c, pools: byName, log: log, obs: obs}
 }
 
+// admitShare is the share of the estimated need that must fit the deadline. The
+// estimate counts calls ahead that will be refused or abandoned themselves.
+const admitShare = 0.8
+
 // Admit refuses a request that cannot finish in time: the estimate covers the
 // queues and service times of all its stages. The error is NotRun.
 func (r *Runner) Admit(req *Request) error {
 	need, wait := r.sched.Remaining(demands(req, 0), req.Class)
-	if need <= time.Until(req.Deadline) {
+	if time.Duration(admitShare*float64(need)) <= time.Until(req.Deadline) {
 		return nil
 	}
 	return verdict.New(verdict.NotRun, verdict.DeadlineUnreachable,
