--- a/internal/frontdoor/exchange.go
+++ b/internal/frontdoor/exchange.go
@@ -55,17 +55,21 @@
 	}
 	defer leave()
 	if e.call.stream {
-		e.stream = newEventStream(e.w)
-		e.req.Emit = e.stream.token
+		e.openStream()
 	}
-	if e.stream != nil && e.claimed() {
-		e.req.Emit = e.stream.tokenIfPresent
-	}
-	if !e.claimed() {
-		e.answer(e.execute(e.r.Context()))
+	if e.claimed() {
+		e.serveClaimed()
 		return
 	}
-	e.serveClaimed()
+	e.answer(e.execute(e.r.Context()))
+}
+
+func (e *exchange) openStream() {
+	e.stream = newEventStream(e.w)
+	e.req.Emit = e.stream.token
+	if e.claimed() {
+		e.req.Emit = e.stream.tokenIfPresent
+	}
 }
 
 // refuseUnclaimed refuses before the ledger was asked: an earlier attempt with
@@ -79,14 +83,15 @@
 	e.finishProblem(p)
 }
 
-// outcome is a finished request: its status and body, whether nothing ran, and
-// whether the error must not be recorded.
+// outcome is a finished request.
 type outcome struct {
 	ledger.Outcome
+	// notRun is the proof that nothing ran.
 	notRun       bool
 	retryAfterMS int64
-	code         verdict.Code
-	met          bool
+	// code is empty for a complete answer; met says that it was in time.
+	code verdict.Code
+	met  bool
 }
 
 // execute admits and runs the pipeline.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,10 +158,22 @@
 }
 
 func (n *Node) provisionGauges() {
-	n.metrics.Gauge("topazmoor_requests_in_flight", "Requests being worked on.", func() float64 { return float64(n.front.InFlight()) })
-	n.metrics.Gauge("topazmoor_config_revision", "Configuration revision in force.", func() float64 { return float64(n.board.Catalog.Get().Revision) })
-	n.metrics.Gauge("topazmoor_wrong_answers_total", "Answers dropped because they belonged to another attempt.", func() float64 { return float64(n.calls.WrongAnswers()) })
-	n.metrics.Gauge("topazmoor_ledger_commits_total", "Grouped commits of claims and outcomes.", func() float64 { return float64(n.table.Stats().Commits) })
+	for _, g := range []struct {
+		name, help string
+		read       func() float64
+	}{
+		{"topazmoor_requests_in_flight", "Requests being worked on.", func() float64 { return float64(n.front.InFlight()) }},
+		{"topazmoor_config_revision", "Configuration revision in force.", func() float64 { return float64(n.board.Catalog.Get().Revision) }},
+		{"topazmoor_wrong_answers_total", "Answers dropped because they belonged to another attempt.", func() float64 { return float64(n.calls.WrongAnswers()) }},
+		{"topazmoor_ledger_commits_total", "Grouped commits of claims and outcomes.", func() float64 { return float64(n.table.Stats().Commits) }},
+		{"topazmoor_ledger_dropped_total", "Claims and outcomes refused because the queue was full.", func() float64 { return float64(n.table.Stats().Dropped) }},
+		{"topazmoor_nodes_live", "Nodes that answer, this one included.", func() float64 { return float64(n.peers.nodes()) }},
+		{"topazmoor_membership_bytes_total", "Bytes of membership datagrams sent and received.", n.peers.membershipBytes},
+		{"topazmoor_batches_running", "Batches that this node runs.", func() float64 { return float64(n.batches.Running()) }},
+		{"topazmoor_host_list_age_seconds", "Age of the host list in use.", func() float64 { return time.Since(n.board.Hosts.Get().Read).Seconds() }},
+	} {
+		n.metrics.Gauge(g.name, g.help, g.read)
+	}
 }
 
 func (n *Node) provisionServers() error {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -269,6 +269,12 @@
 	return rendezvous(names, xxhash.Sum64String(id)) == p.n.s.Node.Name
 }
 
+// membershipBytes returns the bytes of datagrams sent and received.
+func (p *peers) membershipBytes() float64 {
+	t := p.runner.Traffic()
+	return float64(t.InBytes + t.OutBytes)
+}
+
 // nodes returns the number of live nodes, this one included.
 func (p *peers) nodes() int { return len(p.live()) + 1 }
 
