--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -141,6 +141,32 @@
 	})
 }
 
+// TestResetWhileTheBodyIsSent closes the connection after part of the request.
+func TestResetWhileTheBodyIsSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := memnet.New()
+		ln, err := n.Listen(targetAddr)
+		c.Assert(err, qt.IsNil)
+		defer ln.Close()
+		go func() {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.ReadFull(conn, make([]byte, 200))
+			conn.Close()
+		}()
+		cl := dispatch.New(n.DialFrom("10.0.0.9"), 1<<20)
+		defer cl.Close()
+		call := newCall()
+		call.Body = []byte(`"` + strings.Repeat("x", 100_000) + `"`)
+		_, err = cl.Do(t.Context(), call)
+		c.Assert(verdict.Of(err), qt.Equals, verdict.MayHaveRun)
+		c.Assert(verdict.CodeOf(err), qt.Equals, verdict.TargetFailed)
+	})
+}
+
 func TestCancelDuringDialIsNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -200,6 +200,44 @@
 	return counts.Commits, counts.Reads, time.Duration(total.Load() / int64(n))
 }
 
+// BenchmarkBatch measures, in virtual time, the writes and the state of a batch
+// of items that may not be repeated, claims included.
+func BenchmarkBatch(b *testing.B) {
+	for _, n := range []int{32, 320, 3200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var writes, bytes float64
+			var err error
+			for b.Loop() {
+				bubble.Run(b, func() { writes, bytes, err = batchWrites(n) })
+			}
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(writes, "commits/item")
+			b.ReportMetric(bytes, "row-B/item")
+		})
+	}
+}
+
+func batchWrites(n int) (commits, rowBytes float64, err error) {
+	cl, err := readyCluster(1)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer cl.close()
+	before := cl.world.Store.Counts()
+	st, err := cl.submitBatch(0, "pilots-token", "berth-confirmation", "bench", n)
+	if err != nil {
+		return 0, 0, err
+	}
+	if _, err := cl.results(0, "pilots-token", st.ID, time.Hour); err != nil {
+		return 0, 0, err
+	}
+	after := cl.world.Store.Counts()
+	row, err := cl.world.Store.Get(tctx, "batch", st.ID)
+	return float64(after.Commits-before.Commits) / float64(n), float64(len(row.Value)) / float64(n), err
+}
+
 // BenchmarkConfigSpread measures, with whole nodes in virtual time, how long an
 // accepted change takes to be in force at every node, one of which is lost
 // while it spreads, and what a node sends and receives meanwhile. The network
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"errors"
 	"net/netip"
 	"os"
 	"slices"
@@ -223,11 +224,13 @@
 // validates. The error is a strictjson.Problems with every fault.
 func Parse(src []byte) (Settings, error) {
 	var s Settings
-	if err := strictjson.Decode(src, &s); err != nil {
+	var probs strictjson.Problems
+	if err := strictjson.Decode(src, &s); err != nil && !errors.As(err, &probs) {
 		return Settings{}, err
 	}
 	s.SetDefaults()
-	if err := s.validate().Err(); err != nil {
+	probs.Merge(s.validate())
+	if err := probs.Err(); err != nil {
 		return Settings{}, err
 	}
 	return s, nil
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -35,6 +35,19 @@
 	*p = append(*p, Problem{Path: path, Reason: fmt.Sprintf(format, args...)})
 }
 
+// Merge adds the faults of more whose paths have none yet.
+func (p *Problems) Merge(more Problems) {
+	known := make(map[string]bool, len(*p))
+	for _, pr := range *p {
+		known[pr.Path] = true
+	}
+	for _, pr := range more {
+		if !known[pr.Path] {
+			*p = append(*p, pr)
+		}
+	}
+}
+
 // Err returns p as an error, or nil when there is no fault.
 func (p Problems) Err() error {
 	if len(p) == 0 {
@@ -78,7 +91,8 @@
 }
 
 // Decode reads JSON with comments from src into out, a pointer to a struct.
-// The error is a Problems with every fault found.
+// The error is a Problems with every fault found; out then holds what is sound,
+// so that the caller can look for faults of meaning in the same go.
 func Decode(src []byte, out any) error {
 	std, err := hujson.Standardize(bytes.Clone(src))
 	if err != nil {
@@ -93,18 +107,20 @@
 	return DecodeTree(tree, out)
 }
 
-// DecodeTree decodes a parsed JSON value (numbers as json.Number) into out.
+// DecodeTree decodes a parsed JSON value (numbers as json.Number) into out. It
+// removes faulty values from tree.
 func DecodeTree(tree, out any) error {
 	var probs Problems
 	check(&probs, "", tree, reflect.TypeOf(out).Elem())
-	if len(probs) > 0 {
-		return probs
-	}
 	b, err := json.Marshal(tree)
 	if err != nil {
 		return eris.Wrap(err, "encode tree")
 	}
-	return eris.Wrap(json.Unmarshal(b, out), "decode")
+	err = json.Unmarshal(b, out)
+	if len(probs) > 0 {
+		return probs
+	}
+	return eris.Wrap(err, "decode")
 }
 
 var unmarshalerType = reflect.TypeFor[json.Unmarshaler]()
@@ -154,21 +170,36 @@
 		return
 	}
 	fields := fieldsOf(t)
+	for _, name := range sortedKeys(fields) {
+		if _, ok := obj[name]; !ok && fields[name].Tag.Get("need") == "true" {
+			probs.Add(join(path, name), "is missing: write %s", describe(fields[name].Type))
+		}
+	}
 	for _, key := range sortedKeys(obj) {
 		f, ok := fields[key]
 		if !ok {
 			probs.Add(join(path, key), "is not a known field: use one of %s", strings.Join(sortedKeys(fields), ", "))
+			delete(obj, key)
 			continue
 		}
+		before := len(*probs)
 		check(probs, join(path, key), obj[key], f.Type)
-	}
-	for _, name := range sortedKeys(fields) {
-		if _, ok := obj[name]; !ok && fields[name].Tag.Get("need") == "true" {
-			probs.Add(join(path, name), "is missing: write %s", describe(fields[name].Type))
+		if len(*probs) > before && !holdsStructs(f.Type) {
+			delete(obj, key)
 		}
 	}
 }
 
+// holdsStructs reports whether values of t contain structs, whose own sound
+// fields are kept when one is faulty.
+func holdsStructs(t reflect.Type) bool {
+	switch t.Kind() {
+	case reflect.Pointer, reflect.Slice, reflect.Map:
+		return holdsStructs(t.Elem())
+	}
+	return t.Kind() == reflect.Struct
+}
+
 func checkMap(probs *Problems, path string, v any, t reflect.Type) {
 	obj, ok := v.(map[string]any)
 	if !ok {
