--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -34,6 +34,7 @@
 	PathEvents = "/v1/events"
 	PathDrains = "/v1/drains/"
 	PathStop   = "/v1/stop"
+	PathRevert = "/v1/revert"
 )
 
 // maxBody bounds the body of a call, in bytes.
@@ -48,6 +49,8 @@
 	Operators []settings.Operator
 	Catalog   func() *catalog.Compiled
 	Store     *config.Store
+	// Offers returns why no target of a pool serves a model with an adapter, or "".
+	Offers func(pool, model, adapter string) string
 	// Events returns the events after a time, and RecordEvent stores one.
 	Events      func(ctx context.Context, after time.Time, limit int) ([]control.Event, error)
 	RecordEvent func(ctx context.Context, e control.Event) error
@@ -104,6 +107,7 @@
 	s.read("GET "+PathAudit, s.audit)
 	s.read("GET "+PathEvents, s.events)
 	s.write("POST "+PathConfig, s.apply)
+	s.write("POST "+PathRevert, s.revert)
 	s.write("PUT "+PathDrains+"{host}", s.drain)
 	s.write("DELETE "+PathDrains+"{host}", s.undrain)
 	s.write("POST "+PathStop, s.stop)
@@ -263,6 +267,8 @@
 	// DryRun validates and compares without a change.
 	DryRun bool   `json:"dry_run"`
 	Note   string `json:"note"`
+	// Force accepts models and adapters that no target offers now.
+	Force bool `json:"force"`
 	// Manifest is JSON with comments.
 	Manifest string `json:"manifest" need:"true"`
 }
@@ -312,7 +318,11 @@
 	diff := difference(cur, items)
 	res := ApplyResult{Revision: cur.Revision, Diff: diff}
 	if base == cur.Revision {
-		if _, err := cur.Apply(base+1, items); err != nil {
+		next, err := cur.Apply(base+1, items)
+		if err != nil {
+			return nil, err
+		}
+		if err := s.checkOffers(next.PlansOf(items)).Err(); err != nil && !req.Force {
 			return nil, err
 		}
 	}
@@ -332,6 +342,24 @@
 	return res, nil
 }
 
+// checkOffers finds stages whose model or adapter no target offers. Pools
+// without any host are passed over: the host list may not have come yet.
+func (s *Server) checkOffers(plans []*catalog.Plan) strictjson.Problems {
+	var probs strictjson.Problems
+	seen := make(map[string]bool)
+	for _, p := range plans {
+		for _, st := range p.Stages {
+			path := "template/" + p.Template + ".stages." + st.Name
+			reason := s.cfg.Offers(st.Pool, st.Model, st.Adapter)
+			if reason != "" && !seen[path+reason] {
+				seen[path+reason] = true
+				probs.Add(path, "%s: load it first, or apply with --force", reason)
+			}
+		}
+	}
+	return probs
+}
+
 func difference(cur *catalog.Compiled, items []catalog.Item) []Difference {
 	var out []Difference
 	for _, it := range items {
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -65,6 +65,13 @@
 	return out, err
 }
 
+// Revert submits the content of an earlier revision as a new one.
+func (c *Client) Revert(ctx context.Context, req RevertRequest) (ApplyResult, error) {
+	var out ApplyResult
+	err := c.call(ctx, http.MethodPost, PathRevert, req, &out)
+	return out, err
+}
+
 // Status describes the node.
 func (c *Client) Status(ctx context.Context) (Status, error) {
 	var out Status
--- a/internal/catalog/compile.go
+++ b/internal/catalog/compile.go
@@ -425,6 +425,25 @@
 	}
 }
 
+// PlansOf returns the plans that items bring about: those of changed accounts
+// and those of changed templates.
+func (c *Compiled) PlansOf(items []Item) []*Plan {
+	var out []*Plan
+	for _, it := range items {
+		if it.Kind == AccountItem && c.accounts[it.Name] != nil {
+			for _, p := range c.accounts[it.Name].plans {
+				out = append(out, p.plan)
+			}
+		}
+		for _, p := range c.plans {
+			if it.Kind == TemplateItem && p.Template == it.Name {
+				out = append(out, p)
+			}
+		}
+	}
+	return out
+}
+
 // Items returns the whole configuration as items, for a peer that starts
 // without the table service.
 func (c *Compiled) Items() []Item {
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -48,8 +48,9 @@
 // adminError gives a refusal its exit code.
 func adminError(err error) error {
 	var refused *admin.RefusedError
-	if err == nil {
-		return nil
+	var exit *exitError
+	if err == nil || errors.As(err, &exit) {
+		return err
 	}
 	if !errors.As(err, &refused) {
 		return &exitError{code: ExitUnavailable, err: err}
@@ -71,7 +72,9 @@
 // applyCmd submits manifests.
 type applyCmd struct {
 	adminArgs
-	File   string        `arg:"-f,--file,required" placeholder:"FILE" help:"manifest, JSON with comments"`
+	File   string        `arg:"-f,--file" placeholder:"FILE" help:"manifest, JSON with comments"`
+	Revert int64         `arg:"--revert-to" placeholder:"REVISION" help:"instead of a file: return to the templates and accounts of an earlier revision, as a new one"`
+	Force  bool          `arg:"--force" help:"accept models and adapters that no target offers now"`
 	Base   int64         `arg:"--base" help:"revision that the change was made on; refused if others changed since (default: the current one)"`
 	DryRun bool          `arg:"--dry-run" help:"validate and show the difference, change nothing"`
 	Note   string        `arg:"--note" help:"reason, for the audit trail"`
@@ -83,11 +86,7 @@
 	if err != nil {
 		return err
 	}
-	src, err := os.ReadFile(a.File)
-	if err != nil {
-		return usage(err)
-	}
-	res, err := cl.Apply(ctx, admin.ApplyRequest{Base: a.Base, DryRun: a.DryRun, Note: a.Note, Manifest: string(src)})
+	res, err := a.submit(ctx, cl)
 	if err != nil {
 		printConflict(c, err)
 		return adminError(err)
@@ -101,6 +100,20 @@
 	return nil
 }
 
+func (a *applyCmd) submit(ctx context.Context, cl *admin.Client) (admin.ApplyResult, error) {
+	if (a.File == "") == (a.Revert == 0) {
+		return admin.ApplyResult{}, usage(eris.New("give either --file FILE or --revert-to REVISION"))
+	}
+	if a.Revert != 0 {
+		return cl.Revert(ctx, admin.RevertRequest{To: a.Revert, DryRun: a.DryRun})
+	}
+	src, err := os.ReadFile(a.File)
+	if err != nil {
+		return admin.ApplyResult{}, usage(err)
+	}
+	return cl.Apply(ctx, admin.ApplyRequest{Base: a.Base, DryRun: a.DryRun, Note: a.Note, Force: a.Force, Manifest: string(src)})
+}
+
 func printApply(w io.Writer, res admin.ApplyResult) {
 	for _, d := range res.Diff {
 		fmt.Fprintf(w, "%s %s\n", d.Action, d.Object)
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -1,4 +1,4 @@
-package control
+package control_test
 
 import (
 	"context"
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"topazmoor/internal/control"
 	"topazmoor/internal/platform"
 	"topazmoor/internal/standin"
 	_ "topazmoor/internal/standin/fixedseed"
@@ -91,7 +92,7 @@
 				tables := tracked{Gate: g, mu: &mu, writes: writes}
 				name := fmt.Sprint("n", i)
 				id := 0
-				s := &Shard{
+				s := &control.Shard{
 					Name: "s", Node: name, Task: &counter{tables: tables, node: name}, Tables: tables, Log: quiet,
 					Mine: func(string) bool { return true }, NewID: func() string { id++; return fmt.Sprint(name, "-", id) },
 				}
@@ -139,9 +140,9 @@
 			_, err := store.Commit(t.Context(), platform.Tx{Writes: []platform.Write{{Table: "t", Key: fmt.Sprintf("a%04d", i), Value: []byte(age)}}})
 			c.Assert(err, qt.IsNil)
 		}
-		sweep := &Sweep{Tables: store, Table: "t", Prefixes: []string{"a"}, Old: func(r platform.Row, _ time.Time) bool { return string(r.Value) == "old" }}
+		sweep := &control.Sweep{Tables: store, Table: "t", Prefixes: []string{"a"}, Old: func(r platform.Row, _ time.Time) bool { return string(r.Value) == "old" }}
 		id := 0
-		s := &Shard{Name: "s", Node: "n", Task: sweep, Tables: store, Log: quiet, Mine: func(string) bool { return true }, NewID: func() string { id++; return fmt.Sprint(id) }}
+		s := &control.Shard{Name: "s", Node: "n", Task: sweep, Tables: store, Log: quiet, Mine: func(string) bool { return true }, NewID: func() string { id++; return fmt.Sprint(id) }}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- s.Serve(ctx) }()
@@ -151,9 +152,9 @@
 		rows, err := store.Scan(t.Context(), "t", "", "", 1000)
 		c.Assert(err, qt.IsNil)
 		c.Assert(rows, qt.HasLen, 300)
-		events, err := Events(t.Context(), store, time.Time{}, 10)
+		events, err := control.Events(t.Context(), store, time.Time{}, 10)
 		c.Assert(err, qt.IsNil)
 		c.Assert(events, qt.HasLen, 1)
-		c.Assert(events[0].Kind, qt.Equals, TakeOver)
+		c.Assert(events[0].Kind, qt.Equals, control.TakeOver)
 	})
 }
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -33,6 +33,8 @@
 const (
 	// TakeOver: a node became the owner of a control shard.
 	TakeOver EventKind = "take-over"
+	// Ordered: an engine was given an order.
+	Ordered EventKind = "order"
 	// Refused: operators were refused at a node.
 	Refused EventKind = "refused"
 )
@@ -48,9 +50,9 @@
 	}}
 }
 
-// write returns the write that records the event. The key orders events by
+// Write returns the write that records the event. The key orders events by
 // time and is unique by id.
-func (e Event) write(id string) (platform.Write, error) {
+func (e Event) Write(id string) (platform.Write, error) {
 	value, err := json.Marshal(e)
 	if err != nil {
 		return platform.Write{}, eris.Wrap(err, "encode event")
@@ -60,7 +62,7 @@
 
 // Record stores an event by itself.
 func Record(ctx context.Context, t platform.Tables, id string, e Event) error {
-	w, err := e.write(id)
+	w, err := e.Write(id)
 	if err != nil {
 		return err
 	}
--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -135,7 +135,7 @@
 	s.cur.Owner = s.Node
 	s.cur.Epoch++
 	event := Event{At: time.Now().UTC(), Node: s.Node, Kind: TakeOver, Object: "shard/" + s.Name, Detail: s.cur.Owner}
-	w, err := event.write(s.NewID())
+	w, err := event.Write(s.NewID())
 	if err != nil {
 		return false
 	}
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -8,10 +8,12 @@
 	"log/slog"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"topazmoor/internal/control"
 	"topazmoor/internal/platform"
 )
 
@@ -43,6 +45,10 @@
 	// all nodes.
 	Engines func() []Engine
 	Demand  func(ctx context.Context) (Demand, error)
+	// Node is the name of this node and NewID returns unique IDs, for the audit
+	// trail.
+	Node  string
+	NewID func() string
 	// Epoch returns the epoch under which the shard is owned.
 	Epoch  func() int64
 	Client *http.Client
@@ -74,7 +80,15 @@
 			return nil, nil, eris.Wrap(err, "encode order")
 		}
 		c.Log.Info("order given", "engine", o.Engine, "models", o.Models, "reason", o.Reason)
-		writes = append(writes, platform.Write{Table: orderTable, Key: o.Engine, Value: value})
+		event := control.Event{
+			At: o.At, Node: c.Node, Kind: control.Ordered, Object: "engine/" + o.Engine,
+			Detail: "hold " + strings.Join(o.Models, ", ") + ": " + o.Reason,
+		}
+		record, err := event.Write(c.NewID())
+		if err != nil {
+			return nil, nil, err
+		}
+		writes = append(writes, platform.Write{Table: orderTable, Key: o.Engine, Value: value}, record)
 	}
 	return nil, writes, nil
 }
--- a/internal/node/balance.go
+++ b/internal/node/balance.go
@@ -20,6 +20,7 @@
 func (n *Node) balanceShard() *control.Shard {
 	c := &fleet.Controller{
 		Tables: n.env.Store, Engines: n.engines, Demand: n.demand, Limits: fleet.DefaultLimits, Log: n.log,
+		Node: n.s.Node.Name, NewID: n.env.NewID,
 		Client: &http.Client{Transport: &http.Transport{DialContext: n.env.Dial, DisableKeepAlives: true}},
 	}
 	s := &control.Shard{
--- a/internal/node/balance_test.go
+++ b/internal/node/balance_test.go
@@ -13,6 +13,7 @@
 
 	"topazmoor/internal/caller"
 	"topazmoor/internal/catalog"
+	"topazmoor/internal/control"
 	"topazmoor/internal/settings"
 	"topazmoor/internal/standin"
 	"topazmoor/internal/standin/bubble"
@@ -22,6 +23,7 @@
 type balanceResult struct {
 	attainment float64
 	copies     int
+	orders     int
 	err        error
 }
 
@@ -70,11 +72,20 @@
 	}
 	wg.Wait()
 	hosts, err := cl.world.Store.ListHosts(tctx)
+	if err != nil {
+		return balanceResult{err: err}
+	}
 	for _, h := range hosts {
 		if slices.Contains(h.Models, "brook-7b") {
 			res.copies++
 		}
 	}
+	events, err := control.Events(tctx, cl.world.Store, time.Time{}, 1000)
+	for _, e := range events {
+		if e.Kind == control.Ordered {
+			res.orders++
+		}
+	}
 	res.attainment, res.err = 100*float64(met)/float64(sent), err
 	return res
 }
@@ -83,6 +94,7 @@
 	var on balanceResult
 	synctest.Test(t, func(*testing.T) { on = shiftDemand(true) })
 	qt.Assert(t, on.err, qt.IsNil)
+	qt.Assert(t, on.orders, qt.Equals, on.copies-1, qt.Commentf("each order is in the audit trail"))
 	qt.Assert(t, on.copies >= 2, qt.IsTrue, qt.Commentf("%d copies", on.copies))
 	qt.Assert(t, on.copies < 6, qt.IsTrue, qt.Commentf("the other model lost its last copy"))
 }
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -50,6 +50,9 @@
 	dead   atomic.Bool
 }
 
+// opTokenSHA256 is the hash of the operator's token "op".
+const opTokenSHA256 = "037aeaeaf4bbf26ddabe7256a8294dc52da48d575a1247b5c2598c47de7aebab"
+
 const callerIP = "10.9.9.9"
 
 func newCluster(nodes int) (*cluster, error) {
@@ -133,7 +136,7 @@
 		Node:      settings.Node{Name: name, DataCentre: fmt.Sprintf("dc-%d", c.ips%2+1)},
 		Listen:    settings.Listen{Caller: any, Admin: any, Peer: any, Observe: any},
 		Peers:     settings.Peers{KeyFile: "-"},
-		Operators: []settings.Operator{{Name: "op", TokenSHA256: "-"}},
+		Operators: []settings.Operator{{Name: "op", TokenSHA256: opTokenSHA256}},
 		Pools:     c.world.Pools(),
 	}
 	c.adjust(&s)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -147,7 +149,7 @@
 		Store: store, Offer: n.follower.Offer, Status: n.Status, Refresh: n.peers.refresh,
 		Stop:     func(string) { n.RequestStop() },
 		StopTime: n.s.Stop.BalancerLag.Std() + n.s.Stop.Drain.Std(),
-		NewID:    n.env.NewID, Log: n.log,
+		NewID:    n.env.NewID, Log: n.log, Offers: n.offers,
 		Events: func(ctx context.Context, after time.Time, limit int) ([]control.Event, error) {
 			return control.Events(ctx, n.env.Store, after, limit)
 		},
@@ -157,6 +159,30 @@
 	})
 }
 
+// offers says why no target of a pool serves a model with an adapter, or "".
+func (n *Node) offers(pool, model, adapter string) string {
+	any := false
+	for _, h := range n.board.Hosts.Get().Hosts {
+		if h.Pool != pool {
+			continue
+		}
+		any = true
+		if holds(h.Models, model) && holds(h.Adapters, adapter) {
+			return ""
+		}
+	}
+	if !any {
+		return ""
+	}
+	return fmt.Sprintf("no target of pool %s offers model %q with adapter %q", pool, model, adapter)
+}
+
+// holds reports whether a target with these models, or adapters, serves one; an
+// empty list serves all.
+func holds(loaded []string, want string) bool {
+	return want == "" || len(loaded) == 0 || slices.Contains(loaded, want)
+}
+
 func (n *Node) provisionGauges() {
 	for _, g := range []struct {
 		name, help string
