--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	qt "github.com/frankban/quicktest"
 
 	"topazmoor/internal/admin"
@@ -129,3 +131,41 @@
 		c.Assert(res.Problem, qt.IsNil)
 	})
 }
+
+// TestConfigReachesANodeBackFromAPause changes the configuration while a node
+// stands still.
+func TestConfigReachesANodeBackFromAPause(t *testing.T) {
+	inCluster(t, 3, func(c *qt.C, cl *cluster) {
+		n := cl.node(2)
+		n.gate.Freeze()
+		cl.net.Freeze(n.ip)
+		c.Assert(cl.submit([]catalog.Item{{Kind: catalog.DrainItem, Name: "h", Value: []byte(`{"host":"h"}`)}}), qt.IsNil)
+		time.Sleep(2 * time.Minute)
+		c.Assert(n.board.Catalog.Get().Drained("h"), qt.IsFalse)
+		n.gate.Thaw()
+		cl.net.Thaw(n.ip)
+		time.Sleep(10 * time.Second)
+		c.Assert(n.board.Catalog.Get().Drained("h"), qt.IsTrue)
+	})
+}
+
+// TestMembershipSpreadsControlWork checks that names are spread evenly over
+// nodes, and that a node that leaves moves its own names only.
+func TestMembershipSpreadsControlWork(t *testing.T) {
+	c := qt.New(t)
+	nodes := []string{"n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8"}
+	const names = 4000
+	count := make(map[string]int)
+	for i := range names {
+		key := xxhash.Sum64String(fmt.Sprint("shard-", i))
+		before := rendezvous(nodes, key)
+		count[before]++
+		if after := rendezvous(nodes[1:], key); before != nodes[0] {
+			c.Assert(after, qt.Equals, before)
+		}
+	}
+	for _, n := range nodes {
+		share := float64(count[n]) * float64(len(nodes)) / names
+		c.Assert(share > 0.85 && share < 1.15, qt.IsTrue, qt.Commentf("%s has %.2f of its share", n, share))
+	}
+}
