--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -29,6 +29,7 @@
 // startOnLoopback runs one node and its world over real TCP.
 func startOnLoopback(b *testing.B, specs []standin.PoolSpec) (*Node, *standin.World) {
 	b.Helper()
+	emptyPools()
 	listen := func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 	world, err := standin.NewWorld(specs, listen)
 	if err != nil {
