Reach a ticket's issuer by the address in the ticket

Cause: a run of the tests in a fresh clone failed in TestOutageWhatTheCallerIsTold: a node that had not heard of the issuer yet called a good ticket's outcome unknown. Sound, but redeeming rested on the view of the nodes, which nothing but speed should.

Change: a ticket names its issuer's peer address; any node asks there, and the issuer checks its incarnation as before. A lookup of a ticket whose issuer does not answer says key_outcome_unknown instead of internal. TestTicketIsRedeemedAtANodeThatKnowsNoOther fails without the change.

--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -375,7 +375,7 @@
 		s.SetHosts(t.Hosts(), func(string) bool { return false })
 		s.SetNodes(d.Nodes)
 		scheds = append(scheds, s)
-		tickets := ledger.NewTickets([]byte("secret"), fmt.Sprint(i), "1", time.Hour, newNonce())
+		tickets := ledger.NewTickets([]byte("secret"), fmt.Sprint(i), fmt.Sprint(i), "1", time.Hour, newNonce())
 		nodes[i] = &node{r: pipeline.NewRunner(s, t, sets, ignore{}, quiet), tickets: tickets, claims: ledger.NewTicketBook(tickets)}
 	}
 	if len(scheds) > 0 {
--- a/internal/frontdoor/frontdoor_test.go
+++ b/internal/frontdoor/frontdoor_test.go
@@ -52,7 +52,7 @@
 	sched := scheduler.New(scheduler.DefaultConfig("dc", 1))
 	sched.SetHosts([]platform.Host{{ID: "t", Pool: "svc", Slots: 4, State: platform.Live}}, func(string) bool { return false })
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	tickets := ledger.NewTickets([]byte("secret"), "n", "i", time.Minute, func() string { return "nonce" })
+	tickets := ledger.NewTickets([]byte("secret"), "n", "10.0.0.1:1", "i", time.Minute, func() string { return "nonce" })
 	book := ledger.NewTicketBook(tickets)
 	router := ledger.NewRouter("n", tickets, book, ledger.NewTableBook(platform.NewMemory(), time.Millisecond, log), ledger.Alone{})
 	id := 0
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -190,7 +190,7 @@
 
 func testTickets(incarnation string) *Tickets {
 	n := 0
-	return NewTickets([]byte("secret"), "node", incarnation, time.Minute, func() string { n++; return fmt.Sprint(n) })
+	return NewTickets([]byte("secret"), "node", "10.0.0.1:1", incarnation, time.Minute, func() string { n++; return fmt.Sprint(n) })
 }
 
 func TestTicketIsGrantedOnce(t *testing.T) {
--- a/internal/ledger/router.go
+++ b/internal/ledger/router.go
@@ -12,6 +12,9 @@
 type Remote interface {
 	// Book returns the book of a node, or nil when the node is not known.
 	Book(node string) Book
+	// BookAt returns the book of the node at a peer address, or nil without
+	// peers.
+	BookAt(addr string) Book
 	// Committer returns the node that commits claims of this row key, or ""
 	// for this node.
 	Committer(rowKey string) string
@@ -68,10 +71,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if t.Node == r.node {
+	if t.Addr == r.tickets.addr {
 		return r.own, nil
 	}
-	b := r.remote.Book(t.Node)
+	b := r.remote.BookAt(t.Addr)
 	if b == nil {
 		return nil, errIssuerGone()
 	}
@@ -156,7 +159,11 @@
 	if err != nil {
 		return Record{}, false, err
 	}
-	return b.Lookup(ctx, k)
+	rec, found, err := b.Lookup(ctx, k)
+	if err != nil && !refusedByBook(err) {
+		err = errIssuerGone()
+	}
+	return rec, found, err
 }
 
 // Alone is the Remote of a node without peers.
@@ -165,5 +172,8 @@
 // Book implements Remote.
 func (Alone) Book(string) Book { return nil }
 
+// BookAt implements Remote.
+func (Alone) BookAt(string) Book { return nil }
+
 // Committer implements Remote.
 func (Alone) Committer(string) string { return "" }
--- a/internal/ledger/ticket.go
+++ b/internal/ledger/ticket.go
@@ -22,10 +22,11 @@
 // Ticket is a decoded request ticket: an idempotency key that only the process
 // that issued it can grant.
 type Ticket struct {
-	// Node and Incarnation name the process that issued it.
-	Node, Incarnation string
-	Nonce             string
-	Expires           time.Time
+	// Node and Incarnation name the process that issued it; Addr is its peer
+	// address, so that no view of the nodes is needed to reach it.
+	Node, Incarnation, Addr string
+	Nonce                   string
+	Expires                 time.Time
 }
 
 // IsTicket reports whether an idempotency key is a ticket.
@@ -36,22 +37,23 @@
 type Tickets struct {
 	secret      []byte
 	node        string
+	addr        string
 	incarnation string
 	life        time.Duration
 	nonce       func() string
 }
 
-// NewTickets returns the tickets of one process. The incarnation must be
-// unique to the process; nonce must not repeat.
-func NewTickets(secret []byte, node, incarnation string, life time.Duration, nonce func() string) *Tickets {
-	return &Tickets{secret: secret, node: node, incarnation: incarnation, life: life, nonce: nonce}
+// NewTickets returns the tickets of one process. addr is its peer address, the
+// incarnation must be unique to the process, and nonce must not repeat.
+func NewTickets(secret []byte, node, addr, incarnation string, life time.Duration, nonce func() string) *Tickets {
+	return &Tickets{secret: secret, node: node, addr: addr, incarnation: incarnation, life: life, nonce: nonce}
 }
 
 // Issue returns a new ticket for an account. Nothing is stored until it is
 // redeemed.
 func (t *Tickets) Issue(account string, now time.Time) string {
 	expires := strconv.FormatInt(now.Add(t.life).Unix(), 36)
-	node := base64.RawURLEncoding.EncodeToString([]byte(t.node))
+	node := base64.RawURLEncoding.EncodeToString([]byte(t.node + "\x00" + t.addr))
 	payload := ticketPrefix + strings.Join([]string{node, t.incarnation, t.nonce(), expires}, ".")
 	return payload + "." + t.mac(account, payload)
 }
@@ -74,7 +76,7 @@
 	if !hmac.Equal([]byte(t.mac(account, payload)), []byte(parts[5])) {
 		return Ticket{}, bad
 	}
-	node, err := base64.RawURLEncoding.DecodeString(parts[1])
+	issuer, err := base64.RawURLEncoding.DecodeString(parts[1])
 	if err != nil {
 		return Ticket{}, bad
 	}
@@ -82,7 +84,8 @@
 	if err != nil {
 		return Ticket{}, bad
 	}
-	return Ticket{Node: string(node), Incarnation: parts[2], Nonce: parts[3], Expires: time.Unix(expires, 0)}, nil
+	node, addr, _ := strings.Cut(string(issuer), "\x00")
+	return Ticket{Node: node, Addr: addr, Incarnation: parts[2], Nonce: parts[3], Expires: time.Unix(expires, 0)}, nil
 }
 
 // TicketBook keeps the claims of the tickets that this process issued, in
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,7 +118,7 @@
 
 func (n *Node) provisionLedger() {
 	incarnation := n.env.NewID()
-	tickets := ledger.NewTickets(n.env.PeerKey, n.s.Node.Name, incarnation, n.s.Ledger.TicketLife.Std(), n.env.NewID)
+	tickets := ledger.NewTickets(n.env.PeerKey, n.s.Node.Name, n.peers.server.Addr(), incarnation, n.s.Ledger.TicketLife.Std(), n.env.NewID)
 	n.table = ledger.NewTableBook(n.env.Store, n.s.Ledger.CommitInterval.Std(), n.log)
 	n.ledger = ledger.NewRouter(n.s.Node.Name, tickets, ledger.NewTicketBook(tickets), n.table, n.peers)
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -150,6 +150,19 @@
 	})
 }
 
+// TestTicketIsRedeemedAtANodeThatKnowsNoOther redeems a ticket at another node
+// than its issuer before the nodes have heard of each other.
+func TestTicketIsRedeemedAtANodeThatKnowsNoOther(t *testing.T) {
+	inCluster(t, 2, func(c *qt.C, cl *cluster) {
+		ticket, err := cl.caller.Ticket(tctx, cl.addr(0), "pilots-token")
+		c.Assert(err, qt.IsNil)
+		cl.node(1).board.Members.Store(nil)
+		res, err := cl.confirm(1, "by ticket", ticket)
+		c.Assert(err, qt.IsNil)
+		c.Assert(res.Problem, qt.IsNil)
+	})
+}
+
 // TestOutageWhatTheCallerIsTold states the answers of docs/design/003 during an
 // outage of the platform.
 func TestOutageWhatTheCallerIsTold(t *testing.T) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -233,6 +233,9 @@
 	return nil
 }
 
+// BookAt implements ledger.Remote.
+func (p *peers) BookAt(addr string) ledger.Book { return p.client.Book(addr) }
+
 // Committer implements ledger.Remote: while there are few nodes each commits
 // its own claims, otherwise a few do for all.
 func (p *peers) Committer(rowKey string) string {
