--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -20,8 +20,8 @@
 	"topazmoor/internal/config"
 	"topazmoor/internal/control"
 	"topazmoor/internal/frontdoor"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/settings"
+	"topazmoor/internal/store"
 	"topazmoor/internal/strictjson"
 	"topazmoor/internal/verdict"
 )
@@ -182,9 +182,9 @@
 		return
 	case errors.As(err, &probs):
 		err = verdict.New(verdict.NotRun, verdict.InvalidRequest, "%s", probs.Error())
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable):
 		err = verdict.New(verdict.NotRun, verdict.StoreUnavailable, "the table service does not answer; nothing was changed").After(5 * time.Second)
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, store.ErrUnknown):
 		err = verdict.New(verdict.MayHaveRun, verdict.StoreUnavailable, "the table service did not confirm the change: look it up by `topazmoor audit` before you repeat it").After(5 * time.Second)
 	}
 	frontdoor.NewProblem(err, "", s.cfg.Node).Write(w)
--- a/internal/batch/api.go
+++ b/internal/batch/api.go
@@ -8,7 +8,7 @@
 
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/frontdoor"
-	"topazmoor/internal/platform"
+	"topazmoor/internal/store"
 	"topazmoor/internal/strictjson"
 	"topazmoor/internal/verdict"
 )
@@ -87,13 +87,13 @@
 // still be stored when the table service's answer was lost.
 func respond(front *frontdoor.Server, w http.ResponseWriter, status int, v any, err error) {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		err = verdict.New(verdict.NotRun, verdict.NotFound, "the account has no such batch, or its results are gone")
 	case errors.Is(err, ErrKeyReused):
 		err = verdict.New(verdict.NotRun, verdict.KeyReused, "the request key was used for another batch: use a new key")
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, store.ErrUnavailable):
 		err = verdict.New(verdict.NotRun, verdict.StoreUnavailable, "the platform does not answer; the batch was not stored").After(retryAfter)
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, store.ErrUnknown):
 		err = verdict.New(verdict.MayHaveRun, verdict.StoreUnavailable,
 			"the platform did not confirm; submit it again with the same Idempotency-Key").After(retryAfter)
 	}
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -12,7 +12,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"topazmoor/internal/platform"
+	"topazmoor/internal/store"
 )
 
 const (
@@ -211,7 +211,7 @@
 
 // lost reports whether another node owns the batch now.
 func lost(err error) bool {
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	return errors.As(err, &conflict)
 }
 
@@ -234,7 +234,7 @@
 		// The row may have been written before the answer was lost.
 		if cur, err := r.store.get(ctx, v.ID); err == nil {
 			if cur.Epoch != v.Epoch {
-				return v, &platform.ConflictError{}
+				return v, &store.ConflictError{}
 			}
 			if len(cur.Results) > len(v.Results) {
 				return cur, nil
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -20,7 +20,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"topazmoor/internal/platform"
+	"topazmoor/internal/store"
 )
 
 const (
@@ -75,12 +75,12 @@
 
 // Store reads and writes batches.
 type Store struct {
-	store platform.Store
+	store store.Store
 	newID func() string
 }
 
 // NewStore returns a Store; newID must return unique IDs.
-func NewStore(s platform.Store, newID func() string) *Store { return &Store{store: s, newID: newID} }
+func NewStore(s store.Store, newID func() string) *Store { return &Store{store: s, newID: newID} }
 
 // version is a batch with the version of its row.
 type version struct {
@@ -119,7 +119,7 @@
 		return Batch{}, err
 	}
 	err = s.write(ctx, b, 0)
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		old, err := s.get(ctx, b.ID)
 		if err != nil {
@@ -146,16 +146,16 @@
 	if err != nil {
 		return eris.Wrap(err, "encode batch")
 	}
-	tx := platform.Tx{
-		Conditions: []platform.Condition{{Table: batchTable, Key: b.ID, Version: row}},
-		Writes:     []platform.Write{{Table: batchTable, Key: b.ID, Value: value}},
+	tx := store.Tx{
+		Conditions: []store.Condition{{Table: batchTable, Key: b.ID, Version: row}},
+		Writes:     []store.Write{{Table: batchTable, Key: b.ID, Value: value}},
 	}
 	for {
-		applied, err := platform.CommitSettled(ctx, s.store, tx, settlePause)
+		applied, err := store.CommitSettled(ctx, s.store, tx, settlePause)
 		if err == nil && applied {
 			return nil
 		}
-		var conflict *platform.ConflictError
+		var conflict *store.ConflictError
 		if errors.As(err, &conflict) {
 			return s.ownOrConflict(ctx, b, value, conflict)
 		}
@@ -168,18 +168,18 @@
 // ownOrConflict tells a conflict with this same write, applied late, from one
 // with another writer.
 func (s *Store) ownOrConflict(ctx context.Context, b Batch, value []byte, conflict error) error {
-	own, err := platform.Applied(ctx, s.store, batchTable, b.ID, value)
+	own, err := store.Applied(ctx, s.store, batchTable, b.ID, value)
 	if err == nil && own {
 		return nil
 	}
 	return conflict
 }
 
-// Get returns a batch of an account, or platform.ErrNotFound.
+// Get returns a batch of an account, or store.ErrNotFound.
 func (s *Store) Get(ctx context.Context, account, id string) (Batch, error) {
 	v, err := s.get(ctx, id)
 	if err == nil && v.Account != account {
-		return Batch{}, platform.ErrNotFound
+		return Batch{}, store.ErrNotFound
 	}
 	return v.Batch, err
 }
@@ -192,7 +192,7 @@
 	return decode(row)
 }
 
-func decode(row platform.Row) (version, error) {
+func decode(row store.Row) (version, error) {
 	v := version{row: row.Version}
 	err := json.Unmarshal(row.Value, &v.Batch)
 	return v, eris.Wrapf(err, "decode batch %s", row.Key)
@@ -275,7 +275,7 @@
 		return version{}, err
 	}
 	if next.Beat != v.Beat {
-		return version{}, &platform.ConflictError{}
+		return version{}, &store.ConflictError{}
 	}
 	return next, nil
 }
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -21,9 +21,9 @@
 	"topazmoor/internal/membership"
 	"topazmoor/internal/node"
 	"topazmoor/internal/pipeline"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/settings"
 	"topazmoor/internal/standin"
+	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
 )
 
@@ -290,8 +290,8 @@
 	if err != nil {
 		return demoRow{Request: name, Problem: err.Error()}
 	}
-	r.world.Store.SetFaults(platform.Faults{Down: true})
-	defer r.world.Store.SetFaults(platform.Faults{})
+	r.world.Store.SetFaults(store.Faults{Down: true})
+	defer r.world.Store.SetFaults(store.Faults{})
 	return r.confirmTwice(ctx, name, "Boreal", ticket)
 }
 
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -6,18 +6,22 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"topazmoor/internal/boundedlog"
 	"topazmoor/internal/node"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/settings"
+	"topazmoor/platform"
 )
 
 // serveCmd runs one node.
 type serveCmd struct {
-	Settings string `arg:"-s,--settings,required" placeholder:"FILE" help:"settings, JSON with comments"`
+	Settings string `arg:"-s,--settings" placeholder:"FILE" help:"settings, JSON with comments"`
+	Platform bool   `arg:"--platform" help:"run on the platform, with its settings file, as an entry node for pass-through requests"`
 }
 
 const (
@@ -28,6 +32,12 @@
 )
 
 func (s *serveCmd) run(ctx context.Context, c *console) error {
+	if s.Platform {
+		return servePlatform(ctx, c)
+	}
+	if s.Settings == "" {
+		return usage(eris.New("--settings is missing: name a settings file, or write --platform"))
+	}
 	set, err := settings.Load(s.Settings)
 	if err != nil {
 		return usage(err)
@@ -56,14 +66,10 @@
 	if len(key) < minPeerKey {
 		return node.Env{}, eris.Errorf("peers.key_file: the key has %d bytes: write %d or more", len(key), minPeerKey)
 	}
-	token, err := readToken(set.Platform.TokenFile)
-	if err != nil {
-		return node.Env{}, eris.Wrap(err, "platform.token_file")
-	}
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return node.Env{
 		Dial: dialer.DialContext, Listen: listenTCP, ListenPacket: listenUDP,
-		Store:   platform.NewClient(set.Platform.Addr, token, set.Platform.Timeout.Std()),
+		Store:   platform.NewStoreClient(set.Platform.Addr, set.Platform.Timeout.Std()),
 		PeerKey: key, NewID: newID, Seed: rand.Uint64(),
 		Log: newLogger(c.err, set.Log.Level, set.Log.Format),
 	}, nil
@@ -77,3 +83,23 @@
 	b, err := os.ReadFile(path)
 	return string(bytes.TrimSpace(b)), err
 }
+
+// servePlatform runs an entry node on the platform.
+func servePlatform(ctx context.Context, c *console) error {
+	out := boundedlog.New(c.out)
+	defer out.Close()
+	log := newLogger(out, "info", "json")
+	n, err := platform.Provision(os.Getenv(platform.SettingsEnv), log)
+	if err != nil {
+		return usage(err)
+	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	go func() {
+		for range hup {
+			n.Reload()
+		}
+	}()
+	return platform.Serve(ctx, n)
+}
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/standin"
+	platformstandin "topazmoor/platform/standin"
 )
 
 // standinCmd runs the stand-in platform and targets as one process.
@@ -44,7 +45,7 @@
 		return usage(eris.Wrap(err, "--addr"))
 	}
 	mux := http.NewServeMux()
-	mux.Handle("/", standin.NewPlatform(world.Store))
+	mux.Handle("/", platformstandin.NewStore(world.Store))
 	mux.HandleFunc("PUT /targets/{id}/faults", func(w http.ResponseWriter, r *http.Request) { setTargetFaults(world, w, r) })
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	stop := context.AfterFunc(ctx, func() { srv.Close() })
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,7 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/catalog"
-	"topazmoor/internal/platform"
+	"topazmoor/internal/store"
 )
 
 const (
@@ -49,11 +49,11 @@
 
 // Store reads and writes the configuration.
 type Store struct {
-	tables platform.Tables
+	tables store.Tables
 }
 
 // NewStore returns a Store over a table service.
-func NewStore(t platform.Tables) *Store { return &Store{tables: t} }
+func NewStore(t store.Tables) *Store { return &Store{tables: t} }
 
 // Head returns the current revision, 0 when nothing was submitted yet.
 func (s *Store) Head(ctx context.Context) (int64, error) {
@@ -63,7 +63,7 @@
 
 func (s *Store) head(ctx context.Context) (revision, rowVersion int64, err error) {
 	row, err := s.tables.Get(ctx, metaTable, headKey)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return 0, 0, nil
 	}
 	if err != nil {
@@ -140,8 +140,8 @@
 }
 
 // Submit commits a change that was validated on revision base. It returns the
-// accepted change, or *ConflictError, platform.ErrUnavailable (not accepted),
-// or platform.ErrUnknown when ctx ended before the outcome was known; the
+// accepted change, or *ConflictError, store.ErrUnavailable (not accepted),
+// or store.ErrUnknown when ctx ended before the outcome was known; the
 // change's ID then tells later whether it was accepted.
 func (s *Store) Submit(ctx context.Context, base int64, c catalog.Change) (catalog.Change, error) {
 	c.Revision = base + 1
@@ -157,16 +157,16 @@
 		if err != nil {
 			return catalog.Change{}, err
 		}
-		applied, err := platform.CommitSettled(ctx, s.tables, tx, settlePause)
+		applied, err := store.CommitSettled(ctx, s.tables, tx, settlePause)
 		if err == nil && applied {
 			return c, nil
 		}
-		var conflict *platform.ConflictError
+		var conflict *store.ConflictError
 		if err != nil && !errors.As(err, &conflict) {
 			return catalog.Change{}, err
 		}
 		if ctx.Err() != nil {
-			return catalog.Change{}, platform.ErrUnknown
+			return catalog.Change{}, store.ErrUnknown
 		}
 	}
 }
@@ -187,28 +187,28 @@
 }
 
 // transaction writes the change row first: its value is unique by the ID.
-func transaction(c catalog.Change, headVersion int64) (platform.Tx, error) {
+func transaction(c catalog.Change, headVersion int64) (store.Tx, error) {
 	record, err := json.Marshal(c)
 	if err != nil {
-		return platform.Tx{}, eris.Wrap(err, "encode change")
+		return store.Tx{}, eris.Wrap(err, "encode change")
 	}
 	newHead, err := json.Marshal(head{Revision: c.Revision})
 	if err != nil {
-		return platform.Tx{}, eris.Wrap(err, "encode head")
+		return store.Tx{}, eris.Wrap(err, "encode head")
 	}
-	tx := platform.Tx{
-		Conditions: []platform.Condition{{Table: metaTable, Key: headKey, Version: headVersion}},
-		Writes: []platform.Write{
+	tx := store.Tx{
+		Conditions: []store.Condition{{Table: metaTable, Key: headKey, Version: headVersion}},
+		Writes: []store.Write{
 			{Table: changeTable, Key: changeKey(c.Revision), Value: record},
 			{Table: metaTable, Key: headKey, Value: newHead},
 		},
 	}
 	for _, it := range c.Items {
-		w := platform.Write{Table: objectTable, Key: it.Key(), Delete: it.Value == nil}
+		w := store.Write{Table: objectTable, Key: it.Key(), Delete: it.Value == nil}
 		if it.Value != nil {
 			w.Value, err = json.Marshal(it)
 			if err != nil {
-				return platform.Tx{}, eris.Wrap(err, "encode object")
+				return store.Tx{}, eris.Wrap(err, "encode object")
 			}
 		}
 		tx.Writes = append(tx.Writes, w)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -17,8 +17,8 @@
 
 	"topazmoor/internal/blackboard"
 	"topazmoor/internal/catalog"
-	"topazmoor/internal/platform"
 	_ "topazmoor/internal/standin/fixedseed"
+	"topazmoor/internal/store"
 )
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -67,7 +67,7 @@
 			bases[i] = rapid.Int64Range(0, 2).Draw(rt, "base")
 			delays[i] = time.Duration(rapid.IntRange(0, 300).Draw(rt, "delay")) * time.Millisecond
 		}
-		faults := platform.Faults{
+		faults := store.Faults{
 			LoseReplies: rapid.IntRange(0, 3).Draw(rt, "lose"), DropCommits: rapid.IntRange(0, 2).Draw(rt, "drop"),
 			LateCommits: rapid.IntRange(0, 2).Draw(rt, "late"), LateBy: 250 * time.Millisecond,
 			Delay: time.Duration(rapid.IntRange(0, 50).Draw(rt, "slow")) * time.Millisecond,
@@ -85,8 +85,8 @@
 	})
 }
 
-func race(bases []int64, delays []time.Duration, faults platform.Faults) (ops []porcupine.Operation, stored int, head int64) {
-	tables := platform.NewMemory()
+func race(bases []int64, delays []time.Duration, faults store.Faults) (ops []porcupine.Operation, stored int, head int64) {
+	tables := store.NewMemory()
 	tables.SetFaults(faults)
 	s := NewStore(tables)
 	var mu sync.Mutex
@@ -115,7 +115,7 @@
 	}
 	wg.Wait()
 	time.Sleep(time.Minute)
-	tables.SetFaults(platform.Faults{})
+	tables.SetFaults(store.Faults{})
 	changes, err := s.Changes(context.Background(), 0, 100)
 	if err != nil {
 		panic(err)
@@ -134,7 +134,7 @@
 
 func TestConfigNeverReverts(t *testing.T) {
 	c := qt.New(t)
-	f, cell := newFollower(NewStore(platform.NewMemory()))
+	f, cell := newFollower(NewStore(store.NewMemory()))
 	c.Assert(f.Adopt(5, drainItem("a")), qt.IsTrue)
 	c.Assert(f.Adopt(4, drainItem("b")), qt.IsFalse)
 	c.Assert(f.Offer(catalog.Change{Revision: 5, Items: drainItem("b")}), qt.IsFalse)
@@ -149,7 +149,7 @@
 func TestConfigChangeAheadIsFetched(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		s := NewStore(platform.NewMemory())
+		s := NewStore(store.NewMemory())
 		f, cell := newFollower(s)
 		for i := range int64(3) {
 			_, err := s.Submit(t.Context(), i, catalog.Change{ID: fmt.Sprint(i), Items: drainItem(fmt.Sprint(i))})
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -14,9 +14,9 @@
 	"pgregory.net/rapid"
 
 	"topazmoor/internal/control"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/standin"
 	_ "topazmoor/internal/standin/fixedseed"
+	"topazmoor/internal/store"
 )
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -25,18 +25,18 @@
 // be used twice: it reads the last number and writes the next, without a
 // condition of its own, so that only the fence keeps owners apart.
 type counter struct {
-	tables platform.Tables
+	tables store.Tables
 	node   string
 }
 
-func (c *counter) Step(ctx context.Context) ([]platform.Condition, []platform.Write, error) {
+func (c *counter) Step(ctx context.Context) ([]store.Condition, []store.Write, error) {
 	rows, err := c.tables.Scan(ctx, "count", "", "", 10_000)
 	if err != nil {
 		return nil, nil, err
 	}
 	// The owner is paused here, between the read and the commit, by the test.
-	w := platform.Write{Table: "count", Key: fmt.Sprintf("%06d", len(rows)), Value: []byte(c.node)}
-	return nil, []platform.Write{w}, nil
+	w := store.Write{Table: "count", Key: fmt.Sprintf("%06d", len(rows)), Value: []byte(c.node)}
+	return nil, []store.Write{w}, nil
 }
 
 // tracked notes every write of a counter row, so that an overwritten one shows.
@@ -46,7 +46,7 @@
 	writes map[string]int
 }
 
-func (t tracked) Commit(ctx context.Context, tx platform.Tx) (int64, error) {
+func (t tracked) Commit(ctx context.Context, tx store.Tx) (int64, error) {
 	v, err := t.Gate.Commit(ctx, tx)
 	if err == nil {
 		t.mu.Lock()
@@ -80,14 +80,14 @@
 		}
 		var twice, steps int
 		synctest.Test(t, func(*testing.T) {
-			store := platform.NewMemory()
+			twin := store.NewMemory()
 			writes := make(map[string]int)
 			var mu sync.Mutex
 			ctx, cancel := context.WithCancel(context.Background())
 			var wg sync.WaitGroup
 			var gates []*standin.Gate
 			for i := range 3 {
-				g := standin.NewGate(store)
+				g := standin.NewGate(twin)
 				gates = append(gates, g)
 				tables := tracked{Gate: g, mu: &mu, writes: writes}
 				name := fmt.Sprint("n", i)
@@ -131,28 +131,28 @@
 func TestSweepDeletesOnlyOldRows(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		store := platform.NewMemory()
+		twin := store.NewMemory()
 		for i := range 600 {
 			age := "new"
 			if i%2 == 0 {
 				age = "old"
 			}
-			_, err := store.Commit(t.Context(), platform.Tx{Writes: []platform.Write{{Table: "t", Key: fmt.Sprintf("a%04d", i), Value: []byte(age)}}})
+			_, err := twin.Commit(t.Context(), store.Tx{Writes: []store.Write{{Table: "t", Key: fmt.Sprintf("a%04d", i), Value: []byte(age)}}})
 			c.Assert(err, qt.IsNil)
 		}
-		sweep := &control.Sweep{Tables: store, Table: "t", Prefixes: []string{"a"}, Old: func(r platform.Row, _ time.Time) bool { return string(r.Value) == "old" }}
+		sweep := &control.Sweep{Tables: twin, Table: "t", Prefixes: []string{"a"}, Old: func(r store.Row, _ time.Time) bool { return string(r.Value) == "old" }}
 		id := 0
-		s := &control.Shard{Name: "s", Node: "n", Task: sweep, Tables: store, Log: quiet, Mine: func(string) bool { return true }, NewID: func() string { id++; return fmt.Sprint(id) }}
+		s := &control.Shard{Name: "s", Node: "n", Task: sweep, Tables: twin, Log: quiet, Mine: func(string) bool { return true }, NewID: func() string { id++; return fmt.Sprint(id) }}
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan error, 1)
 		go func() { done <- s.Serve(ctx) }()
 		time.Sleep(time.Minute)
 		cancel()
 		<-done
-		rows, err := store.Scan(t.Context(), "t", "", "", 1000)
+		rows, err := twin.Scan(t.Context(), "t", "", "", 1000)
 		c.Assert(err, qt.IsNil)
 		c.Assert(rows, qt.HasLen, 300)
-		events, err := control.Events(t.Context(), store, time.Time{}, 10)
+		events, err := control.Events(t.Context(), twin, time.Time{}, 10)
 		c.Assert(err, qt.IsNil)
 		c.Assert(events, qt.HasLen, 1)
 		c.Assert(events[0].Kind, qt.Equals, control.TakeOver)
--- a/internal/control/event.go
+++ b/internal/control/event.go
@@ -8,7 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"topazmoor/internal/platform"
+	"topazmoor/internal/store"
 )
 
 // eventTable holds what happened beside changes of the configuration.
@@ -43,8 +43,8 @@
 const eventsKept = 90 * 24 * time.Hour
 
 // SweepEvents returns the task that deletes old events.
-func SweepEvents(t platform.Tables) *Sweep {
-	return &Sweep{Tables: t, Table: eventTable, Prefixes: []string{""}, Old: func(r platform.Row, now time.Time) bool {
+func SweepEvents(t store.Tables) *Sweep {
+	return &Sweep{Tables: t, Table: eventTable, Prefixes: []string{""}, Old: func(r store.Row, now time.Time) bool {
 		var e Event
 		return json.Unmarshal(r.Value, &e) == nil && now.Sub(e.At) > eventsKept
 	}}
@@ -52,26 +52,26 @@
 
 // Write returns the write that records the event. The key orders events by
 // time and is unique by id.
-func (e Event) Write(id string) (platform.Write, error) {
+func (e Event) Write(id string) (store.Write, error) {
 	value, err := json.Marshal(e)
 	if err != nil {
-		return platform.Write{}, eris.Wrap(err, "encode event")
+		return store.Write{}, eris.Wrap(err, "encode event")
 	}
-	return platform.Write{Table: eventTable, Key: fmt.Sprintf("%020d-%s", e.At.UnixNano(), id), Value: value}, nil
+	return store.Write{Table: eventTable, Key: fmt.Sprintf("%020d-%s", e.At.UnixNano(), id), Value: value}, nil
 }
 
 // Record stores an event by itself.
-func Record(ctx context.Context, t platform.Tables, id string, e Event) error {
+func Record(ctx context.Context, t store.Tables, id string, e Event) error {
 	w, err := e.Write(id)
 	if err != nil {
 		return err
 	}
-	_, err = t.Commit(ctx, platform.Tx{Writes: []platform.Write{w}})
+	_, err = t.Commit(ctx, store.Tx{Writes: []store.Write{w}})
 	return err
 }
 
 // Events returns up to limit events after a time, in order.
-func Events(ctx context.Context, t platform.Tables, after time.Time, limit int) ([]Event, error) {
+func Events(ctx context.Context, t store.Tables, after time.Time, limit int) ([]Event, error) {
 	from := ""
 	if !after.IsZero() {
 		from = fmt.Sprintf("%020d~", after.UnixNano())
--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -17,7 +17,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"topazmoor/internal/platform"
+	"topazmoor/internal/store"
 )
 
 const (
@@ -51,7 +51,7 @@
 type Task interface {
 	// Step does a bounded piece of work. What it wants to make durable it
 	// returns as conditions and writes, which are committed under the fence.
-	Step(ctx context.Context) (conds []platform.Condition, writes []platform.Write, err error)
+	Step(ctx context.Context) (conds []store.Condition, writes []store.Write, err error)
 }
 
 // Shard is one piece of control work at one node. It implements suture.Service.
@@ -64,7 +64,7 @@
 	// Mine reports whether this node is the shard's first choice; others wait
 	// longer before they take it over.
 	Mine   func(name string) bool
-	Tables platform.Tables
+	Tables store.Tables
 	NewID  func() string
 	Log    *slog.Logger
 
@@ -119,7 +119,7 @@
 // takeOver tries to become the owner if the shard is free.
 func (s *Shard) takeOver(ctx context.Context) bool {
 	r, err := s.Tables.Get(ctx, shardTable, s.Name)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		return false
 	}
 	s.cur = row{}
@@ -139,7 +139,7 @@
 	if err != nil {
 		return false
 	}
-	if err := s.commit(ctx, nil, []platform.Write{w}); err != nil {
+	if err := s.commit(ctx, nil, []store.Write{w}); err != nil {
 		return false
 	}
 	s.Log.Info("control shard taken", "shard", s.Name, "epoch", s.cur.Epoch)
@@ -161,24 +161,24 @@
 
 // commit writes the row anew together with the effects, if the row is as this
 // node left it.
-func (s *Shard) commit(ctx context.Context, conds []platform.Condition, writes []platform.Write) error {
+func (s *Shard) commit(ctx context.Context, conds []store.Condition, writes []store.Write) error {
 	s.cur.Beat = s.NewID()
 	value, err := json.Marshal(s.cur)
 	if err != nil {
 		return eris.Wrap(err, "encode shard")
 	}
-	tx := platform.Tx{
-		Conditions: append([]platform.Condition{{Table: shardTable, Key: s.Name, Version: s.version}}, conds...),
-		Writes:     append([]platform.Write{{Table: shardTable, Key: s.Name, Value: value}}, writes...),
+	tx := store.Tx{
+		Conditions: append([]store.Condition{{Table: shardTable, Key: s.Name, Version: s.version}}, conds...),
+		Writes:     append([]store.Write{{Table: shardTable, Key: s.Name, Value: value}}, writes...),
 	}
-	applied, err := platform.CommitSettled(ctx, s.Tables, tx, settlePause)
-	var conflict *platform.ConflictError
+	applied, err := store.CommitSettled(ctx, s.Tables, tx, settlePause)
+	var conflict *store.ConflictError
 	switch {
 	case errors.As(err, &conflict) && (len(conflict.Failed) == 0 || conflict.Failed[0] == 0):
 		s.owned = false
 		return ErrLost
 	case err != nil || !applied:
-		return eris.Wrap(platform.ErrUnknown, "control commit")
+		return eris.Wrap(store.ErrUnknown, "control commit")
 	}
 	return s.refresh(ctx, value)
 }
--- /dev/null
+++ b/internal/entry/callers.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"topazmoor/internal/routes"
+)
+
+const (
+	// defaultHeaderBytes, defaultHeaderTimeout and defaultIdleTimeout hold until
+	// a configuration says otherwise.
+	defaultHeaderBytes   = 16 << 10
+	defaultHeaderTimeout = 5 * time.Second
+	defaultIdleTimeout   = 60 * time.Second
+	// idleSlack is added to the idle timeout: callers use connections up to it.
+	idleSlack = 2 * time.Second
+)
+
+// callers accepts the connections of callers. When the configuration changes
+// its limits, new connections get a server with the new ones, and connections
+// that are open keep theirs. It implements suture.Service.
+type callers struct {
+	ln      net.Listener
+	handler http.Handler
+	log     *slog.Logger
+
+	mu      sync.Mutex
+	limits  routes.Limits
+	current *http.Server
+	all     []*http.Server
+	conns   chan net.Conn
+	closed  bool
+}
+
+func newCallers(ln net.Listener, h http.Handler, log *slog.Logger) *callers {
+	c := &callers{ln: ln, handler: h, log: log}
+	c.swap(routes.Limits{})
+	return c
+}
+
+// setLimits swaps the server if the limits changed.
+func (c *callers) setLimits(l routes.Limits) {
+	c.mu.Lock()
+	same := l == c.limits
+	c.mu.Unlock()
+	if !same {
+		c.swap(l)
+	}
+}
+
+// swap starts a server with the given limits and hands it all new connections.
+func (c *callers) swap(l routes.Limits) {
+	srv := &http.Server{
+		Handler: c.handler, MaxHeaderBytes: defaultHeaderBytes,
+		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		ErrorLog: slog.NewLogLogger(c.log.Handler(), slog.LevelDebug),
+	}
+	if l.HeaderBytes > 0 {
+		srv.MaxHeaderBytes = int(l.HeaderBytes)
+	}
+	if l.HeaderTimeout > 0 {
+		srv.ReadHeaderTimeout = l.HeaderTimeout
+	}
+	if l.IdleTimeout > 0 {
+		srv.IdleTimeout = l.IdleTimeout + idleSlack
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.limits = l
+	c.conns = make(chan net.Conn)
+	c.current = srv
+	c.all = append(c.all, srv)
+	feed := &connFeed{addr: c.ln.Addr(), conns: c.conns, done: make(chan struct{})}
+	go func() {
+		if err := srv.Serve(feed); !errors.Is(err, http.ErrServerClosed) {
+			c.log.Error("server of callers ended", "err", err)
+		}
+	}()
+}
+
+// Serve implements suture.Service: it accepts connections.
+func (c *callers) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { c.ln.Close() })
+	defer stop()
+	for {
+		conn, err := c.ln.Accept()
+		if errors.Is(err, net.ErrClosed) || ctx.Err() != nil {
+			return suture.ErrDoNotRestart
+		}
+		if err != nil {
+			c.log.Warn("connection not accepted", "err", err)
+			return err
+		}
+		c.mu.Lock()
+		conns := c.conns
+		c.mu.Unlock()
+		select {
+		case conns <- conn:
+		case <-ctx.Done():
+			conn.Close()
+		}
+	}
+}
+
+// shutdown closes idle connections and waits for the requests in flight.
+func (c *callers) shutdown(ctx context.Context) error {
+	c.ln.Close()
+	c.mu.Lock()
+	c.closed = true
+	all := c.all
+	c.mu.Unlock()
+	errs := make([]error, len(all))
+	var wg sync.WaitGroup
+	for i, s := range all {
+		wg.Go(func() { errs[i] = s.Shutdown(ctx) })
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
+// close ends everything at once.
+func (c *callers) close() {
+	c.ln.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for _, s := range c.all {
+		s.Close()
+	}
+}
+
+// connFeed is a listener whose connections come from another one.
+type connFeed struct {
+	addr  net.Addr
+	conns chan net.Conn
+	once  sync.Once
+	done  chan struct{}
+}
+
+// Accept implements net.Listener.
+func (f *connFeed) Accept() (net.Conn, error) {
+	select {
+	case c := <-f.conns:
+		return c, nil
+	case <-f.done:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (f *connFeed) Close() error {
+	f.once.Do(func() { close(f.done) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (f *connFeed) Addr() net.Addr { return f.addr }
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,291 @@
+// Package entry assembles a node that serves pass-through requests: it follows
+// the configuration, the targets and the other nodes in the store, forms or
+// orders batches, answers callers, and stops gracefully. It keeps nothing that
+// must last: after a loss of power it starts from the store alone.
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/thejerf/suture/v4"
+
+	"topazmoor/internal/blackboard"
+	"topazmoor/internal/flow"
+	"topazmoor/internal/httpconn"
+	"topazmoor/internal/metrics"
+	"topazmoor/internal/passthrough"
+	"topazmoor/internal/routes"
+	"topazmoor/internal/stagebatch"
+	"topazmoor/internal/store"
+	"topazmoor/internal/targets"
+	"topazmoor/internal/watch"
+)
+
+// Settings is what an entry node is told at its start.
+type Settings struct {
+	Node, DataCentre, Region string
+	// ListenCallers takes callers, ListenReady answers the balancer, and
+	// ListenPeers takes calls of other nodes; all are IP:port.
+	ListenCallers, ListenReady, ListenPeers string
+	// MemoryBytes is the process's limit; 0 for none.
+	MemoryBytes int64
+	// StopGrace is how long a process has between the signal to stop and its
+	// end.
+	StopGrace time.Duration
+	Repeats   RepeatBudget
+}
+
+// RepeatBudget bounds requests that are sent again, over all nodes.
+type RepeatBudget struct {
+	// Ratio is the share of the requests for a service, Fixed a number beside
+	// it, in each Window.
+	Ratio, Fixed float64
+	Window       time.Duration
+}
+
+// Sources says where the store holds what a node follows, and how to read it.
+type Sources struct {
+	ConfigTable string
+	// Config returns nil when there is no configuration yet.
+	Config      func(rows map[string]store.Row) (*routes.Config, error)
+	TargetTable string
+	Targets     func(rows map[string]store.Row) []targets.Target
+}
+
+// Env is the outside world of a node; tests replace it.
+type Env struct {
+	Dial   httpconn.Dial
+	Listen func(addr string) (net.Listener, error)
+	Store  store.Store
+	Conns  *httpconn.Pool
+	Wire   passthrough.Wire
+	Worker stagebatch.Worker
+	Sources
+	// Reload reads the settings again.
+	Reload func() (Settings, error)
+	Log    *slog.Logger
+}
+
+// Board is the node's blackboard.
+type Board struct {
+	Routes  blackboard.Cell[*routes.Config]
+	Members blackboard.Cell[[]stagebatch.Node]
+}
+
+// Node is one entry node.
+type Node struct {
+	set     Settings
+	env     Env
+	log     *slog.Logger
+	board   Board
+	targets *targets.Table
+	config  *watch.Table
+	servers *watch.Table
+	peers   *peers
+	former  *stagebatch.Former
+	router  *stagebatch.Router
+	front   *passthrough.Server
+	callers *callers
+	ready   *http.Server
+	readyLn net.Listener
+	metrics *metrics.Entry
+	// memberRows is the member table as it was last seen.
+	memberRows blackboard.Cell[map[string]store.Row]
+
+	started  time.Time
+	stopOnce sync.Once
+	stopping chan struct{}
+	stopped  atomic.Bool
+}
+
+const (
+	// defaultBodyBytes and defaultReadTimeout hold until a configuration says
+	// otherwise.
+	defaultBodyBytes   = 4 << 20
+	defaultReadTimeout = 5 * time.Second
+	// memoryShare of the limit is the soft limit of the Go runtime; the rest is
+	// for what it does not see.
+	memoryShare = 0.75
+)
+
+// Provision builds a node and opens its listeners.
+func Provision(set Settings, env Env) (*Node, error) {
+	n := &Node{set: set, env: env, log: env.Log, started: time.Now(), stopping: make(chan struct{}), metrics: metrics.NewEntry()}
+	if set.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
+	}
+	n.targets = targets.New(set.DataCentre)
+	n.config = &watch.Table{Name: env.ConfigTable, From: env.Store, Apply: n.applyConfig, Log: n.log}
+	n.servers = &watch.Table{Name: env.TargetTable, From: env.Store, Apply: n.applyTargets, Log: n.log}
+	n.former = stagebatch.NewFormer(env.Worker, n.targets, n.batchSpec, n.log)
+	var err error
+	if n.peers, err = n.provisionPeers(); err != nil {
+		return nil, err
+	}
+	n.router = stagebatch.NewRouter(set.Node, n.former, n.peers.client, n.board.Members.Get, n.log)
+	n.front = passthrough.New(passthrough.Config{
+		Routes: n.board.Routes.Get, Current: n.config.Connected, Targets: n.targets, Stages: n.router,
+		Sender: env.Conns, Wire: env.Wire,
+		Repeats:   flow.NewRepeatBudgets(set.Repeats.Ratio, set.Repeats.Fixed, set.Repeats.Window, n.router.Live),
+		BodyBytes: defaultBodyBytes, ReadTimeout: defaultReadTimeout, Observer: n.metrics, Log: n.log,
+	})
+	if err := n.provisionServers(); err != nil {
+		n.close()
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) provisionServers() error {
+	ln, err := n.env.Listen(n.set.ListenCallers)
+	if err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	n.callers = newCallers(ln, n.front, n.log)
+	if n.readyLn, err = n.env.Listen(n.set.ListenReady); err != nil {
+		return eris.Wrap(err, "listen for the balancer")
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /readyz", n.serveReady)
+	mux.Handle("GET /metrics", n.metrics.Handler())
+	n.ready = &http.Server{Handler: mux, ReadHeaderTimeout: defaultReadTimeout}
+	return nil
+}
+
+// batchSpec describes the targets of a stage pool.
+func (n *Node) batchSpec(service string) *routes.Batch {
+	cfg := n.board.Routes.Get()
+	if cfg == nil || cfg.Services[service] == nil {
+		return nil
+	}
+	return cfg.Services[service].Batch
+}
+
+// applyConfig puts a newer configuration in force.
+func (n *Node) applyConfig(v watch.View) {
+	cfg, err := n.env.Sources.Config(v.Rows)
+	if err != nil {
+		n.log.Error("configuration not taken: it cannot be read", "row_version", v.Version, "err", err)
+		return
+	}
+	old := n.board.Routes.Get()
+	if cfg == nil || (old != nil && cfg.Version <= old.Version) {
+		return
+	}
+	n.board.Routes.Store(cfg)
+	n.callers.setLimits(cfg.Limits)
+	before := int64(0)
+	if old != nil {
+		before = old.Version
+	}
+	n.log.Info("configuration in force", "config", cfg.Version, "before", before, "row_version", v.Version)
+}
+
+// applyTargets takes in a list of targets.
+func (n *Node) applyTargets(v watch.View) {
+	changes, gone := n.targets.Update(n.env.Sources.Targets(v.Rows), v.Regained)
+	for _, addr := range gone {
+		n.env.Conns.Forget(addr)
+	}
+	for _, c := range changes {
+		n.log.Info("target "+c.What, "target", c.ID, "addr", c.Addr, "service", c.Service, "row_version", v.Version)
+	}
+}
+
+// Serve runs the node until ctx ends or a graceful stop is complete.
+func (n *Node) Serve(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sup := suture.New(n.set.Node, suture.Spec{EventHook: func(e suture.Event) { n.log.Warn("supervisor", "event", e.String()) }})
+	for _, s := range []suture.Service{n.config, n.servers, n.peers, n.peers.server, n.peers.members, n.callers, &sweeper{n}} {
+		sup.Add(s)
+	}
+	go func() { _ = n.ready.Serve(n.readyLn) }()
+	done := sup.ServeBackground(ctx)
+	n.log.Info("node serves", "callers", n.set.ListenCallers, "ready", n.set.ListenReady, "peers", n.set.ListenPeers, "data_centre", n.set.DataCentre)
+	select {
+	case <-ctx.Done():
+	case <-n.stopping:
+		n.stop(ctx)
+	}
+	cancel()
+	err := <-done
+	n.close()
+	if err == nil || errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return eris.Wrap(err, "supervisor")
+}
+
+func (n *Node) close() {
+	if n.callers != nil {
+		n.callers.close()
+	}
+	if n.readyLn != nil {
+		n.readyLn.Close()
+	}
+	n.peers.close()
+	n.env.Conns.Close()
+}
+
+// Ready reports whether the balancer should send callers here, and why not.
+func (n *Node) Ready() (bool, string) {
+	switch {
+	case n.stopped.Load():
+		return false, "stopping"
+	case n.board.Routes.Get() == nil:
+		return false, "no configuration yet"
+	case !n.targets.Seen():
+		return false, "no targets yet"
+	}
+	return true, ""
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
+	ready, reason := n.Ready()
+	if !ready {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Reload reads the settings again and logs that it did. What they say of this
+// process's addresses and limits holds from its next start.
+func (n *Node) Reload() {
+	set, err := n.env.Reload()
+	if err != nil {
+		n.log.Error("settings not reloaded", "err", err)
+		return
+	}
+	n.log.Info("settings reloaded", "changed", set != n.set)
+}
+
+// sweeper closes connections whose time is over. It implements suture.Service.
+type sweeper struct{ n *Node }
+
+// sweepInterval is the pause between two sweeps.
+const sweepInterval = 3 * time.Second
+
+// Serve implements suture.Service.
+func (s *sweeper) Serve(ctx context.Context) error {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-tick.C:
+			s.n.env.Conns.Sweep(now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,238 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	mathrand "math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"topazmoor/internal/peer"
+	"topazmoor/internal/stagebatch"
+	"topazmoor/internal/store"
+	"topazmoor/internal/watch"
+)
+
+// Tables of the node's own in the store.
+const (
+	// memberTable has a row a node, by name.
+	memberTable = "members"
+	// keyTable holds the secret that all nodes share.
+	keyTable = "keys"
+	peerKey  = "peer"
+)
+
+const (
+	// keyBytes is the length of the shared secret.
+	keyBytes = 32
+	// enterRetry is the pause between tries to reach the store, half random.
+	enterRetry = 400 * time.Millisecond
+	// enterAgain is how often a node looks whether its row still stands.
+	enterAgain = 5 * time.Second
+	// leaveTimeout bounds the removal of the row at a stop.
+	leaveTimeout = 2 * time.Second
+)
+
+// member is a row of the member table.
+type member struct {
+	Addr       string `json:"addr"`
+	DataCentre string `json:"data_centre"`
+	// Started tells one process of a node from the next, in Unix nanoseconds.
+	Started int64 `json:"started"`
+}
+
+// peers is the node's side of the other nodes. It implements suture.Service.
+type peers struct {
+	n       *Node
+	client  *lateClient
+	server  *lateServer
+	members *watch.Table
+	row     []byte
+	left    atomic.Bool
+}
+
+func (n *Node) provisionPeers() (*peers, error) {
+	ln, err := n.env.Listen(n.set.ListenPeers)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for peers")
+	}
+	p := &peers{n: n, client: &lateClient{}, server: &lateServer{ln: ln, key: make(chan []byte, 1)}}
+	p.server.start = func(key []byte) *peer.Server {
+		return peer.NewServer(ln, key, n.set.Node, peer.Handler{Stages: n.former}, n.log)
+	}
+	p.row, err = json.Marshal(member{Addr: ln.Addr().String(), DataCentre: n.set.DataCentre, Started: n.started.UnixNano()})
+	if err != nil {
+		return nil, eris.Wrap(err, "encode member")
+	}
+	p.members = &watch.Table{Name: memberTable, From: n.env.Store, Apply: p.apply, Log: n.log}
+	return p, nil
+}
+
+// Serve implements suture.Service: it fetches the shared secret and keeps this
+// node's row in the member table.
+func (p *peers) Serve(ctx context.Context) error {
+	key, err := p.sharedKey(ctx)
+	if err != nil {
+		return err
+	}
+	p.client.set(peer.NewClient(peer.Dial(p.n.env.Dial), key, p.n.set.Node))
+	p.server.key <- key
+	for {
+		wait := enterAgain
+		if err := p.enter(ctx); err != nil {
+			wait = enterRetry
+		}
+		if !sleep(ctx, wait) {
+			return ctx.Err()
+		}
+	}
+}
+
+// sleep waits for about d and reports whether ctx still lasts.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d/2 + mathrand.N(d/2)):
+		return true
+	}
+}
+
+// sharedKey reads the secret of all nodes, or makes it: the first commit wins.
+func (p *peers) sharedKey(ctx context.Context) ([]byte, error) {
+	for {
+		r, err := p.n.env.Store.Get(ctx, keyTable, peerKey)
+		if err == nil {
+			return r.Value, nil
+		}
+		if errors.Is(err, store.ErrNotFound) {
+			secret := make([]byte, keyBytes)
+			// crypto/rand.Read never fails.
+			_, _ = rand.Read(secret)
+			_, err = p.n.env.Store.Commit(ctx, store.Tx{
+				Conditions: []store.Condition{{Table: keyTable, Key: peerKey}},
+				Writes:     []store.Write{{Table: keyTable, Key: peerKey, Value: secret}},
+			})
+			// Whoever wrote it: the next read tells.
+			if err == nil {
+				continue
+			}
+		}
+		p.n.log.Info("shared secret not read yet", "err", err)
+		if !sleep(ctx, enterRetry) {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// enter writes this node's row unless it stands.
+func (p *peers) enter(ctx context.Context) error {
+	if p.left.Load() {
+		return nil
+	}
+	r, ok := p.rows()[p.n.set.Node]
+	if ok && string(r.Value) == string(p.row) {
+		return nil
+	}
+	_, err := p.n.env.Store.Commit(ctx, store.Tx{Writes: []store.Write{{Table: memberTable, Key: p.n.set.Node, Value: p.row}}})
+	if err != nil {
+		p.n.log.Info("this node's entry not written yet", "err", err)
+	}
+	return err
+}
+
+// rows returns the member table as it was last seen.
+func (p *peers) rows() map[string]store.Row {
+	return p.n.memberRows.Get()
+}
+
+// apply takes in the member table.
+func (p *peers) apply(v watch.View) {
+	p.n.memberRows.Store(v.Rows)
+	var out []stagebatch.Node
+	for name, r := range v.Rows {
+		var m member
+		if err := json.Unmarshal(r.Value, &m); err != nil {
+			p.n.log.Error("entry of a node left out", "peer", name, "err", err)
+			continue
+		}
+		if name != p.n.set.Node {
+			out = append(out, stagebatch.Node{Name: name, Addr: m.Addr})
+		}
+	}
+	p.n.board.Members.Store(out)
+	p.n.log.Info("nodes known", "others", len(out), "row_version", v.Version)
+}
+
+// leave removes the row at a planned stop, so that others stop ordering
+// batches here.
+func (p *peers) leave(ctx context.Context) {
+	p.left.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	_, err := p.n.env.Store.Commit(ctx, store.Tx{Writes: []store.Write{{Table: memberTable, Key: p.n.set.Node, Delete: true}}})
+	if err != nil {
+		p.n.log.Warn("this node's entry not removed", "err", err)
+	}
+}
+
+func (p *peers) close() {
+	p.server.close()
+	p.client.close()
+}
+
+// lateClient is a peer client that exists once the shared secret is known. It
+// implements stagebatch.Remote.
+type lateClient struct{ c atomic.Pointer[peer.Client] }
+
+var errNoKey = eris.New("entry: the shared secret is not known yet")
+
+func (l *lateClient) set(c *peer.Client) { l.c.Store(c) }
+
+// Produce implements stagebatch.Remote.
+func (l *lateClient) Produce(ctx context.Context, addr string, o stagebatch.Order, accepted func(time.Duration)) (stagebatch.Result, error) {
+	c := l.c.Load()
+	if c == nil {
+		return stagebatch.Result{}, errNoKey
+	}
+	return c.Produce(ctx, addr, o, accepted)
+}
+
+// Free implements stagebatch.Remote.
+func (l *lateClient) Free(ctx context.Context, addr, service string, handles []string) error {
+	c := l.c.Load()
+	if c == nil {
+		return errNoKey
+	}
+	return c.Free(ctx, addr, service, handles)
+}
+
+func (l *lateClient) close() {
+	if c := l.c.Load(); c != nil {
+		c.Close()
+	}
+}
+
+// lateServer serves peers once the shared secret is known. It implements
+// suture.Service.
+type lateServer struct {
+	ln    interface{ Close() error }
+	key   chan []byte
+	start func(key []byte) *peer.Server
+}
+
+// Serve implements suture.Service.
+func (l *lateServer) Serve(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case key := <-l.key:
+		return l.start(key).Serve(ctx)
+	}
+}
+
+func (l *lateServer) close() { l.ln.Close() }
--- a/internal/experiment/capacity_test.go
+++ b/internal/experiment/capacity_test.go
@@ -16,9 +16,9 @@
 	"topazmoor/internal/membership"
 	"topazmoor/internal/peer/peerpb"
 	"topazmoor/internal/pipeline"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/scheduler"
 	"topazmoor/internal/settings"
+	"topazmoor/internal/store"
 )
 
 // The benchmarks of this file measure the slopes of docs/CAPACITY.md.
@@ -98,11 +98,11 @@
 func BenchmarkCapacityTargets(b *testing.B) {
 	for _, n := range []int{12, 100, 670} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			var hosts []platform.Host
+			var hosts []store.Host
 			for i := range n {
-				hosts = append(hosts, platform.Host{
+				hosts = append(hosts, store.Host{
 					ID: fmt.Sprintf("host-%04d", i), Addr: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Pool: fmt.Sprint("pool-", i%8),
-					DataCentre: "dc", Models: []string{"a", "b"}, Slots: 8, State: platform.Live,
+					DataCentre: "dc", Models: []string{"a", "b"}, Slots: 8, State: store.Live,
 				})
 			}
 			never := func(string) bool { return false }
@@ -153,10 +153,10 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			g := &gatedCaller{gate: make(chan struct{})}
 			s := scheduler.New(scheduler.DefaultConfig("dc", 1))
-			var hosts []platform.Host
+			var hosts []store.Host
 			for _, p := range Harbour.Pools() {
 				for i := range p.Targets {
-					hosts = append(hosts, platform.Host{ID: fmt.Sprint(p.Pool.Name, i), Pool: p.Pool.Name, Slots: 100_000, State: platform.Live})
+					hosts = append(hosts, store.Host{ID: fmt.Sprint(p.Pool.Name, i), Pool: p.Pool.Name, Slots: 100_000, State: store.Live})
 				}
 			}
 			s.SetHosts(hosts, func(string) bool { return false })
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -14,9 +14,9 @@
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/naive"
 	"topazmoor/internal/pipeline"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/scheduler"
 	"topazmoor/internal/settings"
+	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
 )
 
@@ -217,10 +217,10 @@
 func Run(d Deployment, sc Scenario, policy string, seed uint64) Result {
 	pools := d.Pools()
 	targets := NewTargets(pools, d.OneWay, seed)
-	store := platform.NewMemory()
+	twin := store.NewMemory()
 	ctx, cancel := context.WithCancel(context.Background())
-	nodes := newNodes(ctx, d, sc, policy, targets, store, pools)
-	disturb(sc, targets, store)
+	nodes := newNodes(ctx, d, sc, policy, targets, twin, pools)
+	disturb(sc, targets, twin)
 	out := drive(d, sc, nodes, seed)
 	cancel()
 	// Everything that was cancelled must end before the bubble does.
@@ -229,7 +229,7 @@
 }
 
 // disturb starts the scenario's faults.
-func disturb(sc Scenario, t *Targets, store *platform.Memory) {
+func disturb(sc Scenario, t *Targets, twin *store.Memory) {
 	const at = 10 * time.Second
 	if sc.SlowPool != "" {
 		time.AfterFunc(at, func() { t.Slow(sc.SlowPool, sc.SlowFactor) })
@@ -238,7 +238,7 @@
 		time.AfterFunc(at, func() { t.Kill(sc.DeadPool, 0.25) })
 	}
 	if sc.StoreDown {
-		time.AfterFunc(at, func() { store.SetFaults(platform.Faults{Down: true}) })
+		time.AfterFunc(at, func() { twin.SetFaults(store.Faults{Down: true}) })
 	}
 }
 
@@ -358,7 +358,7 @@
 // Wasted implements pipeline.Observer.
 func (ignore) Wasted(string, string, time.Duration) {}
 
-func newNodes(ctx context.Context, d Deployment, sc Scenario, policy string, t *Targets, store *platform.Memory, pools []PoolModel) []Policy {
+func newNodes(ctx context.Context, d Deployment, sc Scenario, policy string, t *Targets, twin *store.Memory, pools []PoolModel) []Policy {
 	var sets []settings.Pool
 	for _, p := range pools {
 		sets = append(sets, p.Pool)
@@ -366,7 +366,7 @@
 	nodes := make([]Policy, d.Nodes)
 	var scheds []*scheduler.Scheduler
 	for i := range nodes {
-		table := ledger.NewTableBook(store, 20*time.Millisecond, quiet)
+		table := ledger.NewTableBook(twin, 20*time.Millisecond, quiet)
 		if policy == "naive" {
 			nodes[i] = &naiveNode{r: naive.New(t, t.Hosts()), claims: table}
 			continue
--- a/internal/experiment/targets.go
+++ b/internal/experiment/targets.go
@@ -13,8 +13,8 @@
 
 	"topazmoor/internal/dispatch"
 	"topazmoor/internal/pipeline"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/settings"
+	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
 )
 
@@ -62,7 +62,7 @@
 // Targets is a set of fake targets; it implements pipeline.Caller.
 type Targets struct {
 	byID  map[string]*fakeTarget
-	hosts []platform.Host
+	hosts []store.Host
 	one   time.Duration
 
 	mu   sync.Mutex
@@ -80,8 +80,8 @@
 		for i := range p.Targets {
 			id := p.Pool.Name + "-" + string(rune('a'+i))
 			t.byID[id] = &fakeTarget{model: p, free: p.Slots, slow: 1}
-			t.hosts = append(t.hosts, platform.Host{
-				ID: id, Addr: id, Pool: p.Pool.Name, DataCentre: "dc-" + string(rune('1'+i%4)), Slots: p.Slots, State: platform.Live,
+			t.hosts = append(t.hosts, store.Host{
+				ID: id, Addr: id, Pool: p.Pool.Name, DataCentre: "dc-" + string(rune('1'+i%4)), Slots: p.Slots, State: store.Live,
 			})
 		}
 	}
@@ -89,7 +89,7 @@
 }
 
 // Hosts returns the host list.
-func (t *Targets) Hosts() []platform.Host { return t.hosts }
+func (t *Targets) Hosts() []store.Host { return t.hosts }
 
 // Load returns the calls at a target.
 func (t *Targets) Load(id string) int {
--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -14,7 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/control"
-	"topazmoor/internal/platform"
+	"topazmoor/internal/store"
 )
 
 const (
@@ -40,7 +40,7 @@
 // Controller is the task of the control shard that balances models. It
 // implements control.Task.
 type Controller struct {
-	Tables platform.Tables
+	Tables store.Tables
 	// Engines returns the engines of the host list, and Demand the demand over
 	// all nodes.
 	Engines func() []Engine
@@ -61,7 +61,7 @@
 
 // Step implements control.Task: it sends the orders that are stored and not yet
 // done, and decides new ones, which the shard commits under its fence.
-func (c *Controller) Step(ctx context.Context) ([]platform.Condition, []platform.Write, error) {
+func (c *Controller) Step(ctx context.Context) ([]store.Condition, []store.Write, error) {
 	engines := c.Engines()
 	orders, err := c.orders(ctx)
 	if err != nil {
@@ -72,7 +72,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	var writes []platform.Write
+	var writes []store.Write
 	for _, o := range Decide(time.Now().UTC(), c.Limits, engines, demand, orders, &c.mem) {
 		o.Fencing = c.Epoch()
 		value, err := json.Marshal(o)
@@ -88,7 +88,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		writes = append(writes, platform.Write{Table: orderTable, Key: o.Engine, Value: value}, record)
+		writes = append(writes, store.Write{Table: orderTable, Key: o.Engine, Value: value}, record)
 	}
 	return nil, writes, nil
 }
--- a/internal/frontdoor/frontdoor_test.go
+++ b/internal/frontdoor/frontdoor_test.go
@@ -21,9 +21,9 @@
 	"topazmoor/internal/dispatch"
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/pipeline"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/scheduler"
 	"topazmoor/internal/settings"
+	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
 )
 
@@ -50,11 +50,11 @@
 		t.Fatal(err)
 	}
 	sched := scheduler.New(scheduler.DefaultConfig("dc", 1))
-	sched.SetHosts([]platform.Host{{ID: "t", Pool: "svc", Slots: 4, State: platform.Live}}, func(string) bool { return false })
+	sched.SetHosts([]store.Host{{ID: "t", Pool: "svc", Slots: 4, State: store.Live}}, func(string) bool { return false })
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	tickets := ledger.NewTickets([]byte("secret"), "n", "10.0.0.1:1", "i", time.Minute, func() string { return "nonce" })
 	book := ledger.NewTicketBook(tickets)
-	router := ledger.NewRouter("n", tickets, book, ledger.NewTableBook(platform.NewMemory(), time.Millisecond, log), ledger.Alone{})
+	router := ledger.NewRouter("n", tickets, book, ledger.NewTableBook(store.NewMemory(), time.Millisecond, log), ledger.Alone{})
 	id := 0
 	return New(Config{
 		Node: "n", Catalog: func() *catalog.Compiled { return cfg },
--- a/internal/frontdoor/reply.go
+++ b/internal/frontdoor/reply.go
@@ -55,6 +55,7 @@
 	verdict.UnknownPipeline:     http.StatusNotFound,
 	verdict.NotFound:            http.StatusNotFound,
 	verdict.TooLarge:            http.StatusRequestEntityTooLarge,
+	verdict.BodyTimeout:         http.StatusRequestTimeout,
 	verdict.RateLimited:         http.StatusTooManyRequests,
 	verdict.Overloaded:          http.StatusServiceUnavailable,
 	verdict.DeadlineUnreachable: http.StatusServiceUnavailable,
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -14,8 +14,8 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"topazmoor/internal/platform"
 	_ "topazmoor/internal/standin/fixedseed"
+	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
 )
 
@@ -81,7 +81,7 @@
 	book   int
 	finish bool
 	keep   bool
-	faults platform.Faults
+	faults store.Faults
 	fault  bool
 }
 
@@ -96,7 +96,7 @@
 				at:   time.Duration(rapid.IntRange(0, 400).Draw(rt, "at")) * time.Millisecond,
 				book: rapid.IntRange(0, 2).Draw(rt, "book"), finish: rapid.Bool().Draw(rt, "finish"),
 				keep: rapid.Bool().Draw(rt, "keep"), fault: rapid.Bool().Draw(rt, "fault"),
-				faults: platform.Faults{
+				faults: store.Faults{
 					Down:        rapid.Bool().Draw(rt, "down"),
 					LoseReplies: rapid.IntRange(0, 2).Draw(rt, "lose"),
 					DropCommits: rapid.IntRange(0, 2).Draw(rt, "drop"),
@@ -114,10 +114,10 @@
 }
 
 func runBooks(steps []linStep) []porcupine.Operation {
-	store := platform.NewMemory()
+	twin := store.NewMemory()
 	books := make([]*TableBook, 3)
 	for i := range books {
-		books[i] = NewTableBook(store, 5*time.Millisecond, quiet)
+		books[i] = NewTableBook(twin, 5*time.Millisecond, quiet)
 	}
 	h := &history{}
 	var wg sync.WaitGroup
@@ -125,8 +125,8 @@
 		wg.Go(func() {
 			time.Sleep(s.at)
 			if s.fault {
-				store.SetFaults(s.faults)
-				time.AfterFunc(200*time.Millisecond, func() { store.SetFaults(platform.Faults{}) })
+				twin.SetFaults(s.faults)
+				time.AfterFunc(200*time.Millisecond, func() { twin.SetFaults(store.Faults{}) })
 			}
 			h.attempt(books[s.book], i, s)
 		})
--- a/internal/ledger/table.go
+++ b/internal/ledger/table.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/control"
-	"topazmoor/internal/platform"
+	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
 )
 
@@ -24,10 +24,10 @@
 
 // Sweep returns the task of sweep shard i: it deletes claims whose attempt
 // ended longer ago than the repeat window. A key is not protected after that.
-func Sweep(t platform.Tables, i int, window time.Duration) *control.Sweep {
+func Sweep(t store.Tables, i int, window time.Duration) *control.Sweep {
 	return &control.Sweep{
 		Tables: t, Table: claimTable, Prefixes: []string{hexDigit(2 * i), hexDigit(2*i + 1)},
-		Old: func(r platform.Row, now time.Time) bool {
+		Old: func(r store.Row, now time.Time) bool {
 			rec, err := decodeRecord(r)
 			return err == nil && now.Sub(rec.Until) > window
 		},
@@ -56,7 +56,7 @@
 // is involved. All operations that wait share one commit, and there is one
 // commit at a time, so the writes a second do not grow with the requests.
 type TableBook struct {
-	tables   platform.Tables
+	tables   store.Tables
 	interval time.Duration
 	log      *slog.Logger
 
@@ -100,7 +100,7 @@
 	kind    opKind
 	ctx     context.Context
 	claim   Claim
-	write   platform.Write
+	write   store.Write
 	version int64 // expected version of the row; 0 for a claim
 	until   time.Time
 	done    chan opResult
@@ -112,7 +112,7 @@
 }
 
 // NewTableBook returns a TableBook that starts at most one commit an interval.
-func NewTableBook(t platform.Tables, interval time.Duration, log *slog.Logger) *TableBook {
+func NewTableBook(t store.Tables, interval time.Duration, log *slog.Logger) *TableBook {
 	return &TableBook{tables: t, interval: interval, log: log, versions: make(map[string]rowVersion)}
 }
 
@@ -135,7 +135,7 @@
 	}
 	o := &op{
 		kind: claimOp, ctx: ctx, claim: c, until: c.Until, done: make(chan opResult, 1),
-		write: platform.Write{Table: claimTable, Key: c.rowKey(), Value: value},
+		write: store.Write{Table: claimTable, Key: c.rowKey(), Value: value},
 	}
 	if err := b.enqueue(o); err != nil {
 		return Grant{}, err
@@ -180,7 +180,7 @@
 	if err != nil || !held {
 		return err
 	}
-	w := platform.Write{Table: claimTable, Key: c.rowKey(), Delete: out == nil}
+	w := store.Write{Table: claimTable, Key: c.rowKey(), Delete: out == nil}
 	if out != nil {
 		w.Value, err = json.Marshal(Record{Claim: c, Outcome: out})
 		if err != nil {
@@ -208,7 +208,7 @@
 		return v.version, true, nil
 	}
 	row, err := b.tables.Get(ctx, claimTable, c.rowKey())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return 0, false, nil
 	}
 	if err != nil {
@@ -239,7 +239,7 @@
 // Lookup implements Book.
 func (b *TableBook) Lookup(ctx context.Context, k Key) (Record, bool, error) {
 	row, err := b.tables.Get(ctx, claimTable, k.rowKey())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return Record{}, false, nil
 	}
 	if err != nil {
@@ -249,7 +249,7 @@
 	return rec, err == nil, err
 }
 
-func decodeRecord(row platform.Row) (Record, error) {
+func decodeRecord(row store.Row) (Record, error) {
 	var rec Record
 	err := json.Unmarshal(row.Value, &rec)
 	return rec, eris.Wrap(err, "decode claim")
@@ -329,7 +329,7 @@
 		version, err := b.tables.Commit(ctx, transaction(group))
 		cancel()
 		b.count(len(group))
-		var conflict *platform.ConflictError
+		var conflict *store.ConflictError
 		switch {
 		case err == nil:
 			b.remember(group, version)
@@ -337,7 +337,7 @@
 			return
 		case errors.As(err, &conflict):
 			group = b.resolve(group, conflict.Failed)
-		case errors.Is(err, platform.ErrUnknown):
+		case errors.Is(err, store.ErrUnknown):
 			group = b.settle(group)
 		default:
 			b.markDown()
@@ -360,10 +360,10 @@
 	b.stats.Ops += int64(ops)
 }
 
-func transaction(group []*op) platform.Tx {
-	var tx platform.Tx
+func transaction(group []*op) store.Tx {
+	var tx store.Tx
 	for _, o := range group {
-		tx.Conditions = append(tx.Conditions, platform.Condition{Table: claimTable, Key: o.write.Key, Version: o.version})
+		tx.Conditions = append(tx.Conditions, store.Condition{Table: claimTable, Key: o.write.Key, Version: o.version})
 		tx.Writes = append(tx.Writes, o.write)
 	}
 	return tx
@@ -455,10 +455,10 @@
 
 func (b *TableBook) applied(ctx context.Context, o *op) (bool, error) {
 	if !o.write.Delete {
-		return platform.Applied(ctx, b.tables, claimTable, o.write.Key, o.write.Value)
+		return store.Applied(ctx, b.tables, claimTable, o.write.Key, o.write.Value)
 	}
 	_, err := b.tables.Get(ctx, claimTable, o.write.Key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return true, nil
 	}
 	return false, err
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -13,9 +13,15 @@
 	"topazmoor/internal/verdict"
 )
 
+// Registry collects metrics and serves them.
+type Registry struct{ registry *prometheus.Registry }
+
+// NewRegistry returns an empty Registry.
+func NewRegistry() *Registry { return &Registry{registry: prometheus.NewRegistry()} }
+
 // Set is the metrics of one node.
 type Set struct {
-	registry *prometheus.Registry
+	*Registry
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	met      *prometheus.CounterVec
@@ -27,7 +33,7 @@
 // New returns an empty set with the Go runtime's own metrics.
 func New() *Set {
 	s := &Set{
-		registry: prometheus.NewRegistry(),
+		Registry: NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "topazmoor_requests_total", Help: "Requests by class and code; an empty code is a complete answer.",
 		}, []string{"class", "code"}),
@@ -53,12 +59,12 @@
 }
 
 // Gauge adds a gauge that is read when metrics are collected.
-func (s *Set) Gauge(name, help string, read func() float64) {
+func (s *Registry) Gauge(name, help string, read func() float64) {
 	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 }
 
 // Handler serves the metrics.
-func (s *Set) Handler() http.Handler {
+func (s *Registry) Handler() http.Handler {
 	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
 }
 
--- a/internal/naive/naive.go
+++ b/internal/naive/naive.go
@@ -13,8 +13,8 @@
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/dispatch"
 	"topazmoor/internal/pipeline"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/settings"
+	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
 )
 
@@ -28,13 +28,13 @@
 // Runner runs pipelines in the simplest way that works on a good day.
 type Runner struct {
 	calls pipeline.Caller
-	pools map[string][]platform.Host
+	pools map[string][]store.Host
 	next  atomic.Uint64
 }
 
 // New returns a Runner over a fixed list of hosts.
-func New(calls pipeline.Caller, hosts []platform.Host) *Runner {
-	r := &Runner{calls: calls, pools: make(map[string][]platform.Host)}
+func New(calls pipeline.Caller, hosts []store.Host) *Runner {
+	r := &Runner{calls: calls, pools: make(map[string][]store.Host)}
 	for _, h := range hosts {
 		r.pools[h.Pool] = append(r.pools[h.Pool], h)
 	}
@@ -74,7 +74,7 @@
 	return nil, err
 }
 
-func (r *Runner) attempt(ctx context.Context, req *pipeline.Request, st *catalog.PlanStage, h platform.Host, n int, input []byte) ([]byte, error) {
+func (r *Runner) attempt(ctx context.Context, req *pipeline.Request, st *catalog.PlanStage, h store.Host, n int, input []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	call := dispatch.Call{
--- a/internal/node/batch_test.go
+++ b/internal/node/batch_test.go
@@ -14,8 +14,8 @@
 
 	"topazmoor/internal/batch"
 	"topazmoor/internal/frontdoor"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/standin"
+	"topazmoor/internal/store"
 )
 
 // submitBatch submits n items with inputs of their own.
@@ -158,7 +158,7 @@
 		}
 	}
 	time.Sleep(40 * time.Second)
-	cl.world.Store.SetFaults(platform.Faults{})
+	cl.world.Store.SetFaults(store.Faults{})
 	if !cl.waitReady(1, time.Minute) {
 		return []string{"the nodes did not become ready again"}
 	}
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -20,10 +20,10 @@
 	"topazmoor/internal/dispatch"
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/membership"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/settings"
 	"topazmoor/internal/standin"
 	"topazmoor/internal/standin/bubble"
+	"topazmoor/internal/store"
 )
 
 // startOnLoopback runs one node and its world over real TCP.
@@ -67,7 +67,7 @@
 	return n, world
 }
 
-func submitExample(b *testing.B, n *Node, store platform.Store) {
+func submitExample(b *testing.B, n *Node, store store.Store) {
 	b.Helper()
 	m, err := catalog.ParseManifest([]byte(examples.Harbour))
 	if err != nil {
@@ -174,9 +174,9 @@
 }
 
 func claimAtRate(rate int, span time.Duration) (commits, reads int64, added time.Duration) {
-	store := platform.NewMemory()
-	store.SetFaults(platform.Faults{Delay: 5 * time.Millisecond})
-	book := ledger.NewTableBook(store, 40*time.Millisecond, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	twin := store.NewMemory()
+	twin.SetFaults(store.Faults{Delay: 5 * time.Millisecond})
+	book := ledger.NewTableBook(twin, 40*time.Millisecond, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	var wg sync.WaitGroup
 	var total atomic.Int64
 	n := rate * int(span.Seconds())
@@ -195,7 +195,7 @@
 		time.Sleep(span / time.Duration(n))
 	}
 	wg.Wait()
-	counts := store.Counts()
+	counts := twin.Counts()
 	// Let the book's own goroutine end before the bubble does.
 	time.Sleep(time.Second)
 	return counts.Commits, counts.Reads, time.Duration(total.Load() / int64(n))
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -17,10 +17,10 @@
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/config"
 	"topazmoor/internal/membership"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/settings"
 	"topazmoor/internal/standin"
 	"topazmoor/internal/standin/memnet"
+	"topazmoor/internal/store"
 )
 
 // cluster is a set of real nodes over an in-memory network, for use inside a
@@ -234,7 +234,7 @@
 
 // close ends everything; the bubble can exit afterwards.
 func (c *cluster) close() {
-	c.world.Store.SetFaults(platform.Faults{})
+	c.world.Store.SetFaults(store.Faults{})
 	for i := range c.nodes {
 		c.kill(i)
 	}
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -14,7 +14,7 @@
 
 	"topazmoor/internal/admin"
 	"topazmoor/internal/catalog"
-	"topazmoor/internal/platform"
+	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
 )
 
@@ -112,7 +112,7 @@
 		before := cl.world.Store.Counts()
 		time.Sleep(time.Minute)
 		usual := cl.world.Store.Counts().Reads - before.Reads
-		cl.world.Store.SetFaults(platform.Faults{Down: true})
+		cl.world.Store.SetFaults(store.Faults{Down: true})
 		for i := range 12 {
 			time.Sleep(5 * time.Minute)
 			res, err := cl.ask(i%3, "still there", false)
@@ -122,7 +122,7 @@
 			c.Assert(ready, qt.IsTrue, qt.Commentf("%s", reason))
 		}
 		down := cl.world.Store.Counts()
-		cl.world.Store.SetFaults(platform.Faults{})
+		cl.world.Store.SetFaults(store.Faults{})
 		time.Sleep(time.Minute)
 		after := cl.world.Store.Counts().Reads - down.Reads
 		c.Assert(after < 2*usual, qt.IsTrue, qt.Commentf("%d reads in the minute after, %d usually", after, usual))
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -10,8 +10,8 @@
 	"topazmoor/internal/control"
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/membership"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/settings"
+	"topazmoor/internal/store"
 )
 
 // controlShards returns the background work of which one node at a time is the
@@ -44,7 +44,7 @@
 // try their addresses for nothing. The row of a node that came back under its
 // name has another version.
 func (n *Node) sweepNodes() control.Task {
-	gone := func(r platform.Row, _ time.Time) bool {
+	gone := func(r store.Row, _ time.Time) bool {
 		for _, m := range n.board.Members.Get() {
 			if m.Name == r.Key {
 				return m.Health > membership.Suspect
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,9 +28,9 @@
 	"topazmoor/internal/membership"
 	"topazmoor/internal/metrics"
 	"topazmoor/internal/pipeline"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/scheduler"
 	"topazmoor/internal/settings"
+	"topazmoor/internal/store"
 )
 
 // Env is the outside world of a node; tests replace it.
@@ -42,7 +42,7 @@
 	// ListenPacket opens a datagram socket.
 	ListenPacket func(addr string) (membership.PacketConn, error)
 	// Store is the platform.
-	Store platform.Store
+	Store store.Store
 	// PeerKey is the secret that all nodes share.
 	PeerKey []byte
 	// NewID returns IDs unique over all nodes and restarts.
@@ -62,7 +62,7 @@
 
 // HostView is the last host list that was read.
 type HostView struct {
-	Hosts []platform.Host
+	Hosts []store.Host
 	Read  time.Time
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -19,9 +19,9 @@
 	"topazmoor/internal/dispatch"
 	"topazmoor/internal/naive"
 	"topazmoor/internal/pipeline"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/settings"
 	"topazmoor/internal/standin"
+	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
 )
 
@@ -169,7 +169,7 @@
 	inCluster(t, 2, func(c *qt.C, cl *cluster) {
 		ticket, err := cl.caller.Ticket(tctx, cl.addr(0), "pilots-token")
 		c.Assert(err, qt.IsNil)
-		cl.world.Store.SetFaults(platform.Faults{Down: true})
+		cl.world.Store.SetFaults(store.Faults{Down: true})
 
 		byKey, err := cl.confirm(0, "by key", "k1")
 		c.Assert(err, qt.IsNil)
@@ -198,7 +198,7 @@
 func TestOutageNewNodeStartsFromPeers(t *testing.T) {
 	inCluster(t, 2, func(c *qt.C, cl *cluster) {
 		cl.adjust = seedWith(cl.nodes[0].Addr(peerServer))
-		cl.world.Store.SetFaults(platform.Faults{Down: true})
+		cl.world.Store.SetFaults(store.Faults{Down: true})
 		c.Assert(cl.start(), qt.IsNil)
 		time.Sleep(20 * time.Second)
 		c.Assert(cl.nodes[2].board.Catalog.Get().Revision, qt.Equals, int64(1))
--- a/internal/node/oracle_test.go
+++ b/internal/node/oracle_test.go
@@ -38,9 +38,9 @@
 	"pgregory.net/rapid"
 
 	"topazmoor/internal/caller"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/standin"
 	_ "topazmoor/internal/standin/fixedseed"
+	"topazmoor/internal/store"
 )
 
 const (
@@ -188,15 +188,15 @@
 	target := r.world.Targets[serviceTargets[s.target]]
 	switch s.kind {
 	case "platform-down":
-		r.platformFault(s.span, platform.Faults{Down: true})
+		r.platformFault(s.span, store.Faults{Down: true})
 	case "platform-slow":
-		r.platformFault(s.span, platform.Faults{Delay: s.span / 8})
+		r.platformFault(s.span, store.Faults{Delay: s.span / 8})
 	case "lose-replies":
-		r.platformFault(s.span, platform.Faults{LoseReplies: s.count})
+		r.platformFault(s.span, store.Faults{LoseReplies: s.count})
 	case "drop-commits":
-		r.platformFault(s.span, platform.Faults{DropCommits: s.count})
+		r.platformFault(s.span, store.Faults{DropCommits: s.count})
 	case "late-commits":
-		r.platformFault(s.span, platform.Faults{LateCommits: s.count, LateBy: s.span / 4})
+		r.platformFault(s.span, store.Faults{LateCommits: s.count, LateBy: s.span / 4})
 	case "target-reset-before":
 		target.SetFaults(standin.TargetFaults{ResetBefore: s.count})
 	case "target-reset-after":
@@ -213,9 +213,9 @@
 	}
 }
 
-func (r *run) platformFault(span time.Duration, f platform.Faults) {
+func (r *run) platformFault(span time.Duration, f store.Faults) {
 	r.world.Store.SetFaults(f)
-	time.AfterFunc(span, func() { r.world.Store.SetFaults(platform.Faults{}) })
+	time.AfterFunc(span, func() { r.world.Store.SetFaults(store.Faults{}) })
 }
 
 // confirm sends a request that may not be repeated. Requests with the same key
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -16,9 +16,9 @@
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/membership"
 	"topazmoor/internal/peer"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/routing"
 	"topazmoor/internal/scheduler"
+	"topazmoor/internal/store"
 )
 
 // nodeTable is the table in which nodes enter their peer addresses at start.
@@ -314,16 +314,16 @@
 	if err != nil {
 		return false
 	}
-	w := platform.Write{Table: nodeTable, Key: self.Name, Value: value}
-	_, err = p.n.env.Store.Commit(ctx, platform.Tx{Writes: []platform.Write{w}})
+	w := store.Write{Table: nodeTable, Key: self.Name, Value: value}
+	_, err = p.n.env.Store.Commit(ctx, store.Tx{Writes: []store.Write{w}})
 	return err == nil
 }
 
 // leave removes the row at a planned stop, best effort.
 func (p *peers) leave(ctx context.Context) {
 	p.runner.Leave()
-	w := platform.Write{Table: nodeTable, Key: p.n.s.Node.Name, Delete: true}
-	if _, err := p.n.env.Store.Commit(ctx, platform.Tx{Writes: []platform.Write{w}}); err != nil {
+	w := store.Write{Table: nodeTable, Key: p.n.s.Node.Name, Delete: true}
+	if _, err := p.n.env.Store.Commit(ctx, store.Tx{Writes: []store.Write{w}}); err != nil {
 		p.n.log.Warn("node row not removed", "err", err)
 	}
 }
--- a/internal/node/pollers.go
+++ b/internal/node/pollers.go
@@ -11,9 +11,9 @@
 
 	"github.com/rotisserie/eris"
 
-	"topazmoor/internal/platform"
 	"topazmoor/internal/routing"
 	"topazmoor/internal/scheduler"
+	"topazmoor/internal/store"
 )
 
 // hostPoller reads the host list and keeps the scheduler's targets up to date
@@ -27,7 +27,7 @@
 
 // published identifies what the targets were made from.
 type published struct {
-	hosts    *platform.Host
+	hosts    *store.Host
 	revision int64
 	nodes    int
 }
@@ -82,10 +82,10 @@
 }
 
 // serving returns the hosts that may get new work.
-func serving(hosts []platform.Host, drained func(string) bool) []platform.Host {
-	out := make([]platform.Host, 0, len(hosts))
+func serving(hosts []store.Host, drained func(string) bool) []store.Host {
+	out := make([]store.Host, 0, len(hosts))
 	for _, h := range hosts {
-		if h.State == platform.Live && !drained(h.ID) {
+		if h.State == store.Live && !drained(h.ID) {
 			out = append(out, h)
 		}
 	}
--- a/internal/node/tls_test.go
+++ b/internal/node/tls_test.go
@@ -25,8 +25,8 @@
 
 	"topazmoor/internal/admin"
 	"topazmoor/internal/membership"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/settings"
+	"topazmoor/internal/store"
 )
 
 // certFiles writes a self-signed certificate for 127.0.0.1, which is its own
@@ -59,7 +59,7 @@
 	plain := certFiles(c, t.TempDir())
 	mutual := *plain
 	mutual.ClientCAFile = plain.CertFile
-	store := platform.NewMemory()
+	store := store.NewMemory()
 	sum := sha256.Sum256([]byte("op"))
 	var nodes []*Node
 	for _, name := range []string{"a", "b"} {
--- /dev/null
+++ b/internal/passthrough/attempt.go
@@ -0,0 +1,171 @@
+package passthrough
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"topazmoor/internal/httpconn"
+	"topazmoor/internal/targets"
+	"topazmoor/internal/verdict"
+)
+
+// attempt is one request at one target whose answer has begun.
+type attempt struct {
+	lease *targets.Lease
+	ans   *httpconn.Answer
+	told  Told
+	start time.Time
+}
+
+// failure is an attempt that gave no answer to deliver.
+type failure struct {
+	// ran says that the target may have begun to work.
+	ran bool
+	// busy says that the target rejected the request.
+	busy      bool
+	inputGone bool
+	// none says that there is nobody to send the request to.
+	none bool
+	err  error
+}
+
+// why names the failure for logs and metrics.
+func (f *failure) why() string {
+	if f.busy {
+		return "busy"
+	}
+	return "failure"
+}
+
+// pick chooses a target that was not tried yet.
+func (c *call) pick(q targets.Query) *targets.Lease {
+	q.Service = c.service
+	q.Exclude = c.tried
+	return c.s.cfg.Targets.Pick(q)
+}
+
+// send hands the request to a target and reads the head of its answer. Exactly
+// one of its results is set. The lease is ended with a failure.
+func (c *call) send(ctx context.Context, l *targets.Lease, o Outgoing) (*attempt, *failure) {
+	o.Target, o.Account, o.Rank = l.ID, c.account, c.rank
+	o.Remaining = time.Until(c.deadline)
+	a := &attempt{lease: l, start: time.Now()}
+	// The list may have changed between the choice and the send.
+	if !c.s.cfg.Targets.MayCall(l.ID) {
+		l.Done(targets.Abandoned, 0)
+		return nil, &failure{err: errors.New("the target left before the request was sent")}
+	}
+	ans, err := c.s.cfg.Sender.Do(ctx, l.Addr, &httpconn.Request{
+		ID: c.meta.ID, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
+		Header: c.s.cfg.Wire.ToTarget(c.r.Header, o), Body: c.body,
+	})
+	if err != nil {
+		return nil, c.noAnswer(ctx, l, err)
+	}
+	a.ans, a.told = ans, c.s.cfg.Wire.FromTarget(ans.Status, ans.Header)
+	if a.told.Load != nil {
+		l.Told(*a.told.Load)
+	}
+	if f := rejected(a); f != nil {
+		c.settle(a, f)
+		return nil, f
+	}
+	return a, nil
+}
+
+// noAnswer reads a send without an answer.
+func (c *call) noAnswer(ctx context.Context, l *targets.Lease, err error) *failure {
+	var ce *httpconn.Error
+	sent := !errors.As(err, &ce) || ce.Sent
+	switch {
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent):
+		l.Done(targets.Abandoned, 0)
+	case ce != nil && ce.Refused:
+		l.Done(targets.Unreachable, 0)
+	default:
+		l.Done(targets.Failed, 0)
+	}
+	c.log.Info("no answer from target", "target", l.ID, "addr", l.Addr, "sent", sent, "err", err)
+	return &failure{ran: sent, err: err}
+}
+
+// rejected returns the failure of an answer that is not the target's answer to
+// the request, or nil.
+func rejected(a *attempt) *failure {
+	switch {
+	case a.told.Moved:
+		return &failure{err: errors.New("another process has the target's address")}
+	case a.told.NotRun:
+		return &failure{busy: true, inputGone: a.told.InputGone, err: errors.New("the target rejected the request")}
+	case a.ans.Status < http.StatusMultipleChoices && !a.told.Signed:
+		return &failure{ran: true, err: errors.New("the answer has no signature")}
+	case a.ans.Header.Get("Content-Encoding") != "":
+		return &failure{ran: true, err: errors.New("the answer is encoded, so that it is not the target's own")}
+	}
+	return nil
+}
+
+// settle reads off a rejection, so that its connection can be kept, and ends
+// the lease.
+func (c *call) settle(a *attempt, f *failure) {
+	// What cannot be read takes its connection with it.
+	_, _ = io.Copy(io.Discard, io.LimitReader(a.ans.Body, maxRejection))
+	a.ans.Body.Close()
+	outcome := targets.Failed
+	switch {
+	case a.told.Moved:
+		outcome = targets.Moved
+	case f.busy:
+		outcome = targets.Busy
+	}
+	a.lease.Done(outcome, 0)
+	c.log.Info("target rejected the request", "target", a.lease.ID, "addr", a.lease.Addr, "status", a.ans.Status,
+		"not_run", a.told.NotRun, "moved", a.told.Moved, "load", a.told.Load, "err", f.err)
+}
+
+// maxRejection bounds the body of a rejection that is read off, in bytes.
+const maxRejection = 16 << 10
+
+// mayRepeat reports whether the request may be sent to one more target after a
+// failure, and uses up the budget.
+func (c *call) mayRepeat(f *failure, why string) bool {
+	if c.ctx.Err() != nil {
+		return false
+	}
+	if c.runs > 0 && (!c.route.Repeatable() || c.runs >= max(c.route.MaxAttempts, 1)) {
+		return false
+	}
+	if c.sends > 0 && !c.s.cfg.Repeats.Take(c.service) {
+		c.log.Info("not sent again: the budget of repeats is used up", "service", c.service, "why", why)
+		return false
+	}
+	c.s.cfg.Observer.Repeated(c.service, why)
+	if f != nil {
+		c.log.Info("sent again", "why", why, "after", f.err.Error(), "runs", c.runs)
+	}
+	return true
+}
+
+// failed is the final answer after a failure that may not be mended.
+func (c *call) failed(f *failure) error {
+	switch {
+	case c.ctx.Err() != nil:
+		return c.timedOut()
+	case f == nil:
+		return notRun(verdict.NoTarget, "no target of the service can take the request").After(c.comeBack())
+	case c.runs > 0:
+		return verdict.Wrap(f.err, verdict.MayHaveRun, verdict.TargetFailed, "the target gave no complete answer")
+	case f.busy:
+		return verdict.Wrap(f.err, verdict.NotRun, verdict.TargetRefused, "the targets of the service are full").After(c.comeBack())
+	}
+	return verdict.Wrap(f.err, verdict.NotRun, verdict.NoTarget, "no target of the service was reached").After(c.comeBack())
+}
+
+// comeBack is when a new attempt has a fair chance: after a tenth of the
+// objective, when a call of another caller has ended.
+func (c *call) comeBack() time.Duration {
+	return max(c.route.Objective/10, stopRetryAfter)
+}
--- /dev/null
+++ b/internal/passthrough/plain.go
@@ -0,0 +1,194 @@
+package passthrough
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"topazmoor/internal/targets"
+)
+
+const (
+	// wholeBody is the largest answer that is read whole before it is
+	// delivered, in bytes: one that breaks before its end can still be asked
+	// for again.
+	wholeBody = 256 << 10
+	// hedgeFactor times the mean time of a call is when a request that may be
+	// repeated goes to a second target too; near the 95th percentile of calls
+	// that vary by a half.
+	hedgeFactor = 2.5
+	// minHedge keeps small means from causing hedges, and stands for unknown
+	// ones.
+	minHedge = 40 * time.Millisecond
+)
+
+var errSilent = errors.New("passthrough: the target fell silent")
+
+// whole is an answer of which the first bytes, or all, were read.
+type whole struct {
+	a     *attempt
+	start []byte
+	// complete says that start is the whole body.
+	complete bool
+}
+
+// result is the outcome of one attempt of a plain request.
+type result struct {
+	ans *whole
+	f   *failure
+}
+
+// servePlain sends a request without events, again where that is allowed, and
+// delivers the first good answer.
+func (c *call) servePlain() {
+	c.s.cfg.Repeats.Request(c.service)
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	// The channel holds all results, so that attempts never wait to give them.
+	results := make(chan result, maxSends)
+	running := 0
+	var last *failure
+	var fallback *whole
+	start := func() bool {
+		l := c.pick(targets.Query{})
+		if l == nil || c.sends >= maxSends {
+			if l != nil {
+				l.Done(targets.Abandoned, 0)
+			}
+			return false
+		}
+		c.tried = append(c.tried, l.ID)
+		c.sends++
+		// Until the attempt proves otherwise the request may have run.
+		c.runs++
+		running++
+		go func() { results <- c.attemptPlain(ctx, l) }()
+		return true
+	}
+	if !start() {
+		c.refuse(c.failed(nil))
+		return
+	}
+	hedge := time.NewTimer(c.hedgeAfter())
+	defer hedge.Stop()
+	for running > 0 {
+		select {
+		case <-c.ctx.Done():
+			c.refuse(c.timedOut())
+			return
+		case <-hedge.C:
+			if c.route.Repeatable() && c.mayRepeat(nil, "hedge") {
+				start()
+			}
+		case r := <-results:
+			running--
+			if r.ans != nil && (r.ans.a.ans.Status < http.StatusInternalServerError || !c.route.Repeatable()) {
+				c.deliver(r.ans)
+				return
+			}
+			if r.ans != nil {
+				fallback = r.ans
+				last = &failure{ran: true, err: errors.New("the target answered with a failure")}
+			} else {
+				last = r.f
+			}
+			if !last.ran {
+				c.runs--
+			}
+			if running == 0 && c.mayRepeat(last, "failure") {
+				start()
+			}
+		}
+	}
+	if fallback != nil {
+		c.deliver(fallback)
+		return
+	}
+	c.refuse(c.failed(last))
+}
+
+// maxSends bounds the sends of one request, rejected ones included.
+const maxSends = 4
+
+// hedgeAfter is when a second target is asked.
+func (c *call) hedgeAfter() time.Duration {
+	mean := c.s.cfg.Targets.Latency(c.service)
+	return max(time.Duration(hedgeFactor*float64(mean)), minHedge)
+}
+
+// attemptPlain makes one attempt and reads its answer.
+func (c *call) attemptPlain(ctx context.Context, l *targets.Lease) result {
+	a, f := c.send(ctx, l, Outgoing{})
+	if f != nil {
+		return result{f: f}
+	}
+	w, err := readWhole(a)
+	if err != nil {
+		a.ans.Body.Close()
+		outcome := targets.Failed
+		if ctx.Err() != nil {
+			outcome = targets.Abandoned
+		}
+		l.Done(outcome, 0)
+		c.log.Info("answer of target broke off", "target", l.ID, "addr", l.Addr, "err", err)
+		return result{f: &failure{ran: true, err: err}}
+	}
+	l.Done(targets.Served, time.Since(a.start))
+	return result{ans: w}
+}
+
+// readWhole reads an answer to its end if it is not too long.
+func readWhole(a *attempt) (*whole, error) {
+	body, err := io.ReadAll(io.LimitReader(a.ans.Body, wholeBody))
+	if err != nil {
+		return nil, err
+	}
+	w := &whole{a: a, start: body, complete: len(body) < wholeBody}
+	if w.complete {
+		a.ans.Body.Close()
+	}
+	return w, nil
+}
+
+// deliver sends a target's answer to the caller.
+func (c *call) deliver(w *whole) {
+	if c.left() {
+		w.a.ans.Body.Close()
+		c.done("canceled", 0, nil)
+		panic(http.ErrAbortHandler)
+	}
+	c.writeHead(w.a, w)
+	_, err := c.w.Write(w.start)
+	if err == nil && !w.complete {
+		_, err = io.Copy(c.w, w.a.ans.Body)
+		w.a.ans.Body.Close()
+	}
+	if err != nil {
+		// The answer must not look complete.
+		c.done("broken_off", w.a.ans.Status, err)
+		panic(http.ErrAbortHandler)
+	}
+	c.done("", w.a.ans.Status, nil)
+}
+
+// writeHead sends the head of a target's answer.
+func (c *call) writeHead(a *attempt, w *whole) {
+	h := c.w.Header()
+	for name, values := range c.s.cfg.Wire.ToCaller(a.ans.Header) {
+		h[name] = values
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		// net/http would guess one.
+		h["Content-Type"] = nil
+	}
+	switch {
+	case w != nil && w.complete && c.r.Method != http.MethodHead:
+		h.Set("Content-Length", strconv.Itoa(len(w.start)))
+	case a.ans.Length >= 0:
+		h.Set("Content-Length", strconv.FormatInt(a.ans.Length, 10))
+	}
+	c.w.WriteHeader(a.ans.Status)
+}
--- /dev/null
+++ b/internal/passthrough/refuse.go
@@ -0,0 +1,115 @@
+package passthrough
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"topazmoor/internal/frontdoor"
+	"topazmoor/internal/verdict"
+)
+
+// left reports whether the caller is gone, so that no answer reaches it.
+func (c *call) left() bool { return c.r.Context().Err() != nil }
+
+// refuse sends the final answer of a request that got none from a target. The
+// status keeps the promise of the verdict: 503 and its like only for what has
+// not run.
+func (c *call) refuse(err error) {
+	e := verdict.As(verdict.WithPrior(err, c.verdict()))
+	status := frontdoor.StatusOf(e.Code)
+	switch {
+	case e.Verdict != verdict.NotRun && promisesNotRun(status):
+		status = http.StatusBadGateway
+	case e.Verdict == verdict.NotRun && status > http.StatusInternalServerError:
+		// The promise lets callers send again what may not be repeated.
+		status = http.StatusServiceUnavailable
+	}
+	c.done(string(e.Code), status, e)
+	if c.left() {
+		panic(http.ErrAbortHandler)
+	}
+	p := frontdoor.NewProblem(e, c.meta.ID, "")
+	p.Status = status
+	body, merr := json.Marshal(p)
+	if merr != nil {
+		c.log.Error("refusal not encoded", "err", merr)
+		panic(http.ErrAbortHandler)
+	}
+	h := c.w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if e.RetryAfter > 0 {
+		c.s.cfg.Wire.SetRetryAfter(h, e.RetryAfter)
+	}
+	c.w.WriteHeader(status)
+	// A failed write means that the caller left.
+	_, _ = c.w.Write(body)
+}
+
+// promisesNotRun reports whether a status says that the request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// verdict says whether the request may have run so far.
+func (c *call) verdict() verdict.Verdict {
+	if c.runs > 0 {
+		return verdict.MayHaveRun
+	}
+	return verdict.NotRun
+}
+
+// timedOut is the final answer at the deadline, or of a caller that left, or of
+// a process that ends.
+func (c *call) timedOut() error {
+	switch {
+	case c.left():
+		return verdict.New(c.verdict(), verdict.Canceled, "the caller left")
+	case c.s.ending.Err() != nil:
+		return verdict.New(c.verdict(), verdict.Stopping, "the node stopped before the request ended").After(stopRetryAfter)
+	case c.runs == 0:
+		return notRun(verdict.DeadlineUnreachable, "the request could not be started in time")
+	}
+	return verdict.New(c.verdict(), verdict.DeadlineExceeded, "no answer came in time")
+}
+
+// stopRetryAfter is when a caller may come back after a stop: at once, to
+// another node.
+const stopRetryAfter = 20 * time.Millisecond
+
+// ended returns the error of the call's context as a final answer, or err.
+func (c *call) ended(err error) error {
+	if c.ctx.Err() != nil || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
+		return c.timedOut()
+	}
+	return err
+}
+
+// done logs and counts the end of a request. code is empty for an answer of a
+// target.
+func (c *call) done(code string, status int, err error) {
+	route, took := "", time.Since(c.arrived)
+	version := int64(0)
+	if c.route != nil {
+		route = c.route.Name
+	}
+	if c.cfg != nil {
+		version = c.cfg.Version
+	}
+	c.s.cfg.Observer.RequestDone(route, c.rank, code, took)
+	attrs := []any{"route", route, "service", c.service, "account", c.account, "rank", c.rank, "config", version,
+		"status", status, "code", code, "ms", took.Milliseconds(), "sends", c.sends, "targets", c.tried}
+	if err == nil {
+		c.log.Info("answered", attrs...)
+		return
+	}
+	c.log.Info("not answered", append(attrs, "reason", err.Error())...)
+}
--- /dev/null
+++ b/internal/passthrough/server.go
@@ -0,0 +1,261 @@
+package passthrough
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"topazmoor/internal/flow"
+	"topazmoor/internal/httpconn"
+	"topazmoor/internal/routes"
+	"topazmoor/internal/stagebatch"
+	"topazmoor/internal/targets"
+	"topazmoor/internal/verdict"
+)
+
+// Stages produces the results of stages; *stagebatch.Router in production.
+type Stages interface {
+	Produce(ctx context.Context, o stagebatch.Order) (stagebatch.Result, error)
+	Estimate(service string, pieces int) time.Duration
+	Free(service string, res stagebatch.Result)
+}
+
+// Sender sends one request to a target; *httpconn.Pool in production.
+type Sender interface {
+	Do(ctx context.Context, addr string, r *httpconn.Request) (*httpconn.Answer, error)
+}
+
+// Observer is told about every request; it must not block.
+type Observer interface {
+	RequestDone(route string, rank int, code string, took time.Duration)
+	Repeated(service, why string)
+}
+
+// Config is what a Server is built from.
+type Config struct {
+	// Routes returns the configuration in force, or nil before the first.
+	Routes func() *routes.Config
+	// Current reports whether the configuration can be trusted to be the newest
+	// one: the store was heard lately.
+	Current func() bool
+	Targets *targets.Table
+	Stages  Stages
+	Sender  Sender
+	Wire    Wire
+	// Repeats bounds requests that are sent again, by service.
+	Repeats *flow.RepeatBudgets
+	// BodyBytes bounds a body when the configuration does not.
+	BodyBytes int64
+	// ReadTimeout bounds the reading of a body when the configuration does not.
+	ReadTimeout time.Duration
+	Observer    Observer
+	Log         *slog.Logger
+}
+
+// Server serves pass-through requests. It implements http.Handler.
+type Server struct {
+	cfg      Config
+	inFlight atomic.Int64
+	// endsAt is when the process ends, in Unix nanoseconds; 0 while it is not
+	// stopping.
+	endsAt atomic.Int64
+	ending context.Context
+	cut    context.CancelCauseFunc
+	work   sync.WaitGroup
+}
+
+// New returns a Server.
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg}
+	s.ending, s.cut = context.WithCancelCause(context.Background())
+	return s
+}
+
+// InFlight returns the number of requests that are being worked on.
+func (s *Server) InFlight() int64 { return s.inFlight.Load() }
+
+// Stop makes the server refuse requests that cannot end before the process
+// does, and close connections after their answers.
+func (s *Server) Stop(endsAt time.Time) { s.endsAt.Store(endsAt.UnixNano()) }
+
+// Cut ends all requests in flight.
+func (s *Server) Cut() { s.cut(errStopping) }
+
+var errStopping = errors.New("passthrough: the process ends")
+
+// stopping returns when the process ends; zero while it is not stopping.
+func (s *Server) stopping() time.Time {
+	n := s.endsAt.Load()
+	if n == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, n)
+}
+
+// call is one request of a caller.
+type call struct {
+	s       *Server
+	w       http.ResponseWriter
+	r       *http.Request
+	log     *slog.Logger
+	cfg     *routes.Config
+	route   *routes.Route
+	service string
+	account string
+	rank    int
+	meta    Meta
+	body    []byte
+	arrived time.Time
+	// deadline is when the final answer is due.
+	deadline time.Time
+	// ctx ends when the caller leaves, at the deadline, or when the process ends.
+	ctx context.Context
+
+	// tried lists the targets that were sent the request; runs counts those
+	// that may have run it, sends all that were handed it.
+	tried []string
+	runs  int
+	sends int
+}
+
+// notReadyAfter is when a caller may come back to a node that knows no
+// configuration yet: a start takes a few store calls.
+const notReadyAfter = 300 * time.Millisecond
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	c := &call{s: s, w: w, r: r, arrived: time.Now(), cfg: s.cfg.Routes()}
+	if !s.stopping().IsZero() {
+		w.Header().Set("Connection", "close")
+	}
+	if err := c.accept(); err != nil {
+		c.refuse(err)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	defer context.AfterFunc(s.ending, cancel)()
+	c.ctx = ctx
+	if err := c.admit(); err != nil {
+		c.refuse(err)
+		return
+	}
+	if c.route.Kind == routes.Stream {
+		c.serveStream()
+		return
+	}
+	c.servePlain()
+}
+
+// accept finds the route and the account, and reads the message.
+func (c *call) accept() error {
+	meta, metaErr := c.s.cfg.Wire.ReadMeta(c.r.Header)
+	c.meta = meta
+	c.log = c.s.cfg.Log.With("request", meta.ID)
+	if c.cfg == nil || !c.s.cfg.Targets.Seen() {
+		return notRun(verdict.NotReady, "the node has no configuration yet").After(notReadyAfter)
+	}
+	if metaErr != nil {
+		return notRun(verdict.InvalidRequest, "%v", metaErr)
+	}
+	u, err := url.ParseRequestURI(c.r.RequestURI)
+	if err != nil {
+		return notRun(verdict.InvalidRequest, "the path cannot be read")
+	}
+	c.route = c.cfg.Match(c.r.Host, u.EscapedPath())
+	if c.route == nil {
+		return c.deny(verdict.NotFound, "no route of this host begins the path")
+	}
+	if err := c.authenticate(); err != nil {
+		return err
+	}
+	c.service = c.route.Choose(rand.Float64())
+	c.deadline = c.arrived.Add(c.patience())
+	return c.readBody()
+}
+
+// deny refuses what the configuration does not allow. A node that may have
+// missed the newest configuration does not know.
+func (c *call) deny(code verdict.Code, reason string) error {
+	if !c.s.cfg.Current() {
+		return notRun(verdict.StoreUnavailable, "%s, but the configuration of this node may be old", reason).After(notReadyAfter)
+	}
+	return notRun(code, "%s", reason)
+}
+
+func (c *call) authenticate() error {
+	c.rank = c.route.Priority
+	account := c.cfg.Account(c.meta.Credential)
+	if account == nil {
+		if c.cfg.NeedsKey(c.route) {
+			return c.deny(verdict.Unauthenticated, "the key belongs to no client account")
+		}
+		return nil
+	}
+	c.account = account.Name
+	if account.Priority != nil {
+		c.rank = *account.Priority
+	}
+	return nil
+}
+
+// patience is how long the request is worked on: the route's timeout, or less
+// where the caller waits for less.
+func (c *call) patience() time.Duration {
+	p := c.route.Timeout
+	if c.meta.Patience > 0 && (p <= 0 || c.meta.Patience < p) {
+		p = c.meta.Patience
+	}
+	if p <= 0 {
+		p = defaultPatience
+	}
+	return p
+}
+
+// defaultPatience bounds requests on routes without a timeout whose callers do
+// not say how long they wait.
+const defaultPatience = 30 * time.Second
+
+// readBody reads the whole message, so that it can be sent to another target.
+func (c *call) readBody() error {
+	limit, timeout := c.s.cfg.BodyBytes, c.s.cfg.ReadTimeout
+	if c.cfg.Limits.BodyBytes > 0 {
+		limit = c.cfg.Limits.BodyBytes
+	}
+	if c.cfg.Limits.HeaderTimeout > 0 {
+		timeout = max(timeout, c.cfg.Limits.HeaderTimeout)
+	}
+	if c.r.ContentLength > limit {
+		return notRun(verdict.TooLarge, "the body is over %d bytes", limit)
+	}
+	if c.r.ContentLength == 0 {
+		return nil
+	}
+	conn := http.NewResponseController(c.w)
+	// Not every writer has deadlines; those that do not need none.
+	_ = conn.SetReadDeadline(time.Now().Add(timeout))
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return notRun(verdict.TooLarge, "the body is over %d bytes", limit)
+	}
+	if err != nil {
+		return notRun(verdict.BodyTimeout, "the body could not be read within %v", timeout)
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+	c.body = body
+	return nil
+}
+
+func notRun(code verdict.Code, format string, args ...any) *verdict.Error {
+	return verdict.New(verdict.NotRun, code, format, args...)
+}
--- /dev/null
+++ b/internal/passthrough/stages.go
@@ -0,0 +1,216 @@
+package passthrough
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"topazmoor/internal/stagebatch"
+	"topazmoor/internal/verdict"
+)
+
+// inputs are the results that a request to an engine reads.
+type inputs struct {
+	// handles name them; nil when the route has no stages.
+	handles []string
+	// results holds what must be given up, by stage.
+	results []stagebatch.Result
+}
+
+// pieces returns the number of results of a stage.
+func (c *call) pieces(stage int) int {
+	if stage < len(c.meta.Pieces) {
+		return c.meta.Pieces[stage]
+	}
+	return 0
+}
+
+// staged reports whether the request has stages at all.
+func (c *call) staged() bool { return len(c.route.Stages) > 0 && len(c.meta.Pieces) > 0 }
+
+// produceInputs runs the stages of the request. Each starts when those that it
+// reads have ended. Results of a failed run are given up.
+func (c *call) produceInputs(ctx context.Context) (*inputs, error) {
+	in := &inputs{results: make([]stagebatch.Result, len(c.route.Stages))}
+	if !c.staged() {
+		return in, nil
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	readers := c.readers()
+	done := make([]chan struct{}, len(c.route.Stages))
+	for i := range done {
+		done[i] = make(chan struct{})
+	}
+	var wg sync.WaitGroup
+	for i := range c.route.Stages {
+		wg.Go(func() {
+			defer close(done[i])
+			if c.await(ctx, done, i) != nil {
+				return
+			}
+			res, err := c.produceStage(ctx, in, i)
+			if err != nil {
+				cancel(err)
+				return
+			}
+			in.results[i] = res
+			c.releaseRead(in, readers, i)
+		})
+	}
+	wg.Wait()
+	if err := context.Cause(ctx); err != nil {
+		c.release(in)
+		return nil, err
+	}
+	in.handles = c.lastHandles(in)
+	return in, nil
+}
+
+// await waits for the stages that stage i reads.
+func (c *call) await(ctx context.Context, done []chan struct{}, i int) error {
+	for _, dep := range c.route.Stages[i].After {
+		if dep < 0 || dep >= i {
+			// The store accepts no such configuration; waiting would never end.
+			return errors.New("a stage waits for a later one")
+		}
+		select {
+		case <-done[dep]:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return ctx.Err()
+}
+
+// produceStage runs one stage.
+func (c *call) produceStage(ctx context.Context, in *inputs, i int) (stagebatch.Result, error) {
+	st := c.route.Stages[i]
+	n := c.pieces(i)
+	if n == 0 {
+		return stagebatch.Result{}, nil
+	}
+	o := stagebatch.Order{
+		Service: st.Service, Request: c.meta.ID, Stage: i, Pieces: n, Priority: c.rank,
+		Due: c.due(i), Deadline: c.deadline, ResultBytes: st.ResultBytes,
+	}
+	if len(st.After) == 0 {
+		o.Key = c.meta.PieceKey
+	}
+	for _, dep := range st.After {
+		o.Inputs = append(o.Inputs, in.results[dep].Handles...)
+	}
+	start := time.Now()
+	res, err := c.s.cfg.Stages.Produce(ctx, o)
+	if err != nil && ctx.Err() == nil {
+		c.log.Info("stage failed", "stage", i, "service", st.Service, "pieces", n, "former", res.Former, "ms", time.Since(start).Milliseconds(), "err", err)
+	}
+	return res, err
+}
+
+// due is when stage i should have ended for the request to meet its objective:
+// the time of the stages after it and of the engine's first event is kept free.
+func (c *call) due(i int) time.Time {
+	return c.arrived.Add(c.route.Objective - c.firstEventTime() - c.after(i))
+}
+
+// after estimates the time of the stages that follow stage i, on the longest
+// path.
+func (c *call) after(i int) time.Duration {
+	var longest time.Duration
+	for j := i + 1; j < len(c.route.Stages); j++ {
+		for _, dep := range c.route.Stages[j].After {
+			if dep == i {
+				longest = max(longest, c.stageTime(j)+c.after(j))
+			}
+		}
+	}
+	return longest
+}
+
+// stageTime estimates the time of one stage.
+func (c *call) stageTime(i int) time.Duration {
+	n := c.pieces(i)
+	if n == 0 {
+		return 0
+	}
+	return c.s.cfg.Stages.Estimate(c.route.Stages[i].Service, n)
+}
+
+// stagesTime estimates the time of all stages, on the longest path.
+func (c *call) stagesTime() time.Duration {
+	var longest time.Duration
+	for i := range c.route.Stages {
+		if len(c.route.Stages[i].After) == 0 {
+			longest = max(longest, c.stageTime(i)+c.after(i))
+		}
+	}
+	return longest
+}
+
+// readers counts, by stage, the stages that read its results.
+func (c *call) readers() []atomic.Int32 {
+	out := make([]atomic.Int32, len(c.route.Stages))
+	for _, st := range c.route.Stages {
+		for _, dep := range st.After {
+			out[dep].Add(1)
+		}
+	}
+	return out
+}
+
+// releaseRead gives up the results that only stage i, which has ended, was
+// still to read: their makers have little room.
+func (c *call) releaseRead(in *inputs, readers []atomic.Int32, i int) {
+	for _, dep := range c.route.Stages[i].After {
+		if readers[dep].Add(-1) == 0 {
+			c.s.cfg.Stages.Free(c.route.Stages[dep].Service, in.results[dep])
+			in.results[dep] = stagebatch.Result{}
+		}
+	}
+}
+
+// lastHandles returns the results of the stages that no other stage reads.
+func (c *call) lastHandles(in *inputs) []string {
+	read := make(map[int]bool)
+	for _, st := range c.route.Stages {
+		for _, dep := range st.After {
+			read[dep] = true
+		}
+	}
+	out := []string{}
+	for i := range c.route.Stages {
+		if !read[i] {
+			out = append(out, in.results[i].Handles...)
+		}
+	}
+	return out
+}
+
+// release gives up the results of all stages.
+func (c *call) release(in *inputs) {
+	if in == nil {
+		return
+	}
+	for i, res := range in.results {
+		c.s.cfg.Stages.Free(c.route.Stages[i].Service, res)
+	}
+	in.results = make([]stagebatch.Result, len(c.route.Stages))
+}
+
+// stageFailure is the final answer when the stages failed; the request itself
+// has not run.
+func (c *call) stageFailure(err error) error {
+	if c.ctx.Err() != nil {
+		return c.timedOut()
+	}
+	switch {
+	case errors.Is(err, stagebatch.ErrLate):
+		return verdict.Wrap(err, verdict.NotRun, verdict.DeadlineUnreachable, "the stages cannot be done in time").After(c.comeBack())
+	case errors.Is(err, stagebatch.ErrNoTarget):
+		return verdict.Wrap(err, verdict.NotRun, verdict.NoTarget, "a stage has no target").After(c.comeBack())
+	}
+	return verdict.Wrap(err, verdict.NotRun, verdict.TargetFailed, "a stage failed").After(c.comeBack())
+}
--- /dev/null
+++ b/internal/passthrough/stream.go
@@ -0,0 +1,237 @@
+package passthrough
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"topazmoor/internal/sse"
+	"topazmoor/internal/targets"
+)
+
+const (
+	// stallFactor times the mean time to the first event, at least minStall, is
+	// how long an engine may be silent before a stream that may be resumed goes
+	// to another one.
+	stallFactor = 4
+	minStall    = 900 * time.Millisecond
+	// gapFactor times the longest pause that is still in time is the same for
+	// later events.
+	gapFactor = 1.6
+	// presumedGap stands for a route that names no longest pause.
+	presumedGap = 500 * time.Millisecond
+)
+
+// serveStream runs the stages, sends the request to an engine and passes its
+// events on, at another engine where the stream may be resumed.
+func (c *call) serveStream() {
+	c.s.cfg.Repeats.Request(c.service)
+	x := &streaming{c: c, last: c.meta.LastEvent}
+	defer func() { c.release(x.in) }()
+	for {
+		if x.in == nil {
+			in, err := c.produceInputs(c.ctx)
+			if err != nil {
+				x.end(c.stageFailure(err))
+				return
+			}
+			x.in = in
+		}
+		f := x.run()
+		if f == nil {
+			return
+		}
+		if f.inputGone && x.redone < maxRedo && c.ctx.Err() == nil {
+			// The engine did not run the request; its inputs have lapsed.
+			x.redone++
+			x.giveUpInputs()
+			continue
+		}
+		if f.none || !c.mayRepeat(f, f.why()) {
+			x.end(c.failed(f))
+			return
+		}
+	}
+}
+
+// maxRedo is how often the stages of a request run again because their results
+// were gone.
+const maxRedo = 2
+
+// streaming is one stream on its way to the caller.
+type streaming struct {
+	c *call
+	// started says that the head was sent to the caller.
+	started bool
+	// last is the ID of the last event that was sent to the caller.
+	last   string
+	events int
+	redone int
+	// in are the results that the next engine reads; nil when they must be
+	// produced.
+	in *inputs
+}
+
+// giveUpInputs frees the results of the stages.
+func (x *streaming) giveUpInputs() {
+	x.c.release(x.in)
+	x.in = nil
+}
+
+// end finishes a stream that did not come to its end: by a refusal, or, once
+// events were sent, by breaking the connection, so that it does not look
+// complete.
+func (x *streaming) end(err error) {
+	if !x.started {
+		x.c.refuse(err)
+		return
+	}
+	x.c.done("broken_off", http.StatusOK, err)
+	panic(http.ErrAbortHandler)
+}
+
+// affinity is the hash of the last part of the prompt that other requests may
+// share.
+func (c *call) affinity() uint64 {
+	p := c.meta.Prompt
+	if p == nil || len(p.Parts) == 0 {
+		return 0
+	}
+	i := max(len(p.Parts)-2, 0)
+	var b [8]byte
+	for j := range b {
+		b[j] = byte(p.Parts[i].ID >> (8 * j))
+	}
+	return xxhash.Sum64(b[:])
+}
+
+// run sends the request to one engine and passes its events on. It returns nil
+// when the stream is complete.
+func (x *streaming) run() *failure {
+	c := x.c
+	q := targets.Query{Affinity: c.affinity()}
+	if c.meta.Prompt != nil {
+		q.Tokens = c.meta.Prompt.Tokens
+	}
+	l := c.pick(q)
+	if l == nil {
+		return &failure{none: true, busy: true, err: errors.New("no engine may be called")}
+	}
+	c.tried = append(c.tried, l.ID)
+	c.sends++
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	defer cancel(nil)
+	// A silent engine is given up only where the stream may go on elsewhere.
+	watchdog := time.AfterFunc(time.Hour, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	if c.route.Resumable && c.runs+1 < c.route.MaxAttempts {
+		watchdog.Reset(max(stallFactor*c.firstEventTime(), minStall))
+	}
+	c.runs++
+	a, f := c.send(ctx, l, Outgoing{Inputs: x.in.handles, LastEvent: x.last})
+	if f != nil {
+		if !f.ran {
+			c.runs--
+		}
+		return f
+	}
+	defer a.ans.Body.Close()
+	if a.ans.Status != http.StatusOK {
+		return x.pass(a)
+	}
+	return x.relay(ctx, a, watchdog)
+}
+
+// pass delivers an answer that is no stream.
+func (x *streaming) pass(a *attempt) *failure {
+	w, err := readWhole(a)
+	if err != nil {
+		a.lease.Done(targets.Failed, 0)
+		return &failure{ran: true, err: err}
+	}
+	a.lease.Done(targets.Served, 0)
+	if x.started || (x.c.route.Resumable && a.ans.Status >= http.StatusInternalServerError && x.c.runs < x.c.route.MaxAttempts) {
+		return &failure{ran: true, err: errors.New("the engine answered with a failure")}
+	}
+	x.c.deliver(w)
+	return nil
+}
+
+// relay passes the events of an answer on until its end.
+func (x *streaming) relay(ctx context.Context, a *attempt, watchdog *time.Timer) *failure {
+	c := x.c
+	events := sse.NewReader(a.ans.Body)
+	flush := http.NewResponseController(c.w)
+	gap := c.route.MaxGap
+	if gap <= 0 {
+		gap = presumedGap
+	}
+	mayMove := c.route.Resumable && c.runs < c.route.MaxAttempts
+	first := true
+	for {
+		ev, err := events.Next()
+		if err == io.EOF {
+			a.lease.Done(targets.Served, 0)
+			if !x.started {
+				x.head(a)
+			}
+			c.done("", http.StatusOK, nil)
+			return nil
+		}
+		if err != nil {
+			return x.broken(ctx, a, err)
+		}
+		if first {
+			first = false
+			a.lease.PromptRead()
+			a.lease.FirstEvent(time.Since(a.start))
+			x.giveUpInputs()
+		}
+		if mayMove {
+			watchdog.Reset(time.Duration(gapFactor * float64(gap)))
+		}
+		if !x.started {
+			x.head(a)
+		}
+		if _, err := c.w.Write(ev.Raw); err != nil {
+			return x.callerLeft(a, err)
+		}
+		x.events++
+		if ev.ID != "" {
+			x.last = ev.ID
+		}
+		if !events.Buffered() {
+			if err := flush.Flush(); err != nil {
+				return x.callerLeft(a, err)
+			}
+		}
+	}
+}
+
+// head sends the head of the answer to the caller, once.
+func (x *streaming) head(a *attempt) {
+	x.started = true
+	x.c.writeHead(a, nil)
+}
+
+// broken notes a stream that ended before its end.
+func (x *streaming) broken(ctx context.Context, a *attempt, err error) *failure {
+	outcome := targets.Failed
+	if x.c.ctx.Err() != nil {
+		outcome = targets.Abandoned
+	}
+	a.lease.Done(outcome, 0)
+	x.c.log.Info("stream broke off", "target", a.lease.ID, "addr", a.lease.Addr, "events", x.events, "last", x.last,
+		"silent", errors.Is(context.Cause(ctx), errSilent), "err", err)
+	return &failure{ran: true, err: err}
+}
+
+// callerLeft notes that events can no longer be sent to the caller.
+func (x *streaming) callerLeft(a *attempt, err error) *failure {
+	a.lease.Done(targets.Abandoned, 0)
+	return &failure{ran: true, none: true, err: err}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -35,6 +35,8 @@
 	Snapshot func() (int64, []catalog.Item)
 	// Demand returns the demand by model at this node.
 	Demand func() []scheduler.ModelDemand
+	// Stages answers orders for stage results; nil at nodes without them.
+	Stages Stages
 }
 
 // Server accepts connections of other nodes. It implements suture.Service.
@@ -135,7 +137,7 @@
 	if err := readFrame(st, req, maxFrame); err != nil {
 		return
 	}
-	resp, err := s.answer(ctx, req)
+	resp, err := s.answer(ctx, st, req)
 	if err != nil {
 		resp = &peerpb.Response{Refusal: refusalOf(err)}
 	}
@@ -144,7 +146,19 @@
 	}
 }
 
-func (s *Server) answer(ctx context.Context, req *peerpb.Request) (*peerpb.Response, error) {
+func (s *Server) answer(ctx context.Context, st *yamux.Stream, req *peerpb.Request) (*peerpb.Response, error) {
+	switch call := req.Call.(type) {
+	case *peerpb.Request_Produce:
+		return s.produce(ctx, st, call.Produce)
+	case *peerpb.Request_Free:
+		if s.h.Stages != nil {
+			s.h.Stages.Free(call.Free.GetService(), call.Free.GetHandle())
+		}
+		return &peerpb.Response{Result: &peerpb.Response_Done{Done: &peerpb.Empty{}}}, nil
+	}
+	if s.h.Books == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.Internal, "this node keeps no books")
+	}
 	switch call := req.Call.(type) {
 	case *peerpb.Request_Claim:
 		g, err := s.h.Books.Claim(ctx, claimFrom(call.Claim))
--- /dev/null
+++ b/internal/peer/stages.go
@@ -0,0 +1,132 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+
+	"topazmoor/internal/peer/peerpb"
+	"topazmoor/internal/stagebatch"
+	"topazmoor/internal/verdict"
+)
+
+// Stages answers orders of other nodes for stage results.
+type Stages interface {
+	Produce(ctx context.Context, o stagebatch.Order, accepted func(estimate time.Duration)) (stagebatch.Result, error)
+	Free(service string, handles []string)
+}
+
+// failures are the errors of orders in the order of their numbers on the wire;
+// 0 is success.
+var failures = []error{nil, stagebatch.ErrLate, stagebatch.ErrInputGone, stagebatch.ErrFailed, stagebatch.ErrNoTarget}
+
+func failureNumber(err error) uint32 {
+	for i, e := range failures {
+		if e == err {
+			return uint32(i)
+		}
+	}
+	return uint32(len(failures) - 1)
+}
+
+func failureOf(n uint32) error {
+	if int(n) < len(failures) {
+		return failures[n]
+	}
+	return stagebatch.ErrFailed
+}
+
+func orderTo(o stagebatch.Order, now time.Time) *peerpb.Order {
+	return &peerpb.Order{
+		Service: o.Service, Request: o.Request, Stage: uint32(o.Stage), Pieces: uint32(o.Pieces),
+		Key: o.Key, Input: o.Inputs, Priority: int32(o.Priority), ResultBytes: o.ResultBytes,
+		DueInMs: o.Due.Sub(now).Milliseconds(), DeadlineInMs: o.Deadline.Sub(now).Milliseconds(),
+	}
+}
+
+func orderFrom(m *peerpb.Order, now time.Time) stagebatch.Order {
+	return stagebatch.Order{
+		Service: m.Service, Request: m.Request, Stage: int(m.Stage), Pieces: int(m.Pieces),
+		Key: m.Key, Inputs: m.Input, Priority: int(m.Priority), ResultBytes: m.ResultBytes,
+		Due:      now.Add(time.Duration(m.DueInMs) * time.Millisecond),
+		Deadline: now.Add(time.Duration(m.DeadlineInMs) * time.Millisecond),
+	}
+}
+
+// Produce implements stagebatch.Remote.
+func (c *Client) Produce(ctx context.Context, addr string, o stagebatch.Order, accepted func(time.Duration)) (stagebatch.Result, error) {
+	st, err := c.stream(ctx, addr)
+	if err != nil {
+		return stagebatch.Result{}, err
+	}
+	defer st.Close()
+	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if err := writeFrame(st, &peerpb.Request{Call: &peerpb.Request_Produce{Produce: orderTo(o, time.Now())}}); err != nil {
+		return stagebatch.Result{}, eris.Wrap(err, "send to peer")
+	}
+	resp := &peerpb.Response{}
+	if err := c.readAnswer(st, resp); err != nil {
+		return stagebatch.Result{}, err
+	}
+	if a := resp.GetAccepted(); a != nil {
+		accepted(time.Duration(a.EstimateMs) * time.Millisecond)
+		resp = &peerpb.Response{}
+		if err := c.readAnswer(st, resp); err != nil {
+			return stagebatch.Result{}, err
+		}
+	}
+	p := resp.GetProduced()
+	if err := failureOf(p.GetFailure()); err != nil {
+		return stagebatch.Result{}, err
+	}
+	if len(p.GetHandle()) != o.Pieces {
+		return stagebatch.Result{}, eris.New("the peer's answer lacks results")
+	}
+	return stagebatch.Result{Handles: p.Handle}, nil
+}
+
+func (c *Client) readAnswer(st *yamux.Stream, resp *peerpb.Response) error {
+	if err := readFrame(st, resp, maxFrame); err != nil {
+		return eris.Wrap(err, "answer of peer")
+	}
+	if resp.Refusal != nil {
+		return refusalFrom(resp.Refusal)
+	}
+	return nil
+}
+
+// Free implements stagebatch.Remote.
+func (c *Client) Free(ctx context.Context, addr, service string, handles []string) error {
+	_, err := c.call(ctx, addr, &peerpb.Request{Call: &peerpb.Request_Free{Free: &peerpb.Results{Service: service, Handle: handles}}})
+	return err
+}
+
+// produce answers an order: that it was accepted, then with its results. The
+// order ends when the peer closes its stream.
+func (s *Server) produce(ctx context.Context, st *yamux.Stream, m *peerpb.Order) (*peerpb.Response, error) {
+	if s.h.Stages == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.Internal, "this node forms no batches")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		// The peer sends nothing more: a read ends when it closes the stream.
+		var b [1]byte
+		_, _ = st.Read(b[:])
+		cancel()
+	}()
+	res, err := s.h.Stages.Produce(ctx, orderFrom(m, time.Now()), func(e time.Duration) {
+		accepted := &peerpb.Response{Result: &peerpb.Response_Accepted{Accepted: &peerpb.Accepted{EstimateMs: e.Milliseconds()}}}
+		if writeFrame(st, accepted) != nil {
+			cancel()
+		}
+	})
+	if err != nil && ctx.Err() != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.Canceled, "the order was withdrawn")
+	}
+	p := &peerpb.Produced{Handle: res.Handles, Failure: failureNumber(err)}
+	return &peerpb.Response{Result: &peerpb.Response_Produced{Produced: p}}, nil
+}
--- a/internal/routing/subset.go
+++ b/internal/routing/subset.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"topazmoor/internal/platform"
+	"topazmoor/internal/store"
 )
 
 const (
@@ -23,16 +23,16 @@
 // host that comes or goes changes few choices and every host has about as many
 // nodes. Hosts with the same models are one group, of which at least a few are
 // kept, so that no model is out of reach.
-func Subset(node string, hosts []platform.Host) []platform.Host {
+func Subset(node string, hosts []store.Host) []store.Host {
 	pools := make(map[string]int)
-	groups := make(map[string][]platform.Host)
+	groups := make(map[string][]store.Host)
 	for _, h := range hosts {
 		pools[h.Pool]++
 		key := h.Pool + "\x00" + strings.Join(h.Models, "\x00")
 		groups[key] = append(groups[key], h)
 	}
 	seed := xxhash.Sum64String(node)
-	out := make([]platform.Host, 0, len(hosts))
+	out := make([]store.Host, 0, len(hosts))
 	for _, group := range groups {
 		out = append(out, choose(seed, group, groupShare(len(group), pools[group[0].Pool]))...)
 	}
@@ -50,11 +50,11 @@
 }
 
 // choose returns the n hosts with the highest hash for the seed.
-func choose(seed uint64, hosts []platform.Host, n int) []platform.Host {
+func choose(seed uint64, hosts []store.Host, n int) []store.Host {
 	if n >= len(hosts) {
 		return hosts
 	}
-	ranked := append([]platform.Host(nil), hosts...)
+	ranked := append([]store.Host(nil), hosts...)
 	rank := make(map[string]uint64, len(hosts))
 	for _, h := range hosts {
 		rank[h.ID] = Mix(seed, xxhash.Sum64String(h.ID))
--- a/internal/routing/subset_test.go
+++ b/internal/routing/subset_test.go
@@ -6,13 +6,13 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"topazmoor/internal/platform"
+	"topazmoor/internal/store"
 )
 
-func subsetHosts(n, models int) []platform.Host {
-	var hosts []platform.Host
+func subsetHosts(n, models int) []store.Host {
+	var hosts []store.Host
 	for i := range n {
-		hosts = append(hosts, platform.Host{ID: fmt.Sprintf("h%03d", i), Pool: "p", Models: []string{fmt.Sprint("m", i%models)}})
+		hosts = append(hosts, store.Host{ID: fmt.Sprintf("h%03d", i), Pool: "p", Models: []string{fmt.Sprint("m", i%models)}})
 	}
 	return hosts
 }
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -7,8 +7,8 @@
 
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/flow"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/routing"
+	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
 )
 
@@ -44,7 +44,7 @@
 }
 
 // set replaces the targets of a pool, keeping the state of those that stay.
-func (p *pool) set(hosts []platform.Host, drained func(string) bool, share float64) {
+func (p *pool) set(hosts []store.Host, drained func(string) bool, share float64) {
 	known := make(map[string]*target, len(p.targets))
 	loads := make(map[string]routing.Load, len(p.targets))
 	for i, t := range p.targets {
@@ -63,13 +63,13 @@
 			t.limit.SetCeiling(float64(h.Slots) * share)
 		}
 		load := loads[h.ID]
-		load.Leaving = h.State != platform.Live || drained(h.ID)
+		load.Leaving = h.State != store.Live || drained(h.ID)
 		p.targets = append(p.targets, t)
 		p.cands = append(p.cands, routing.Candidate{Target: targetOf(h), Load: load})
 	}
 }
 
-func targetOf(h platform.Host) routing.Target {
+func targetOf(h store.Host) routing.Target {
 	return routing.Target{
 		ID: h.ID, Addr: h.Addr, DataCentre: h.DataCentre,
 		Models: h.Models, Adapters: h.Adapters,
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -11,8 +11,8 @@
 
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/flow"
-	"topazmoor/internal/platform"
 	"topazmoor/internal/routing"
+	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
 )
 
@@ -110,10 +110,10 @@
 
 // SetHosts replaces the targets. The live state of hosts that stay is kept. A
 // host is leaving when the host list says so or drained reports it.
-func (s *Scheduler) SetHosts(hosts []platform.Host, drained func(id string) bool) {
+func (s *Scheduler) SetHosts(hosts []store.Host, drained func(id string) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	byPool := make(map[string][]platform.Host)
+	byPool := make(map[string][]store.Host)
 	for _, h := range hosts {
 		byPool[h.Pool] = append(byPool[h.Pool], h)
 	}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -9,21 +9,21 @@
 	qt "github.com/frankban/quicktest"
 
 	"topazmoor/internal/catalog"
-	"topazmoor/internal/platform"
+	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
 )
 
 func never(string) bool { return false }
 
-func host(id string, slots int) platform.Host {
-	return platform.Host{ID: id, Addr: "127.0.0.1:1", Pool: "p", Slots: slots, State: platform.Live}
+func host(id string, slots int) store.Host {
+	return store.Host{ID: id, Addr: "127.0.0.1:1", Pool: "p", Slots: slots, State: store.Live}
 }
 
 func call(latest time.Duration) Call {
 	return Call{Pool: "p", Account: "a", Class: catalog.Standard, Stage: "s", Latest: time.Now().Add(latest)}
 }
 
-func newScheduler(hosts ...platform.Host) *Scheduler {
+func newScheduler(hosts ...store.Host) *Scheduler {
 	s := New(DefaultConfig("dc", 1))
 	s.SetHosts(hosts, never)
 	return s
@@ -81,16 +81,16 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		leaving := host("t2", 100)
-		leaving.State = platform.Leaving
+		leaving.State = store.Leaving
 		s := newScheduler(host("t1", 100), leaving, host("t3", 100))
-		s.SetHosts([]platform.Host{host("t1", 100), leaving, host("t3", 100)}, func(id string) bool { return id == "t3" })
+		s.SetHosts([]store.Host{host("t1", 100), leaving, host("t3", 100)}, func(id string) bool { return id == "t3" })
 		for range 20 {
 			l, err := s.Acquire(t.Context(), call(time.Second))
 			c.Assert(err, qt.IsNil)
 			c.Assert(l.Target.ID, qt.Equals, "t1")
 			defer l.Release(Succeeded)
 		}
-		s.SetHosts([]platform.Host{leaving}, never)
+		s.SetHosts([]store.Host{leaving}, never)
 		_, err := s.Acquire(t.Context(), call(time.Second))
 		c.Assert(verdict.CodeOf(err), qt.Equals, verdict.NoTarget)
 	})
--- /dev/null
+++ b/internal/stagebatch/former.go
@@ -0,0 +1,375 @@
+package stagebatch
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"topazmoor/internal/routes"
+	"topazmoor/internal/targets"
+)
+
+const (
+	// maxTries is the most calls that one piece is put into.
+	maxTries = 4
+	// busyPause is how long a target that rejected a call is left alone: about
+	// the time of half a call of another caller.
+	busyPause = 120 * time.Millisecond
+	// failPause is the first pause after a failed call; it doubles with each
+	// failure in a row, up to maxFailPause.
+	failPause    = 300 * time.Millisecond
+	maxFailPause = 3 * time.Second
+	// overdueFactor and overdueSlack give the time after which the pieces of a
+	// call are put into another one. Calls of sound targets vary by a tenth.
+	overdueFactor = 2.0
+	overdueSlack  = 300 * time.Millisecond
+	// freePause gathers results to be given up, so that one call frees many.
+	freePause = 15 * time.Millisecond
+	// freeTimeout bounds a call that gives up results; they lapse anyhow.
+	freeTimeout = time.Second
+)
+
+// Former forms the batches of stage pools at this node. It is safe for
+// concurrent use.
+type Former struct {
+	worker Worker
+	list   *targets.Table
+	spec   func(service string) *routes.Batch
+	log    *slog.Logger
+
+	mu    sync.Mutex
+	pools map[string]*pool
+	// freeing holds results to be given up, by maker.
+	freeing map[string][]string
+}
+
+// pool is one stage pool.
+type pool struct {
+	queue  []*piece
+	makers map[string]*maker
+	wakeAt time.Time
+}
+
+// NewFormer returns a Former. spec describes the targets of a service; nil for
+// an unknown one.
+func NewFormer(w Worker, list *targets.Table, spec func(service string) *routes.Batch, log *slog.Logger) *Former {
+	return &Former{worker: w, list: list, spec: spec, log: log, pools: make(map[string]*pool), freeing: make(map[string][]string)}
+}
+
+// Produce runs an order to its end. accepted is called with the estimated time
+// to its end once it is in the queue.
+func (f *Former) Produce(ctx context.Context, o Order, accepted func(estimate time.Duration)) (Result, error) {
+	spec := f.spec(o.Service)
+	if spec == nil {
+		return Result{}, ErrNoTarget
+	}
+	w := &order{Order: o, handles: make([]string, o.Pieces), missing: o.Pieces, done: make(chan struct{})}
+	f.mu.Lock()
+	p := f.pool(o.Service)
+	f.refresh(p, o.Service)
+	if len(p.makers) == 0 {
+		f.mu.Unlock()
+		return Result{}, ErrNoTarget
+	}
+	now := time.Now()
+	estimate := waitFor(p.queue, spec, p.makers, o.Priority, now) + expected(spec, o.Pieces)
+	for i := range o.Pieces {
+		p.queue = append(p.queue, &piece{order: w, index: i, queued: true})
+	}
+	f.pump(o.Service, p, spec)
+	f.mu.Unlock()
+	if accepted != nil {
+		accepted(estimate)
+	}
+	select {
+	case <-w.done:
+	case <-ctx.Done():
+		f.mu.Lock()
+		w.finish(ctx.Err())
+		f.mu.Unlock()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w.err != nil {
+		f.giveUp(o.Service, w.handles)
+		return Result{}, w.err
+	}
+	return Result{Handles: slices.Clone(w.handles)}, nil
+}
+
+// Estimate returns how long an order would take now.
+func (f *Former) Estimate(service string, pieces, rank int) time.Duration {
+	spec := f.spec(service)
+	if spec == nil {
+		return 0
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.pool(service)
+	return waitFor(p.queue, spec, p.makers, rank, time.Now()) + expected(spec, pieces)
+}
+
+// Free gives up results.
+func (f *Former) Free(service string, handles []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.giveUp(service, handles)
+}
+
+func (f *Former) pool(service string) *pool {
+	p := f.pools[service]
+	if p == nil {
+		p = &pool{makers: make(map[string]*maker)}
+		f.pools[service] = p
+	}
+	return p
+}
+
+// refresh takes in the targets as they are listed now. The lock is held.
+func (f *Former) refresh(p *pool, service string) {
+	listed := f.list.Usable(service)
+	seen := make(map[string]bool, len(listed))
+	for _, t := range listed {
+		seen[t.ID] = true
+		m := p.makers[t.ID]
+		if m == nil {
+			m = &maker{results: make(map[string]held)}
+			p.makers[t.ID] = m
+		}
+		m.Target = t
+	}
+	for id := range p.makers {
+		if !seen[id] {
+			delete(p.makers, id)
+		}
+	}
+}
+
+// pump hands batches to all targets that are free. The lock is held.
+func (f *Former) pump(service string, p *pool, spec *routes.Batch) {
+	if len(p.queue) == 0 {
+		return
+	}
+	f.refresh(p, service)
+	now := time.Now()
+	for _, m := range byspeed(p.makers) {
+		if !m.free(spec, now) || len(p.queue) == 0 {
+			continue
+		}
+		var batch []*piece
+		batch, p.queue = take(p.queue, spec, m.room(spec, now), now)
+		if len(batch) > 0 {
+			f.start(service, m, spec, batch, now)
+		}
+	}
+	f.wakeLater(service, p, spec, now)
+}
+
+// byspeed lists makers, the fastest first.
+func byspeed(makers map[string]*maker) []*maker {
+	out := make([]*maker, 0, len(makers))
+	for _, m := range makers {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b *maker) int {
+		if a.slow() < b.slow() {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// wakeInterval is how often a queue that waits for paused or full targets is
+// looked at.
+const wakeInterval = 50 * time.Millisecond
+
+// wakeLater looks at a queue again while it is not empty: pauses end and
+// results lapse without any other event. The lock is held.
+func (f *Former) wakeLater(service string, p *pool, spec *routes.Batch, now time.Time) {
+	if len(p.queue) == 0 || now.Before(p.wakeAt) {
+		return
+	}
+	p.wakeAt = now.Add(wakeInterval)
+	time.AfterFunc(wakeInterval, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.pump(service, p, spec)
+	})
+}
+
+// call is one call in progress.
+type call struct {
+	service string
+	m       *maker
+	spec    *routes.Batch
+	batch   []*piece
+	started time.Time
+	// expected is the time that a sound target takes.
+	expected time.Duration
+	ended    bool
+}
+
+// start makes a call. The lock is held.
+func (f *Former) start(service string, m *maker, spec *routes.Batch, batch []*piece, now time.Time) {
+	m.calls++
+	m.lastCall = now
+	c := &call{service: service, m: m, spec: spec, batch: batch, started: now, expected: expected(spec, len(batch))}
+	items := make([]Item, len(batch))
+	var last time.Time
+	for i, p := range batch {
+		p.attempts++
+		o := p.order
+		items[i] = Item{Request: o.Request, Stage: o.Stage, Piece: p.index, Key: o.Key, Inputs: o.Inputs, Remaining: o.Deadline.Sub(now)}
+		if o.Deadline.After(last) {
+			last = o.Deadline
+		}
+	}
+	overdue := time.Duration(overdueFactor*float64(c.expected)) + overdueSlack
+	watchdog := time.AfterFunc(overdue, func() { f.overdue(c) })
+	f.log.Debug("stage call", "service", service, "target", m.ID, "addr", m.Addr, "items", len(items), "queued", len(f.pools[service].queue))
+	go func() {
+		ctx, cancel := context.WithDeadline(context.Background(), last)
+		defer cancel()
+		results, err := f.worker.Run(ctx, m.Target, items)
+		watchdog.Stop()
+		f.ended(c, results, err)
+	}()
+}
+
+// overdue puts the pieces of a call that takes too long into another one. The
+// call goes on: whichever result comes first is used.
+func (f *Former) overdue(c *call) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.ended {
+		return
+	}
+	c.m.slowness.Add(time.Duration(float64(scale) * slowFactor * 2))
+	f.log.Warn("stage call overdue, its pieces go elsewhere", "service", c.service, "target", c.m.ID, "items", len(c.batch), "ms", time.Since(c.started).Milliseconds())
+	f.requeue(c)
+	f.pump(c.service, f.pool(c.service), c.spec)
+}
+
+// requeue puts the pieces of a call that have no result back. The lock is held.
+func (f *Former) requeue(c *call) {
+	p := f.pool(c.service)
+	for _, pc := range c.batch {
+		if pc.order.ended || pc.queued || pc.order.handles[pc.index] != "" {
+			continue
+		}
+		if pc.attempts >= maxTries {
+			pc.order.finish(ErrFailed)
+			continue
+		}
+		pc.queued = true
+		p.queue = append(p.queue, pc)
+	}
+}
+
+// ended takes in the outcome of a call.
+func (f *Former) ended(c *call, results []ItemResult, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c.ended = true
+	c.m.calls--
+	now := time.Now()
+	if err != nil {
+		f.failed(c, err, now)
+	} else {
+		c.m.failures = 0
+		took := now.Sub(c.started)
+		c.m.slowness.Add(time.Duration(float64(scale) * float64(took) / float64(c.expected)))
+		f.takeIn(c, results, now)
+	}
+	f.pump(c.service, f.pool(c.service), c.spec)
+}
+
+// failed takes in a call without results. The lock is held.
+func (f *Former) failed(c *call, err error, now time.Time) {
+	var ce *CallError
+	pause := failPause << min(c.m.failures, 4)
+	if errors.As(err, &ce) && ce.NotRun && !ce.Unreachable && !ce.Moved {
+		pause = busyPause
+		for _, p := range c.batch {
+			p.attempts--
+		}
+	} else {
+		c.m.failures++
+	}
+	c.m.pausedUntil = now.Add(min(pause, maxFailPause))
+	f.log.Warn("stage call failed", "service", c.service, "target", c.m.ID, "addr", c.m.Addr, "items", len(c.batch), "pause_ms", pause.Milliseconds(), "err", err)
+	f.requeue(c)
+}
+
+// takeIn hands out the results of a call. The lock is held.
+func (f *Former) takeIn(c *call, results []ItemResult, now time.Time) {
+	for i, r := range results {
+		p := c.batch[i]
+		o := p.order
+		switch r.Reason {
+		case Produced:
+			c.m.results[r.Handle] = held{bytes: o.ResultBytes, until: now.Add(c.spec.Keep)}
+			if o.ended || o.handles[p.index] != "" {
+				f.giveUp(c.service, []string{r.Handle})
+				continue
+			}
+			o.handles[p.index] = r.Handle
+			if o.missing--; o.missing == 0 {
+				o.finish(nil)
+			}
+		case Late:
+			o.finish(ErrLate)
+		case InputGone:
+			o.finish(ErrInputGone)
+		case NoRoom:
+			c.m.pausedUntil = now.Add(busyPause)
+		case ItemFailed:
+		}
+	}
+	f.requeue(c)
+}
+
+// giveUp frees results at their makers, shortly after, together with others.
+// The lock is held.
+func (f *Former) giveUp(service string, handles []string) {
+	for _, h := range handles {
+		if h == "" {
+			continue
+		}
+		addr := f.worker.Maker(h)
+		if len(f.freeing[addr]) == 0 {
+			time.AfterFunc(freePause, func() { f.freeNow(service, addr) })
+		}
+		f.freeing[addr] = append(f.freeing[addr], h)
+	}
+}
+
+// freeNow makes the call that frees results. Their room is counted as free
+// once the maker has answered.
+func (f *Former) freeNow(service, addr string) {
+	f.mu.Lock()
+	handles := f.freeing[addr]
+	delete(f.freeing, addr)
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	if err := f.worker.Free(ctx, addr, handles); err != nil {
+		f.log.Info("results not given up, they lapse", "addr", addr, "results", len(handles), "err", err)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.pool(service)
+	for _, m := range p.makers {
+		for _, h := range handles {
+			delete(m.results, h)
+		}
+	}
+	if spec := f.spec(service); spec != nil {
+		f.pump(service, p, spec)
+	}
+}
--- /dev/null
+++ b/internal/stagebatch/pool.go
@@ -0,0 +1,175 @@
+package stagebatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"topazmoor/internal/flow"
+	"topazmoor/internal/routes"
+	"topazmoor/internal/targets"
+)
+
+// piece is one piece that waits for, or is in, a call.
+type piece struct {
+	order *order
+	index int
+	// attempts counts the calls that held the piece.
+	attempts int
+	// queued says that the piece is in the queue.
+	queued bool
+}
+
+// order is an Order in work.
+type order struct {
+	Order
+	handles []string
+	missing int
+	done    chan struct{}
+	err     error
+	ended   bool
+}
+
+// finish ends an order once.
+func (o *order) finish(err error) {
+	if o.ended {
+		return
+	}
+	o.ended, o.err = true, err
+	close(o.done)
+}
+
+// held is a result that lies at its maker.
+type held struct {
+	bytes int64
+	until time.Time
+}
+
+// maker is what the former knows of one target of its pool.
+type maker struct {
+	targets.Target
+	// calls is the number of this node's calls there.
+	calls int
+	// pausedUntil sets the target aside after it rejected or failed a call.
+	pausedUntil time.Time
+	// slowness is the time of its calls against the expected one.
+	slowness flow.Estimate
+	lastCall time.Time
+	failures int
+	results  map[string]held
+}
+
+const (
+	// slowFactor is by how much a target may be slower than expected before it
+	// is only called now and then, to see whether it has recovered.
+	slowFactor = 2.2
+	// slowProbe is the time between two calls of a slow target.
+	slowProbe = 2500 * time.Millisecond
+	// scale keeps factors in an Estimate, which holds durations.
+	scale = time.Second
+	// roomShare is the part of a target's room that is planned with; sizes are
+	// approximate.
+	roomShare = 0.9
+)
+
+// slow returns how many times slower than expected the target is.
+func (m *maker) slow() float64 {
+	if mean := m.slowness.Mean(); mean > 0 {
+		return float64(mean) / float64(scale)
+	}
+	return 1
+}
+
+// room returns the bytes that results may still take.
+func (m *maker) room(spec *routes.Batch, now time.Time) int64 {
+	left := int64(roomShare * float64(spec.RoomBytes))
+	for h, r := range m.results {
+		if now.After(r.until) {
+			delete(m.results, h)
+			continue
+		}
+		left -= r.bytes
+	}
+	return left
+}
+
+// free reports whether the target may be given a call now.
+func (m *maker) free(spec *routes.Batch, now time.Time) bool {
+	if m.calls >= max(spec.Slots, 1) || now.Before(m.pausedUntil) {
+		return false
+	}
+	return m.slow() < slowFactor || now.Sub(m.lastCall) > slowProbe
+}
+
+// expected returns the time of a call with n items.
+func expected(spec *routes.Batch, n int) time.Duration {
+	return spec.CallTime + time.Duration(n)*spec.ItemTime
+}
+
+// before orders pieces: those that can still meet their objective first, then
+// by rank, then by the time at which they are due.
+func before(a, b *piece, late time.Time) int {
+	aLate, bLate := a.order.Due.Before(late), b.order.Due.Before(late)
+	switch {
+	case aLate != bLate && aLate:
+		return 1
+	case aLate != bLate:
+		return -1
+	case a.order.Priority != b.order.Priority:
+		return cmp.Compare(a.order.Priority, b.order.Priority)
+	}
+	return a.order.Due.Compare(b.order.Due)
+}
+
+// take removes the next batch for a target from the queue. Pieces whose order
+// ended are dropped; pieces that have no room wait.
+func take(queue []*piece, spec *routes.Batch, room int64, now time.Time) (batch, rest []*piece) {
+	late := now.Add(expected(spec, 1))
+	slices.SortStableFunc(queue, func(a, b *piece) int { return before(a, b, late) })
+	for _, p := range queue {
+		switch {
+		case p.order.ended:
+			p.queued = false
+		case p.order.Deadline.Before(late):
+			p.queued = false
+			p.order.finish(ErrLate)
+		case len(batch) < max(spec.Items, 1) && p.order.ResultBytes <= room:
+			room -= p.order.ResultBytes
+			p.queued = false
+			batch = append(batch, p)
+		default:
+			rest = append(rest, p)
+		}
+	}
+	return batch, rest
+}
+
+// waitFor estimates how long pieces of a rank wait for their call to begin.
+func waitFor(queue []*piece, spec *routes.Batch, makers map[string]*maker, rank int, now time.Time) time.Duration {
+	ahead := 0
+	for _, p := range queue {
+		if !p.order.ended && p.order.Priority <= rank {
+			ahead++
+		}
+	}
+	good, idle := 0, 0
+	for _, m := range makers {
+		if now.Before(m.pausedUntil) || m.slow() >= slowFactor {
+			continue
+		}
+		good++
+		if m.calls < max(spec.Slots, 1) {
+			idle++
+		}
+	}
+	if good == 0 {
+		good = 1
+	}
+	full := expected(spec, spec.Items)
+	wait := time.Duration(float64(full) * float64(ahead) / float64(good*max(spec.Items, 1)))
+	if idle == 0 {
+		// The next of the busy targets is free after a part of its call.
+		wait += expected(spec, spec.Items/2) / time.Duration(good+1)
+	}
+	return wait
+}
--- /dev/null
+++ b/internal/stagebatch/router.go
@@ -0,0 +1,225 @@
+package stagebatch
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"topazmoor/internal/routing"
+)
+
+// Node is another node that may form batches.
+type Node struct {
+	// Name is unique, Addr is where the node takes calls.
+	Name, Addr string
+}
+
+// Remote makes orders at other nodes; package peer has the real one.
+type Remote interface {
+	// Produce runs an order at the node at addr. accepted is called once the
+	// node has taken it. The error is one of this package's, or another one
+	// when the node did not answer or refused.
+	Produce(ctx context.Context, addr string, o Order, accepted func(estimate time.Duration)) (Result, error)
+	// Free gives up results at the node that formed their batches.
+	Free(ctx context.Context, addr, service string, handles []string) error
+}
+
+const (
+	// acceptTimeout is how long a node may take to accept an order: a round
+	// trip is 1 to 2 ms, and a busy node is held up for some tens of ms.
+	acceptTimeout = 250 * time.Millisecond
+	// silenceFactor and silenceSlack give the time after acceptance at which a
+	// node that said nothing is given up; estimates err by about a half.
+	silenceFactor = 2.5
+	silenceSlack  = 700 * time.Millisecond
+	// suspectFor is how long a node that did not answer is passed over. Frozen
+	// and restarted processes are back after a few seconds.
+	suspectFor = 2 * time.Second
+	// maxNodes is how many other nodes are tried before this node forms its
+	// own batch.
+	maxNodes = 2
+	// estimateLife is how long the estimate of a pool is believed.
+	estimateLife = time.Second
+)
+
+// Router sends orders to the node that forms the batches of their pool. It is
+// safe for concurrent use.
+type Router struct {
+	self   string
+	local  *Former
+	remote Remote
+	nodes  func() []Node
+	log    *slog.Logger
+
+	mu        sync.Mutex
+	suspects  map[string]time.Time
+	estimates map[string]estimate
+	stopping  bool
+}
+
+// estimate is what the former of a pool said of the time that a call waits.
+type estimate struct {
+	wait time.Duration
+	at   time.Time
+}
+
+// NewRouter returns a Router of the node self. nodes lists the other nodes.
+func NewRouter(self string, local *Former, remote Remote, nodes func() []Node, log *slog.Logger) *Router {
+	return &Router{
+		self: self, local: local, remote: remote, nodes: nodes, log: log,
+		suspects: make(map[string]time.Time), estimates: make(map[string]estimate),
+	}
+}
+
+// Stop makes the Router send new orders to other nodes where there are any.
+func (r *Router) Stop() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopping = true
+}
+
+// ranked returns the nodes that are not suspect in the order in which they form
+// the batches of a service. This node is Node{Name: self}.
+func (r *Router) ranked(service string) []Node {
+	now := time.Now()
+	all := r.nodes()
+	r.mu.Lock()
+	out := make([]Node, 0, len(all)+1)
+	if !r.stopping {
+		out = append(out, Node{Name: r.self})
+	}
+	for _, n := range all {
+		if until, ok := r.suspects[n.Name]; ok && now.Before(until) {
+			continue
+		}
+		out = append(out, n)
+	}
+	r.mu.Unlock()
+	key := xxhash.Sum64String(service)
+	slices.SortFunc(out, func(a, b Node) int {
+		if routing.Mix(key, xxhash.Sum64String(a.Name)) > routing.Mix(key, xxhash.Sum64String(b.Name)) {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Live returns how many nodes take part, this one included.
+func (r *Router) Live() int {
+	now := time.Now()
+	n := 1
+	all := r.nodes()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, node := range all {
+		if now.After(r.suspects[node.Name]) {
+			n++
+		}
+	}
+	return n
+}
+
+// Produce runs an order at the first node that takes it.
+func (r *Router) Produce(ctx context.Context, o Order) (Result, error) {
+	for i, n := range r.ranked(o.Service) {
+		if n.Name == r.self || i >= maxNodes {
+			break
+		}
+		res, err := r.produceAt(ctx, n, o)
+		if err == nil || final(err) || ctx.Err() != nil {
+			return res, err
+		}
+		r.suspect(n, o, err)
+	}
+	return r.local.Produce(ctx, o, func(e time.Duration) { r.note(o, e) })
+}
+
+// final reports whether another node would give the same answer.
+func final(err error) bool {
+	for _, e := range []error{ErrLate, ErrInputGone, ErrFailed, ErrNoTarget} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
+var errSilent = errors.New("stagebatch: the node fell silent")
+
+// produceAt runs an order at another node and gives it up when it is silent for
+// longer than its own estimate allows.
+func (r *Router) produceAt(ctx context.Context, n Node, o Order) (Result, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(acceptTimeout, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	res, err := r.remote.Produce(ctx, n.Addr, o, func(e time.Duration) {
+		watchdog.Reset(time.Duration(silenceFactor*float64(e)) + silenceSlack)
+		r.note(o, e)
+	})
+	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
+		err = errSilent
+	}
+	res.Former = n.Addr
+	return res, err
+}
+
+func (r *Router) suspect(n Node, o Order, err error) {
+	r.mu.Lock()
+	r.suspects[n.Name] = time.Now().Add(suspectFor)
+	r.mu.Unlock()
+	r.log.Warn("node does not form batches, passed over", "peer", n.Name, "addr", n.Addr, "request", o.Request, "service", o.Service, "err", err)
+}
+
+// note keeps the estimate of a pool, less the call itself.
+func (r *Router) note(o Order, e time.Duration) {
+	if spec := r.local.spec(o.Service); spec != nil {
+		e -= expected(spec, o.Pieces)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.estimates[o.Service] = estimate{wait: max(e, 0), at: time.Now()}
+}
+
+// Estimate returns the time that an order would take, by what the pool's
+// former last said.
+func (r *Router) Estimate(service string, pieces int) time.Duration {
+	spec := r.local.spec(service)
+	if spec == nil {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := expected(spec, pieces)
+	if last := r.estimates[service]; time.Since(last.at) < estimateLife {
+		e += last.wait
+	}
+	return e
+}
+
+// freeRemoteTimeout bounds the call to the former; results lapse anyhow.
+const freeRemoteTimeout = 500 * time.Millisecond
+
+// Free gives up the results of an order.
+func (r *Router) Free(service string, res Result) {
+	if len(res.Handles) == 0 {
+		return
+	}
+	if res.Former == "" {
+		r.local.Free(service, res.Handles)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeRemoteTimeout)
+		defer cancel()
+		if err := r.remote.Free(ctx, res.Former, service, res.Handles); err != nil {
+			r.local.Free(service, res.Handles)
+		}
+	}()
+}
--- /dev/null
+++ b/internal/stagebatch/stagebatch.go
@@ -0,0 +1,110 @@
+// Package stagebatch makes the calls of stage pools. A call costs a target the
+// same time whatever it holds, so pieces of many requests, from all nodes, meet
+// in one batch: for each pool one node (the first live one in the order of
+// rendezvous hashing) forms the batches for all. Which node that is may be
+// seen differently for a while; that costs smaller batches and nothing else,
+// because a piece may be produced twice. Source: docs/design/012-pass-through.md.
+package stagebatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"topazmoor/internal/targets"
+)
+
+// Order asks for the pieces of one stage of one request.
+type Order struct {
+	Service string
+	// Request is the request's ID, Stage the stage's number in its route.
+	Request string
+	Stage   int
+	// Pieces is how many results the stage has, numbered from 0.
+	Pieces int
+	// Key is handed to stages that read no results, Inputs are the results that
+	// the others read.
+	Key    string
+	Inputs []string
+	// Priority is the request's rank; 0 is the most urgent.
+	Priority int
+	// Due is when the results should be there for the request to meet its
+	// objective, Deadline when they are of no use any more.
+	Due, Deadline time.Time
+	// ResultBytes is the approximate size of one result.
+	ResultBytes int64
+}
+
+// Result is what an Order gave.
+type Result struct {
+	// Handles name the results, in the order of the pieces.
+	Handles []string
+	// Former is the node that formed the batches and keeps the accounts of the
+	// results; "" for this node.
+	Former string
+}
+
+// Errors of orders. In each case the request itself has not run.
+var (
+	// ErrLate: the results would come too late.
+	ErrLate = errors.New("stagebatch: the stage cannot be done in time")
+	// ErrInputGone: a result that the stage reads is no longer there; it must
+	// be produced again.
+	ErrInputGone = errors.New("stagebatch: an input is gone")
+	// ErrFailed: the targets failed the stage repeatedly.
+	ErrFailed = errors.New("stagebatch: the stage failed")
+	// ErrNoTarget: the pool has no target.
+	ErrNoTarget = errors.New("stagebatch: the pool has no target")
+)
+
+// Item is one piece as a call carries it.
+type Item struct {
+	Request      string
+	Stage, Piece int
+	Key          string
+	Inputs       []string
+	// Remaining is how long the result is of use.
+	Remaining time.Duration
+}
+
+// Reason is why an item has no result.
+type Reason uint8
+
+// The reasons.
+const (
+	Produced Reason = iota
+	Late
+	InputGone
+	NoRoom
+	ItemFailed
+)
+
+// ItemResult is the outcome of one item.
+type ItemResult struct {
+	Handle string
+	Reason Reason
+}
+
+// CallError is a call without results. NotRun says that the target rejected it
+// or was never reached, Moved that another process has the address.
+type CallError struct {
+	NotRun, Unreachable, Moved bool
+	Cause                      error
+}
+
+// Error implements error.
+func (e *CallError) Error() string { return "stagebatch: call failed: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Cause }
+
+// Worker makes calls at stage targets; platform/ has the real one.
+type Worker interface {
+	// Run makes one call. It returns a result an item, in their order, or a
+	// *CallError.
+	Run(ctx context.Context, t targets.Target, items []Item) ([]ItemResult, error)
+	// Free gives up results at their maker.
+	Free(ctx context.Context, addr string, handles []string) error
+	// Maker returns the address (IP:port) of the target that holds a result.
+	Maker(handle string) string
+}
--- a/internal/standin/gate.go
+++ b/internal/standin/gate.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"sync"
+	"time"
 
-	"topazmoor/internal/platform"
+	"topazmoor/internal/store"
 )
 
 // Gate stands between one node and the platform, so that tests can cut, freeze
-// or kill the node alone. It implements platform.Store.
+// or kill the node alone. It implements store.Store.
 type Gate struct {
-	inner platform.Store
+	inner store.Store
 
 	mu     sync.Mutex
 	cut    bool
@@ -18,7 +19,7 @@
 }
 
 // NewGate returns an open gate.
-func NewGate(inner platform.Store) *Gate { return &Gate{inner: inner} }
+func NewGate(inner store.Store) *Gate { return &Gate{inner: inner} }
 
 // SetCut refuses all calls while cut.
 func (g *Gate) SetCut(cut bool) {
@@ -54,41 +55,61 @@
 		<-frozen
 	}
 	if cut {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return nil
 }
 
-// Commit implements platform.Tables. A node that is cut off during the commit
+// Commit implements store.Tables. A node that is cut off during the commit
 // does not get its answer.
-func (g *Gate) Commit(ctx context.Context, tx platform.Tx) (int64, error) {
+func (g *Gate) Commit(ctx context.Context, tx store.Tx) (int64, error) {
 	if err := g.wait(); err != nil {
 		return 0, err
 	}
 	v, err := g.inner.Commit(ctx, tx)
 	if g.wait() != nil {
-		return 0, platform.ErrUnknown
+		return 0, store.ErrUnknown
 	}
 	return v, err
 }
 
-// Get implements platform.Tables.
-func (g *Gate) Get(ctx context.Context, table, key string) (platform.Row, error) {
+// Get implements store.Tables.
+func (g *Gate) Get(ctx context.Context, table, key string) (store.Row, error) {
 	if err := g.wait(); err != nil {
-		return platform.Row{}, err
+		return store.Row{}, err
 	}
 	return g.inner.Get(ctx, table, key)
 }
 
-// Scan implements platform.Tables.
-func (g *Gate) Scan(ctx context.Context, table, prefix, after string, limit int) ([]platform.Row, error) {
+// Scan implements store.Tables.
+func (g *Gate) Scan(ctx context.Context, table, prefix, after string, limit int) ([]store.Row, error) {
 	if err := g.wait(); err != nil {
 		return nil, err
 	}
 	return g.inner.Scan(ctx, table, prefix, after, limit)
 }
 
-// Put implements platform.Objects.
+// Snapshot implements store.Watchable.
+func (g *Gate) Snapshot(ctx context.Context, table string) (store.Snapshot, error) {
+	if err := g.wait(); err != nil {
+		return store.Snapshot{}, err
+	}
+	return g.inner.Snapshot(ctx, table)
+}
+
+// Changes implements store.Watchable.
+func (g *Gate) Changes(ctx context.Context, table string, after int64, wait time.Duration) (store.Changes, error) {
+	if err := g.wait(); err != nil {
+		return store.Changes{}, err
+	}
+	out, err := g.inner.Changes(ctx, table, after, wait)
+	if g.wait() != nil {
+		return store.Changes{}, store.ErrUnavailable
+	}
+	return out, err
+}
+
+// Put implements store.Objects.
 func (g *Gate) Put(ctx context.Context, key string, value []byte) error {
 	if err := g.wait(); err != nil {
 		return err
@@ -96,7 +117,7 @@
 	return g.inner.Put(ctx, key, value)
 }
 
-// GetObject implements platform.Objects.
+// GetObject implements store.Objects.
 func (g *Gate) GetObject(ctx context.Context, key string) ([]byte, error) {
 	if err := g.wait(); err != nil {
 		return nil, err
@@ -104,8 +125,8 @@
 	return g.inner.GetObject(ctx, key)
 }
 
-// ListHosts implements platform.Hosts.
-func (g *Gate) ListHosts(ctx context.Context) ([]platform.Host, error) {
+// ListHosts implements store.Hosts.
+func (g *Gate) ListHosts(ctx context.Context) ([]store.Host, error) {
 	if err := g.wait(); err != nil {
 		return nil, err
 	}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -8,8 +8,8 @@
 
 	"github.com/rotisserie/eris"
 
-	"topazmoor/internal/platform"
 	"topazmoor/internal/settings"
+	"topazmoor/internal/store"
 )
 
 // PoolSpec describes the targets of one pool of a World.
@@ -37,7 +37,7 @@
 
 // World is a set of stand-in targets, listed in a stand-in platform.
 type World struct {
-	Store   *platform.Memory
+	Store   *store.Memory
 	Targets map[string]*Target
 	// Addrs holds the address of each target by ID.
 	Addrs   map[string]string
@@ -61,7 +61,7 @@
 // NewWorld starts the targets on loopback addresses given by listen, spread
 // over two data centres.
 func NewWorld(specs []PoolSpec, listen func(addr string) (net.Listener, error)) (*World, error) {
-	w := &World{Store: platform.NewMemory(), Targets: make(map[string]*Target), Addrs: make(map[string]string), specs: specs}
+	w := &World{Store: store.NewMemory(), Targets: make(map[string]*Target), Addrs: make(map[string]string), specs: specs}
 	for _, spec := range specs {
 		for i := range spec.Targets {
 			if err := w.add(spec, i, listen); err != nil {
@@ -79,9 +79,9 @@
 		return eris.Wrap(err, "listen")
 	}
 	id := fmt.Sprintf("%s-%d", spec.Pool.Name, i+1)
-	host := platform.Host{
+	host := store.Host{
 		ID: id, Addr: ln.Addr().String(), Pool: spec.Pool.Name, DataCentre: fmt.Sprintf("dc-%d", i%2+1),
-		Models: spec.modelsOf(i), Slots: spec.Slots, State: platform.Live,
+		Models: spec.modelsOf(i), Slots: spec.Slots, State: store.Live,
 	}
 	t := NewTarget(TargetConfig{
 		Kind: spec.Pool.Kind, Slots: spec.Slots, Service: spec.Service, Models: host.Models,
--- a/internal/platform/memory.go
+++ b/internal/store/memory.go
@@ -1,11 +1,14 @@
-package platform
+package store
 
 import (
 	"context"
+	"encoding/json"
 	"sort"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Faults are the failures of a Memory store. The zero value is a healthy one.
@@ -32,13 +35,24 @@
 	Reads   int64 `json:"reads"`
 }
 
+// HostTable is the table in which a Memory store keeps the host list, one row
+// a host, encoded as JSON.
+const HostTable = "hosts"
+
+type rowID struct{ table, key string }
+
 // Memory is an in-memory Store for tests and for the stand-in platform. All
 // methods may be called concurrently.
 type Memory struct {
 	mu      sync.Mutex
 	tables  map[string]map[string]Row
 	objects map[string][]byte
-	hosts   map[string]Host
+	// deleted holds the version at which rows were deleted.
+	deleted map[rowID]int64
+	// compacted is the version up to which changes are forgotten.
+	compacted int64
+	// changed is closed at the next change.
+	changed chan struct{}
 	version int64
 	faults  Faults
 	counts  Counts
@@ -49,7 +63,8 @@
 	return &Memory{
 		tables:  make(map[string]map[string]Row),
 		objects: make(map[string][]byte),
-		hosts:   make(map[string]Host),
+		deleted: make(map[rowID]int64),
+		changed: make(chan struct{}),
 	}
 }
 
@@ -69,16 +84,35 @@
 
 // SetHost adds or replaces one host of the host list.
 func (m *Memory) SetHost(h Host) {
+	value, err := json.Marshal(h)
+	if err != nil {
+		panic(err) // a Host holds nothing that JSON cannot encode
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.hosts[h.ID] = h
+	m.applyAll(Tx{Writes: []Write{{Table: HostTable, Key: h.ID, Value: value}}})
 }
 
 // RemoveHost drops one host from the host list.
 func (m *Memory) RemoveHost(id string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.hosts, id)
+	m.applyAll(Tx{Writes: []Write{{Table: HostTable, Key: id, Delete: true}}})
+}
+
+// Compact forgets all changes so far; followers must read whole tables.
+func (m *Memory) Compact() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.compacted = m.version
+	clear(m.deleted)
+	m.wake()
+}
+
+// wake tells those who wait for changes. The lock is held.
+func (m *Memory) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
 }
 
 // enter waits out the delay and reports whether the call is refused.
@@ -133,6 +167,7 @@
 	for _, w := range tx.Writes {
 		m.apply(w)
 	}
+	m.wake()
 }
 
 func (m *Memory) applyLate(tx Tx) {
@@ -159,10 +194,13 @@
 		t = make(map[string]Row)
 		m.tables[w.Table] = t
 	}
+	id := rowID{w.Table, w.Key}
 	if w.Delete {
 		delete(t, w.Key)
+		m.deleted[id] = m.version
 		return
 	}
+	delete(m.deleted, id)
 	t[w.Key] = Row{Table: w.Table, Key: w.Key, Value: w.Value, Version: m.version}
 }
 
@@ -231,16 +269,82 @@
 
 // ListHosts implements Hosts. The result is sorted by ID.
 func (m *Memory) ListHosts(ctx context.Context) ([]Host, error) {
-	if err := m.enter(ctx); err != nil {
+	snap, err := m.Snapshot(ctx, HostTable)
+	if err != nil {
 		return nil, err
 	}
+	out := make([]Host, 0, len(snap.Rows))
+	for _, r := range snap.Rows {
+		var h Host
+		if err := json.Unmarshal(r.Value, &h); err != nil {
+			return nil, eris.Wrapf(err, "host %s", r.Key)
+		}
+		out = append(out, h)
+	}
+	return out, nil
+}
+
+// Snapshot implements Watchable. Rows are sorted by key.
+func (m *Memory) Snapshot(ctx context.Context, table string) (Snapshot, error) {
+	if err := m.enter(ctx); err != nil {
+		return Snapshot{}, err
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.counts.Reads++
-	out := make([]Host, 0, len(m.hosts))
-	for _, h := range m.hosts {
-		out = append(out, h)
+	s := Snapshot{Version: m.version}
+	for _, r := range m.tables[table] {
+		s.Rows = append(s.Rows, r)
+	}
+	sort.Slice(s.Rows, func(i, j int) bool { return s.Rows[i].Key < s.Rows[j].Key })
+	return s, nil
+}
+
+// Changes implements Watchable.
+func (m *Memory) Changes(ctx context.Context, table string, after int64, wait time.Duration) (Changes, error) {
+	if err := m.enter(ctx); err != nil {
+		return Changes{}, err
+	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		m.mu.Lock()
+		out, err := m.changesAfter(table, after)
+		changed, down := m.changed, m.faults.Down
+		m.mu.Unlock()
+		if down {
+			return Changes{}, ErrUnavailable
+		}
+		if err != nil || len(out.Changes) > 0 {
+			return out, err
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return out, nil
+		case <-ctx.Done():
+			return Changes{}, ErrUnavailable
+		}
+	}
+}
+
+// changesAfter lists the changes of a table. The lock is held.
+func (m *Memory) changesAfter(table string, after int64) (Changes, error) {
+	if after < m.compacted {
+		return Changes{}, ErrCompacted
+	}
+	m.counts.Reads++
+	out := Changes{Version: m.version}
+	for _, r := range m.tables[table] {
+		if r.Version > after {
+			out.Changes = append(out.Changes, Change{Row: r})
+		}
+	}
+	for id, version := range m.deleted {
+		if id.table == table && version > after {
+			out.Changes = append(out.Changes, Change{Row: Row{Table: table, Key: id.key, Version: version}, Deleted: true})
+		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	sort.Slice(out.Changes, func(i, j int) bool { return out.Changes[i].Version < out.Changes[j].Version })
 	return out, nil
 }
--- a/internal/platform/platform.go
+++ b/internal/store/store.go
@@ -6,7 +6,7 @@
 // A call can end in three ways: it took effect, it did not (ErrUnavailable),
 // or nobody can say (ErrUnknown, a lost reply). Callers must handle the third
 // by reading back what they wrote; see docs/design/002-platform.md.
-package platform
+package store
 
 import (
 	"context"
@@ -15,13 +15,16 @@
 )
 
 // ErrUnavailable: the service did not take the call; nothing was applied.
-var ErrUnavailable = errors.New("platform: service unavailable")
+var ErrUnavailable = errors.New("store: service unavailable")
 
 // ErrUnknown: the reply was lost; the call may or may not have been applied.
-var ErrUnknown = errors.New("platform: reply lost, outcome unknown")
+var ErrUnknown = errors.New("store: reply lost, outcome unknown")
+
+// ErrCompacted: the changes asked for are no longer kept; read the whole table.
+var ErrCompacted = errors.New("store: history compacted")
 
 // ErrNotFound: no such row or object.
-var ErrNotFound = errors.New("platform: not found")
+var ErrNotFound = errors.New("store: not found")
 
 // Row is one row of a table.
 type Row struct {
@@ -63,7 +66,7 @@
 }
 
 // Error implements error.
-func (e *ConflictError) Error() string { return "platform: conditions not met" }
+func (e *ConflictError) Error() string { return "store: conditions not met" }
 
 // Tables is the transactional table service.
 type Tables interface {
@@ -77,6 +80,37 @@
 	Scan(ctx context.Context, table, prefix, after string, limit int) ([]Row, error)
 }
 
+// Snapshot is a whole table as of one version.
+type Snapshot struct {
+	Rows []Row
+	// Version is the newest commit number that the rows take in.
+	Version int64
+}
+
+// Change is one changed row; the last change of a row stands for all before.
+type Change struct {
+	Row
+	// Deleted rows have no value.
+	Deleted bool
+}
+
+// Changes are the changes of a table up to a version.
+type Changes struct {
+	Changes []Change
+	// Version is where the next call goes on.
+	Version int64
+}
+
+// Watchable is a table service whose tables can be followed.
+type Watchable interface {
+	// Snapshot returns a whole table. It may be some seconds old.
+	Snapshot(ctx context.Context, table string) (Snapshot, error)
+	// Changes returns what changed in a table after a version, in order. It
+	// waits up to wait for a first change and then returns none. It fails with
+	// ErrCompacted or ErrUnavailable.
+	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Changes, error)
+}
+
 // Objects is the object store.
 type Objects interface {
 	// Put replaces an object. A repeat of the same Put is harmless.
@@ -120,6 +154,7 @@
 // Store is everything that the platform keeps.
 type Store interface {
 	Tables
+	Watchable
 	Objects
 	Hosts
 }
--- /dev/null
+++ b/internal/targets/targets.go
@@ -0,0 +1,192 @@
+// Package targets keeps what one node knows of the targets of pass-through
+// requests: who is listed, who is draining, and how each has lately behaved
+// towards this node.
+package targets
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"topazmoor/internal/flow"
+	"topazmoor/internal/routing"
+)
+
+// Target is one listed target. Each start of a target's process has a new ID.
+type Target struct {
+	ID, Service string
+	// Addr is IP:port. It is used again by other targets.
+	Addr       string
+	DataCentre string
+	// Slots is how many calls the target works on at once.
+	Slots int
+	// Draining targets get no new work.
+	Draining bool
+}
+
+// lapseGrace is how long after the store's return a target that vanished from
+// the list meanwhile is still used: targets that live enter themselves again
+// within about two seconds.
+const lapseGrace = 2200 * time.Millisecond
+
+// Load is what a target said about itself with an answer.
+type Load struct{ Running, Waiting, Slots int }
+
+// state is a target with its live state.
+type state struct {
+	Target
+	hash uint64
+	// vanishes is when a target that is no longer listed is dropped; zero for
+	// listed ones.
+	vanishes time.Time
+	// moved is set once another process answered at the target's address.
+	moved bool
+
+	breaker routing.Breaker
+	// failures is the recent share of failed calls, from 0 to 1.
+	failures float64
+	latency  flow.Estimate
+	// inFlight counts this node's calls, reserved the tokens of their prompts
+	// that are not answered yet.
+	inFlight int
+	pending  int
+	load     Load
+	// loadAt is when the load was told, loadSent how many calls this node had
+	// in flight there at that time.
+	loadAt   time.Time
+	loadSent int
+}
+
+// Table is the list of targets with their live states. It is safe for
+// concurrent use.
+type Table struct {
+	// Node and DataCentre say where this node stands.
+	DataCentre string
+
+	mu       sync.Mutex
+	byID     map[string]*state
+	services map[string][]*state
+	// seen is set once a list was taken in.
+	seen bool
+	now  func() time.Time
+}
+
+// New returns an empty Table.
+func New(dataCentre string) *Table {
+	return &Table{DataCentre: dataCentre, byID: make(map[string]*state), services: make(map[string][]*state), now: time.Now}
+}
+
+// Change is what an update of the list did, for logs.
+type Change struct {
+	ID, Addr, Service string
+	// What is added, draining, kept (lapsed but still used) or gone.
+	What string
+}
+
+// Update takes in a new list. regained is when the store last came back.
+// It returns what changed, and the addresses that are no longer used.
+func (t *Table) Update(list []Target, regained time.Time) (changes []Change, gone []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.seen = true
+	now := t.now()
+	listed := make(map[string]bool, len(list))
+	for _, target := range list {
+		listed[target.ID] = true
+		if c, changed := t.put(target); changed {
+			changes = append(changes, c)
+		}
+	}
+	for id, s := range t.byID {
+		if listed[id] {
+			continue
+		}
+		if s.vanishes.IsZero() && !s.Draining && now.Before(regained.Add(lapseGrace)) {
+			s.vanishes = regained.Add(lapseGrace)
+			changes = append(changes, change(s, "kept"))
+		}
+		if now.Before(s.vanishes) {
+			continue
+		}
+		delete(t.byID, id)
+		changes = append(changes, change(s, "gone"))
+		gone = append(gone, s.Addr)
+	}
+	t.index()
+	return changes, gone
+}
+
+func change(s *state, what string) Change {
+	return Change{ID: s.ID, Addr: s.Addr, Service: s.Service, What: what}
+}
+
+func (t *Table) put(target Target) (Change, bool) {
+	s := t.byID[target.ID]
+	if s == nil {
+		s = &state{Target: target, hash: xxhash.Sum64String(target.ID)}
+		t.byID[target.ID] = s
+		return change(s, "added"), true
+	}
+	drains := target.Draining && !s.Draining
+	s.Target = target
+	s.vanishes = time.Time{}
+	return change(s, "draining"), drains
+}
+
+// index rebuilds the lists by service.
+func (t *Table) index() {
+	clear(t.services)
+	for _, s := range t.byID {
+		t.services[s.Service] = append(t.services[s.Service], s)
+	}
+}
+
+// Seen reports whether a list was taken in.
+func (t *Table) Seen() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.seen
+}
+
+// usable reports whether a target may be sent work now.
+func (s *state) usable(now time.Time) bool {
+	if s.Draining || s.moved {
+		return false
+	}
+	return s.vanishes.IsZero() || now.Before(s.vanishes)
+}
+
+// Usable returns the targets of a service that may be sent work now.
+func (t *Table) Usable(service string) []Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	var out []Target
+	for _, s := range t.services[service] {
+		if s.usable(now) {
+			out = append(out, s.Target)
+		}
+	}
+	return out
+}
+
+// MayCall reports whether a target may be sent work at this moment.
+func (t *Table) MayCall(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.byID[id]
+	return s != nil && s.usable(t.now())
+}
+
+// DataCentreOf returns where the target at an address stands; "" for unknown.
+func (t *Table) DataCentreOf(addr string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.byID {
+		if s.Addr == addr {
+			return s.DataCentre
+		}
+	}
+	return ""
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -68,6 +68,7 @@
 	UnknownPipeline     Code = "unknown_pipeline"
 	NotFound            Code = "not_found"
 	TooLarge            Code = "too_large"
+	BodyTimeout         Code = "body_timeout"
 	RateLimited         Code = "rate_limited"
 	Overloaded          Code = "overloaded"
 	DeadlineUnreachable Code = "deadline_unreachable"
--- /dev/null
+++ b/internal/watch/watch.go
@@ -0,0 +1,185 @@
+// Package watch keeps a copy of a table up to date: it reads the table whole,
+// follows its changes, and reads it whole again when changes may have been
+// missed. Versions only rise: an answer older than the copy is dropped.
+package watch
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"topazmoor/internal/store"
+)
+
+const (
+	// wait is how long one call waits for changes. A path that went silent is
+	// noticed after it, so it stays near the time within which a change must be
+	// in force once the store is back (3 s).
+	wait = 3 * time.Second
+	// firstRetry doubles up to maxRetry while the store does not answer. A
+	// store call takes about 5 ms; many nodes retry at once after an outage.
+	firstRetry = 100 * time.Millisecond
+	maxRetry   = 700 * time.Millisecond
+	// rereadEvery is the time between two whole reads without any sign of a
+	// missed change: a watch can stay silent although something changed.
+	rereadEvery = 10 * time.Second
+)
+
+// View is a copy of a table.
+type View struct {
+	Rows map[string]store.Row
+	// Version is the commit number of the copy.
+	Version int64
+	// Regained is when the store last came back after it was away; zero for
+	// never. Rows may be missing shortly after it that their writers restore.
+	Regained time.Time
+}
+
+// Table follows one table. It implements suture.Service.
+type Table struct {
+	// Name is the table's name.
+	Name string
+	From store.Watchable
+	// Apply is called with each new view; it must not change it.
+	Apply func(View)
+	Log   *slog.Logger
+
+	rows     map[string]store.Row
+	version  int64
+	lost     bool
+	regained time.Time
+	heard    atomic.Int64
+	lastRead time.Time
+	// gap is set while changes may be missing from the copy.
+	gap bool
+}
+
+// Heard returns when the store last answered; zero for never.
+func (t *Table) Heard() time.Time {
+	n := t.heard.Load()
+	if n == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, n)
+}
+
+// Connected reports whether the store answers.
+func (t *Table) Connected() bool {
+	return time.Since(t.Heard()) < 2*wait
+}
+
+// Serve implements suture.Service.
+func (t *Table) Serve(ctx context.Context) error {
+	retry := firstRetry
+	for ctx.Err() == nil {
+		err := t.step(ctx)
+		if err == nil {
+			retry = firstRetry
+			continue
+		}
+		if errors.Is(err, store.ErrCompacted) {
+			t.Log.Info("history of the table is gone, reading it whole", "table", t.Name, "version", t.version)
+			t.gap = true
+		} else {
+			t.away(err)
+		}
+		// Half of the pause is random, so that nodes don't come back in step.
+		pause := retry/2 + rand.N(retry/2)
+		retry = min(2*retry, maxRetry)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+	return ctx.Err()
+}
+
+// away notes that the store does not answer.
+func (t *Table) away(err error) {
+	if t.lost {
+		return
+	}
+	t.lost = true
+	t.Log.Warn("store lost", "table", t.Name, "version", t.version, "err", err)
+}
+
+func (t *Table) step(ctx context.Context) error {
+	if t.gap || time.Since(t.lastRead) > rereadEvery {
+		return t.readWhole(ctx)
+	}
+	changes, err := t.From.Changes(ctx, t.Name, t.version, wait)
+	if err != nil {
+		return err
+	}
+	t.answered()
+	if changes.Version < t.version {
+		return nil
+	}
+	t.version = changes.Version
+	if len(changes.Changes) == 0 {
+		return nil
+	}
+	t.merge(changes.Changes)
+	t.apply()
+	return nil
+}
+
+func (t *Table) apply() {
+	t.Apply(View{Rows: t.rows, Version: t.version, Regained: t.regained})
+}
+
+// errStale: the read is older than the copy that it should complete.
+var errStale = errors.New("watch: the store answered with an old read")
+
+// readWhole replaces the copy, unless the answer is older than the copy.
+func (t *Table) readWhole(ctx context.Context) error {
+	snap, err := t.From.Snapshot(ctx, t.Name)
+	if err != nil {
+		return err
+	}
+	t.answered()
+	if snap.Version < t.version && t.gap {
+		return errStale
+	}
+	t.lastRead = time.Now()
+	if snap.Version < t.version {
+		return nil
+	}
+	t.gap = false
+	t.version = snap.Version
+	rows := make(map[string]store.Row, len(snap.Rows))
+	for _, r := range snap.Rows {
+		rows[r.Key] = r
+	}
+	t.rows = rows
+	t.apply()
+	return nil
+}
+
+func (t *Table) answered() {
+	t.heard.Store(time.Now().UnixNano())
+	if t.lost {
+		t.lost = false
+		t.regained = time.Now()
+		t.Log.Info("store regained", "table", t.Name, "version", t.version)
+	}
+}
+
+// merge builds the next copy beside the old one, which readers may still hold.
+func (t *Table) merge(changes []store.Change) {
+	next := make(map[string]store.Row, len(t.rows)+len(changes))
+	for k, r := range t.rows {
+		next[k] = r
+	}
+	for _, c := range changes {
+		if c.Deleted {
+			delete(next, c.Key)
+			continue
+		}
+		next[c.Key] = c.Row
+	}
+	t.rows = next
+}
