Tell a slow former from a dead one: it says four times a second that it works

A home node gave an order up when it took longer than 2.5 times its estimate, called the former suspect and sent the order to the next node, which knew nothing of the first one's calls. By 40 s eight nodes formed batches of one pool: 1,273 calls found the server full, 4,197 pieces no room, 188 s of stage work were thrown away, and it never ended by itself.

Ruled out: a lost member entry (all nodes knew all others), a leak of results (they lapse after 4 s and the state outlived that).

Change: a node that works on an order says so every 250 ms; the home gives it up after 900 ms of silence, however long the order takes.

--- a/internal/passthrough/refuse.go
+++ b/internal/passthrough/refuse.go
@@ -1,9 +1,7 @@
 package passthrough
 
 import (
-	"context"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -85,14 +83,6 @@
 // another node.
 const stopRetryAfter = 20 * time.Millisecond
 
-// ended returns the error of the call's context as a final answer, or err.
-func (c *call) ended(err error) error {
-	if c.ctx.Err() != nil || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) {
-		return c.timedOut()
-	}
-	return err
-}
-
 // done logs and counts the end of a request. code is empty for an answer of a
 // target.
 func (c *call) done(code string, status int, err error) {
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,7 +67,6 @@
 	endsAt atomic.Int64
 	ending context.Context
 	cut    context.CancelCauseFunc
-	work   sync.WaitGroup
 }
 
 // New returns a Server.
--- a/internal/peer/stages.go
+++ b/internal/peer/stages.go
@@ -67,17 +67,10 @@
 	if err := writeFrame(st, &peerpb.Request{Call: &peerpb.Request_Produce{Produce: orderTo(o, time.Now())}}); err != nil {
 		return stagebatch.Result{}, eris.Wrap(err, "send to peer")
 	}
-	resp := &peerpb.Response{}
-	if err := c.readAnswer(st, resp); err != nil {
+	resp, err := c.awaitProduced(st, accepted)
+	if err != nil {
 		return stagebatch.Result{}, err
 	}
-	if a := resp.GetAccepted(); a != nil {
-		accepted(time.Duration(a.EstimateMs) * time.Millisecond)
-		resp = &peerpb.Response{}
-		if err := c.readAnswer(st, resp); err != nil {
-			return stagebatch.Result{}, err
-		}
-	}
 	p := resp.GetProduced()
 	if err := failureOf(p.GetFailure()); err != nil {
 		return stagebatch.Result{}, err
@@ -88,14 +81,22 @@
 	return stagebatch.Result{Handles: p.Handle}, nil
 }
 
-func (c *Client) readAnswer(st *yamux.Stream, resp *peerpb.Response) error {
-	if err := readFrame(st, resp, maxFrame); err != nil {
-		return eris.Wrap(err, "answer of peer")
-	}
-	if resp.Refusal != nil {
-		return refusalFrom(resp.Refusal)
+// awaitProduced reads the answers to an order until the last one.
+func (c *Client) awaitProduced(st *yamux.Stream, accepted func(time.Duration)) (*peerpb.Response, error) {
+	for {
+		resp := &peerpb.Response{}
+		if err := readFrame(st, resp, maxFrame); err != nil {
+			return nil, eris.Wrap(err, "answer of peer")
+		}
+		if resp.Refusal != nil {
+			return nil, refusalFrom(resp.Refusal)
+		}
+		a := resp.GetAccepted()
+		if a == nil {
+			return resp, nil
+		}
+		accepted(time.Duration(a.EstimateMs) * time.Millisecond)
 	}
-	return nil
 }
 
 // Free implements stagebatch.Remote.
@@ -104,8 +105,19 @@
 	return err
 }
 
-// produce answers an order: that it was accepted, then with its results. The
-// order ends when the peer closes its stream.
+// orderHeartbeat is how often a node that works on an order says so: a former
+// whose pool is slow must not be taken for a dead one. See
+// stagebatch.silenceTimeout.
+const orderHeartbeat = 250 * time.Millisecond
+
+// produced is the end of an order.
+type produced struct {
+	res stagebatch.Result
+	err error
+}
+
+// produce answers an order: that it was accepted, that it still is, then with
+// its results. The order ends when the peer closes its stream.
 func (s *Server) produce(ctx context.Context, st *yamux.Stream, m *peerpb.Order) (*peerpb.Response, error) {
 	if s.h.Stages == nil {
 		return nil, verdict.New(verdict.NotRun, verdict.Internal, "this node forms no batches")
@@ -118,15 +130,37 @@
 		_, _ = st.Read(b[:])
 		cancel()
 	}()
-	res, err := s.h.Stages.Produce(ctx, orderFrom(m, time.Now()), func(e time.Duration) {
-		accepted := &peerpb.Response{Result: &peerpb.Response_Accepted{Accepted: &peerpb.Accepted{EstimateMs: e.Milliseconds()}}}
-		if writeFrame(st, accepted) != nil {
-			cancel()
+	accepted := make(chan time.Duration, 1)
+	done := make(chan produced, 1)
+	go func() {
+		res, err := s.h.Stages.Produce(ctx, orderFrom(m, time.Now()), func(e time.Duration) { accepted <- e })
+		done <- produced{res, err}
+	}()
+	p := awaitOrder(ctx, st, accepted, done)
+	if p.err != nil && ctx.Err() != nil {
+		return nil, verdict.Wrap(p.err, verdict.NotRun, verdict.Canceled, "the order was withdrawn")
+	}
+	out := &peerpb.Produced{Handle: p.res.Handles, Failure: failureNumber(p.err)}
+	return &peerpb.Response{Result: &peerpb.Response_Produced{Produced: out}}, nil
+}
+
+// awaitOrder tells the peer of an order's progress until its end. A peer that
+// cannot be told has left; the reader of its stream withdraws the order.
+func awaitOrder(ctx context.Context, st *yamux.Stream, accepted <-chan time.Duration, done <-chan produced) produced {
+	tick := time.NewTicker(orderHeartbeat)
+	defer tick.Stop()
+	var estimate time.Duration
+	for {
+		select {
+		case p := <-done:
+			return p
+		case estimate = <-accepted:
+		case <-tick.C:
+			estimate = max(estimate-orderHeartbeat, 0)
+		}
+		told := &peerpb.Response{Result: &peerpb.Response_Accepted{Accepted: &peerpb.Accepted{EstimateMs: estimate.Milliseconds()}}}
+		if writeFrame(st, told) != nil && ctx.Err() == nil {
+			return <-done
 		}
-	})
-	if err != nil && ctx.Err() != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, verdict.Canceled, "the order was withdrawn")
 	}
-	p := &peerpb.Produced{Handle: res.Handles, Failure: failureNumber(err)}
-	return &peerpb.Response{Result: &peerpb.Response_Produced{Produced: p}}, nil
 }
--- /dev/null
+++ b/internal/peer/stages_test.go
@@ -0,0 +1,91 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"runtime"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"topazmoor/internal/stagebatch"
+	"topazmoor/internal/standin/memnet"
+)
+
+// slowStages takes its time for an order.
+type slowStages struct {
+	takes     time.Duration
+	withdrawn chan struct{}
+}
+
+func (s *slowStages) Produce(ctx context.Context, o stagebatch.Order, accepted func(time.Duration)) (stagebatch.Result, error) {
+	accepted(s.takes)
+	select {
+	case <-ctx.Done():
+		close(s.withdrawn)
+		return stagebatch.Result{}, ctx.Err()
+	case <-time.After(s.takes):
+	}
+	if o.Service == "late" {
+		return stagebatch.Result{}, stagebatch.ErrLate
+	}
+	return stagebatch.Result{Handles: []string{o.Request + "/0", o.Request + "/1"}}, nil
+}
+
+func (s *slowStages) Free(string, []string) {}
+
+// stageServer starts a server in the bubble and returns a client and its
+// address.
+func stageServer(t *testing.T, stages Stages) (*Client, string) {
+	t.Helper()
+	// yamux keeps timers in a sync.Pool, and one of another bubble must not be
+	// used here.
+	runtime.GC()
+	runtime.GC()
+	net := memnet.New()
+	ln, err := net.Listen("10.0.0.1:1")
+	qt.Assert(t, err, qt.IsNil)
+	s := NewServer(ln, []byte("key"), "server", Handler{Stages: stages}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx) }()
+	cl := NewClient(net.DialFrom("10.0.0.2"), []byte("key"), "client")
+	t.Cleanup(func() {
+		cl.Close()
+		cancel()
+		<-done
+	})
+	return cl, ln.Addr().String()
+}
+
+func TestOrderIsReportedWhileItIsWorkedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		cl, addr := stageServer(t, &slowStages{takes: 3 * time.Second, withdrawn: make(chan struct{})})
+		told := 0
+		o := stagebatch.Order{Service: "pool", Request: "r", Pieces: 2, Deadline: time.Now().Add(time.Minute)}
+		res, err := cl.Produce(t.Context(), addr, o, func(time.Duration) { told++ })
+		c.Assert(err, qt.IsNil)
+		c.Assert(res.Handles, qt.DeepEquals, []string{"r/0", "r/1"})
+		c.Assert(told > int(3*time.Second/orderHeartbeat)-2, qt.IsTrue, qt.Commentf("told %d times", told))
+		o.Service = "late"
+		_, err = cl.Produce(t.Context(), addr, o, func(time.Duration) {})
+		c.Assert(err, qt.Equals, stagebatch.ErrLate)
+	})
+}
+
+func TestOrderIsWithdrawnWithItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stages := &slowStages{takes: time.Hour, withdrawn: make(chan struct{})}
+		cl, addr := stageServer(t, stages)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := cl.Produce(ctx, addr, stagebatch.Order{Service: "pool", Pieces: 2}, func(time.Duration) {})
+		c.Assert(err, qt.IsNotNil)
+		<-stages.withdrawn
+	})
+}
--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -21,8 +21,8 @@
 
 // Remote makes orders at other nodes; package peer has the real one.
 type Remote interface {
-	// Produce runs an order at the node at addr. accepted is called once the
-	// node has taken it. The error is one of this package's, or another one
+	// Produce runs an order at the node at addr. accepted is called when the
+	// node has taken it and again and again while it works on it. The error is one of this package's, or another one
 	// when the node did not answer or refused.
 	Produce(ctx context.Context, addr string, o Order, accepted func(estimate time.Duration)) (Result, error)
 	// Free gives up results at the node that formed their batches.
@@ -33,10 +33,12 @@
 	// acceptTimeout is how long a node may take to accept an order: a round
 	// trip is 1 to 2 ms, and a busy node is held up for some tens of ms.
 	acceptTimeout = 250 * time.Millisecond
-	// silenceFactor and silenceSlack give the time after acceptance at which a
-	// node that said nothing is given up; estimates err by about a half.
-	silenceFactor = 2.5
-	silenceSlack  = 700 * time.Millisecond
+	// silenceTimeout is how long a node that works on an order may say nothing.
+	// It says so four times a second; a slowed host may miss one time. It must
+	// not depend on how long the order takes: when orders of a slow pool are
+	// given up, they go to other nodes too, each piece is produced several
+	// times, and the pool gets slower still.
+	silenceTimeout = 900 * time.Millisecond
 	// suspectFor is how long a node that did not answer is passed over. Frozen
 	// and restarted processes are back after a few seconds.
 	suspectFor = 2 * time.Second
@@ -152,16 +154,20 @@
 
 var errSilent = errors.New("stagebatch: the node fell silent")
 
-// produceAt runs an order at another node and gives it up when it is silent for
-// longer than its own estimate allows.
+// produceAt runs an order at another node and gives it up when the node falls
+// silent.
 func (r *Router) produceAt(ctx context.Context, n Node, o Order) (Result, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(acceptTimeout, func() { cancel(errSilent) })
 	defer watchdog.Stop()
+	known := false
 	res, err := r.remote.Produce(ctx, n.Addr, o, func(e time.Duration) {
-		watchdog.Reset(time.Duration(silenceFactor*float64(e)) + silenceSlack)
-		r.note(o, e)
+		watchdog.Reset(silenceTimeout)
+		if !known {
+			known = true
+			r.note(o, e)
+		}
 	})
 	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
 		err = errSilent
--- /dev/null
+++ b/internal/stagebatch/router_test.go
@@ -0,0 +1,116 @@
+package stagebatch
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"topazmoor/internal/routes"
+	"topazmoor/internal/targets"
+)
+
+var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
+
+// slowRemote is another node that takes its time, and says so or not.
+type slowRemote struct {
+	takes time.Duration
+	// says is how often the node says that it works on an order; 0 for once.
+	says   time.Duration
+	orders int
+}
+
+func (r *slowRemote) Produce(ctx context.Context, _ string, o Order, accepted func(time.Duration)) (Result, error) {
+	r.orders++
+	accepted(100 * time.Millisecond)
+	end := time.After(r.takes)
+	var tick <-chan time.Time
+	if r.says > 0 {
+		t := time.NewTicker(r.says)
+		defer t.Stop()
+		tick = t.C
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return Result{}, ctx.Err()
+		case <-tick:
+			accepted(0)
+		case <-end:
+			return Result{Handles: make([]string, o.Pieces)}, nil
+		}
+	}
+}
+
+func (r *slowRemote) Free(context.Context, string, string, []string) error { return nil }
+
+// instant is a Worker whose calls take the time of the specification.
+type instant struct{}
+
+func (instant) Run(ctx context.Context, t targets.Target, items []Item) ([]ItemResult, error) {
+	time.Sleep(200 * time.Millisecond)
+	out := make([]ItemResult, len(items))
+	for i, it := range items {
+		out[i].Handle = t.Addr + "/" + it.Request
+	}
+	return out, nil
+}
+
+func (instant) Free(context.Context, string, []string) error { return nil }
+func (instant) Maker(string) string                          { return "" }
+
+func poolSpec(string) *routes.Batch {
+	return &routes.Batch{Slots: 1, Queue: 2, Items: 8, CallTime: 200 * time.Millisecond, ItemTime: 20 * time.Millisecond, RoomBytes: 1 << 20, Keep: 4 * time.Second}
+}
+
+// routerTo returns a Router of a node that would not form batches itself while
+// the remote node does.
+func routerTo(r Remote) *Router {
+	list := targets.New("dc")
+	list.Update([]targets.Target{{ID: "t", Service: "pool", Addr: "a:1", DataCentre: "dc", Slots: 1}}, time.Time{})
+	local := NewFormer(instant{}, list, poolSpec, quiet)
+	router := NewRouter("self", local, r, func() []Node { return []Node{{Name: "other", Addr: "b:1"}} }, quiet)
+	router.Stop()
+	return router
+}
+
+func orderOf(pieces int) Order {
+	now := time.Now()
+	return Order{Service: "pool", Request: "r", Pieces: pieces, Due: now.Add(time.Second), Deadline: now.Add(20 * time.Second)}
+}
+
+// A former whose pool is slow was taken for a dead one, its orders went to
+// other nodes too, and the pools were busy with the same pieces several times.
+func TestSlowFormerIsNotTakenForADeadOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		remote := &slowRemote{takes: 8 * time.Second, says: 250 * time.Millisecond}
+		router := routerTo(remote)
+		res, err := router.Produce(t.Context(), orderOf(3))
+		c.Assert(err, qt.IsNil)
+		c.Assert(res.Former, qt.Equals, "b:1")
+		c.Assert(remote.orders, qt.Equals, 1)
+		c.Assert(router.Live(), qt.Equals, 2)
+	})
+}
+
+func TestSilentFormerIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		remote := &slowRemote{takes: time.Hour}
+		router := routerTo(remote)
+		start := time.Now()
+		res, err := router.Produce(t.Context(), orderOf(3))
+		c.Assert(err, qt.IsNil)
+		c.Assert(res.Former, qt.Equals, "")
+		c.Assert(time.Since(start) < silenceTimeout+time.Second, qt.IsTrue)
+		c.Assert(router.Live(), qt.Equals, 1)
+		// It is asked again later.
+		time.Sleep(suspectFor)
+		c.Assert(router.Live(), qt.Equals, 2)
+	})
+}
