--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -24,8 +24,8 @@
 	maxFailPause = 3 * time.Second
 	// overdueFactor and overdueSlack give the time after which the pieces of a
 	// call are put into another one. Calls of sound targets vary by a tenth.
-	overdueFactor = 2.0
-	overdueSlack  = 300 * time.Millisecond
+	overdueFactor = 1.5
+	overdueSlack  = 200 * time.Millisecond
 	// freePause gathers results to be given up, so that one call frees many.
 	freePause = 15 * time.Millisecond
 	// freeTimeout bounds a call that gives up results; they lapse anyhow.
@@ -231,10 +231,11 @@
 	overdue := time.Duration(overdueFactor*float64(c.expected)) + overdueSlack
 	watchdog := time.AfterFunc(overdue, func() { f.overdue(c) })
 	f.log.Debug("stage call", "service", service, "target", m.ID, "addr", m.Addr, "items", len(items), "queued", len(f.pools[service].queue))
+	target := m.Target
 	go func() {
 		ctx, cancel := context.WithDeadline(context.Background(), last)
 		defer cancel()
-		results, err := f.worker.Run(ctx, m.Target, items)
+		results, err := f.worker.Run(ctx, target, items)
 		watchdog.Stop()
 		f.ended(c, results, err)
 	}()
@@ -248,7 +249,7 @@
 	if c.ended {
 		return
 	}
-	c.m.slowness.Add(time.Duration(float64(scale) * slowFactor * 2))
+	c.m.overdue(float64(time.Since(c.started)) / float64(c.expected))
 	f.log.Warn("stage call overdue, its pieces go elsewhere", "service", c.service, "target", c.m.ID, "items", len(c.batch), "ms", time.Since(c.started).Milliseconds())
 	f.requeue(c)
 	f.pump(c.service, f.pool(c.service), c.spec)
@@ -282,7 +283,7 @@
 	} else {
 		c.m.failures = 0
 		took := now.Sub(c.started)
-		c.m.slowness.Add(time.Duration(float64(scale) * float64(took) / float64(c.expected)))
+		c.m.took(float64(took) / float64(c.expected))
 		f.takeIn(c, results, now)
 	}
 	f.pump(c.service, f.pool(c.service), c.spec)
@@ -307,6 +308,7 @@
 
 // takeIn hands out the results of a call. The lock is held.
 func (f *Former) takeIn(c *call, results []ItemResult, now time.Time) {
+	full := false
 	for i, r := range results {
 		p := c.batch[i]
 		o := p.order
@@ -326,13 +328,39 @@
 		case InputGone:
 			o.finish(ErrInputGone)
 		case NoRoom:
-			c.m.pausedUntil = now.Add(busyPause)
+			full = true
+			p.attempts--
 		case ItemFailed:
 		}
 	}
+	if full {
+		// Until it is known how full the target is.
+		c.m.pausedUntil = now.Add(busyPause)
+		go f.askRoom(c.service, c.m, c.m.Addr, c.spec)
+	}
 	f.requeue(c)
 }
 
+// askRoom asks a target that had no room for a result how much it has: results
+// lie there that another former, or this node before its restart, had made.
+func (f *Former) askRoom(service string, m *maker, addr string, spec *routes.Batch) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	free, err := f.worker.Room(ctx, addr)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		f.log.Info("room of target not known", "service", service, "target", m.ID, "err", err)
+		return
+	}
+	now := time.Now()
+	m.foreign = max(spec.RoomBytes-free-m.held(), 0)
+	m.foreignUntil = now.Add(foreignLife)
+	m.pausedUntil = now
+	f.log.Info("target had no room", "service", service, "target", m.ID, "free", free, "held", m.held(), "foreign", m.foreign)
+	f.pump(service, f.pool(service), spec)
+}
+
 // giveUp frees results at their makers, shortly after, together with others.
 // The lock is held.
 func (f *Former) giveUp(service string, handles []string) {
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"topazmoor/internal/flow"
 	"topazmoor/internal/routes"
 	"topazmoor/internal/targets"
 )
@@ -52,11 +51,17 @@
 	calls int
 	// pausedUntil sets the target aside after it rejected or failed a call.
 	pausedUntil time.Time
-	// slowness is the time of its calls against the expected one.
-	slowness flow.Estimate
+	// slowness is the recent time of its calls against the expected one; 0 until
+	// the first.
+	slowness float64
 	lastCall time.Time
 	failures int
 	results  map[string]held
+	// foreign is the room that results take which this former doesn't know of,
+	// made for another former, as it was last asked; it is believed until
+	// foreignUntil.
+	foreign      int64
+	foreignUntil time.Time
 }
 
 const (
@@ -65,8 +70,12 @@
 	slowFactor = 2.2
 	// slowProbe is the time between two calls of a slow target.
 	slowProbe = 2500 * time.Millisecond
-	// scale keeps factors in an Estimate, which holds durations.
-	scale = time.Second
+	// slownessWeight is the weight of the newest call: a server turns slow, and
+	// recovers, from one call to the next.
+	slownessWeight = 0.5
+	// foreignLife is how long a foreign use of room is believed; such results
+	// lapse or are given up within seconds.
+	foreignLife = time.Second
 	// roomShare is the part of a target's room that is planned with; sizes are
 	// approximate.
 	roomShare = 0.9
@@ -74,15 +83,26 @@
 
 // slow returns how many times slower than expected the target is.
 func (m *maker) slow() float64 {
-	if mean := m.slowness.Mean(); mean > 0 {
-		return float64(mean) / float64(scale)
+	if m.slowness == 0 {
+		return 1
 	}
-	return 1
+	return m.slowness
+}
+
+// took notes how many times its expected time a call has taken.
+func (m *maker) took(ratio float64) {
+	m.slowness = m.slow() + slownessWeight*(ratio-m.slow())
 }
 
+// overdue notes that a call goes on although its time has passed that often.
+func (m *maker) overdue(ratio float64) { m.slowness = max(m.slow(), ratio, slowFactor) }
+
 // room returns the bytes that results may still take.
 func (m *maker) room(spec *routes.Batch, now time.Time) int64 {
 	left := int64(roomShare * float64(spec.RoomBytes))
+	if now.Before(m.foreignUntil) {
+		left -= m.foreign
+	}
 	for h, r := range m.results {
 		if now.After(r.until) {
 			delete(m.results, h)
@@ -93,6 +113,15 @@
 	return left
 }
 
+// held returns the bytes of the results that this former knows of.
+func (m *maker) held() int64 {
+	var sum int64
+	for _, r := range m.results {
+		sum += r.bytes
+	}
+	return sum
+}
+
 // free reports whether the target may be given a call now.
 func (m *maker) free(spec *routes.Batch, now time.Time) bool {
 	if m.calls >= max(spec.Slots, 1) || now.Before(m.pausedUntil) {
--- a/internal/stagebatch/router_test.go
+++ b/internal/stagebatch/router_test.go
@@ -61,6 +61,7 @@
 }
 
 func (instant) Free(context.Context, string, []string) error { return nil }
+func (instant) Room(context.Context, string) (int64, error)  { return 1 << 20, nil }
 func (instant) Maker(string) string                          { return "" }
 
 func poolSpec(string) *routes.Batch {
--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -105,6 +105,8 @@
 	Run(ctx context.Context, t targets.Target, items []Item) ([]ItemResult, error)
 	// Free gives up results at their maker.
 	Free(ctx context.Context, addr string, handles []string) error
+	// Room returns how many bytes of results a target can still take.
+	Room(ctx context.Context, addr string) (int64, error)
 	// Maker returns the address (IP:port) of the target that holds a result.
 	Maker(handle string) string
 }
