Choose engines by what they would have to read and fetch; make big results near them

Engines were chosen by their prompt alone, also where the shared part is 170 tokens and the results are 1.5 MB each.

Ruled out: always the data centre of the inputs.

Change: one cost in tokens: calls above the least loaded engine, prompts that wait, shared parts that are not kept there, bytes to fetch, failures. Big results of requests with a long kept prompt are ordered for the data centre of their engine, and taken there while a target is free.

Tests: internal/targets, with a naive cost as the other side.

--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"topazmoor/internal/sse"
 	"topazmoor/internal/targets"
 )
@@ -94,30 +92,11 @@
 	panic(http.ErrAbortHandler)
 }
 
-// affinity is the hash of the last part of the prompt that other requests may
-// share.
-func (c *call) affinity() uint64 {
-	p := c.meta.Prompt
-	if p == nil || len(p.Parts) == 0 {
-		return 0
-	}
-	i := max(len(p.Parts)-2, 0)
-	var b [8]byte
-	for j := range b {
-		b[j] = byte(p.Parts[i].ID >> (8 * j))
-	}
-	return xxhash.Sum64(b[:])
-}
-
 // run sends the request to one engine and passes its events on. It returns nil
 // when the stream is complete.
 func (x *streaming) run() *failure {
 	c := x.c
-	q := targets.Query{Affinity: c.affinity()}
-	if c.meta.Prompt != nil {
-		q.Tokens = c.meta.Prompt.Tokens
-	}
-	l := c.pick(q)
+	l := c.pick(targets.Query{Engine: c.engineQuery(x.in)})
 	if l == nil {
 		return &failure{none: true, busy: true, err: errors.New("no engine may be called")}
 	}
--- a/internal/passthrough/wire.go
+++ b/internal/passthrough/wire.go
@@ -88,6 +88,9 @@
 	FromTarget(status int, h http.Header) Told
 	// ToCaller returns the headers of an answer that go to the caller.
 	ToCaller(h http.Header) http.Header
+	// Maker returns the address (IP:port) of the target that holds a stage
+	// result.
+	Maker(handle string) string
 	// SetRetryAfter tells a caller when to come back.
 	SetRetryAfter(h http.Header, after time.Duration)
 }
--- a/internal/peer/stages.go
+++ b/internal/peer/stages.go
@@ -41,7 +41,7 @@
 func orderTo(o stagebatch.Order, now time.Time) *peerpb.Order {
 	return &peerpb.Order{
 		Service: o.Service, Request: o.Request, Stage: uint32(o.Stage), Pieces: uint32(o.Pieces),
-		Key: o.Key, Input: o.Inputs, Priority: int32(o.Priority), ResultBytes: o.ResultBytes,
+		Key: o.Key, Input: o.Inputs, Priority: int32(o.Priority), ResultBytes: o.ResultBytes, DataCentre: o.DataCentre,
 		DueInMs: o.Due.Sub(now).Milliseconds(), DeadlineInMs: o.Deadline.Sub(now).Milliseconds(),
 	}
 }
@@ -49,7 +49,7 @@
 func orderFrom(m *peerpb.Order, now time.Time) stagebatch.Order {
 	return stagebatch.Order{
 		Service: m.Service, Request: m.Request, Stage: int(m.Stage), Pieces: int(m.Pieces),
-		Key: m.Key, Inputs: m.Input, Priority: int(m.Priority), ResultBytes: m.ResultBytes,
+		Key: m.Key, Inputs: m.Input, Priority: int(m.Priority), ResultBytes: m.ResultBytes, DataCentre: m.DataCentre,
 		Due:      now.Add(time.Duration(m.DueInMs) * time.Millisecond),
 		Deadline: now.Add(time.Duration(m.DeadlineInMs) * time.Millisecond),
 	}
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -1,6 +1,7 @@
 package stagebatch
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -155,30 +156,39 @@
 	}
 	f.refresh(p, service)
 	now := time.Now()
-	for _, m := range byspeed(p.makers) {
-		if !m.free(spec, now) || len(p.queue) == 0 {
-			continue
-		}
-		var batch []*piece
-		batch, p.queue = take(p.queue, spec, m.room(spec, now), now)
-		if len(batch) > 0 {
-			f.start(service, m, spec, batch, now)
-		}
+	free := freeMakers(p.makers, spec, now)
+	for _, m := range free {
+		f.fill(service, p, m, spec, now, nearOnly(m, free))
+	}
+	for _, m := range free {
+		f.fill(service, p, m, spec, now, anyOrder)
 	}
 	f.wakeLater(service, p, spec, now)
 }
 
-// byspeed lists makers, the fastest first.
-func byspeed(makers map[string]*maker) []*maker {
-	out := make([]*maker, 0, len(makers))
+// fill gives a target that is free a batch of the orders that fit. The lock is
+// held.
+func (f *Former) fill(service string, p *pool, m *maker, spec *routes.Batch, now time.Time, fits func(*order) bool) {
+	if len(p.queue) == 0 || !m.free(spec, now) {
+		return
+	}
+	var batch []*piece
+	batch, p.queue = take(p.queue, spec, m.room(spec, now), now, fits)
+	if len(batch) > 0 {
+		f.start(service, m, spec, batch, now)
+	}
+}
+
+// freeMakers lists the targets that may be given a call, the fastest first.
+func freeMakers(makers map[string]*maker, spec *routes.Batch, now time.Time) []*maker {
+	var out []*maker
 	for _, m := range makers {
-		out = append(out, m)
+		if m.free(spec, now) {
+			out = append(out, m)
+		}
 	}
 	slices.SortFunc(out, func(a, b *maker) int {
-		if a.slow() < b.slow() {
-			return -1
-		}
-		return 1
+		return cmp.Or(cmp.Compare(a.slow(), b.slow()), cmp.Compare(a.ID, b.ID))
 	})
 	return out
 }
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -150,9 +150,10 @@
 	return a.order.Due.Compare(b.order.Due)
 }
 
-// take removes the next batch for a target from the queue. Pieces whose order
-// ended are dropped; pieces that have no room wait.
-func take(queue []*piece, spec *routes.Batch, room int64, now time.Time) (batch, rest []*piece) {
+// take removes the next batch for a target from the queue: of the pieces that
+// fit, the first ones. Pieces whose order ended are dropped; those that have no
+// room, or that do not fit, wait.
+func take(queue []*piece, spec *routes.Batch, room int64, now time.Time, fits func(*order) bool) (batch, rest []*piece) {
 	late := now.Add(expected(spec, 1))
 	slices.SortStableFunc(queue, func(a, b *piece) int { return before(a, b, late) })
 	for _, p := range queue {
@@ -162,7 +163,7 @@
 		case p.order.Deadline.Before(late):
 			p.queued = false
 			p.order.finish(ErrLate)
-		case len(batch) < max(spec.Items, 1) && p.order.ResultBytes <= room:
+		case len(batch) < max(spec.Items, 1) && p.order.ResultBytes <= room && fits(p.order):
 			room -= p.order.ResultBytes
 			p.queued = false
 			batch = append(batch, p)
@@ -173,6 +174,27 @@
 	return batch, rest
 }
 
+// nearOnly returns what a target should take while others are free too: orders
+// for its own data centre, and, for the first of the free targets, those for
+// places where none is free. A single free target takes all.
+func nearOnly(m *maker, free []*maker) func(*order) bool {
+	if len(free) == 1 {
+		return anyOrder
+	}
+	places := make(map[string]bool, len(free))
+	for _, f := range free {
+		places[f.DataCentre] = true
+	}
+	return func(o *order) bool {
+		if places[o.DataCentre] {
+			return o.DataCentre == m.DataCentre
+		}
+		return m == free[0]
+	}
+}
+
+func anyOrder(*order) bool { return true }
+
 // waitFor estimates how long pieces of a rank wait for their call to begin.
 func waitFor(queue []*piece, spec *routes.Batch, makers map[string]*maker, rank int, now time.Time) time.Duration {
 	ahead := 0
--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -33,6 +33,9 @@
 	Due, Deadline time.Time
 	// ResultBytes is the approximate size of one result.
 	ResultBytes int64
+	// DataCentre is where the results should be made if a target there is free;
+	// "" for anywhere.
+	DataCentre string
 }
 
 // Result is what an Order gave.
--- /dev/null
+++ b/internal/targets/engine.go
@@ -0,0 +1,94 @@
+package targets
+
+import (
+	"time"
+
+	"topazmoor/internal/routing"
+)
+
+// The cost of an engine is counted in tokens that it would have to read: a
+// token takes about 0.03 ms of its time.
+const (
+	// callTokens is what each call at an engine above the least loaded one
+	// counts: it slows all tokens there, and its prompt may be read first.
+	callTokens = 300
+	// pendingShare is the part of the tokens of this node's prompts that wait at
+	// an engine which counts; some of them are found in its memory.
+	pendingShare = 0.5
+	// bytesPerToken is how many bytes of stage results cost as much to fetch from
+	// another data centre as a token costs to read. Users price 1 GB as much as
+	// 280,000 tokens that are read again.
+	bytesPerToken = 3500
+	// secondShare is the part of the shared tokens that the second engine in the
+	// order of a prompt is presumed to lack: it serves what the first cannot.
+	secondShare = 0.7
+	// failureTokens is what an engine counts more that lately failed every call:
+	// a whole prompt, and the time until the failure is seen.
+	failureTokens = 30000
+)
+
+// bestEngine returns the candidate of least cost.
+func bestEngine(q *EngineQuery, cands []*state, now time.Time) *state {
+	first, second := preferred(q.Affinity, cands)
+	least := cands[0].calls(now)
+	for _, s := range cands {
+		least = min(least, s.calls(now))
+	}
+	var best *state
+	var bestCost float64
+	for _, s := range cands {
+		c := float64(callTokens*(s.calls(now)-least)) + pendingShare*float64(s.pending) + s.failures*failureTokens
+		c += float64(remoteBytes(q.Inputs, s.DataCentre)) / bytesPerToken
+		switch {
+		case q.Affinity == 0 || s == first:
+		case s == second:
+			c += secondShare * float64(q.Shared)
+		default:
+			c += float64(q.Shared)
+		}
+		if best == nil || c < bestCost || (c == bestCost && routing.Mix(q.Affinity, s.hash) > routing.Mix(q.Affinity, best.hash)) {
+			best, bestCost = s, c
+		}
+	}
+	return best
+}
+
+// remoteBytes returns how much lies outside of a data centre.
+func remoteBytes(inputs map[string]int64, dataCentre string) int64 {
+	var sum int64
+	for dc, bytes := range inputs {
+		if dc != dataCentre {
+			sum += bytes
+		}
+	}
+	return sum
+}
+
+// preferred returns the first two candidates in the order of rendezvous
+// hashing. All nodes have the same order, so that a part of a prompt is read at
+// few engines.
+func preferred(affinity uint64, cands []*state) (first, second *state) {
+	for _, s := range cands {
+		h := routing.Mix(affinity, s.hash)
+		switch {
+		case first == nil || h > routing.Mix(affinity, first.hash):
+			first, second = s, first
+		case second == nil || h > routing.Mix(affinity, second.hash):
+			second = s
+		}
+	}
+	return first, second
+}
+
+// Home returns the data centre of the engine that a prompt is kept at; "" when
+// there is none.
+func (t *Table) Home(service string, affinity uint64) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cands := t.candidates(Query{Service: service}, t.now())
+	if affinity == 0 || len(cands) == 0 {
+		return ""
+	}
+	first, _ := preferred(affinity, cands)
+	return first.DataCentre
+}
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -4,8 +4,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"topazmoor/internal/routing"
 )
 
 // Query describes one call that needs a target.
@@ -13,13 +11,21 @@
 	Service string
 	// Exclude lists targets that were tried already.
 	Exclude []string
-	// Affinity is the hash of the prompt part that the call should find in a
-	// target's memory; 0 for none.
+	// Engine is set for calls of model engines.
+	Engine *EngineQuery
+}
+
+// EngineQuery is what matters for the choice of a model engine.
+type EngineQuery struct {
+	// Affinity is the hash of the last part of the prompt that other requests
+	// share; the same engine gets all of them. 0 for none.
 	Affinity uint64
-	// Tokens is the length of the prompt; 0 for calls without one.
-	Tokens int
-	// DataCentre is preferred to the node's own when it is set.
-	DataCentre string
+	// Tokens is the length of the prompt, Shared that of the parts that others
+	// share.
+	Tokens, Shared int
+	// Inputs are the bytes of stage results that the engine will fetch, by the
+	// data centre where they lie.
+	Inputs map[string]int64
 }
 
 const (
@@ -33,15 +39,8 @@
 	presumedLatency = 30 * time.Millisecond
 	// loadLife is how long a load that a target told is believed.
 	loadLife = time.Second
-	// affinitySlack is by how many calls above the mean the preferred target of
-	// a prompt may be before the next one is asked: a part that is read again
-	// costs about a tenth of a second, as much as a few prompts ahead.
-	affinitySlack = 4
 	// failureWeight is the weight of the newest call in the share of failures.
 	failureWeight = 0.2
-	// affinityFailures is the share of failures above which a target loses its
-	// prompts to the next one.
-	affinityFailures = 0.25
 )
 
 // Lease is a target that was chosen for one call. Done must be called once.
@@ -81,14 +80,18 @@
 	if len(cands) == 0 {
 		return nil
 	}
-	s := cheapest(q, cands, t.DataCentre, now)
-	if q.Affinity != 0 {
-		s = affine(q, cands, now)
-	}
-	s.breaker.Start()
-	s.inFlight++
-	s.pending += q.Tokens
-	return &Lease{Target: s.Target, t: t, s: s, tokens: q.Tokens, start: now}
+	l := &Lease{t: t, start: now}
+	if q.Engine != nil {
+		l.s = bestEngine(q.Engine, cands, now)
+		l.tokens = q.Engine.Tokens
+	} else {
+		l.s = cheapest(q, cands, t.DataCentre, now)
+	}
+	l.Target = l.s.Target
+	l.s.breaker.Start()
+	l.s.inFlight++
+	l.s.pending += l.tokens
+	return l
 }
 
 // candidates returns the targets that may be called: those in good health, or
@@ -132,9 +135,6 @@
 	if over := calls + 1 - slots; over > 0 {
 		c += latency * time.Duration(over) / time.Duration(slots)
 	}
-	if q.DataCentre != "" {
-		home = q.DataCentre
-	}
 	if s.DataCentre != home {
 		c += remoteCost
 	}
@@ -155,33 +155,6 @@
 	return best
 }
 
-// affine returns the first candidate, in the order of rendezvous hashing, that
-// is neither loaded far above the mean nor failing. All nodes have the same
-// order, so that a part of a prompt is read at few targets.
-func affine(q Query, cands []*state, now time.Time) *state {
-	total := 0
-	for _, s := range cands {
-		total += s.calls(now)
-	}
-	bound := total/len(cands) + affinitySlack
-	var best, least *state
-	for _, s := range cands {
-		if least == nil || s.calls(now) < least.calls(now) {
-			least = s
-		}
-		if s.calls(now) > bound || s.failures > affinityFailures {
-			continue
-		}
-		if best == nil || routing.Mix(q.Affinity, s.hash) > routing.Mix(q.Affinity, best.hash) {
-			best = s
-		}
-	}
-	if best == nil {
-		return least
-	}
-	return best
-}
-
 // PromptRead notes that the target has read the prompt of the call.
 func (l *Lease) PromptRead() {
 	l.t.mu.Lock()
--- /dev/null
+++ b/internal/targets/targets_test.go
@@ -0,0 +1,184 @@
+package targets
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	_ "topazmoor/internal/standin/fixedseed"
+)
+
+// clock is a time that tests set.
+type clock struct{ at time.Time }
+
+func newTable(list ...Target) (*Table, *clock) {
+	c := &clock{at: time.Date(2026, 3, 5, 0, 0, 0, 0, time.UTC)}
+	t := New("dc1")
+	t.now = func() time.Time { return c.at }
+	t.Update(list, time.Time{})
+	return t, c
+}
+
+func engine(i int, dc string) Target {
+	return Target{ID: fmt.Sprint("e", i), Service: "engines", Addr: fmt.Sprintf("10.0.0.%d:1", i), DataCentre: dc, Slots: 128}
+}
+
+// engines returns n engines spread over two data centres.
+func engines(n int) []Target {
+	var out []Target
+	for i := range n {
+		out = append(out, engine(i, fmt.Sprint("dc", i%2+1)))
+	}
+	return out
+}
+
+func TestDrainingTargetGetsNoCallFromTheMomentItIsListedSo(t *testing.T) {
+	c := qt.New(t)
+	tb, _ := newTable(engines(2)...)
+	l := tb.Pick(Query{Service: "engines"})
+	other := engines(2)[1-int(l.ID[1]-'0')]
+	left := l.Target
+	left.Draining = true
+	tb.Update([]Target{left, other}, time.Time{})
+	// Also for a call that was given the target before.
+	c.Assert(tb.MayCall(l.ID), qt.IsFalse)
+	for range 20 {
+		c.Assert(tb.Pick(Query{Service: "engines"}).ID, qt.Equals, other.ID)
+	}
+}
+
+func TestTargetThatLapsedWhileTheStoreWasAwayIsKeptForAWhile(t *testing.T) {
+	c := qt.New(t)
+	tb, now := newTable(engines(1)...)
+	regained := now.at
+	changes, gone := tb.Update(nil, regained)
+	c.Assert(changes, qt.HasLen, 1)
+	c.Assert(changes[0].What, qt.Equals, "kept")
+	c.Assert(gone, qt.HasLen, 0)
+	c.Assert(tb.Pick(Query{Service: "engines"}), qt.IsNotNil)
+	now.at = regained.Add(lapseGrace)
+	c.Assert(tb.Pick(Query{Service: "engines"}), qt.IsNil)
+	_, gone = tb.Update(nil, regained)
+	c.Assert(gone, qt.DeepEquals, []string{"10.0.0.0:1"})
+}
+
+func TestTargetThatVanishesWhileTheStoreIsThereIsGone(t *testing.T) {
+	c := qt.New(t)
+	tb, now := newTable(engines(1)...)
+	now.at = now.at.Add(time.Hour)
+	_, gone := tb.Update(nil, now.at.Add(-time.Minute))
+	c.Assert(gone, qt.HasLen, 1)
+	c.Assert(tb.Pick(Query{Service: "engines"}), qt.IsNil)
+}
+
+func TestAddressOfAnotherProcessIsLeftAlone(t *testing.T) {
+	c := qt.New(t)
+	tb, _ := newTable(engines(1)...)
+	tb.Pick(Query{Service: "engines"}).Done(Moved, 0)
+	c.Assert(tb.Pick(Query{Service: "engines"}), qt.IsNil)
+}
+
+func TestFailingTargetIsAvoidedAndUsedWhenNoOtherIsLeft(t *testing.T) {
+	c := qt.New(t)
+	tb, _ := newTable(engines(2)...)
+	for range 4 {
+		l := tb.Pick(Query{Service: "engines", Exclude: []string{"e1"}})
+		l.Done(Failed, 0)
+	}
+	for range 20 {
+		l := tb.Pick(Query{Service: "engines"})
+		c.Assert(l.ID, qt.Equals, "e1")
+		l.Done(Served, time.Millisecond)
+	}
+	c.Assert(tb.Pick(Query{Service: "engines", Exclude: []string{"e1"}}).ID, qt.Equals, "e0")
+}
+
+func TestPromptGoesToItsEngineUnlessThatIsLoaded(t *testing.T) {
+	c := qt.New(t)
+	tb, _ := newTable(engines(12)...)
+	q := Query{Service: "engines", Engine: &EngineQuery{Affinity: 7, Tokens: 9000, Shared: 6300}}
+	first := tb.Pick(q)
+	first.PromptRead()
+	for range 5 {
+		l := tb.Pick(q)
+		c.Assert(l.ID, qt.Equals, first.ID)
+		l.PromptRead()
+		l.Done(Served, 0)
+	}
+	c.Assert(tb.Home("engines", 7), qt.Equals, first.DataCentre)
+	// Many calls there cost more than to read the prompt elsewhere.
+	for range 30 {
+		first.s.inFlight++
+	}
+	second := tb.Pick(q)
+	c.Assert(second.ID, qt.Not(qt.Equals), first.ID)
+	// What the first cannot take goes to one other engine.
+	second.PromptRead()
+	second.Done(Served, 0)
+	c.Assert(tb.Pick(q).ID, qt.Equals, second.ID)
+}
+
+func TestEngineIsChosenNearBigInputs(t *testing.T) {
+	c := qt.New(t)
+	tb, _ := newTable(engines(12)...)
+	for i := range 20 {
+		q := &EngineQuery{Affinity: uint64(i), Tokens: 700, Shared: 170, Inputs: map[string]int64{"dc2": 3 << 20}}
+		l := tb.Pick(Query{Service: "engines", Engine: q})
+		c.Assert(l.DataCentre, qt.Equals, "dc2")
+		l.Done(Served, 0)
+	}
+}
+
+// The cost that the choice minimises, written naively.
+func TestEngineChoiceAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		tb, now := newTable(engines(rapid.IntRange(1, 8).Draw(rt, "engines"))...)
+		for _, s := range tb.byID {
+			s.inFlight = rapid.IntRange(0, 40).Draw(rt, "calls")
+			s.pending = rapid.IntRange(0, 20000).Draw(rt, "pending")
+		}
+		q := &EngineQuery{
+			Affinity: rapid.Uint64Range(1, 50).Draw(rt, "affinity"), Shared: rapid.IntRange(0, 8000).Draw(rt, "shared"),
+			Inputs: map[string]int64{"dc1": rapid.Int64Range(0, 4<<20).Draw(rt, "here"), "dc2": rapid.Int64Range(0, 4<<20).Draw(rt, "there")},
+		}
+		cands := tb.candidates(Query{Service: "engines"}, now.at)
+		got := bestEngine(q, cands, now.at)
+		first, second := preferred(q.Affinity, cands)
+		cost := func(s *state) float64 {
+			c := callTokens*float64(s.inFlight) + pendingShare*float64(s.pending)
+			for dc, bytes := range q.Inputs {
+				if dc != s.DataCentre {
+					c += float64(bytes) / bytesPerToken
+				}
+			}
+			missing := float64(q.Shared)
+			if s == first {
+				missing = 0
+			} else if s == second {
+				missing *= secondShare
+			}
+			return c + missing
+		}
+		for _, s := range cands {
+			if cost(s) < cost(got)-1e-6 {
+				rt.Fatalf("%s costs %.1f, the chosen %s %.1f", s.ID, cost(s), got.ID, cost(got))
+			}
+		}
+	})
+}
+
+func BenchmarkPickEngine(b *testing.B) {
+	for _, n := range []int{12, 100, 670} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			tb, _ := newTable(engines(n)...)
+			q := Query{Service: "engines", Engine: &EngineQuery{Affinity: 7, Tokens: 9000, Shared: 6300, Inputs: map[string]int64{"dc1": 3 << 20}}}
+			b.ReportAllocs()
+			for b.Loop() {
+				tb.Pick(q).Done(Abandoned, 0)
+			}
+		})
+	}
+}
