Keep an order's pieces in one batch

Ruled out: more calls than slots, slow targets (4 sound ones), two formers (one).

Change: take() takes whole orders; one that waited half a second, or that no target could hold at once, is split.

--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -43,6 +43,8 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool
+	// orders counts the orders so far.
+	orders uint64
 	// freeing holds results to be given up, by maker.
 	freeing map[string][]string
 }
@@ -75,7 +77,9 @@
 		f.mu.Unlock()
 		return Result{}, ErrNoTarget
 	}
+	f.orders++
 	now := time.Now()
+	w.seq, w.since = f.orders, now
 	estimate := waitFor(p.queue, spec, p.makers, o.Priority, now) + expected(spec, o.Pieces)
 	for i := range o.Pieces {
 		p.queue = append(p.queue, &piece{order: w, index: i, queued: true})
@@ -240,7 +244,7 @@
 	}
 	overdue := time.Duration(overdueFactor*float64(c.expected)) + overdueSlack
 	watchdog := time.AfterFunc(overdue, func() { f.overdue(c) })
-	f.log.Debug("stage call", "service", service, "target", m.ID, "addr", m.Addr, "items", len(items), "queued", len(f.pools[service].queue))
+	f.log.Info("stage call", "service", service, "target", m.ID, "addr", m.Addr, "items", len(items), "queued", len(f.pools[service].queue))
 	target := m.Target
 	go func() {
 		ctx, cancel := context.WithDeadline(context.Background(), last)
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -22,6 +23,9 @@
 // order is an Order in work.
 type order struct {
 	Order
+	since time.Time
+	// seq tells orders apart that are due at the same time.
+	seq     uint64
 	handles []string
 	missing int
 	done    chan struct{}
@@ -147,33 +151,72 @@
 	case a.order.Priority != b.order.Priority:
 		return cmp.Compare(a.order.Priority, b.order.Priority)
 	}
-	return a.order.Due.Compare(b.order.Due)
+	return cmp.Or(a.order.Due.Compare(b.order.Due), cmp.Compare(a.order.seq, b.order.seq))
 }
 
-// take removes the next batch for a target from the queue: of the pieces that
-// fit, the first ones. Pieces whose order ended are dropped; those that have no
-// room, or that do not fit, wait.
+// take removes the next batch for a target from the queue: of the orders that
+// fit, the first ones. Orders that ended are dropped; those that have no room,
+// or that do not fit, wait. An order's pieces go into one batch where they can:
+// the results of a half-made order take room and serve nobody.
 func take(queue []*piece, spec *routes.Batch, room int64, now time.Time, fits func(*order) bool) (batch, rest []*piece) {
 	late := now.Add(expected(spec, 1))
 	slices.SortStableFunc(queue, func(a, b *piece) int { return before(a, b, late) })
-	for _, p := range queue {
+	size := max(spec.Items, 1)
+	fullRoom := int64(roomShare * float64(spec.RoomBytes))
+	for len(queue) > 0 {
+		var group []*piece
+		group, queue = nextGroup(queue)
+		o := group[0].order
+		n := len(group)
+		if n > size || n > fitting(o, fullRoom) || now.Sub(o.since) > splitAfter {
+			n = min(n, size-len(batch), fitting(o, room))
+		}
 		switch {
-		case p.order.ended:
-			p.queued = false
-		case p.order.Deadline.Before(late):
-			p.queued = false
-			p.order.finish(ErrLate)
-		case len(batch) < max(spec.Items, 1) && p.order.ResultBytes <= room && fits(p.order):
-			room -= p.order.ResultBytes
-			p.queued = false
-			batch = append(batch, p)
+		case o.ended:
+			dequeue(group)
+		case o.Deadline.Before(late):
+			dequeue(group)
+			o.finish(ErrLate)
+		case n > 0 && len(batch)+n <= size && int64(n)*o.ResultBytes <= room && fits(o):
+			room -= int64(n) * o.ResultBytes
+			dequeue(group[:n])
+			batch = append(batch, group[:n]...)
+			rest = append(rest, group[n:]...)
 		default:
-			rest = append(rest, p)
+			rest = append(rest, group...)
 		}
 	}
 	return batch, rest
 }
 
+// splitAfter is how long an order waits for a target that takes all of its
+// pieces; then it takes what there is, so that smaller orders do not pass it for
+// ever. About the time of a call and a half.
+const splitAfter = 500 * time.Millisecond
+
+// fitting returns how many results of an order fit into some room.
+func fitting(o *order, room int64) int {
+	if o.ResultBytes <= 0 {
+		return math.MaxInt32
+	}
+	return int(max(room, 0) / o.ResultBytes)
+}
+
+// nextGroup splits the first pieces off that belong to one order.
+func nextGroup(queue []*piece) (group, rest []*piece) {
+	n := 1
+	for n < len(queue) && queue[n].order == queue[0].order {
+		n++
+	}
+	return queue[:n:n], queue[n:]
+}
+
+func dequeue(group []*piece) {
+	for _, p := range group {
+		p.queued = false
+	}
+}
+
 // nearOnly returns what a target should take while others are free too: orders
 // for its own data centre, and, for the first of the free targets, those for
 // places where none is free. A single free target takes all.
