Make big results that only the engine reads when the other stages are nearly done

Cause: in routes with two branches the branch of 1.5 MB results started at once and its results lay for 1.5 s at makers that hold twelve of them.

Ruled out: starting it when the last stage of the other branch ends: the request would wait for it.

Change: holdBack delays such a stage by the estimated lead of the longest path less 250 ms, and ends the delay when that path's last stage starts.

--- a/internal/passthrough/stages.go
+++ b/internal/passthrough/stages.go
@@ -40,6 +40,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	readers := c.readers()
+	last, lastStep := c.lastOfLongest(), make(chan struct{})
 	done := make([]chan struct{}, len(c.route.Stages))
 	for i := range done {
 		done[i] = make(chan struct{})
@@ -48,9 +49,12 @@
 	for i := range c.route.Stages {
 		wg.Go(func() {
 			defer close(done[i])
-			if c.await(ctx, done, i) != nil {
+			if c.await(ctx, done, i) != nil || !c.holdBack(ctx, i, lastStep) {
 				return
 			}
+			if i == last {
+				close(lastStep)
+			}
 			res, err := c.produceStage(ctx, in, i)
 			if err != nil {
 				cancel(err)
@@ -85,6 +89,49 @@
 	return ctx.Err()
 }
 
+// holdMargin is how much sooner than estimated a stage is started that need not
+// be done before another branch: estimates err by about that.
+const holdMargin = 250 * time.Millisecond
+
+// lastOfLongest returns the last stage on the longest path, or -1 when there is
+// only one path.
+func (c *call) lastOfLongest() int {
+	best, longest := -1, time.Duration(0)
+	for i := range c.route.Stages {
+		if c.after(i) > 0 || c.pieces(i) == 0 || len(c.route.Stages[i].After) == 0 {
+			continue
+		}
+		if t := c.before(i) + c.stageTime(i); t > longest {
+			best, longest = i, t
+		}
+	}
+	return best
+}
+
+// holdBack delays a stage with big results that no other stage reads until the
+// longest path is about to end, because the results would only take room at
+// their maker meanwhile. lastStep is closed when the last stage of that path
+// starts. It reports whether ctx still lasts.
+func (c *call) holdBack(ctx context.Context, i int, lastStep <-chan struct{}) bool {
+	st := c.route.Stages[i]
+	if st.ResultBytes < bigResult || len(st.After) > 0 || c.after(i) > 0 || c.pieces(i) == 0 || c.lastOfLongest() < 0 {
+		return true
+	}
+	slack := c.stagesTime() - c.stageTime(i) - holdMargin
+	if slack <= 0 {
+		return true
+	}
+	timer := time.NewTimer(slack)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-lastStep:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
 // produceStage runs one stage.
 func (c *call) produceStage(ctx context.Context, in *inputs, i int) (stagebatch.Result, error) {
 	st := c.route.Stages[i]
@@ -131,6 +178,15 @@
 	return longest
 }
 
+// before estimates the time of the stages that stage i waits for.
+func (c *call) before(i int) time.Duration {
+	var longest time.Duration
+	for _, dep := range c.route.Stages[i].After {
+		longest = max(longest, c.before(dep)+c.stageTime(dep))
+	}
+	return longest
+}
+
 // stageTime estimates the time of one stage.
 func (c *call) stageTime(i int) time.Duration {
 	n := c.pieces(i)
