Give stage inputs up when they are fetched; give up calls whose answer is lost

Room bound the middle pool. - A call whose answer was lost held its target's only slot until the deadline of its latest order, up to 20 s: one of three targets worked from 18 s to 34 s.

Ruled out for the second: a stale list (the targets were listed), breakers.

Change: a former tells the home when an order's inputs are fetched (130 ms after the start of the call); the home gives them up, and runs the stages again when an input turns out to be gone. A call ends after four times its expected time and 0.8 s.

Test: TestLostAnswerDoesNotHoldItsSlot fails without the second change.

--- a/internal/passthrough/engine.go
+++ b/internal/passthrough/engine.go
@@ -29,8 +29,8 @@
 	if c.meta.Prompt != nil {
 		q.Tokens = c.meta.Prompt.Tokens
 	}
-	for i, res := range in.results {
-		for _, h := range res.Handles {
+	for i := range in.results {
+		for _, h := range in.get(i).Handles {
 			if q.Inputs == nil {
 				q.Inputs = make(map[string]int64)
 			}
--- a/internal/passthrough/stages.go
+++ b/internal/passthrough/stages.go
@@ -15,10 +15,33 @@
 type inputs struct {
 	// handles name them; nil when the route has no stages.
 	handles []string
+
+	mu sync.Mutex
 	// results holds what must be given up, by stage.
 	results []stagebatch.Result
 }
 
+func (in *inputs) set(stage int, res stagebatch.Result) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.results[stage] = res
+}
+
+func (in *inputs) get(stage int) stagebatch.Result {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.results[stage]
+}
+
+// take removes the results of a stage, so that they are given up once.
+func (in *inputs) take(stage int) stagebatch.Result {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	res := in.results[stage]
+	in.results[stage] = stagebatch.Result{}
+	return res
+}
+
 // pieces returns the number of results of a stage.
 func (c *call) pieces(stage int) int {
 	if stage < len(c.meta.Pieces) {
@@ -55,13 +78,14 @@
 			if i == last {
 				close(lastStep)
 			}
-			res, err := c.produceStage(ctx, in, i)
+			release := sync.OnceFunc(func() { c.releaseRead(in, readers, i) })
+			res, err := c.produceStage(ctx, in, i, release)
 			if err != nil {
 				cancel(err)
 				return
 			}
-			in.results[i] = res
-			c.releaseRead(in, readers, i)
+			release()
+			in.set(i, res)
 		})
 	}
 	wg.Wait()
@@ -133,7 +157,7 @@
 }
 
 // produceStage runs one stage.
-func (c *call) produceStage(ctx context.Context, in *inputs, i int) (stagebatch.Result, error) {
+func (c *call) produceStage(ctx context.Context, in *inputs, i int, inputsRead func()) (stagebatch.Result, error) {
 	st := c.route.Stages[i]
 	n := c.pieces(i)
 	if n == 0 {
@@ -142,13 +166,13 @@
 	o := stagebatch.Order{
 		Service: st.Service, Request: c.meta.ID, Stage: i, Pieces: n, Priority: c.rank,
 		Due: c.due(i), Deadline: c.deadline, ResultBytes: st.ResultBytes,
-		DataCentre: c.makerDataCentre(i),
+		DataCentre: c.makerDataCentre(i), InputsRead: inputsRead,
 	}
 	if len(st.After) == 0 {
 		o.Key = c.meta.PieceKey
 	}
 	for _, dep := range st.After {
-		o.Inputs = append(o.Inputs, in.results[dep].Handles...)
+		o.Inputs = append(o.Inputs, in.get(dep).Handles...)
 	}
 	start := time.Now()
 	res, err := c.s.cfg.Stages.Produce(ctx, o)
@@ -218,13 +242,12 @@
 	return out
 }
 
-// releaseRead gives up the results that only stage i, which has ended, was
-// still to read: their makers have little room.
+// releaseRead gives up the results that only stage i, which has read its inputs,
+// was still to read: their makers have little room.
 func (c *call) releaseRead(in *inputs, readers []atomic.Int32, i int) {
 	for _, dep := range c.route.Stages[i].After {
 		if readers[dep].Add(-1) == 0 {
-			c.s.cfg.Stages.Free(c.route.Stages[dep].Service, in.results[dep])
-			in.results[dep] = stagebatch.Result{}
+			c.s.cfg.Stages.Free(c.route.Stages[dep].Service, in.take(dep))
 		}
 	}
 }
@@ -240,7 +263,7 @@
 	out := []string{}
 	for i := range c.route.Stages {
 		if !read[i] {
-			out = append(out, in.results[i].Handles...)
+			out = append(out, in.get(i).Handles...)
 		}
 	}
 	return out
@@ -251,10 +274,9 @@
 	if in == nil {
 		return
 	}
-	for i, res := range in.results {
-		c.s.cfg.Stages.Free(c.route.Stages[i].Service, res)
+	for i := range in.results {
+		c.s.cfg.Stages.Free(c.route.Stages[i].Service, in.take(i))
 	}
-	in.results = make([]stagebatch.Result, len(c.route.Stages))
 }
 
 // stageFailure is the final answer when the stages failed; the request itself
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"topazmoor/internal/sse"
+	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/targets"
 )
 
@@ -33,6 +34,10 @@
 	for {
 		if x.in == nil {
 			in, err := c.produceInputs(c.ctx)
+			if errors.Is(err, stagebatch.ErrInputGone) && x.redone < maxRedo && c.ctx.Err() == nil {
+				x.redone++
+				continue
+			}
 			if err != nil {
 				x.end(c.stageFailure(err))
 				return
--- a/internal/peer/stages.go
+++ b/internal/peer/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -67,7 +68,11 @@
 	if err := writeFrame(st, &peerpb.Request{Call: &peerpb.Request_Produce{Produce: orderTo(o, time.Now())}}); err != nil {
 		return stagebatch.Result{}, eris.Wrap(err, "send to peer")
 	}
-	resp, err := c.awaitProduced(st, accepted)
+	resp, err := c.awaitProduced(st, accepted, sync.OnceFunc(func() {
+		if o.InputsRead != nil {
+			o.InputsRead()
+		}
+	}))
 	if err != nil {
 		return stagebatch.Result{}, err
 	}
@@ -82,7 +87,7 @@
 }
 
 // awaitProduced reads the answers to an order until the last one.
-func (c *Client) awaitProduced(st *yamux.Stream, accepted func(time.Duration)) (*peerpb.Response, error) {
+func (c *Client) awaitProduced(st *yamux.Stream, accepted func(time.Duration), inputsRead func()) (*peerpb.Response, error) {
 	for {
 		resp := &peerpb.Response{}
 		if err := readFrame(st, resp, maxFrame); err != nil {
@@ -96,6 +101,9 @@
 			return resp, nil
 		}
 		accepted(time.Duration(a.EstimateMs) * time.Millisecond)
+		if a.InputsRead {
+			inputsRead()
+		}
 	}
 }
 
@@ -131,12 +139,15 @@
 		cancel()
 	}()
 	accepted := make(chan time.Duration, 1)
+	read := make(chan struct{}, 1)
 	done := make(chan produced, 1)
 	go func() {
-		res, err := s.h.Stages.Produce(ctx, orderFrom(m, time.Now()), func(e time.Duration) { accepted <- e })
+		o := orderFrom(m, time.Now())
+		o.InputsRead = func() { read <- struct{}{} }
+		res, err := s.h.Stages.Produce(ctx, o, func(e time.Duration) { accepted <- e })
 		done <- produced{res, err}
 	}()
-	p := awaitOrder(ctx, st, accepted, done)
+	p := awaitOrder(ctx, st, accepted, read, done)
 	if p.err != nil && ctx.Err() != nil {
 		return nil, verdict.Wrap(p.err, verdict.NotRun, verdict.Canceled, "the order was withdrawn")
 	}
@@ -146,10 +157,11 @@
 
 // awaitOrder tells the peer of an order's progress until its end. A peer that
 // cannot be told has left; the reader of its stream withdraws the order.
-func awaitOrder(ctx context.Context, st *yamux.Stream, accepted <-chan time.Duration, done <-chan produced) produced {
+func awaitOrder(ctx context.Context, st *yamux.Stream, accepted <-chan time.Duration, read <-chan struct{}, done <-chan produced) produced {
 	tick := time.NewTicker(orderHeartbeat)
 	defer tick.Stop()
 	var estimate time.Duration
+	inputsRead := false
 	for {
 		select {
 		case p := <-done:
@@ -157,8 +169,11 @@
 		case estimate = <-accepted:
 		case <-tick.C:
 			estimate = max(estimate-orderHeartbeat, 0)
+		case <-read:
+			inputsRead = true
 		}
-		told := &peerpb.Response{Result: &peerpb.Response_Accepted{Accepted: &peerpb.Accepted{EstimateMs: estimate.Milliseconds()}}}
+		msg := &peerpb.Accepted{EstimateMs: estimate.Milliseconds(), InputsRead: inputsRead}
+		told := &peerpb.Response{Result: &peerpb.Response_Accepted{Accepted: msg}}
 		if writeFrame(st, told) != nil && ctx.Err() == nil {
 			return <-done
 		}
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -27,6 +27,14 @@
 	// call are put into another one. Calls of sound targets vary by a tenth.
 	overdueFactor = 1.5
 	overdueSlack  = 200 * time.Millisecond
+	// lostFactor and lostSlack give the time after which a call is given up, so
+	// that its slot can be used: its answer is lost, or its target is so slow
+	// that the pieces were made elsewhere long ago.
+	lostFactor = 4.0
+	lostSlack  = 800 * time.Millisecond
+	// inputTime is how long after the start of a call its inputs were fetched:
+	// targets fetch them first, some 10 MB over 10 Gbit/s in 10 ms.
+	inputTime = 130 * time.Millisecond
 	// freePause gathers results to be given up, so that one call frees many.
 	freePause = 15 * time.Millisecond
 	// freeTimeout bounds a call that gives up results; they lapse anyhow.
@@ -69,7 +77,7 @@
 	if spec == nil {
 		return Result{}, ErrNoTarget
 	}
-	w := &order{Order: o, handles: make([]string, o.Pieces), missing: o.Pieces, done: make(chan struct{})}
+	w := &order{Order: o, handles: make([]string, o.Pieces), missing: o.Pieces, unread: o.Pieces, done: make(chan struct{})}
 	f.mu.Lock()
 	p := f.pool(o.Service)
 	f.refresh(p, o.Service)
@@ -224,7 +232,8 @@
 	started time.Time
 	// expected is the time that a sound target takes.
 	expected time.Duration
-	ended    bool
+	// failed calls may not have fetched their inputs.
+	ended, failed bool
 }
 
 // start makes a call. The lock is held.
@@ -233,21 +242,17 @@
 	m.lastCall = now
 	c := &call{service: service, m: m, spec: spec, batch: batch, started: now, expected: expected(spec, len(batch))}
 	items := make([]Item, len(batch))
-	var last time.Time
 	for i, p := range batch {
 		p.attempts++
 		o := p.order
 		items[i] = Item{Request: o.Request, Stage: o.Stage, Piece: p.index, Key: o.Key, Inputs: o.Inputs, Remaining: o.Deadline.Sub(now)}
-		if o.Deadline.After(last) {
-			last = o.Deadline
-		}
 	}
-	overdue := time.Duration(overdueFactor*float64(c.expected)) + overdueSlack
-	watchdog := time.AfterFunc(overdue, func() { f.overdue(c) })
+	watchdog := time.AfterFunc(times(c.expected, overdueFactor)+overdueSlack, func() { f.overdue(c) })
 	f.log.Info("stage call", "service", service, "target", m.ID, "addr", m.Addr, "items", len(items), "queued", len(f.pools[service].queue))
+	time.AfterFunc(inputTime, func() { f.inputsRead(c) })
 	target := m.Target
 	go func() {
-		ctx, cancel := context.WithDeadline(context.Background(), last)
+		ctx, cancel := context.WithTimeout(context.Background(), times(c.expected, lostFactor)+lostSlack)
 		defer cancel()
 		results, err := f.worker.Run(ctx, target, items)
 		watchdog.Stop()
@@ -255,6 +260,29 @@
 	}()
 }
 
+// times returns a multiple of a duration.
+func times(d time.Duration, factor float64) time.Duration {
+	return time.Duration(factor * float64(d))
+}
+
+// inputsRead notes that the target has fetched the inputs of a call.
+func (f *Former) inputsRead(c *call) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if c.failed {
+		return
+	}
+	for _, p := range c.batch {
+		if p.read {
+			continue
+		}
+		p.read = true
+		if p.order.unread--; p.order.unread == 0 && p.order.InputsRead != nil {
+			go p.order.InputsRead()
+		}
+	}
+}
+
 // overdue puts the pieces of a call that takes too long into another one. The
 // call goes on: whichever result comes first is used.
 func (f *Former) overdue(c *call) {
@@ -289,7 +317,7 @@
 func (f *Former) ended(c *call, results []ItemResult, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c.ended = true
+	c.ended, c.failed = true, err != nil
 	c.m.calls--
 	now := time.Now()
 	if err != nil {
--- a/internal/stagebatch/former_test.go
+++ b/internal/stagebatch/former_test.go
@@ -295,6 +295,26 @@
 	})
 }
 
+// An answer that got lost held its target's only slot until the deadline of the
+// order, up to 20 s.
+func TestLostAnswerDoesNotHoldItsSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p, list := newFakePool(1)
+		p.host(0).dark = true
+		f := NewFormer(p, list, poolSpec, quiet)
+		time.AfterFunc(100*time.Millisecond, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.host(0).dark = false
+		})
+		start := time.Now()
+		_, err := f.Produce(t.Context(), at("first", 2, 0, time.Second), nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(time.Since(start) < 4*time.Second, qt.IsTrue, qt.Commentf("took %v", time.Since(start)))
+	})
+}
+
 // TestOracleOrdersGetTheirOwnResults runs random orders against targets with
 // random faults. An order that ends well has one result of each of its own
 // pieces, in their order; no call is larger than a batch or finds the slot
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -16,8 +16,9 @@
 	index int
 	// attempts counts the calls that held the piece.
 	attempts int
-	// queued says that the piece is in the queue.
-	queued bool
+	// queued says that the piece is in the queue, read that a target has read
+	// its inputs.
+	queued, read bool
 }
 
 // order is an Order in work.
@@ -28,9 +29,11 @@
 	seq     uint64
 	handles []string
 	missing int
-	done    chan struct{}
-	err     error
-	ended   bool
+	// unread counts the pieces whose inputs no target has read yet.
+	unread int
+	done   chan struct{}
+	err    error
+	ended  bool
 }
 
 // finish ends an order once.
--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -36,6 +36,9 @@
 	// DataCentre is where the results should be made if a target there is free;
 	// "" for anywhere.
 	DataCentre string
+	// InputsRead, when set, is called at most once, when the targets have read
+	// the inputs: they may be given up although the order is still in work.
+	InputsRead func()
 }
 
 // Result is what an Order gave.
