Give inputs up early only at targets that begin calls at once

Where two formers share a pool, or a target had no room, a call does not begin at once, and its inputs were given up before they were fetched. Change: a target is sound for 3 s after a call that took less than 1.3 times its time and gave all results; only its calls count as fetched after 130 ms. Conclusion: part of the cause. The rest of the inputs lapse after 4 s while the middle pool has 500 pieces waiting: admission is next.

--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -249,7 +249,9 @@
 	}
 	watchdog := time.AfterFunc(times(c.expected, overdueFactor)+overdueSlack, func() { f.overdue(c) })
 	f.log.Info("stage call", "service", service, "target", m.ID, "addr", m.Addr, "items", len(items), "queued", len(f.pools[service].queue))
-	time.AfterFunc(inputTime, func() { f.inputsRead(c) })
+	if m.sound(now) {
+		time.AfterFunc(inputTime, func() { f.inputsRead(c) })
+	}
 	target := m.Target
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), times(c.expected, lostFactor)+lostSlack)
@@ -291,6 +293,7 @@
 	if c.ended {
 		return
 	}
+	c.m.soundAt = time.Time{}
 	c.m.overdue(float64(time.Since(c.started)) / float64(c.expected))
 	f.log.Warn("stage call overdue, its pieces go elsewhere", "service", c.service, "target", c.m.ID, "items", len(c.batch), "ms", time.Since(c.started).Milliseconds())
 	f.requeue(c)
@@ -324,8 +327,12 @@
 		f.failed(c, err, now)
 	} else {
 		c.m.failures = 0
-		took := now.Sub(c.started)
-		c.m.took(float64(took) / float64(c.expected))
+		ratio := float64(now.Sub(c.started)) / float64(c.expected)
+		c.m.took(ratio)
+		c.m.soundAt = time.Time{}
+		if ratio < soundRatio {
+			c.m.soundAt = now
+		}
 		f.takeIn(c, results, now)
 	}
 	f.pump(c.service, f.pool(c.service), c.spec)
@@ -334,6 +341,7 @@
 // failed takes in a call without results. The lock is held.
 func (f *Former) failed(c *call, err error, now time.Time) {
 	var ce *CallError
+	c.m.soundAt = time.Time{}
 	pause := failPause << min(c.m.failures, 4)
 	if errors.As(err, &ce) && ce.NotRun && !ce.Unreachable && !ce.Moved {
 		pause = busyPause
@@ -376,6 +384,7 @@
 		}
 	}
 	if full {
+		c.m.soundAt = time.Time{}
 		// Until it is known how full the target is.
 		c.m.pausedUntil = now.Add(busyPause)
 		go f.askRoom(c.service, c.m, c.m.Addr, c.spec)
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -62,6 +62,9 @@
 	// the first.
 	slowness float64
 	lastCall time.Time
+	// soundAt is when a call last ended in its time and with all results; zero
+	// after one that did not.
+	soundAt time.Time
 	failures int
 	results  map[string]held
 	// foreign is the room that results take which this former doesn't know of,
@@ -80,6 +83,11 @@
 	// slownessWeight is the weight of the newest call: a server turns slow, and
 	// recovers, from one call to the next.
 	slownessWeight = 0.5
+	// soundRatio is by how much a call that began at once may exceed its
+	// expected time; calls vary by a tenth.
+	soundRatio = 1.3
+	// soundLife is how long a target is taken as sound after such a call.
+	soundLife = 3 * time.Second
 	// foreignLife is how long a foreign use of room is believed; such results
 	// lapse or are given up within seconds.
 	foreignLife = time.Second
@@ -101,6 +109,10 @@
 	m.slowness = m.slow() + slownessWeight*(ratio-m.slow())
 }
 
+// sound reports whether a call that is sent now begins at once: the target has
+// lately worked for this former alone, and had room.
+func (m *maker) sound(now time.Time) bool { return now.Sub(m.soundAt) < soundLife }
+
 // overdue notes that a call goes on although its time has passed that often.
 func (m *maker) overdue(ratio float64) { m.slowness = max(m.slow(), ratio, slowFactor) }
 
