--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -66,6 +66,7 @@
 	// stopping.
 	endsAt atomic.Int64
 	ending context.Context
+	usual  patiences
 	cut    context.CancelCauseFunc
 }
 
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -62,6 +62,10 @@
 	queue  []*piece
 	makers map[string]*maker
 	wakeAt time.Time
+	// made are the calls that ended lately; busySince is since when pieces have
+	// been waiting at the end of each call.
+	made      []made
+	busySince time.Time
 }
 
 // NewFormer returns a Former. spec describes the targets of a service; nil for
@@ -88,7 +92,7 @@
 	f.orders++
 	now := time.Now()
 	w.seq, w.since = f.orders, now
-	estimate := waitFor(p.queue, spec, p.makers, o.Priority, now) + expected(spec, o.Pieces)
+	estimate := p.waitFor(spec, o.Priority, now) + expected(spec, o.Pieces)
 	for i := range o.Pieces {
 		p.queue = append(p.queue, &piece{order: w, index: i, queued: true})
 	}
@@ -122,7 +126,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.pool(service)
-	return waitFor(p.queue, spec, p.makers, rank, time.Now()) + expected(spec, pieces)
+	return p.waitFor(spec, rank, time.Now()) + expected(spec, pieces)
 }
 
 // Free gives up results.
@@ -135,7 +139,7 @@
 func (f *Former) pool(service string) *pool {
 	p := f.pools[service]
 	if p == nil {
-		p = &pool{makers: make(map[string]*maker)}
+		p = &pool{makers: make(map[string]*maker), busySince: time.Now()}
 		f.pools[service] = p
 	}
 	return p
@@ -333,6 +337,7 @@
 		if ratio < soundRatio {
 			c.m.soundAt = now
 		}
+		f.pool(c.service).noteMade(len(c.batch), now)
 		f.takeIn(c, results, now)
 	}
 	f.pump(c.service, f.pool(c.service), c.spec)
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -64,7 +64,7 @@
 	lastCall time.Time
 	// soundAt is when a call last ended in its time and with all results; zero
 	// after one that did not.
-	soundAt time.Time
+	soundAt  time.Time
 	failures int
 	results  map[string]held
 	// foreign is the room that results take which this former doesn't know of,
@@ -253,16 +253,57 @@
 
 func anyOrder(*order) bool { return true }
 
+// rate returns how many pieces a second the pool makes: what it lately made
+// while pieces waited, or, before that is known, what its good targets could.
+// Room binds some pools far below that.
+func (p *pool) rate(spec *routes.Batch, good int, now time.Time) float64 {
+	could := float64(good*max(spec.Items, 1)) / expected(spec, spec.Items).Seconds()
+	var made int
+	for _, m := range p.made {
+		if now.Sub(m.at) < rateWindow {
+			made += m.items
+		}
+	}
+	if now.Sub(p.busySince) < rateWindow {
+		return could
+	}
+	return min(could, max(float64(made)/rateWindow.Seconds(), could/4))
+}
+
+// noteMade notes the pieces of a call that ended, and since when pieces wait.
+func (p *pool) noteMade(items int, now time.Time) {
+	kept := p.made[:0]
+	for _, m := range p.made {
+		if now.Sub(m.at) < rateWindow {
+			kept = append(kept, m)
+		}
+	}
+	p.made = append(kept, made{at: now, items: items})
+	if len(p.queue) == 0 {
+		p.busySince = now
+	}
+}
+
+// rateWindow is the time over which the pieces made are counted: some calls of
+// each target.
+const rateWindow = 1500 * time.Millisecond
+
+// made is the pieces of one call.
+type made struct {
+	at    time.Time
+	items int
+}
+
 // waitFor estimates how long pieces of a rank wait for their call to begin.
-func waitFor(queue []*piece, spec *routes.Batch, makers map[string]*maker, rank int, now time.Time) time.Duration {
+func (p *pool) waitFor(spec *routes.Batch, rank int, now time.Time) time.Duration {
 	ahead := 0
-	for _, p := range queue {
-		if !p.order.ended && p.order.Priority <= rank {
+	for _, pc := range p.queue {
+		if !pc.order.ended && pc.order.Priority <= rank && pc.order.Due.After(now) {
 			ahead++
 		}
 	}
 	good, idle := 0, 0
-	for _, m := range makers {
+	for _, m := range p.makers {
 		if now.Before(m.pausedUntil) || m.slow() >= slowFactor {
 			continue
 		}
@@ -274,8 +315,7 @@
 	if good == 0 {
 		good = 1
 	}
-	full := expected(spec, spec.Items)
-	wait := time.Duration(float64(full) * float64(ahead) / float64(good*max(spec.Items, 1)))
+	wait := time.Duration(float64(ahead) / p.rate(spec, good, now) * float64(time.Second))
 	if idle == 0 {
 		// The next of the busy targets is free after a part of its call.
 		wait += expected(spec, spec.Items/2) / time.Duration(good+1)
