--- /dev/null
+++ b/internal/sse/sse_test.go
@@ -0,0 +1,61 @@
+package sse
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestEventsKeepTheirBytes(t *testing.T) {
+	c := qt.New(t)
+	raw := "id: 1\ndata: a\ndata: b\n\n: comment\r\nid:2\r\ndata: c\r\n\r\n" + "data: " + strings.Repeat("x", 3*bufferSize) + "\n\n"
+	r := NewReader(iotest.OneByteReader(strings.NewReader(raw)))
+	var got, ids []string
+	for {
+		ev, err := r.Next()
+		if err == io.EOF {
+			break
+		}
+		c.Assert(err, qt.IsNil)
+		got, ids = append(got, string(ev.Raw)), append(ids, ev.ID)
+	}
+	c.Assert(strings.Join(got, ""), qt.Equals, raw)
+	c.Assert(ids, qt.DeepEquals, []string{"1", "2", ""})
+}
+
+func TestHalfAnEventIsNoEnd(t *testing.T) {
+	for _, raw := range []string{"id: 1", "id: 1\n", "id: 1\ndata: a\n", "id: 1\ndata: a\n\nid"} {
+		r := NewReader(strings.NewReader(raw))
+		var err error
+		for err == nil {
+			_, err = r.Next()
+		}
+		if !errors.Is(err, ErrCut) {
+			t.Errorf("%q ends with %v", raw, err)
+		}
+	}
+}
+
+func FuzzReader(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\n"))
+	f.Add([]byte("\n\n\r\n:x\nid:"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r := NewReader(bytes.NewReader(b))
+		n := 0
+		for {
+			ev, err := r.Next()
+			if err != nil {
+				break
+			}
+			if !bytes.Equal(ev.Raw, b[n:n+len(ev.Raw)]) {
+				t.Fatalf("bytes changed at %d", n)
+			}
+			n += len(ev.Raw)
+		}
+	})
+}
