Ask the store less: one watch notices it, the others wait long

Change: the list of targets is watched with calls of 3 s; when that watch loses or regains the store it pokes the others, which wait 20 s; tables are read whole every 30 s; entries of nodes are gathered for a second. An old read is no outage any more. Tests: TestPokeEndsACallThatHangs, TestOldReadIsNoOutage fail without it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -124,8 +124,8 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
 	}
 	n.targets = targets.New(set.DataCentre)
-	n.config = &watch.Table{Name: env.ConfigTable, From: env.Store, Apply: n.applyConfig, Log: n.log}
-	n.servers = &watch.Table{Name: env.TargetTable, From: env.Store, Apply: n.applyTargets, Log: n.log}
+	n.config = &watch.Table{Name: env.ConfigTable, From: env.Store, Wait: watch.LongWait, Apply: n.applyConfig, Log: n.log}
+	n.servers = &watch.Table{Name: env.TargetTable, From: env.Store, Wait: watch.ShortWait, Apply: n.applyTargets, Contact: n.storeContact, Log: n.log}
 	n.former = stagebatch.NewFormer(env.Worker, n.targets, n.batchSpec, n.log)
 	var err error
 	if n.peers, err = n.provisionPeers(); err != nil {
@@ -133,7 +133,7 @@
 	}
 	n.router = stagebatch.NewRouter(set.Node, n.former, n.peers.client, n.board.Members.Get, n.log)
 	n.front = passthrough.New(passthrough.Config{
-		Routes: n.board.Routes.Get, Current: n.config.Connected, Targets: n.targets, Stages: n.router,
+		Routes: n.board.Routes.Get, Current: n.current, Targets: n.targets, Stages: n.router,
 		Sender: env.Conns, Wire: env.Wire,
 		Repeats:   flow.NewRepeatBudgets(set.Repeats.Ratio, set.Repeats.Fixed, set.Repeats.Window, n.router.Live),
 		BodyBytes: defaultBodyBytes, ReadTimeout: defaultReadTimeout, Observer: n.metrics, Log: n.log,
@@ -190,6 +190,15 @@
 	n.log.Info("configuration in force", "config", cfg.Version, "before", before, "row_version", v.Version)
 }
 
+// current reports whether the configuration can be trusted to be the newest one.
+func (n *Node) current() bool { return n.config.Connected() && n.servers.Connected() }
+
+// storeContact makes the other watches find out whether the store answers.
+func (n *Node) storeContact() {
+	n.config.Poke()
+	n.peers.members.Poke()
+}
+
 // applyTargets takes in a list of targets.
 func (n *Node) applyTargets(v watch.View) {
 	changes, gone := n.targets.Update(n.env.Sources.Targets(v.Rows), v.Regained)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -33,6 +33,8 @@
 	enterRetry = 400 * time.Millisecond
 	// enterAgain is how often a node looks whether its row still stands.
 	enterAgain = 5 * time.Second
+	// memberPause gathers the entries of nodes that start together.
+	memberPause = time.Second
 	// leaveTimeout bounds the removal of the row at a stop.
 	leaveTimeout = 2 * time.Second
 )
@@ -68,7 +70,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode member")
 	}
-	p.members = &watch.Table{Name: memberTable, From: n.env.Store, Apply: p.apply, Log: n.log}
+	p.members = &watch.Table{Name: memberTable, From: n.env.Store, Wait: watch.LongWait, Pause: memberPause, Apply: p.apply, Log: n.log}
 	return p, nil
 }
 
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -8,6 +8,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,17 +16,22 @@
 )
 
 const (
-	// wait is how long one call waits for changes. A path that went silent is
-	// noticed after it, so it stays near the time within which a change must be
-	// in force once the store is back (3 s).
-	wait = 3 * time.Second
+	// ShortWait is how long one call waits for changes of a table that also serves
+	// to notice a store that went silent: near the time after which a change must
+	// be in force once the store is back (3 s).
+	ShortWait = 3 * time.Second
+	// LongWait is the same for tables that are poked when another one notices.
+	// Each call is paid for.
+	LongWait = 20 * time.Second
+	// answerSlack is how long beyond its waiting time a call may take.
+	answerSlack = 3 * time.Second
 	// firstRetry doubles up to maxRetry while the store does not answer. A
 	// store call takes about 5 ms; many nodes retry at once after an outage.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = 700 * time.Millisecond
 	// rereadEvery is the time between two whole reads without any sign of a
 	// missed change: a watch can stay silent although something changed.
-	rereadEvery = 10 * time.Second
+	rereadEvery = 30 * time.Second
 )
 
 // View is a copy of a table.
@@ -43,9 +49,21 @@
 	// Name is the table's name.
 	Name string
 	From store.Watchable
+	// Wait is how long one call waits for changes.
+	Wait time.Duration
+	// Pause is the least time between two calls, so that changes that come one
+	// after the other are taken in together; 0 for none.
+	Pause time.Duration
 	// Apply is called with each new view; it must not change it.
 	Apply func(View)
-	Log   *slog.Logger
+	// Contact, when set, is called when the store stops or begins to answer.
+	Contact func()
+	Log     *slog.Logger
+
+	mu sync.Mutex
+	// cancel ends the call in progress; poked says that Poke did.
+	cancel context.CancelFunc
+	poked  bool
 
 	rows     map[string]store.Row
 	version  int64
@@ -68,7 +86,34 @@
 
 // Connected reports whether the store answers.
 func (t *Table) Connected() bool {
-	return time.Since(t.Heard()) < 2*wait
+	return time.Since(t.Heard()) < t.Wait+answerSlack
+}
+
+// Poke ends the call in progress and asks the store at once: another call has
+// shown that the store stopped, or began, to answer.
+func (t *Table) Poke() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.poked = true
+	if t.cancel != nil {
+		t.cancel()
+	}
+}
+
+// begin opens the context of one call and takes in a poke.
+func (t *Table) begin(ctx context.Context) (call context.Context, end func(), poked bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	call, t.cancel = context.WithCancel(ctx)
+	poked, t.poked = t.poked, false
+	return call, t.cancel, poked
+}
+
+// wasPoked reports whether the last call was ended by Poke.
+func (t *Table) wasPoked() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.poked
 }
 
 // Serve implements suture.Service.
@@ -80,10 +125,15 @@
 			retry = firstRetry
 			continue
 		}
-		if errors.Is(err, store.ErrCompacted) {
+		switch {
+		case t.wasPoked():
+			continue
+		case errors.Is(err, store.ErrCompacted):
 			t.Log.Info("history of the table is gone, reading it whole", "table", t.Name, "version", t.version)
 			t.gap = true
-		} else {
+		case errors.Is(err, errStale):
+			t.Log.Info("old read of the table dropped", "table", t.Name, "version", t.version)
+		default:
 			t.away(err)
 		}
 		// Half of the pause is random, so that nodes don't come back in step.
@@ -103,6 +153,7 @@
 		return
 	}
 	t.lost = true
+	t.contact()
 	t.Log.Warn("store lost", "table", t.Name, "version", t.version, "err", err)
 }
 
@@ -110,8 +161,10 @@
 	if t.gap || time.Since(t.lastRead) > rereadEvery {
 		return t.readWhole(ctx)
 	}
-	patience := wait
-	if t.lost {
+	ctx, end, poked := t.begin(ctx)
+	defer end()
+	patience := t.Wait
+	if t.lost || poked {
 		// Hear at once whether the store is back.
 		patience = 0
 	}
@@ -129,9 +182,22 @@
 	}
 	t.merge(changes.Changes)
 	t.apply()
+	if t.Pause > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(t.Pause):
+		}
+	}
 	return nil
 }
 
+// contact tells that the store stopped or began to answer.
+func (t *Table) contact() {
+	if t.Contact != nil {
+		t.Contact()
+	}
+}
+
 func (t *Table) apply() {
 	t.Apply(View{Rows: t.rows, Version: t.version, Regained: t.regained})
 }
@@ -169,6 +235,7 @@
 	if t.lost {
 		t.lost = false
 		t.regained = time.Now()
+		t.contact()
 		t.Log.Info("store regained", "table", t.Name, "version", t.version)
 	}
 }
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -23,7 +23,7 @@
 func follow(ctx context.Context, from store.Watchable) (last func() View, table *Table) {
 	var mu sync.Mutex
 	var view View
-	table = &Table{Name: "t", From: from, Log: quiet, Apply: func(v View) {
+	table = &Table{Name: "t", From: from, Wait: ShortWait, Log: quiet, Apply: func(v View) {
 		mu.Lock()
 		defer mu.Unlock()
 		if v.Version < view.Version {
@@ -111,7 +111,7 @@
 		synctest.Wait()
 		c.Assert(table.Connected(), qt.IsTrue)
 		m.SetFaults(store.Faults{Down: true})
-		time.Sleep(3 * wait)
+		time.Sleep(3 * ShortWait)
 		c.Assert(table.Connected(), qt.IsFalse)
 		m.SetFaults(store.Faults{})
 		back := time.Now()
@@ -162,7 +162,7 @@
 			}
 			m.SetFaults(store.Faults{})
 			// A call that waits for changes, a retry and a read.
-			time.Sleep(wait + 2*maxRetry)
+			time.Sleep(ShortWait + 2*maxRetry)
 			want, err := m.Snapshot(t.Context(), "t")
 			if err != nil {
 				t.Fatal(err)
@@ -179,3 +179,53 @@
 		})
 	})
 }
+
+// silent is a store whose calls hang while it is silent.
+type silent struct {
+	store.Watchable
+	until time.Time
+}
+
+func (s *silent) Changes(ctx context.Context, table string, after int64, wait time.Duration) (store.Changes, error) {
+	if time.Now().Before(s.until) {
+		<-ctx.Done()
+		return store.Changes{}, store.ErrUnavailable
+	}
+	return s.Watchable.Changes(ctx, table, after, wait)
+}
+
+func TestPokeEndsACallThatHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		m := store.NewMemory()
+		s := &silent{Watchable: m, until: time.Now().Add(10 * time.Second)}
+		last, table := follow(t.Context(), s)
+		time.Sleep(11 * time.Second)
+		put(t, m, "a", "1")
+		synctest.Wait()
+		c.Assert(last().Rows, qt.HasLen, 0)
+		table.Poke()
+		synctest.Wait()
+		c.Assert(last().Rows, qt.HasLen, 1)
+		c.Assert(last().Regained.IsZero(), qt.IsTrue)
+	})
+}
+
+func TestOldReadIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		m := store.NewMemory()
+		old, err := m.Snapshot(t.Context(), "t")
+		c.Assert(err, qt.IsNil)
+		put(t, m, "a", "1")
+		s := &staleReads{Watchable: m}
+		last, _ := follow(t.Context(), s)
+		synctest.Wait()
+		s.old, s.until = old, time.Now().Add(5*time.Second)
+		put(t, m, "b", "1")
+		m.Compact()
+		time.Sleep(8 * time.Second)
+		c.Assert(last().Rows, qt.HasLen, 2)
+		c.Assert(last().Regained.IsZero(), qt.IsTrue)
+	})
+}
