Keep the row of a released key, so that a late commit finds it

A claim's commit whose reply was lost was sent again and granted; the key was released, its row deleted; then the store applied the first commit, whose condition "no row" was true again, and the key was held by an attempt that had ended. Ruled out: the checker and its model; the history is wrong as it stands. Change: a release marks the row; a claim replaces a released row on its version. Looked at for the same hole: head and shard rows and the shared secret are never deleted, batch and claim rows only long after. Test: TestLateCommitDoesNotHoldAReleasedKey.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -54,6 +54,16 @@
 	// Outcome is nil while the attempt runs, and stays nil when its holder
 	// died.
 	Outcome *Outcome `json:"outcome,omitempty"`
+	// Released says that the attempt gave the key back because nothing ran. The
+	// row stays: were it deleted, a commit of an earlier claim that the store
+	// applies late would find its condition, that there is no row, true again,
+	// and hold the key for an attempt that ended.
+	Released bool `json:"released,omitempty"`
+}
+
+// heldBy reports whether an attempt holds the key and has not finished.
+func (r Record) heldBy(attempt string) bool {
+	return r.Attempt == attempt && r.Outcome == nil && !r.Released
 }
 
 // Grant answers a Claim.
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -244,3 +244,32 @@
 		}
 	})
 }
+
+// A commit of a claim whose reply was lost, applied after the key was released,
+// found that there was no row and held the key for an attempt that had ended.
+// Found by TestOracleTableBookIsLinearizable with seed 26937.
+func TestLateCommitDoesNotHoldAReleasedKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		twin := store.NewMemory()
+		b := NewTableBook(twin, 5*time.Millisecond, quiet)
+		claim := func(attempt string) Claim {
+			return Claim{Key: Key{"a", "k"}, Attempt: attempt, Until: time.Now().Add(10 * time.Second)}
+		}
+		twin.SetFaults(store.Faults{LateCommits: 1, LateBy: time.Second})
+		first := claim("first")
+		g, err := b.Claim(t.Context(), first)
+		c.Assert(err, qt.IsNil)
+		c.Assert(g.Granted, qt.IsTrue)
+		c.Assert(b.Finish(t.Context(), first, nil), qt.IsNil)
+		time.Sleep(2 * time.Second)
+		_, found, err := b.Lookup(t.Context(), first.Key)
+		c.Assert(err, qt.IsNil)
+		c.Assert(found, qt.IsFalse)
+		g, err = b.Claim(t.Context(), claim("second"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(g.Granted, qt.IsTrue)
+		// The book's own goroutine ends.
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/ledger/table.go
+++ b/internal/ledger/table.go
@@ -94,14 +94,14 @@
 	finishOp
 )
 
-// op is one operation of a group. A claim op creates a row; a finish op
-// replaces or deletes the row of a granted claim.
+// op is one operation of a group. A claim op creates a row, or replaces that of
+// a released claim; a finish op replaces the row of a granted claim.
 type op struct {
 	kind    opKind
 	ctx     context.Context
 	claim   Claim
 	write   store.Write
-	version int64 // expected version of the row; 0 for a claim
+	version int64 // expected version of the row; 0 for none
 	until   time.Time
 	done    chan opResult
 }
@@ -180,15 +180,13 @@
 	if err != nil || !held {
 		return err
 	}
-	w := store.Write{Table: claimTable, Key: c.rowKey(), Delete: out == nil}
-	if out != nil {
-		w.Value, err = json.Marshal(Record{Claim: c, Outcome: out})
-		if err != nil {
-			return eris.Wrap(err, "encode outcome")
-		}
+	value, err := json.Marshal(Record{Claim: c, Outcome: out, Released: out == nil})
+	if err != nil {
+		return eris.Wrap(err, "encode outcome")
 	}
 	o := &op{
-		kind: finishOp, ctx: ctx, claim: c, write: w, version: version,
+		kind: finishOp, ctx: ctx, claim: c, version: version,
+		write: store.Write{Table: claimTable, Key: c.rowKey(), Value: value},
 		until: time.Now().Add(finishTimeout), done: make(chan opResult, 1),
 	}
 	if err := b.enqueue(o); err != nil {
@@ -218,7 +216,7 @@
 	if err != nil {
 		return 0, false, err
 	}
-	return row.Version, rec.Attempt == c.Attempt && rec.Outcome == nil, nil
+	return row.Version, rec.heldBy(c.Attempt), nil
 }
 
 // remember notes the versions of claims that a commit granted.
@@ -246,6 +244,9 @@
 		return Record{}, false, errStoreDown
 	}
 	rec, err := decodeRecord(row)
+	if rec.Released {
+		return Record{}, false, err
+	}
 	return rec, err == nil, err
 }
 
@@ -400,33 +401,42 @@
 	}
 	var rest []*op
 	for i, o := range group {
-		if !bad[i] {
+		if !bad[i] || b.readBack(o) {
 			rest = append(rest, o)
-			continue
 		}
-		o.done <- b.readBack(o)
 	}
 	return rest
 }
 
-// readBack answers an op by the row that stands in its way.
-func (b *TableBook) readBack(o *op) opResult {
+// readBack answers an op by the row that stands in its way. It reports true
+// when the row is that of a released claim, which the op may replace: nobody
+// may run the key meanwhile, as the condition on the row's version shows.
+func (b *TableBook) readBack(o *op) (again bool) {
+	if o.kind == finishOp {
+		// Somebody, or our own earlier commit, changed the row; Finish reads it
+		// again and decides.
+		o.done <- opResult{err: eris.New("ledger: row changed")}
+		return false
+	}
 	ctx, cancel := context.WithDeadline(context.Background(), o.until)
 	defer cancel()
-	rec, found, err := b.Lookup(ctx, o.claim.Key)
+	row, err := b.tables.Get(ctx, claimTable, o.claim.rowKey())
 	if err != nil {
-		return opResult{err: errStoreDown}
+		// Down, or swept in between; the caller may try again.
+		o.done <- opResult{err: errStoreDown}
+		return false
 	}
-	if o.kind == finishOp {
-		// Somebody, or our own earlier commit, changed the row; Finish reads it
-		// again and decides.
-		return opResult{err: eris.New("ledger: row changed")}
+	rec, err := decodeRecord(row)
+	if err != nil {
+		o.done <- opResult{err: err}
+		return false
 	}
-	if !found {
-		// Released in between; the caller may try again.
-		return opResult{err: errStoreDown}
+	if rec.Released {
+		o.version = row.Version
+		return true
 	}
-	return opResult{grant: Grant{Granted: rec.Attempt == o.claim.Attempt && rec.Outcome == nil, Existing: rec}}
+	o.done <- opResult{grant: Grant{Granted: rec.heldBy(o.claim.Attempt), Existing: rec}}
+	return false
 }
 
 // settle finds out whether a commit whose reply was lost took effect. A
@@ -454,12 +464,5 @@
 }
 
 func (b *TableBook) applied(ctx context.Context, o *op) (bool, error) {
-	if !o.write.Delete {
-		return store.Applied(ctx, b.tables, claimTable, o.write.Key, o.write.Value)
-	}
-	_, err := b.tables.Get(ctx, claimTable, o.write.Key)
-	if errors.Is(err, store.ErrNotFound) {
-		return true, nil
-	}
-	return false, err
+	return store.Applied(ctx, b.tables, claimTable, o.write.Key, o.write.Value)
 }
