Explain a request from the logs; a closed kept connection uses up no attempt

`topazmoor explain ID [FILE...]` prints the way of a request over all nodes from their logs. Lines were added for what was missing: accepted, sent (with what was believed of the target and how old that was), stage done, the requests of a stage call.

Change: a kept connection that ends within 20 ms without a byte takes the other kept ones of its target with it, and uses up no attempt of a request that may be repeated. It still counts as having run for every promise.

The race detector found the number of a send read beside its change; mended.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -49,6 +49,7 @@
 	Audit   *auditCmd   `arg:"subcommand:audit" help:"print who changed what"`
 	Batch   *batchCmd   `arg:"subcommand:batch" help:"submit a durable batch, show its progress or its results"`
 	Load    *loadCmd    `arg:"subcommand:load" help:"send requests at a fixed rate and report"`
+	Explain *explainCmd `arg:"subcommand:explain" help:"print the way of a request from the logs of nodes"`
 	Version *versionCmd `arg:"subcommand:version" help:"print the version"`
 
 	Output string `arg:"-o,--output" default:"text" placeholder:"FORMAT" help:"text or json"`
@@ -79,7 +80,7 @@
 		{a.Serve != nil, a.Serve}, {a.Demo != nil, a.Demo}, {a.Standin != nil, a.Standin}, {a.Check != nil, a.Check},
 		{a.Apply != nil, a.Apply}, {a.Get != nil, a.Get}, {a.Drain != nil, a.Drain}, {a.Stop != nil, a.Stop},
 		{a.Status != nil, a.Status}, {a.Audit != nil, a.Audit}, {a.Batch != nil, a.Batch}, {a.Load != nil, a.Load},
-		{a.Version != nil, a.Version},
+		{a.Explain != nil, a.Explain}, {a.Version != nil, a.Version},
 	} {
 		if c.given {
 			return c.cmd, true
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -49,6 +49,8 @@
 	addr string
 	br   *bufio.Reader
 	bw   *bufio.Writer
+	// used is set once an answer came on the connection.
+	used bool
 	// until is when the connection must no longer be used.
 	until time.Time
 }
@@ -92,6 +94,7 @@
 
 // keep puts a connection back whose last answer was read to its end.
 func (p *Pool) keep(c *conn) {
+	c.used = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[c.addr]
--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -37,6 +37,9 @@
 type Error struct {
 	// Sent is false when no byte was handed to the target: it cannot have run.
 	Sent bool
+	// Reused is set when the connection had been kept from an earlier request: the
+	// target may have closed it just before.
+	Reused bool
 	// Refused is set when the target's host answered that nobody listens.
 	Refused bool
 	cause   error
@@ -70,7 +73,11 @@
 	resp, err := x.run()
 	if err != nil {
 		x.end(false)
-		return nil, &Error{Sent: true, cause: err}
+		if c.used {
+			// The others were kept as long: their target has closed them, or ended.
+			p.Forget(addr)
+		}
+		return nil, &Error{Sent: true, Reused: c.used, cause: err}
 	}
 	return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: &body{x: x, resp: resp}}, nil
 }
--- a/internal/passthrough/admit.go
+++ b/internal/passthrough/admit.go
@@ -71,6 +71,8 @@
 func (c *call) admit() error {
 	need := c.need()
 	left := time.Until(c.deadline)
+	c.log.Info("accepted", "route", c.route.Name, "service", c.service, "account", c.account, "rank", c.rank, "config", c.cfg.Version,
+		"need_ms", need.Milliseconds(), "left_ms", left.Milliseconds(), "objective_ms", c.route.Objective.Milliseconds(), "pieces", c.meta.Pieces)
 	if c.route.Kind == routes.Stream && need > c.route.Objective && c.firstTry() {
 		back := min(need-c.route.Objective+c.comeBack(), time.Duration(backShare*float64(left)))
 		c.log.Info("refused: it would be late", "need_ms", need.Milliseconds(), "objective_ms", c.route.Objective.Milliseconds(), "back_ms", back.Milliseconds())
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"topazmoor/internal/httpconn"
@@ -27,6 +28,11 @@
 	// busy says that the target rejected the request.
 	busy      bool
 	inputGone bool
+	// stale says that a kept connection ended at once, without a byte of an answer:
+	// its target had closed it, or ended.
+	stale bool
+	// target is where the attempt was made.
+	target string
 	// none says that there is nobody to send the request to.
 	none bool
 	err  error
@@ -47,9 +53,10 @@
 	return c.s.cfg.Targets.Pick(q)
 }
 
-// send hands the request to a target and reads the head of its answer. Exactly
-// one of its results is set. The lease is ended with a failure.
-func (c *call) send(ctx context.Context, l *targets.Lease, o Outgoing) (*attempt, *failure) {
+// send hands the request to a target, as the send of that number, and reads the
+// head of its answer. Exactly one of its results is set. The lease is ended with
+// a failure. It only reads the call: sends run beside each other.
+func (c *call) send(ctx context.Context, l *targets.Lease, number int, o Outgoing) (*attempt, *failure) {
 	o.Target, o.Account, o.Rank = l.ID, c.account, c.rank
 	o.Remaining = time.Until(c.deadline)
 	a := &attempt{lease: l, start: time.Now()}
@@ -58,12 +65,15 @@
 		l.Done(targets.Abandoned, 0)
 		return nil, &failure{err: errors.New("the target left before the request was sent")}
 	}
+	c.log.Info("sent", "target", l.ID, "addr", l.Addr, "service", c.service, "send", number, "rank", c.rank,
+		"left_ms", o.Remaining.Milliseconds(), "config", c.cfg.Version, "candidates", l.Basis.Candidates, "calls", l.Basis.Calls,
+		"failures", l.Basis.Failures, "load_age_ms", l.Basis.LoadAge.Milliseconds(), "inputs", len(o.Inputs), "after_event", o.LastEvent)
 	ans, err := c.s.cfg.Sender.Do(ctx, l.Addr, &httpconn.Request{
 		ID: c.meta.ID, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
 		Header: c.s.cfg.Wire.ToTarget(c.r.Header, o), Body: c.body,
 	})
 	if err != nil {
-		return nil, c.noAnswer(ctx, l, err)
+		return nil, c.noAnswer(ctx, l, a.start, err)
 	}
 	a.ans, a.told = ans, c.s.cfg.Wire.FromTarget(ans.Status, ans.Header)
 	if a.told.Load != nil {
@@ -76,8 +86,12 @@
 	return a, nil
 }
 
+// staleWithin is how soon a kept connection ends that its target had closed:
+// after one round trip.
+const staleWithin = 20 * time.Millisecond
+
 // noAnswer reads a send without an answer.
-func (c *call) noAnswer(ctx context.Context, l *targets.Lease, err error) *failure {
+func (c *call) noAnswer(ctx context.Context, l *targets.Lease, start time.Time, err error) *failure {
 	var ce *httpconn.Error
 	sent := !errors.As(err, &ce) || ce.Sent
 	switch {
@@ -88,8 +102,9 @@
 	default:
 		l.Done(targets.Failed, 0)
 	}
-	c.log.Info("no answer from target", "target", l.ID, "addr", l.Addr, "sent", sent, "err", err)
-	return &failure{ran: sent, err: err}
+	stale := ce != nil && ce.Reused && time.Since(start) < staleWithin
+	c.log.Info("no answer from target", "target", l.ID, "addr", l.Addr, "sent", sent, "stale", stale, "err", err)
+	return &failure{ran: sent, stale: stale, target: l.ID, err: err}
 }
 
 // rejected returns the failure of an answer that is not the target's answer to
@@ -135,7 +150,14 @@
 	if c.ctx.Err() != nil {
 		return false
 	}
-	if c.runs > 0 && (!c.route.Repeatable() || c.runs >= max(c.route.MaxAttempts, 1)) {
+	if f != nil && f.stale {
+		c.stale++
+		c.tried = slices.DeleteFunc(c.tried, func(id string) bool { return id == f.target })
+	}
+	// A request may have run wherever it was sent; where a kept connection had
+	// been closed it almost surely has not, which does not use up an attempt of a
+	// request that may be repeated.
+	if c.runs > 0 && (!c.route.Repeatable() || c.runs-c.stale >= max(c.route.MaxAttempts, 1)) {
 		return false
 	}
 	if c.sends > 0 && !c.s.cfg.Repeats.Take(c.service) {
--- a/internal/passthrough/plain.go
+++ b/internal/passthrough/plain.go
@@ -65,7 +65,8 @@
 		// Until the attempt proves otherwise the request may have run.
 		c.runs++
 		running++
-		go func() { results <- c.attemptPlain(ctx, l) }()
+		number := c.sends
+		go func() { results <- c.attemptPlain(ctx, l, number) }()
 		return true
 	}
 	if !start() {
@@ -120,8 +121,8 @@
 }
 
 // attemptPlain makes one attempt and reads its answer.
-func (c *call) attemptPlain(ctx context.Context, l *targets.Lease) result {
-	a, f := c.send(ctx, l, Outgoing{})
+func (c *call) attemptPlain(ctx context.Context, l *targets.Lease, number int) result {
+	a, f := c.send(ctx, l, number, Outgoing{})
 	if f != nil {
 		return result{f: f}
 	}
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -122,6 +122,8 @@
 	tried []string
 	runs  int
 	sends int
+	// stale counts the sends on kept connections that had been closed.
+	stale int
 }
 
 // notReadyAfter is when a caller may come back to a node that knows no
--- a/internal/passthrough/stages.go
+++ b/internal/passthrough/stages.go
@@ -176,8 +176,13 @@
 	}
 	start := time.Now()
 	res, err := c.s.cfg.Stages.Produce(ctx, o)
-	if err != nil && ctx.Err() == nil {
-		c.log.Info("stage failed", "stage", i, "service", st.Service, "pieces", n, "former", res.Former, "ms", time.Since(start).Milliseconds(), "err", err)
+	attrs := []any{"stage", i, "service", st.Service, "pieces", n, "former", res.Former, "ms", time.Since(start).Milliseconds(),
+		"due_ms", o.Due.Sub(start).Milliseconds()}
+	switch {
+	case err == nil:
+		c.log.Info("stage done", attrs...)
+	case ctx.Err() == nil:
+		c.log.Info("stage failed", append(attrs, "err", err)...)
 	}
 	return res, err
 }
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -114,11 +114,11 @@
 	// A silent engine is given up only where the stream may go on elsewhere.
 	watchdog := time.AfterFunc(time.Hour, func() { cancel(errSilent) })
 	defer watchdog.Stop()
-	if c.route.Resumable && c.runs+1 < c.route.MaxAttempts {
+	if c.route.Resumable && c.runs-c.stale+1 < c.route.MaxAttempts {
 		watchdog.Reset(max(stallFactor*c.firstEventTime(), minStall))
 	}
 	c.runs++
-	a, f := c.send(ctx, l, Outgoing{Inputs: x.in.handles, LastEvent: x.last})
+	a, f := c.send(ctx, l, c.sends, Outgoing{Inputs: x.in.handles, LastEvent: x.last})
 	if f != nil {
 		if !f.ran {
 			c.runs--
@@ -156,7 +156,7 @@
 	if gap <= 0 {
 		gap = presumedGap
 	}
-	mayMove := c.route.Resumable && c.runs < c.route.MaxAttempts
+	mayMove := c.route.Resumable && c.runs-c.stale < c.route.MaxAttempts
 	first := true
 	for {
 		ev, err := events.Next()
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -252,7 +252,8 @@
 		items[i] = Item{Request: o.Request, Stage: o.Stage, Piece: p.index, Key: o.Key, Inputs: o.Inputs, Remaining: o.Deadline.Sub(now)}
 	}
 	watchdog := time.AfterFunc(times(c.expected, overdueFactor)+overdueSlack, func() { f.overdue(c) })
-	f.log.Info("stage call", "service", service, "target", m.ID, "addr", m.Addr, "items", len(items), "queued", len(f.pools[service].queue))
+	f.log.Info("stage call", "service", service, "target", m.ID, "addr", m.Addr, "items", len(items), "queued", len(f.pools[service].queue),
+		"slow", m.slow(), "expected_ms", c.expected.Milliseconds(), "requests", requestsOf(batch))
 	if m.sound(now) {
 		time.AfterFunc(inputTime, func() { f.inputsRead(c) })
 	}
@@ -266,6 +267,17 @@
 	}()
 }
 
+// requestsOf lists the requests that a batch serves, for logs.
+func requestsOf(batch []*piece) []string {
+	var out []string
+	for _, p := range batch {
+		if id := p.order.Request; len(out) == 0 || out[len(out)-1] != id {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // times returns a multiple of a duration.
 func times(d time.Duration, factor float64) time.Duration {
 	return time.Duration(factor * float64(d))
@@ -299,7 +311,7 @@
 	}
 	c.m.soundAt = time.Time{}
 	c.m.overdue(float64(time.Since(c.started)) / float64(c.expected))
-	f.log.Warn("stage call overdue, its pieces go elsewhere", "service", c.service, "target", c.m.ID, "items", len(c.batch), "ms", time.Since(c.started).Milliseconds())
+	f.log.Warn("stage call overdue, its pieces go elsewhere", "service", c.service, "target", c.m.ID, "items", len(c.batch), "ms", time.Since(c.started).Milliseconds(), "requests", requestsOf(c.batch))
 	f.requeue(c)
 	f.pump(c.service, f.pool(c.service), c.spec)
 }
@@ -357,7 +369,7 @@
 		c.m.failures++
 	}
 	c.m.pausedUntil = now.Add(min(pause, maxFailPause))
-	f.log.Warn("stage call failed", "service", c.service, "target", c.m.ID, "addr", c.m.Addr, "items", len(c.batch), "pause_ms", pause.Milliseconds(), "err", err)
+	f.log.Warn("stage call failed", "service", c.service, "target", c.m.ID, "addr", c.m.Addr, "items", len(c.batch), "pause_ms", pause.Milliseconds(), "requests", requestsOf(c.batch), "err", err)
 	f.requeue(c)
 }
 
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/netip"
 	"sync"
@@ -25,6 +26,8 @@
 	cut       func(from, to string) bool
 	frozen    map[string]chan struct{}
 	nextPort  uint16
+	// dialed counts the connections.
+	dialed int
 }
 
 // New returns an empty network.
@@ -129,13 +132,16 @@
 	n.mu.Lock()
 	l := n.listeners[addr]
 	refused := l == nil || n.cut(from, to)
+	// Each connection has a port of its own, so that its target can tell it.
+	n.dialed++
+	port := uint16(n.dialed%math.MaxUint16) + 1
 	n.mu.Unlock()
 	if refused {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ErrRefused}
 	}
 	a, b := net.Pipe()
 	client := &side{Conn: a, net: n, from: from, to: to, remote: ap, done: make(chan struct{})}
-	server := &side{Conn: b, net: n, from: to, to: from, remote: netip.MustParseAddrPort(from + ":1"), done: make(chan struct{})}
+	server := &side{Conn: b, net: n, from: to, to: from, remote: netip.AddrPortFrom(netip.MustParseAddr(from), port), done: make(chan struct{})}
 	n.mu.Lock()
 	n.conns[client] = true
 	n.mu.Unlock()
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -50,6 +50,20 @@
 	s      *state
 	tokens int
 	start  time.Time
+	// Basis is what decided the choice.
+	Basis Basis
+}
+
+// Basis is what was believed of a target when it was chosen.
+type Basis struct {
+	// Candidates is how many targets were open to choice.
+	Candidates int
+	// Calls estimates the calls at the target, Failures is its recent share of
+	// failed calls.
+	Calls    int
+	Failures float64
+	// LoadAge is how old its last word on its load was; negative for none.
+	LoadAge time.Duration
 }
 
 // Outcome is how a call ended, as far as it speaks for or against its target.
@@ -88,6 +102,10 @@
 		l.s = cheapest(q, cands, t.DataCentre, now)
 	}
 	l.Target = l.s.Target
+	l.Basis = Basis{Candidates: len(cands), Calls: l.s.calls(now), Failures: l.s.failures, LoadAge: -1}
+	if !l.s.loadAt.IsZero() {
+		l.Basis.LoadAge = now.Sub(l.s.loadAt)
+	}
 	l.s.breaker.Start()
 	l.s.inFlight++
 	l.s.pending += l.tokens
