--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -88,3 +89,48 @@
 		c.Assert(errs, qt.Contains, want)
 	}
 }
+
+func TestCheckOfAPlatformFileNamesTheField(t *testing.T) {
+	c := qt.New(t)
+	good := `node = "n"
+zone = "z"
+ip = "127.0.0.1"
+portRange = [7740,7755]
+[listen]
+front = "127.0.0.1:8625"
+ready = "127.0.0.1:8621"
+[platform]
+address = "127.0.0.1:8624"
+`
+	file := filepath.Join(t.TempDir(), "node.toml")
+	c.Assert(os.WriteFile(file, []byte(good), 0o600), qt.IsNil)
+	var out, errs bytes.Buffer
+	c.Assert(Main([]string{"check", "--platform", file}, &out, &errs), qt.Equals, ExitOK)
+	c.Assert(out.String(), qt.Contains, "node n in z")
+	c.Assert(os.WriteFile(file, []byte(strings.Replace(good, "8624", "", 1)), 0o600), qt.IsNil)
+	c.Assert(Main([]string{"check", "--platform", file}, &out, &errs), qt.Equals, ExitUsage)
+	c.Assert(errs.String(), qt.Contains, "platform.address")
+	c.Assert(os.WriteFile(file, []byte(strings.Replace(good, "ready", "redy", 1)), 0o600), qt.IsNil)
+	c.Assert(Main([]string{"check", "--platform", file}, &out, &errs), qt.Equals, ExitUsage)
+	c.Assert(errs.String(), qt.Contains, "listen.ready")
+}
+
+func TestServeOnThePlatformFailsAtOnceWithoutSettings(t *testing.T) {
+	c := qt.New(t)
+	t.Setenv("TOPAZMOOR_SETTINGS", filepath.Join(t.TempDir(), "none.toml"))
+	var out, errs bytes.Buffer
+	c.Assert(Main([]string{"serve", "--platform"}, &out, &errs), qt.Equals, ExitUsage)
+	c.Assert(errs.String(), qt.Contains, "settings file")
+}
+
+func TestExplainReadsLogs(t *testing.T) {
+	c := qt.New(t)
+	file := filepath.Join(t.TempDir(), "node.log")
+	line := `{"time":"2026-03-05T05:41:12.1Z","level":"INFO","msg":"sent","node":"a","request":"r1","target":"e-1"}` + "\n"
+	c.Assert(os.WriteFile(file, []byte(line), 0o600), qt.IsNil)
+	var out, errs bytes.Buffer
+	c.Assert(Main([]string{"explain", "r1", file}, &out, &errs), qt.Equals, ExitOK)
+	c.Assert(out.String(), qt.Contains, "target=e-1")
+	c.Assert(Main([]string{"explain", "r2", file}, &out, &errs), qt.Equals, ExitFailed)
+	c.Assert(errs.String(), qt.Contains, "no line is about request")
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -89,7 +89,7 @@
 	out := boundedlog.New(c.out)
 	defer out.Close()
 	log := newLogger(out, "info", "json")
-	n, err := platform.Provision(os.Getenv(platform.SettingsEnv), log)
+	n, err := platform.Provision(os.Getenv(platform.SettingsEnv), log, out.Dropped)
 	if err != nil {
 		return usage(err)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -72,7 +72,9 @@
 	Sources
 	// Reload reads the settings again.
 	Reload func() (Settings, error)
-	Log    *slog.Logger
+	// Dropped counts the log lines that were dropped; nil when none are.
+	Dropped func() int64
+	Log     *slog.Logger
 }
 
 // Board is the node's blackboard.
@@ -141,6 +143,7 @@
 		Repeats:   flow.NewRepeatBudgets(set.Repeats.Ratio, set.Repeats.Fixed, set.Repeats.Window, n.router.Live),
 		BodyBytes: defaultBodyBytes, ReadTimeout: defaultReadTimeout, Observer: n.metrics, Log: n.log,
 	})
+	n.provisionGauges()
 	if err := n.provisionServers(); err != nil {
 		n.close()
 		return nil, err
@@ -148,6 +151,28 @@
 	return n, nil
 }
 
+func (n *Node) provisionGauges() {
+	n.metrics.GaugeVec("topazmoor_entry_store_age_seconds", "Time since the store last answered, by table.", "table", func() map[string]float64 {
+		ages := make(map[string]float64)
+		for _, t := range []*watch.Table{n.config, n.servers, n.peers.members} {
+			ages[t.Name] = time.Since(t.Heard()).Seconds()
+		}
+		return ages
+	})
+	n.metrics.GaugeVec("topazmoor_entry_stage_queue", "Pieces that wait at this node, by service.", "service", n.former.Queued)
+	n.metrics.Gauge("topazmoor_entry_config_version", "Version of the configuration in force.", func() float64 {
+		if cfg := n.board.Routes.Get(); cfg != nil {
+			return float64(cfg.Version)
+		}
+		return 0
+	})
+	n.metrics.Gauge("topazmoor_entry_nodes", "Nodes that answer, this one included.", func() float64 { return float64(n.router.Live()) })
+	n.metrics.Gauge("topazmoor_entry_requests_in_flight", "Requests being worked on.", func() float64 { return float64(n.InFlight()) })
+	if n.env.Dropped != nil {
+		n.metrics.Gauge("topazmoor_entry_log_lines_dropped", "Log lines that did not fit the buffer.", func() float64 { return float64(n.env.Dropped()) })
+	}
+}
+
 func (n *Node) provisionServers() error {
 	ln, err := n.env.Listen(n.set.ListenCallers)
 	if err != nil {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -63,6 +63,28 @@
 	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 }
 
+// GaugeVec adds gauges of one name that differ by a label and are read when
+// metrics are collected.
+func (s *Registry) GaugeVec(name, help, label string, read func() map[string]float64) {
+	s.registry.MustRegister(&gaugeVec{desc: prometheus.NewDesc(name, help, []string{label}, nil), read: read})
+}
+
+// gaugeVec implements prometheus.Collector.
+type gaugeVec struct {
+	desc *prometheus.Desc
+	read func() map[string]float64
+}
+
+// Describe implements prometheus.Collector.
+func (g *gaugeVec) Describe(out chan<- *prometheus.Desc) { out <- g.desc }
+
+// Collect implements prometheus.Collector.
+func (g *gaugeVec) Collect(out chan<- prometheus.Metric) {
+	for label, value := range g.read() {
+		out <- prometheus.MustNewConstMetric(g.desc, prometheus.GaugeValue, value, label)
+	}
+}
+
 // Handler serves the metrics.
 func (s *Registry) Handler() http.Handler {
 	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -129,6 +129,17 @@
 	return p.waitFor(spec, rank, time.Now()) + expected(spec, pieces)
 }
 
+// Queued returns how many pieces wait at this node, by service.
+func (f *Former) Queued() map[string]float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make(map[string]float64, len(f.pools))
+	for service, p := range f.pools {
+		out[service] = float64(len(p.queue))
+	}
+	return out
+}
+
 // Free gives up results.
 func (f *Former) Free(service string, handles []string) {
 	f.mu.Lock()
