Make stage results where their inputs lie

Ruled out: the engine's choice (1.5 MB results are a quarter of it).

Change: a stage that reads much wishes for the data centre of its inputs, and an order waits a quarter of its slack, 350 ms at most, for a target there; nobody waits while more pieces wait than all targets take in one call each.

Tests: TestOrdersAreMadeWhereTheyWish..., TestOrderWithoutTime..., TestNobodyWaits...; each was seen to fail with its part taken out.

--- a/internal/passthrough/engine.go
+++ b/internal/passthrough/engine.go
@@ -22,6 +22,28 @@
 	return xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, p.Parts[last].ID)), shared
 }
 
+// mostInputs returns the data centre where most of the inputs of a stage lie, and
+// how many bytes lie there.
+func (c *call) mostInputs(in *inputs, stage int) (dataCentre string, bytes int64) {
+	byPlace := make(map[string]int64)
+	for _, dep := range c.route.Stages[stage].After {
+		c.addPlaces(byPlace, in, dep)
+	}
+	for dc, n := range byPlace {
+		if n > bytes || (n == bytes && dc < dataCentre) {
+			dataCentre, bytes = dc, n
+		}
+	}
+	return dataCentre, bytes
+}
+
+// addPlaces adds the bytes of a stage's results by the data centre where they lie.
+func (c *call) addPlaces(byPlace map[string]int64, in *inputs, stage int) {
+	for _, h := range in.get(stage).Handles {
+		byPlace[c.s.cfg.Targets.DataCentreOf(c.s.cfg.Wire.Maker(h))] += c.route.Stages[stage].ResultBytes
+	}
+}
+
 // engineQuery describes the choice of an engine that reads the given inputs.
 func (c *call) engineQuery(in *inputs) *targets.EngineQuery {
 	q := &targets.EngineQuery{}
@@ -29,13 +51,9 @@
 	if c.meta.Prompt != nil {
 		q.Tokens = c.meta.Prompt.Tokens
 	}
+	q.Inputs = make(map[string]int64)
 	for i := range in.results {
-		for _, h := range in.get(i).Handles {
-			if q.Inputs == nil {
-				q.Inputs = make(map[string]int64)
-			}
-			q.Inputs[c.s.cfg.Targets.DataCentreOf(c.s.cfg.Wire.Maker(h))] += c.route.Stages[i].ResultBytes
-		}
+		c.addPlaces(q.Inputs, in, i)
 	}
 	return q
 }
@@ -49,9 +67,14 @@
 )
 
 // makerDataCentre is where the results of a stage should be made; "" for
-// anywhere. Big results of requests whose prompt has an engine of its own should
-// lie near that engine; the other requests go to an engine near their results.
-func (c *call) makerDataCentre(stage int) string {
+// anywhere. A stage that reads much should work near what it reads: each of its
+// pieces fetches all inputs. Big results of requests whose prompt has an engine of
+// its own should lie near that engine; the other requests go to an engine near
+// their results.
+func (c *call) makerDataCentre(in *inputs, stage int) string {
+	if dc, bytes := c.mostInputs(in, stage); bytes*int64(c.pieces(stage)) >= bigResult {
+		return dc
+	}
 	hash, shared := c.meta.Prompt.affinity()
 	if c.route.Stages[stage].ResultBytes < bigResult || shared < keptPrompt {
 		return ""
--- a/internal/passthrough/stages.go
+++ b/internal/passthrough/stages.go
@@ -166,7 +166,7 @@
 	o := stagebatch.Order{
 		Service: st.Service, Request: c.meta.ID, Stage: i, Pieces: n, Priority: c.rank,
 		Due: c.due(i), Deadline: c.deadline, ResultBytes: st.ResultBytes,
-		DataCentre: c.makerDataCentre(i), InputsRead: inputsRead,
+		DataCentre: c.makerDataCentre(in, i), InputsRead: inputsRead,
 	}
 	if len(st.After) == 0 {
 		o.Key = c.meta.PieceKey
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -185,10 +185,7 @@
 	now := time.Now()
 	free := freeMakers(p.makers, spec, now)
 	for _, m := range free {
-		f.fill(service, p, m, spec, now, nearOnly(m, free))
-	}
-	for _, m := range free {
-		f.fill(service, p, m, spec, now, anyOrder)
+		f.fill(service, p, m, spec, now, takes(m, p.makers, spec, len(p.queue), now))
 	}
 	f.wakeLater(service, p, spec, now)
 }
--- a/internal/stagebatch/former_test.go
+++ b/internal/stagebatch/former_test.go
@@ -295,6 +295,72 @@
 	})
 }
 
+// placed gives the two targets of a pool a data centre each.
+func placed() (*fakePool, *Former) {
+	p, list := newFakePool(2)
+	list.Update([]targets.Target{
+		{ID: "t0", Service: "pool", Addr: "10.0.0.1:1", DataCentre: "dc1", Slots: 1},
+		{ID: "t1", Service: "pool", Addr: "10.0.0.2:1", DataCentre: "dc2", Slots: 1},
+	}, time.Time{})
+	return p, NewFormer(p, list, poolSpec, quiet)
+}
+
+func wishing(request, dataCentre string, pieces int, due time.Duration) Order {
+	o := at(request, pieces, 0, due)
+	o.DataCentre, o.ResultBytes = dataCentre, 1
+	return o
+}
+
+func TestOrdersAreMadeWhereTheyWishWhileTheyHaveTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p, f := placed()
+		var wg sync.WaitGroup
+		for i := range 12 {
+			wg.Go(func() {
+				time.Sleep(time.Duration(i*130) * time.Millisecond)
+				dc := fmt.Sprint("dc", i%2+1)
+				res, err := f.Produce(t.Context(), wishing(fmt.Sprint("r", i), dc, 1, 3*time.Second), nil)
+				c.Check(err, qt.IsNil)
+				c.Check(p.Maker(res.Handles[0]), qt.Equals, fmt.Sprintf("10.0.0.%d:1", i%2+1))
+			})
+		}
+		wg.Wait()
+	})
+}
+
+func TestOrderWithoutTimeIsMadeAnywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p, f := placed()
+		go func() { _, _ = f.Produce(t.Context(), wishing("before", "dc1", 8, 3*time.Second), nil) }()
+		synctest.Wait()
+		start := time.Now()
+		res, err := f.Produce(t.Context(), wishing("urgent", "dc1", 1, 300*time.Millisecond), nil)
+		c.Assert(err, qt.IsNil)
+		c.Assert(p.Maker(res.Handles[0]), qt.Equals, "10.0.0.2:1")
+		c.Assert(time.Since(start) < 300*time.Millisecond, qt.IsTrue)
+		time.Sleep(time.Second)
+	})
+}
+
+func TestNobodyWaitsForAPlaceWhileManyPiecesWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p, f := placed()
+		var wg sync.WaitGroup
+		for i := range 12 {
+			wg.Go(func() {
+				res, err := f.Produce(t.Context(), wishing(fmt.Sprint("r", i), "dc1", 8, 60*time.Second), nil)
+				c.Check(err, qt.IsNil)
+				f.Free("pool", res.Handles)
+			})
+		}
+		wg.Wait()
+		c.Assert(p.host(1).calls >= 4, qt.IsTrue, qt.Commentf("%d calls in the other data centre", p.host(1).calls))
+	})
+}
+
 // An answer that got lost held its target's only slot until the deadline of the
 // order, up to 20 s.
 func TestLostAnswerDoesNotHoldItsSlot(t *testing.T) {
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -232,27 +232,38 @@
 	}
 }
 
-// nearOnly returns what a target should take while others are free too: orders
-// for its own data centre, and, for the first of the free targets, those for
-// places where none is free. A single free target takes all.
-func nearOnly(m *maker, free []*maker) func(*order) bool {
-	if len(free) == 1 {
-		return anyOrder
+const (
+	// holdShare is the part of its slack that an order waits for a target in the
+	// data centre that it wishes for, holdMost bounds it: about a call's time, in
+	// which such a target comes free.
+	holdShare = 0.25
+	holdMost  = 350 * time.Millisecond
+	// holdQueue is the number of waiting pieces, as a share of what all targets
+	// take in one call each, above which nobody waits for a place: the pool is
+	// short of calls then.
+	holdQueue = 1.0
+)
+
+// takes returns which orders a target that is free may take: those for its data
+// centre, those that wish for none or for one where no target works, and those
+// that have waited for their own for long enough.
+func takes(m *maker, makers map[string]*maker, spec *routes.Batch, queued int, now time.Time) func(*order) bool {
+	if float64(queued) > holdQueue*float64(len(makers)*max(spec.Items, 1)) {
+		return func(*order) bool { return true }
 	}
-	places := make(map[string]bool, len(free))
-	for _, f := range free {
-		places[f.DataCentre] = true
+	places := make(map[string]bool, len(makers))
+	for _, other := range makers {
+		places[other.DataCentre] = true
 	}
 	return func(o *order) bool {
-		if places[o.DataCentre] {
-			return o.DataCentre == m.DataCentre
+		if o.DataCentre == m.DataCentre || !places[o.DataCentre] {
+			return true
 		}
-		return m == free[0]
+		slack := o.Due.Sub(o.since) - expected(spec, o.Pieces)
+		return now.Sub(o.since) >= min(times(slack, holdShare), holdMost)
 	}
 }
 
-func anyOrder(*order) bool { return true }
-
 // rate returns how many pieces a second the pool makes: what it lately made
 // while pieces waited, or, before that is known, what its good targets could.
 // Room binds some pools far below that.
