--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -31,6 +31,8 @@
 	// stale says that a kept connection ended at once, without a byte of an answer:
 	// its target had closed it, or ended.
 	stale bool
+	// paid says that the repeat after this failure was taken from the budget.
+	paid bool
 	// target is where the attempt was made.
 	target string
 	// none says that there is nobody to send the request to.
@@ -160,7 +162,7 @@
 	if c.runs > 0 && (!c.route.Repeatable() || c.runs-c.stale >= max(c.route.MaxAttempts, 1)) {
 		return false
 	}
-	if c.sends > 0 && !c.s.cfg.Repeats.Take(c.service) {
+	if c.sends > 0 && (f == nil || !f.paid) && !c.s.cfg.Repeats.Take(c.service) {
 		c.log.Info("not sent again: the budget of repeats is used up", "service", c.service, "why", why)
 		return false
 	}
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -19,8 +19,10 @@
 	stallFactor = 4
 	minStall    = 900 * time.Millisecond
 	// gapFactor times the longest pause that is still in time is the same for
-	// later events.
-	gapFactor = 1.6
+	// later events. Callers give up after eight times that pause, so that there is
+	// time to go on elsewhere; a sound engine may pause for a while when it reads
+	// long prompts.
+	gapFactor = 3
 	// presumedGap stands for a route that names no longest pause.
 	presumedGap = 500 * time.Millisecond
 )
@@ -112,10 +114,16 @@
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	// A silent engine is given up only where the stream may go on elsewhere.
-	watchdog := time.AfterFunc(time.Hour, func() { cancel(errSilent) })
-	defer watchdog.Stop()
+	watchdog := newWatchdog(func() bool {
+		if !c.s.cfg.Repeats.Take(c.service) {
+			return false
+		}
+		cancel(errSilent)
+		return true
+	})
+	defer watchdog.stop()
 	if c.route.Resumable && c.runs-c.stale+1 < c.route.MaxAttempts {
-		watchdog.Reset(max(stallFactor*c.firstEventTime(), minStall))
+		watchdog.watch(max(stallFactor*c.firstEventTime(), minStall))
 	}
 	c.runs++
 	a, f := c.send(ctx, l, c.sends, Outgoing{Inputs: x.in.handles, LastEvent: x.last})
@@ -123,6 +131,7 @@
 		if !f.ran {
 			c.runs--
 		}
+		f.paid = watchdog.fired()
 		return f
 	}
 	defer a.ans.Body.Close()
@@ -148,7 +157,7 @@
 }
 
 // relay passes the events of an answer on until its end.
-func (x *streaming) relay(ctx context.Context, a *attempt, watchdog *time.Timer) *failure {
+func (x *streaming) relay(ctx context.Context, a *attempt, watchdog *watchdog) *failure {
 	c := x.c
 	events := sse.NewReader(a.ans.Body)
 	flush := http.NewResponseController(c.w)
@@ -169,7 +178,9 @@
 			return nil
 		}
 		if err != nil {
-			return x.broken(ctx, a, err)
+			f := x.broken(ctx, a, err)
+			f.paid = watchdog.fired()
+			return f
 		}
 		if first {
 			first = false
@@ -178,7 +189,7 @@
 			x.giveUpInputs()
 		}
 		if mayMove {
-			watchdog.Reset(time.Duration(gapFactor * float64(gap)))
+			watchdog.watch(time.Duration(gapFactor * float64(gap)))
 		}
 		if !x.started {
 			x.head(a)
--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -229,3 +229,13 @@
 		}
 	}()
 }
+
+// First returns the node that forms the batches of a service now, as this node
+// sees it.
+func (r *Router) First(service string) string {
+	ranked := r.ranked(service)
+	if len(ranked) == 0 {
+		return r.self
+	}
+	return ranked[0].Name
+}
