--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -27,7 +27,7 @@
 	c.Assert(code, qt.Equals, ExitOK, qt.Commentf("%s%s", out, errs))
 	var rows []demoRow
 	c.Assert(json.Unmarshal([]byte(out), &rows), qt.IsNil)
-	c.Assert(rows, qt.HasLen, 9)
+	c.Assert(rows, qt.HasLen, 13)
 	verdicts := make(map[string]int)
 	for _, r := range rows {
 		verdicts[r.Verdict]++
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -78,6 +78,11 @@
 		return err
 	}
 	rows := run.requests(ctx)
+	onPlatform, err := platformDemo(ctx, newLogger(d.logs(c), "info", "text"))
+	if err != nil {
+		return eris.Wrap(err, "demo on the platform")
+	}
+	rows = append(rows, onPlatform...)
 	if err := c.print(rows, func(w io.Writer) { printRows(w, rows) }); err != nil {
 		return err
 	}
@@ -97,15 +102,20 @@
 	return nil
 }
 
+// logs is where the nodes' logs go.
+func (d *demoCmd) logs(c *console) io.Writer {
+	if d.Verbose {
+		return c.err
+	}
+	return io.Discard
+}
+
 func (d *demoCmd) start(ctx context.Context, c *console) (*demo, error) {
 	world, err := standin.NewWorld(standin.Harbour(), listenTCP)
 	if err != nil {
 		return nil, err
 	}
-	logs := io.Discard
-	if d.Verbose {
-		logs = c.err
-	}
+	logs := d.logs(c)
 	ctx, cancel := context.WithCancel(ctx)
 	run := &demo{
 		world: world, cancel: cancel, done: make(chan error, d.Nodes),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -329,3 +329,9 @@
 
 // InFlight returns the number of requests that are being worked on.
 func (n *Node) InFlight() int64 { return n.front.InFlight() }
+
+// Name returns the node's name.
+func (n *Node) Name() string { return n.set.Node }
+
+// CallerAddr returns the address that takes callers.
+func (n *Node) CallerAddr() string { return n.callers.ln.Addr().String() }
