Give the demo's rows on the platform a verdict

The rows say ran or not_run as the others do, with the status as their code; the test expects 10 and 3 of 13.

--- a/internal/cli/demo_platform.go
+++ b/internal/cli/demo_platform.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/entry"
+	"topazmoor/internal/verdict"
 	"topazmoor/platform"
 	platformstandin "topazmoor/platform/standin"
 )
@@ -118,7 +119,10 @@
 	defer resp.Body.Close()
 	_, err = io.Copy(io.Discard, resp.Body)
 	row.Ms = float64(time.Since(start)) / float64(time.Millisecond)
-	row.Verdict = fmt.Sprint(resp.StatusCode)
+	row.Verdict, row.Code = verdict.NotRun.String(), fmt.Sprint(resp.StatusCode)
+	if resp.StatusCode == http.StatusOK {
+		row.Verdict = verdict.Ran.String()
+	}
 	if err != nil || resp.StatusCode != want {
 		row.Problem = fmt.Sprintf("status %d, want %d, body %v", resp.StatusCode, want, err)
 	}
