Keep the inputs of a shared pool until the call ends

While three hosts are cut off, four formers share a pool; a call may wait at its target for another former's, and its inputs were given up after 130 ms although they were not fetched yet. A target that began the last call at once says little then. Change: a target tells with each answer how many calls it has; while any has calls of others, and 4 s after, inputs of the pool are kept until their call ends. Test: TestInputsOfASharedPoolAreKeptUntilTheCallEnds fails without the change.

--- a/internal/experiment/stagepools.go
+++ b/internal/experiment/stagepools.go
@@ -92,17 +92,17 @@
 }
 
 // Run implements stagebatch.Worker.
-func (p *stagePool) Run(ctx context.Context, t targets.Target, items []stagebatch.Item) ([]stagebatch.ItemResult, error) {
+func (p *stagePool) Run(ctx context.Context, t targets.Target, items []stagebatch.Item) (stagebatch.Reply, error) {
 	time.Sleep(peerLatency)
 	slot, err := p.enter(t.Addr)
 	if err != nil {
-		return nil, err
+		return stagebatch.Reply{}, err
 	}
 	select {
 	case slot <- struct{}{}:
 	case <-ctx.Done():
 		p.leave(t.Addr)
-		return nil, &stagebatch.CallError{NotRun: true, Cause: ctx.Err()}
+		return stagebatch.Reply{}, &stagebatch.CallError{NotRun: true, Cause: ctx.Err()}
 	}
 	takes := p.spec.CallTime + time.Duration(len(items))*p.spec.ItemTime
 	time.Sleep(takes)
@@ -119,7 +119,7 @@
 		p.made[id]++
 		out[i].Handle = fmt.Sprintf("%s/%s/%d", t.Addr, id, p.made[id])
 	}
-	return out, nil
+	return stagebatch.Reply{Results: out, Others: p.waiting[t.Addr]}, nil
 }
 
 func (p *stagePool) enter(addr string) (chan struct{}, error) {
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -35,6 +35,9 @@
 	// inputTime is how long after the start of a call its inputs were fetched:
 	// targets fetch them first, some 10 MB over 10 Gbit/s in 10 ms.
 	inputTime = 130 * time.Millisecond
+	// sharedLife is how long a pool is presumed to be shared after a target had
+	// calls of others: views of who forms batches differ for some seconds.
+	sharedLife = 4 * time.Second
 	// freePause gathers results to be given up, so that one call frees many.
 	freePause = 15 * time.Millisecond
 	// freeTimeout bounds a call that gives up results; they lapse anyhow.
@@ -66,6 +69,9 @@
 	// been waiting at the end of each call.
 	made      []made
 	busySince time.Time
+	// sharedUntil is until when other nodes are presumed to form batches of this
+	// pool too, so that calls may have to wait at their targets.
+	sharedUntil time.Time
 }
 
 // NewFormer returns a Former. spec describes the targets of a service; nil for
@@ -262,16 +268,16 @@
 	watchdog := time.AfterFunc(times(c.expected, overdueFactor)+overdueSlack, func() { f.overdue(c) })
 	f.log.Info("stage call", "service", service, "target", m.ID, "addr", m.Addr, "items", len(items), "queued", len(f.pools[service].queue),
 		"slow", m.slow(), "expected_ms", c.expected.Milliseconds(), "requests", requestsOf(batch))
-	if m.sound(now) {
+	if m.sound(now) && now.After(f.pool(service).sharedUntil) {
 		time.AfterFunc(inputTime, func() { f.inputsRead(c) })
 	}
 	target := m.Target
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), times(c.expected, lostFactor)+lostSlack)
 		defer cancel()
-		results, err := f.worker.Run(ctx, target, items)
+		reply, err := f.worker.Run(ctx, target, items)
 		watchdog.Stop()
-		f.ended(c, results, err)
+		f.ended(c, reply, err)
 	}()
 }
 
@@ -341,7 +347,7 @@
 }
 
 // ended takes in the outcome of a call.
-func (f *Former) ended(c *call, results []ItemResult, err error) {
+func (f *Former) ended(c *call, reply Reply, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.ended, c.failed = true, err != nil
@@ -358,7 +364,10 @@
 			c.m.soundAt = now
 		}
 		f.pool(c.service).noteMade(len(c.batch), now)
-		f.takeIn(c, results, now)
+		if reply.Others > 0 {
+			f.pool(c.service).sharedUntil = now.Add(sharedLife)
+		}
+		f.takeIn(c, reply.Results, now)
 	}
 	f.pump(c.service, f.pool(c.service), c.spec)
 }
--- a/internal/stagebatch/former_test.go
+++ b/internal/stagebatch/former_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,6 +37,8 @@
 	// factor makes calls slower; dark ones never end.
 	factor float64
 	dark   bool
+	// others are the calls of other formers that it tells of.
+	others int
 	// fail is the error of the next calls.
 	fail []error
 	// room is what results may still take; results holds those that lie here.
@@ -59,7 +62,7 @@
 const testResultBytes = 100 << 10
 
 // Run implements Worker.
-func (p *fakePool) Run(ctx context.Context, t targets.Target, items []Item) ([]ItemResult, error) {
+func (p *fakePool) Run(ctx context.Context, t targets.Target, items []Item) (Reply, error) {
 	p.mu.Lock()
 	h := p.hosts[t.Addr]
 	h.calls++
@@ -87,18 +90,18 @@
 	}()
 	if fail != nil {
 		time.Sleep(10 * time.Millisecond)
-		return nil, fail
+		return Reply{}, fail
 	}
 	if dark {
 		<-ctx.Done()
-		return nil, &CallError{Cause: ctx.Err()}
+		return Reply{}, &CallError{Cause: ctx.Err()}
 	}
 	select {
 	case <-ctx.Done():
-		return nil, &CallError{Cause: ctx.Err()}
+		return Reply{}, &CallError{Cause: ctx.Err()}
 	case <-time.After(takes):
 	}
-	return p.results(t.Addr, h, items), nil
+	return Reply{Results: p.results(t.Addr, h, items), Others: h.others}, nil
 }
 
 func (p *fakePool) results(addr string, h *fakeHost, items []Item) []ItemResult {
@@ -295,6 +298,34 @@
 	})
 }
 
+// Where two formers share a pool a call may wait at its target for longer than the
+// inputs were kept; they were gone, and all stages ran again.
+func TestInputsOfASharedPoolAreKeptUntilTheCallEnds(t *testing.T) {
+	for others, early := range map[int]bool{0: true, 1: false} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			p, list := newFakePool(1)
+			p.host(0).others = others
+			f := NewFormer(p, list, poolSpec, quiet)
+			start := time.Now()
+			// read and ended are times since the start.
+			var read atomic.Int64
+			var ended time.Duration
+			for i := range 2 {
+				o := at(fmt.Sprint("r", i), 2, 0, time.Second)
+				o.InputsRead = func() { read.Store(int64(time.Since(start))) }
+				res, err := f.Produce(t.Context(), o, nil)
+				c.Assert(err, qt.IsNil)
+				f.Free("pool", res.Handles)
+				ended = time.Since(start)
+			}
+			got := time.Duration(read.Load())
+			c.Assert(got > 0 && got < ended, qt.Equals, early)
+			time.Sleep(time.Second)
+		})
+	}
+}
+
 // placed gives the two targets of a pool a data centre each.
 func placed() (*fakePool, *Former) {
 	p, list := newFakePool(2)
--- a/internal/stagebatch/router_test.go
+++ b/internal/stagebatch/router_test.go
@@ -51,13 +51,13 @@
 // instant is a Worker whose calls take the time of the specification.
 type instant struct{}
 
-func (instant) Run(ctx context.Context, t targets.Target, items []Item) ([]ItemResult, error) {
+func (instant) Run(ctx context.Context, t targets.Target, items []Item) (Reply, error) {
 	time.Sleep(200 * time.Millisecond)
 	out := make([]ItemResult, len(items))
 	for i, it := range items {
 		out[i].Handle = t.Addr + "/" + it.Request
 	}
-	return out, nil
+	return Reply{Results: out}, nil
 }
 
 func (instant) Free(context.Context, string, []string) error { return nil }
--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -91,6 +91,14 @@
 	Reason Reason
 }
 
+// Reply is the answer of a call.
+type Reply struct {
+	// Results has one entry an item, in their order.
+	Results []ItemResult
+	// Others is how many calls of other formers the target had when this one ended.
+	Others int
+}
+
 // CallError is a call without results. NotRun says that the target rejected it
 // or was never reached, Moved that another process has the address.
 type CallError struct {
@@ -106,9 +114,8 @@
 
 // Worker makes calls at stage targets; platform/ has the real one.
 type Worker interface {
-	// Run makes one call. It returns a result an item, in their order, or a
-	// *CallError.
-	Run(ctx context.Context, t targets.Target, items []Item) ([]ItemResult, error)
+	// Run makes one call. It fails with *CallError.
+	Run(ctx context.Context, t targets.Target, items []Item) (Reply, error)
 	// Free gives up results at their maker.
 	Free(ctx context.Context, addr string, handles []string) error
 	// Room returns how many bytes of results a target can still take.
