Watch the host list instead of polling it

The store interface loses ListHosts, the settings lose platform.host_poll and platform.token_file, which nothing reads any more.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"topazmoor/internal/scheduler"
 	"topazmoor/internal/settings"
 	"topazmoor/internal/store"
+	"topazmoor/internal/watch"
 )
 
 // Env is the outside world of a node; tests replace it.
@@ -60,10 +61,9 @@
 	Members blackboard.Cell[[]membership.Member]
 }
 
-// HostView is the last host list that was read.
+// HostView is the host list, sorted by ID.
 type HostView struct {
 	Hosts []store.Host
-	Read  time.Time
 }
 
 // Node is one process of the system.
@@ -77,14 +77,16 @@
 	sched    *scheduler.Scheduler
 	calls    *dispatch.Client
 	follower *config.Follower
-	ledger   *ledger.Router
-	table    *ledger.TableBook
-	front    *frontdoor.Server
-	batches  *batch.Runner
-	admin    *admin.Server
-	peers    *peers
-	servers  []*server
-	started  time.Time
+	// hosts follows the host list.
+	hosts   *watch.Table
+	ledger  *ledger.Router
+	table   *ledger.TableBook
+	front   *frontdoor.Server
+	batches *batch.Runner
+	admin   *admin.Server
+	peers   *peers
+	servers []*server
+	started time.Time
 
 	stopOnce sync.Once
 	stopping chan struct{}
@@ -102,6 +104,7 @@
 	if err := n.provisionPeers(); err != nil {
 		return nil, err
 	}
+	n.hosts = &watch.Table{Name: store.HostTable, From: env.Store, Wait: watch.LongWait, Apply: n.applyHosts, Log: n.log}
 	store := config.NewStore(env.Store)
 	n.follower = config.NewFollower(store, &n.board.Catalog, s.Pools, n.peers, s.Platform.ConfigPoll.Std(), n.log)
 	n.provisionLedger()
@@ -196,7 +199,7 @@
 		{"topazmoor_nodes_live", "Nodes that answer, this one included.", func() float64 { return float64(n.peers.nodes()) }},
 		{"topazmoor_membership_bytes_total", "Bytes of membership datagrams sent and received.", n.peers.membershipBytes},
 		{"topazmoor_batches_running", "Batches that this node runs.", func() float64 { return float64(n.batches.Running()) }},
-		{"topazmoor_host_list_age_seconds", "Age of the host list in use.", func() float64 { return time.Since(n.board.Hosts.Get().Read).Seconds() }},
+		{"topazmoor_host_list_age_seconds", "Age of the host list in use.", func() float64 { return time.Since(n.hosts.Heard()).Seconds() }},
 	} {
 		n.metrics.Gauge(g.name, g.help, g.read)
 	}
@@ -249,7 +252,8 @@
 	sup.Add(n.peers)
 	sup.Add(n.peers.server)
 	sup.Add(n.peers.runner)
-	sup.Add(&hostPoller{n: n})
+	sup.Add(n.hosts)
+	sup.Add(&hostPublisher{n: n})
 	sup.Add(&loadPoller{n: n})
 	sup.Add(n.batches)
 	sup.Add(&stopper{n: n})
--- a/internal/node/pollers.go
+++ b/internal/node/pollers.go
@@ -1,11 +1,12 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
-	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,11 +15,12 @@
 	"topazmoor/internal/routing"
 	"topazmoor/internal/scheduler"
 	"topazmoor/internal/store"
+	"topazmoor/internal/watch"
 )
 
-// hostPoller reads the host list and keeps the scheduler's targets up to date
-// with it and with the drain orders. It implements suture.Service.
-type hostPoller struct {
+// hostPublisher keeps the scheduler's targets up to date with the host list and
+// with the drain orders. It implements suture.Service.
+type hostPublisher struct {
 	n *Node
 	// last is what the scheduler was told; it is told again only when it
 	// changed.
@@ -33,40 +35,42 @@
 }
 
 // Serve implements suture.Service.
-func (p *hostPoller) Serve(ctx context.Context) error {
-	every := p.n.s.Platform.HostPoll.Std()
-	next := time.NewTimer(0)
-	defer next.Stop()
+func (p *hostPublisher) Serve(ctx context.Context) error {
 	for {
+		hosts := p.n.board.Hosts.Changed()
 		changed := p.n.board.Catalog.Changed()
 		members := p.n.board.Members.Changed()
 		p.publish()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-hosts:
 		case <-changed:
 		case <-members:
-		case <-next.C:
-			p.read(ctx)
-			next.Reset(every/2 + rand.N(every))
 		}
 	}
 }
 
-func (p *hostPoller) read(ctx context.Context) {
-	hosts, err := p.n.env.Store.ListHosts(ctx)
-	if err != nil {
-		p.n.log.Warn("host list not read; the last one stays in use", "err", err, "age", time.Since(p.n.board.Hosts.Get().Read).Round(time.Second))
-		return
+// applyHosts takes in the host list as the store has it.
+func (n *Node) applyHosts(v watch.View) {
+	hosts := make([]store.Host, 0, len(v.Rows))
+	for _, r := range v.Rows {
+		var h store.Host
+		if err := json.Unmarshal(r.Value, &h); err != nil {
+			n.log.Error("entry of the host list left out", "host", r.Key, "err", err)
+			continue
+		}
+		hosts = append(hosts, h)
 	}
-	if len(hosts) == 0 && len(p.n.board.Hosts.Get().Hosts) > 0 {
-		p.n.log.Error("the host list is empty; the last one stays in use")
+	if len(hosts) == 0 && len(n.board.Hosts.Get().Hosts) > 0 {
+		n.log.Error("the host list is empty; the last one stays in use")
 		return
 	}
-	p.n.board.Hosts.Store(HostView{Hosts: hosts, Read: time.Now()})
+	slices.SortFunc(hosts, func(a, b store.Host) int { return cmp.Compare(a.ID, b.ID) })
+	n.board.Hosts.Store(HostView{Hosts: hosts})
 }
 
-func (p *hostPoller) publish() {
+func (p *hostPublisher) publish() {
 	hosts := p.n.board.Hosts.Get().Hosts
 	cfg := p.n.board.Catalog.Get()
 	now := published{revision: cfg.Revision, nodes: p.n.peers.nodes()}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -93,12 +93,8 @@
 type Platform struct {
 	// Addr is IP:port of the platform's HTTP interface.
 	Addr string `json:"addr" need:"true"`
-	// TokenFile holds the token that the platform asks for; empty for none.
-	TokenFile string `json:"token_file"`
 	// Timeout ends each call to the platform. Default 2s.
 	Timeout Duration `json:"timeout"`
-	// HostPoll is the interval between reads of the host list. Default 1s.
-	HostPoll Duration `json:"host_poll"`
 	// ConfigPoll is the interval between reads of the configuration head.
 	// Default 3s.
 	ConfigPoll Duration `json:"config_poll"`
@@ -255,7 +251,6 @@
 // SetDefaults fills in what was left out.
 func (s *Settings) SetDefaults() {
 	defaultTo(&s.Platform.Timeout, Duration(2*time.Second))
-	defaultTo(&s.Platform.HostPoll, Duration(time.Second))
 	defaultTo(&s.Platform.ConfigPoll, Duration(3*time.Second))
 	defaultTo(&s.Peers.Interval, Duration(time.Second))
 	defaultTo(&s.Peers.SuspectAfter, Duration(5*time.Second))
@@ -339,7 +334,6 @@
 
 func (s *Settings) validateRanges(p *strictjson.Problems) {
 	positive(p, "platform.timeout", int64(s.Platform.Timeout))
-	positive(p, "platform.host_poll", int64(s.Platform.HostPoll))
 	positive(p, "platform.config_poll", int64(s.Platform.ConfigPoll))
 	positive(p, "peers.interval", int64(s.Peers.Interval))
 	positive(p, "limits.body_bytes", s.Limits.BodyBytes)
--- a/internal/standin/gate.go
+++ b/internal/standin/gate.go
@@ -124,11 +124,3 @@
 	}
 	return g.inner.GetObject(ctx, key)
 }
-
-// ListHosts implements store.Hosts.
-func (g *Gate) ListHosts(ctx context.Context) ([]store.Host, error) {
-	if err := g.wait(); err != nil {
-		return nil, err
-	}
-	return g.inner.ListHosts(ctx)
-}
--- a/internal/store/memory.go
+++ b/internal/store/memory.go
@@ -35,10 +35,6 @@
 	Reads   int64 `json:"reads"`
 }
 
-// HostTable is the table in which a Memory store keeps the host list, one row
-// a host, encoded as JSON.
-const HostTable = "hosts"
-
 type rowID struct{ table, key string }
 
 // Memory is an in-memory Store for tests and for the stand-in platform. All
@@ -267,7 +263,7 @@
 	return v, nil
 }
 
-// ListHosts implements Hosts. The result is sorted by ID.
+// ListHosts returns the host list, sorted by ID.
 func (m *Memory) ListHosts(ctx context.Context) ([]Host, error) {
 	snap, err := m.Snapshot(ctx, HostTable)
 	if err != nil {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -145,18 +145,15 @@
 	State HostState `json:"state"`
 }
 
-// Hosts is the host list. It lags behind reality.
-type Hosts interface {
-	// ListHosts returns all hosts that the platform knows of.
-	ListHosts(ctx context.Context) ([]Host, error)
-}
+// HostTable is the table of the host list: a row a target host, by its ID, with a
+// Host as JSON. It lags behind reality, and the system does not write to it.
+const HostTable = "hosts"
 
 // Store is everything that the platform keeps.
 type Store interface {
 	Tables
 	Watchable
 	Objects
-	Hosts
 }
 
 // Applied settles a commit whose reply may be lost. It reads back one row that
