Split the attempts of a plain request and the room of a former into parts of their own

Read as a newcomer: servePlain was one function of 60 lines with a closure; it is a plainRun with start and take. room.go has what keeps the account of results.

--- a/internal/passthrough/plain.go
+++ b/internal/passthrough/plain.go
@@ -41,74 +41,98 @@
 	f   *failure
 }
 
+// plainRun is a request without events on its way through attempts, which may run
+// beside each other.
+type plainRun struct {
+	c   *call
+	ctx context.Context
+	// results holds the results of all attempts, so that they never wait to give
+	// them.
+	results chan result
+	running int
+	// last is the newest failure, fallback an answer that says the target failed.
+	last     *failure
+	fallback *whole
+}
+
 // servePlain sends a request without events, again where that is allowed, and
 // delivers the first good answer.
 func (c *call) servePlain() {
 	c.s.cfg.Repeats.Request(c.service)
 	ctx, cancel := context.WithCancel(c.ctx)
 	defer cancel()
-	// The channel holds all results, so that attempts never wait to give them.
-	results := make(chan result, maxSends)
-	running := 0
-	var last *failure
-	var fallback *whole
-	start := func() bool {
-		l := c.pick(targets.Query{})
-		if l == nil || c.sends >= maxSends {
-			if l != nil {
-				l.Done(targets.Abandoned, 0)
-			}
-			return false
-		}
-		c.tried = append(c.tried, l.ID)
-		c.sends++
-		// Until the attempt proves otherwise the request may have run.
-		c.runs++
-		running++
-		number := c.sends
-		go func() { results <- c.attemptPlain(ctx, l, number) }()
-		return true
-	}
-	if !start() {
+	x := &plainRun{c: c, ctx: ctx, results: make(chan result, maxSends)}
+	if !x.start() {
 		c.refuse(c.failed(nil))
 		return
 	}
 	hedge := time.NewTimer(c.hedgeAfter())
 	defer hedge.Stop()
-	for running > 0 {
+	for x.running > 0 {
 		select {
 		case <-c.ctx.Done():
 			c.refuse(c.timedOut())
 			return
 		case <-hedge.C:
 			if c.route.Repeatable() && c.mayRepeat(nil, "hedge") {
-				start()
+				x.start()
 			}
-		case r := <-results:
-			running--
-			if r.ans != nil && (r.ans.a.ans.Status < http.StatusInternalServerError || !c.route.Repeatable()) {
+		case r := <-x.results:
+			if x.take(r) {
 				c.deliver(r.ans)
 				return
 			}
-			if r.ans != nil {
-				fallback = r.ans
-				last = &failure{ran: true, err: errors.New("the target answered with a failure")}
-			} else {
-				last = r.f
-			}
-			if !last.ran {
-				c.runs--
-			}
-			if running == 0 && c.mayRepeat(last, "failure") {
-				start()
-			}
 		}
 	}
-	if fallback != nil {
-		c.deliver(fallback)
+	if x.fallback != nil {
+		c.deliver(x.fallback)
 		return
 	}
-	c.refuse(c.failed(last))
+	c.refuse(c.failed(x.last))
+}
+
+// start makes one more attempt and reports whether there was a target for it.
+func (x *plainRun) start() bool {
+	c := x.c
+	if c.sends >= maxSends {
+		return false
+	}
+	l := c.pick(targets.Query{})
+	if l == nil {
+		return false
+	}
+	c.tried = append(c.tried, l.ID)
+	c.sends++
+	// Until the attempt proves otherwise the request may have run.
+	c.runs++
+	x.running++
+	number := c.sends
+	go func() { x.results <- c.attemptPlain(x.ctx, l, number) }()
+	return true
+}
+
+// take takes in the result of an attempt. It reports whether its answer is to be
+// delivered; otherwise it makes another attempt where that is allowed and no other
+// one is running.
+func (x *plainRun) take(r result) bool {
+	c := x.c
+	x.running--
+	switch {
+	case r.ans == nil:
+		x.last = r.f
+	case r.ans.a.ans.Status < http.StatusInternalServerError || !c.route.Repeatable():
+		return true
+	default:
+		x.fallback = r.ans
+		x.last = &failure{ran: true, err: errors.New("the target answered with a failure")}
+	}
+	if !x.last.ran {
+		c.runs--
+	}
+	if x.running == 0 && c.mayRepeat(x.last, "failure") {
+		x.start()
+	}
+	return false
 }
 
 // maxSends bounds the sends of one request, rejected ones included.
--- /dev/null
+++ b/internal/stagebatch/room.go
@@ -0,0 +1,76 @@
+package stagebatch
+
+import (
+	"context"
+	"time"
+
+	"topazmoor/internal/routes"
+)
+
+const (
+	// freePause gathers results to be given up, so that one call frees many.
+	freePause = 15 * time.Millisecond
+	// freeTimeout bounds a call that gives up results; they lapse anyhow.
+	freeTimeout = time.Second
+)
+
+// askRoom asks a target that had no room for a result how much it has: results
+// lie there that another former, or this node before its restart, had made.
+func (f *Former) askRoom(service string, m *maker, addr string, spec *routes.Batch) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	free, err := f.worker.Room(ctx, addr)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		f.log.Info("room of target not known", "service", service, "target", m.ID, "err", err)
+		return
+	}
+	now := time.Now()
+	m.foreign = max(spec.RoomBytes-free-m.held(), 0)
+	m.foreignUntil = now.Add(foreignLife)
+	m.pausedUntil = now
+	f.log.Info("target had no room", "service", service, "target", m.ID, "free", free, "held", m.held(), "foreign", m.foreign)
+	f.pump(service, f.pool(service), spec)
+}
+
+// giveUp frees results at their makers, shortly after, together with others.
+// The lock is held.
+func (f *Former) giveUp(service string, handles []string) {
+	for _, h := range handles {
+		if h == "" {
+			continue
+		}
+		addr := f.worker.Maker(h)
+		if len(f.freeing[addr]) == 0 {
+			time.AfterFunc(freePause, func() { f.freeNow(service, addr) })
+		}
+		f.freeing[addr] = append(f.freeing[addr], h)
+	}
+}
+
+// freeNow makes the call that frees results. Their room is counted as free
+// once the maker has answered.
+func (f *Former) freeNow(service, addr string) {
+	f.mu.Lock()
+	handles := f.freeing[addr]
+	delete(f.freeing, addr)
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
+	defer cancel()
+	if err := f.worker.Free(ctx, addr, handles); err != nil {
+		f.log.Info("results not given up, they lapse", "addr", addr, "results", len(handles), "err", err)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.pool(service)
+	for _, m := range p.makers {
+		for _, h := range handles {
+			delete(m.results, h)
+		}
+	}
+	if spec := f.spec(service); spec != nil {
+		f.pump(service, p, spec)
+	}
+}
