Gather changes of targets for 400 ms and of the configuration for 250 ms

The bounds (drain 2 s, configuration 2 s) hold with room. TestDrainingServerGetsNoRequest waits 500 ms for the drain to be known, within its 2 s.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -114,9 +114,11 @@
 	// otherwise.
 	defaultBodyBytes   = 4 << 20
 	defaultReadTimeout = 5 * time.Second
-	// targetPause gathers the entries of targets that start together; a drain
-	// must be known within 2 s.
-	targetPause = 250 * time.Millisecond
+	// targetPause gathers the entries of targets that start together, configPause
+	// configurations in quick succession. A drain must be known, and a
+	// configuration in force, within 2 s.
+	targetPause = 400 * time.Millisecond
+	configPause = 250 * time.Millisecond
 	// memoryShare of the limit is the soft limit of the Go runtime; the rest is
 	// for what it does not see.
 	memoryShare = 0.75
@@ -129,7 +131,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
 	}
 	n.targets = targets.New(set.DataCentre)
-	n.config = &watch.Table{Name: env.ConfigTable, From: env.Store, Wait: watch.LongWait, Apply: n.applyConfig, Log: n.log}
+	n.config = &watch.Table{Name: env.ConfigTable, From: env.Store, Wait: watch.LongWait, Pause: configPause, Apply: n.applyConfig, Log: n.log}
 	n.servers = &watch.Table{Name: env.TargetTable, From: env.Store, Wait: watch.ShortWait, Pause: targetPause, Apply: n.applyTargets, Contact: n.storeContact, Log: n.log}
 	n.former = stagebatch.NewFormer(env.Worker, n.targets, n.batchSpec, n.log)
 	var err error
