Name services for their supervisor; serialize an emulated former's word

Services are now named; TestSupervisorDoesNotReadItsServices fails without a name. - TestOneFormerBeatsEachHostForItself: the emulator called accepted from two goroutines. The interface now says never twice at a time, as the real client does it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"topazmoor/internal/routes"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/store"
+	"topazmoor/internal/supervise"
 	"topazmoor/internal/targets"
 	"topazmoor/internal/watch"
 )
@@ -245,7 +246,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sup := suture.New(n.set.Node, suture.Spec{EventHook: func(e suture.Event) { n.log.Warn("supervisor", "event", e.String()) }})
-	for _, s := range []suture.Service{n.config, n.servers, n.peers, n.peers.server, n.peers.members, n.callers, &sweeper{n}} {
+	for _, s := range []suture.Service{
+		supervise.Named("configuration", n.config), supervise.Named("list of targets", n.servers),
+		supervise.Named("peers", n.peers), supervise.Named("peer server", n.peers.server), supervise.Named("members", n.peers.members),
+		supervise.Named("callers", n.callers), supervise.Named("sweeper", &sweeper{n}),
+	} {
 		sup.Add(s)
 	}
 	go func() { _ = n.ready.Serve(n.readyLn) }()
--- a/internal/experiment/stagepools.go
+++ b/internal/experiment/stagepools.go
@@ -184,9 +184,10 @@
 		err error
 	}
 	done := make(chan end, 1)
+	taken := make(chan time.Duration, 1)
 	if !h.isDead(addr) {
 		go func() {
-			res, err := h.formers[addr].Produce(ctx, o, accepted)
+			res, err := h.formers[addr].Produce(ctx, o, func(e time.Duration) { taken <- e })
 			done <- end{res, err}
 		}()
 	}
@@ -196,6 +197,8 @@
 		select {
 		case <-ctx.Done():
 			return stagebatch.Result{}, ctx.Err()
+		case e := <-taken:
+			accepted(e)
 		case <-tick.C:
 			if !h.isDead(addr) {
 				accepted(0)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"topazmoor/internal/scheduler"
 	"topazmoor/internal/settings"
 	"topazmoor/internal/store"
+	"topazmoor/internal/supervise"
 	"topazmoor/internal/watch"
 )
 
@@ -248,21 +249,21 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sup := suture.New(n.s.Node.Name, suture.Spec{EventHook: func(e suture.Event) { n.log.Warn("supervisor", "event", e.String()) }})
-	sup.Add(n.follower)
-	sup.Add(n.peers)
-	sup.Add(n.peers.server)
-	sup.Add(n.peers.runner)
-	sup.Add(n.hosts)
-	sup.Add(&hostPublisher{n: n})
-	sup.Add(&loadPoller{n: n})
-	sup.Add(n.batches)
-	sup.Add(&stopper{n: n})
-	sup.Add(n.admin)
+	sup.Add(supervise.Named("configuration", n.follower))
+	sup.Add(supervise.Named("peers", n.peers))
+	sup.Add(supervise.Named("peer server", n.peers.server))
+	sup.Add(supervise.Named("membership", n.peers.runner))
+	sup.Add(supervise.Named("host list", n.hosts))
+	sup.Add(supervise.Named("targets", &hostPublisher{n: n}))
+	sup.Add(supervise.Named("load reports", &loadPoller{n: n}))
+	sup.Add(supervise.Named("batches", n.batches))
+	sup.Add(supervise.Named("stops", &stopper{n: n}))
+	sup.Add(supervise.Named("administration", n.admin))
 	for _, s := range n.servers {
-		sup.Add(s)
+		sup.Add(supervise.Named(s.name, s))
 	}
 	for _, s := range n.controlShards() {
-		sup.Add(s)
+		sup.Add(supervise.Named("control shard", s))
 	}
 	done := sup.ServeBackground(ctx)
 	n.log.Info("node serves", "caller", n.Addr(callerServer), "admin", n.Addr(adminServer), "observe", n.Addr(observeServer))
--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -22,7 +22,8 @@
 // Remote makes orders at other nodes; package peer has the real one.
 type Remote interface {
 	// Produce runs an order at the node at addr. accepted is called when the
-	// node has taken it and again and again while it works on it. The error is one of this package's, or another one
+	// node has taken it and again and again while it works on it, never twice at a
+	// time. The error is one of this package's, or another one
 	// when the node did not answer or refused.
 	Produce(ctx context.Context, addr string, o Order, accepted func(estimate time.Duration)) (Result, error)
 	// Free gives up results at the node that formed their batches.
