--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -13,8 +13,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/rotisserie/eris"
 )
 
 // Dial opens a connection; net.Dialer.DialContext in production.
@@ -58,9 +56,6 @@
 // bufferSize holds the head and the body of most requests and answers.
 const bufferSize = 4 << 10
 
-// errNoConn marks failures to connect.
-var errNoConn = eris.New("httpconn: no connection")
-
 // get returns a kept connection, or opens one.
 func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
 	for {
--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -66,7 +66,7 @@
 func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Answer, error) {
 	c, err := p.get(ctx, addr)
 	if err != nil {
-		return nil, &Error{cause: eris.Wrap(err, errNoConn.Error()), Refused: refused(err)}
+		return nil, &Error{cause: eris.Wrap(err, "connect"), Refused: refused(err)}
 	}
 	x := &exchange{p: p, c: c, r: r}
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -119,18 +119,6 @@
 	return Result{Handles: slices.Clone(w.handles)}, nil
 }
 
-// Estimate returns how long an order would take now.
-func (f *Former) Estimate(service string, pieces, rank int) time.Duration {
-	spec := f.spec(service)
-	if spec == nil {
-		return 0
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	p := f.pool(service)
-	return p.waitFor(spec, rank, time.Now()) + expected(spec, pieces)
-}
-
 // Queued returns how many pieces wait at this node, by service.
 func (f *Former) Queued() map[string]float64 {
 	f.mu.Lock()
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -49,7 +49,6 @@
 	t      *Table
 	s      *state
 	tokens int
-	start  time.Time
 	// Basis is what decided the choice.
 	Basis Basis
 }
@@ -94,7 +93,7 @@
 	if len(cands) == 0 {
 		return nil
 	}
-	l := &Lease{t: t, start: now}
+	l := &Lease{t: t}
 	if q.Engine != nil {
 		l.s = bestEngine(q.Engine, cands, now)
 		l.tokens = q.Engine.Tokens
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -47,8 +47,8 @@
 	// failures is the recent share of failed calls, from 0 to 1.
 	failures float64
 	latency  flow.Estimate
-	// inFlight counts this node's calls, reserved the tokens of their prompts
-	// that are not answered yet.
+	// inFlight counts this node's calls, pending the tokens of their prompts that
+	// were not read yet.
 	inFlight int
 	pending  int
 	load     Load
@@ -61,7 +61,7 @@
 // Table is the list of targets with their live states. It is safe for
 // concurrent use.
 type Table struct {
-	// Node and DataCentre say where this node stands.
+	// DataCentre is where this node stands.
 	DataCentre string
 
 	mu       sync.Mutex
