Pass a frozen or silent node over at once; deny nothing once the store is known to be away

Change: a lost store counts as lost at once; handshakes end with their call; the router waits no longer than its own silence timeout; a silent connection is retired. The in-memory network honours deadlines in a freeze and can go silent. Ruled out: calls of the store that hang (its client times out by itself).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -337,6 +337,12 @@
 // InFlight returns the number of requests that are being worked on.
 func (n *Node) InFlight() int64 { return n.front.InFlight() }
 
+// Others returns how many other nodes this one knows.
+func (n *Node) Others() int { return len(n.board.Members.Get()) }
+
+// Former returns the node that forms the batches of a service, as this node sees it.
+func (n *Node) Former(service string) string { return n.router.First(service) }
+
 // Name returns the node's name.
 func (n *Node) Name() string { return n.set.Node }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -104,6 +104,42 @@
 	return mux.OpenStream()
 }
 
+// retire makes the next call to a node use a new connection: this one may have gone
+// silent for good, while new ones work. Calls on it go on; it is closed after the
+// last of them, or when its keep-alives fail.
+func (c *Client) retire(addr string, mux *yamux.Session) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.sessions[addr]
+	if s == nil {
+		return
+	}
+	select {
+	case s.lock <- struct{}{}:
+	default:
+		// It is being replaced.
+		return
+	}
+	defer func() { <-s.lock }()
+	if s.mux != mux {
+		return
+	}
+	delete(c.sessions, addr)
+	go closeWhenUnused(mux)
+}
+
+// unusedPoll is how often a retired connection is looked at.
+const unusedPoll = time.Second
+
+// closeWhenUnused closes a connection after its last call.
+func closeWhenUnused(mux *yamux.Session) {
+	for mux.NumStreams() > 0 && !mux.IsClosed() {
+		time.Sleep(unusedPoll)
+	}
+	// Nobody is left to be told.
+	_ = mux.Close()
+}
+
 func (c *Client) connect(ctx context.Context, addr string) (*yamux.Session, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
@@ -111,10 +147,15 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "connect to peer")
 	}
+	// A peer that is frozen accepts connections and says nothing.
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	if _, err := handshake(conn, c.key, c.node, true); err != nil {
 		conn.Close()
 		return nil, err
 	}
+	if !stop() {
+		return nil, eris.Wrap(ctx.Err(), "connect to peer")
+	}
 	mux, err := yamux.Client(conn, muxConfig())
 	return mux, eris.Wrap(err, "connect to peer")
 }
--- a/internal/peer/stages.go
+++ b/internal/peer/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -63,6 +64,11 @@
 		return stagebatch.Result{}, err
 	}
 	defer st.Close()
+	defer func() {
+		if errors.Is(context.Cause(ctx), stagebatch.ErrSilent) {
+			c.retire(addr, st.Session())
+		}
+	}()
 	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if err := writeFrame(st, &peerpb.Request{Call: &peerpb.Request_Produce{Produce: orderTo(o, time.Now())}}); err != nil {
--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -153,28 +153,54 @@
 	return false
 }
 
-var errSilent = errors.New("stagebatch: the node fell silent")
+// ErrSilent is the cause of the end of a call to a node that said nothing for too
+// long.
+var ErrSilent = errors.New("stagebatch: the node fell silent")
 
 // produceAt runs an order at another node and gives it up when the node falls
 // silent.
 func (r *Router) produceAt(ctx context.Context, n Node, o Order) (Result, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(acceptTimeout, func() { cancel(errSilent) })
+	watchdog := time.AfterFunc(acceptTimeout, func() { cancel(ErrSilent) })
 	defer watchdog.Stop()
 	known := false
-	res, err := r.remote.Produce(ctx, n.Addr, o, func(e time.Duration) {
-		watchdog.Reset(silenceTimeout)
-		if !known {
-			known = true
-			r.note(o, e)
+	done := make(chan outcome, 1)
+	go func() {
+		res, err := r.remote.Produce(ctx, n.Addr, o, func(e time.Duration) {
+			watchdog.Reset(silenceTimeout)
+			if !known {
+				known = true
+				r.note(o, e)
+			}
+		})
+		res.Former = n.Addr
+		done <- outcome{res, err}
+	}()
+	select {
+	case out := <-done:
+		if out.err != nil && errors.Is(context.Cause(ctx), ErrSilent) {
+			out.err = ErrSilent
 		}
-	})
-	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
-		err = errSilent
+		return out.res, out.err
+	case <-ctx.Done():
+		// The call itself may be held up by a connection that takes nothing more.
+		go r.freeLate(o.Service, done)
+		return Result{}, context.Cause(ctx)
+	}
+}
+
+// outcome is the end of an order at another node.
+type outcome struct {
+	res Result
+	err error
+}
+
+// freeLate gives up the results of an order that was given up meanwhile.
+func (r *Router) freeLate(service string, done <-chan outcome) {
+	if out := <-done; out.err == nil {
+		r.Free(service, out.res)
 	}
-	res.Former = n.Addr
-	return res, err
 }
 
 func (r *Router) suspect(n Node, o Order, err error) {
--- a/internal/stagebatch/router_test.go
+++ b/internal/stagebatch/router_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -115,3 +116,37 @@
 		c.Assert(router.Live(), qt.Equals, 2)
 	})
 }
+
+// stuckRemote is a node whose connection takes nothing more: its call ends only long
+// after it was given up, with results.
+type stuckRemote struct {
+	takes time.Duration
+	freed atomic.Int32
+}
+
+func (r *stuckRemote) Produce(context.Context, string, Order, func(time.Duration)) (Result, error) {
+	time.Sleep(r.takes)
+	return Result{Handles: []string{"late"}}, nil
+}
+
+func (r *stuckRemote) Free(context.Context, string, string, []string) error {
+	r.freed.Add(1)
+	return nil
+}
+
+// An order waited for as long as its call was stuck, seconds instead of the time
+// after which a silent node is passed over.
+func TestStuckCallIsNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		remote := &stuckRemote{takes: 3 * time.Second}
+		router := routerTo(remote)
+		start := time.Now()
+		res, err := router.Produce(t.Context(), orderOf(1))
+		c.Assert(err, qt.IsNil)
+		c.Assert(res.Former, qt.Equals, "")
+		c.Assert(time.Since(start) < acceptTimeout+500*time.Millisecond, qt.IsTrue)
+		time.Sleep(4 * time.Second)
+		c.Assert(remote.freed.Load(), qt.Equals, int32(1))
+	})
+}
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -8,7 +8,9 @@
 	"math"
 	"net"
 	"net/netip"
+	"os"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -81,16 +83,35 @@
 
 // wait returns when the host is not frozen, or when done is closed; a nil done
 // never is.
-func (n *Network) wait(host string, done <-chan struct{}) {
+func (n *Network) wait(host string, done <-chan struct{}) { n.waitUntil(host, done, nil) }
+
+// waitUntil does the same, but only until passed is closed. It reports whether it
+// was not.
+func (n *Network) waitUntil(host string, done, passed <-chan struct{}) bool {
 	n.mu.Lock()
 	ch := n.frozen[host]
 	n.mu.Unlock()
 	if ch == nil {
-		return
+		return true
 	}
 	select {
 	case <-ch:
 	case <-done:
+	case <-passed:
+		return false
+	}
+	return true
+}
+
+// Silence makes the open connections between hosts for which match reports true
+// silent for good: nothing comes through, and neither end is told. New ones work.
+func (n *Network) Silence(match func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for s := range n.conns {
+		if match(s.from, s.to) && !s.isSilent() {
+			close(s.silent)
+		}
 	}
 }
 
@@ -140,8 +161,9 @@
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ErrRefused}
 	}
 	a, b := net.Pipe()
-	client := &side{Conn: a, net: n, from: from, to: to, remote: ap, done: make(chan struct{})}
-	server := &side{Conn: b, net: n, from: to, to: from, remote: netip.AddrPortFrom(netip.MustParseAddr(from), port), done: make(chan struct{})}
+	silent := make(chan struct{})
+	client := &side{Conn: a, net: n, from: from, to: to, remote: ap, done: make(chan struct{}), silent: silent}
+	server := &side{Conn: b, net: n, from: to, to: from, remote: netip.AddrPortFrom(netip.MustParseAddr(from), port), done: make(chan struct{}), silent: silent}
 	n.mu.Lock()
 	n.conns[client] = true
 	n.mu.Unlock()
@@ -273,6 +295,12 @@
 	remote   netip.AddrPort
 	done     chan struct{}
 	once     sync.Once
+	// silent is closed when the connection goes silent; both sides share it.
+	silent chan struct{}
+	// read is the deadline of reads.
+	read deadline
+	// pending was read from the pipe, but its reader gave up before it was thawed.
+	pending []byte
 }
 
 // RemoteAddr implements net.Conn.
@@ -280,21 +308,66 @@
 
 // Read implements net.Conn. A closed pipe reads as a reset, not as an end.
 func (s *side) Read(b []byte) (int, error) {
-	n, err := s.Conn.Read(b)
-	s.net.wait(s.from, s.done)
-	if err == io.ErrClosedPipe {
-		err = net.ErrClosed
+	if len(s.pending) == 0 {
+		n, err := s.Conn.Read(b)
+		if err == io.ErrClosedPipe {
+			err = net.ErrClosed
+		}
+		if err != nil && s.isSilent() && !isClosed(s.done) && !isClosed(s.read.passed()) {
+			// The other end closed, and this one does not hear of it.
+			return 0, s.hang()
+		}
+		if err != nil {
+			s.net.wait(s.from, s.done)
+			return n, err
+		}
+		s.pending = append(s.pending, b[:n]...)
+	}
+	if !s.net.waitUntil(s.from, s.done, s.read.passed()) {
+		return 0, os.ErrDeadlineExceeded
+	}
+	if s.isSilent() {
+		return 0, s.hang()
+	}
+	n := copy(b, s.pending)
+	s.pending = s.pending[n:]
+	return n, nil
+}
+
+// hang blocks as a read of a silent connection does.
+func (s *side) hang() error {
+	select {
+	case <-s.done:
+		return net.ErrClosed
+	case <-s.read.passed():
+		return os.ErrDeadlineExceeded
 	}
-	return n, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. What is written to a silent connection is lost unseen.
 func (s *side) Write(b []byte) (int, error) {
 	s.net.wait(s.from, s.done)
+	if s.isSilent() {
+		return len(b), nil
+	}
 	return s.Conn.Write(b)
 }
 
-// Close implements net.Conn.
+func (s *side) isSilent() bool { return isClosed(s.silent) }
+
+// SetDeadline implements net.Conn.
+func (s *side) SetDeadline(t time.Time) error {
+	s.read.set(t)
+	return s.Conn.SetDeadline(t)
+}
+
+// SetReadDeadline implements net.Conn.
+func (s *side) SetReadDeadline(t time.Time) error {
+	s.read.set(t)
+	return s.Conn.SetReadDeadline(t)
+}
+
+// Close implements net.Conn. The other end of a silent connection does not hear of it.
 func (s *side) Close() error {
 	s.net.mu.Lock()
 	delete(s.net.conns, s)
@@ -302,3 +375,60 @@
 	s.once.Do(func() { close(s.done) })
 	return s.Conn.Close()
 }
+
+// deadline tells by a channel that its time has passed.
+type deadline struct {
+	mu    sync.Mutex
+	timer *time.Timer
+	ch    chan struct{}
+}
+
+// passed returns a channel that is closed once the deadline has passed.
+func (d *deadline) passed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ch == nil {
+		d.ch = make(chan struct{})
+	}
+	return d.ch
+}
+
+// set replaces the deadline; the zero time is none.
+func (d *deadline) set(t time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.timer != nil {
+		d.timer.Stop()
+	}
+	ch := make(chan struct{})
+	if d.ch != nil && !isClosed(d.ch) {
+		ch = d.ch
+	}
+	d.ch, d.timer = ch, nil
+	if t.IsZero() {
+		return
+	}
+	if until := time.Until(t); until > 0 {
+		d.timer = time.AfterFunc(until, func() { d.fire(ch) })
+		return
+	}
+	close(ch)
+}
+
+// fire closes the channel of a deadline that was not replaced.
+func (d *deadline) fire(ch chan struct{}) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ch == ch && !isClosed(ch) && d.timer != nil {
+		close(ch)
+	}
+}
+
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -67,7 +67,7 @@
 
 	rows     map[string]store.Row
 	version  int64
-	lost     bool
+	lost     atomic.Bool
 	regained time.Time
 	heard    atomic.Int64
 	lastRead time.Time
@@ -84,9 +84,10 @@
 	return time.Unix(0, n)
 }
 
-// Connected reports whether the store answers.
+// Connected reports whether the store answers: it did lately, and no call has failed
+// since.
 func (t *Table) Connected() bool {
-	return time.Since(t.Heard()) < t.Wait+answerSlack
+	return !t.lost.Load() && time.Since(t.Heard()) < t.Wait+answerSlack
 }
 
 // Poke ends the call in progress and asks the store at once: another call has
@@ -149,10 +150,9 @@
 
 // away notes that the store does not answer.
 func (t *Table) away(err error) {
-	if t.lost {
+	if t.lost.Swap(true) {
 		return
 	}
-	t.lost = true
 	t.contact()
 	t.Log.Warn("store lost", "table", t.Name, "version", t.version, "err", err)
 }
@@ -164,7 +164,7 @@
 	ctx, end, poked := t.begin(ctx)
 	defer end()
 	patience := t.Wait
-	if t.lost || poked {
+	if t.lost.Load() || poked {
 		// Hear at once whether the store is back.
 		patience = 0
 	}
@@ -232,8 +232,7 @@
 
 func (t *Table) answered() {
 	t.heard.Store(time.Now().UnixNano())
-	if t.lost {
-		t.lost = false
+	if t.lost.Swap(false) {
 		t.regained = time.Now()
 		t.contact()
 		t.Log.Info("store regained", "table", t.Name, "version", t.version)
