--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -194,8 +194,8 @@
 }
 
 func (c *call) authenticate() error {
-	c.rank = c.route.Priority
 	account := c.cfg.Account(c.meta.Credential)
+	c.rank = c.cfg.Rank(c.route, account)
 	if account == nil {
 		if c.cfg.NeedsKey(c.route) {
 			return c.deny(verdict.Unauthenticated, "the key belongs to no client account")
@@ -203,9 +203,6 @@
 		return nil
 	}
 	c.account = account.Name
-	if account.Priority != nil {
-		c.rank = *account.Priority
-	}
 	return nil
 }
 
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -35,6 +35,8 @@
 	accounts map[string]*Account
 	// demandsKey is set when there are accounts at all.
 	demandsKey bool
+	// routeRanks is the number of priorities that routes can have.
+	routeRanks int
 }
 
 // Limits bound what a caller may send; 0 means the node's own default.
@@ -136,6 +138,7 @@
 		byHost: make(map[string][]*Route), accounts: make(map[string]*Account, len(keys)),
 	}
 	for _, r := range all {
+		c.routeRanks = max(c.routeRanks, r.Priority+1)
 		host := hostName(r.Host)
 		c.byHost[host] = append(c.byHost[host], r)
 	}
@@ -170,6 +173,18 @@
 // Account returns the account that holds a credential, or nil.
 func (c *Config) Account(credential string) *Account { return c.accounts[credential] }
 
+// Rank returns the place of a request among all others; 0 is the most urgent. The
+// account's priority goes before the route's, which decides between requests of
+// accounts with the same one. Requests without an account's priority have the route's
+// in its place.
+func (c *Config) Rank(r *Route, a *Account) int {
+	first := r.Priority
+	if a != nil && a.Priority != nil {
+		first = *a.Priority
+	}
+	return max(first, 0)*max(c.routeRanks, 1) + max(r.Priority, 0)
+}
+
 // NeedsKey reports whether requests on a route need a credential.
 func (c *Config) NeedsKey(r *Route) bool { return c.demandsKey && !r.Public }
 
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -65,3 +65,17 @@
 	c.Assert(New(2, nil, nil, nil, true, Limits{}).NeedsKey(&Route{}), qt.IsTrue)
 	c.Assert(New(2, nil, nil, nil, false, Limits{}).NeedsKey(&Route{}), qt.IsFalse)
 }
+
+// An account's priority replaced the route's, so that an urgent kind of request waited
+// behind the others of its account.
+func TestRankIsTheAccountsThenTheRoutes(t *testing.T) {
+	c := qt.New(t)
+	urgent, lax := &Route{Priority: 0}, &Route{Priority: 2}
+	high, low := 0, 1
+	gold, plain, none := &Account{Priority: &high}, &Account{Priority: &low}, &Account{}
+	cfg := New(1, []*Route{urgent, lax}, nil, nil, true, Limits{})
+	order := []int{cfg.Rank(urgent, gold), cfg.Rank(lax, gold), cfg.Rank(urgent, plain), cfg.Rank(lax, plain)}
+	c.Assert(order, qt.DeepEquals, []int{0, 2, 3, 5})
+	c.Assert(cfg.Rank(urgent, none), qt.Equals, cfg.Rank(urgent, nil))
+	c.Assert(cfg.Rank(urgent, none) < cfg.Rank(lax, none), qt.IsTrue)
+}
