Of late orders, finish those that were begun first

Cause: 120 callers at a pool that can serve 18 of them in their time: none was served (TestBurstAtASlowPoolAnswersEveryCallerInTime, red before). First stages of all were made, and second stages waited behind them until every deadline had passed. Ruled out: refusals (they came as soon as the pool's speed was known). Change: among orders that are late already and of one rank, those that read results go first.

--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -21,6 +21,9 @@
 	queued, read bool
 }
 
+// begun reports whether earlier stages of the request were done.
+func (p *piece) begun() bool { return len(p.order.Inputs) > 0 }
+
 // order is an Order in work.
 type order struct {
 	Order
@@ -155,7 +158,9 @@
 }
 
 // before orders pieces: those that can still meet their objective first, then
-// by rank, then by the time at which they are due.
+// by rank, then by the time at which they are due. Of the late ones, those that read
+// results go before those that begin: work that was begun is finished, and the room
+// of its results comes free.
 func before(a, b *piece, late time.Time) int {
 	aLate, bLate := a.order.Due.Before(late), b.order.Due.Before(late)
 	switch {
@@ -165,6 +170,11 @@
 		return -1
 	case a.order.Priority != b.order.Priority:
 		return cmp.Compare(a.order.Priority, b.order.Priority)
+	case aLate && a.begun() != b.begun():
+		if a.begun() {
+			return -1
+		}
+		return 1
 	}
 	return cmp.Or(a.order.Due.Compare(b.order.Due), cmp.Compare(a.order.seq, b.order.seq))
 }
