Give late orders up that will not be done by their deadline

Change: the former ends late orders whose place in the queue, at the rate that is left, lies beyond their deadline; a stage's deadline leaves time for what follows it.

--- a/internal/passthrough/stages.go
+++ b/internal/passthrough/stages.go
@@ -165,7 +165,7 @@
 	}
 	o := stagebatch.Order{
 		Service: st.Service, Request: c.meta.ID, Stage: i, Pieces: n, Priority: c.rank,
-		Due: c.due(i), Deadline: c.deadline, ResultBytes: st.ResultBytes,
+		Due: c.due(i), Deadline: c.stageDeadline(i), ResultBytes: st.ResultBytes,
 		DataCentre: c.makerDataCentre(in, i), InputsRead: inputsRead,
 	}
 	if len(st.After) == 0 {
@@ -193,6 +193,13 @@
 	return c.arrived.Add(c.route.Objective - c.firstEventTime() - c.after(i))
 }
 
+// stageDeadline is when the results of stage i are of no use any more: the answer could
+// not begin by the request's deadline. Estimates err, so that less than the estimated
+// time of what follows is kept free.
+func (c *call) stageDeadline(i int) time.Time {
+	return c.deadline.Add(-time.Duration(admitShare * float64(c.after(i)+c.firstEventTime())))
+}
+
 // after estimates the time of the stages that follow stage i, on the longest
 // path.
 func (c *call) after(i int) time.Duration {
--- a/internal/stagebatch/estimate.go
+++ b/internal/stagebatch/estimate.go
@@ -1,6 +1,7 @@
 package stagebatch
 
 import (
+	"slices"
 	"time"
 
 	"topazmoor/internal/routes"
@@ -44,6 +45,8 @@
 
 	waits   Waits
 	waitsAt time.Time
+	// hopelessAt is when late orders are looked through again.
+	hopelessAt time.Time
 }
 
 // counted is the pieces of one order, or of one call.
@@ -142,3 +145,40 @@
 	}
 	return max(good, 1), idle
 }
+
+// hopelessLook is how often the late orders of a pool are looked through.
+const hopelessLook = 200 * time.Millisecond
+
+// giveUpHopeless ends the late orders that will not be done by their deadline: all
+// others go before them, and more come. Their callers are told at once, while they
+// can still come back, instead of at the deadline.
+func (p *pool) giveUpHopeless(spec *routes.Batch, now time.Time) {
+	if now.Before(p.hopelessAt) {
+		return
+	}
+	p.hopelessAt = now.Add(hopelessLook)
+	good, _ := p.targets(spec, now)
+	rate := p.rate(spec, good, now)
+	coming, onTime := 0, 0
+	for _, c := range recent(p.came, now) {
+		coming += c.pieces
+	}
+	var late []*piece
+	for _, pc := range p.queue {
+		switch {
+		case pc.order.ended:
+		case pc.order.Due.Before(now):
+			late = append(late, pc)
+		default:
+			onTime++
+		}
+	}
+	slices.SortStableFunc(late, func(a, b *piece) int { return before(a, b, now) })
+	left := max(rate-float64(coming)/rateWindow.Seconds(), leastShare*rate)
+	for i, pc := range late {
+		wait := time.Duration(float64(onTime+i) / left * float64(time.Second))
+		if now.Add(wait).After(pc.order.Deadline) {
+			pc.order.finish(ErrLate)
+		}
+	}
+}
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -183,6 +183,7 @@
 	}
 	f.refresh(p, service)
 	now := time.Now()
+	p.giveUpHopeless(spec, now)
 	free := freeMakers(p.makers, spec, now)
 	for _, m := range free {
 		f.fill(service, p, m, spec, now, takes(m, p.makers, spec, len(p.queue), now))
