Make orders where they wish to be also in a full pool

Change: within a rank, a target takes the orders that wish for its place first. What an order asks of a place is a type of its own. Test: TestFullPoolMakesOrdersWhereTheyWish.

--- a/internal/stagebatch/estimate.go
+++ b/internal/stagebatch/estimate.go
@@ -173,7 +173,7 @@
 			onTime++
 		}
 	}
-	slices.SortStableFunc(late, func(a, b *piece) int { return before(a, b, now) })
+	slices.SortStableFunc(late, func(a, b *piece) int { return before(a, b, now, place{}) })
 	left := max(rate-float64(coming)/rateWindow.Seconds(), leastShare*rate)
 	for i, pc := range late {
 		wait := time.Duration(float64(onTime+i) / left * float64(time.Second))
--- a/internal/stagebatch/estimate_test.go
+++ b/internal/stagebatch/estimate_test.go
@@ -93,3 +93,30 @@
 		})
 	})
 }
+
+// With more pieces waiting than the targets take in a call nobody was made where it
+// wished to be, except by chance.
+func TestFullPoolMakesOrdersWhereTheyWish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		spec := poolSpec("")
+		pl := place{dataCentre: "here", working: map[string]bool{"here": true, "there": true}}
+		var queue []*piece
+		for i := range 6 {
+			o := &order{Order: rankedOrder(fmt.Sprint(i), 0, 4), seq: uint64(i), since: time.Now()}
+			o.DataCentre = []string{"there", "here"}[i%2]
+			for n := range o.Pieces {
+				queue = append(queue, &piece{order: o, index: n, queued: true})
+			}
+		}
+		batch, rest := take(queue, spec, spec.RoomBytes, time.Now(), pl)
+		c.Assert(batch, qt.HasLen, 8)
+		for _, p := range batch {
+			c.Assert(p.order.DataCentre, qt.Equals, "here")
+		}
+		// Urgency goes before place.
+		rest[0].order.Priority = -1
+		batch, _ = take(rest, spec, spec.RoomBytes, time.Now(), pl)
+		c.Assert(batch[0].order.DataCentre, qt.Equals, "there")
+	})
+}
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -186,19 +186,19 @@
 	p.giveUpHopeless(spec, now)
 	free := freeMakers(p.makers, spec, now)
 	for _, m := range free {
-		f.fill(service, p, m, spec, now, takes(m, p.makers, spec, len(p.queue), now))
+		f.fill(service, p, m, spec, now, placeOf(m, p.makers, spec, len(p.queue)))
 	}
 	f.wakeLater(service, p, spec, now)
 }
 
 // fill gives a target that is free a batch of the orders that fit. The lock is
 // held.
-func (f *Former) fill(service string, p *pool, m *maker, spec *routes.Batch, now time.Time, fits func(*order) bool) {
+func (f *Former) fill(service string, p *pool, m *maker, spec *routes.Batch, now time.Time, pl place) {
 	if len(p.queue) == 0 || !m.free(spec, now) {
 		return
 	}
 	var batch []*piece
-	batch, p.queue = take(p.queue, spec, m.room(spec, now), now, fits)
+	batch, p.queue = take(p.queue, spec, m.room(spec, now), now, pl)
 	if len(batch) > 0 {
 		f.start(service, m, spec, batch, now)
 	}
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -160,8 +160,9 @@
 // before orders pieces: those that can still meet their objective first, then
 // by rank, then by the time at which they are due. Of the late ones, those that read
 // results go before those that begin: work that was begun is finished, and the room
-// of its results comes free.
-func before(a, b *piece, late time.Time) int {
+// of its results comes free. Within a rank, those that wish for the place of the target
+// go before those that wish for another one.
+func before(a, b *piece, late time.Time, pl place) int {
 	aLate, bLate := a.order.Due.Before(late), b.order.Due.Before(late)
 	switch {
 	case aLate != bLate && aLate:
@@ -176,6 +177,12 @@
 		}
 		return 1
 	}
+	if here := pl.wished(a.order); here != pl.wished(b.order) {
+		if here {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Or(a.order.Due.Compare(b.order.Due), cmp.Compare(a.order.seq, b.order.seq))
 }
 
@@ -183,9 +190,9 @@
 // fit, the first ones. Orders that ended are dropped; those that have no room,
 // or that do not fit, wait. An order's pieces go into one batch where they can:
 // the results of a half-made order take room and serve nobody.
-func take(queue []*piece, spec *routes.Batch, room int64, now time.Time, fits func(*order) bool) (batch, rest []*piece) {
+func take(queue []*piece, spec *routes.Batch, room int64, now time.Time, pl place) (batch, rest []*piece) {
 	late := now.Add(expected(spec, 1))
-	slices.SortStableFunc(queue, func(a, b *piece) int { return before(a, b, late) })
+	slices.SortStableFunc(queue, func(a, b *piece) int { return before(a, b, late, pl) })
 	size := max(spec.Items, 1)
 	fullRoom := int64(roomShare * float64(spec.RoomBytes))
 	for len(queue) > 0 {
@@ -202,7 +209,7 @@
 		case o.Deadline.Before(late):
 			dequeue(group)
 			o.finish(ErrLate)
-		case n > 0 && len(batch)+n <= size && int64(n)*o.ResultBytes <= room && fits(o):
+		case n > 0 && len(batch)+n <= size && int64(n)*o.ResultBytes <= room && pl.takes(o, spec, now):
 			room -= int64(n) * o.ResultBytes
 			dequeue(group[:n])
 			batch = append(batch, group[:n]...)
@@ -254,22 +261,38 @@
 	holdQueue = 1.0
 )
 
-// takes returns which orders a target that is free may take: those for its data
-// centre, those that wish for none or for one where no target works, and those
-// that have waited for their own for long enough.
-func takes(m *maker, makers map[string]*maker, spec *routes.Batch, queued int, now time.Time) func(*order) bool {
-	if float64(queued) > holdQueue*float64(len(makers)*max(spec.Items, 1)) {
-		return func(*order) bool { return true }
-	}
-	places := make(map[string]bool, len(makers))
+// place is where a target stands that is free, as orders see it.
+type place struct {
+	dataCentre string
+	// working are the data centres that have a target; nil when it does not matter
+	// where a target stands.
+	working map[string]bool
+	// hold says that orders wait for a while for the data centre that they wish for.
+	hold bool
+}
+
+// placeOf returns the place of a target, with so many pieces in its pool's queue.
+func placeOf(m *maker, makers map[string]*maker, spec *routes.Batch, queued int) place {
+	pl := place{dataCentre: m.DataCentre, working: make(map[string]bool, len(makers))}
+	pl.hold = float64(queued) <= holdQueue*float64(len(makers)*max(spec.Items, 1))
 	for _, other := range makers {
-		places[other.DataCentre] = true
+		pl.working[other.DataCentre] = true
 	}
-	return func(o *order) bool {
-		if o.DataCentre == m.DataCentre || !places[o.DataCentre] {
-			return true
-		}
-		slack := o.Due.Sub(o.since) - expected(spec, o.Pieces)
-		return now.Sub(o.since) >= min(times(slack, holdShare), holdMost)
+	return pl
+}
+
+// wished reports whether an order wishes for this place, or for none, or for one where
+// no target works.
+func (pl place) wished(o *order) bool {
+	return o.DataCentre == pl.dataCentre || !pl.working[o.DataCentre]
+}
+
+// takes reports whether an order may be made here: it wishes so, or has waited for its
+// own place for long enough.
+func (pl place) takes(o *order, spec *routes.Batch, now time.Time) bool {
+	if !pl.hold || pl.wished(o) {
+		return true
 	}
+	slack := o.Due.Sub(o.since) - expected(spec, o.Pieces)
+	return now.Sub(o.since) >= min(times(slack, holdShare), holdMost)
 }
