--- a/internal/stagebatch/estimate_test.go
+++ b/internal/stagebatch/estimate_test.go
@@ -115,7 +115,7 @@
 			c.Assert(p.order.DataCentre, qt.Equals, "here")
 		}
 		// Urgency goes before place.
-		rest[0].order.Priority = -1
+		rest[len(rest)-1].order.Priority = -1
 		batch, _ = take(rest, spec, spec.RoomBytes, time.Now(), pl)
 		c.Assert(batch[0].order.DataCentre, qt.Equals, "there")
 	})
