Sample repeated log lines; metrics of stages, verdicts and estimates

Change: of each message 200 lines a second pass and one in ten beyond, drawn by the request so that a request is kept whole at all nodes; histograms of stages by outcome, of requests by verdict, of the error of the admission estimate, and a count of answers that began within their objective. Tests: TestRepeatedLinesAreSampledAndCounted, TestRequestsAreKeptWhole, TestMetricsTellStagesVerdictsAndEstimates.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -88,7 +89,7 @@
 func servePlatform(ctx context.Context, c *console) error {
 	out := boundedlog.New(c.out)
 	defer out.Close()
-	log := newLogger(out, "info", "json")
+	log := slog.New(boundedlog.NewSampler(newLogger(out, "info", "json").Handler()))
 	n, err := platform.Provision(os.Getenv(platform.SettingsEnv), log, out.Dropped)
 	if err != nil {
 		return usage(err)
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -5,40 +5,76 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"topazmoor/internal/passthrough"
 )
 
-// Entry is the metrics of a node that serves pass-through requests.
+// Entry is the metrics of a node that serves pass-through requests. It implements
+// passthrough.Observer.
 type Entry struct {
 	*Registry
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	stages   *prometheus.HistogramVec
+	began    *prometheus.CounterVec
+	misjudge *prometheus.HistogramVec
 	repeats  *prometheus.CounterVec
 }
 
+// latencyBuckets are 5 ms to 20 s: a round trip to the longest deadline.
+var latencyBuckets = prometheus.ExponentialBuckets(0.005, 2, 13)
+
+// misjudgedBuckets are the errors of estimates that matter: objectives are 0.1 to 4 s.
+var misjudgedBuckets = []float64{-4, -2, -1, -0.5, -0.2, -0.1, 0, 0.1, 0.2, 0.5, 1, 2, 4, 8}
+
 // NewEntry returns an empty set.
 func NewEntry() *Entry {
 	e := &Entry{
 		Registry: NewRegistry(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "topazmoor_entry_requests_total", Help: "Pass-through requests by rank and code; an empty code is a target's answer.",
-		}, []string{"rank", "code"}),
+			Name: "topazmoor_entry_requests_total",
+			Help: "Pass-through requests by rank, code and verdict; an empty code is a target's answer.",
+		}, []string{"rank", "code", "verdict"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name: "topazmoor_entry_request_seconds", Help: "Time from arrival to the end of the answer.",
-			Buckets: prometheus.ExponentialBuckets(0.005, 2, 13),
+			Name: "topazmoor_entry_request_seconds", Help: "Time from arrival to the end of the answer, by rank and verdict.",
+			Buckets: latencyBuckets,
+		}, []string{"rank", "verdict"}),
+		stages: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "topazmoor_entry_stage_seconds", Help: "Time of one stage of a request, waiting included, by service and outcome.",
+			Buckets: latencyBuckets,
+		}, []string{"service", "outcome"}),
+		began: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "topazmoor_entry_began_total", Help: "Admitted requests whose answer began, by rank and whether within the objective.",
+		}, []string{"rank", "met"}),
+		misjudge: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "topazmoor_entry_estimate_error_seconds", Help: "Time until the answer began less what was estimated when the request was admitted.",
+			Buckets: misjudgedBuckets,
 		}, []string{"rank"}),
 		repeats: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "topazmoor_entry_repeats_total", Help: "Requests sent to one more target, by service and reason.",
 		}, []string{"service", "why"}),
 	}
-	e.registry.MustRegister(e.requests, e.latency, e.repeats)
+	e.registry.MustRegister(e.requests, e.latency, e.stages, e.began, e.misjudge, e.repeats)
 	return e
 }
 
 // RequestDone implements passthrough.Observer.
-func (e *Entry) RequestDone(_ string, rank int, code string, took time.Duration) {
+func (e *Entry) RequestDone(d passthrough.Done) {
+	rank, ran := strconv.Itoa(d.Rank), d.Verdict.String()
+	e.requests.WithLabelValues(rank, string(d.Code), ran).Inc()
+	e.latency.WithLabelValues(rank, ran).Observe(d.Took.Seconds())
+}
+
+// StageDone implements passthrough.Observer.
+func (e *Entry) StageDone(service string, outcome passthrough.StageOutcome, took time.Duration) {
+	e.stages.WithLabelValues(service, string(outcome)).Observe(took.Seconds())
+}
+
+// Began implements passthrough.Observer.
+func (e *Entry) Began(rank int, estimated, took, objective time.Duration) {
 	label := strconv.Itoa(rank)
-	e.requests.WithLabelValues(label, code).Inc()
-	e.latency.WithLabelValues(label).Observe(took.Seconds())
+	e.began.WithLabelValues(label, strconv.FormatBool(took <= objective)).Inc()
+	e.misjudge.WithLabelValues(label).Observe((took - estimated).Seconds())
 }
 
 // Repeated implements passthrough.Observer.
--- a/internal/passthrough/admit.go
+++ b/internal/passthrough/admit.go
@@ -70,6 +70,7 @@
 // come back, what would be late.
 func (c *call) admit() error {
 	need := c.need()
+	c.estimated = need
 	left := time.Until(c.deadline)
 	c.log.Info("accepted", "route", c.route.Name, "service", c.service, "account", c.account, "rank", c.rank, "config", c.cfg.Version,
 		"need_ms", need.Milliseconds(), "left_ms", left.Milliseconds(), "objective_ms", c.route.Objective.Milliseconds(), "pieces", c.meta.Pieces)
--- a/internal/passthrough/plain.go
+++ b/internal/passthrough/plain.go
@@ -185,6 +185,7 @@
 		c.done("canceled", 0, nil)
 		panic(http.ErrAbortHandler)
 	}
+	c.s.cfg.Observer.Began(c.rank, c.estimated, time.Since(c.arrived), c.route.Objective)
 	c.writeHead(w.a, w)
 	_, err := c.w.Write(w.start)
 	if err == nil && !w.complete {
--- a/internal/passthrough/refuse.go
+++ b/internal/passthrough/refuse.go
@@ -26,7 +26,7 @@
 		// The promise lets callers send again what may not be repeated.
 		status = http.StatusServiceUnavailable
 	}
-	c.done(string(e.Code), status, e)
+	c.done(e.Code, status, e)
 	if c.left() {
 		panic(http.ErrAbortHandler)
 	}
@@ -85,7 +85,7 @@
 
 // done logs and counts the end of a request. code is empty for an answer of a
 // target.
-func (c *call) done(code string, status int, err error) {
+func (c *call) done(code verdict.Code, status int, err error) {
 	route, took := "", time.Since(c.arrived)
 	version := int64(0)
 	if c.route != nil {
@@ -94,7 +94,11 @@
 	if c.cfg != nil {
 		version = c.cfg.Version
 	}
-	c.s.cfg.Observer.RequestDone(route, c.rank, code, took)
+	ran := verdict.Ran
+	if code != "" {
+		ran = c.verdict()
+	}
+	c.s.cfg.Observer.RequestDone(Done{Rank: c.rank, Code: code, Verdict: ran, Took: took})
 	attrs := []any{"route", route, "service", c.service, "account", c.account, "rank", c.rank, "config", version,
 		"status", status, "code", code, "ms", took.Milliseconds(), "sends", c.sends, "targets", c.tried}
 	if err == nil {
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -33,10 +33,37 @@
 
 // Observer is told about every request; it must not block.
 type Observer interface {
-	RequestDone(route string, rank int, code string, took time.Duration)
+	RequestDone(d Done)
+	// StageDone notes the end of one stage of a request at a pool.
+	StageDone(service string, outcome StageOutcome, took time.Duration)
+	// Began notes that the answer of a request that was admitted began: how long that
+	// was thought to take, how long it took, and within what time it should have.
+	Began(rank int, estimated, took, objective time.Duration)
 	Repeated(service, why string)
 }
 
+// Done is the end of a request.
+type Done struct {
+	Rank int
+	// Code is empty for an answer of a target; it is the reason otherwise.
+	Code verdict.Code
+	// Verdict says whether the request may have run.
+	Verdict verdict.Verdict
+	Took    time.Duration
+}
+
+// StageOutcome is how a stage of a request ended.
+type StageOutcome string
+
+// The outcomes of stages.
+const (
+	StageProduced  StageOutcome = "produced"
+	StageLate      StageOutcome = "late"
+	StageInputGone StageOutcome = "input_gone"
+	StageFailed    StageOutcome = "failed"
+	StageLeft      StageOutcome = "left"
+)
+
 // Config is what a Server is built from.
 type Config struct {
 	// Routes returns the configuration in force, or nil before the first.
@@ -124,6 +151,8 @@
 	sends int
 	// stale counts the sends on kept connections that had been closed.
 	stale int
+	// estimated is the time until the answer would begin, as it was admitted.
+	estimated time.Duration
 }
 
 // notReadyAfter is when a caller may come back to a node that knows no
--- a/internal/passthrough/stages.go
+++ b/internal/passthrough/stages.go
@@ -176,6 +176,7 @@
 	}
 	start := time.Now()
 	res, err := c.s.cfg.Stages.Produce(ctx, o)
+	c.s.cfg.Observer.StageDone(st.Service, stageOutcome(ctx, err), time.Since(start))
 	attrs := []any{"stage", i, "service", st.Service, "pieces", n, "former", res.Former, "ms", time.Since(start).Milliseconds(),
 		"due_ms", o.Due.Sub(start).Milliseconds()}
 	switch {
@@ -187,6 +188,21 @@
 	return res, err
 }
 
+// stageOutcome names the end of a stage.
+func stageOutcome(ctx context.Context, err error) StageOutcome {
+	switch {
+	case err == nil:
+		return StageProduced
+	case ctx.Err() != nil:
+		return StageLeft
+	case errors.Is(err, stagebatch.ErrLate):
+		return StageLate
+	case errors.Is(err, stagebatch.ErrInputGone):
+		return StageInputGone
+	}
+	return StageFailed
+}
+
 // due is when stage i should have ended for the request to meet its objective:
 // the time of the stages after it and of the engine's first event is kept free.
 func (c *call) due(i int) time.Time {
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -186,6 +186,7 @@
 			first = false
 			a.lease.PromptRead()
 			a.lease.FirstEvent(time.Since(a.start))
+			c.s.cfg.Observer.Began(c.rank, c.estimated, time.Since(c.arrived), c.route.Objective)
 			x.giveUpInputs()
 		}
 		if mayMove {
