Gather changes for longer the more nodes ask for them

Change: the pause grows with the number of nodes, from 400 to 800 ms for targets and from 1 to 2.5 s for nodes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -117,9 +117,13 @@
 	defaultReadTimeout = 5 * time.Second
 	// targetPause gathers the entries of targets that start together, configPause
 	// configurations in quick succession. A drain must be known, and a
-	// configuration in force, within 2 s.
-	targetPause = 400 * time.Millisecond
-	configPause = 250 * time.Millisecond
+	// configuration in force, within 2 s. Each change costs a call of every node, so
+	// that many nodes gather for longer, up to maxTargetPause.
+	targetPause    = 400 * time.Millisecond
+	maxTargetPause = 800 * time.Millisecond
+	configPause    = 250 * time.Millisecond
+	// targetPausePerNode is what each node adds: 74 nodes gather for 740 ms.
+	targetPausePerNode = 10 * time.Millisecond
 	// memoryShare of the limit is the soft limit of the Go runtime; the rest is
 	// for what it does not see.
 	memoryShare = 0.75
@@ -132,8 +136,8 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
 	}
 	n.targets = targets.New(set.DataCentre)
-	n.config = &watch.Table{Name: env.ConfigTable, From: env.Store, Wait: watch.LongWait, Pause: configPause, Apply: n.applyConfig, Log: n.log}
-	n.servers = &watch.Table{Name: env.TargetTable, From: env.Store, Wait: watch.ShortWait, Pause: targetPause, Apply: n.applyTargets, Contact: n.storeContact, Log: n.log}
+	n.config = &watch.Table{Name: env.ConfigTable, From: env.Store, Wait: watch.LongWait, Pause: n.pause(0, configPause, configPause), Apply: n.applyConfig, Log: n.log}
+	n.servers = &watch.Table{Name: env.TargetTable, From: env.Store, Wait: watch.ShortWait, Pause: n.pause(targetPausePerNode, targetPause, maxTargetPause), Apply: n.applyTargets, Contact: n.storeContact, Log: n.log}
 	n.former = stagebatch.NewFormer(env.Worker, n.targets, n.batchSpec, n.log)
 	var err error
 	if n.peers, err = n.provisionPeers(); err != nil {
@@ -154,6 +158,15 @@
 	return n, nil
 }
 
+// pause returns how long changes of a table are gathered, by the number of nodes that
+// ask for them.
+func (n *Node) pause(perNode, least, most time.Duration) func() time.Duration {
+	return func() time.Duration {
+		nodes := len(n.board.Members.Get()) + 1
+		return min(max(time.Duration(nodes)*perNode, least), most)
+	}
+}
+
 func (n *Node) provisionGauges() {
 	n.metrics.GaugeVec("topazmoor_entry_store_age_seconds", "Time since the store last answered, by table.", "table", func() map[string]float64 {
 		ages := make(map[string]float64)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -33,8 +33,12 @@
 	enterRetry = 400 * time.Millisecond
 	// enterAgain is how often a node looks whether its row still stands.
 	enterAgain = 5 * time.Second
-	// memberPause gathers the entries of nodes that start together.
-	memberPause = time.Second
+	// memberPause gathers the entries of nodes that start together, up to
+	// maxMemberPause where there are many.
+	memberPause    = time.Second
+	maxMemberPause = 2500 * time.Millisecond
+	// memberPausePerNode is what each node adds: 74 nodes gather for 2.2 s.
+	memberPausePerNode = 30 * time.Millisecond
 	// leaveTimeout bounds the removal of the row at a stop.
 	leaveTimeout = 2 * time.Second
 )
@@ -70,7 +74,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode member")
 	}
-	p.members = &watch.Table{Name: memberTable, From: n.env.Store, Wait: watch.LongWait, Pause: memberPause, Apply: p.apply, Log: n.log}
+	p.members = &watch.Table{Name: memberTable, From: n.env.Store, Wait: watch.LongWait, Pause: n.pause(memberPausePerNode, memberPause, maxMemberPause), Apply: p.apply, Log: n.log}
 	return p, nil
 }
 
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -51,9 +51,9 @@
 	From store.Watchable
 	// Wait is how long one call waits for changes.
 	Wait time.Duration
-	// Pause is the least time between two calls, so that changes that come one
-	// after the other are taken in together; 0 for none.
-	Pause time.Duration
+	// Pause tells the least time between two calls after a change, so that changes
+	// that come one after the other are taken in together; nil for none.
+	Pause func() time.Duration
 	// Apply is called with each new view; it must not change it.
 	Apply func(View)
 	// Contact, when set, is called when the store stops or begins to answer.
@@ -182,10 +182,10 @@
 	}
 	t.merge(changes.Changes)
 	t.apply()
-	if t.Pause > 0 {
+	if t.Pause != nil {
 		select {
 		case <-ctx.Done():
-		case <-time.After(t.Pause):
+		case <-time.After(t.Pause()):
 		}
 	}
 	return nil
