--- /dev/null
+++ b/internal/catalog/compiled.go
@@ -0,0 +1,204 @@
+package catalog
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"maps"
+	"strings"
+	"time"
+
+	"topazmoor/internal/settings"
+	"topazmoor/internal/strictjson"
+)
+
+// Plan is the compiled, immutable pipeline of one binding.
+type Plan struct {
+	Template   string
+	Class      Class
+	Deadline   time.Duration
+	Idempotent bool
+	Stages     []PlanStage
+}
+
+// PlanStage is a stage with its pool resolved.
+type PlanStage struct {
+	Stage
+	Kind settings.PoolKind
+}
+
+// CompiledAccount is an account with its plans. It keeps the account as JSON
+// instead of decoded, because a node holds tens of thousands of them.
+type CompiledAccount struct {
+	Name          string
+	RatePerSecond float64
+	Concurrent    int
+
+	plans  []namedPlan
+	source []byte
+}
+
+// namedPlan is a plan under the account's name for it.
+type namedPlan struct {
+	name string
+	plan *Plan
+}
+
+// Plan returns the plan of a pipeline, or nil.
+func (a *CompiledAccount) Plan(pipeline string) *Plan {
+	for _, p := range a.plans {
+		if p.name == pipeline {
+			return p.plan
+		}
+	}
+	return nil
+}
+
+// decode returns the account as it was submitted.
+func (a *CompiledAccount) decode() Account {
+	var acct Account
+	// It was decoded before it was taken in.
+	_ = strictjson.Decode(a.source, &acct)
+	return acct
+}
+
+// tokenHash is the SHA-256 of a token.
+type tokenHash [sha256.Size]byte
+
+func parseTokenHash(s string) (h tokenHash, ok bool) {
+	b, err := hex.DecodeString(s)
+	if err != nil || len(b) != len(h) || strings.ToLower(s) != s {
+		return h, false
+	}
+	return tokenHash(b), true
+}
+
+// Compiled is a whole configuration, ready to serve. It is immutable.
+type Compiled struct {
+	Revision  int64
+	templates map[string]*Template
+	accounts  map[string]*CompiledAccount
+	tokens    map[tokenHash]*CompiledAccount
+	drains    map[string]Drain
+	stops     map[string]Stop
+	pools     map[string]settings.Pool
+	plans     map[string]*Plan
+}
+
+// New returns an empty configuration over the given pools.
+func New(pools []settings.Pool) *Compiled {
+	byName := make(map[string]settings.Pool)
+	for _, p := range pools {
+		byName[p.Name] = p
+	}
+	return &Compiled{
+		templates: make(map[string]*Template),
+		accounts:  make(map[string]*CompiledAccount),
+		tokens:    make(map[tokenHash]*CompiledAccount),
+		drains:    make(map[string]Drain),
+		stops:     make(map[string]Stop),
+		plans:     make(map[string]*Plan),
+		pools:     byName,
+	}
+}
+
+// Account returns the account with this name, or nil.
+func (c *Compiled) Account(name string) *CompiledAccount { return c.accounts[name] }
+
+// ByToken returns the account of a token, or nil.
+func (c *Compiled) ByToken(token string) *CompiledAccount {
+	return c.tokens[sha256.Sum256([]byte(token))]
+}
+
+// Template returns the template with this name, or nil.
+func (c *Compiled) Template(name string) *Template { return c.templates[name] }
+
+// Accounts returns the number of accounts.
+func (c *Compiled) Accounts() int { return len(c.accounts) }
+
+// Drained reports whether an operator ordered the host drained.
+func (c *Compiled) Drained(host string) bool {
+	_, ok := c.drains[host]
+	return ok
+}
+
+// Drains returns all drain orders by host.
+func (c *Compiled) Drains() map[string]Drain { return maps.Clone(c.drains) }
+
+// Stops returns all scheduled stops by node.
+func (c *Compiled) Stops() map[string]Stop { return maps.Clone(c.stops) }
+
+// Stop returns the scheduled stop of a node.
+func (c *Compiled) Stop(node string) (Stop, bool) {
+	s, ok := c.stops[node]
+	return s, ok
+}
+
+// Object returns the current object of kind and name as JSON, or nil.
+func (c *Compiled) Object(kind Kind, name string) json.RawMessage {
+	var v any
+	switch kind {
+	case TemplateItem:
+		if t := c.templates[name]; t != nil {
+			v = t
+		}
+	case AccountItem:
+		if a := c.accounts[name]; a != nil {
+			return a.source
+		}
+	case DrainItem:
+		if d, ok := c.drains[name]; ok {
+			v = d
+		}
+	case StopItem:
+		if st, ok := c.stops[name]; ok {
+			v = st
+		}
+	}
+	if v == nil {
+		return nil
+	}
+	b, err := json.Marshal(v)
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+// PlansOf returns the plans that items bring about: those of changed accounts
+// and those of changed templates.
+func (c *Compiled) PlansOf(items []Item) []*Plan {
+	var out []*Plan
+	for _, it := range items {
+		if it.Kind == AccountItem && c.accounts[it.Name] != nil {
+			for _, p := range c.accounts[it.Name].plans {
+				out = append(out, p.plan)
+			}
+		}
+		for _, p := range c.plans {
+			if it.Kind == TemplateItem && p.Template == it.Name {
+				out = append(out, p)
+			}
+		}
+	}
+	return out
+}
+
+// Items returns the whole configuration as items, for a peer that starts
+// without the table service.
+func (c *Compiled) Items() []Item {
+	var items []Item
+	for name := range c.templates {
+		items = append(items, Item{Kind: TemplateItem, Name: name, Value: c.Object(TemplateItem, name)})
+	}
+	for name := range c.accounts {
+		items = append(items, Item{Kind: AccountItem, Name: name, Value: c.Object(AccountItem, name)})
+	}
+	for name := range c.drains {
+		items = append(items, Item{Kind: DrainItem, Name: name, Value: c.Object(DrainItem, name)})
+	}
+	for name := range c.stops {
+		items = append(items, Item{Kind: StopItem, Name: name, Value: c.Object(StopItem, name)})
+	}
+	return items
+}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -3,22 +3,16 @@
 import (
 	"context"
 	"crypto/tls"
-	"encoding/json"
 	"math/rand/v2"
 	"net"
-	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/catalog"
-	"topazmoor/internal/ledger"
 	"topazmoor/internal/membership"
 	"topazmoor/internal/peer"
-	"topazmoor/internal/routing"
 	"topazmoor/internal/scheduler"
-	"topazmoor/internal/store"
 )
 
 // nodeTable is the table in which nodes enter their peer addresses at start.
@@ -110,25 +104,6 @@
 	}, nil
 }
 
-// lateBooks resolves the ledger at the time of a call, because the ledger and
-// the peers refer to each other.
-type lateBooks struct{ n *Node }
-
-// Claim implements ledger.Book.
-func (b lateBooks) Claim(ctx context.Context, c ledger.Claim) (ledger.Grant, error) {
-	return b.n.ledger.Local().Claim(ctx, c)
-}
-
-// Finish implements ledger.Book.
-func (b lateBooks) Finish(ctx context.Context, c ledger.Claim, out *ledger.Outcome) error {
-	return b.n.ledger.Local().Finish(ctx, c, out)
-}
-
-// Lookup implements ledger.Book.
-func (b lateBooks) Lookup(ctx context.Context, k ledger.Key) (ledger.Record, bool, error) {
-	return b.n.ledger.Local().Lookup(ctx, k)
-}
-
 // listenBoth opens the same port for calls (TCP) and datagrams (UDP).
 func listenBoth(env Env, addr string) (net.Listener, membership.PacketConn, error) {
 	var err error
@@ -222,56 +197,6 @@
 	return out
 }
 
-// Book implements ledger.Remote. A node that is thought dead is tried all the
-// same: the view may be wrong.
-func (p *peers) Book(node string) ledger.Book {
-	for _, m := range p.n.board.Members.Get() {
-		if m.Name == node {
-			return p.client.Book(m.Addr)
-		}
-	}
-	return nil
-}
-
-// BookAt implements ledger.Remote.
-func (p *peers) BookAt(addr string) ledger.Book { return p.client.Book(addr) }
-
-// Committer implements ledger.Remote: while there are few nodes each commits
-// its own claims, otherwise a few do for all.
-func (p *peers) Committer(rowKey string) string {
-	names := []string{p.n.s.Node.Name}
-	for _, m := range p.live() {
-		names = append(names, m.Name)
-	}
-	limit := p.n.s.Ledger.Committers
-	if len(names) <= limit {
-		return ""
-	}
-	sort.Slice(names, func(i, j int) bool { return xxhash.Sum64String(names[i]) < xxhash.Sum64String(names[j]) })
-	return rendezvous(names[:limit], xxhash.Sum64String(rowKey))
-}
-
-// rendezvous returns the name with the highest hash for the key.
-func rendezvous(names []string, key uint64) string {
-	best, bestHash := "", uint64(0)
-	for _, name := range names {
-		if h := routing.Mix(key, xxhash.Sum64String(name)); best == "" || h > bestHash {
-			best, bestHash = name, h
-		}
-	}
-	return best
-}
-
-// firstChoice reports whether this node is the one that a batch, or another
-// piece of control work, hashes to.
-func (p *peers) firstChoice(id string) bool {
-	names := []string{p.n.s.Node.Name}
-	for _, m := range p.live() {
-		names = append(names, m.Name)
-	}
-	return rendezvous(names, xxhash.Sum64String(id)) == p.n.s.Node.Name
-}
-
 // membershipBytes returns the bytes of datagrams sent and received.
 func (p *peers) membershipBytes() float64 {
 	t := p.runner.Traffic()
@@ -300,50 +225,6 @@
 	}
 }
 
-// nodeRow is a row of the node table.
-type nodeRow struct {
-	Addr        string `json:"addr"`
-	Incarnation uint64 `json:"incarnation"`
-}
-
-// enter writes this node's row. A repeat is harmless: the row is this
-// process's own.
-func (p *peers) enter(ctx context.Context) bool {
-	self := p.runner.Self()
-	value, err := json.Marshal(nodeRow{Addr: self.Addr, Incarnation: self.Incarnation})
-	if err != nil {
-		return false
-	}
-	w := store.Write{Table: nodeTable, Key: self.Name, Value: value}
-	_, err = p.n.env.Store.Commit(ctx, store.Tx{Writes: []store.Write{w}})
-	return err == nil
-}
-
-// leave removes the row at a planned stop, best effort.
-func (p *peers) leave(ctx context.Context) {
-	p.runner.Leave()
-	w := store.Write{Table: nodeTable, Key: p.n.s.Node.Name, Delete: true}
-	if _, err := p.n.env.Store.Commit(ctx, store.Tx{Writes: []store.Write{w}}); err != nil {
-		p.n.log.Warn("node row not removed", "err", err)
-	}
-}
-
-func (p *peers) readSeeds(ctx context.Context) bool {
-	rows, err := p.n.env.Store.Scan(ctx, nodeTable, "", "", nodeListLimit)
-	if err != nil {
-		return false
-	}
-	seeds := append([]string(nil), p.n.s.Peers.Seeds...)
-	for _, row := range rows {
-		var nr nodeRow
-		if json.Unmarshal(row.Value, &nr) == nil && row.Key != p.n.s.Node.Name {
-			seeds = append(seeds, nr.Addr)
-		}
-	}
-	p.runner.SetSeeds(seeds)
-	return true
-}
-
 // close ends all connections.
 func (p *peers) close() {
 	p.server.Close()
--- /dev/null
+++ b/internal/node/provision.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"topazmoor/internal/admin"
+	"topazmoor/internal/batch"
+	"topazmoor/internal/config"
+	"topazmoor/internal/control"
+	"topazmoor/internal/frontdoor"
+	"topazmoor/internal/ledger"
+	"topazmoor/internal/pipeline"
+	"topazmoor/internal/settings"
+)
+
+func (n *Node) provisionLedger() {
+	incarnation := n.env.NewID()
+	tickets := ledger.NewTickets(n.env.PeerKey, n.s.Node.Name, n.peers.server.Addr(), incarnation, n.s.Ledger.TicketLife.Std(), n.env.NewID)
+	n.table = ledger.NewTableBook(n.env.Store, n.s.Ledger.CommitInterval.Std(), n.log)
+	n.ledger = ledger.NewRouter(n.s.Node.Name, tickets, ledger.NewTicketBook(tickets), n.table, n.peers)
+}
+
+func (n *Node) provisionFront() {
+	runner := pipeline.NewRunner(n.sched, n.calls, n.s.Pools, n.metrics, n.log)
+	n.front = frontdoor.New(frontdoor.Config{
+		Node: n.s.Node.Name, Catalog: n.board.Catalog.Get, Runner: runner,
+		Ledger: n.ledger, IssueTicket: n.ledger.Issue, NewID: n.env.NewID,
+		Share:     func() float64 { return 1 / float64(n.peers.nodes()) },
+		BodyBytes: n.s.Limits.BodyBytes, Requests: n.s.Limits.Requests, ReadTimeout: n.s.Limits.ReadTimeout.Std(),
+		Observer: n.metrics, Log: n.log,
+	})
+}
+
+func (n *Node) provisionBatches() {
+	store := batch.NewStore(n.env.Store, n.env.NewID)
+	batch.Routes(n.front, store)
+	execute := func(ctx context.Context, it batch.Item) (int, []byte) {
+		return n.front.RunItem(ctx, frontdoor.Item(it))
+	}
+	n.batches = batch.NewRunner(store, n.s.Node.Name, execute, n.peers.firstChoice, n.log)
+}
+
+func (n *Node) provisionAdmin(store *config.Store) {
+	n.admin = admin.New(admin.Config{
+		Node: n.s.Node.Name, Operators: n.s.Operators, Catalog: n.board.Catalog.Get,
+		Store: store, Offer: n.follower.Offer, Status: n.Status, Refresh: n.peers.refresh,
+		Stop:     func(string) { n.RequestStop() },
+		StopTime: n.s.Stop.BalancerLag.Std() + n.s.Stop.Drain.Std(),
+		NewID:    n.env.NewID, Log: n.log, Offers: n.offers,
+		Events: func(ctx context.Context, after time.Time, limit int) ([]control.Event, error) {
+			return control.Events(ctx, n.env.Store, after, limit)
+		},
+		RecordEvent: func(ctx context.Context, e control.Event) error {
+			return control.Record(ctx, n.env.Store, n.env.NewID(), e)
+		},
+	})
+}
+
+// offers says why no target of a pool serves a model with an adapter, or "".
+func (n *Node) offers(pool, model, adapter string) string {
+	any := false
+	for _, h := range n.board.Hosts.Get().Hosts {
+		if h.Pool != pool {
+			continue
+		}
+		any = true
+		if holds(h.Models, model) && holds(h.Adapters, adapter) {
+			return ""
+		}
+	}
+	if !any {
+		return ""
+	}
+	return fmt.Sprintf("no target of pool %s offers model %q with adapter %q", pool, model, adapter)
+}
+
+// holds reports whether a target with these models, or adapters, serves one; an
+// empty list serves all.
+func holds(loaded []string, want string) bool {
+	return want == "" || len(loaded) == 0 || slices.Contains(loaded, want)
+}
+
+func (n *Node) provisionGauges() {
+	for _, g := range []struct {
+		name, help string
+		read       func() float64
+	}{
+		{"topazmoor_requests_in_flight", "Requests being worked on.", func() float64 { return float64(n.front.InFlight()) }},
+		{"topazmoor_config_revision", "Configuration revision in force.", func() float64 { return float64(n.board.Catalog.Get().Revision) }},
+		{"topazmoor_wrong_answers_total", "Answers dropped because they belonged to another attempt.", func() float64 { return float64(n.calls.WrongAnswers()) }},
+		{"topazmoor_ledger_commits_total", "Grouped commits of claims and outcomes.", func() float64 { return float64(n.table.Stats().Commits) }},
+		{"topazmoor_ledger_dropped_total", "Claims and outcomes refused because the queue was full.", func() float64 { return float64(n.table.Stats().Dropped) }},
+		{"topazmoor_nodes_live", "Nodes that answer, this one included.", func() float64 { return float64(n.peers.nodes()) }},
+		{"topazmoor_membership_bytes_total", "Bytes of membership datagrams sent and received.", n.peers.membershipBytes},
+		{"topazmoor_batches_running", "Batches that this node runs.", func() float64 { return float64(n.batches.Running()) }},
+		{"topazmoor_host_list_age_seconds", "Age of the host list in use.", func() float64 { return time.Since(n.hosts.Heard()).Seconds() }},
+	} {
+		n.metrics.Gauge(g.name, g.help, g.read)
+	}
+}
+
+func (n *Node) provisionServers() error {
+	observe := http.NewServeMux()
+	observe.Handle("GET /metrics", n.metrics.Handler())
+	observe.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	observe.HandleFunc("GET /readyz", n.serveReady)
+	for _, l := range []struct {
+		name    string
+		listen  settings.Listener
+		handler http.Handler
+		conns   int
+	}{
+		{callerServer, n.s.Listen.Caller, n.front, n.s.Limits.Connections},
+		{adminServer, n.s.Listen.Admin, n.admin, sideConnections},
+		{observeServer, n.s.Listen.Observe, observe, sideConnections},
+	} {
+		srv, err := newServer(l.name, l.listen, l.handler, l.conns, n.s.Limits.ReadTimeout.Std(), n.env.Listen)
+		if err != nil {
+			return err
+		}
+		n.servers = append(n.servers, srv)
+	}
+	return nil
+}
