Nodes tell each other the version of their configuration with orders

Cause: a call that waits 20 s for changes of the configuration may go silent without a reset while all other connections work; nothing showed it before the 20 s were over (TestSilentWatchOfTheConfigurationIsNoticedByPeers: key refused, dropped route still known). Change: orders and their answers carry the version in force; a node that still lacks a newer one after half a second asks the store again, once a version.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,13 +94,15 @@
 	config  *watch.Table
 	servers *watch.Table
 	peers   *peers
-	former  *stagebatch.Former
-	router  *stagebatch.Router
-	front   *passthrough.Server
-	callers *callers
-	ready   *http.Server
-	readyLn net.Listener
-	metrics *metrics.Entry
+	// versions hears of newer configurations from the other nodes.
+	versions *versions
+	former   *stagebatch.Former
+	router   *stagebatch.Router
+	front    *passthrough.Server
+	callers  *callers
+	ready    *http.Server
+	readyLn  net.Listener
+	metrics  *metrics.Entry
 	// memberRows is the member table as it was last seen.
 	memberRows blackboard.Cell[map[string]store.Row]
 
@@ -138,6 +140,7 @@
 	n.targets = targets.New(set.DataCentre)
 	n.config = &watch.Table{Name: env.ConfigTable, From: env.Store, Wait: watch.LongWait, Pause: n.pause(0, configPause, configPause), Apply: n.applyConfig, Log: n.log}
 	n.servers = &watch.Table{Name: env.TargetTable, From: env.Store, Wait: watch.ShortWait, Pause: n.pause(targetPausePerNode, targetPause, maxTargetPause), Apply: n.applyTargets, Contact: n.storeContact, Log: n.log}
+	n.versions = &versions{n: n}
 	n.former = stagebatch.NewFormer(env.Worker, n.targets, n.batchSpec, n.log)
 	var err error
 	if n.peers, err = n.provisionPeers(); err != nil {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -68,7 +68,7 @@
 	}
 	p := &peers{n: n, client: &lateClient{}, server: &lateServer{ln: ln, key: make(chan []byte, 1)}}
 	p.server.start = func(key []byte) *peer.Server {
-		return peer.NewServer(ln, key, n.set.Node, peer.Handler{Stages: n.former}, n.log)
+		return peer.NewServer(ln, key, n.set.Node, peer.Handler{Stages: n.former, Versions: n.versions}, n.log)
 	}
 	p.row, err = json.Marshal(member{Addr: ln.Addr().String(), DataCentre: n.set.DataCentre, Started: n.started.UnixNano()})
 	if err != nil {
@@ -85,7 +85,7 @@
 	if err != nil {
 		return err
 	}
-	p.client.set(peer.NewClient(peer.Dial(p.n.env.Dial), key, p.n.set.Node))
+	p.client.set(peer.NewClient(peer.Dial(p.n.env.Dial), key, p.n.set.Node, p.n.versions))
 	p.server.key <- key
 	for {
 		wait := enterAgain
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	p.client = peer.NewClient(dial, n.env.PeerKey, self.Name)
+	p.client = peer.NewClient(dial, n.env.PeerKey, self.Name, nil)
 	h := peer.Handler{
 		Books:    lateBooks{n},
 		Changes:  func(after int64) []catalog.Change { return n.follower.Since(after) },
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -27,9 +27,10 @@
 // Client calls other nodes. It keeps one connection to each node that it
 // called lately. It is safe for concurrent use.
 type Client struct {
-	dial Dial
-	key  []byte
-	node string
+	dial     Dial
+	key      []byte
+	node     string
+	versions Versions
 
 	mu       sync.Mutex
 	sessions map[string]*session
@@ -44,9 +45,13 @@
 	used time.Time
 }
 
-// NewClient returns a Client that presents itself as node.
-func NewClient(dial Dial, key []byte, node string) *Client {
-	return &Client{dial: dial, key: key, node: node, sessions: make(map[string]*session)}
+// NewClient returns a Client that presents itself as node. versions exchanges
+// configuration versions with orders; nil for not.
+func NewClient(dial Dial, key []byte, node string, versions Versions) *Client {
+	if versions == nil {
+		versions = unversioned{}
+	}
+	return &Client{dial: dial, key: key, node: node, versions: versions, sessions: make(map[string]*session)}
 }
 
 // Close drops all connections.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -54,7 +54,7 @@
 func TestCallsAndRefusalsCross(t *testing.T) {
 	c := qt.New(t)
 	addr := startServer(t, "key")
-	cl := NewClient((&net.Dialer{}).DialContext, []byte("key"), "client")
+	cl := NewClient((&net.Dialer{}).DialContext, []byte("key"), "client", nil)
 	defer cl.Close()
 	_, err := cl.Book(addr).Claim(t.Context(), ledger.Claim{})
 	c.Assert(verdict.CodeOf(err), qt.Equals, verdict.KeyOutcomeUnknown)
@@ -76,7 +76,7 @@
 func TestWrongKeyIsRefusedByBothEnds(t *testing.T) {
 	c := qt.New(t)
 	addr := startServer(t, "key")
-	cl := NewClient((&net.Dialer{}).DialContext, []byte("other"), "client")
+	cl := NewClient((&net.Dialer{}).DialContext, []byte("other"), "client", nil)
 	defer cl.Close()
 	_, _, err := cl.Snapshot(t.Context(), addr)
 	c.Assert(err, qt.IsNotNil)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -37,6 +37,8 @@
 	Demand func() []scheduler.ModelDemand
 	// Stages answers orders for stage results; nil at nodes without them.
 	Stages Stages
+	// Versions exchanges configuration versions with orders; nil for not.
+	Versions Versions
 }
 
 // Server accepts connections of other nodes. It implements suture.Service.
@@ -53,6 +55,9 @@
 
 // NewServer returns a server on a listener.
 func NewServer(l net.Listener, key []byte, node string, h Handler, log *slog.Logger) *Server {
+	if h.Versions == nil {
+		h.Versions = unversioned{}
+	}
 	return &Server{listener: l, key: key, node: node, h: h, log: log, sessions: make(map[*yamux.Session]bool)}
 }
 
--- a/internal/peer/stages.go
+++ b/internal/peer/stages.go
@@ -22,6 +22,21 @@
 	Free(service string, handles []string)
 }
 
+// Versions tells nodes of each other's configuration, with the orders that they send
+// and answer anyway.
+type Versions interface {
+	// Mine returns the version in force at this node.
+	Mine() int64
+	// Heard takes in the version in force at another node.
+	Heard(version int64)
+}
+
+// unversioned is for nodes that tell nothing of their configuration with orders.
+type unversioned struct{}
+
+func (unversioned) Mine() int64 { return 0 }
+func (unversioned) Heard(int64) {}
+
 // failures are the errors of orders in the order of their numbers on the wire;
 // 0 is success.
 var failures = []error{nil, stagebatch.ErrLate, stagebatch.ErrInputGone, stagebatch.ErrFailed, stagebatch.ErrNoTarget}
@@ -89,7 +104,9 @@
 	}()
 	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	if err := writeFrame(st, &peerpb.Request{Call: &peerpb.Request_Produce{Produce: orderTo(o, time.Now())}}); err != nil {
+	msg := orderTo(o, time.Now())
+	msg.ConfigVersion = c.versions.Mine()
+	if err := writeFrame(st, &peerpb.Request{Call: &peerpb.Request_Produce{Produce: msg}}); err != nil {
 		return stagebatch.Result{}, eris.Wrap(err, "send to peer")
 	}
 	resp, err := c.awaitProduced(st, accepted, sync.OnceFunc(func() {
@@ -125,6 +142,7 @@
 			return resp, nil
 		}
 		accepted(waitsFrom(a.WaitMs))
+		c.versions.Heard(a.ConfigVersion)
 		if a.InputsRead {
 			inputsRead()
 		}
@@ -171,8 +189,11 @@
 		res, err := s.h.Stages.Produce(ctx, o, func(stagebatch.Waits) { accepted <- struct{}{} })
 		done <- produced{res, err}
 	}()
-	waits := func() []int64 { return waitsTo(s.h.Stages.Waits(m.Service)) }
-	p := awaitOrder(ctx, st, waits, accepted, read, done)
+	s.h.Versions.Heard(m.ConfigVersion)
+	state := func() *peerpb.Accepted {
+		return &peerpb.Accepted{WaitMs: waitsTo(s.h.Stages.Waits(m.Service)), ConfigVersion: s.h.Versions.Mine()}
+	}
+	p := awaitOrder(ctx, st, state, accepted, read, done)
 	if p.err != nil && ctx.Err() != nil {
 		return nil, verdict.Wrap(p.err, verdict.NotRun, verdict.Canceled, "the order was withdrawn")
 	}
@@ -182,7 +203,7 @@
 
 // awaitOrder tells the peer of an order's progress until its end. A peer that
 // cannot be told has left; the reader of its stream withdraws the order.
-func awaitOrder(ctx context.Context, st *yamux.Stream, waits func() []int64, accepted, read <-chan struct{}, done <-chan produced) produced {
+func awaitOrder(ctx context.Context, st *yamux.Stream, state func() *peerpb.Accepted, accepted, read <-chan struct{}, done <-chan produced) produced {
 	tick := time.NewTicker(orderHeartbeat)
 	defer tick.Stop()
 	inputsRead := false
@@ -195,7 +216,8 @@
 		case <-read:
 			inputsRead = true
 		}
-		msg := &peerpb.Accepted{WaitMs: waits(), InputsRead: inputsRead}
+		msg := state()
+		msg.InputsRead = inputsRead
 		told := &peerpb.Response{Result: &peerpb.Response_Accepted{Accepted: msg}}
 		if writeFrame(st, told) != nil && ctx.Err() == nil {
 			return <-done
