--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -184,9 +184,12 @@
 	f.refresh(p, service)
 	now := time.Now()
 	p.giveUpHopeless(spec, now)
-	free := freeMakers(p.makers, spec, now)
-	for _, m := range free {
-		f.fill(service, p, m, spec, now, placeOf(m, p.makers, spec, len(p.queue)))
+	working := p.dataCentres()
+	for _, m := range freeMakers(p.makers, spec, now) {
+		if len(p.queue) == 0 {
+			break
+		}
+		f.fill(service, p, m, spec, now, p.placeOf(m, working, spec))
 	}
 	f.wakeLater(service, p, spec, now)
 }
@@ -194,9 +197,6 @@
 // fill gives a target that is free a batch of the orders that fit. The lock is
 // held.
 func (f *Former) fill(service string, p *pool, m *maker, spec *routes.Batch, now time.Time, pl place) {
-	if len(p.queue) == 0 || !m.free(spec, now) {
-		return
-	}
 	var batch []*piece
 	batch, p.queue = take(p.queue, spec, m.room(spec, now), now, pl)
 	if len(batch) > 0 {
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -271,14 +271,19 @@
 	hold bool
 }
 
-// placeOf returns the place of a target, with so many pieces in its pool's queue.
-func placeOf(m *maker, makers map[string]*maker, spec *routes.Batch, queued int) place {
-	pl := place{dataCentre: m.DataCentre, working: make(map[string]bool, len(makers))}
-	pl.hold = float64(queued) <= holdQueue*float64(len(makers)*max(spec.Items, 1))
-	for _, other := range makers {
-		pl.working[other.DataCentre] = true
+// placeOf returns the place of a target.
+func (p *pool) placeOf(m *maker, working map[string]bool, spec *routes.Batch) place {
+	most := holdQueue * float64(len(p.makers)*max(spec.Items, 1))
+	return place{dataCentre: m.DataCentre, working: working, hold: float64(len(p.queue)) <= most}
+}
+
+// dataCentres lists where the pool's targets stand.
+func (p *pool) dataCentres() map[string]bool {
+	out := make(map[string]bool)
+	for _, m := range p.makers {
+		out[m.DataCentre] = true
 	}
-	return pl
+	return out
 }
 
 // wished reports whether an order wishes for this place, or for none, or for one where
