--- a/internal/passthrough/engine.go
+++ b/internal/passthrough/engine.go
@@ -8,22 +8,18 @@
 	"topazmoor/internal/targets"
 )
 
-// affinity is the hash of the part of the prompt that its engine is chosen by, and the
-// length of all parts that other requests share. The last part of all belongs to the
-// request itself. Of the others the longest one decides: what is shared by many and long
-// is read at one engine, and what is short goes where the rest lies.
+// affinity is the hash of the last part of the prompt that other requests
+// share, and the length of the parts up to it. The last part of all belongs to
+// the request itself.
 func (p *Prompt) affinity() (hash uint64, shared int) {
 	if p == nil || len(p.Parts) == 0 {
 		return 0, 0
 	}
-	longest := p.Parts[0]
-	for _, part := range p.Parts[:max(len(p.Parts)-1, 1)] {
+	last := max(len(p.Parts)-2, 0)
+	for _, part := range p.Parts[:last+1] {
 		shared += part.Tokens
-		if part.Tokens >= longest.Tokens {
-			longest = part
-		}
 	}
-	return xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, longest.ID)), shared
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, p.Parts[last].ID)), shared
 }
 
 // mostInputs returns the data centre where most of the inputs of a stage lie, and
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -353,7 +353,10 @@
 	} else {
 		c.m.failures = 0
 		ratio := float64(now.Sub(c.started)) / float64(c.expected)
-		c.m.took(ratio)
+		if producedAny(reply.Results) {
+			// A call that made nothing ends at once and tells nothing of the speed.
+			c.m.took(ratio)
+		}
 		c.m.soundAt = time.Time{}
 		if ratio < soundRatio {
 			c.m.soundAt = now
@@ -368,6 +371,10 @@
 	f.pump(c.service, f.pool(c.service), c.spec)
 }
 
+func producedAny(results []ItemResult) bool {
+	return slices.ContainsFunc(results, func(r ItemResult) bool { return r.Reason == Produced })
+}
+
 // failed takes in a call without results. The lock is held.
 func (f *Former) failed(c *call, err error, now time.Time) {
 	var ce *CallError
--- a/internal/stagebatch/former_test.go
+++ b/internal/stagebatch/former_test.go
@@ -77,6 +77,10 @@
 		p.bad = append(p.bad, "a call of too many pieces")
 	}
 	takes := time.Duration(h.factor * float64(expected(spec, len(items))))
+	if h.room < testResultBytes {
+		// Servers turn all pieces away without working.
+		takes = 0
+	}
 	dark := h.dark
 	var fail error
 	if len(h.fail) > 0 {
@@ -492,3 +496,24 @@
 		})
 	})
 }
+
+// A target without room answers at once. It was taken for a fast one, and called first.
+func TestTargetWithoutRoomIsNotTakenForAFastOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		pool, list := newFakePool(1)
+		for _, h := range pool.hosts {
+			h.room = 0
+		}
+		f := NewFormer(pool, list, poolSpec, quiet)
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		_, err := f.Produce(ctx, rankedOrder("r", 0, 2), nil)
+		c.Assert(err, qt.IsNotNil)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, m := range f.pools["pool"].makers {
+			c.Assert(m.slow() > 0.9, qt.IsTrue, qt.Commentf("%.3f", m.slow()))
+		}
+	})
+}
--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -21,10 +21,10 @@
 
 // Remote makes orders at other nodes; package peer has the real one.
 type Remote interface {
-	// Produce runs an order at the node at addr. accepted is called with the waits
-	// of the node's pool when the node has taken it and again and again while it works on it, never twice at a
-	// time. The error is one of this package's, or another one
-	// when the node did not answer or refused.
+	// Produce runs an order at the node at addr. accepted is called with the waits of
+	// the node's pool when the node has taken the order, and again and again while it
+	// works on it, never twice at a time. The error is one of this package's, or
+	// another one when the node did not answer or refused.
 	Produce(ctx context.Context, addr string, o Order, accepted func(Waits)) (Result, error)
 	// Free gives up results at the node that formed their batches.
 	Free(ctx context.Context, addr, service string, handles []string) error
