--- a/internal/experiment/stagepools.go
+++ b/internal/experiment/stagepools.go
@@ -46,6 +46,9 @@
 	Burst float64
 	// FormerDies kills the node that forms the pool's batches in the middle.
 	FormerDies bool
+	// Slow targets take five times as long, and Grey ones fail four calls in ten after
+	// working on them, in the middle third.
+	Slow, Grey int
 	Span       time.Duration
 }
 
@@ -72,12 +75,19 @@
 	readTime = 300 * time.Millisecond
 	// orderPatience is when an order is of no use any more.
 	orderPatience = 8 * time.Second
+	// slowTimes and greyShare are what the users' sites name for slow and failing servers.
+	slowTimes = 5
+	greyShare = 0.4
 )
 
 // stagePool emulates the targets of a pool: calls wait for a slot in turn, and
 // are rejected when too many wait.
 type stagePool struct {
 	spec routes.Batch
+	// slow and grey are the targets that are so in the middle third, by address.
+	slow, grey map[string]bool
+	began      time.Time
+	span       time.Duration
 
 	mu           sync.Mutex
 	waiting      map[string]int
@@ -85,12 +95,39 @@
 	calls, items int
 	busy         time.Duration
 	made         map[string]int
+	rng          *rand.Rand
 }
 
-func newStagePool(spec routes.Batch) *stagePool {
-	return &stagePool{spec: spec, waiting: make(map[string]int), slots: make(map[string]chan struct{}), made: make(map[string]int)}
+func newStagePool(sc StageScenario, seed uint64) *stagePool {
+	p := &stagePool{
+		spec: sc.Spec, began: time.Now(), span: sc.Span, slow: make(map[string]bool), grey: make(map[string]bool),
+		waiting: make(map[string]int), slots: make(map[string]chan struct{}), made: make(map[string]int),
+		rng: rand.New(rand.NewPCG(seed, 2)),
+	}
+	for i := range sc.Slow {
+		p.slow[targetAddr(i)] = true
+	}
+	for i := range sc.Grey {
+		p.grey[targetAddr(sc.Targets-1-i)] = true
+	}
+	return p
+}
+
+// troubled reports whether the time of slow and grey targets is now.
+func (p *stagePool) troubled() bool {
+	at := time.Since(p.began)
+	return at > p.span/3 && at < 2*p.span/3
+}
+
+// fails draws whether a call at a target fails.
+func (p *stagePool) fails(addr string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.grey[addr] && p.troubled() && p.rng.Float64() < greyShare
 }
 
+func targetAddr(i int) string { return fmt.Sprintf("10.1.0.%d:80", i) }
+
 // Run implements stagebatch.Worker.
 func (p *stagePool) Run(ctx context.Context, t targets.Target, items []stagebatch.Item) (stagebatch.Reply, error) {
 	time.Sleep(peerLatency)
@@ -105,9 +142,15 @@
 		return stagebatch.Reply{}, &stagebatch.CallError{NotRun: true, Cause: ctx.Err()}
 	}
 	takes := p.spec.CallTime + time.Duration(len(items))*p.spec.ItemTime
+	if p.slow[t.Addr] && p.troubled() {
+		takes *= slowTimes
+	}
 	time.Sleep(takes)
 	<-slot
 	p.leave(t.Addr)
+	if p.fails(t.Addr) {
+		return stagebatch.Reply{}, &stagebatch.CallError{Cause: errors.New("the target failed")}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls++
@@ -226,12 +269,12 @@
 // a synctest bubble.
 func RunStages(sc StageScenario, policy StagePolicy, seed uint64) StageResult {
 	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
-	pool := newStagePool(sc.Spec)
+	pool := newStagePool(sc, seed)
 	list := targets.New("dc0")
 	var all []targets.Target
 	for i := range sc.Targets {
 		all = append(all, targets.Target{
-			ID: fmt.Sprint("t", i), Service: stageService, Addr: fmt.Sprintf("10.1.0.%d:80", i),
+			ID: fmt.Sprint("t", i), Service: stageService, Addr: targetAddr(i),
 			DataCentre: fmt.Sprint("dc", i%stageDataCentres), Slots: sc.Spec.Slots,
 		})
 	}
--- a/internal/experiment/stagepools_test.go
+++ b/internal/experiment/stagepools_test.go
@@ -27,6 +27,8 @@
 		with("steady", func(*StageScenario) {}),
 		with("burst", func(sc *StageScenario) { sc.Burst = 1.8 }),
 		with("formerdies", func(sc *StageScenario) { sc.FormerDies = true }),
+		with("slow", func(sc *StageScenario) { sc.Slow = 1 }),
+		with("grey", func(sc *StageScenario) { sc.Grey = 1 }),
 		with("hosts74", func(sc *StageScenario) { sc.Hosts, sc.Targets, sc.Orders = 74, 15, 72 }),
 		with("hosts400", func(sc *StageScenario) { sc.Hosts, sc.Targets, sc.Orders, sc.Span = 400, 80, 400, 12*time.Second }),
 	}
