Forget how long calls took after 2 s

The time to the first event had been measured while engines stalled; requests are refused on it, and what is refused measures nothing. Ruled out: stage pools (their waits are told anew and believed for 1 s), the other nodes (they served). Change: a measured time counts in estimates for 2 s, and the mean begins anew after that.

--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"topazmoor/internal/flow"
 )
 
 // Query describes one call that needs a target.
@@ -201,7 +203,7 @@
 		s.breaker.Success()
 		s.failures -= failureWeight * s.failures
 		if took > 0 {
-			s.latency.Add(took)
+			s.measured(took, now)
 		}
 	case Busy:
 		s.breaker.Abandon()
@@ -217,15 +219,30 @@
 	}
 }
 
-// Latency returns the mean time of a call at the targets of a service; 0 while
-// unknown.
+// latencyLife is how long the time of a call is believed in estimates. Requests are
+// refused on them, and what is refused measures nothing: a fault that has ended would
+// never be forgotten. Each node calls each service several times a second.
+const latencyLife = 2 * time.Second
+
+// measured takes in the time of a call. After a while without any it begins anew.
+func (s *state) measured(took time.Duration, now time.Time) {
+	if now.Sub(s.latencyAt) >= latencyLife {
+		s.latency = flow.Estimate{}
+	}
+	s.latency.Add(took)
+	s.latencyAt = now
+}
+
+// Latency returns the mean time of a call at the targets of a service that were
+// measured lately; 0 while unknown.
 func (t *Table) Latency(service string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.now()
 	var sum time.Duration
 	n := 0
 	for _, s := range t.services[service] {
-		if m := s.latency.Mean(); m > 0 {
+		if m := s.latency.Mean(); m > 0 && now.Sub(s.latencyAt) < latencyLife {
 			sum += m
 			n++
 		}
@@ -240,5 +257,5 @@
 func (l *Lease) FirstEvent(took time.Duration) {
 	l.t.mu.Lock()
 	defer l.t.mu.Unlock()
-	l.s.latency.Add(took)
+	l.s.measured(took, l.t.now())
 }
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -47,6 +47,8 @@
 	// failures is the recent share of failed calls, from 0 to 1.
 	failures float64
 	latency  flow.Estimate
+	// latencyAt is when the time of a call was last measured.
+	latencyAt time.Time
 	// inFlight counts this node's calls, pending the tokens of their prompts that
 	// were not read yet.
 	inFlight int
