--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -81,6 +81,10 @@
 	if a.told.Load != nil {
 		l.Told(*a.told.Load)
 	}
+	if a.told.Moved && c.meta.VersionBound {
+		// Its weights may be other ones: no reason to think that the target is gone.
+		a.told.Moved = false
+	}
 	if f := rejected(a); f != nil {
 		c.settle(a, f)
 		return nil, f
--- a/internal/passthrough/wire.go
+++ b/internal/passthrough/wire.go
@@ -28,6 +28,9 @@
 	PieceKey string
 	// LastEvent is the last event that the caller has; "" for none.
 	LastEvent string
+	// VersionBound says that only a target with certain weights may run the request:
+	// others answer as if another process had their address.
+	VersionBound bool
 }
 
 // Prompt describes the prompt of a request.
