Copy the beginning of a prompt from an engine that keeps it

Change: a node remembers which engines read which prefixes (internal/promptcache, an LRU of a known library); the choice counts what can be copied at 0.15 of what must be read, and the chosen engine is told where to copy from: an engine that was seen to read most of the prompt, else the first engine of the longest prefix. A stream that goes on elsewhere copies its whole prompt.

--- a/internal/passthrough/engine.go
+++ b/internal/passthrough/engine.go
@@ -1,25 +1,18 @@
 package passthrough
 
 import (
-	"encoding/binary"
-
-	"github.com/cespare/xxhash/v2"
-
+	"topazmoor/internal/promptcache"
 	"topazmoor/internal/targets"
 )
 
-// affinity is the hash of the last part of the prompt that other requests
-// share, and the length of the parts up to it. The last part of all belongs to
-// the request itself.
+// affinity is the hash of the prompt up to the last part that other requests share, and
+// its length. The last part of all belongs to the request itself.
 func (p *Prompt) affinity() (hash uint64, shared int) {
 	if p == nil || len(p.Parts) == 0 {
 		return 0, 0
 	}
-	last := max(len(p.Parts)-2, 0)
-	for _, part := range p.Parts[:last+1] {
-		shared += part.Tokens
-	}
-	return xxhash.Sum64(binary.LittleEndian.AppendUint64(nil, p.Parts[last].ID)), shared
+	prefix := promptcache.Prefixes(p.Model, p.Parts)[max(len(p.Parts)-2, 0)]
+	return prefix.Hash, prefix.Tokens
 }
 
 // mostInputs returns the data centre where most of the inputs of a stage lie, and
@@ -47,6 +40,9 @@
 // engineQuery describes the choice of an engine that reads the given inputs.
 func (c *call) engineQuery(in *inputs) *targets.EngineQuery {
 	q := &targets.EngineQuery{}
+	if p := c.meta.Prompt; p != nil {
+		q.Prompt = promptcache.Prefixes(p.Model, p.Parts)
+	}
 	q.Affinity, q.Shared = c.meta.Prompt.affinity()
 	if c.meta.Prompt != nil {
 		q.Tokens = c.meta.Prompt.Tokens
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -126,7 +126,7 @@
 		watchdog.watch(max(stallFactor*c.firstEventTime(), minStall))
 	}
 	c.runs++
-	a, f := c.send(ctx, l, c.sends, Outgoing{Inputs: x.in.handles, LastEvent: x.last})
+	a, f := c.send(ctx, l, c.sends, Outgoing{Inputs: x.in.handles, LastEvent: x.last, CopyFrom: l.CopyFrom})
 	if f != nil {
 		if !f.ran {
 			c.runs--
--- a/internal/passthrough/wire.go
+++ b/internal/passthrough/wire.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"topazmoor/internal/promptcache"
 	"topazmoor/internal/targets"
 )
 
@@ -40,13 +41,7 @@
 	Tokens int
 	// Parts are the parts of the prompt in order. Requests share parts; the last
 	// one belongs to the request or its session.
-	Parts []Part
-}
-
-// Part is one part of a prompt.
-type Part struct {
-	ID     uint64
-	Tokens int
+	Parts []promptcache.Part
 }
 
 // Outgoing is what the system itself tells a target about a request.
@@ -63,6 +58,9 @@
 	Inputs []string
 	// LastEvent, when set, makes the target go on after that event.
 	LastEvent string
+	// CopyFrom is the address of another engine, from which the target copies what it
+	// lacks of the prompt; "" for none.
+	CopyFrom string
 }
 
 // Told is what a target says about its answer.
--- a/internal/targets/engine.go
+++ b/internal/targets/engine.go
@@ -1,6 +1,7 @@
 package targets
 
 import (
+	"slices"
 	"time"
 
 	"topazmoor/internal/routing"
@@ -22,30 +23,106 @@
 	// secondShare is the part of the shared tokens that the second engine in the
 	// order of a prompt is presumed to lack: it serves what the first cannot.
 	secondShare = 0.7
+	// copyShare is what a token costs that is copied from another engine, as part of one
+	// that is read: engines copy 200 tokens a ms and read 35, and users price 1 GB that
+	// is copied (6,100 tokens) as much as 600 tokens that are read again.
+	copyShare = 0.15
 	// failureTokens is what an engine counts more that lately failed every call:
 	// a whole prompt, and the time until the failure is seen.
 	failureTokens = 30000
 )
 
+// keeper is an engine that presumably keeps the beginning of a prompt.
+type keeper struct {
+	*state
+	// tokens is the length of what it keeps.
+	tokens int
+}
+
+// keepers returns the listed engines in good health that this node saw read the beginning
+// of a prompt, those that read most of it first. Draining ones are among them: they hand
+// out copies, but get no requests.
+func (t *Table) keepers(q *EngineQuery, now time.Time) []keeper {
+	var out []keeper
+	for _, k := range t.prompts.Kept(q.Prompt) {
+		if s := t.byID[k.Engine]; s != nil && !s.moved && s.vanishes.IsZero() && !s.breaker.Down(now) {
+			out = append(out, keeper{s, k.Tokens})
+		}
+	}
+	return out
+}
+
+// presumed returns the engines that presumably keep a prefix that requests share, the
+// longest prefix first: all nodes have the same first engine for it. Requests go there by
+// load too, so that the choice of an engine does not rest on this, only a copy.
+func presumed(q *EngineQuery, cands []*state) []keeper {
+	var out []keeper
+	for _, p := range slices.Backward(q.Prompt) {
+		if p.Tokens <= q.Shared {
+			first, _ := preferred(p.Hash, cands)
+			out = append(out, keeper{first, p.Tokens})
+		}
+	}
+	return out
+}
+
+// kept returns how many tokens of a prompt an engine presumably keeps, by what this node
+// saw.
+func (s *state) kept(keepers []keeper) int {
+	for _, k := range keepers {
+		if k.state == s {
+			return k.tokens
+		}
+	}
+	return 0
+}
+
+// copyFrom returns the address of the engine from which s should copy the beginning of a
+// prompt: of those that keep most of it one in its own data centre, if there is one; ""
+// when none keeps more than s.
+func copyFrom(s *state, keepers []keeper) string {
+	own := s.kept(keepers)
+	addr := ""
+	for _, k := range keepers {
+		if k.tokens <= own || k.tokens < keepers[0].tokens {
+			break
+		}
+		if k.DataCentre == s.DataCentre {
+			return k.Addr
+		}
+		if addr == "" {
+			addr = k.Addr
+		}
+	}
+	return addr
+}
+
 // bestEngine returns the candidate of least cost.
-func bestEngine(q *EngineQuery, cands []*state, now time.Time) *state {
+func bestEngine(q *EngineQuery, keepers []keeper, cands []*state, now time.Time) *state {
 	first, second := preferred(q.Affinity, cands)
 	least := cands[0].calls(now)
 	for _, s := range cands {
 		least = min(least, s.calls(now))
 	}
+	copied := 0
+	if len(keepers) > 0 {
+		copied = keepers[0].tokens
+	}
 	var best *state
 	var bestCost float64
 	for _, s := range cands {
 		c := float64(callTokens*(s.calls(now)-least)) + pendingShare*float64(s.pending) + s.failures*failureTokens
 		c += float64(remoteBytes(q.Inputs, s.DataCentre)) / bytesPerToken
+		has := float64(s.kept(keepers))
 		switch {
-		case q.Affinity == 0 || s == first:
+		case q.Affinity == 0:
+		case s == first:
+			has = max(has, float64(q.Shared))
 		case s == second:
-			c += secondShare * float64(q.Shared)
-		default:
-			c += float64(q.Shared)
+			has = max(has, (1-secondShare)*float64(q.Shared))
 		}
+		// What it has not must be read, or copied for less.
+		c -= has + (1-copyShare)*max(float64(copied)-has, 0)
 		if best == nil || c < bestCost || (c == bestCost && routing.Mix(q.Affinity, s.hash) > routing.Mix(q.Affinity, best.hash)) {
 			best, bestCost = s, c
 		}
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"topazmoor/internal/flow"
+	"topazmoor/internal/promptcache"
 )
 
 // Query describes one call that needs a target.
@@ -25,6 +26,8 @@
 	// Tokens is the length of the prompt, Shared that of the parts that others
 	// share.
 	Tokens, Shared int
+	// Prompt is the whole prompt by its prefixes, the shortest first.
+	Prompt []promptcache.Prefix
 	// Inputs are the bytes of stage results that the engine will fetch, by the
 	// data centre where they lie.
 	Inputs map[string]int64
@@ -48,9 +51,13 @@
 // Lease is a target that was chosen for one call. Done must be called once.
 type Lease struct {
 	Target
-	t      *Table
-	s      *state
-	tokens int
+	// CopyFrom is the address of an engine that presumably keeps more of the prompt than
+	// this target does; "" for none.
+	CopyFrom string
+	t        *Table
+	s        *state
+	tokens   int
+	prompt   []promptcache.Prefix
 	// Basis is what decided the choice.
 	Basis Basis
 }
@@ -97,8 +104,12 @@
 	}
 	l := &Lease{t: t}
 	if q.Engine != nil {
-		l.s = bestEngine(q.Engine, cands, now)
-		l.tokens = q.Engine.Tokens
+		kept := t.keepers(q.Engine, now)
+		l.s = bestEngine(q.Engine, kept, cands, now)
+		l.tokens, l.prompt = q.Engine.Tokens, q.Engine.Prompt
+		if l.CopyFrom = copyFrom(l.s, kept); l.CopyFrom == "" && l.s.kept(kept) < q.Engine.Shared {
+			l.CopyFrom = copyFrom(l.s, presumed(q.Engine, cands))
+		}
 	} else {
 		l.s = cheapest(q, cands, t.DataCentre, now)
 	}
@@ -176,6 +187,7 @@
 
 // PromptRead notes that the target has read the prompt of the call.
 func (l *Lease) PromptRead() {
+	l.t.prompts.Read(l.ID, l.prompt)
 	l.t.mu.Lock()
 	defer l.t.mu.Unlock()
 	l.s.pending -= l.tokens
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"topazmoor/internal/flow"
+	"topazmoor/internal/promptcache"
 	"topazmoor/internal/routing"
 )
 
@@ -30,6 +31,10 @@
 // within about two seconds.
 const lapseGrace = 2200 * time.Millisecond
 
+// promptMemory is the number of prefixes of prompts that a node remembers, about 1 MB:
+// some minutes of a node's share at the size to design for.
+const promptMemory = 4096
+
 // Load is what a target said about itself with an answer.
 type Load struct{ Running, Waiting, Slots int }
 
@@ -69,6 +74,8 @@
 	mu       sync.Mutex
 	byID     map[string]*state
 	services map[string][]*state
+	// prompts remembers which engines read which prompts.
+	prompts *promptcache.Memory
 	// seen is set once a list was taken in.
 	seen bool
 	now  func() time.Time
@@ -76,7 +83,7 @@
 
 // New returns an empty Table.
 func New(dataCentre string) *Table {
-	return &Table{DataCentre: dataCentre, byID: make(map[string]*state), services: make(map[string][]*state), now: time.Now}
+	return &Table{DataCentre: dataCentre, byID: make(map[string]*state), services: make(map[string][]*state), prompts: promptcache.New(promptMemory), now: time.Now}
 }
 
 // Change is what an update of the list did, for logs.
--- a/internal/targets/targets_test.go
+++ b/internal/targets/targets_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"topazmoor/internal/promptcache"
 	_ "topazmoor/internal/standin/fixedseed"
 )
 
@@ -145,7 +147,14 @@
 			Inputs: map[string]int64{"dc1": rapid.Int64Range(0, 4<<20).Draw(rt, "here"), "dc2": rapid.Int64Range(0, 4<<20).Draw(rt, "there")},
 		}
 		cands := tb.candidates(Query{Service: "engines"}, now.at)
-		got := bestEngine(q, cands, now.at)
+		var kept []keeper
+		for _, s := range cands {
+			if tokens := rapid.SampledFrom([]int{0, 0, q.Shared / 3, q.Shared}).Draw(rt, "kept"); tokens > 0 {
+				kept = append(kept, keeper{s, tokens})
+			}
+		}
+		slices.SortStableFunc(kept, func(a, b keeper) int { return b.tokens - a.tokens })
+		got := bestEngine(q, kept, cands, now.at)
 		first, second := preferred(q.Affinity, cands)
 		cost := func(s *state) float64 {
 			c := callTokens*float64(s.inFlight) + pendingShare*float64(s.pending)
@@ -160,7 +169,17 @@
 			} else if s == second {
 				missing *= secondShare
 			}
-			return c + missing
+			// What it was seen to read is there, and what another one was seen to read
+			// can be copied.
+			copied := 0.0
+			for _, k := range kept {
+				copied = max(copied, float64(k.tokens))
+				if k.state == s {
+					missing = min(missing, float64(q.Shared-k.tokens))
+				}
+			}
+			copied = max(copied-(float64(q.Shared)-missing), 0)
+			return c + missing - copied + copyShare*copied
 		}
 		for _, s := range cands {
 			if cost(s) < cost(got)-1e-6 {
@@ -170,6 +189,51 @@
 	})
 }
 
+// promptOf is a prompt of two shared parts and one of its own.
+func promptOf(own uint64) []promptcache.Prefix {
+	return promptcache.Prefixes("m", []promptcache.Part{{ID: 1, Tokens: 2500}, {ID: 2, Tokens: 3800}, {ID: own, Tokens: 2900}})
+}
+
+func queryOf(own uint64) *EngineQuery {
+	p := promptOf(own)
+	return &EngineQuery{Affinity: p[1].Hash, Shared: p[1].Tokens, Tokens: p[2].Tokens, Prompt: p}
+}
+
+func TestPromptIsCopiedFromAnEngineThatReadItsBeginning(t *testing.T) {
+	c := qt.New(t)
+	tb, _ := newTable(engines(6)...)
+	l := tb.Pick(Query{Service: "engines", Engine: queryOf(10)})
+	l.PromptRead()
+	// The engine that read it keeps it: nothing is copied.
+	again := tb.Pick(Query{Service: "engines", Engine: queryOf(11)})
+	c.Assert(again.ID, qt.Equals, l.ID)
+	c.Assert(again.CopyFrom, qt.Equals, "")
+	// Another one copies it from there, from its own data centre where it can.
+	other := tb.Pick(Query{Service: "engines", Exclude: []string{l.ID}, Engine: queryOf(12)})
+	c.Assert(other.CopyFrom, qt.Equals, l.Addr)
+	other.PromptRead()
+	third := tb.Pick(Query{Service: "engines", Exclude: []string{l.ID, other.ID}, Engine: queryOf(13)})
+	c.Assert(third.CopyFrom, qt.Not(qt.Equals), "")
+	if third.DataCentre == other.DataCentre {
+		c.Assert(third.CopyFrom, qt.Equals, other.Addr)
+	}
+	// A stream that goes on elsewhere copies the whole prompt.
+	resumed := tb.Pick(Query{Service: "engines", Exclude: []string{l.ID}, Engine: queryOf(10)})
+	c.Assert(resumed.CopyFrom, qt.Equals, l.Addr)
+}
+
+func TestPromptIsNotCopiedFromAnEngineThatIsGone(t *testing.T) {
+	c := qt.New(t)
+	tb, _ := newTable(engines(4)...)
+	l := tb.Pick(Query{Service: "engines", Engine: queryOf(10)})
+	l.PromptRead()
+	l.Done(Unreachable, 0)
+	left := slices.DeleteFunc(engines(4), func(e Target) bool { return e.ID == l.ID })
+	tb.Update(left, time.Time{})
+	next := tb.Pick(Query{Service: "engines", Engine: queryOf(10)})
+	c.Assert(next.CopyFrom, qt.Not(qt.Equals), l.Addr)
+}
+
 func BenchmarkPickEngine(b *testing.B) {
 	for _, n := range []int{12, 100, 670} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
