Count pieces once in a pool's estimates

Cause (listed as open): recent dropped old entries in place, and callers that only counted kept the old length, so that the last entries stood twice. Test: TestPiecesAreCountedOnceInEstimates, red before (wait of rank 1 3.6 s instead of 2.6 s).

--- a/internal/stagebatch/estimate.go
+++ b/internal/stagebatch/estimate.go
@@ -56,15 +56,14 @@
 	pieces int
 }
 
-// recent drops what is older than the window.
+// recent returns what lies in the window, of entries in the order of their times. It
+// leaves them as they are.
 func recent(all []counted, now time.Time) []counted {
-	kept := all[:0]
-	for _, c := range all {
-		if now.Sub(c.at) < rateWindow {
-			kept = append(kept, c)
-		}
+	first := slices.IndexFunc(all, func(c counted) bool { return now.Sub(c.at) < rateWindow })
+	if first < 0 {
+		return nil
 	}
-	return kept
+	return all[first:]
 }
 
 // noteOrder notes the pieces of an order that came.
--- a/internal/stagebatch/estimate_test.go
+++ b/internal/stagebatch/estimate_test.go
@@ -8,6 +8,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"topazmoor/internal/routes"
 )
 
 // rankedOrder is an order of a rank that is due in a second.
@@ -120,3 +122,27 @@
 		c.Assert(batch[0].order.DataCentre, qt.Equals, "there")
 	})
 }
+
+// What came is counted once, however often the estimates are worked out.
+func TestPiecesAreCountedOnceInEstimates(t *testing.T) {
+	c := qt.New(t)
+	spec := &routes.Batch{Slots: 1, Items: 8, CallTime: 200 * time.Millisecond, ItemTime: 20 * time.Millisecond, RoomBytes: 1 << 30}
+	start := time.Date(2026, 3, 5, 0, 0, 0, 0, time.UTC)
+	counted := func(lookAgain bool) Waits {
+		p := &pool{makers: map[string]*maker{"a": {}}, traffic: traffic{busySince: start}}
+		p.noteOrder(2, 3, start)
+		p.noteOrder(1, 5, start.Add(time.Second))
+		p.noteOrder(0, 6, start.Add(rateWindow+100*time.Millisecond))
+		for i := range 6 {
+			pc := &piece{order: &order{Order: Order{Priority: i % 3, Due: start.Add(time.Minute)}}, queued: true}
+			p.queue = append(p.queue, pc)
+		}
+		if lookAgain {
+			for i := range 30 {
+				p.wait(spec, start.Add(rateWindow+200*time.Millisecond+time.Duration(i)*waitsLife))
+			}
+		}
+		return p.wait(spec, start.Add(rateWindow+1450*time.Millisecond))
+	}
+	c.Assert(counted(true), qt.DeepEquals, counted(false))
+}
