Take requests that will be late, and refuse at once what is hopeless

Change: pools tell also how long late pieces wait, of requests that were begun and of others; a late request is taken where that fits its deadline, else it is refused at once. Gone: firstTryShare and the memory of callers' patience.

--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -22,7 +22,7 @@
 // Stages produces the results of stages; *stagebatch.Router in production.
 type Stages interface {
 	Produce(ctx context.Context, o stagebatch.Order) (stagebatch.Result, error)
-	Estimate(service string, rank, pieces int) time.Duration
+	Estimate(service string, w stagebatch.Work) time.Duration
 	Free(service string, res stagebatch.Result)
 }
 
@@ -93,7 +93,6 @@
 	// stopping.
 	endsAt atomic.Int64
 	ending context.Context
-	usual  patiences
 	cut    context.CancelCauseFunc
 }
 
--- a/internal/passthrough/stages.go
+++ b/internal/passthrough/stages.go
@@ -120,12 +120,13 @@
 // lastOfLongest returns the last stage on the longest path, or -1 when there is
 // only one path.
 func (c *call) lastOfLongest() int {
+	est := c.onTime()
 	best, longest := -1, time.Duration(0)
 	for i := range c.route.Stages {
-		if c.after(i) > 0 || c.pieces(i) == 0 || len(c.route.Stages[i].After) == 0 {
+		if est.after(i) > 0 || c.pieces(i) == 0 || len(c.route.Stages[i].After) == 0 {
 			continue
 		}
-		if t := c.before(i) + c.stageTime(i); t > longest {
+		if t := est.before(i) + est.stage(i); t > longest {
 			best, longest = i, t
 		}
 	}
@@ -138,10 +139,11 @@
 // starts. It reports whether ctx still lasts.
 func (c *call) holdBack(ctx context.Context, i int, lastStep <-chan struct{}) bool {
 	st := c.route.Stages[i]
-	if st.ResultBytes < bigResult || len(st.After) > 0 || c.after(i) > 0 || c.pieces(i) == 0 || c.lastOfLongest() < 0 {
+	if st.ResultBytes < bigResult || len(st.After) > 0 || c.onTime().after(i) > 0 || c.pieces(i) == 0 || c.lastOfLongest() < 0 {
 		return true
 	}
-	slack := c.stagesTime() - c.stageTime(i) - holdMargin
+	est := c.onTime()
+	slack := est.all() - est.stage(i) - holdMargin
 	if slack <= 0 {
 		return true
 	}
@@ -206,57 +208,14 @@
 // due is when stage i should have ended for the request to meet its objective:
 // the time of the stages after it and of the engine's first event is kept free.
 func (c *call) due(i int) time.Time {
-	return c.arrived.Add(c.route.Objective - c.firstEventTime() - c.after(i))
+	return c.arrived.Add(c.route.Objective - c.firstEventTime() - c.onTime().after(i))
 }
 
 // stageDeadline is when the results of stage i are of no use any more: the answer could
 // not begin by the request's deadline. Estimates err, so that less than the estimated
 // time of what follows is kept free.
 func (c *call) stageDeadline(i int) time.Time {
-	return c.deadline.Add(-time.Duration(admitShare * float64(c.after(i)+c.firstEventTime())))
-}
-
-// after estimates the time of the stages that follow stage i, on the longest
-// path.
-func (c *call) after(i int) time.Duration {
-	var longest time.Duration
-	for j := i + 1; j < len(c.route.Stages); j++ {
-		for _, dep := range c.route.Stages[j].After {
-			if dep == i {
-				longest = max(longest, c.stageTime(j)+c.after(j))
-			}
-		}
-	}
-	return longest
-}
-
-// before estimates the time of the stages that stage i waits for.
-func (c *call) before(i int) time.Duration {
-	var longest time.Duration
-	for _, dep := range c.route.Stages[i].After {
-		longest = max(longest, c.before(dep)+c.stageTime(dep))
-	}
-	return longest
-}
-
-// stageTime estimates the time of one stage.
-func (c *call) stageTime(i int) time.Duration {
-	n := c.pieces(i)
-	if n == 0 {
-		return 0
-	}
-	return c.s.cfg.Stages.Estimate(c.route.Stages[i].Service, c.rank, n)
-}
-
-// stagesTime estimates the time of all stages, on the longest path.
-func (c *call) stagesTime() time.Duration {
-	var longest time.Duration
-	for i := range c.route.Stages {
-		if len(c.route.Stages[i].After) == 0 {
-			longest = max(longest, c.stageTime(i)+c.after(i))
-		}
-	}
-	return longest
+	return c.deadline.Add(-time.Duration(admitShare * float64(c.onTime().after(i)+c.firstEventTime())))
 }
 
 // readers counts, by stage, the stages that read its results.
--- a/internal/peer/stages.go
+++ b/internal/peer/stages.go
@@ -74,20 +74,24 @@
 	}
 }
 
-func waitsTo(w stagebatch.Waits) []int64 {
-	out := make([]int64, len(w))
-	for i, d := range w {
-		out[i] = d.Milliseconds()
+// acceptedTo is the message that tells the waits of a pool.
+func acceptedTo(w stagebatch.Waits) *peerpb.Accepted {
+	a := &peerpb.Accepted{LateBegunMs: w.LateBegun.Milliseconds(), LateNewMs: w.LateNew.Milliseconds()}
+	for _, d := range w.OnTime {
+		a.WaitMs = append(a.WaitMs, d.Milliseconds())
 	}
-	return out
+	return a
 }
 
-func waitsFrom(ms []int64) stagebatch.Waits {
-	out := make(stagebatch.Waits, len(ms))
-	for i, n := range ms {
-		out[i] = time.Duration(n) * time.Millisecond
+func waitsFrom(a *peerpb.Accepted) stagebatch.Waits {
+	w := stagebatch.Waits{
+		LateBegun: time.Duration(a.LateBegunMs) * time.Millisecond,
+		LateNew:   time.Duration(a.LateNewMs) * time.Millisecond,
 	}
-	return out
+	for _, n := range a.WaitMs {
+		w.OnTime = append(w.OnTime, time.Duration(n)*time.Millisecond)
+	}
+	return w
 }
 
 // Produce implements stagebatch.Remote.
@@ -141,7 +145,7 @@
 		if a == nil {
 			return resp, nil
 		}
-		accepted(waitsFrom(a.WaitMs))
+		accepted(waitsFrom(a))
 		c.versions.Heard(a.ConfigVersion)
 		if a.InputsRead {
 			inputsRead()
@@ -191,7 +195,9 @@
 	}()
 	s.h.Versions.Heard(m.ConfigVersion)
 	state := func() *peerpb.Accepted {
-		return &peerpb.Accepted{WaitMs: waitsTo(s.h.Stages.Waits(m.Service)), ConfigVersion: s.h.Versions.Mine()}
+		a := acceptedTo(s.h.Stages.Waits(m.Service))
+		a.ConfigVersion = s.h.Versions.Mine()
+		return a
 	}
 	p := awaitOrder(ctx, st, state, accepted, read, done)
 	if p.err != nil && ctx.Err() != nil {
--- a/internal/peer/stages_test.go
+++ b/internal/peer/stages_test.go
@@ -22,7 +22,7 @@
 }
 
 func (s *slowStages) Produce(ctx context.Context, o stagebatch.Order, accepted func(stagebatch.Waits)) (stagebatch.Result, error) {
-	accepted(nil)
+	accepted(stagebatch.Waits{})
 	select {
 	case <-ctx.Done():
 		close(s.withdrawn)
@@ -35,7 +35,9 @@
 	return stagebatch.Result{Handles: []string{o.Request + "/0", o.Request + "/1"}}, nil
 }
 
-func (s *slowStages) Waits(string) stagebatch.Waits { return stagebatch.Waits{0, time.Second} }
+func (s *slowStages) Waits(string) stagebatch.Waits {
+	return stagebatch.Waits{OnTime: []time.Duration{0, time.Second}}
+}
 
 func (s *slowStages) Free(string, []string) {}
 
--- a/internal/stagebatch/estimate.go
+++ b/internal/stagebatch/estimate.go
@@ -7,17 +7,41 @@
 	"topazmoor/internal/routes"
 )
 
-// Waits tells, by rank from 0 on, how long a piece that comes now waits for its call
-// to begin. Ranks beyond the last wait as long as the last; without any, nothing
-// waits.
-type Waits []time.Duration
+// Waits tells how long a piece that comes now waits for its call to begin.
+type Waits struct {
+	// OnTime are the waits of pieces that can meet their objective, by rank from 0 on.
+	// Ranks beyond the last wait as long as the last; without any, nothing waits.
+	OnTime []time.Duration
+	// LateBegun and LateNew are the waits of pieces that are late: of those whose request
+	// has results of earlier stages, and of the others, which go last.
+	LateBegun, LateNew time.Duration
+}
 
-// Of returns the wait of a rank.
+// Of returns the wait of pieces of a rank that can meet their objective.
 func (w Waits) Of(rank int) time.Duration {
-	if len(w) == 0 {
+	if len(w.OnTime) == 0 {
 		return 0
 	}
-	return w[min(max(rank, 0), len(w)-1)]
+	return w.OnTime[min(max(rank, 0), len(w.OnTime)-1)]
+}
+
+// Work is what an estimate is asked for.
+type Work struct {
+	Rank, Pieces int
+	// Late says that the request will miss its objective, Begun that results of earlier
+	// stages are there.
+	Late, Begun bool
+}
+
+// of returns the wait of a piece.
+func (w Waits) of(work Work) time.Duration {
+	switch {
+	case work.Late && work.Begun:
+		return max(w.LateBegun, w.Of(work.Rank))
+	case work.Late:
+		return max(w.LateNew, w.Of(work.Rank))
+	}
+	return w.Of(work.Rank)
 }
 
 const (
@@ -96,16 +120,23 @@
 	return min(could, max(float64(made)/rateWindow.Seconds(), could/4))
 }
 
-// wait returns the estimates of all ranks of a pool. Those that are late already go
-// after all others, so nobody waits for them.
+// wait returns the estimates of a pool. Those that are late already go after all others,
+// so that only late ones wait for them.
 func (p *pool) wait(spec *routes.Batch, now time.Time) Waits {
-	if now.Sub(p.waitsAt) < waitsLife && len(p.waits) == p.ranks {
+	if now.Sub(p.waitsAt) < waitsLife && len(p.waits.OnTime) == p.ranks {
 		return p.waits
 	}
 	ahead, coming := make([]int, p.ranks), make([]int, p.ranks)
+	lateBegun, lateNew := 0, 0
 	for _, pc := range p.queue {
-		if !pc.order.ended && pc.order.Due.After(now) {
+		switch {
+		case pc.order.ended:
+		case pc.order.Due.After(now):
 			ahead[min(max(pc.order.Priority, 0), p.ranks-1)]++
+		case pc.begun():
+			lateBegun++
+		default:
+			lateNew++
 		}
 	}
 	for _, c := range recent(p.came, now) {
@@ -118,15 +149,21 @@
 		// The next of the busy targets is free after a part of its call.
 		residual = expected(spec, spec.Items/2) / time.Duration(good+1)
 	}
-	out := make(Waits, p.ranks)
+	out := Waits{OnTime: make([]time.Duration, p.ranks)}
 	before, urgent := 0, 0.0
-	for rank := range out {
-		before += ahead[rank]
-		// More urgent pieces that come meanwhile go first.
+	// made returns how long the pool makes a number of pieces, while more urgent ones
+	// that come meanwhile go first.
+	made := func(pieces int) time.Duration {
 		left := max(rate-urgent/rateWindow.Seconds(), leastShare*rate)
-		out[rank] = time.Duration(float64(before)/left*float64(time.Second)) + residual
+		return time.Duration(float64(pieces)/left*float64(time.Second)) + residual
+	}
+	for rank := range out.OnTime {
+		before += ahead[rank]
+		out.OnTime[rank] = made(before)
 		urgent += float64(coming[rank])
 	}
+	out.LateBegun = made(before + lateBegun)
+	out.LateNew = made(before + lateBegun + lateNew)
 	p.waits, p.waitsAt = out, now
 	return out
 }
--- a/internal/stagebatch/estimate_test.go
+++ b/internal/stagebatch/estimate_test.go
@@ -86,8 +86,9 @@
 			}
 			synctest.Wait()
 			waits := f.Waits("pool")
-			for rank := 1; rank < len(waits); rank++ {
-				if waits[rank] < waits[rank-1] || waits[0] < 0 {
+			onTime := waits.OnTime
+			for rank := 1; rank < len(onTime); rank++ {
+				if onTime[rank] < onTime[rank-1] || onTime[0] < 0 || waits.LateBegun < onTime[rank] || waits.LateNew < waits.LateBegun {
 					rt.Fatalf("waits do not rise: %v", waits)
 				}
 			}
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -124,7 +124,7 @@
 	defer f.mu.Unlock()
 	p := f.pools[service]
 	if spec == nil || p == nil {
-		return nil
+		return Waits{}
 	}
 	return p.wait(spec, time.Now())
 }
--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -213,18 +213,18 @@
 	r.waits[service] = told{waits: w, at: time.Now()}
 }
 
-// Estimate returns the time that an order of a rank would take, by what the pool's
-// former last said.
-func (r *Router) Estimate(service string, rank, pieces int) time.Duration {
+// Estimate returns the time that an order would take, by what the pool's former last
+// said.
+func (r *Router) Estimate(service string, w Work) time.Duration {
 	spec := r.local.spec(service)
 	if spec == nil {
 		return 0
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := expected(spec, pieces)
+	e := expected(spec, w.Pieces)
 	if last := r.waits[service]; time.Since(last.at) < estimateLife {
-		e += last.waits.Of(rank)
+		e += last.waits.of(w)
 	}
 	return e
 }
--- a/internal/stagebatch/router_test.go
+++ b/internal/stagebatch/router_test.go
@@ -27,7 +27,7 @@
 
 func (r *slowRemote) Produce(ctx context.Context, _ string, o Order, accepted func(Waits)) (Result, error) {
 	r.orders++
-	accepted(nil)
+	accepted(Waits{})
 	end := time.After(r.takes)
 	var tick <-chan time.Time
 	if r.says > 0 {
@@ -40,7 +40,7 @@
 		case <-ctx.Done():
 			return Result{}, ctx.Err()
 		case <-tick:
-			accepted(nil)
+			accepted(Waits{})
 		case <-end:
 			return Result{Handles: make([]string, o.Pieces)}, nil
 		}
