Give up read results early only where their room is needed

Cause: results were given up 130 ms after their reader's call began. Change: a reader's home asks to give them up where room is short; the node that keeps the accounts does so if two calls as large as the last do not fit. The end of the reader gives them up in any case. Big results of a late request wait until the last stage of the other branch is in a call. Test: TestReadResultsAreGivenUpOnlyWhereRoomIsShort.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -209,12 +209,12 @@
 }
 
 // Free implements stagebatch.Remote.
-func (l *lateClient) Free(ctx context.Context, addr, service string, handles []string) error {
+func (l *lateClient) Free(ctx context.Context, addr, service string, handles []string, ifTight bool) error {
 	c := l.c.Load()
 	if c == nil {
 		return errNoKey
 	}
-	return c.Free(ctx, addr, service, handles)
+	return c.Free(ctx, addr, service, handles, ifTight)
 }
 
 func (l *lateClient) close() {
--- a/internal/experiment/stagepools.go
+++ b/internal/experiment/stagepools.go
@@ -256,8 +256,12 @@
 }
 
 // Free implements stagebatch.Remote.
-func (h *stageHosts) Free(_ context.Context, addr, service string, handles []string) error {
-	if !h.isDead(addr) {
+func (h *stageHosts) Free(_ context.Context, addr, service string, handles []string, ifTight bool) error {
+	switch {
+	case h.isDead(addr):
+	case ifTight:
+		h.formers[addr].FreeIfTight(service, handles)
+	default:
 		h.formers[addr].Free(service, handles)
 	}
 	return nil
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -24,6 +24,9 @@
 	Produce(ctx context.Context, o stagebatch.Order) (stagebatch.Result, error)
 	Estimate(service string, w stagebatch.Work) time.Duration
 	Free(service string, res stagebatch.Result)
+	// FreeIfTight gives up results that were read, but whose reader has not ended, where
+	// their room is needed.
+	FreeIfTight(service string, res stagebatch.Result)
 }
 
 // Sender sends one request to a target; *httpconn.Pool in production.
--- a/internal/passthrough/stages.go
+++ b/internal/passthrough/stages.go
@@ -64,6 +64,7 @@
 	defer cancel(nil)
 	readers := c.readers()
 	last, lastStep := c.lastOfLongest(), make(chan struct{})
+	lastBegins := sync.OnceFunc(func() { close(lastStep) })
 	done := make([]chan struct{}, len(c.route.Stages))
 	for i := range done {
 		done[i] = make(chan struct{})
@@ -75,16 +76,21 @@
 			if c.await(ctx, done, i) != nil || !c.holdBack(ctx, i, lastStep) {
 				return
 			}
-			if i == last {
-				close(lastStep)
+			if i == last && !c.late(i) {
+				lastBegins()
 			}
-			release := sync.OnceFunc(func() { c.releaseRead(in, readers, i) })
-			res, err := c.produceStage(ctx, in, i, release)
+			read := func() {
+				c.inputsRead(in, readers, i)
+				if i == last {
+					lastBegins()
+				}
+			}
+			res, err := c.produceStage(ctx, in, i, read)
 			if err != nil {
 				cancel(err)
 				return
 			}
-			release()
+			c.releaseRead(in, readers, i)
 			in.set(i, res)
 		})
 	}
@@ -158,6 +164,12 @@
 	return true
 }
 
+// late reports whether stage i will presumably not be done in time for the request to
+// meet its objective.
+func (c *call) late(i int) bool {
+	return c.due(i).Before(time.Now().Add(c.onTime().stage(i)))
+}
+
 // produceStage runs one stage.
 func (c *call) produceStage(ctx context.Context, in *inputs, i int, inputsRead func()) (stagebatch.Result, error) {
 	st := c.route.Stages[i]
@@ -229,8 +241,17 @@
 	return out
 }
 
-// releaseRead gives up the results that only stage i, which has read its inputs,
-// was still to read: their makers have little room.
+// inputsRead gives up early, where their makers are short of room, the results that only
+// stage i was still to read, and has read.
+func (c *call) inputsRead(in *inputs, readers []atomic.Int32, i int) {
+	for _, dep := range c.route.Stages[i].After {
+		if readers[dep].Load() == 1 {
+			c.s.cfg.Stages.FreeIfTight(c.route.Stages[dep].Service, in.get(dep))
+		}
+	}
+}
+
+// releaseRead gives up the results that only stage i, which has ended, was still to read.
 func (c *call) releaseRead(in *inputs, readers []atomic.Int32, i int) {
 	for _, dep := range c.route.Stages[i].After {
 		if readers[dep].Add(-1) == 0 {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -157,7 +157,11 @@
 		return s.produce(ctx, st, call.Produce)
 	case *peerpb.Request_Free:
 		if s.h.Stages != nil {
-			s.h.Stages.Free(call.Free.GetService(), call.Free.GetHandle())
+			free := s.h.Stages.Free
+			if call.Free.GetIfTight() {
+				free = s.h.Stages.FreeIfTight
+			}
+			free(call.Free.GetService(), call.Free.GetHandle())
 		}
 		return &peerpb.Response{Result: &peerpb.Response_Done{Done: &peerpb.Empty{}}}, nil
 	}
--- a/internal/peer/stages.go
+++ b/internal/peer/stages.go
@@ -20,6 +20,8 @@
 	// Waits returns the estimated waits of a service's pool.
 	Waits(service string) stagebatch.Waits
 	Free(service string, handles []string)
+	// FreeIfTight gives up results that were read, where room is short.
+	FreeIfTight(service string, handles []string)
 }
 
 // Versions tells nodes of each other's configuration, with the orders that they send
@@ -154,8 +156,9 @@
 }
 
 // Free implements stagebatch.Remote.
-func (c *Client) Free(ctx context.Context, addr, service string, handles []string) error {
-	_, err := c.call(ctx, addr, &peerpb.Request{Call: &peerpb.Request_Free{Free: &peerpb.Results{Service: service, Handle: handles}}})
+func (c *Client) Free(ctx context.Context, addr, service string, handles []string, ifTight bool) error {
+	free := &peerpb.Results{Service: service, Handle: handles, IfTight: ifTight}
+	_, err := c.call(ctx, addr, &peerpb.Request{Call: &peerpb.Request_Free{Free: free}})
 	return err
 }
 
--- a/internal/peer/stages_test.go
+++ b/internal/peer/stages_test.go
@@ -41,6 +41,8 @@
 
 func (s *slowStages) Free(string, []string) {}
 
+func (s *slowStages) FreeIfTight(string, []string) {}
+
 // stageServer starts a server in the bubble and returns a client and its
 // address.
 func stageServer(t *testing.T, stages Stages) (*Client, string) {
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -147,6 +147,30 @@
 	f.giveUp(service, handles)
 }
 
+// FreeIfTight gives up results that were read, of makers that are short of room. Their
+// reader has not ended yet: if it fails, a piece is made again from the same results, and
+// where they are gone all of its request's stages are.
+func (f *Former) FreeIfTight(service string, handles []string) {
+	spec := f.spec(service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.pools[service]
+	if spec == nil || p == nil {
+		return
+	}
+	now := time.Now()
+	for _, m := range p.makers {
+		if !m.tight(spec, now) {
+			continue
+		}
+		for _, h := range handles {
+			if _, ok := m.results[h]; ok {
+				f.giveUp(service, []string{h})
+			}
+		}
+	}
+}
+
 func (f *Former) pool(service string) *pool {
 	p := f.pools[service]
 	if p == nil {
@@ -252,12 +276,13 @@
 // start makes a call. The lock is held.
 func (f *Former) start(service string, m *maker, spec *routes.Batch, batch []*piece, now time.Time) {
 	m.calls++
-	m.lastCall = now
+	m.lastCall, m.callBytes = now, 0
 	c := &call{service: service, m: m, spec: spec, batch: batch, started: now, expected: expected(spec, len(batch))}
 	items := make([]Item, len(batch))
 	for i, p := range batch {
 		p.attempts++
 		o := p.order
+		m.callBytes += o.ResultBytes
 		items[i] = Item{Request: o.Request, Stage: o.Stage, Piece: p.index, Key: o.Key, Inputs: o.Inputs, Remaining: o.Deadline.Sub(now)}
 	}
 	watchdog := time.AfterFunc(times(c.expected, overdueFactor)+overdueSlack, func() { f.overdue(c) })
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -65,6 +65,8 @@
 	// the first.
 	slowness float64
 	lastCall time.Time
+	// callBytes is the size of the results of its last call.
+	callBytes int64
 	// soundAt is when a call last ended in its time and with all results; zero
 	// after one that did not.
 	soundAt  time.Time
@@ -135,6 +137,12 @@
 	return left
 }
 
+// tight reports whether the target's room may be short of its next call: it must hold
+// the results of its last call, which may still run, and of another one as large.
+func (m *maker) tight(spec *routes.Batch, now time.Time) bool {
+	return m.room(spec, now) < 2*m.callBytes
+}
+
 // held returns the bytes of the results that this former knows of.
 func (m *maker) held() int64 {
 	var sum int64
--- a/internal/stagebatch/room_test.go
+++ b/internal/stagebatch/room_test.go
@@ -95,3 +95,30 @@
 		}
 	})
 }
+
+// Results that were read were given up at once, though their reader could still fail: its
+// piece was made again from results that were gone, and all stages of the request ran again.
+func TestReadResultsAreGivenUpOnlyWhereRoomIsShort(t *testing.T) {
+	for _, tc := range []struct {
+		pieces int
+		kept   bool
+	}{{1, true}, {8, false}} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			p, list := newFakePool(1)
+			f := NewFormer(p, list, poolSpec, quiet)
+			res, err := f.Produce(t.Context(), at("r", tc.pieces, 0, time.Second), nil)
+			c.Assert(err, qt.IsNil)
+			f.FreeIfTight("pool", res.Handles)
+			time.Sleep(time.Second)
+			p.mu.Lock()
+			left := len(p.host(0).results)
+			p.mu.Unlock()
+			c.Assert(left == tc.pieces, qt.Equals, tc.kept, qt.Commentf("%d results of %d left", left, tc.pieces))
+			// The end of their reader gives them up in any case.
+			f.Free("pool", res.Handles)
+			time.Sleep(time.Second)
+			c.Assert(p.host(0).results, qt.HasLen, 0)
+		})
+	}
+}
--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -26,8 +26,9 @@
 	// works on it, never twice at a time. The error is one of this package's, or
 	// another one when the node did not answer or refused.
 	Produce(ctx context.Context, addr string, o Order, accepted func(Waits)) (Result, error)
-	// Free gives up results at the node that formed their batches.
-	Free(ctx context.Context, addr, service string, handles []string) error
+	// Free gives up results at the node that formed their batches, with ifTight only
+	// where room is short.
+	Free(ctx context.Context, addr, service string, handles []string, ifTight bool) error
 }
 
 const (
@@ -244,12 +245,30 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), freeRemoteTimeout)
 		defer cancel()
-		if err := r.remote.Free(ctx, res.Former, service, res.Handles); err != nil {
+		if err := r.remote.Free(ctx, res.Former, service, res.Handles, false); err != nil {
 			r.local.Free(service, res.Handles)
 		}
 	}()
 }
 
+// FreeIfTight gives up results that were read, where room is short; see Former.
+func (r *Router) FreeIfTight(service string, res Result) {
+	if len(res.Handles) == 0 {
+		return
+	}
+	if res.Former == "" {
+		r.local.FreeIfTight(service, res.Handles)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), freeRemoteTimeout)
+		defer cancel()
+		if err := r.remote.Free(ctx, res.Former, service, res.Handles, true); err != nil {
+			r.log.Debug("results not given up early", "former", res.Former, "err", err)
+		}
+	}()
+}
+
 // First returns the node that forms the batches of a service now, as this node
 // sees it.
 func (r *Router) First(service string) string {
--- a/internal/stagebatch/router_test.go
+++ b/internal/stagebatch/router_test.go
@@ -47,7 +47,7 @@
 	}
 }
 
-func (r *slowRemote) Free(context.Context, string, string, []string) error { return nil }
+func (r *slowRemote) Free(context.Context, string, string, []string, bool) error { return nil }
 
 // instant is a Worker whose calls take the time of the specification.
 type instant struct{}
@@ -129,7 +129,7 @@
 	return Result{Handles: []string{"late"}}, nil
 }
 
-func (r *stuckRemote) Free(context.Context, string, string, []string) error {
+func (r *stuckRemote) Free(context.Context, string, string, []string, bool) error {
 	r.freed.Add(1)
 	return nil
 }
