Count a call at an engine as 300 tokens

Since prompts can be copied, and as calls that are past their prompt lengthen a step by a thousandth, that is too much.

--- a/internal/targets/engine.go
+++ b/internal/targets/engine.go
@@ -12,7 +12,7 @@
 const (
 	// callTokens is what each call at an engine above the least loaded one
 	// counts: it slows all tokens there, and its prompt may be read first.
-	callTokens = 600
+	callTokens = 300
 	// pendingShare is the part of the tokens of this node's prompts that wait at
 	// an engine which counts; some of them are found in its memory.
 	pendingShare = 0.5
