Bound the calls at the store during an outage

Cause, found before the change: a table that is poked while a whole read is due never took the poke in, so that it asked again and again without a pause for as long as the store was away: 8,001 calls in 8 s in the test, about 200 a second and node (limited by the round trip) on the grown deployments, where whole reads are due 30 s after the start and pokes come from the list of targets. Change: every call takes a poke in; a pause ends by a poke instead of being skipped. While the list of targets finds the store away, the other tables and the node's own entry ask every 5 to 10 s, and are poked when it is back.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -140,6 +140,7 @@
 	n.targets = targets.New(set.DataCentre)
 	n.config = &watch.Table{Name: env.ConfigTable, From: env.Store, Wait: watch.LongWait, Pause: n.pause(0, configPause, configPause), Apply: n.applyConfig, Log: n.log}
 	n.servers = &watch.Table{Name: env.TargetTable, From: env.Store, Wait: watch.ShortWait, Pause: n.pause(targetPausePerNode, targetPause, maxTargetPause), Apply: n.applyTargets, Contact: n.storeContact, Log: n.log}
+	n.config.Lead = n.servers
 	n.versions = &versions{n: n}
 	n.former = stagebatch.NewFormer(env.Worker, n.targets, n.batchSpec, n.log)
 	var err error
@@ -359,6 +360,9 @@
 // Former returns the node that forms the batches of a service, as this node sees it.
 func (n *Node) Former(service string) string { return n.router.First(service) }
 
+// Knows reports whether this node would send work to a target.
+func (n *Node) Knows(target string) bool { return n.targets.MayCall(target) }
+
 // Name returns the node's name.
 func (n *Node) Name() string { return n.set.Node }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -74,7 +74,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "encode member")
 	}
-	p.members = &watch.Table{Name: memberTable, From: n.env.Store, Wait: watch.LongWait, Pause: n.pause(memberPausePerNode, memberPause, maxMemberPause), Apply: p.apply, Log: n.log}
+	p.members = &watch.Table{Name: memberTable, From: n.env.Store, Wait: watch.LongWait, Pause: n.pause(memberPausePerNode, memberPause, maxMemberPause), Apply: p.apply, Lead: n.servers, Log: n.log}
 	return p, nil
 }
 
@@ -89,7 +89,10 @@
 	p.server.key <- key
 	for {
 		wait := enterAgain
-		if err := p.enter(ctx); err != nil {
+		if p.n.servers.Lost() {
+			// The list of targets finds out when the store is back.
+			wait = enterRetry
+		} else if err := p.enter(ctx); err != nil {
 			wait = enterRetry
 		}
 		if !sleep(ctx, wait) {
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -29,6 +29,9 @@
 	// store call takes about 5 ms; many nodes retry at once after an outage.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = 700 * time.Millisecond
+	// followRetry is the pause of a table while its lead finds the store away. It only
+	// bounds what a lost poke costs.
+	followRetry = 10 * time.Second
 	// rereadEvery is the time between two whole reads without any sign of a
 	// missed change: a watch can stay silent although something changed.
 	rereadEvery = 30 * time.Second
@@ -58,12 +61,17 @@
 	Apply func(View)
 	// Contact, when set, is called when the store stops or begins to answer.
 	Contact func()
-	Log     *slog.Logger
+	// Lead, when set, is a table whose calls find out when the store is back and that
+	// pokes this one then. Until then this one asks seldom: an outage must not cost
+	// calls for each table of each node.
+	Lead *Table
+	Log  *slog.Logger
 
 	mu sync.Mutex
-	// cancel ends the call in progress; poked says that Poke did.
+	// cancel ends the call in progress; poked is closed by Poke, until the next call
+	// takes that in.
 	cancel context.CancelFunc
-	poked  bool
+	poked  chan struct{}
 
 	rows     map[string]store.Row
 	version  int64
@@ -90,30 +98,59 @@
 	return !t.lost.Load() && time.Since(t.Heard()) < t.Wait+answerSlack
 }
 
-// Poke ends the call in progress and asks the store at once: another call has
-// shown that the store stopped, or began, to answer.
+// Lost reports whether the store does not answer.
+func (t *Table) Lost() bool { return t.lost.Load() }
+
+// Poke ends the call or the pause in progress and asks the store at once: another call
+// has shown that the store stopped, or began, to answer.
 func (t *Table) Poke() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.poked = true
+	if t.poked == nil {
+		t.poked = make(chan struct{})
+	}
+	if !closed(t.poked) {
+		close(t.poked)
+	}
 	if t.cancel != nil {
 		t.cancel()
 	}
 }
 
+func closed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 // begin opens the context of one call and takes in a poke.
 func (t *Table) begin(ctx context.Context) (call context.Context, end func(), poked bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	call, t.cancel = context.WithCancel(ctx)
-	poked, t.poked = t.poked, false
+	if t.poked != nil {
+		poked = closed(t.poked)
+	}
+	if poked {
+		t.poked = make(chan struct{})
+	}
 	return call, t.cancel, poked
 }
 
-// wasPoked reports whether the last call was ended by Poke.
-func (t *Table) wasPoked() bool {
+// wasPoked reports whether there was a poke since the last call began.
+func (t *Table) wasPoked() bool { return closed(t.pokes()) }
+
+// pokes returns the channel that the next Poke closes; it is closed if there was one since
+// the last call began.
+func (t *Table) pokes() <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.poked == nil {
+		t.poked = make(chan struct{})
+	}
 	return t.poked
 }
 
@@ -128,7 +165,7 @@
 		}
 		switch {
 		case t.wasPoked():
-			continue
+			// That ended the call, which says nothing of the store.
 		case errors.Is(err, store.ErrCompacted):
 			t.Log.Info("history of the table is gone, reading it whole", "table", t.Name, "version", t.version)
 			t.gap = true
@@ -137,17 +174,27 @@
 		default:
 			t.away(err)
 		}
-		// Half of the pause is random, so that nodes don't come back in step.
-		pause := retry/2 + rand.N(retry/2)
+		t.pause(ctx, retry)
 		retry = min(2*retry, maxRetry)
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
-		}
 	}
 	return ctx.Err()
 }
 
+// pause waits after a call that failed, or for a poke. Half of the time is random, so
+// that nodes don't come back in step.
+func (t *Table) pause(ctx context.Context, retry time.Duration) {
+	if t.Lead != nil && t.Lead.Lost() {
+		retry = followRetry
+	}
+	timer := time.NewTimer(retry/2 + rand.N(retry/2))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.pokes():
+	case <-timer.C:
+	}
+}
+
 // away notes that the store does not answer.
 func (t *Table) away(err error) {
 	if t.lost.Swap(true) {
@@ -158,11 +205,11 @@
 }
 
 func (t *Table) step(ctx context.Context) error {
+	ctx, end, poked := t.begin(ctx)
+	defer end()
 	if t.gap || time.Since(t.lastRead) > rereadEvery {
 		return t.readWhole(ctx)
 	}
-	ctx, end, poked := t.begin(ctx)
-	defer end()
 	patience := t.Wait
 	if t.lost.Load() || poked {
 		// Hear at once whether the store is back.
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -229,3 +230,65 @@
 		c.Assert(last().Regained.IsZero(), qt.IsTrue)
 	})
 }
+
+// refusing is a store that answers each call with an error after a round trip.
+type refusing struct {
+	store.Watchable
+	away  bool
+	calls int
+}
+
+var errAway = errors.New("the store is away")
+
+func (r *refusing) Snapshot(ctx context.Context, table string) (store.Snapshot, error) {
+	if r.calls++; r.away {
+		time.Sleep(time.Millisecond)
+		return store.Snapshot{}, errAway
+	}
+	return r.Watchable.Snapshot(ctx, table)
+}
+
+func (r *refusing) Changes(ctx context.Context, table string, after int64, wait time.Duration) (store.Changes, error) {
+	if r.calls++; r.away {
+		time.Sleep(time.Millisecond)
+		return store.Changes{}, errAway
+	}
+	return r.Watchable.Changes(ctx, table, after, wait)
+}
+
+// A poke while a whole read was due was never taken in: the table asked again and again
+// without a pause, 200 times a second, as long as the store was away.
+func TestPokesDoNotKeepATableFromPausing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		m := store.NewMemory()
+		put(t, m, "a", "1")
+		s := &refusing{Watchable: m}
+		_, table := follow(t.Context(), s)
+		// A whole read is due at the next step.
+		time.Sleep(rereadEvery + time.Second)
+		synctest.Wait()
+		s.calls, s.away = 0, true
+		table.Poke()
+		time.Sleep(8 * time.Second)
+		c.Assert(s.calls < 30, qt.IsTrue, qt.Commentf("%d calls in 8 s", s.calls))
+	})
+}
+
+// Many pokes cost one call each at the most.
+func TestPokeEndsAPauseOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := &refusing{Watchable: store.NewMemory(), away: true}
+		_, table := follow(t.Context(), s)
+		time.Sleep(5 * time.Second)
+		for range 5 {
+			synctest.Wait()
+			before := s.calls
+			table.Poke()
+			table.Poke()
+			time.Sleep(5 * time.Millisecond)
+			c.Assert(s.calls-before <= 2, qt.IsTrue, qt.Commentf("%d calls", s.calls-before))
+		}
+	})
+}
