--- a/internal/cli/demo_platform.go
+++ b/internal/cli/demo_platform.go
@@ -58,7 +58,7 @@
 		if err := os.WriteFile(file, fmt.Appendf(nil, platformSettings, name, d.StoreAddr), 0o600); err != nil {
 			return nil, eris.Wrap(err, "settings of the demo")
 		}
-		n, err := platform.Provision(file, log, nil)
+		n, err := platform.Provision(file, log, nil, 0)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/boundedlog"
+	"topazmoor/internal/mechanism"
 	"topazmoor/internal/node"
 	"topazmoor/internal/settings"
 	"topazmoor/platform"
@@ -23,6 +24,8 @@
 type serveCmd struct {
 	Settings string `arg:"-s,--settings" placeholder:"FILE" help:"settings, JSON with comments"`
 	Platform bool   `arg:"--platform" help:"run on the platform, with its settings file, as an entry node for pass-through requests"`
+	// Without is for experiments.
+	Without mechanism.Set `arg:"--without" placeholder:"LIST" help:"with --platform, for experiments: mechanisms to switch off, separated by commas"`
 }
 
 const (
@@ -34,7 +37,7 @@
 
 func (s *serveCmd) run(ctx context.Context, c *console) error {
 	if s.Platform {
-		return servePlatform(ctx, c)
+		return s.servePlatform(ctx, c)
 	}
 	if s.Settings == "" {
 		return usage(eris.New("--settings is missing: name a settings file, or write --platform"))
@@ -86,11 +89,11 @@
 }
 
 // servePlatform runs an entry node on the platform.
-func servePlatform(ctx context.Context, c *console) error {
+func (s *serveCmd) servePlatform(ctx context.Context, c *console) error {
 	out := boundedlog.New(c.out)
 	defer out.Close()
 	log := slog.New(boundedlog.NewSampler(newLogger(out, "info", "json").Handler()))
-	n, err := platform.Provision(os.Getenv(platform.SettingsEnv), log, out.Dropped)
+	n, err := platform.Provision(os.Getenv(platform.SettingsEnv), log, out.Dropped, s.Without)
 	if err != nil {
 		return usage(err)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	"topazmoor/internal/blackboard"
 	"topazmoor/internal/flow"
 	"topazmoor/internal/httpconn"
+	"topazmoor/internal/mechanism"
 	"topazmoor/internal/metrics"
 	"topazmoor/internal/passthrough"
 	"topazmoor/internal/routes"
@@ -43,6 +44,8 @@
 	// end.
 	StopGrace time.Duration
 	Repeats   RepeatBudget
+	// Off are the mechanisms that an experiment switches off.
+	Off mechanism.Set
 }
 
 // RepeatBudget bounds requests that are sent again, over all nodes.
@@ -138,11 +141,13 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
 	}
 	n.targets = targets.New(set.DataCentre)
+	n.targets.Off = set.Off
 	n.config = &watch.Table{Name: env.ConfigTable, From: env.Store, Wait: watch.LongWait, Pause: n.pause(0, configPause, configPause), Apply: n.applyConfig, Log: n.log}
 	n.servers = &watch.Table{Name: env.TargetTable, From: env.Store, Wait: watch.ShortWait, Pause: n.pause(targetPausePerNode, targetPause, maxTargetPause), Apply: n.applyTargets, Contact: n.storeContact, Log: n.log}
 	n.config.Lead = n.servers
 	n.versions = &versions{n: n}
 	n.former = stagebatch.NewFormer(env.Worker, n.targets, n.batchSpec, n.log)
+	n.former.Off = set.Off
 	var err error
 	if n.peers, err = n.provisionPeers(); err != nil {
 		return nil, err
@@ -150,7 +155,7 @@
 	n.router = stagebatch.NewRouter(set.Node, n.former, n.peers.client, n.board.Members.Get, n.log)
 	n.front = passthrough.New(passthrough.Config{
 		Routes: n.board.Routes.Get, Current: n.current, Targets: n.targets, Stages: n.router,
-		Sender: env.Conns, Wire: env.Wire,
+		Sender: env.Conns, Wire: env.Wire, Off: set.Off,
 		Repeats:   flow.NewRepeatBudgets(set.Repeats.Ratio, set.Repeats.Fixed, set.Repeats.Window, n.router.Live),
 		BodyBytes: defaultBodyBytes, ReadTimeout: defaultReadTimeout, Observer: n.metrics, Log: n.log,
 	})
--- a/internal/passthrough/admit.go
+++ b/internal/passthrough/admit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"topazmoor/internal/mechanism"
 	"topazmoor/internal/routes"
 	"topazmoor/internal/verdict"
 )
@@ -25,7 +26,7 @@
 func (c *call) admit() error {
 	need := c.onTime().need()
 	late := c.route.Kind == routes.Stream && need > c.route.Objective
-	if late {
+	if late && !c.s.cfg.Off.Has(mechanism.RefuseHopeless) {
 		need = max(need, outlook{c: c, late: true}.need())
 	}
 	c.estimated = need
--- a/internal/passthrough/engine.go
+++ b/internal/passthrough/engine.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"topazmoor/internal/mechanism"
 	"topazmoor/internal/promptcache"
 	"topazmoor/internal/targets"
 )
@@ -68,6 +69,9 @@
 // its own should lie near that engine; the other requests go to an engine near
 // their results.
 func (c *call) makerDataCentre(in *inputs, stage int) string {
+	if c.s.cfg.Off.Has(mechanism.MakerPlace) {
+		return ""
+	}
 	if dc, bytes := c.mostInputs(in, stage); bytes*int64(c.pieces(stage)) >= bigResult {
 		return dc
 	}
--- a/internal/passthrough/plain.go
+++ b/internal/passthrough/plain.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"topazmoor/internal/mechanism"
 	"topazmoor/internal/targets"
 )
 
@@ -74,7 +75,7 @@
 			c.refuse(c.timedOut())
 			return
 		case <-hedge.C:
-			if c.route.Repeatable() && c.mayRepeat(nil, "hedge") {
+			if c.route.Repeatable() && !c.s.cfg.Off.Has(mechanism.Hedges) && c.mayRepeat(nil, "hedge") {
 				x.start()
 			}
 		case r := <-x.results:
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -13,6 +13,7 @@
 
 	"topazmoor/internal/flow"
 	"topazmoor/internal/httpconn"
+	"topazmoor/internal/mechanism"
 	"topazmoor/internal/routes"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/targets"
@@ -80,6 +81,8 @@
 	Wire    Wire
 	// Repeats bounds requests that are sent again, by service.
 	Repeats *flow.RepeatBudgets
+	// Off are the mechanisms that an experiment switches off.
+	Off mechanism.Set
 	// BodyBytes bounds a body when the configuration does not.
 	BodyBytes int64
 	// ReadTimeout bounds the reading of a body when the configuration does not.
--- a/internal/passthrough/stages.go
+++ b/internal/passthrough/stages.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"topazmoor/internal/mechanism"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/verdict"
 )
@@ -145,7 +146,7 @@
 // starts. It reports whether ctx still lasts.
 func (c *call) holdBack(ctx context.Context, i int, lastStep <-chan struct{}) bool {
 	st := c.route.Stages[i]
-	if st.ResultBytes < bigResult || len(st.After) > 0 || c.onTime().after(i) > 0 || c.pieces(i) == 0 || c.lastOfLongest() < 0 {
+	if c.s.cfg.Off.Has(mechanism.LateBigResults) || st.ResultBytes < bigResult || len(st.After) > 0 || c.onTime().after(i) > 0 || c.pieces(i) == 0 || c.lastOfLongest() < 0 {
 		return true
 	}
 	est := c.onTime()
@@ -244,6 +245,9 @@
 // inputsRead gives up early, where their makers are short of room, the results that only
 // stage i was still to read, and has read.
 func (c *call) inputsRead(in *inputs, readers []atomic.Int32, i int) {
+	if c.s.cfg.Off.Has(mechanism.EarlyRelease) {
+		return
+	}
 	for _, dep := range c.route.Stages[i].After {
 		if readers[dep].Load() == 1 {
 			c.s.cfg.Stages.FreeIfTight(c.route.Stages[dep].Service, in.get(dep))
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"topazmoor/internal/mechanism"
 	"topazmoor/internal/sse"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/targets"
@@ -122,7 +123,7 @@
 		return true
 	})
 	defer watchdog.stop()
-	if c.route.Resumable && c.runs-c.stale+1 < c.route.MaxAttempts {
+	if c.route.Resumable && c.runs-c.stale+1 < c.route.MaxAttempts && !c.s.cfg.Off.Has(mechanism.SilentEngines) {
 		watchdog.watch(max(stallFactor*c.firstEventTime(), minStall))
 	}
 	c.runs++
@@ -165,7 +166,7 @@
 	if gap <= 0 {
 		gap = presumedGap
 	}
-	mayMove := c.route.Resumable && c.runs-c.stale < c.route.MaxAttempts
+	mayMove := c.route.Resumable && c.runs-c.stale < c.route.MaxAttempts && !c.s.cfg.Off.Has(mechanism.SilentEngines)
 	first := true
 	for {
 		ev, err := events.Next()
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"topazmoor/internal/mechanism"
 	"topazmoor/internal/routes"
 	"topazmoor/internal/targets"
 )
@@ -43,6 +44,9 @@
 // Former forms the batches of stage pools at this node. It is safe for
 // concurrent use.
 type Former struct {
+	// Off are the mechanisms that an experiment switches off.
+	Off mechanism.Set
+
 	worker Worker
 	list   *targets.Table
 	spec   func(service string) *routes.Batch
@@ -207,13 +211,15 @@
 	}
 	f.refresh(p, service)
 	now := time.Now()
-	p.giveUpHopeless(spec, now)
+	if !f.Off.Has(mechanism.GiveUpHopeless) {
+		p.giveUpHopeless(spec, now)
+	}
 	working := p.dataCentres()
-	for _, m := range freeMakers(p.makers, spec, now) {
+	for _, m := range freeMakers(p.makers, spec, now, f.Off) {
 		if len(p.queue) == 0 {
 			break
 		}
-		f.fill(service, p, m, spec, now, p.placeOf(m, working, spec))
+		f.fill(service, p, m, spec, now, p.placeOf(m, working, spec, f.Off))
 	}
 	f.wakeLater(service, p, spec, now)
 }
@@ -229,10 +235,10 @@
 }
 
 // freeMakers lists the targets that may be given a call, the fastest first.
-func freeMakers(makers map[string]*maker, spec *routes.Batch, now time.Time) []*maker {
+func freeMakers(makers map[string]*maker, spec *routes.Batch, now time.Time, off mechanism.Set) []*maker {
 	var out []*maker
 	for _, m := range makers {
-		if m.free(spec, now) {
+		if m.free(spec, now, off) {
 			out = append(out, m)
 		}
 	}
@@ -340,7 +346,7 @@
 func (f *Former) overdue(c *call) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if c.ended {
+	if c.ended || f.Off.Has(mechanism.SecondCall) {
 		return
 	}
 	c.m.soundAt = time.Time{}
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"topazmoor/internal/mechanism"
 	"topazmoor/internal/routes"
 	"topazmoor/internal/targets"
 )
@@ -153,11 +154,11 @@
 }
 
 // free reports whether the target may be given a call now.
-func (m *maker) free(spec *routes.Batch, now time.Time) bool {
+func (m *maker) free(spec *routes.Batch, now time.Time, off mechanism.Set) bool {
 	if m.calls >= max(spec.Slots, 1) || now.Before(m.pausedUntil) {
 		return false
 	}
-	return m.slow() < slowFactor || now.Sub(m.lastCall) > slowProbe
+	return off.Has(mechanism.SlowTargets) || m.slow() < slowFactor || now.Sub(m.lastCall) > slowProbe
 }
 
 // expected returns the time of a call with n items.
@@ -177,9 +178,9 @@
 		return 1
 	case aLate != bLate:
 		return -1
-	case a.order.Priority != b.order.Priority:
+	case a.order.Priority != b.order.Priority && !pl.off.Has(mechanism.Ranks):
 		return cmp.Compare(a.order.Priority, b.order.Priority)
-	case aLate && a.begun() != b.begun():
+	case aLate && a.begun() != b.begun() && !pl.off.Has(mechanism.BegunFirst):
 		if a.begun() {
 			return -1
 		}
@@ -208,7 +209,7 @@
 		group, queue = nextGroup(queue)
 		o := group[0].order
 		n := len(group)
-		if n > size || n > fitting(o, fullRoom) || now.Sub(o.since) > splitAfter {
+		if pl.off.Has(mechanism.WholeOrders) || n > size || n > fitting(o, fullRoom) || now.Sub(o.since) > splitAfter {
 			n = min(n, size-len(batch), fitting(o, room))
 		}
 		switch {
@@ -277,12 +278,15 @@
 	working map[string]bool
 	// hold says that orders wait for a while for the data centre that they wish for.
 	hold bool
+	// off are the mechanisms that an experiment switches off.
+	off mechanism.Set
 }
 
 // placeOf returns the place of a target.
-func (p *pool) placeOf(m *maker, working map[string]bool, spec *routes.Batch) place {
+func (p *pool) placeOf(m *maker, working map[string]bool, spec *routes.Batch, off mechanism.Set) place {
 	most := holdQueue * float64(len(p.makers)*max(spec.Items, 1))
-	return place{dataCentre: m.DataCentre, working: working, hold: float64(len(p.queue)) <= most}
+	hold := float64(len(p.queue)) <= most && !off.Has(mechanism.WaitForPlace)
+	return place{dataCentre: m.DataCentre, working: working, hold: hold, off: off}
 }
 
 // dataCentres lists where the pool's targets stand.
--- a/internal/targets/engine.go
+++ b/internal/targets/engine.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"topazmoor/internal/mechanism"
 	"topazmoor/internal/routing"
 )
 
@@ -97,25 +98,40 @@
 	return addr
 }
 
-// bestEngine returns the candidate of least cost.
-func bestEngine(q *EngineQuery, keepers []keeper, cands []*state, now time.Time) *state {
+// source returns the address of the engine from which s should copy the beginning of a
+// prompt; "" for none.
+func source(s *state, q *EngineQuery, keepers []keeper, cands []*state) string {
+	if addr := copyFrom(s, keepers); addr != "" || s.kept(keepers) >= q.Shared {
+		return addr
+	}
+	return copyFrom(s, presumed(q, cands))
+}
+
+// bestEngine returns the candidate of least cost. off are the mechanisms that an experiment
+// switches off.
+func bestEngine(q *EngineQuery, keepers []keeper, cands []*state, now time.Time, off mechanism.Set) *state {
+	if off.Has(mechanism.PromptMemory) {
+		keepers = nil
+	}
 	first, second := preferred(q.Affinity, cands)
 	least := cands[0].calls(now)
 	for _, s := range cands {
 		least = min(least, s.calls(now))
 	}
 	copied := 0
-	if len(keepers) > 0 {
+	if len(keepers) > 0 && !off.Has(mechanism.CopyPrompts) {
 		copied = keepers[0].tokens
 	}
 	var best *state
 	var bestCost float64
 	for _, s := range cands {
 		c := float64(callTokens*(s.calls(now)-least)) + pendingShare*float64(s.pending) + s.failures*failureTokens
-		c += float64(remoteBytes(q.Inputs, s.DataCentre)) / bytesPerToken
+		if !off.Has(mechanism.NearInputs) {
+			c += float64(remoteBytes(q.Inputs, s.DataCentre)) / bytesPerToken
+		}
 		has := float64(s.kept(keepers))
 		switch {
-		case q.Affinity == 0:
+		case q.Affinity == 0 || off.Has(mechanism.PromptAffinity):
 		case s == first:
 			has = max(has, float64(q.Shared))
 		case s == second:
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"topazmoor/internal/flow"
+	"topazmoor/internal/mechanism"
 	"topazmoor/internal/promptcache"
 )
 
@@ -105,10 +106,10 @@
 	l := &Lease{t: t}
 	if q.Engine != nil {
 		kept := t.keepers(q.Engine, now)
-		l.s = bestEngine(q.Engine, kept, cands, now)
+		l.s = bestEngine(q.Engine, kept, cands, now, t.Off)
 		l.tokens, l.prompt = q.Engine.Tokens, q.Engine.Prompt
-		if l.CopyFrom = copyFrom(l.s, kept); l.CopyFrom == "" && l.s.kept(kept) < q.Engine.Shared {
-			l.CopyFrom = copyFrom(l.s, presumed(q.Engine, cands))
+		if !t.Off.Has(mechanism.CopyPrompts) {
+			l.CopyFrom = source(l.s, q.Engine, kept, cands)
 		}
 	} else {
 		l.s = cheapest(q, cands, t.DataCentre, now)
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"topazmoor/internal/flow"
+	"topazmoor/internal/mechanism"
 	"topazmoor/internal/promptcache"
 	"topazmoor/internal/routing"
 )
@@ -70,6 +71,8 @@
 type Table struct {
 	// DataCentre is where this node stands.
 	DataCentre string
+	// Off are the mechanisms that an experiment switches off.
+	Off mechanism.Set
 
 	mu       sync.Mutex
 	byID     map[string]*state
--- a/internal/targets/targets_test.go
+++ b/internal/targets/targets_test.go
@@ -154,7 +154,7 @@
 			}
 		}
 		slices.SortStableFunc(kept, func(a, b keeper) int { return b.tokens - a.tokens })
-		got := bestEngine(q, kept, cands, now.at)
+		got := bestEngine(q, kept, cands, now.at, 0)
 		first, second := preferred(q.Affinity, cands)
 		cost := func(s *state) float64 {
 			c := callTokens*float64(s.inFlight) + pendingShare*float64(s.pending)
