Remove the preference for engines that were seen to read a prompt

What is worth nothing goes: rendezvous order, load and the place of the inputs choose the engine; what a node saw names the source of a copy.

--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -18,9 +18,6 @@
 const (
 	// CopyPrompts: engines copy from each other what they lack of a prompt.
 	CopyPrompts Set = 1 << iota
-	// PromptMemory: an engine that was seen to read the beginning of a prompt is
-	// preferred for it.
-	PromptMemory
 	// PromptAffinity: all nodes prefer the same engines for a shared part of a prompt.
 	PromptAffinity
 	// NearInputs: engines near the results that they fetch are preferred.
@@ -59,7 +56,7 @@
 
 // names has the mechanisms in the order of their bits.
 var names = []string{
-	"copy-prompts", "prompt-memory", "prompt-affinity", "near-inputs", "maker-place", "wait-for-place",
+	"copy-prompts", "prompt-affinity", "near-inputs", "maker-place", "wait-for-place",
 	"late-big-results", "early-release", "refuse-hopeless", "give-up-hopeless", "begun-first", "ranks",
 	"whole-orders", "second-call", "slow-targets", "hedges", "silent-engines",
 }
--- a/internal/targets/engine.go
+++ b/internal/targets/engine.go
@@ -24,10 +24,6 @@
 	// secondShare is the part of the shared tokens that the second engine in the
 	// order of a prompt is presumed to lack: it serves what the first cannot.
 	secondShare = 0.7
-	// copyShare is what a token costs that is copied from another engine, as part of one
-	// that is read: engines copy 200 tokens a ms and read 35, and users price 1 GB that
-	// is copied (6,100 tokens) as much as 600 tokens that are read again.
-	copyShare = 0.15
 	// failureTokens is what an engine counts more that lately failed every call:
 	// a whole prompt, and the time until the failure is seen.
 	failureTokens = 30000
@@ -109,19 +105,12 @@
 
 // bestEngine returns the candidate of least cost. off are the mechanisms that an experiment
 // switches off.
-func bestEngine(q *EngineQuery, keepers []keeper, cands []*state, now time.Time, off mechanism.Set) *state {
-	if off.Has(mechanism.PromptMemory) {
-		keepers = nil
-	}
+func bestEngine(q *EngineQuery, cands []*state, now time.Time, off mechanism.Set) *state {
 	first, second := preferred(q.Affinity, cands)
 	least := cands[0].calls(now)
 	for _, s := range cands {
 		least = min(least, s.calls(now))
 	}
-	copied := 0
-	if len(keepers) > 0 && !off.Has(mechanism.CopyPrompts) {
-		copied = keepers[0].tokens
-	}
 	var best *state
 	var bestCost float64
 	for _, s := range cands {
@@ -129,16 +118,13 @@
 		if !off.Has(mechanism.NearInputs) {
 			c += float64(remoteBytes(q.Inputs, s.DataCentre)) / bytesPerToken
 		}
-		has := float64(s.kept(keepers))
 		switch {
-		case q.Affinity == 0 || off.Has(mechanism.PromptAffinity):
-		case s == first:
-			has = max(has, float64(q.Shared))
+		case q.Affinity == 0 || s == first || off.Has(mechanism.PromptAffinity):
 		case s == second:
-			has = max(has, (1-secondShare)*float64(q.Shared))
+			c += secondShare * float64(q.Shared)
+		default:
+			c += float64(q.Shared)
 		}
-		// What it has not must be read, or copied for less.
-		c -= has + (1-copyShare)*max(float64(copied)-has, 0)
 		if best == nil || c < bestCost || (c == bestCost && routing.Mix(q.Affinity, s.hash) > routing.Mix(q.Affinity, best.hash)) {
 			best, bestCost = s, c
 		}
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -105,11 +105,10 @@
 	}
 	l := &Lease{t: t}
 	if q.Engine != nil {
-		kept := t.keepers(q.Engine, now)
-		l.s = bestEngine(q.Engine, kept, cands, now, t.Off)
+		l.s = bestEngine(q.Engine, cands, now, t.Off)
 		l.tokens, l.prompt = q.Engine.Tokens, q.Engine.Prompt
 		if !t.Off.Has(mechanism.CopyPrompts) {
-			l.CopyFrom = source(l.s, q.Engine, kept, cands)
+			l.CopyFrom = source(l.s, q.Engine, t.keepers(q.Engine, now), cands)
 		}
 	} else {
 		l.s = cheapest(q, cands, t.DataCentre, now)
