--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -264,7 +264,7 @@
 	// holdShare is the part of its slack that an order waits for a target in the
 	// data centre that it wishes for, holdMost bounds it: about a call's time, in
 	// which such a target comes free.
-	holdShare = 0.25
+	holdShare = 0.4
 	holdMost  = 350 * time.Millisecond
 	// holdQueue is the number of waiting pieces, as a share of what all targets
 	// take in one call each, above which nobody waits for a place: the pool is
