Let slow stage targets take what they make in time, and repeat calls later

Ruled out: removing the second call (a dark target would hold its pieces for two seconds; TestDarkTargetCostsAnOrderLittle). Change: a slow target is free like others, and gets the orders that it makes in time, or that are late anyhow and done by their deadline there; a tight order waits for a sound target. A call is overdue by the time that its target takes, after 1.8 times that and 200 ms. Test: TestSlowTargetTakesWhatItMakesInTime.

--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -26,7 +26,7 @@
 	maxFailPause = 3 * time.Second
 	// overdueFactor and overdueSlack give the time after which the pieces of a
 	// call are put into another one. Calls of sound targets vary by a tenth.
-	overdueFactor = 1.5
+	overdueFactor = 1.8
 	overdueSlack  = 200 * time.Millisecond
 	// lostFactor and lostSlack give the time after which a call is given up, so
 	// that its slot can be used: its answer is lost, or its target is so slow
@@ -215,11 +215,11 @@
 		p.giveUpHopeless(spec, now)
 	}
 	working := p.dataCentres()
-	for _, m := range freeMakers(p.makers, spec, now, f.Off) {
+	for _, m := range freeMakers(p.makers, spec, now) {
 		if len(p.queue) == 0 {
 			break
 		}
-		f.fill(service, p, m, spec, now, p.placeOf(m, working, spec, f.Off))
+		f.fill(service, p, m, spec, now, p.placeOf(m, working, spec, f.Off, now))
 	}
 	f.wakeLater(service, p, spec, now)
 }
@@ -235,10 +235,10 @@
 }
 
 // freeMakers lists the targets that may be given a call, the fastest first.
-func freeMakers(makers map[string]*maker, spec *routes.Batch, now time.Time, off mechanism.Set) []*maker {
+func freeMakers(makers map[string]*maker, spec *routes.Batch, now time.Time) []*maker {
 	var out []*maker
 	for _, m := range makers {
-		if m.free(spec, now, off) {
+		if m.free(spec, now) {
 			out = append(out, m)
 		}
 	}
@@ -273,17 +273,19 @@
 	spec    *routes.Batch
 	batch   []*piece
 	started time.Time
-	// expected is the time that a sound target takes.
-	expected time.Duration
+	// sound is the time that a sound target takes, expected what this one does.
+	sound, expected time.Duration
 	// failed calls may not have fetched their inputs.
 	ended, failed bool
 }
 
 // start makes a call. The lock is held.
 func (f *Former) start(service string, m *maker, spec *routes.Batch, batch []*piece, now time.Time) {
+	slower := m.slower(f.pools[service].makers, now)
 	m.calls++
 	m.lastCall, m.callBytes = now, 0
-	c := &call{service: service, m: m, spec: spec, batch: batch, started: now, expected: expected(spec, len(batch))}
+	c := &call{service: service, m: m, spec: spec, batch: batch, started: now, sound: expected(spec, len(batch))}
+	c.expected = times(c.sound, slower)
 	items := make([]Item, len(batch))
 	for i, p := range batch {
 		p.attempts++
@@ -350,7 +352,7 @@
 		return
 	}
 	c.m.soundAt = time.Time{}
-	c.m.overdue(float64(time.Since(c.started)) / float64(c.expected))
+	c.m.overdue(float64(time.Since(c.started)) / float64(c.sound))
 	f.log.Warn("stage call overdue, its pieces go elsewhere", "service", c.service, "target", c.m.ID, "items", len(c.batch), "ms", time.Since(c.started).Milliseconds(), "requests", requestsOf(c.batch))
 	f.requeue(c)
 	f.pump(c.service, f.pool(c.service), c.spec)
@@ -383,7 +385,7 @@
 		f.failed(c, err, now)
 	} else {
 		c.m.failures = 0
-		ratio := float64(now.Sub(c.started)) / float64(c.expected)
+		ratio := float64(now.Sub(c.started)) / float64(c.sound)
 		if producedAny(reply.Results) {
 			// A call that made nothing ends at once and tells nothing of the speed.
 			c.m.took(ratio)
--- a/internal/stagebatch/former_test.go
+++ b/internal/stagebatch/former_test.go
@@ -433,3 +433,30 @@
 		})
 	})
 }
+
+// A slow target was called only every 2.5 s, and otherwise lent its pool nothing while
+// pieces waited. It takes what it makes in time, and what is late anyhow.
+func TestSlowTargetTakesWhatItMakesInTime(t *testing.T) {
+	c := qt.New(t)
+	now := time.Date(2026, 3, 5, 0, 0, 0, 0, time.UTC)
+	spec := poolSpec("")
+	takes := expected(spec, 1)
+	for _, tc := range []struct {
+		due, deadline time.Duration
+		taken         bool
+	}{
+		// In time at a sound target only.
+		{2 * takes, 20 * time.Second, false},
+		// In time here too.
+		{4 * takes, 20 * time.Second, true},
+		// Late anyhow, and done by the deadline, or not.
+		{takes / 2, 20 * time.Second, true},
+		{takes / 2, 2 * takes, false},
+	} {
+		o := &order{Order: Order{Pieces: 1, Due: now.Add(tc.due), Deadline: now.Add(tc.deadline)}, since: now}
+		pl := place{slower: 3}
+		batch, rest := take([]*piece{{order: o, queued: true}}, spec, spec.RoomBytes, now, pl)
+		c.Assert(len(batch) == 1, qt.Equals, tc.taken, qt.Commentf("due in %v", tc.due))
+		c.Assert(len(batch)+len(rest), qt.Equals, 1)
+	}
+}
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -81,10 +81,10 @@
 }
 
 const (
-	// slowFactor is by how much a target may be slower than expected before it
-	// is only called now and then, to see whether it has recovered.
+	// slowFactor is by how much a target may be slower than expected before it does not
+	// count in estimates.
 	slowFactor = 2.2
-	// slowProbe is the time between two calls of a slow target.
+	// slowProbe is how long after its last call a slow target is taken for a sound one.
 	slowProbe = 2500 * time.Millisecond
 	// slownessWeight is the weight of the newest call: a server turns slow, and
 	// recovers, from one call to the next.
@@ -156,11 +156,21 @@
 }
 
 // free reports whether the target may be given a call now.
-func (m *maker) free(spec *routes.Batch, now time.Time, off mechanism.Set) bool {
-	if m.calls >= max(spec.Slots, 1) || now.Before(m.pausedUntil) {
-		return false
+func (m *maker) free(spec *routes.Batch, now time.Time) bool {
+	return m.calls < max(spec.Slots, 1) && !now.Before(m.pausedUntil)
+}
+
+// slower returns how many times slower than the fastest of a pool's targets this one is; 1
+// when it was not called for a while, to see whether it has recovered.
+func (m *maker) slower(makers map[string]*maker, now time.Time) float64 {
+	if now.Sub(m.lastCall) > slowProbe {
+		return 1
 	}
-	return off.Has(mechanism.SlowTargets) || m.slow() < slowFactor || now.Sub(m.lastCall) > slowProbe
+	fastest := m.slow()
+	for _, other := range makers {
+		fastest = min(fastest, other.slow())
+	}
+	return m.slow() / fastest
 }
 
 // expected returns the time of a call with n items.
@@ -220,7 +230,7 @@
 		case o.Deadline.Before(late):
 			dequeue(group)
 			o.finish(ErrLate)
-		case n > 0 && len(batch)+n <= size && int64(n)*o.ResultBytes <= room && pl.takes(o, spec, now):
+		case n > 0 && len(batch)+n <= size && int64(n)*o.ResultBytes <= room && pl.takes(o, spec, now) && pl.inTime(o, expected(spec, n), now):
 			room -= int64(n) * o.ResultBytes
 			dequeue(group[:n])
 			batch = append(batch, group[:n]...)
@@ -280,15 +290,21 @@
 	working map[string]bool
 	// hold says that orders wait for a while for the data centre that they wish for.
 	hold bool
+	// slower is how many times slower than others the target is.
+	slower float64
 	// off are the mechanisms that an experiment switches off.
 	off mechanism.Set
 }
 
 // placeOf returns the place of a target.
-func (p *pool) placeOf(m *maker, working map[string]bool, spec *routes.Batch, off mechanism.Set) place {
+func (p *pool) placeOf(m *maker, working map[string]bool, spec *routes.Batch, off mechanism.Set, now time.Time) place {
 	most := holdQueue * float64(len(p.makers)*max(spec.Items, 1))
 	hold := float64(len(p.queue)) <= most && !off.Has(mechanism.WaitForPlace)
-	return place{dataCentre: m.DataCentre, working: working, hold: hold, off: off}
+	pl := place{dataCentre: m.DataCentre, working: working, hold: hold, slower: 1, off: off}
+	if !off.Has(mechanism.SlowTargets) {
+		pl.slower = m.slower(p.makers, now)
+	}
+	return pl
 }
 
 // dataCentres lists where the pool's targets stand.
@@ -306,6 +322,20 @@
 	return o.DataCentre == pl.dataCentre || !pl.working[o.DataCentre]
 }
 
+// inTime reports whether an order may be made here for all that the target is slow: a
+// sound target would be too late for it as well, or this one is in time. takes is the
+// time that a sound one takes.
+func (pl place) inTime(o *order, takes time.Duration, now time.Time) bool {
+	if pl.slower < soundRatio {
+		return true
+	}
+	due := o.Due
+	if due.Before(now.Add(takes)) {
+		due = o.Deadline
+	}
+	return !due.Before(now.Add(times(takes, pl.slower)))
+}
+
 // takes reports whether an order may be made here: it wishes so, or has waited for its
 // own place for long enough.
 func (pl place) takes(o *order, spec *routes.Batch, now time.Time) bool {
