Leave silent engines later

Sound engines are that late while they read long prompts; the stream then read its prompt again elsewhere. Ruled out: leaving it out (an engine that went dark would hold its streams until their callers give up: TestSilentEngineIsLeftOnlyForAnother, TestSilentConnectionsOfAnEngineAreLeft). Change: at least 2.5 s to the first event and 2 s between events; callers give up after four times the objective (4.4 to 14 s), eight times the pause and two seconds, whichever is longest.

--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -16,14 +16,16 @@
 const (
 	// stallFactor times the mean time to the first event, at least minStall, is
 	// how long an engine may be silent before a stream that may be resumed goes
-	// to another one.
+	// to another one. A sound engine may take more than a second while it reads long
+	// prompts, and to leave it costs a second reading of the prompt; callers wait four
+	// times the objective.
 	stallFactor = 4
-	minStall    = 900 * time.Millisecond
-	// gapFactor times the longest pause that is still in time is the same for
-	// later events. Callers give up after eight times that pause, so that there is
-	// time to go on elsewhere; a sound engine may pause for a while when it reads
-	// long prompts.
+	minStall    = 2500 * time.Millisecond
+	// gapFactor times the longest pause that is still in time, at least minGap, is the
+	// same for later events. Callers give up after eight times that pause, and not before
+	// two seconds.
 	gapFactor = 3
+	minGap    = 2 * time.Second
 	// presumedGap stands for a route that names no longest pause.
 	presumedGap = 500 * time.Millisecond
 )
@@ -191,7 +193,7 @@
 			x.giveUpInputs()
 		}
 		if mayMove {
-			watchdog.watch(time.Duration(gapFactor * float64(gap)))
+			watchdog.watch(max(time.Duration(gapFactor*float64(gap)), minGap))
 		}
 		if !x.started {
 			x.head(a)
