--- a/internal/stagebatch/room_test.go
+++ b/internal/stagebatch/room_test.go
@@ -96,6 +96,13 @@
 	})
 }
 
+// left returns how many results lie at a host.
+func (p *fakePool) left(host int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.host(host).results)
+}
+
 // Results that were read were given up at once, though their reader could still fail: its
 // piece was made again from results that were gone, and all stages of the request ran again.
 func TestReadResultsAreGivenUpOnlyWhereRoomIsShort(t *testing.T) {
@@ -111,14 +118,12 @@
 			c.Assert(err, qt.IsNil)
 			f.FreeIfTight("pool", res.Handles)
 			time.Sleep(time.Second)
-			p.mu.Lock()
-			left := len(p.host(0).results)
-			p.mu.Unlock()
+			left := p.left(0)
 			c.Assert(left == tc.pieces, qt.Equals, tc.kept, qt.Commentf("%d results of %d left", left, tc.pieces))
 			// The end of their reader gives them up in any case.
 			f.Free("pool", res.Handles)
 			time.Sleep(time.Second)
-			c.Assert(p.host(0).results, qt.HasLen, 0)
+			c.Assert(p.left(0), qt.Equals, 0)
 		})
 	}
 }
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -234,14 +235,14 @@
 // refusing is a store that answers each call with an error after a round trip.
 type refusing struct {
 	store.Watchable
-	away  bool
-	calls int
+	away  atomic.Bool
+	calls atomic.Int64
 }
 
 var errAway = errors.New("the store is away")
 
 func (r *refusing) Snapshot(ctx context.Context, table string) (store.Snapshot, error) {
-	if r.calls++; r.away {
+	if r.calls.Add(1); r.away.Load() {
 		time.Sleep(time.Millisecond)
 		return store.Snapshot{}, errAway
 	}
@@ -249,7 +250,7 @@
 }
 
 func (r *refusing) Changes(ctx context.Context, table string, after int64, wait time.Duration) (store.Changes, error) {
-	if r.calls++; r.away {
+	if r.calls.Add(1); r.away.Load() {
 		time.Sleep(time.Millisecond)
 		return store.Changes{}, errAway
 	}
@@ -268,10 +269,11 @@
 		// A whole read is due at the next step.
 		time.Sleep(rereadEvery + time.Second)
 		synctest.Wait()
-		s.calls, s.away = 0, true
+		s.calls.Store(0)
+		s.away.Store(true)
 		table.Poke()
 		time.Sleep(8 * time.Second)
-		c.Assert(s.calls < 30, qt.IsTrue, qt.Commentf("%d calls in 8 s", s.calls))
+		c.Assert(s.calls.Load() < 30, qt.IsTrue, qt.Commentf("%d calls in 8 s", s.calls.Load()))
 	})
 }
 
@@ -279,16 +281,17 @@
 func TestPokeEndsAPauseOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		s := &refusing{Watchable: store.NewMemory(), away: true}
+		s := &refusing{Watchable: store.NewMemory()}
+		s.away.Store(true)
 		_, table := follow(t.Context(), s)
 		time.Sleep(5 * time.Second)
 		for range 5 {
 			synctest.Wait()
-			before := s.calls
+			before := s.calls.Load()
 			table.Poke()
 			table.Poke()
 			time.Sleep(5 * time.Millisecond)
-			c.Assert(s.calls-before <= 2, qt.IsTrue, qt.Commentf("%d calls", s.calls-before))
+			c.Assert(s.calls.Load()-before <= 2, qt.IsTrue, qt.Commentf("%d calls", s.calls.Load()-before))
 		}
 	})
 }
