--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -99,7 +99,7 @@
 	foreignLife = time.Second
 	// roomShare is the part of a target's room that is planned with; sizes are
 	// approximate.
-	roomShare = 0.9
+	roomShare = 0.96
 )
 
 // slow returns how many times slower than expected the target is.
