--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -211,6 +211,7 @@
 	}
 	f.refresh(p, service)
 	now := time.Now()
+	f.askDoubtful(service, p, spec, now)
 	if !f.Off.Has(mechanism.GiveUpHopeless) {
 		p.giveUpHopeless(spec, now)
 	}
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -78,6 +78,9 @@
 	// foreignUntil.
 	foreign      int64
 	foreignUntil time.Time
+	// asked says that the target was asked for its room at all, asking that it is being
+	// asked.
+	asked, asking bool
 }
 
 const (
@@ -94,6 +97,12 @@
 	soundRatio = 1.3
 	// soundLife is how long a target is taken as sound after such a call.
 	soundLife = 3 * time.Second
+	// foreignDoubt is the part of a target's room above which foreign results are looked
+	// at again when what is known of them is old.
+	foreignDoubt = 0.2
+	// askPause is how long a target is left alone while it is asked; a round trip is 1 to
+	// 3 ms.
+	askPause = 40 * time.Millisecond
 	// foreignLife is how long a foreign use of room is believed; such results
 	// lapse or are given up within seconds.
 	foreignLife = time.Second
@@ -140,6 +149,16 @@
 	return left
 }
 
+// doubtful reports whether it isn't known what lies at the target: it is new to this former,
+// or results of others took much of its room when it was last asked.
+func (m *maker) doubtful(spec *routes.Batch, now time.Time) bool {
+	if m.asking || spec.RoomBytes <= 0 {
+		return false
+	}
+	old := now.After(m.foreignUntil)
+	return !m.asked || (old && float64(m.foreign) > foreignDoubt*float64(spec.RoomBytes))
+}
+
 // tight reports whether the target's room may be short of its next call: it must hold
 // the results of its last call, which may still run, and of another one as large.
 func (m *maker) tight(spec *routes.Batch, now time.Time) bool {
--- a/internal/stagebatch/room.go
+++ b/internal/stagebatch/room.go
@@ -14,26 +14,44 @@
 	freeTimeout = time.Second
 )
 
-// askRoom asks a target that had no room for a result how much it has: results
-// lie there that another former, or this node before its restart, had made.
+// askDoubtful asks the targets of which it isn't known what lies there, and leaves them
+// alone meanwhile. A former that begins would otherwise find out by calls that make
+// nothing. The lock is held.
+func (f *Former) askDoubtful(service string, p *pool, spec *routes.Batch, now time.Time) {
+	for _, m := range p.makers {
+		if !m.doubtful(spec, now) {
+			continue
+		}
+		m.asking = true
+		if pause := now.Add(askPause); pause.After(m.pausedUntil) {
+			m.pausedUntil = pause
+		}
+		go f.askRoom(service, m, m.Addr, spec)
+	}
+}
+
+// askRoom asks a target how much room for results it has: results lie there that another
+// former, or this node before its restart, had made.
 func (f *Former) askRoom(service string, m *maker, addr string, spec *routes.Batch) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
 	free, err := f.worker.Room(ctx, addr)
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	m.asked, m.asking = true, false
 	if err != nil {
 		f.log.Info("room of target not known", "service", service, "target", m.ID, "err", err)
 		return
 	}
 	now := time.Now()
 	m.foreign = max(spec.RoomBytes-free-m.held(), 0)
-	if free > 0 && now.After(m.foreignUntil) {
-		// It takes smaller calls at once. One that turns those away too is left alone.
+	if free > 0 && now.After(m.foreignUntil) && m.pausedUntil.Before(now.Add(busyPause)) {
+		// It takes smaller calls at once. One that turns those away too is left alone, and
+		// so is one that fails.
 		m.pausedUntil = now
 	}
 	m.foreignUntil = now.Add(foreignLife)
-	f.log.Info("target had no room", "service", service, "target", m.ID, "free", free, "held", m.held(), "foreign", m.foreign)
+	f.log.Info("room of target", "service", service, "target", m.ID, "free", free, "held", m.held(), "foreign", m.foreign)
 	f.pump(service, f.pool(service), spec)
 }
 
--- a/internal/stagebatch/room_test.go
+++ b/internal/stagebatch/room_test.go
@@ -138,3 +138,21 @@
 	m := &maker{foreign: spec.RoomBytes - testResultBytes, foreignUntil: now.Add(time.Second)}
 	c.Assert(m.room(spec, now), qt.Equals, int64(testResultBytes))
 }
+
+// A former that begins does not know what lies at its targets: calls that make nothing told
+// it, while their orders waited.
+func TestNewFormerAsksForRoomBeforeItsFirstCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p, list := newFakePool(2)
+		p.host(0).room = 0
+		f := NewFormer(p, list, poolSpec, quiet)
+		start := time.Now()
+		res, err := f.Produce(t.Context(), at("r", 2, 0, time.Second), nil)
+		c.Assert(err, qt.IsNil)
+		f.Free("pool", res.Handles)
+		c.Assert(p.host(0).calls, qt.Equals, 0)
+		c.Assert(time.Since(start) < expected(poolSpec(""), 2)+20*time.Millisecond, qt.IsTrue)
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -118,7 +118,8 @@
 	Run(ctx context.Context, t targets.Target, items []Item) (Reply, error)
 	// Free gives up results at their maker.
 	Free(ctx context.Context, addr string, handles []string) error
-	// Room returns how many bytes of results a target can still take.
+	// Room returns how many bytes of results a target can still take at the most; targets
+	// tell it roughly.
 	Room(ctx context.Context, addr string) (int64, error)
 	// Maker returns the address (IP:port) of the target that holds a result.
 	Maker(handle string) string
