Follow the store through one node of the data centre

Ruled out: fewer or longer waits (a silent store is then noticed after the bounds); an elected follower with a lease (nothing may rest on one); gossip of rows without versions. Change: internal/relay. A node follows the first node of its data centre (rank by memory, then rendezvous hash) over one yamux stream: rows with the store's versions, a checksum of the copy, how long ago the store answered. It leaves a node that is silent for 1.1 s, without the store, behind or whose copy differs, and asks the next one or the store; whoever is followed asks the store itself. A node that the store turns away is told by another. Members' rows stand over a restart: nothing is written, and one node of a data centre reads the tables. Whole tables are sent compressed, packed once a version. Mechanism 'relays' switches it off. Mended with a test that failed first (TestOracleFollowedCopiesAgree), a bound on asking again and on ending calls.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"topazmoor/internal/mechanism"
 	"topazmoor/internal/metrics"
 	"topazmoor/internal/passthrough"
+	"topazmoor/internal/relay"
 	"topazmoor/internal/routes"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/store"
@@ -85,6 +86,8 @@
 type Board struct {
 	Routes  blackboard.Cell[*routes.Config]
 	Members blackboard.Cell[[]stagebatch.Node]
+	// Near are the nodes of this node's data centre, itself included once it is entered.
+	Near blackboard.Cell[[]relay.Node]
 }
 
 // Node is one entry node.
@@ -99,6 +102,9 @@
 	peers   *peers
 	// versions hears of newer configurations from the other nodes.
 	versions *versions
+	// teller and follower share what nodes of a data centre hear of the store.
+	teller   *relay.Teller
+	follower *relay.Follower
 	former   *stagebatch.Former
 	router   *stagebatch.Router
 	front    *passthrough.Server
@@ -152,6 +158,7 @@
 	if n.peers, err = n.provisionPeers(); err != nil {
 		return nil, err
 	}
+	n.provisionRelay()
 	n.router = stagebatch.NewRouter(set.Node, n.former, n.peers.client, n.board.Members.Get, n.log)
 	n.front = passthrough.New(passthrough.Config{
 		Routes: n.board.Routes.Get, Current: n.current, Targets: n.targets, Stages: n.router,
@@ -168,9 +175,12 @@
 }
 
 // pause returns how long changes of a table are gathered, by the number of nodes that
-// ask for them.
+// ask for them. Where few ask for all it is short.
 func (n *Node) pause(perNode, least, most time.Duration) func() time.Duration {
 	return func() time.Duration {
+		if len(n.board.Near.Get()) >= relay.Fewest {
+			return least
+		}
 		nodes := len(n.board.Members.Get()) + 1
 		return min(max(time.Duration(nodes)*perNode, least), most)
 	}
@@ -180,7 +190,7 @@
 	n.metrics.GaugeVec("topazmoor_entry_store_age_seconds", "Time since the store last answered, by table.", "table", func() map[string]float64 {
 		ages := make(map[string]float64)
 		for _, t := range []*watch.Table{n.config, n.servers, n.peers.members} {
-			ages[t.Name] = time.Since(t.Heard()).Seconds()
+			ages[t.Name] = time.Since(t.LastHeard()).Seconds()
 		}
 		return ages
 	})
@@ -191,6 +201,7 @@
 		}
 		return 0
 	})
+	n.metrics.Gauge("topazmoor_entry_store_followers", "Nodes that follow the store through this one.", func() float64 { return float64(n.teller.Followers()) })
 	n.metrics.Gauge("topazmoor_entry_nodes", "Nodes that answer, this one included.", func() float64 { return float64(n.router.Live()) })
 	n.metrics.Gauge("topazmoor_entry_requests_in_flight", "Requests being worked on.", func() float64 { return float64(n.InFlight()) })
 	if n.env.Dropped != nil {
@@ -230,6 +241,7 @@
 		n.log.Error("configuration not taken: it cannot be read", "row_version", v.Version, "err", err)
 		return
 	}
+	n.teller.Wake()
 	old := n.board.Routes.Get()
 	if cfg == nil || (old != nil && cfg.Version <= old.Version) {
 		return
@@ -246,14 +258,19 @@
 // current reports whether the configuration can be trusted to be the newest one.
 func (n *Node) current() bool { return n.config.Connected() && n.servers.Connected() }
 
-// storeContact makes the other watches find out whether the store answers.
+// storeContact makes the other watches, and the nodes that follow this one, find out
+// whether the store answers.
 func (n *Node) storeContact() {
-	n.config.Poke()
-	n.peers.members.Poke()
+	n.teller.Wake()
+	if n.follower.Alone() {
+		n.config.Poke()
+		n.peers.members.Poke()
+	}
 }
 
 // applyTargets takes in a list of targets.
 func (n *Node) applyTargets(v watch.View) {
+	n.teller.Wake()
 	changes, gone := n.targets.Update(n.env.Sources.Targets(v.Rows), v.Regained)
 	for _, addr := range gone {
 		n.env.Conns.Forget(addr)
@@ -271,6 +288,7 @@
 	for _, s := range []suture.Service{
 		supervise.Named("configuration", n.config), supervise.Named("list of targets", n.servers),
 		supervise.Named("peers", n.peers), supervise.Named("peer server", n.peers.server), supervise.Named("members", n.peers.members),
+		supervise.Named("follower", n.follower),
 		supervise.Named("callers", n.callers), supervise.Named("sweeper", &sweeper{n}),
 	} {
 		sup.Add(s)
@@ -362,6 +380,9 @@
 // Others returns how many other nodes this one knows.
 func (n *Node) Others() int { return len(n.board.Members.Get()) }
 
+// StoreFollowers returns how many nodes follow the store through this one.
+func (n *Node) StoreFollowers() int { return n.teller.Followers() }
+
 // Former returns the node that forms the batches of a service, as this node sees it.
 func (n *Node) Former(service string) string { return n.router.First(service) }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -6,12 +6,14 @@
 	"encoding/json"
 	"errors"
 	mathrand "math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/peer"
+	"topazmoor/internal/relay"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/store"
 	"topazmoor/internal/watch"
@@ -39,6 +41,9 @@
 	maxMemberPause = 2500 * time.Millisecond
 	// memberPausePerNode is what each node adds: 74 nodes gather for 2.2 s.
 	memberPausePerNode = 30 * time.Millisecond
+	// manyNodes is how many others a node knows that starts beside a running fleet: it need
+	// not wait for nodes that start with it.
+	manyNodes = 3
 	// leaveTimeout bounds the removal of the row at a stop.
 	leaveTimeout = 2 * time.Second
 )
@@ -47,8 +52,8 @@
 type member struct {
 	Addr       string `json:"addr"`
 	DataCentre string `json:"data_centre"`
-	// Started tells one process of a node from the next, in Unix nanoseconds.
-	Started int64 `json:"started"`
+	// Memory is the process's limit in bytes; 0 for none.
+	Memory int64 `json:"memory,omitempty"`
 }
 
 // peers is the node's side of the other nodes. It implements suture.Service.
@@ -59,6 +64,9 @@
 	members *watch.Table
 	row     []byte
 	left    atomic.Bool
+	// known is closed when the nodes are known so well that one to follow can be chosen.
+	known     chan struct{}
+	knownOnce sync.Once
 }
 
 func (n *Node) provisionPeers() (*peers, error) {
@@ -66,11 +74,11 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for peers")
 	}
-	p := &peers{n: n, client: &lateClient{}, server: &lateServer{ln: ln, key: make(chan []byte, 1)}}
+	p := &peers{n: n, client: newLateClient(), known: make(chan struct{}), server: &lateServer{ln: ln, key: make(chan []byte, 1)}}
 	p.server.start = func(key []byte) *peer.Server {
-		return peer.NewServer(ln, key, n.set.Node, peer.Handler{Stages: n.former, Versions: n.versions}, n.log)
+		return peer.NewServer(ln, key, n.set.Node, peer.Handler{Stages: n.former, Versions: n.versions, Teller: n.teller}, n.log)
 	}
-	p.row, err = json.Marshal(member{Addr: ln.Addr().String(), DataCentre: n.set.DataCentre, Started: n.started.UnixNano()})
+	p.row, err = json.Marshal(member{Addr: ln.Addr().String(), DataCentre: n.set.DataCentre, Memory: n.set.MemoryBytes})
 	if err != nil {
 		return nil, eris.Wrap(err, "encode member")
 	}
@@ -138,11 +146,17 @@
 	}
 }
 
+var errMembersUnknown = eris.New("entry: the table of nodes is not read yet")
+
 // enter writes this node's row unless it stands.
 func (p *peers) enter(ctx context.Context) error {
 	if p.left.Load() {
 		return nil
 	}
+	if p.rows() == nil {
+		// A process that was killed finds its row as it left it.
+		return errMembersUnknown
+	}
 	r, ok := p.rows()[p.n.set.Node]
 	if ok && string(r.Value) == string(p.row) {
 		return nil
@@ -163,17 +177,27 @@
 func (p *peers) apply(v watch.View) {
 	p.n.memberRows.Store(v.Rows)
 	var out []stagebatch.Node
+	var near []relay.Node
 	for name, r := range v.Rows {
 		var m member
 		if err := json.Unmarshal(r.Value, &m); err != nil {
 			p.n.log.Error("entry of a node left out", "peer", name, "err", err)
 			continue
 		}
+		if m.DataCentre == p.n.set.DataCentre {
+			near = append(near, relay.Node{Name: name, Addr: m.Addr, Memory: m.Memory})
+		}
 		if name != p.n.set.Node {
 			out = append(out, stagebatch.Node{Name: name, Addr: m.Addr})
 		}
 	}
 	p.n.board.Members.Store(out)
+	p.n.board.Near.Store(near)
+	_, entered := v.Rows[p.n.set.Node]
+	if entered || len(out) >= manyNodes {
+		p.knownOnce.Do(func() { close(p.known) })
+	}
+	p.n.teller.Wake()
 	p.n.log.Info("nodes known", "others", len(out), "row_version", v.Version)
 }
 
@@ -196,11 +220,31 @@
 
 // lateClient is a peer client that exists once the shared secret is known. It
 // implements stagebatch.Remote.
-type lateClient struct{ c atomic.Pointer[peer.Client] }
+type lateClient struct {
+	c     atomic.Pointer[peer.Client]
+	ready chan struct{}
+}
+
+func newLateClient() *lateClient { return &lateClient{ready: make(chan struct{})} }
 
 var errNoKey = eris.New("entry: the shared secret is not known yet")
 
-func (l *lateClient) set(c *peer.Client) { l.c.Store(c) }
+func (l *lateClient) set(c *peer.Client) {
+	if l.c.Swap(c) == nil {
+		close(l.ready)
+	}
+}
+
+// Follow implements relay.Remote. It waits for the secret: a node that starts wants the
+// store's tables before anything else.
+func (l *lateClient) Follow(ctx context.Context, addr string, have []relay.Have, told func(relay.Told) error) error {
+	select {
+	case <-ctx.Done():
+		return errNoKey
+	case <-l.ready:
+	}
+	return l.c.Load().Follow(ctx, addr, have, told)
+}
 
 // Produce implements stagebatch.Remote.
 func (l *lateClient) Produce(ctx context.Context, addr string, o stagebatch.Order, accepted func(stagebatch.Waits)) (stagebatch.Result, error) {
--- /dev/null
+++ b/internal/entry/relay.go
@@ -0,0 +1,36 @@
+package entry
+
+import (
+	"topazmoor/internal/mechanism"
+	"topazmoor/internal/relay"
+)
+
+// provisionRelay lets this node follow the store through a node of its data centre, and
+// others through this one. The list of targets and the configuration are held until that is
+// decided.
+func (n *Node) provisionRelay() {
+	near := n.near
+	if n.set.Off.Has(mechanism.Relays) {
+		near = func() []relay.Node { return nil }
+	}
+	n.teller = relay.NewTeller(n.servers, n.config, n.peers.members)
+	n.servers.Shared = func() bool { return n.teller.Followers() > 0 }
+	n.follower = &relay.Follower{
+		Self: n.set.Node, DataCentre: n.set.DataCentre, Nodes: near, Known: n.peers.known,
+		Remote: n.peers.client, Tables: n.teller.Tables(), Teller: n.teller, Log: n.log,
+	}
+	n.config.Hold()
+	n.servers.Hold()
+}
+
+// near lists the nodes of the data centre, this one included.
+func (n *Node) near() []relay.Node {
+	nodes := n.board.Near.Get()
+	for _, other := range nodes {
+		if other.Name == n.set.Node {
+			return nodes
+		}
+	}
+	self := relay.Node{Name: n.set.Node, Memory: n.set.MemoryBytes}
+	return append(append([]relay.Node(nil), nodes...), self)
+}
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -34,6 +34,7 @@
 	n.stopped.Store(true)
 	n.front.Stop(ends)
 	n.router.Stop()
+	n.teller.Stop()
 	n.log.Info("stopping", "in_flight", n.front.InFlight(), "grace_ms", grace.Milliseconds())
 	go n.peers.leave(ctx)
 	select {
--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -52,13 +52,15 @@
 	Hedges
 	// SilentEngines: streams that may go on elsewhere leave an engine that is silent.
 	SilentEngines
+	// Relays: nodes follow the store through one of their data centre.
+	Relays
 )
 
 // names has the mechanisms in the order of their bits.
 var names = []string{
 	"copy-prompts", "prompt-affinity", "near-inputs", "maker-place", "wait-for-place",
 	"late-big-results", "early-release", "refuse-hopeless", "give-up-hopeless", "begun-first", "ranks",
-	"whole-orders", "second-call", "slow-targets", "hedges", "silent-engines",
+	"whole-orders", "second-call", "slow-targets", "hedges", "silent-engines", "relays",
 }
 
 // Names lists all mechanisms.
--- a/internal/mechanism/mechanism_test.go
+++ b/internal/mechanism/mechanism_test.go
@@ -16,8 +16,8 @@
 		c.Assert(s.String(), qt.Equals, name)
 		all |= s
 	}
-	c.Assert(all.Has(CopyPrompts) && all.Has(SilentEngines), qt.IsTrue)
-	c.Assert(SilentEngines, qt.Equals, Set(1<<(len(Names())-1)))
+	c.Assert(all.Has(CopyPrompts) && all.Has(Relays), qt.IsTrue)
+	c.Assert(Relays, qt.Equals, Set(1<<(len(Names())-1)))
 	var s Set
 	c.Assert(s.UnmarshalText([]byte("hedges, ranks")), qt.IsNil)
 	c.Assert(s, qt.Equals, Hedges|Ranks)
--- a/internal/node/provision.go
+++ b/internal/node/provision.go
@@ -97,7 +97,7 @@
 		{"topazmoor_nodes_live", "Nodes that answer, this one included.", func() float64 { return float64(n.peers.nodes()) }},
 		{"topazmoor_membership_bytes_total", "Bytes of membership datagrams sent and received.", n.peers.membershipBytes},
 		{"topazmoor_batches_running", "Batches that this node runs.", func() float64 { return float64(n.batches.Running()) }},
-		{"topazmoor_host_list_age_seconds", "Age of the host list in use.", func() float64 { return time.Since(n.hosts.Heard()).Seconds() }},
+		{"topazmoor_host_list_age_seconds", "Age of the host list in use.", func() float64 { return time.Since(n.hosts.LastHeard()).Seconds() }},
 	} {
 		n.metrics.Gauge(g.name, g.help, g.read)
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -37,6 +37,8 @@
 	Demand func() []scheduler.ModelDemand
 	// Stages answers orders for stage results; nil at nodes without them.
 	Stages Stages
+	// Teller answers nodes that follow this one; nil at nodes without it.
+	Teller Teller
 	// Versions exchanges configuration versions with orders; nil for not.
 	Versions Versions
 }
@@ -49,6 +51,8 @@
 	h        Handler
 	log      *slog.Logger
 
+	packer packer
+
 	mu       sync.Mutex
 	sessions map[*yamux.Session]bool
 }
@@ -132,9 +136,9 @@
 	delete(s.sessions, sess)
 }
 
-func (s *Server) call(ctx context.Context, st *yamux.Stream) {
+func (s *Server) call(life context.Context, st *yamux.Stream) {
 	defer st.Close()
-	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+	ctx, cancel := context.WithTimeout(life, serveTimeout)
 	defer cancel()
 	// Deadlines of an open stream cannot fail.
 	_ = st.SetDeadline(time.Now().Add(serveTimeout))
@@ -142,6 +146,10 @@
 	if err := readFrame(st, req, maxFrame); err != nil {
 		return
 	}
+	if f := req.GetFollow(); f != nil {
+		s.serveFollow(life, st, f)
+		return
+	}
 	resp, err := s.answer(ctx, st, req)
 	if err != nil {
 		resp = &peerpb.Response{Refusal: refusalOf(err)}
@@ -151,6 +159,17 @@
 	}
 }
 
+// serveFollow answers a node that follows this one for as long as it wants.
+func (s *Server) serveFollow(ctx context.Context, st *yamux.Stream, f *peerpb.Follow) {
+	err := s.follow(ctx, st, f)
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	if err := writeFrame(st, &peerpb.Response{Refusal: refusalOf(err)}); err != nil {
+		s.log.Debug("peer left before its answer", "err", err)
+	}
+}
+
 func (s *Server) answer(ctx context.Context, st *yamux.Stream, req *peerpb.Request) (*peerpb.Response, error) {
 	switch call := req.Call.(type) {
 	case *peerpb.Request_Produce:
--- /dev/null
+++ b/internal/relay/follower.go
@@ -0,0 +1,377 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"topazmoor/internal/watch"
+)
+
+const (
+	// acceptTimeout is how long a node may take to tell something first: a connection and
+	// its handshake take 3 round trips of 1 to 3 ms, and a busy node some tens of ms.
+	acceptTimeout = 400 * time.Millisecond
+	// silence is how long a node may say nothing after that: it says something each beat,
+	// and a slow host may miss one.
+	silence = 2*beat + 300*time.Millisecond
+	// copyPatience is how long a node may have no copy to tell of. After a start of all
+	// nodes it reads 60 pages of 5 ms for 3,000 targets.
+	copyPatience = 1500 * time.Millisecond
+	// maxAge is how long ago the store may have answered the node: it asks each
+	// watch.SharedWait, and its client gives a call up 0.7 s after that.
+	maxAge = watch.SharedWait + time.Second
+	// behindPatience is how long its copy may be older than the own one: it gathers changes
+	// for up to 0.8 s.
+	behindPatience = 1500 * time.Millisecond
+	// repeatPause is how seldom a node is asked again at once because its news did not fit
+	// the own copy; one that never fit would otherwise be asked without an end.
+	repeatPause = 5 * time.Second
+	// firstPass is how long a node that was left is not asked again; it doubles up to
+	// maxPass while that goes on.
+	firstPass = 2 * time.Second
+	maxPass   = 30 * time.Second
+	// lookAgain is how often the choice is looked at.
+	lookAgain = time.Second
+	// probePause is how often, half of it random, a node asks a store by itself that
+	// answers neither it nor the node that it follows: that node may have been turned away
+	// alone, and this one is to be back within 3 s.
+	probePause = 2 * time.Second
+	// startPatience is how long the tables are held at a start for the list of nodes, which
+	// fills while nodes that never ran before enter themselves.
+	startPatience = 1500 * time.Millisecond
+	// startGrace is how long a node without a copy goes on looking for one that has some:
+	// where all nodes start at once the first in order may be up some 100 ms later.
+	startGrace = 800 * time.Millisecond
+	// startPass is firstPass in that time.
+	startPass = 150 * time.Millisecond
+	// staleAfter is how long nothing may have been heard of the store before the tables ask
+	// it by themselves, while another node to follow is looked for.
+	staleAfter = time.Second
+)
+
+// Follower keeps this node's tables by what other nodes tell, or lets the tables ask the
+// store. It implements suture.Service.
+type Follower struct {
+	Self, DataCentre string
+	// Nodes lists the nodes of the data centre, self included. Known is closed when that
+	// list was read once.
+	Nodes  func() []Node
+	Known  <-chan struct{}
+	Remote Remote
+	// Tables are kept; the first one's calls find out whether the store answers.
+	Tables []*watch.Table
+	Teller *Teller
+	Log    *slog.Logger
+
+	// following is set while the tables are kept by what another node tells.
+	following atomic.Bool
+
+	passed map[string]passed
+	// teller is the node that is followed, selfFollows for none; "" while that is open.
+	teller string
+	// whole asks for whole tables next, as the copies differed.
+	whole bool
+	// repeated is when a node was last asked again as its news did not fit.
+	repeated time.Time
+	// graceEnds is when a node without a copy reads the store by itself.
+	graceEnds time.Time
+}
+
+// passed is a node that is not asked for a while.
+type passed struct {
+	until time.Time
+	pause time.Duration
+	// away says that it was left because the store did not answer it.
+	away bool
+}
+
+// Alone reports whether the tables ask the store by themselves.
+func (f *Follower) Alone() bool { return !f.following.Load() }
+
+// Serve implements suture.Service.
+func (f *Follower) Serve(ctx context.Context) error {
+	f.passed = make(map[string]passed)
+	f.awaitNodes(ctx)
+	f.graceEnds = time.Now().Add(startGrace)
+	for ctx.Err() == nil {
+		n, ok := f.choose()
+		switch {
+		case ok:
+			if f.stale() {
+				f.release()
+			}
+			f.leave(n, f.follow(ctx, n))
+		case f.starting() && len(f.passed) > 0:
+			f.pause(ctx, startPass/2)
+		default:
+			f.alone(ctx)
+		}
+	}
+	return ctx.Err()
+}
+
+// starting reports whether this node has no copy yet and may still wait for another's.
+func (f *Follower) starting() bool { return f.empty() && time.Now().Before(f.graceEnds) }
+
+func (f *Follower) empty() bool { return f.Tables[0].Copy().Rows() == nil }
+
+// stale reports whether the copy may lack what the store has by now.
+func (f *Follower) stale() bool {
+	return !f.empty() && time.Since(f.Tables[0].LastHeard()) > staleAfter
+}
+
+// pause waits for about d.
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d/2 + rand.N(d))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// awaitNodes waits until the nodes of the data centre are known.
+func (f *Follower) awaitNodes(ctx context.Context) {
+	timer := time.NewTimer(startPatience)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-f.Known:
+	case <-timer.C:
+	}
+}
+
+// choose applies Choose to what is known now.
+func (f *Follower) choose() (Node, bool) {
+	now := time.Now()
+	st := Standing{
+		Self: f.Self, Ranked: Rank(f.DataCentre, f.Nodes()), Followed: f.Teller.Followers() > 0, Lost: f.Tables[0].Lost(),
+		Passed: make(map[string]bool), Away: make(map[string]bool),
+	}
+	for name, p := range f.passed {
+		st.Passed[name] = now.Before(p.until)
+		st.Away[name] = p.away
+	}
+	return Choose(st)
+}
+
+// alone lets the tables ask the store for a while.
+func (f *Follower) alone(ctx context.Context) {
+	if f.teller != selfFollows {
+		f.teller = selfFollows
+		f.Log.Info("following the store by itself", "data_centre_nodes", len(f.Nodes()), "followers", f.Teller.Followers())
+	}
+	f.release()
+	f.pause(ctx, lookAgain)
+	if f.Tables[0].Lost() {
+		f.pass(f.Self, true)
+		return
+	}
+	delete(f.passed, f.Self)
+}
+
+// pass keeps a node from being asked for a while and returns how long.
+func (f *Follower) pass(name string, away bool) time.Duration {
+	p := f.passed[name]
+	p.pause = min(max(2*p.pause, firstPass), maxPass)
+	if f.starting() {
+		p.pause = startPass
+	}
+	p.until = time.Now().Add(p.pause)
+	p.away = away
+	f.passed[name] = p
+	return p.pause
+}
+
+// release lets the tables ask the store.
+func (f *Follower) release() {
+	f.following.Store(false)
+	for _, t := range f.Tables {
+		t.Release()
+	}
+}
+
+// selfFollows stands for no teller.
+const selfFollows = "(none)"
+
+// leave notes why a node was left.
+func (f *Follower) leave(n Node, err error) {
+	again := errors.Is(err, watch.ErrGap) || errors.Is(err, watch.ErrDiffers)
+	if errors.Is(err, errMoved) || again && time.Since(f.repeated) > repeatPause {
+		if again {
+			f.repeated = time.Now()
+		}
+		f.Log.Info("asking again what the store has", "peer", n.Name, "err", err)
+		return
+	}
+	pause := f.pass(n.Name, errors.Is(err, ErrAway))
+	f.teller = ""
+	f.Log.Warn("node does not tell what the store has, leaving it", "peer", n.Name, "addr", n.Addr, "for_ms", pause.Milliseconds(), "err", err)
+}
+
+// session is one call at a node that is followed.
+type session struct {
+	f    *Follower
+	node Node
+	// began is the start of the call, told the first message with a copy.
+	began time.Time
+	told  bool
+	// behind is since when the node's copy has been older than the own one.
+	behind time.Time
+	// probe is when the store is next asked by itself.
+	probe time.Time
+	// looked is when the choice was last looked at.
+	looked time.Time
+}
+
+// follow keeps the tables by what a node tells until it is to be left.
+func (f *Follower) follow(ctx context.Context, n Node) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(acceptTimeout, func() { cancel(ErrSilent) })
+	defer watchdog.Stop()
+	now := time.Now()
+	s := &session{f: f, node: n, began: now, looked: now}
+	err := f.Remote.Follow(ctx, n.Addr, f.have(), func(t Told) error {
+		watchdog.Reset(silence)
+		return s.take(t, time.Now())
+	})
+	if errors.Is(context.Cause(ctx), ErrSilent) {
+		return ErrSilent
+	}
+	if errors.Is(err, watch.ErrDiffers) {
+		f.whole = true
+	}
+	return err
+}
+
+// have is how far the tables are.
+func (f *Follower) have() []Have {
+	out := make([]Have, len(f.Tables))
+	for i, t := range f.Tables {
+		out[i] = Have{Table: t.Name, Version: t.Copy().Position().Version}
+		if f.whole || t.Copy().Rows() == nil {
+			out[i].Version = -1
+		}
+	}
+	f.whole = false
+	return out
+}
+
+// take takes one message in; its error is why the node is left.
+func (s *session) take(t Told, now time.Time) error {
+	if now.Sub(s.looked) > lookAgain {
+		s.looked = now
+		if n, ok := s.f.choose(); !ok || n.Name != s.node.Name {
+			return errMoved
+		}
+	}
+	if t.Away || t.Age > maxAge {
+		return s.away(now)
+	}
+	if len(t.Tables) != len(s.f.Tables) || t.Tables[0].Position.Version == 0 {
+		return s.empty(now)
+	}
+	return s.copy(t, now.Add(-t.Age), now)
+}
+
+// away decides what to do while the store does not answer the node: leave it if the store
+// answers this one, else let it find out for both when the store is back.
+func (s *session) away(now time.Time) error {
+	lead := s.f.Tables[0]
+	if !lead.Lost() || s.f.ranksBefore(s.node.Name) {
+		return ErrAway
+	}
+	s.f.hold()
+	switch {
+	case s.probe.IsZero():
+		s.probe = now.Add(probePause/2 + rand.N(probePause))
+	case now.After(s.probe):
+		s.probe = now.Add(probePause/2 + rand.N(probePause))
+		lead.Poke()
+	}
+	return nil
+}
+
+// ranksBefore reports whether self comes before another node in the order.
+func (f *Follower) ranksBefore(other string) bool {
+	for _, n := range Rank(f.DataCentre, f.Nodes()) {
+		if n.Name == f.Self || n.Name == other {
+			return n.Name == f.Self
+		}
+	}
+	return false
+}
+
+// empty decides how long to wait for a node that has no copy yet.
+func (s *session) empty(now time.Time) error {
+	if now.Sub(s.began) > copyPatience {
+		return ErrEmpty
+	}
+	return nil
+}
+
+// copy takes the node's copy over.
+func (s *session) copy(t Told, heard, now time.Time) error {
+	if !s.told {
+		s.told = true
+		s.f.begin(s.node)
+	}
+	s.f.hold()
+	for i, table := range s.f.Tables {
+		theirs := t.Tables[i]
+		if theirs.Position.Version == 0 {
+			continue
+		}
+		table.Heard(heard)
+		if theirs.News != nil {
+			if err := table.Take(*theirs.News); err != nil {
+				return err
+			}
+		}
+		if err := table.Compare(theirs.Position); err != nil {
+			return err
+		}
+	}
+	return s.keepsUp(t, now)
+}
+
+// keepsUp fails when the node's copy has long been older than the own one.
+func (s *session) keepsUp(t Told, now time.Time) error {
+	for i, table := range s.f.Tables {
+		if t.Tables[i].Position.Version >= table.Copy().Position().Version {
+			continue
+		}
+		if s.behind.IsZero() {
+			s.behind = now
+		}
+		if now.Sub(s.behind) > behindPatience {
+			return ErrBehind
+		}
+		return nil
+	}
+	s.behind = time.Time{}
+	return nil
+}
+
+// begin notes that a node is followed.
+func (f *Follower) begin(n Node) {
+	delete(f.passed, n.Name)
+	if f.teller == n.Name {
+		return
+	}
+	f.teller = n.Name
+	f.Log.Info("following the store through another node", "peer", n.Name, "addr", n.Addr)
+}
+
+// hold keeps the tables from asking the store.
+func (f *Follower) hold() {
+	f.following.Store(true)
+	for _, t := range f.Tables {
+		t.Hold()
+	}
+}
--- /dev/null
+++ b/internal/relay/teller.go
@@ -0,0 +1,125 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"topazmoor/internal/watch"
+)
+
+// beat is the longest pause between two messages of a node that is followed: whoever hears
+// nothing for silence takes it for frozen or cut off.
+const beat = 400 * time.Millisecond
+
+// Teller answers the nodes that follow this one. It is safe for concurrent use.
+type Teller struct {
+	tables []*watch.Table
+
+	followers atomic.Int64
+	// refreshed is when a call was last ended for a first follower, in Unix nanoseconds.
+	refreshed atomic.Int64
+	stopping  atomic.Bool
+
+	mu   sync.Mutex
+	wake chan struct{}
+}
+
+// NewTeller returns a Teller of these tables. The first one's calls find out whether the
+// store answers.
+func NewTeller(tables ...*watch.Table) *Teller {
+	return &Teller{tables: tables, wake: make(chan struct{})}
+}
+
+// Tables returns the tables that are told.
+func (t *Teller) Tables() []*watch.Table { return t.tables }
+
+// Followers returns how many nodes follow this one.
+func (t *Teller) Followers() int { return int(t.followers.Load()) }
+
+// Wake makes the next message go out now: a copy changed, or the store stopped or began to
+// answer.
+func (t *Teller) Wake() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	close(t.wake)
+	t.wake = make(chan struct{})
+}
+
+// Stop sends all followers elsewhere.
+func (t *Teller) Stop() {
+	t.stopping.Store(true)
+	t.Wake()
+}
+
+func (t *Teller) woken() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.wake
+}
+
+// Follow tells a node what it lacks, and all that changes, until ctx ends, send fails or this
+// node stops.
+func (t *Teller) Follow(ctx context.Context, have []Have, send func(Told) error) error {
+	t.followers.Add(1)
+	t.refresh()
+	defer t.followers.Add(-1)
+	for {
+		woken := t.woken()
+		if t.stopping.Load() {
+			return ErrStopping
+		}
+		if err := send(t.tell(have)); err != nil {
+			return err
+		}
+		timer := time.NewTimer(beat)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-woken:
+			timer.Stop()
+		case <-timer.C:
+		}
+	}
+}
+
+// refresh ends a call of the store that waits for as long as one node for itself may: with it
+// this node's word would be too old. It does so once a maxAge, however nodes come and go.
+func (t *Teller) refresh() {
+	lead := t.tables[0]
+	last := t.refreshed.Load()
+	now := time.Now().UnixNano()
+	if t.followers.Load() > 1 || now-last < int64(maxAge) || !t.refreshed.CompareAndSwap(last, now) {
+		return
+	}
+	lead.Poke()
+}
+
+// tell makes one message and notes in have what it tells.
+func (t *Teller) tell(have []Have) Told {
+	lead := t.tables[0]
+	told := Told{Away: lead.Lost(), Tables: make([]TableTold, len(have))}
+	if heard := lead.LastHeard(); !heard.IsZero() {
+		told.Age = time.Since(heard)
+	}
+	for i := range have {
+		table := t.table(have[i].Table)
+		if table == nil {
+			continue
+		}
+		told.Tables[i].News, told.Tables[i].Position = table.Copy().Since(have[i].Version)
+		have[i].Version = max(have[i].Version, told.Tables[i].Position.Version)
+	}
+	return told
+}
+
+func (t *Teller) table(name string) *watch.Table {
+	for _, table := range t.tables {
+		if table.Name == name {
+			return table
+		}
+	}
+	return nil
+}
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -149,7 +149,7 @@
 		return nil, eris.Wrap(err, "memnet: address")
 	}
 	to := ap.Addr().String()
-	n.wait(from, nil)
+	n.wait(from, ctx.Done())
 	n.mu.Lock()
 	l := n.listeners[addr]
 	refused := l == nil || n.cut(from, to)
--- /dev/null
+++ b/internal/watch/copy_test.go
@@ -0,0 +1,121 @@
+package watch
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"topazmoor/internal/store"
+)
+
+// TestOracleFollowedCopiesAgree changes a copy at random, as changes and whole reads of a
+// store come, and brings two others up to it now and then: they have the same rows, the same
+// sum, and a version that never fell.
+//
+// It was seen to fail within its 100 scripts with a key counted twice that changed twice in
+// one answer, with news from the middle of the editions, and without keys that a whole read
+// lacks.
+func TestOracleFollowedCopiesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var lead Copy
+		truth := map[string]store.Row{}
+		version := int64(10)
+		lead.replace(nil, version)
+		followers := []*Table{{Apply: func(View) {}}, {Apply: func(View) {}}}
+		key := rapid.SampledFrom([]string{"a", "b", "c", "d"})
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0, 1:
+				var rows []store.Row
+				var deleted []string
+				for range rapid.IntRange(1, 3).Draw(t, "changes") {
+					version++
+					k := key.Draw(t, "key")
+					r := store.Row{Key: k, Value: fmt.Append(nil, version), Version: version}
+					rows, truth[k] = append(rows, r), r
+				}
+				if k := key.Draw(t, "deleted"); rapid.Bool().Draw(t, "delete") && truth[k].Version < version-3 {
+					version++
+					delete(truth, k)
+					deleted = append(deleted, k)
+				}
+				lead.merge(rows, deleted, version)
+			case 2:
+				version++
+				delete(truth, key.Draw(t, "key"))
+				var rows []store.Row
+				for _, r := range truth {
+					rows = append(rows, r)
+				}
+				lead.replace(rows, version)
+			case 3:
+				version++
+				lead.advance(version)
+			default:
+				catchUp(t, followers[rapid.IntRange(0, 1).Draw(t, "follower")], &lead)
+			}
+		}
+		for _, f := range followers {
+			catchUp(t, f, &lead)
+			if !maps.EqualFunc(f.copy.Rows(), truth, func(a, b store.Row) bool { return a.Version == b.Version && string(a.Value) == string(b.Value) }) {
+				t.Fatalf("rows %v, want %v", f.copy.Rows(), truth)
+			}
+		}
+	})
+}
+
+// catchUp brings a follower up to the lead, as a relay does.
+func catchUp(t *rapid.T, f *Table, lead *Copy) {
+	before := f.copy.Position().Version
+	since := before
+	if f.copy.Rows() == nil {
+		since = -1
+	}
+	news, at := lead.Since(since)
+	if news != nil {
+		if err := f.Take(*news); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := f.Compare(at); err != nil {
+		t.Fatal(err)
+	}
+	if after := f.copy.Position(); after != at || after.Version < before {
+		t.Fatalf("at %v after %d, want %v", after, before, at)
+	}
+}
+
+func TestCopyTellsTheWholeTableToWhoIsFarBehind(t *testing.T) {
+	c := qt.New(t)
+	var lead Copy
+	lead.replace(nil, 1)
+	for i := range 2 * maxEditions {
+		lead.merge([]store.Row{{Key: fmt.Sprint(i % 3), Version: int64(i + 2)}}, nil, int64(i+2))
+	}
+	news, at := lead.Since(2)
+	c.Assert(news.Whole, qt.IsTrue)
+	c.Assert(news.Rows, qt.HasLen, 3)
+	again, _ := lead.Since(1)
+	c.Assert(again, qt.Equals, news, qt.Commentf("all that are far behind share it"))
+	news, _ = lead.Since(at.Version - 1)
+	c.Assert(news.Whole, qt.IsFalse)
+	c.Assert(news.Rows, qt.HasLen, 1)
+	news, _ = lead.Since(at.Version)
+	c.Assert(news, qt.IsNil)
+}
+
+func TestNewsThatDoNotGoOnWhereTheCopyEndsAreRefused(t *testing.T) {
+	c := qt.New(t)
+	f := &Table{Apply: func(View) {}}
+	c.Assert(f.Take(News{Since: 3, Version: 4}), qt.Equals, ErrGap)
+	c.Assert(f.Take(News{Whole: true, Version: 5, Rows: []store.Row{{Key: "a", Version: 5}}}), qt.IsNil)
+	c.Assert(f.Take(News{Since: 6, Version: 7}), qt.Equals, ErrGap)
+	// Older than the copy: dropped.
+	c.Assert(f.Take(News{Whole: true, Version: 4}), qt.IsNil)
+	c.Assert(f.Copy().Rows(), qt.HasLen, 1)
+	c.Assert(f.Compare(Position{Version: 6}), qt.Equals, ErrDiffers)
+	c.Assert(f.Compare(Position{Version: 4}), qt.IsNil)
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -1,6 +1,7 @@
 // Package watch keeps a copy of a table up to date: it reads the table whole,
 // follows its changes, and reads it whole again when changes may have been
-// missed. Versions only rise: an answer older than the copy is dropped.
+// missed. Instead of asking the store, a copy can be kept by what another node tells of
+// its own one. Versions only rise: an answer older than the copy is dropped.
 package watch
 
 import (
@@ -23,6 +24,12 @@
 	// LongWait is the same for tables that are poked when another one notices.
 	// Each call is paid for.
 	LongWait = 20 * time.Second
+	// SharedWait is the same where other nodes follow this one: what the store's silence
+	// hides from one node is then hidden from all of them. With it they leave a node that
+	// hears nothing of the store within 2 s, so that a drain or a configuration is in force
+	// within 3 s also then; 1.5 s more calls a minute and follower than ShortWait cost
+	// less than one node that follows for itself.
+	SharedWait = 1200 * time.Millisecond
 	// answerSlack is how long beyond its waiting time a call may take.
 	answerSlack = 3 * time.Second
 	// firstRetry doubles up to maxRetry while the store does not answer. A
@@ -65,26 +72,38 @@
 	// pokes this one then. Until then this one asks seldom: an outage must not cost
 	// calls for each table of each node.
 	Lead *Table
-	Log  *slog.Logger
+	// Shared, when set, reports whether other nodes follow this copy.
+	Shared func() bool
+	Log    *slog.Logger
 
 	mu sync.Mutex
 	// cancel ends the call in progress; poked is closed by Poke, until the next call
 	// takes that in.
 	cancel context.CancelFunc
 	poked  chan struct{}
+	// relayed is set while another node tells what the store has; turn is closed when
+	// that changes.
+	relayed bool
+	turn    chan struct{}
 
-	rows     map[string]store.Row
-	version  int64
-	lost     atomic.Bool
+	copy  Copy
+	lost  atomic.Bool
+	heard atomic.Int64
+
+	// taking holds one update of the copy at a time, with its Apply. It guards the
+	// fields below.
+	taking   sync.Mutex
 	regained time.Time
-	heard    atomic.Int64
 	lastRead time.Time
 	// gap is set while changes may be missing from the copy.
 	gap bool
 }
 
-// Heard returns when the store last answered; zero for never.
-func (t *Table) Heard() time.Time {
+// Copy returns the copy that the table keeps.
+func (t *Table) Copy() *Copy { return &t.copy }
+
+// LastHeard returns when the store last answered; zero for never.
+func (t *Table) LastHeard() time.Time {
 	n := t.heard.Load()
 	if n == 0 {
 		return time.Time{}
@@ -95,7 +114,7 @@
 // Connected reports whether the store answers: it did lately, and no call has failed
 // since.
 func (t *Table) Connected() bool {
-	return !t.lost.Load() && time.Since(t.Heard()) < t.Wait+answerSlack
+	return !t.lost.Load() && time.Since(t.LastHeard()) < t.Wait+answerSlack
 }
 
 // Lost reports whether the store does not answer.
@@ -157,7 +176,7 @@
 // Serve implements suture.Service.
 func (t *Table) Serve(ctx context.Context) error {
 	retry := firstRetry
-	for ctx.Err() == nil {
+	for t.awaitTurn(ctx) {
 		err := t.step(ctx)
 		if err == nil {
 			retry = firstRetry
@@ -167,10 +186,12 @@
 		case t.wasPoked():
 			// That ended the call, which says nothing of the store.
 		case errors.Is(err, store.ErrCompacted):
-			t.Log.Info("history of the table is gone, reading it whole", "table", t.Name, "version", t.version)
-			t.gap = true
+			t.Log.Info("history of the table is gone, reading it whole", "table", t.Name, "version", t.copy.Position().Version)
+			t.setGap()
 		case errors.Is(err, errStale):
-			t.Log.Info("old read of the table dropped", "table", t.Name, "version", t.version)
+			t.Log.Info("old read of the table dropped", "table", t.Name, "version", t.copy.Position().Version)
+		case t.isRelayed():
+			// A call that was begun before; the other node knows better now.
 		default:
 			t.away(err)
 		}
@@ -201,41 +222,79 @@
 		return
 	}
 	t.contact()
-	t.Log.Warn("store lost", "table", t.Name, "version", t.version, "err", err)
+	t.Log.Warn("store lost", "table", t.Name, "version", t.copy.Position().Version, "err", err)
+}
+
+func (t *Table) setGap() {
+	t.taking.Lock()
+	defer t.taking.Unlock()
+	t.gap = true
 }
 
 func (t *Table) step(ctx context.Context) error {
 	ctx, end, poked := t.begin(ctx)
 	defer end()
-	if t.gap || time.Since(t.lastRead) > rereadEvery {
+	if t.wantsWhole() {
 		return t.readWhole(ctx)
 	}
 	patience := t.Wait
+	if t.Shared != nil && t.Shared() {
+		patience = min(patience, SharedWait)
+	}
 	if t.lost.Load() || poked {
 		// Hear at once whether the store is back.
 		patience = 0
 	}
-	changes, err := t.From.Changes(ctx, t.Name, t.version, patience)
+	changes, err := t.From.Changes(ctx, t.Name, t.copy.Position().Version, patience)
 	if err != nil {
 		return err
 	}
-	t.answered()
-	if changes.Version < t.version {
+	t.answered(time.Now())
+	if !t.takeChanges(changes) || t.Pause == nil {
 		return nil
 	}
-	t.version = changes.Version
+	select {
+	case <-ctx.Done():
+	case <-time.After(t.Pause()):
+	}
+	return nil
+}
+
+// wantsWhole reports whether the next call reads the table whole.
+func (t *Table) wantsWhole() bool {
+	t.taking.Lock()
+	defer t.taking.Unlock()
+	return t.gap || time.Since(t.lastRead) > rereadEvery
+}
+
+// takeChanges takes in an answer of the store and reports whether anything changed.
+func (t *Table) takeChanges(changes store.Changes) bool {
+	t.taking.Lock()
+	defer t.taking.Unlock()
+	if changes.Version < t.copy.Position().Version {
+		return false
+	}
 	if len(changes.Changes) == 0 {
-		return nil
+		t.copy.advance(changes.Version)
+		return false
 	}
-	t.merge(changes.Changes)
-	t.apply()
-	if t.Pause != nil {
-		select {
-		case <-ctx.Done():
-		case <-time.After(t.Pause()):
+	// A row may have changed more than once.
+	last := make(map[string]store.Change, len(changes.Changes))
+	for _, c := range changes.Changes {
+		last[c.Key] = c
+	}
+	var rows []store.Row
+	var deleted []string
+	for key, c := range last {
+		if c.Deleted {
+			deleted = append(deleted, key)
+			continue
 		}
+		rows = append(rows, c.Row)
 	}
-	return nil
+	t.copy.merge(rows, deleted, changes.Version)
+	t.apply()
+	return true
 }
 
 // contact tells that the store stopped or began to answer.
@@ -245,8 +304,9 @@
 	}
 }
 
+// apply hands the copy on. The caller holds t.taking.
 func (t *Table) apply() {
-	t.Apply(View{Rows: t.rows, Version: t.version, Regained: t.regained})
+	t.Apply(View{Rows: t.copy.Rows(), Version: t.copy.Position().Version, Regained: t.regained})
 }
 
 // errStale: the read is older than the copy that it should complete.
@@ -258,46 +318,36 @@
 	if err != nil {
 		return err
 	}
-	t.answered()
-	if snap.Version < t.version && t.gap {
+	t.answered(time.Now())
+	t.taking.Lock()
+	defer t.taking.Unlock()
+	version := t.copy.Position().Version
+	if snap.Version < version && t.gap {
 		return errStale
 	}
 	t.lastRead = time.Now()
-	if snap.Version < t.version {
+	if snap.Version < version {
 		return nil
 	}
 	t.gap = false
-	t.version = snap.Version
-	rows := make(map[string]store.Row, len(snap.Rows))
-	for _, r := range snap.Rows {
-		rows[r.Key] = r
-	}
-	t.rows = rows
+	t.copy.replace(snap.Rows, snap.Version)
 	t.apply()
 	return nil
 }
 
-func (t *Table) answered() {
-	t.heard.Store(time.Now().UnixNano())
+// answered notes that the store answered at a moment.
+func (t *Table) answered(at time.Time) {
+	for {
+		last := t.heard.Load()
+		if at.UnixNano() <= last || t.heard.CompareAndSwap(last, at.UnixNano()) {
+			break
+		}
+	}
 	if t.lost.Swap(false) {
+		t.taking.Lock()
 		t.regained = time.Now()
+		t.taking.Unlock()
 		t.contact()
-		t.Log.Info("store regained", "table", t.Name, "version", t.version)
-	}
-}
-
-// merge builds the next copy beside the old one, which readers may still hold.
-func (t *Table) merge(changes []store.Change) {
-	next := make(map[string]store.Row, len(t.rows)+len(changes))
-	for k, r := range t.rows {
-		next[k] = r
-	}
-	for _, c := range changes {
-		if c.Deleted {
-			delete(next, c.Key)
-			continue
-		}
-		next[c.Key] = c.Row
+		t.Log.Info("store regained", "table", t.Name, "version", t.copy.Position().Version)
 	}
-	t.rows = next
 }
