--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -41,9 +41,6 @@
 	maxMemberPause = 2500 * time.Millisecond
 	// memberPausePerNode is what each node adds: 74 nodes gather for 2.2 s.
 	memberPausePerNode = 30 * time.Millisecond
-	// manyNodes is how many others a node knows that starts beside a running fleet: it need
-	// not wait for nodes that start with it.
-	manyNodes = 3
 	// leaveTimeout bounds the removal of the row at a stop.
 	leaveTimeout = 2 * time.Second
 )
@@ -64,9 +61,11 @@
 	members *watch.Table
 	row     []byte
 	left    atomic.Bool
-	// known is closed when the nodes are known so well that one to follow can be chosen.
-	known     chan struct{}
-	knownOnce sync.Once
+	// known is closed when the secret and the nodes are known, so that one to follow can be
+	// chosen. Of a platform that no node knew before it never is.
+	missing atomic.Int32
+	known   chan struct{}
+	read    sync.Once
 }
 
 func (n *Node) provisionPeers() (*peers, error) {
@@ -75,6 +74,7 @@
 		return nil, eris.Wrap(err, "listen for peers")
 	}
 	p := &peers{n: n, client: newLateClient(), known: make(chan struct{}), server: &lateServer{ln: ln, key: make(chan []byte, 1)}}
+	p.missing.Store(2)
 	p.server.start = func(key []byte) *peer.Server {
 		return peer.NewServer(ln, key, n.set.Node, peer.Handler{Stages: n.former, Versions: n.versions, Teller: n.teller}, n.log)
 	}
@@ -89,12 +89,15 @@
 // Serve implements suture.Service: it fetches the shared secret and keeps this
 // node's row in the member table.
 func (p *peers) Serve(ctx context.Context) error {
-	key, err := p.sharedKey(ctx)
+	key, fresh, err := p.sharedKey(ctx)
 	if err != nil {
 		return err
 	}
 	p.client.set(peer.NewClient(peer.Dial(p.n.env.Dial), key, p.n.set.Node, p.n.versions))
 	p.server.key <- key
+	if !fresh {
+		p.learned()
+	}
 	for {
 		wait := enterAgain
 		if p.n.servers.Lost() {
@@ -119,12 +122,26 @@
 	}
 }
 
-// sharedKey reads the secret of all nodes, or makes it: the first commit wins.
-func (p *peers) sharedKey(ctx context.Context) ([]byte, error) {
+// sharedKey reads the secret of all nodes, or makes it: the first commit wins. fresh says
+// that there was none: all nodes start now, look twice before they make one (most of them
+// need not then), and read who is there until all are. Otherwise one read of the nodes is
+// enough to choose one to follow.
+func (p *peers) sharedKey(ctx context.Context) (key []byte, fresh bool, err error) {
 	for {
 		r, err := p.n.env.Store.Get(ctx, keyTable, peerKey)
 		if err == nil {
-			return r.Value, nil
+			if !fresh {
+				p.members.Poke()
+			}
+			return r.Value, fresh, nil
+		}
+		if errors.Is(err, store.ErrNotFound) && !fresh {
+			fresh = true
+			p.members.Release()
+			if !sleep(ctx, enterRetry) {
+				return nil, fresh, ctx.Err()
+			}
+			continue
 		}
 		if errors.Is(err, store.ErrNotFound) {
 			secret := make([]byte, keyBytes)
@@ -141,7 +158,7 @@
 		}
 		p.n.log.Info("shared secret not read yet", "err", err)
 		if !sleep(ctx, enterRetry) {
-			return nil, ctx.Err()
+			return nil, fresh, ctx.Err()
 		}
 	}
 }
@@ -193,14 +210,18 @@
 	}
 	p.n.board.Members.Store(out)
 	p.n.board.Near.Store(near)
-	_, entered := v.Rows[p.n.set.Node]
-	if entered || len(out) >= manyNodes {
-		p.knownOnce.Do(func() { close(p.known) })
-	}
+	p.read.Do(p.learned)
 	p.n.teller.Wake()
 	p.n.log.Info("nodes known", "others", len(out), "row_version", v.Version)
 }
 
+// learned notes that one of the two things is known that it takes to follow another node.
+func (p *peers) learned() {
+	if p.missing.Add(-1) == 0 {
+		close(p.known)
+	}
+}
+
 // leave removes the row at a planned stop, so that others stop ordering
 // batches here.
 func (p *peers) leave(ctx context.Context) {
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -6,8 +6,7 @@
 )
 
 // provisionRelay lets this node follow the store through a node of its data centre, and
-// others through this one. The list of targets and the configuration are held until that is
-// decided.
+// others through this one. The tables are held until that is decided.
 func (n *Node) provisionRelay() {
 	near := n.near
 	if n.set.Off.Has(mechanism.Relays) {
@@ -19,8 +18,9 @@
 		Self: n.set.Node, DataCentre: n.set.DataCentre, Nodes: near, Known: n.peers.known,
 		Remote: n.peers.client, Tables: n.teller.Tables(), Teller: n.teller, Log: n.log,
 	}
-	n.config.Hold()
-	n.servers.Hold()
+	for _, table := range n.teller.Tables() {
+		table.Hold()
+	}
 }
 
 // near lists the nodes of the data centre, this one included.
--- a/internal/peer/follow.go
+++ b/internal/peer/follow.go
@@ -165,7 +165,7 @@
 		return nil, eris.Wrap(err, "encode table")
 	}
 	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	w, err := flate.NewWriter(&b, flate.DefaultCompression)
 	if err != nil {
 		return nil, eris.Wrap(err, "pack table")
 	}
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"topazmoor/internal/watch"
 )
 
@@ -49,16 +51,17 @@
 	// startPass is firstPass in that time.
 	startPass = 150 * time.Millisecond
 	// staleAfter is how long nothing may have been heard of the store before the tables ask
-	// it by themselves, while another node to follow is looked for.
-	staleAfter = time.Second
+	// it by themselves while another node to follow is looked for: a followed node's word is
+	// up to watch.SharedWait old when that one falls ill.
+	staleAfter = 2 * time.Second
 )
 
 // Follower keeps this node's tables by what other nodes tell, or lets the tables ask the
 // store. It implements suture.Service.
 type Follower struct {
 	Self, DataCentre string
-	// Nodes lists the nodes of the data centre, self included. Known is closed when that
-	// list was read once.
+	// Nodes lists the nodes of the data centre, self included. Known is closed when they can
+	// be chosen from and asked.
 	Nodes  func() []Node
 	Known  <-chan struct{}
 	Remote Remote
@@ -95,7 +98,7 @@
 // Serve implements suture.Service.
 func (f *Follower) Serve(ctx context.Context) error {
 	f.passed = make(map[string]passed)
-	f.awaitNodes(ctx)
+	f.awaitKnown(ctx)
 	f.graceEnds = time.Now().Add(startGrace)
 	for ctx.Err() == nil {
 		n, ok := f.choose()
@@ -134,8 +137,8 @@
 	}
 }
 
-// awaitNodes waits until the nodes of the data centre are known.
-func (f *Follower) awaitNodes(ctx context.Context) {
+// awaitKnown waits until other nodes can be followed, but not for long.
+func (f *Follower) awaitKnown(ctx context.Context) {
 	timer := time.NewTimer(startPatience)
 	defer timer.Stop()
 	select {
@@ -270,13 +273,36 @@
 			return errMoved
 		}
 	}
+	if len(t.Tables) != len(s.f.Tables) {
+		return ErrEmpty
+	}
+	if t.Tables[0].Position.Version != 0 && !t.Away && t.Age <= maxAge {
+		// Before the rows: some may be missing shortly after the store's return.
+		s.heard(now.Add(-t.Age))
+	}
+	// What is told once is not told again, so that it is taken in any case.
+	if err := s.copy(t); err != nil {
+		return err
+	}
+	if t.Tables[0].Position.Version == 0 {
+		return s.empty(now)
+	}
 	if t.Away || t.Age > maxAge {
 		return s.away(now)
 	}
-	if len(t.Tables) != len(s.f.Tables) || t.Tables[0].Position.Version == 0 {
-		return s.empty(now)
+	if !s.told {
+		s.told = true
+		s.f.begin(s.node)
+	}
+	s.f.hold()
+	return s.keepsUp(t, now)
+}
+
+// heard notes that the store answered the node at a moment.
+func (s *session) heard(at time.Time) {
+	for _, table := range s.f.Tables {
+		table.Heard(at)
 	}
-	return s.copy(t, now.Add(-t.Age), now)
 }
 
 // away decides what to do while the store does not answer the node: leave it if the store
@@ -316,45 +342,38 @@
 }
 
 // copy takes the node's copy over.
-func (s *session) copy(t Told, heard, now time.Time) error {
-	if !s.told {
-		s.told = true
-		s.f.begin(s.node)
-	}
-	s.f.hold()
+func (s *session) copy(t Told) error {
 	for i, table := range s.f.Tables {
 		theirs := t.Tables[i]
 		if theirs.Position.Version == 0 {
 			continue
 		}
-		table.Heard(heard)
 		if theirs.News != nil {
 			if err := table.Take(*theirs.News); err != nil {
-				return err
+				return eris.Wrapf(err, "table %s at version %d", table.Name, theirs.Position.Version)
 			}
 		}
 		if err := table.Compare(theirs.Position); err != nil {
-			return err
+			return eris.Wrapf(err, "table %s at version %d", table.Name, theirs.Position.Version)
 		}
 	}
-	return s.keepsUp(t, now)
+	return nil
 }
 
-// keepsUp fails when the node's copy has long been older than the own one.
+// keepsUp fails when the node's copy has long been older than the own one. Only the first
+// table tells: the version of a copy rises with each answer of the store, and the others'
+// calls wait long for one.
 func (s *session) keepsUp(t Told, now time.Time) error {
-	for i, table := range s.f.Tables {
-		if t.Tables[i].Position.Version >= table.Copy().Position().Version {
-			continue
-		}
-		if s.behind.IsZero() {
-			s.behind = now
-		}
-		if now.Sub(s.behind) > behindPatience {
-			return ErrBehind
-		}
+	if t.Tables[0].Position.Version >= s.f.Tables[0].Copy().Position().Version {
+		s.behind = time.Time{}
 		return nil
 	}
-	s.behind = time.Time{}
+	if s.behind.IsZero() {
+		s.behind = now
+	}
+	if now.Sub(s.behind) > behindPatience {
+		return ErrBehind
+	}
 	return nil
 }
 
