Test relays against scripted tellers and random trouble; end all calls for a first follower

Ruled out: the followers (they held what the followed node held). Change: all calls are ended for a first follower; a followed node asks for the configuration each 2 s. The tables' own asking while another node is looked for went: without it no test fails, and four tries of 0.4 s end it anyhow. Mutations found by some test: no age, no silence, older news taken, gaps taken, no checksum, followed nodes that follow, no look at who is behind, no refresh; without the bound on asking again the test does not end.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -380,6 +380,9 @@
 // Others returns how many other nodes this one knows.
 func (n *Node) Others() int { return len(n.board.Members.Get()) }
 
+// ConfigVersion returns the version of the configuration in force; 0 for none.
+func (n *Node) ConfigVersion() int64 { return n.versions.Mine() }
+
 // StoreFollowers returns how many nodes follow the store through this one.
 func (n *Node) StoreFollowers() int { return n.teller.Followers() }
 
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -3,6 +3,7 @@
 import (
 	"topazmoor/internal/mechanism"
 	"topazmoor/internal/relay"
+	"topazmoor/internal/watch"
 )
 
 // provisionRelay lets this node follow the store through a node of its data centre, and
@@ -13,7 +14,9 @@
 		near = func() []relay.Node { return nil }
 	}
 	n.teller = relay.NewTeller(n.servers, n.config, n.peers.members)
-	n.servers.Shared = func() bool { return n.teller.Followers() > 0 }
+	shared := func() bool { return n.teller.Followers() > 0 }
+	n.servers.Shared, n.servers.SharedWait = shared, watch.SharedWait
+	n.config.Shared, n.config.SharedWait = shared, watch.SharedLongWait
 	n.follower = &relay.Follower{
 		Self: n.set.Node, DataCentre: n.set.DataCentre, Nodes: near, Known: n.peers.known,
 		Remote: n.peers.client, Tables: n.teller.Tables(), Teller: n.teller, Log: n.log,
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -50,10 +50,6 @@
 	startGrace = 800 * time.Millisecond
 	// startPass is firstPass in that time.
 	startPass = 150 * time.Millisecond
-	// staleAfter is how long nothing may have been heard of the store before the tables ask
-	// it by themselves while another node to follow is looked for: a followed node's word is
-	// up to watch.SharedWait old when that one falls ill.
-	staleAfter = 2 * time.Second
 )
 
 // Follower keeps this node's tables by what other nodes tell, or lets the tables ask the
@@ -104,9 +100,6 @@
 		n, ok := f.choose()
 		switch {
 		case ok:
-			if f.stale() {
-				f.release()
-			}
 			f.leave(n, f.follow(ctx, n))
 		case f.starting() && len(f.passed) > 0:
 			f.pause(ctx, startPass/2)
@@ -122,11 +115,6 @@
 
 func (f *Follower) empty() bool { return f.Tables[0].Copy().Rows() == nil }
 
-// stale reports whether the copy may lack what the store has by now.
-func (f *Follower) stale() bool {
-	return !f.empty() && time.Since(f.Tables[0].LastHeard()) > staleAfter
-}
-
 // pause waits for about d.
 func (f *Follower) pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d/2 + rand.N(d))
--- /dev/null
+++ b/internal/relay/follower_test.go
@@ -0,0 +1,161 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"topazmoor/internal/store"
+	"topazmoor/internal/watch"
+)
+
+// scripted is a Remote that says the same again and again, by address. It implements Remote.
+type scripted struct {
+	mu sync.Mutex
+	// says has what each node says; silent nodes have nothing.
+	says map[string]Told
+	// asked are the questions in order.
+	asked []question
+}
+
+type question struct {
+	addr string
+	have []Have
+}
+
+func (s *scripted) Follow(ctx context.Context, addr string, have []Have, told func(Told) error) error {
+	s.mu.Lock()
+	s.asked = append(s.asked, question{addr, have})
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		msg, ok := s.says[addr]
+		s.mu.Unlock()
+		if ok {
+			if err := told(msg); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(beat):
+		}
+	}
+}
+
+func (s *scripted) set(addr string, t Told) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.says[addr] = t
+}
+
+// askedAt returns how often a node was asked.
+func (s *scripted) askedAt(addr string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, q := range s.asked {
+		if q.addr == addr {
+			n++
+		}
+	}
+	return n
+}
+
+// tellerWith is what a node with a copy at a version says of one table.
+func tellerWith(version int64, age time.Duration) Told {
+	row := store.Row{Key: "a", Version: version}
+	var copied watch.Table
+	copied.Apply = func(watch.View) {}
+	news := &watch.News{Whole: true, Version: version, Rows: []store.Row{row}}
+	if err := copied.Take(*news); err != nil {
+		panic(err)
+	}
+	return Told{Age: age, Tables: []TableTold{{Position: copied.Copy().Position(), News: news}}}
+}
+
+// following plays a follower, the last of four nodes, for a while.
+func following(t *testing.T, says map[string]Told, f func(r *scripted, table *watch.Table, ranked []Node)) {
+	synctest.Test(t, func(t *testing.T) {
+		quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
+		twin := store.NewMemory()
+		table := &watch.Table{Name: "t", From: twin, Wait: watch.ShortWait, Apply: func(watch.View) {}, Log: quiet}
+		table.Hold()
+		ranked := Rank("hall", dataCentre(4))
+		r := &scripted{says: make(map[string]Told)}
+		for i, n := range ranked {
+			if told, ok := says[string(rune('0'+i))]; ok {
+				r.says[n.Addr] = told
+			}
+		}
+		known := make(chan struct{})
+		close(known)
+		fol := &Follower{
+			Self: ranked[3].Name, DataCentre: "hall", Nodes: func() []Node { return ranked }, Known: known,
+			Remote: r, Tables: []*watch.Table{table}, Teller: NewTeller(table), Log: quiet,
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = fol.Serve(ctx) }()
+		go func() { _ = table.Serve(ctx) }()
+		f(r, table, ranked)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestFollowerLeavesATellerWhose(t *testing.T) {
+	for name, told := range map[string]Told{
+		"store is away":    {Away: true, Tables: tellerWith(9, 0).Tables},
+		"word is old":      tellerWith(9, maxAge+time.Millisecond),
+		"copy is empty":    {Tables: make([]TableTold, 1)},
+		"tables are other": {Tables: make([]TableTold, 2)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			says := map[string]Told{"0": told, "1": tellerWith(5, 0)}
+			following(t, says, func(r *scripted, table *watch.Table, ranked []Node) {
+				time.Sleep(copyPatience + acceptTimeout + beat)
+				qt.Check(t, r.askedAt(ranked[1].Addr) > 0, qt.IsTrue)
+				qt.Check(t, table.Connected(), qt.IsTrue)
+			})
+		})
+	}
+}
+
+func TestFollowerLeavesATellerThatFallsBehind(t *testing.T) {
+	says := map[string]Told{"0": tellerWith(9, 0), "1": tellerWith(20, 0)}
+	following(t, says, func(r *scripted, table *watch.Table, ranked []Node) {
+		time.Sleep(time.Second)
+		qt.Assert(t, table.Copy().Position().Version, qt.Equals, int64(9))
+		r.set(ranked[0].Addr, tellerWith(7, 0))
+		time.Sleep(behindPatience + 2*beat)
+		qt.Assert(t, table.Copy().Position().Version, qt.Equals, int64(20))
+	})
+}
+
+// A teller whose copy never fits is asked again at once once, not without an end.
+func TestFollowerDoesNotAskAgainWithoutAnEnd(t *testing.T) {
+	wrong := tellerWith(9, 0)
+	wrong.Tables[0].Position.Sum++
+	following(t, map[string]Told{"0": wrong, "1": tellerWith(20, 0)}, func(r *scripted, table *watch.Table, ranked []Node) {
+		time.Sleep(4 * time.Second)
+		qt.Check(t, r.askedAt(ranked[0].Addr) <= 4, qt.IsTrue, qt.Commentf("asked %d times", r.askedAt(ranked[0].Addr)))
+		qt.Check(t, table.Copy().Position().Version, qt.Equals, int64(20))
+	})
+}
+
+// Where nobody tells, the store is asked after the accept times of those asked.
+func TestFollowerAsksTheStoreWhereNobodyTells(t *testing.T) {
+	following(t, nil, func(r *scripted, table *watch.Table, _ []Node) {
+		time.Sleep(startGrace + 3*acceptTimeout + lookAgain)
+		qt.Check(t, table.Copy().Rows() != nil, qt.IsTrue)
+		qt.Check(t, table.Connected(), qt.IsTrue)
+	})
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,105 @@
+package relay
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	_ "topazmoor/internal/standin/fixedseed"
+)
+
+// dataCentre returns n nodes.
+func dataCentre(n int) []Node {
+	var out []Node
+	for i := range n {
+		out = append(out, Node{Name: fmt.Sprint("n", i), Addr: fmt.Sprintf("10.0.0.%d:1", i+1)})
+	}
+	return out
+}
+
+func TestAllNodesRankAlike(t *testing.T) {
+	c := qt.New(t)
+	nodes := dataCentre(9)
+	want := Rank("hall", nodes)
+	slices.Reverse(nodes)
+	c.Assert(Rank("hall", nodes), qt.DeepEquals, want)
+	c.Assert(Rank("yard", nodes)[0] == want[0] && Rank("yard", nodes)[1] == want[1], qt.IsFalse)
+	nodes[4].Memory = 1 << 29
+	c.Assert(Rank("hall", nodes)[0].Name, qt.Equals, nodes[4].Name)
+}
+
+func TestChoose(t *testing.T) {
+	ranked := dataCentre(6)
+	set := func(names ...string) map[string]bool {
+		out := make(map[string]bool)
+		for _, n := range names {
+			out[n] = true
+		}
+		return out
+	}
+	for name, tc := range map[string]struct {
+		s    Standing
+		want string
+	}{
+		"first":                          {Standing{Self: "n0"}, ""},
+		"others follow the first":        {Standing{Self: "n3"}, "n0"},
+		"the first is left":              {Standing{Self: "n3", Passed: set("n0")}, "n1"},
+		"self is the next":               {Standing{Self: "n1", Passed: set("n0")}, ""},
+		"followed":                       {Standing{Self: "n3", Followed: true}, ""},
+		"all that are asked were left":   {Standing{Self: "n5", Passed: set("n0", "n1", "n2", "n3")}, ""},
+		"store away for both":            {Standing{Self: "n3", Lost: true, Passed: set("n0"), Away: set("n0")}, "n0"},
+		"store away for that one":        {Standing{Self: "n3", Passed: set("n0"), Away: set("n0")}, "n1"},
+		"first, turned away":             {Standing{Self: "n0", Lost: true, Passed: set("n0"), Away: set("n0")}, "n1"},
+		"first, store away for all":      {Standing{Self: "n0", Lost: true, Passed: set("n0", "n1", "n2", "n3"), Away: set("n0", "n1", "n2", "n3")}, ""},
+		"first, turned away a while ago": {Standing{Self: "n0", Away: set("n0")}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tc.s.Ranked = ranked
+			n, ok := Choose(tc.s)
+			qt.Assert(t, n.Name, qt.Equals, tc.want)
+			qt.Assert(t, ok, qt.Equals, tc.want != "")
+		})
+	}
+	_, ok := Choose(Standing{Self: "n1", Ranked: ranked[:Fewest-1]})
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
+// TestOracleWhereTheStoreAnswersNobodySomebodyAsks: whatever nodes believe of each other
+// after an outage, the choices hold no ring of nodes that all wait for each other, so that
+// the return of the store is found out by somebody everybody hears of, or by everybody.
+//
+// It was seen to fail within its 100 scripts with nodes behind self asked again although the
+// store does not answer them.
+func TestOracleWhereTheStoreAnswersNobodySomebodyAsks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := Rank("hall", dataCentre(rapid.IntRange(Fewest, 8).Draw(t, "nodes")))
+		choice := make(map[string]string)
+		for _, n := range nodes {
+			s := Standing{Self: n.Name, Ranked: nodes, Lost: true, Passed: map[string]bool{}, Away: map[string]bool{}}
+			for _, other := range nodes {
+				// Each has asked all others, or still believes the first ones to be well.
+				s.Away[other.Name] = true
+				s.Passed[other.Name] = rapid.Bool().Draw(t, "passed")
+			}
+			// Those behind it were found away when the store answered it no more.
+			for _, other := range nodes[slices.IndexFunc(nodes, func(o Node) bool { return o.Name == n.Name }):] {
+				s.Passed[other.Name] = true
+			}
+			if teller, ok := Choose(s); ok {
+				choice[n.Name] = teller.Name
+			}
+		}
+		for _, n := range nodes {
+			at := n.Name
+			for range nodes {
+				at = choice[at]
+			}
+			if at != "" {
+				t.Fatalf("a ring from %s: %v", n.Name, choice)
+			}
+		}
+	})
+}
--- a/internal/relay/teller.go
+++ b/internal/relay/teller.go
@@ -85,16 +85,19 @@
 	}
 }
 
-// refresh ends a call of the store that waits for as long as one node for itself may: with it
-// this node's word would be too old. It does so once a maxAge, however nodes come and go.
+// refresh ends the calls of the store that wait for as long as one node for itself may: with
+// them this node's word would be too old. It does so once a maxAge, however nodes come and go.
+// All calls end: one that has gone silent is noticed by the first table's only, which is then
+// no longer in progress.
 func (t *Teller) refresh() {
-	lead := t.tables[0]
 	last := t.refreshed.Load()
 	now := time.Now().UnixNano()
 	if t.followers.Load() > 1 || now-last < int64(maxAge) || !t.refreshed.CompareAndSwap(last, now) {
 		return
 	}
-	lead.Poke()
+	for _, table := range t.tables {
+		table.Poke()
+	}
 }
 
 // tell makes one message and notes in have what it tells.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -27,9 +27,12 @@
 	// SharedWait is the same where other nodes follow this one: what the store's silence
 	// hides from one node is then hidden from all of them. With it they leave a node that
 	// hears nothing of the store within 2 s, so that a drain or a configuration is in force
-	// within 3 s also then; 1.5 s more calls a minute and follower than ShortWait cost
-	// less than one node that follows for itself.
+	// within 3 s also then. It costs a followed node 20 calls a minute more.
 	SharedWait = 1200 * time.Millisecond
+	// SharedLongWait is LongWait of a followed node for what must be in force in time: one
+	// call may go silent by itself, and the table that pokes the others need not notice. It
+	// is given up 0.7 s later, within 3 s.
+	SharedLongWait = 2 * time.Second
 	// answerSlack is how long beyond its waiting time a call may take.
 	answerSlack = 3 * time.Second
 	// firstRetry doubles up to maxRetry while the store does not answer. A
@@ -72,9 +75,11 @@
 	// pokes this one then. Until then this one asks seldom: an outage must not cost
 	// calls for each table of each node.
 	Lead *Table
-	// Shared, when set, reports whether other nodes follow this copy.
-	Shared func() bool
-	Log    *slog.Logger
+	// Shared, when set, reports whether other nodes follow this copy: calls wait for
+	// SharedWait then, where that is set.
+	Shared     func() bool
+	SharedWait time.Duration
+	Log        *slog.Logger
 
 	mu sync.Mutex
 	// cancel ends the call in progress; poked is closed by Poke, until the next call
@@ -238,8 +243,8 @@
 		return t.readWhole(ctx)
 	}
 	patience := t.Wait
-	if t.Shared != nil && t.Shared() {
-		patience = min(patience, SharedWait)
+	if t.SharedWait > 0 && t.Shared() {
+		patience = t.SharedWait
 	}
 	if t.lost.Load() || poked {
 		// Hear at once whether the store is back.
