Let an outage of the store cost a following node one call, and one each 2 s

Change: a node whose followed node lost the store asks once, by the list of targets, and stays where the store does not answer it either; at a start the tables wait for the store's first answer.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -66,6 +66,10 @@
 	missing atomic.Int32
 	known   chan struct{}
 	read    sync.Once
+	// answered is closed when the store has answered this process, with the secret or that
+	// there is none.
+	answered     chan struct{}
+	answeredOnce sync.Once
 }
 
 func (n *Node) provisionPeers() (*peers, error) {
@@ -73,7 +77,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for peers")
 	}
-	p := &peers{n: n, client: newLateClient(), known: make(chan struct{}), server: &lateServer{ln: ln, key: make(chan []byte, 1)}}
+	p := &peers{n: n, client: newLateClient(), known: make(chan struct{}), answered: make(chan struct{}), server: &lateServer{ln: ln, key: make(chan []byte, 1)}}
 	p.missing.Store(2)
 	p.server.start = func(key []byte) *peer.Server {
 		return peer.NewServer(ln, key, n.set.Node, peer.Handler{Stages: n.former, Versions: n.versions, Teller: n.teller}, n.log)
@@ -129,6 +133,9 @@
 func (p *peers) sharedKey(ctx context.Context) (key []byte, fresh bool, err error) {
 	for {
 		r, err := p.n.env.Store.Get(ctx, keyTable, peerKey)
+		if err == nil || errors.Is(err, store.ErrNotFound) {
+			p.answeredOnce.Do(func() { close(p.answered) })
+		}
 		if err == nil {
 			if !fresh {
 				p.members.Poke()
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -18,7 +18,7 @@
 	n.servers.Shared, n.servers.SharedWait = shared, watch.SharedWait
 	n.config.Shared, n.config.SharedWait = shared, watch.SharedLongWait
 	n.follower = &relay.Follower{
-		Self: n.set.Node, DataCentre: n.set.DataCentre, Nodes: near, Known: n.peers.known,
+		Self: n.set.Node, DataCentre: n.set.DataCentre, Nodes: near, Known: n.peers.known, Answered: n.peers.answered,
 		Remote: n.peers.client, Tables: n.teller.Tables(), Teller: n.teller, Log: n.log,
 	}
 	for _, table := range n.teller.Tables() {
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -42,6 +42,9 @@
 	// answers neither it nor the node that it follows: that node may have been turned away
 	// alone, and this one is to be back within 3 s.
 	probePause = 2 * time.Second
+	// askPatience is how long the store may take to answer this node, before it counts as
+	// one that no other asks for.
+	askPatience = 800 * time.Millisecond
 	// startPatience is how long the tables are held at a start for the list of nodes, which
 	// fills while nodes that never ran before enter themselves.
 	startPatience = 1500 * time.Millisecond
@@ -58,9 +61,11 @@
 	Self, DataCentre string
 	// Nodes lists the nodes of the data centre, self included. Known is closed when they can
 	// be chosen from and asked.
-	Nodes  func() []Node
-	Known  <-chan struct{}
-	Remote Remote
+	Nodes func() []Node
+	Known <-chan struct{}
+	// Answered is closed when the store answered this process for the first time.
+	Answered <-chan struct{}
+	Remote   Remote
 	// Tables are kept; the first one's calls find out whether the store answers.
 	Tables []*watch.Table
 	Teller *Teller
@@ -125,8 +130,13 @@
 	}
 }
 
-// awaitKnown waits until other nodes can be followed, but not for long.
+// awaitKnown waits until other nodes can be followed: for the store's first answer as long as
+// it takes, since without one the tables cannot be read either, and then not for long.
 func (f *Follower) awaitKnown(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-f.Answered:
+	}
 	timer := time.NewTimer(startPatience)
 	defer timer.Stop()
 	select {
@@ -213,8 +223,9 @@
 	told  bool
 	// behind is since when the node's copy has been older than the own one.
 	behind time.Time
-	// probe is when the store is next asked by itself.
-	probe time.Time
+	// asked is when the store was last asked by itself as the node does not reach it, probe
+	// when it is next.
+	asked, probe time.Time
 	// looked is when the choice was last looked at.
 	looked time.Time
 }
@@ -293,20 +304,23 @@
 	}
 }
 
-// away decides what to do while the store does not answer the node: leave it if the store
-// answers this one, else let it find out for both when the store is back.
+// away decides what to do while the store does not answer the node: ask the store once; leave
+// the node if the store answers this one, else let it find out for both when the store is
+// back. An outage costs a node that follows one call, and one each probePause.
 func (s *session) away(now time.Time) error {
 	lead := s.f.Tables[0]
-	if !lead.Lost() || s.f.ranksBefore(s.node.Name) {
+	if s.f.ranksBefore(s.node.Name) {
 		return ErrAway
 	}
 	s.f.hold()
 	switch {
-	case s.probe.IsZero():
-		s.probe = now.Add(probePause/2 + rand.N(probePause))
-	case now.After(s.probe):
+	case s.asked.IsZero(), lead.Lost() && now.After(s.probe):
+		s.asked = now
 		s.probe = now.Add(probePause/2 + rand.N(probePause))
 		lead.Poke()
+	case lead.Lost():
+	case lead.LastHeard().After(s.asked), now.Sub(s.asked) > askPatience:
+		return ErrAway
 	}
 	return nil
 }
--- a/internal/relay/follower_test.go
+++ b/internal/relay/follower_test.go
@@ -98,7 +98,7 @@
 		known := make(chan struct{})
 		close(known)
 		fol := &Follower{
-			Self: ranked[3].Name, DataCentre: "hall", Nodes: func() []Node { return ranked }, Known: known,
+			Self: ranked[3].Name, DataCentre: "hall", Nodes: func() []Node { return ranked }, Known: known, Answered: known,
 			Remote: r, Tables: []*watch.Table{table}, Teller: NewTeller(table), Log: quiet,
 		}
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -91,6 +91,9 @@
 	relayed bool
 	turn    chan struct{}
 
+	// byPoke says that the last call was made for a poke; only Serve uses it.
+	byPoke bool
+
 	copy  Copy
 	lost  atomic.Bool
 	heard atomic.Int64
@@ -195,7 +198,7 @@
 			t.setGap()
 		case errors.Is(err, errStale):
 			t.Log.Info("old read of the table dropped", "table", t.Name, "version", t.copy.Position().Version)
-		case t.isRelayed():
+		case t.isRelayed() && !t.byPoke:
 			// A call that was begun before; the other node knows better now.
 		default:
 			t.away(err)
@@ -239,6 +242,7 @@
 func (t *Table) step(ctx context.Context) error {
 	ctx, end, poked := t.begin(ctx)
 	defer end()
+	t.byPoke = poked
 	if t.wantsWhole() {
 		return t.readWhole(ctx)
 	}
