--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -161,7 +161,7 @@
 	n.provisionRelay()
 	n.router = stagebatch.NewRouter(set.Node, n.former, n.peers.client, n.board.Members.Get, n.log)
 	n.front = passthrough.New(passthrough.Config{
-		Routes: n.board.Routes.Get, Current: n.current, Targets: n.targets, Stages: n.router,
+		Routes: n.board.Routes.Get, Current: n.current, StoreAway: n.storeAway, Targets: n.targets, Stages: n.router,
 		Sender: env.Conns, Wire: env.Wire, Off: set.Off,
 		Repeats:   flow.NewRepeatBudgets(set.Repeats.Ratio, set.Repeats.Fixed, set.Repeats.Window, n.router.Live),
 		BodyBytes: defaultBodyBytes, ReadTimeout: defaultReadTimeout, Observer: n.metrics, Log: n.log,
@@ -258,6 +258,10 @@
 // current reports whether the configuration can be trusted to be the newest one.
 func (n *Node) current() bool { return n.config.Connected() && n.servers.Connected() }
 
+// storeAway reports whether the store does not answer: neither for the tables nor, at a
+// start, for the secret of all nodes.
+func (n *Node) storeAway() bool { return n.peers.refused.Load() || n.servers.Lost() }
+
 // storeContact makes the other watches, and the nodes that follow this one, find out
 // whether the store answers.
 func (n *Node) storeContact() {
@@ -288,7 +292,7 @@
 	for _, s := range []suture.Service{
 		supervise.Named("configuration", n.config), supervise.Named("list of targets", n.servers),
 		supervise.Named("peers", n.peers), supervise.Named("peer server", n.peers.server), supervise.Named("members", n.peers.members),
-		supervise.Named("follower", n.follower),
+		supervise.Named("follower", n.follower), supervise.Named("teller", n.teller),
 		supervise.Named("callers", n.callers), supervise.Named("sweeper", &sweeper{n}),
 	} {
 		sup.Add(s)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -70,6 +70,8 @@
 	// there is none.
 	answered     chan struct{}
 	answeredOnce sync.Once
+	// refused is set while the store does not answer with the secret.
+	refused atomic.Bool
 }
 
 func (n *Node) provisionPeers() (*peers, error) {
@@ -136,6 +138,7 @@
 		if err == nil || errors.Is(err, store.ErrNotFound) {
 			p.answeredOnce.Do(func() { close(p.answered) })
 		}
+		p.refused.Store(err != nil && !errors.Is(err, store.ErrNotFound))
 		if err == nil {
 			if !fresh {
 				p.members.Poke()
--- /dev/null
+++ b/internal/passthrough/comeback_test.go
@@ -0,0 +1,26 @@
+package passthrough
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestComeBackUnready(t *testing.T) {
+	for name, tc := range map[string]struct {
+		patience time.Duration
+		away     bool
+		want     time.Duration
+	}{
+		"a start":                {6 * time.Second, false, startTime},
+		"little time":            {600 * time.Millisecond, true, startTime},
+		"what a caller heeds":    {5 * time.Second, true, 1500 * time.Millisecond},
+		"much time":              {20 * time.Second, true, awayTime},
+		"a caller without bound": {0, true, awayTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			qt.Assert(t, comeBackUnready(tc.patience, tc.away), qt.Equals, tc.want)
+		})
+	}
+}
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -72,6 +72,8 @@
 type Config struct {
 	// Routes returns the configuration in force, or nil before the first.
 	Routes func() *routes.Config
+	// StoreAway reports whether the store does not answer the node.
+	StoreAway func() bool
 	// Current reports whether the configuration can be trusted to be the newest
 	// one: the store was heard lately.
 	Current func() bool
@@ -160,10 +162,6 @@
 	estimated time.Duration
 }
 
-// notReadyAfter is when a caller may come back to a node that knows no
-// configuration yet: a start takes a few store calls.
-const notReadyAfter = 300 * time.Millisecond
-
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
@@ -197,7 +195,7 @@
 	c.meta = meta
 	c.log = c.s.cfg.Log.With("request", meta.ID)
 	if c.cfg == nil || !c.s.cfg.Targets.Seen() {
-		return notRun(verdict.NotReady, "the node has no configuration yet").After(notReadyAfter)
+		return notRun(verdict.NotReady, "the node has no configuration yet").After(c.comeBackUnready())
 	}
 	if metaErr != nil {
 		return notRun(verdict.InvalidRequest, "%v", metaErr)
@@ -222,7 +220,7 @@
 // missed the newest configuration does not know.
 func (c *call) deny(code verdict.Code, reason string) error {
 	if !c.s.cfg.Current() {
-		return notRun(verdict.StoreUnavailable, "%s, but the configuration of this node may be old", reason).After(notReadyAfter)
+		return notRun(verdict.StoreUnavailable, "%s, but the configuration of this node may be old", reason).After(c.comeBackUnready())
 	}
 	return notRun(code, "%s", reason)
 }
--- a/internal/peer/follow.go
+++ b/internal/peer/follow.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"compress/flate"
 	"context"
-	"errors"
 	"io"
 	"sync"
 	"time"
@@ -40,13 +39,10 @@
 		return err
 	}
 	defer st.Close()
-	defer func() {
-		if errors.Is(context.Cause(ctx), relay.ErrSilent) {
-			c.retire(addr, st.Session())
-		}
-	}()
-	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
+	// A deadline would not end a read of a frame that stopped midway: the connection's reader
+	// holds the stream then. Nothing else on a connection that says nothing is worth waiting
+	// for.
+	defer context.AfterFunc(ctx, func() { _ = st.Session().Close() })()
 	ask := &peerpb.Follow{}
 	tables := make([]string, len(have))
 	for i, h := range have {
--- a/internal/relay/teller.go
+++ b/internal/relay/teller.go
@@ -13,7 +13,8 @@
 // nothing for silence takes it for frozen or cut off.
 const beat = 400 * time.Millisecond
 
-// Teller answers the nodes that follow this one. It is safe for concurrent use.
+// Teller answers the nodes that follow this one. It is safe for concurrent use. It implements
+// suture.Service.
 type Teller struct {
 	tables []*watch.Table
 
@@ -73,14 +74,26 @@
 		if err := send(t.tell(have)); err != nil {
 			return err
 		}
-		timer := time.NewTimer(beat)
 		select {
 		case <-ctx.Done():
-			timer.Stop()
 			return ctx.Err()
 		case <-woken:
-			timer.Stop()
-		case <-timer.C:
+		}
+	}
+}
+
+// Serve implements suture.Service: it makes a message go out each beat.
+func (t *Teller) Serve(ctx context.Context) error {
+	tick := time.NewTicker(beat)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			if t.Followers() > 0 {
+				t.Wake()
+			}
 		}
 	}
 }
--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -136,7 +136,7 @@
 			break
 		}
 		res, err := r.produceAt(ctx, n, o)
-		if err == nil || final(err) || ctx.Err() != nil {
+		if err == nil || r.final(o.Service, err) || ctx.Err() != nil {
 			return res, err
 		}
 		r.suspect(n, o, err)
@@ -144,9 +144,14 @@
 	return r.local.Produce(ctx, o, func(w Waits) { r.note(o.Service, w) })
 }
 
-// final reports whether another node would give the same answer.
-func final(err error) bool {
-	for _, e := range []error{ErrLate, ErrInputGone, ErrFailed, ErrNoTarget} {
+// final reports whether another node would give the same answer. A node that knows no target
+// of a pool which this one knows has just started: a loss of all nodes is over sooner where
+// its orders go on to the next.
+func (r *Router) final(service string, err error) bool {
+	if errors.Is(err, ErrNoTarget) {
+		return len(r.local.list.Usable(service)) == 0
+	}
+	for _, e := range []error{ErrLate, ErrInputGone, ErrFailed} {
 		if errors.Is(err, e) {
 			return true
 		}
--- a/internal/stagebatch/router_test.go
+++ b/internal/stagebatch/router_test.go
@@ -150,3 +150,28 @@
 		c.Assert(remote.freed.Load(), qt.Equals, int32(1))
 	})
 }
+
+// startingRemote is a node that has just started and knows no targets.
+type startingRemote struct{ slowRemote }
+
+func (r *startingRemote) Produce(context.Context, string, Order, func(Waits)) (Result, error) {
+	r.orders++
+	return Result{}, ErrNoTarget
+}
+
+// After a loss of all nodes orders were refused by formers that did not know the pool's
+// targets yet, although the nodes that gave the orders did.
+func TestOrderOfAPoolThatTheFormerDoesNotKnowGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		router := routerTo(&startingRemote{})
+		res, err := router.Produce(t.Context(), orderOf(3))
+		c.Assert(err, qt.IsNil)
+		c.Assert(res.Handles, qt.HasLen, 3)
+		// A pool that has no target for anybody.
+		o := orderOf(1)
+		o.Service = "empty"
+		_, err = router.Produce(t.Context(), o)
+		c.Assert(err, qt.Equals, ErrNoTarget)
+	})
+}
