Drain data centres, spare cold targets, tell restarts under one ID, refuse odd entries

Change: - Rows evacuate/NAME of the operator's table drain a data centre for as long as they stand: no request, call of a former, copy of a prompt, question for room, or word that results are given up goes there; streams in progress go on. Who can only be served there is refused at once. Nodes tell each other the newest row of the operator's table instead of the version of the configuration, so that a drain is noticed too where one call for changes goes silent. - Calls at a cold target are shared by three nodes, chosen by rendezvous hashing, with a third each of what it bears; a former spaces its calls at a cold stage target. - A target whose time of birth changes is a new process: load, breaker, latency, prompts, results and connections of the former one are forgotten, its late answers ignored. - Entries with a field that is missing, of another type or without meaning name nobody, are logged once for each revision and counted (topazmoor_entry_unreadable_targets). Rows of nodes without an address are left out too. - The address of a result's maker is found by index instead of by a walk over all targets.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,9 +61,20 @@
 type Sources struct {
 	ConfigTable string
 	// Config returns nil when there is no configuration yet.
-	Config      func(rows map[string]store.Row) (*routes.Config, error)
+	Config func(rows map[string]store.Row) (*routes.Config, error)
+	// Drained reads from the same table which data centres get no work.
+	Drained     func(rows map[string]store.Row) map[string]bool
 	TargetTable string
-	Targets     func(rows map[string]store.Row) []targets.Target
+	// Targets also returns the entries that name no target to use.
+	Targets func(rows map[string]store.Row) ([]targets.Target, []Unreadable)
+}
+
+// Unreadable is an entry that names no target to use.
+type Unreadable struct {
+	Key string
+	// Revision is the version of the row.
+	Revision int64
+	Err      error
 }
 
 // Env is the outside world of a node; tests replace it.
@@ -112,6 +123,8 @@
 	ready    *http.Server
 	readyLn  net.Listener
 	metrics  *metrics.Entry
+	// unreadable are the entries of targets that were left out.
+	unreadable unreadable
 	// memberRows is the member table as it was last seen.
 	memberRows blackboard.Cell[map[string]store.Row]
 
@@ -148,7 +161,8 @@
 	}
 	n.targets = targets.New(set.DataCentre)
 	n.targets.Off = set.Off
-	n.config = &watch.Table{Name: env.ConfigTable, From: env.Store, Wait: watch.LongWait, Pause: n.pause(0, configPause, configPause), Apply: n.applyConfig, Log: n.log}
+	n.targets.WarmupRate = n.warmupRate
+	n.config = &watch.Table{Name: env.ConfigTable, From: env.Store, Wait: watch.LongWait, Pause: n.pause(0, configPause, configPause), Apply: n.applyOperator, Log: n.log}
 	n.servers = &watch.Table{Name: env.TargetTable, From: env.Store, Wait: watch.ShortWait, Pause: n.pause(targetPausePerNode, targetPause, maxTargetPause), Apply: n.applyTargets, Contact: n.storeContact, Log: n.log}
 	n.config.Lead = n.servers
 	n.versions = &versions{n: n}
@@ -194,6 +208,7 @@
 		}
 		return ages
 	})
+	n.metrics.Gauge("topazmoor_entry_unreadable_targets", "Entries of the list of targets that name no target to use.", func() float64 { return float64(n.unreadable.count()) })
 	n.metrics.GaugeVec("topazmoor_entry_stage_queue", "Pieces that wait at this node, by service.", "service", n.former.Queued)
 	n.metrics.Gauge("topazmoor_entry_config_version", "Version of the configuration in force.", func() float64 {
 		if cfg := n.board.Routes.Get(); cfg != nil {
@@ -234,6 +249,33 @@
 	return cfg.Services[service].Batch
 }
 
+// warmupRate is how many calls a second a cold target of a service bears.
+func (n *Node) warmupRate(service string) float64 {
+	cfg := n.board.Routes.Get()
+	if cfg == nil || cfg.Services[service] == nil {
+		return 0
+	}
+	return cfg.Services[service].WarmupRate
+}
+
+// applyOperator takes in what the operator wrote.
+func (n *Node) applyOperator(v watch.View) {
+	n.versions.saw(v.Rows)
+	n.applyDrains(v)
+	n.applyConfig(v)
+}
+
+// applyDrains puts the drains of data centres in force.
+func (n *Node) applyDrains(v watch.View) {
+	began, ended := n.targets.Drain(n.env.Sources.Drained(v.Rows))
+	for _, dc := range began {
+		n.log.Info("data centre drained", "drained", dc, "row_version", v.Version)
+	}
+	for _, dc := range ended {
+		n.log.Info("data centre taken back", "drained", dc, "row_version", v.Version)
+	}
+}
+
 // applyConfig puts a newer configuration in force.
 func (n *Node) applyConfig(v watch.View) {
 	cfg, err := n.env.Sources.Config(v.Rows)
@@ -275,7 +317,9 @@
 // applyTargets takes in a list of targets.
 func (n *Node) applyTargets(v watch.View) {
 	n.teller.Wake()
-	changes, gone := n.targets.Update(n.env.Sources.Targets(v.Rows), v.Regained)
+	list, bad := n.env.Sources.Targets(v.Rows)
+	n.unreadable.note(bad, n.log)
+	changes, gone := n.targets.Update(list, v.Regained)
 	for _, addr := range gone {
 		n.env.Conns.Forget(addr)
 	}
@@ -385,7 +429,12 @@
 func (n *Node) Others() int { return len(n.board.Members.Get()) }
 
 // ConfigVersion returns the version of the configuration in force; 0 for none.
-func (n *Node) ConfigVersion() int64 { return n.versions.Mine() }
+func (n *Node) ConfigVersion() int64 {
+	if cfg := n.board.Routes.Get(); cfg != nil {
+		return cfg.Version
+	}
+	return 0
+}
 
 // StoreFollowers returns how many nodes follow the store through this one.
 func (n *Node) StoreFollowers() int { return n.teller.Followers() }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	mathrand "math/rand/v2"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -205,9 +206,10 @@
 	p.n.memberRows.Store(v.Rows)
 	var out []stagebatch.Node
 	var near []relay.Node
+	var names []string
 	for name, r := range v.Rows {
-		var m member
-		if err := json.Unmarshal(r.Value, &m); err != nil {
+		m, err := decodeMember(r.Value)
+		if err != nil {
 			p.n.log.Error("entry of a node left out", "peer", name, "err", err)
 			continue
 		}
@@ -215,16 +217,30 @@
 			near = append(near, relay.Node{Name: name, Addr: m.Addr, Memory: m.Memory})
 		}
 		if name != p.n.set.Node {
+			names = append(names, name)
 			out = append(out, stagebatch.Node{Name: name, Addr: m.Addr})
 		}
 	}
 	p.n.board.Members.Store(out)
 	p.n.board.Near.Store(near)
+	p.n.targets.SetNodes(p.n.set.Node, names)
 	p.read.Do(p.learned)
 	p.n.teller.Wake()
 	p.n.log.Info("nodes known", "others", len(out), "row_version", v.Version)
 }
 
+// decodeMember reads a row of the member table.
+func decodeMember(value []byte) (member, error) {
+	var m member
+	if err := json.Unmarshal(value, &m); err != nil {
+		return m, eris.Wrap(err, "entry of a node")
+	}
+	if _, err := netip.ParseAddrPort(m.Addr); err != nil {
+		return m, eris.Wrap(err, "entry of a node")
+	}
+	return m, nil
+}
+
 // learned notes that one of the two things is known that it takes to follow another node.
 func (p *peers) learned() {
 	if p.missing.Add(-1) == 0 {
--- a/internal/entry/versions.go
+++ b/internal/entry/versions.go
@@ -3,18 +3,22 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"topazmoor/internal/store"
 )
 
-// hearsayPause is how long a node waits for a configuration that another one has
+// hearsayPause is how long a node waits for a change by the operator that another one has
 // before it asks the store again: the store tells all nodes within some milliseconds,
 // and changes are gathered for configPause.
 const hearsayPause = 2 * configPause
 
-// versions takes in what the other nodes say of the configuration. A call that waits
-// for changes may go silent without an end; it would be noticed only when its waiting
-// time is over. It implements peer.Versions.
+// versions takes in what the other nodes say of the operator's table: its configuration
+// and the drains of data centres. A call that waits for changes may go silent without an
+// end; it would be noticed only when its waiting time is over. It implements peer.Versions.
 type versions struct {
 	n *Node
+	// mine is the newest version of a row that this process ever saw there.
+	mine atomic.Int64
 	// waiting says that a look at the newest version heard of is on its way.
 	waiting atomic.Bool
 	newest  atomic.Int64
@@ -24,11 +28,15 @@
 }
 
 // Mine implements peer.Versions.
-func (v *versions) Mine() int64 {
-	if cfg := v.n.board.Routes.Get(); cfg != nil {
-		return cfg.Version
+func (v *versions) Mine() int64 { return v.mine.Load() }
+
+// saw takes in the operator's table. Only Apply of its watch calls it, one at a time.
+func (v *versions) saw(rows map[string]store.Row) {
+	newest := v.mine.Load()
+	for _, r := range rows {
+		newest = max(newest, r.Version)
 	}
-	return 0
+	v.mine.Store(newest)
 }
 
 // Heard implements peer.Versions.
@@ -53,6 +61,6 @@
 		return
 	}
 	v.asked.Store(newest)
-	v.n.log.Warn("another node has a newer configuration, asking the store again", "config", mine, "newer", newest)
+	v.n.log.Warn("another node has a newer row of the operator, asking the store again", "row_version", mine, "newer", newest)
 	v.n.config.Poke()
 }
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -92,6 +92,9 @@
 	Name string
 	// MaxConns is how many connections a target accepts from all callers.
 	MaxConns int
+	// WarmupRate is how many calls a second a cold target bears from all nodes together; 0
+	// for no bound.
+	WarmupRate float64
 	// Batch is set for stage pools, Engine for model engines.
 	Batch  *Batch
 	Engine *Engine
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -163,11 +163,15 @@
 	for _, t := range listed {
 		seen[t.ID] = true
 		m := p.makers[t.ID]
-		if m == nil {
+		if m == nil || m.Born != t.Born {
+			// A process that started again holds no results and tells nothing of its speed yet.
 			m = &maker{results: make(map[string]held)}
 			p.makers[t.ID] = m
 		}
-		m.Target = t
+		m.Target, m.rest = t, 0
+		if t.Warmup > 0 {
+			m.rest = f.list.Rest(service)
+		}
 	}
 	for id := range p.makers {
 		if !seen[id] {
--- a/internal/stagebatch/room.go
+++ b/internal/stagebatch/room.go
@@ -77,6 +77,10 @@
 	handles := f.freeing[addr]
 	delete(f.freeing, addr)
 	f.mu.Unlock()
+	if f.list.Drained(addr) {
+		f.log.Info("results not given up, they lapse: their data centre is drained", "addr", addr, "results", len(handles))
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeTimeout)
 	defer cancel()
 	if err := f.worker.Free(ctx, addr, handles); err != nil {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -143,6 +143,10 @@
 	// Slots is how many calls it works on at once.
 	Slots int       `json:"slots"`
 	State HostState `json:"state"`
+	// Born is when its process started, in Unix milliseconds; 0 for unknown.
+	Born int64 `json:"born,omitempty"`
+	// WarmupMS is how long it is still cold, in milliseconds.
+	WarmupMS float64 `json:"warmup_ms,omitempty"`
 }
 
 // HostTable is the table of the host list: a row a target host, by its ID, with a
--- /dev/null
+++ b/internal/targets/datacentre.go
@@ -0,0 +1,34 @@
+package targets
+
+import "maps"
+
+// Drain sets the data centres whose targets get no new work, until the next call; calls in
+// progress there go on to their end. It returns the data centres whose drain begins and
+// those whose drain ends.
+func (t *Table) Drain(dataCentres map[string]bool) (began, ended []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for dc := range dataCentres {
+		if !t.drained[dc] {
+			began = append(began, dc)
+		}
+	}
+	for dc := range t.drained {
+		if !dataCentres[dc] {
+			ended = append(ended, dc)
+		}
+	}
+	t.drained = maps.Clone(dataCentres)
+	for _, s := range t.byID {
+		s.drained = t.drained[s.DataCentre]
+	}
+	return began, ended
+}
+
+// Drained reports whether the target at an address stands in a drained data centre.
+func (t *Table) Drained(addr string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.byAddr[addr]
+	return s != nil && s.drained
+}
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -99,7 +99,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	cands := t.candidates(q, now)
+	cands := t.bearing(t.candidates(q, now), now)
 	if len(cands) == 0 {
 		return nil
 	}
@@ -119,6 +119,7 @@
 		l.Basis.LoadAge = now.Sub(l.s.loadAt)
 	}
 	l.s.breaker.Start()
+	l.s.warmth.take(now)
 	l.s.inFlight++
 	l.s.pending += l.tokens
 	return l
@@ -187,7 +188,7 @@
 
 // PromptRead notes that the target has read the prompt of the call.
 func (l *Lease) PromptRead() {
-	l.t.prompts.Read(l.ID, l.prompt)
+	l.t.prompts.Read(l.s.process, l.prompt)
 	l.t.mu.Lock()
 	defer l.t.mu.Unlock()
 	l.s.pending -= l.tokens
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -4,6 +4,7 @@
 package targets
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
@@ -15,9 +16,12 @@
 	"topazmoor/internal/routing"
 )
 
-// Target is one listed target. Each start of a target's process has a new ID.
+// Target is one listed target.
 type Target struct {
 	ID, Service string
+	// Born is when the target's process started, in Unix milliseconds; 0 for unknown. A
+	// process may start again under the ID that it had: it knows nothing of before then.
+	Born int64
 	// Addr is IP:port. It is used again by other targets.
 	Addr       string
 	DataCentre string
@@ -25,6 +29,10 @@
 	Slots int
 	// Draining targets get no new work.
 	Draining bool
+	// Warmup is how long the target is still cold, from when Revision of its entry was
+	// written.
+	Warmup   time.Duration
+	Revision int64
 }
 
 // lapseGrace is how long after the store's return a target that vanished from
@@ -43,6 +51,12 @@
 type state struct {
 	Target
 	hash uint64
+	// process names this start of the target's process.
+	process string
+	// drained is set while the data centre is drained.
+	drained bool
+	// warmth bounds the calls while the target is cold.
+	warmth warmth
 	// vanishes is when a target that is no longer listed is dropped; zero for
 	// listed ones.
 	vanishes time.Time
@@ -74,9 +88,18 @@
 	// Off are the mechanisms that an experiment switches off.
 	Off mechanism.Set
 
+	// WarmupRate tells how many calls a second a cold target of a service bears from all
+	// nodes together; 0 for no bound, which also holds where WarmupRate is nil.
+	WarmupRate func(service string) float64
+
 	mu       sync.Mutex
 	byID     map[string]*state
 	services map[string][]*state
+	// byProcess has the targets by the start of their processes, byAddr by their addresses.
+	byProcess, byAddr map[string]*state
+	// drained are the data centres that get no work.
+	drained map[string]bool
+	nodes   nodes
 	// prompts remembers which engines read which prompts.
 	prompts *promptcache.Memory
 	// seen is set once a list was taken in.
@@ -86,18 +109,22 @@
 
 // New returns an empty Table.
 func New(dataCentre string) *Table {
-	return &Table{DataCentre: dataCentre, byID: make(map[string]*state), services: make(map[string][]*state), prompts: promptcache.New(promptMemory), now: time.Now}
+	return &Table{
+		DataCentre: dataCentre, byID: make(map[string]*state), services: make(map[string][]*state), byProcess: make(map[string]*state), byAddr: make(map[string]*state),
+		prompts: promptcache.New(promptMemory), now: time.Now,
+	}
 }
 
 // Change is what an update of the list did, for logs.
 type Change struct {
 	ID, Addr, Service string
-	// What is added, draining, kept (lapsed but still used) or gone.
+	// What is added, restarted (under the ID that it had), draining, cold, kept (lapsed but
+	// still used) or gone.
 	What string
 }
 
 // Update takes in a new list. regained is when the store last came back.
-// It returns what changed, and the addresses that are no longer used.
+// It returns what changed, and the addresses where no process is any more that was there.
 func (t *Table) Update(list []Target, regained time.Time) (changes []Change, gone []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -106,9 +133,13 @@
 	listed := make(map[string]bool, len(list))
 	for _, target := range list {
 		listed[target.ID] = true
-		if c, changed := t.put(target); changed {
+		c, changed := t.put(target, now)
+		if changed {
 			changes = append(changes, c)
 		}
+		if c.What == restarted {
+			gone = append(gone, c.Addr)
+		}
 	}
 	for id, s := range t.byID {
 		if listed[id] {
@@ -133,24 +164,53 @@
 	return Change{ID: s.ID, Addr: s.Addr, Service: s.Service, What: what}
 }
 
-func (t *Table) put(target Target) (Change, bool) {
+const restarted = "restarted"
+
+func (t *Table) put(target Target, now time.Time) (Change, bool) {
 	s := t.byID[target.ID]
+	what := "added"
+	if s != nil && s.Born != target.Born && target.Born != 0 {
+		// All that was believed of the former process is void. Calls to it end at the state
+		// that they began with.
+		what, s = restarted, nil
+	}
 	if s == nil {
-		s = &state{Target: target, hash: xxhash.Sum64String(target.ID)}
+		s = &state{Target: target, hash: xxhash.Sum64String(target.ID), process: processName(target), drained: t.drained[target.DataCentre]}
+		s.warmth.told(target.Warmup, now)
 		t.byID[target.ID] = s
-		return change(s, "added"), true
+		return change(s, what), true
 	}
 	drains := target.Draining && !s.Draining
-	s.Target = target
+	cools := target.Warmup > 0 && target.Revision != s.Revision
+	if target.Revision != s.Revision {
+		s.warmth.told(target.Warmup, now)
+	}
+	if s.Born != 0 && target.Born == 0 {
+		target.Born = s.Born
+	}
+	s.Target, s.process = target, processName(target)
+	s.drained = t.drained[target.DataCentre]
 	s.vanishes = time.Time{}
+	if cools && !drains {
+		return change(s, "cold"), true
+	}
 	return change(s, "draining"), drains
 }
 
+// processName names one start of a target's process.
+func processName(t Target) string { return t.ID + "@" + strconv.FormatInt(t.Born, 10) }
+
 // index rebuilds the lists by service.
 func (t *Table) index() {
 	clear(t.services)
+	clear(t.byProcess)
+	clear(t.byAddr)
 	for _, s := range t.byID {
 		t.services[s.Service] = append(t.services[s.Service], s)
+		t.byProcess[s.process] = s
+		if other := t.byAddr[s.Addr]; other == nil || other.superseded() {
+			t.byAddr[s.Addr] = s
+		}
 	}
 }
 
@@ -161,15 +221,19 @@
 	return t.seen
 }
 
+// superseded reports whether another target may be at the address by now.
+func (s *state) superseded() bool { return s.moved || !s.vanishes.IsZero() }
+
 // usable reports whether a target may be sent work now.
 func (s *state) usable(now time.Time) bool {
-	if s.Draining || s.moved {
+	if s.Draining || s.moved || s.drained {
 		return false
 	}
 	return s.vanishes.IsZero() || now.Before(s.vanishes)
 }
 
-// Usable returns the targets of a service that may be sent work now.
+// Usable returns the targets of a service that may be sent work now, with how long they
+// are still cold.
 func (t *Table) Usable(service string) []Target {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -177,7 +241,9 @@
 	var out []Target
 	for _, s := range t.services[service] {
 		if s.usable(now) {
-			out = append(out, s.Target)
+			target := s.Target
+			target.Warmup = s.warmth.left(now)
+			out = append(out, target)
 		}
 	}
 	return out
@@ -195,10 +261,8 @@
 func (t *Table) DataCentreOf(addr string) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, s := range t.byID {
-		if s.Addr == addr {
-			return s.DataCentre
-		}
+	if s := t.byAddr[addr]; s != nil {
+		return s.DataCentre
 	}
 	return ""
 }
