Form batches at the nodes whose links and processors carry the orders

Cause: one node of a pool forms the batches for all, chosen by hashing among all nodes. On the shifted deployment 78 of 86 nodes have 10 Mbit/s and 0.192 cores.

Change: nodes enter their link and processors beside their address; those that carry at least a quarter of what the best one does form batches, the others only when none of these is left. Within a class the order stays as it was, so that a fleet of equal nodes changes nothing.

TestBurstOfOrdersGoesToNodesThatCarryIt plays the load (730 orders a second, 78 small nodes and 8 large ones): without classes orders wait for the links, with them none does.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -41,6 +41,8 @@
 	ListenCallers, ListenReady, ListenPeers string
 	// MemoryBytes is the process's limit; 0 for none.
 	MemoryBytes int64
+	// Means is what the process has for the batches that it forms for all nodes.
+	Means stagebatch.Means
 	// StopGrace is how long a process has between the signal to stop and its
 	// end.
 	StopGrace time.Duration
@@ -173,7 +175,7 @@
 		return nil, err
 	}
 	n.provisionRelay()
-	n.router = stagebatch.NewRouter(set.Node, n.former, n.peers.client, n.board.Members.Get, n.log)
+	n.router = stagebatch.NewRouter(stagebatch.Node{Name: set.Node, Means: set.Means}, n.former, n.peers.client, n.board.Members.Get, n.log)
 	n.front = passthrough.New(passthrough.Config{
 		Routes: n.board.Routes.Get, Current: n.current, StoreAway: n.storeAway, Targets: n.targets, Stages: n.router,
 		Sender: env.Conns, Wire: env.Wire, Off: set.Off,
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -52,6 +52,8 @@
 	DataCentre string `json:"data_centre"`
 	// Memory is the process's limit in bytes; 0 for none.
 	Memory int64 `json:"memory,omitempty"`
+	// Means is what it has for the batches that it forms.
+	Means stagebatch.Means `json:"means,omitzero"`
 }
 
 // peers is the node's side of the other nodes. It implements suture.Service.
@@ -85,7 +87,7 @@
 	p.server.start = func(key []byte) *peer.Server {
 		return peer.NewServer(ln, key, n.set.Node, peer.Handler{Stages: n.former, Versions: n.versions, Teller: n.teller}, n.log)
 	}
-	p.row, err = json.Marshal(member{Addr: ln.Addr().String(), DataCentre: n.set.DataCentre, Memory: n.set.MemoryBytes})
+	p.row, err = json.Marshal(member{Addr: ln.Addr().String(), DataCentre: n.set.DataCentre, Memory: n.set.MemoryBytes, Means: n.set.Means})
 	if err != nil {
 		return nil, eris.Wrap(err, "encode member")
 	}
@@ -218,7 +220,7 @@
 		}
 		if name != p.n.set.Node {
 			names = append(names, name)
-			out = append(out, stagebatch.Node{Name: name, Addr: m.Addr})
+			out = append(out, stagebatch.Node{Name: name, Addr: m.Addr, Means: m.Means})
 		}
 	}
 	p.n.board.Members.Store(out)
--- a/internal/experiment/stagepools.go
+++ b/internal/experiment/stagepools.go
@@ -289,7 +289,7 @@
 	for i := range routers {
 		former := stagebatch.NewFormer(pool, list, spec, quiet)
 		hosts.formers[hostName(i)] = former
-		routers[i] = stagebatch.NewRouter(hostName(i), former, hosts, othersOf(i, sc.Hosts, policy), quiet)
+		routers[i] = stagebatch.NewRouter(stagebatch.Node{Name: hostName(i)}, former, hosts, othersOf(i, sc.Hosts, policy), quiet)
 	}
 	return driveStages(sc, pool, hosts, routers, rand.New(rand.NewPCG(seed, 1)))
 }
--- /dev/null
+++ b/internal/stagebatch/means_test.go
@@ -0,0 +1,130 @@
+package stagebatch
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// linkedNodes are nodes that form batches behind links: an order takes its time on the link
+// of its node, one after the other. It implements Remote.
+type linkedNodes struct {
+	mu sync.Mutex
+	// free is when the link of a node is free, by address.
+	free  map[string]time.Time
+	means map[string]Means
+}
+
+// Produce implements Remote.
+func (l *linkedNodes) Produce(ctx context.Context, addr string, o Order, accepted func(Waits)) (Result, error) {
+	l.mu.Lock()
+	now := time.Now()
+	if l.free[addr].Before(now) {
+		l.free[addr] = now
+	}
+	l.free[addr] = l.free[addr].Add(time.Duration(orderBytes / l.means[addr].LinkBytes * float64(time.Second)))
+	wait := l.free[addr].Sub(now)
+	l.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return Result{}, context.Cause(ctx)
+	case <-time.After(wait):
+	}
+	accepted(Waits{})
+	return Result{Handles: make([]string, o.Pieces)}, nil
+}
+
+// Free implements Remote.
+func (l *linkedNodes) Free(context.Context, string, string, []string, bool) error { return nil }
+
+// fleetOf returns small nodes and large ones, as the entry hosts of a site are.
+func fleetOf(small, large int) (*linkedNodes, []Node) {
+	l := &linkedNodes{free: make(map[string]time.Time), means: make(map[string]Means)}
+	var nodes []Node
+	for i := range small + large {
+		m := Means{LinkBytes: 10e6 / 8, Processors: 0.192}
+		if i < large {
+			m = Means{LinkBytes: 200e6 / 8, Processors: 0.8}
+		}
+		n := Node{Name: fmt.Sprint("n", i), Addr: fmt.Sprint("n", i), Means: m}
+		nodes, l.means[n.Addr] = append(nodes, n), m
+	}
+	return l, nodes
+}
+
+// A burst of 730 orders a second comes to a pool of a fleet of 78 small nodes and 8 large
+// ones: no caller's order waits for a link, or goes round because it did.
+func TestBurstOfOrdersGoesToNodesThatCarryIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		remote, nodes := fleetOf(78, 8)
+		pool, list := newFakePool(4)
+		var mu sync.Mutex
+		late := 0
+		routers := make([]*Router, 6)
+		for i := range routers {
+			self := nodes[len(nodes)-1-i]
+			others := nodes[:len(nodes)-len(routers)]
+			routers[i] = NewRouter(self, NewFormer(pool, list, poolSpec, quiet), remote, func() []Node { return others }, quiet)
+		}
+		var all sync.WaitGroup
+		for i := range 730 * 3 {
+			all.Go(func() {
+				begin := time.Now()
+				_, err := routers[i%len(routers)].Produce(t.Context(), at(fmt.Sprint("r", i), 1, 0, 3*time.Second))
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil || time.Since(begin) > 50*time.Millisecond {
+					late++
+				}
+			})
+			time.Sleep(time.Second / 730)
+		}
+		all.Wait()
+		c.Assert(late, qt.Equals, 0)
+	})
+}
+
+// All nodes agree on the order, whatever way they know the others; a weak node never comes
+// before a strong one, and nodes of one class share the services.
+func TestRankOfFormers(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var nodes []Node
+		for i := range rapid.IntRange(1, 20).Draw(rt, "nodes") {
+			nodes = append(nodes, Node{Name: fmt.Sprint("n", i), Means: Means{
+				LinkBytes:  rapid.SampledFrom([]float64{0, 1e6, 3e6, 25e6}).Draw(rt, "link"),
+				Processors: rapid.SampledFrom([]float64{0, 0.192, 0.4, 0.8}).Draw(rt, "processors"),
+			}})
+		}
+		other := rapid.Permutation(nodes).Draw(rt, "known")
+		rank("pool", nodes)
+		rank("pool", other)
+		best := 0.0
+		for i, n := range nodes {
+			if other[i] != n {
+				rt.Fatalf("%s and %s at place %d", n.Name, other[i].Name, i)
+			}
+			best = max(best, n.Means.orders())
+		}
+		for i := 1; i < len(nodes); i++ {
+			if a, b := nodes[i-1].Means.orders(), nodes[i].Means.orders(); a*classRatio < best && b*classRatio >= best {
+				rt.Fatalf("a node of %.0f orders a second comes before one of %.0f", a, b)
+			}
+		}
+	})
+	nodes, firsts := make([]Node, 10), make(map[string]bool)
+	for i := range nodes {
+		nodes[i].Name = fmt.Sprint("n", i)
+	}
+	for i := range 40 {
+		rank(fmt.Sprint("pool", i), nodes)
+		firsts[nodes[0].Name] = true
+	}
+	qt.Assert(t, len(firsts) > 6, qt.IsTrue)
+}
--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -4,19 +4,17 @@
 	"context"
 	"errors"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
-	"topazmoor/internal/routing"
 )
 
 // Node is another node that may form batches.
 type Node struct {
 	// Name is unique, Addr is where the node takes calls.
 	Name, Addr string
+	// Means is what the node has for the batches that it forms.
+	Means Means
 }
 
 // Remote makes orders at other nodes; package peer has the real one.
@@ -54,7 +52,7 @@
 // Router sends orders to the node that forms the batches of their pool. It is
 // safe for concurrent use.
 type Router struct {
-	self   string
+	self   Node
 	local  *Former
 	remote Remote
 	nodes  func() []Node
@@ -73,7 +71,7 @@
 }
 
 // NewRouter returns a Router of the node self. nodes lists the other nodes.
-func NewRouter(self string, local *Former, remote Remote, nodes func() []Node, log *slog.Logger) *Router {
+func NewRouter(self Node, local *Former, remote Remote, nodes func() []Node, log *slog.Logger) *Router {
 	return &Router{
 		self: self, local: local, remote: remote, nodes: nodes, log: log,
 		suspects: make(map[string]time.Time), waits: make(map[string]told),
@@ -88,14 +86,14 @@
 }
 
 // ranked returns the nodes that are not suspect in the order in which they form
-// the batches of a service. This node is Node{Name: self}.
+// the batches of a service.
 func (r *Router) ranked(service string) []Node {
 	now := time.Now()
 	all := r.nodes()
 	r.mu.Lock()
 	out := make([]Node, 0, len(all)+1)
 	if !r.stopping {
-		out = append(out, Node{Name: r.self})
+		out = append(out, r.self)
 	}
 	for _, n := range all {
 		if until, ok := r.suspects[n.Name]; ok && now.Before(until) {
@@ -104,13 +102,7 @@
 		out = append(out, n)
 	}
 	r.mu.Unlock()
-	key := xxhash.Sum64String(service)
-	slices.SortFunc(out, func(a, b Node) int {
-		if routing.Mix(key, xxhash.Sum64String(a.Name)) > routing.Mix(key, xxhash.Sum64String(b.Name)) {
-			return -1
-		}
-		return 1
-	})
+	rank(service, out)
 	return out
 }
 
@@ -132,7 +124,7 @@
 // Produce runs an order at the first node that takes it.
 func (r *Router) Produce(ctx context.Context, o Order) (Result, error) {
 	for i, n := range r.ranked(o.Service) {
-		if n.Name == r.self || i >= maxNodes {
+		if n.Name == r.self.Name || i >= maxNodes {
 			break
 		}
 		res, err := r.produceAt(ctx, n, o)
@@ -279,7 +271,7 @@
 func (r *Router) First(service string) string {
 	ranked := r.ranked(service)
 	if len(ranked) == 0 {
-		return r.self
+		return r.self.Name
 	}
 	return ranked[0].Name
 }
--- a/internal/stagebatch/router_test.go
+++ b/internal/stagebatch/router_test.go
@@ -75,7 +75,7 @@
 	list := targets.New("dc")
 	list.Update([]targets.Target{{ID: "t", Service: "pool", Addr: "a:1", DataCentre: "dc", Slots: 1}}, time.Time{})
 	local := NewFormer(instant{}, list, poolSpec, quiet)
-	router := NewRouter("self", local, r, func() []Node { return []Node{{Name: "other", Addr: "b:1"}} }, quiet)
+	router := NewRouter(Node{Name: "self"}, local, r, func() []Node { return []Node{{Name: "other", Addr: "b:1"}} }, quiet)
 	router.Stop()
 	return router
 }
