--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -6,7 +6,6 @@
 	"log/slog"
 	"sync"
 	"time"
-
 )
 
 // Node is another node that may form batches.
