Order queues of stage pools by turns instead of by strict ranks

Cause: by strict ranks the least urgent kind of request bears all that a pool lacks in a burst: its orders wait behind those that come, become late, go last, and the results that they read lapse after 4 s.

Place counts in the turn, so that urgency goes before place as before.

--- a/internal/mechanism/mechanism.go
+++ b/internal/mechanism/mechanism.go
@@ -37,9 +37,7 @@
 	RefuseHopeless
 	// GiveUpHopeless: late orders that will not be done by their deadline are ended.
 	GiveUpHopeless
-	// BegunFirst: of late orders those go first that read results.
-	BegunFirst
-	// Ranks: urgent requests go first.
+	// Ranks: urgent orders have a head start.
 	Ranks
 	// WholeOrders: the pieces of an order go into one call.
 	WholeOrders
@@ -59,7 +57,7 @@
 // names has the mechanisms in the order of their bits.
 var names = []string{
 	"copy-prompts", "prompt-affinity", "near-inputs", "maker-place", "wait-for-place",
-	"late-big-results", "early-release", "refuse-hopeless", "give-up-hopeless", "begun-first", "ranks",
+	"late-big-results", "early-release", "refuse-hopeless", "give-up-hopeless", "ranks",
 	"whole-orders", "second-call", "slow-targets", "hedges", "silent-engines", "relays",
 }
 
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -200,33 +200,44 @@
 	return spec.CallTime + time.Duration(n)*spec.ItemTime
 }
 
-// before orders pieces: those that can still meet their objective first, then
-// by rank, then by the time at which they are due. Of the late ones, those that read
-// results go before those that begin: work that was begun is finished, and the room
-// of its results comes free. Within a rank, those that wish for the place of the target
-// go before those that wish for another one.
+const (
+	// headStart is how much sooner than it is due the turn of an order comes for each rank
+	// that it is more urgent. It answers bursts that ask a pool for more than it can make, for
+	// some seconds: by strict ranks the least urgent kind bears all that is missing, and its
+	// results lapse while it waits. With twelve targets that make 1,620 pieces a second and
+	// are asked for 2,480 for 5.4 s, 0.97 of the urgent orders are in time by strict ranks and
+	// 0.12 of the others, with no head start 0.89 and 0.89, with 100 ms 0.90 and 0.76, with
+	// 250 ms 0.92 and 0.61, with 1 s 0.96 and 0.25 (BenchmarkBurstOfOneKind). Accounts differ
+	// by as many ranks as routes have priorities, so that their steps are longer.
+	headStart = 150 * time.Millisecond
+	// placeStart is how much sooner the turn of an order comes that wishes for the place of the
+	// target: less than a rank, and about the time in which the next target is free.
+	placeStart = 100 * time.Millisecond
+)
+
+// turn is when an order's turn comes among those that can meet their objective.
+func (pl place) turn(o *order) time.Time {
+	turn := o.Due
+	if !pl.off.Has(mechanism.Ranks) {
+		turn = turn.Add(time.Duration(o.Priority) * headStart)
+	}
+	if pl.wished(o) {
+		turn = turn.Add(-placeStart)
+	}
+	return turn
+}
+
+// before orders pieces: those that can still meet their objective first, then by their
+// turns.
 func before(a, b *piece, late time.Time, pl place) int {
 	aLate, bLate := a.order.Due.Before(late), b.order.Due.Before(late)
 	switch {
-	case aLate != bLate && aLate:
+	case aLate && !bLate:
 		return 1
-	case aLate != bLate:
+	case bLate && !aLate:
 		return -1
-	case a.order.Priority != b.order.Priority && !pl.off.Has(mechanism.Ranks):
-		return cmp.Compare(a.order.Priority, b.order.Priority)
-	case aLate && a.begun() != b.begun() && !pl.off.Has(mechanism.BegunFirst):
-		if a.begun() {
-			return -1
-		}
-		return 1
-	}
-	if here := pl.wished(a.order); here != pl.wished(b.order) {
-		if here {
-			return -1
-		}
-		return 1
 	}
-	return cmp.Or(a.order.Due.Compare(b.order.Due), cmp.Compare(a.order.seq, b.order.seq))
+	return cmp.Or(pl.turn(a.order).Compare(pl.turn(b.order)), cmp.Compare(a.order.seq, b.order.seq))
 }
 
 // take removes the next batch for a target from the queue: of the orders that
