--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -33,8 +33,10 @@
 	PathAudit  = "/v1/audit"
 	PathEvents = "/v1/events"
 	PathDrains = "/v1/drains/"
-	PathStop   = "/v1/stop"
-	PathRevert = "/v1/revert"
+	// PathDataCentreDrains is followed by the name of a data centre.
+	PathDataCentreDrains = "/v1/data-centre-drains/"
+	PathStop             = "/v1/stop"
+	PathRevert           = "/v1/revert"
 )
 
 // maxBody bounds the body of a call, in bytes.
@@ -110,6 +112,8 @@
 	s.write("POST "+PathRevert, s.revert)
 	s.write("PUT "+PathDrains+"{host}", s.drain)
 	s.write("DELETE "+PathDrains+"{host}", s.undrain)
+	s.write("PUT "+PathDataCentreDrains+"{data_centre}", s.drainDataCentre)
+	s.write("DELETE "+PathDataCentreDrains+"{data_centre}", s.undrainDataCentre)
 	s.write("POST "+PathStop, s.stop)
 	s.write("PUT "+PathStop+"/{node}", s.scheduleStop)
 	s.write("DELETE "+PathStop+"/{node}", s.cancelStop)
@@ -392,3 +396,16 @@
 func (s *Server) undrain(r *http.Request, op settings.Operator) (any, error) {
 	return s.submit(r.Context(), op, ApplyRequest{Note: "end drain"}, []catalog.Item{{Kind: catalog.DrainItem, Name: r.PathValue("host")}})
 }
+
+func (s *Server) drainDataCentre(r *http.Request, op settings.Operator) (any, error) {
+	name := r.PathValue("data_centre")
+	value, err := json.Marshal(catalog.DataCentreDrain{DataCentre: name, Reason: r.URL.Query().Get("reason")})
+	if err != nil {
+		return nil, err
+	}
+	return s.submit(r.Context(), op, ApplyRequest{Note: "drain data centre"}, []catalog.Item{{Kind: catalog.DataCentreDrainItem, Name: name, Value: value}})
+}
+
+func (s *Server) undrainDataCentre(r *http.Request, op settings.Operator) (any, error) {
+	return s.submit(r.Context(), op, ApplyRequest{Note: "end drain of data centre"}, []catalog.Item{{Kind: catalog.DataCentreDrainItem, Name: r.PathValue("data_centre")}})
+}
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -104,13 +104,22 @@
 
 // Drain orders that a target host gets no new work; end lifts the order.
 func (c *Client) Drain(ctx context.Context, host, reason string, end bool) (ApplyResult, error) {
+	return c.drain(ctx, PathDrains+url.PathEscape(host), reason, end)
+}
+
+// DrainDataCentre orders the same for all target hosts of a data centre.
+func (c *Client) DrainDataCentre(ctx context.Context, name, reason string, end bool) (ApplyResult, error) {
+	return c.drain(ctx, PathDataCentreDrains+url.PathEscape(name), reason, end)
+}
+
+func (c *Client) drain(ctx context.Context, path, reason string, end bool) (ApplyResult, error) {
 	method := http.MethodPut
 	if end {
 		method = http.MethodDelete
 	}
 	q := url.Values{"reason": {reason}}
 	var out ApplyResult
-	err := c.call(ctx, method, PathDrains+url.PathEscape(host)+"?"+q.Encode(), nil, &out)
+	err := c.call(ctx, method, path+"?"+q.Encode(), nil, &out)
 	return out, err
 }
 
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -161,7 +161,9 @@
 	TemplateItem Kind = "template"
 	AccountItem  Kind = "account"
 	DrainItem    Kind = "drain"
-	StopItem     Kind = "stop"
+	// DataCentreDrainItem drains all target hosts of a data centre.
+	DataCentreDrainItem Kind = "data_centre_drain"
+	StopItem            Kind = "stop"
 )
 
 // Item is one created, replaced or deleted object of a change.
@@ -197,6 +199,14 @@
 	Reason string `json:"reason"`
 }
 
+// DataCentreDrain is an operator's order that the target hosts of a data centre get no new
+// work, those that come meanwhile included.
+type DataCentreDrain struct {
+	DataCentre string `json:"data_centre" need:"true"`
+	// Reason is for other operators.
+	Reason string `json:"reason"`
+}
+
 // Stop is an operator's order that a node stops gracefully at a time.
 type Stop struct {
 	// Node is the name of the node. A process that was started after At ignores
--- a/internal/catalog/compile.go
+++ b/internal/catalog/compile.go
@@ -20,19 +20,21 @@
 // the accounts that the items touch are compiled.
 func (c *Compiled) Apply(revision int64, items []Item) (*Compiled, error) {
 	next := &Compiled{
-		Revision:  revision,
-		templates: maps.Clone(c.templates),
-		accounts:  maps.Clone(c.accounts),
-		tokens:    maps.Clone(c.tokens),
-		drains:    maps.Clone(c.drains),
-		stops:     maps.Clone(c.stops),
-		plans:     maps.Clone(c.plans),
-		pools:     c.pools,
+		Revision:    revision,
+		templates:   maps.Clone(c.templates),
+		accounts:    maps.Clone(c.accounts),
+		tokens:      maps.Clone(c.tokens),
+		drains:      maps.Clone(c.drains),
+		dataCentres: maps.Clone(c.dataCentres),
+		stops:       maps.Clone(c.stops),
+		plans:       maps.Clone(c.plans),
+		pools:       c.pools,
 	}
 	var probs strictjson.Problems
 	changed := next.applyTemplates(items, &probs)
 	touched := next.applyAccounts(items, &probs)
 	applyObjects(next.drains, DrainItem, items, &probs)
+	applyObjects(next.dataCentres, DataCentreDrainItem, items, &probs)
 	applyObjects(next.stops, StopItem, items, &probs)
 	if len(changed) > 0 {
 		next.plans = make(map[string]*Plan)
--- a/internal/catalog/compiled.go
+++ b/internal/catalog/compiled.go
@@ -80,9 +80,11 @@
 	accounts  map[string]*CompiledAccount
 	tokens    map[tokenHash]*CompiledAccount
 	drains    map[string]Drain
-	stops     map[string]Stop
-	pools     map[string]settings.Pool
-	plans     map[string]*Plan
+	// dataCentres are the drains of whole data centres.
+	dataCentres map[string]DataCentreDrain
+	stops       map[string]Stop
+	pools       map[string]settings.Pool
+	plans       map[string]*Plan
 }
 
 // New returns an empty configuration over the given pools.
@@ -92,13 +94,14 @@
 		byName[p.Name] = p
 	}
 	return &Compiled{
-		templates: make(map[string]*Template),
-		accounts:  make(map[string]*CompiledAccount),
-		tokens:    make(map[tokenHash]*CompiledAccount),
-		drains:    make(map[string]Drain),
-		stops:     make(map[string]Stop),
-		plans:     make(map[string]*Plan),
-		pools:     byName,
+		templates:   make(map[string]*Template),
+		accounts:    make(map[string]*CompiledAccount),
+		tokens:      make(map[tokenHash]*CompiledAccount),
+		drains:      make(map[string]Drain),
+		dataCentres: make(map[string]DataCentreDrain),
+		stops:       make(map[string]Stop),
+		plans:       make(map[string]*Plan),
+		pools:       byName,
 	}
 }
 
@@ -122,6 +125,15 @@
 	return ok
 }
 
+// DataCentreDrained reports whether an operator ordered the data centre drained.
+func (c *Compiled) DataCentreDrained(name string) bool {
+	_, ok := c.dataCentres[name]
+	return ok
+}
+
+// DataCentreDrains returns all drain orders of data centres by name.
+func (c *Compiled) DataCentreDrains() map[string]DataCentreDrain { return maps.Clone(c.dataCentres) }
+
 // Drains returns all drain orders by host.
 func (c *Compiled) Drains() map[string]Drain { return maps.Clone(c.drains) }
 
@@ -150,6 +162,10 @@
 		if d, ok := c.drains[name]; ok {
 			v = d
 		}
+	case DataCentreDrainItem:
+		if d, ok := c.dataCentres[name]; ok {
+			v = d
+		}
 	case StopItem:
 		if st, ok := c.stops[name]; ok {
 			v = st
@@ -197,6 +213,9 @@
 	for name := range c.drains {
 		items = append(items, Item{Kind: DrainItem, Name: name, Value: c.Object(DrainItem, name)})
 	}
+	for name := range c.dataCentres {
+		items = append(items, Item{Kind: DataCentreDrainItem, Name: name, Value: c.Object(DataCentreDrainItem, name)})
+	}
 	for name := range c.stops {
 		items = append(items, Item{Kind: StopItem, Name: name, Value: c.Object(StopItem, name)})
 	}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -43,7 +43,7 @@
 	Check   *checkCmd   `arg:"subcommand:check" help:"check settings and manifests"`
 	Apply   *applyCmd   `arg:"subcommand:apply" help:"submit templates and client accounts"`
 	Get     *getCmd     `arg:"subcommand:get" help:"print a template, account or drain order"`
-	Drain   *drainCmd   `arg:"subcommand:drain" help:"give a target host no new work"`
+	Drain   *drainCmd   `arg:"subcommand:drain" help:"give a target host, or a data centre, no new work"`
 	Stop    *stopCmd    `arg:"subcommand:stop" help:"stop a node gracefully"`
 	Status  *statusCmd  `arg:"subcommand:status" help:"describe a node and the nodes it knows"`
 	Audit   *auditCmd   `arg:"subcommand:audit" help:"print who changed what"`
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -174,7 +174,7 @@
 // getCmd prints one object of the configuration.
 type getCmd struct {
 	adminArgs
-	Kind string `arg:"positional,required" help:"template, account or drain"`
+	Kind string `arg:"positional,required" help:"template, account, drain or data_centre_drain"`
 	Name string `arg:"positional,required"`
 }
 
@@ -192,12 +192,13 @@
 	return enc.Encode(obj)
 }
 
-// drainCmd orders that a target host gets no new work.
+// drainCmd orders that a target host, or a data centre, gets no new work.
 type drainCmd struct {
 	adminArgs
-	Host   string `arg:"positional,required" help:"ID of the target host"`
-	End    bool   `arg:"--end" help:"lift the order"`
-	Reason string `arg:"--reason" help:"for other operators and the audit trail"`
+	Host       string `arg:"positional" help:"ID of the target host"`
+	DataCentre string `arg:"--data-centre" placeholder:"NAME" help:"drain all target hosts of this data centre instead of one"`
+	End        bool   `arg:"--end" help:"lift the order"`
+	Reason     string `arg:"--reason" help:"for other operators and the audit trail"`
 }
 
 func (d *drainCmd) run(ctx context.Context, c *console) error {
@@ -205,7 +206,15 @@
 	if err != nil {
 		return err
 	}
-	res, err := cl.Drain(ctx, d.Host, d.Reason, d.End)
+	var res admin.ApplyResult
+	switch {
+	case (d.Host == "") == (d.DataCentre == ""):
+		return eris.New("name a target host or --data-centre, one of them")
+	case d.DataCentre != "":
+		res, err = cl.DrainDataCentre(ctx, d.DataCentre, d.Reason, d.End)
+	default:
+		res, err = cl.Drain(ctx, d.Host, d.Reason, d.End)
+	}
 	if err != nil {
 		return adminError(err)
 	}
--- a/internal/node/balance.go
+++ b/internal/node/balance.go
@@ -40,7 +40,7 @@
 		}
 	}
 	var out []fleet.Engine
-	for _, h := range serving(n.board.Hosts.Get().Hosts, n.board.Catalog.Get().Drained) {
+	for _, h := range serving(n.board.Hosts.Get().Hosts, n.board.Catalog.Get()) {
 		p, ok := pools[h.Pool]
 		if !ok {
 			continue
--- a/internal/node/pollers.go
+++ b/internal/node/pollers.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"topazmoor/internal/catalog"
 	"topazmoor/internal/routing"
 	"topazmoor/internal/scheduler"
 	"topazmoor/internal/store"
@@ -82,14 +83,14 @@
 	}
 	p.last = now
 	p.n.sched.SetNodes(now.nodes)
-	p.n.sched.SetHosts(routing.Subset(p.n.s.Node.Name, serving(hosts, cfg.Drained)), cfg.Drained)
+	p.n.sched.SetHosts(routing.Subset(p.n.s.Node.Name, serving(hosts, cfg)), cfg.Drained)
 }
 
 // serving returns the hosts that may get new work.
-func serving(hosts []store.Host, drained func(string) bool) []store.Host {
+func serving(hosts []store.Host, cfg *catalog.Compiled) []store.Host {
 	out := make([]store.Host, 0, len(hosts))
 	for _, h := range hosts {
-		if h.State == store.Live && !drained(h.ID) {
+		if h.State == store.Live && !cfg.Drained(h.ID) && !cfg.DataCentreDrained(h.DataCentre) {
 			out = append(out, h)
 		}
 	}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -62,5 +62,8 @@
 	for host := range cfg.Drains() {
 		st.Drained = append(st.Drained, host)
 	}
+	for name := range cfg.DataCentreDrains() {
+		st.Drained = append(st.Drained, "data centre "+name)
+	}
 	return st
 }
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -181,7 +181,7 @@
 		return change(s, what), true
 	}
 	drains := target.Draining && !s.Draining
-	cools := target.Warmup > 0 && target.Revision != s.Revision
+	cools := target.Warmup > 0 && target.Revision != s.Revision && !s.warmth.cold(now)
 	if target.Revision != s.Revision {
 		s.warmth.told(target.Warmup, now)
 	}
