--- a/internal/targets/warmup.go
+++ b/internal/targets/warmup.go
@@ -13,21 +13,14 @@
 // Nodes don't agree on who calls when: each keeps to a part of what the target bears, and
 // the parts of all nodes make up the whole.
 
-const (
-	// warmers is how many nodes share the calls of one cold target. With one, the target
-	// would be lost to all others while that node is. A share each for all of 86 nodes has
-	// the same worth, but their calls come together by chance: of 6.7 calls a second that a
-	// target bears, up to 11 came within one second, and 6 from three nodes
-	// (TestColdEngineOfManyNodes).
-	warmers = 3
-	// warmBurst is the most calls that a node makes at once at a cold target. The warmers
-	// together exceed what the target bears by that much at most.
-	warmBurst = 1
-)
+// warmers is how many nodes share the calls of one cold target. With one, the target would be
+// lost to all others while that node is. A share each for all of 86 nodes has the same worth,
+// but their calls come together by chance: of 6.7 calls a second that a target bears, up to 11
+// came within one second, and 6 from three nodes (TestColdEngineOfManyNodes).
+const warmers = 3
 
 // nodes are the nodes that call targets, as this one knows them.
 type nodes struct {
-	self string
 	// hashes are of the names of all nodes, this one included, own is that of this one.
 	hashes []uint64
 	own    uint64
@@ -40,7 +33,7 @@
 func (t *Table) SetNodes(self string, others []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := nodes{self: self, own: xxhash.Sum64String(self), edition: t.nodes.edition + 1}
+	n := nodes{own: xxhash.Sum64String(self), edition: t.nodes.edition + 1}
 	n.hashes = append(n.hashes, n.own)
 	for _, name := range others {
 		n.hashes = append(n.hashes, xxhash.Sum64String(name))
@@ -79,11 +72,7 @@
 	if !w.cold(now) || w.share <= 0 {
 		return
 	}
-	earliest := now.Add(-time.Duration(warmBurst-1) * interval(w.share))
-	if w.next.Before(earliest) {
-		w.next = earliest
-	}
-	w.next = w.next.Add(interval(w.share))
+	w.next = now.Add(interval(w.share))
 }
 
 func interval(perSecond float64) time.Duration {
@@ -116,7 +105,8 @@
 	return out
 }
 
-// bears reports whether a target may be called now for all that it may be cold.
+// bears reports whether a target may be called now: it is warm, or cold and this node has a
+// call left there.
 func (t *Table) bears(s *state, now time.Time) bool {
 	if !s.warmth.cold(now) || t.WarmupRate == nil {
 		return true
