--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -168,9 +168,9 @@
 			m = &maker{results: make(map[string]held)}
 			p.makers[t.ID] = m
 		}
-		m.Target, m.rest = t, 0
+		m.Target, m.spacing = t, 0
 		if t.Warmup > 0 {
-			m.rest = f.list.Rest(service)
+			m.spacing = f.list.WarmupInterval(service)
 		}
 	}
 	for id := range p.makers {
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -66,9 +66,9 @@
 	// the first.
 	slowness float64
 	lastCall time.Time
-	// rest is the least time between the begins of two calls while the target is cold; 0
+	// spacing is the least time between the begins of two calls while the target is cold; 0
 	// for a warm one.
-	rest time.Duration
+	spacing time.Duration
 	// callBytes is the size of the results of its last call.
 	callBytes int64
 	// soundAt is when a call last ended in its time and with all results; zero
@@ -179,7 +179,7 @@
 
 // free reports whether the target may be given a call now.
 func (m *maker) free(spec *routes.Batch, now time.Time) bool {
-	return m.calls < max(spec.Slots, 1) && !now.Before(m.pausedUntil) && now.Sub(m.lastCall) >= m.rest
+	return m.calls < max(spec.Slots, 1) && !now.Before(m.pausedUntil) && now.Sub(m.lastCall) >= m.spacing
 }
 
 // slower returns how many times slower than the fastest of a pool's targets this one is; 1
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -99,7 +99,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	cands := t.bearing(t.candidates(q, now), now)
+	cands := t.accepting(t.candidates(q, now), now)
 	if len(cands) == 0 {
 		return nil
 	}
@@ -119,7 +119,7 @@
 		l.Basis.LoadAge = now.Sub(l.s.loadAt)
 	}
 	l.s.breaker.Start()
-	l.s.warmth.take(now)
+	l.s.warmup.take(now)
 	l.s.inFlight++
 	l.s.pending += l.tokens
 	return l
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -55,8 +55,8 @@
 	process string
 	// drained is set while the data centre is drained.
 	drained bool
-	// warmth bounds the calls while the target is cold.
-	warmth warmth
+	// warmup bounds the calls while the target is cold.
+	warmup warmup
 	// vanishes is when a target that is no longer listed is dropped; zero for
 	// listed ones.
 	vanishes time.Time
@@ -176,14 +176,14 @@
 	}
 	if s == nil {
 		s = &state{Target: target, hash: xxhash.Sum64String(target.ID), process: processName(target), drained: t.drained[target.DataCentre]}
-		s.warmth.told(target.Warmup, now)
+		s.warmup.told(target.Warmup, now)
 		t.byID[target.ID] = s
 		return change(s, what), true
 	}
 	drains := target.Draining && !s.Draining
-	cools := target.Warmup > 0 && target.Revision != s.Revision && !s.warmth.cold(now)
+	turnsCold := target.Warmup > 0 && target.Revision != s.Revision && !s.warmup.cold(now)
 	if target.Revision != s.Revision {
-		s.warmth.told(target.Warmup, now)
+		s.warmup.told(target.Warmup, now)
 	}
 	if s.Born != 0 && target.Born == 0 {
 		target.Born = s.Born
@@ -191,7 +191,7 @@
 	s.Target, s.process = target, processName(target)
 	s.drained = t.drained[target.DataCentre]
 	s.vanishes = time.Time{}
-	if cools && !drains {
+	if turnsCold && !drains {
 		return change(s, "cold"), true
 	}
 	return change(s, "draining"), drains
@@ -242,7 +242,7 @@
 	for _, s := range t.services[service] {
 		if s.usable(now) {
 			target := s.Target
-			target.Warmup = s.warmth.left(now)
+			target.Warmup = s.warmup.left(now)
 			out = append(out, target)
 		}
 	}
--- a/internal/targets/warmup.go
+++ b/internal/targets/warmup.go
@@ -13,11 +13,11 @@
 // Nodes don't agree on who calls when: each keeps to a part of what the target bears, and
 // the parts of all nodes make up the whole.
 
-// warmers is how many nodes share the calls of one cold target. With one, the target would be
+// warmupCallers is how many nodes share the calls of one cold target. With one, it would be
 // lost to all others while that node is. A share each for all of 86 nodes has the same worth,
 // but their calls come together by chance: of 6.7 calls a second that a target bears, up to 11
 // came within one second, and 6 from three nodes (TestColdEngineOfManyNodes).
-const warmers = 3
+const warmupCallers = 3
 
 // nodes are the nodes that call targets, as this one knows them.
 type nodes struct {
@@ -41,8 +41,8 @@
 	t.nodes = n
 }
 
-// warmth is what a node knows of a cold target. The zero value is a warm one.
-type warmth struct {
+// warmup is what a node knows of a cold target. The zero value is a warm one.
+type warmup struct {
 	// until is when the target is warm.
 	until time.Time
 	// next is when this node may call it again.
@@ -54,7 +54,7 @@
 }
 
 // told takes in for how long the target is still cold.
-func (w *warmth) told(left time.Duration, now time.Time) {
+func (w *warmup) told(left time.Duration, now time.Time) {
 	w.until = time.Time{}
 	if left > 0 {
 		w.until = now.Add(left)
@@ -62,13 +62,13 @@
 }
 
 // cold reports whether the target is cold.
-func (w *warmth) cold(now time.Time) bool { return now.Before(w.until) }
+func (w *warmup) cold(now time.Time) bool { return now.Before(w.until) }
 
 // left returns how long the target is still cold.
-func (w *warmth) left(now time.Time) time.Duration { return max(w.until.Sub(now), 0) }
+func (w *warmup) left(now time.Time) time.Duration { return max(w.until.Sub(now), 0) }
 
 // take notes a call.
-func (w *warmth) take(now time.Time) {
+func (w *warmup) take(now time.Time) {
 	if !w.cold(now) || w.share <= 0 {
 		return
 	}
@@ -79,9 +79,9 @@
 	return time.Duration(float64(time.Second) / perSecond)
 }
 
-// Rest returns the least time between two calls at a cold target of a service, for a node
+// WarmupInterval returns the least time between two calls at a cold target of a service, for a node
 // that alone calls it; 0 for none.
-func (t *Table) Rest(service string) time.Duration {
+func (t *Table) WarmupInterval(service string) time.Duration {
 	if t.WarmupRate == nil {
 		return 0
 	}
@@ -91,35 +91,35 @@
 	return 0
 }
 
-// bearing leaves out the targets that are cold and bear no call of this node now.
-func (t *Table) bearing(cands []*state, now time.Time) []*state {
-	if !slices.ContainsFunc(cands, func(s *state) bool { return s.warmth.cold(now) }) {
+// accepting leaves out the targets that are cold and bear no call of this node now.
+func (t *Table) accepting(cands []*state, now time.Time) []*state {
+	if !slices.ContainsFunc(cands, func(s *state) bool { return s.warmup.cold(now) }) {
 		return cands
 	}
 	out := make([]*state, 0, len(cands))
 	for _, s := range cands {
-		if t.bears(s, now) {
+		if t.accepts(s, now) {
 			out = append(out, s)
 		}
 	}
 	return out
 }
 
-// bears reports whether a target may be called now: it is warm, or cold and this node has a
+// accepts reports whether a target may be called now: it is warm, or cold and this node has a
 // call left there.
-func (t *Table) bears(s *state, now time.Time) bool {
-	if !s.warmth.cold(now) || t.WarmupRate == nil {
+func (t *Table) accepts(s *state, now time.Time) bool {
+	if !s.warmup.cold(now) || t.WarmupRate == nil {
 		return true
 	}
 	rate := t.WarmupRate(s.Service)
 	if rate <= 0 {
 		return true
 	}
-	if s.warmth.edition != t.nodes.edition {
-		s.warmth.edition = t.nodes.edition
-		s.warmth.share = t.nodes.share(s.hash, rate)
+	if s.warmup.edition != t.nodes.edition {
+		s.warmup.edition = t.nodes.edition
+		s.warmup.share = t.nodes.share(s.hash, rate)
 	}
-	return s.warmth.share > 0 && !now.Before(s.warmth.next)
+	return s.warmup.share > 0 && !now.Before(s.warmup.next)
 }
 
 // share returns how many calls a second this node may make at a cold target that bears
@@ -128,7 +128,7 @@
 	if len(n.hashes) == 0 {
 		return 0
 	}
-	if len(n.hashes) <= warmers {
+	if len(n.hashes) <= warmupCallers {
 		return rate / float64(len(n.hashes))
 	}
 	own, before := routing.Mix(target, n.own), 0
@@ -137,8 +137,8 @@
 			before++
 		}
 	}
-	if before >= warmers {
+	if before >= warmupCallers {
 		return 0
 	}
-	return rate / warmers
+	return rate / warmupCallers
 }
--- a/internal/targets/warmup_test.go
+++ b/internal/targets/warmup_test.go
@@ -89,7 +89,7 @@
 				f.call(rapid.IntRange(0, n-1).Draw(rt, "node"))
 			}
 		}
-		if most, bound := f.most(), coldRate+2*warmers; float64(most) > bound {
+		if most, bound := f.most(), coldRate+2*warmupCallers; float64(most) > bound {
 			rt.Fatalf("%d calls within a second, %.1f are borne", most, bound)
 		}
 	})
@@ -117,7 +117,7 @@
 	c.Logf("%d calls, at most %d within a second, from %d nodes", len(f.calls), f.most(), len(callers))
 	// The bound of the users: one and a half times what it bears, and 5.
 	c.Check(float64(f.most()) <= 1.5*coldRate+5, qt.IsTrue)
-	c.Check(callers, qt.HasLen, warmers)
+	c.Check(callers, qt.HasLen, warmupCallers)
 }
 
 func TestEngineThatIsWarmIsNotBounded(t *testing.T) {
