Sight: logs name a request by a digest and say how far a broken run got

Change: a digest of client account, method, host, path and body, in `accepted` and in each line of an attempt that broke; `ran_ms` beside it. No body or key is logged.

--- a/internal/passthrough/admit.go
+++ b/internal/passthrough/admit.go
@@ -32,7 +32,7 @@
 	c.estimated = need
 	left := time.Until(c.deadline)
 	c.log.Info("accepted", "route", c.route.Name, "service", c.service, "account", c.account, "rank", c.rank, "config", c.cfg.Version,
-		"need_ms", need.Milliseconds(), "left_ms", left.Milliseconds(), "objective_ms", c.route.Objective.Milliseconds(), "late", late, "pieces", c.meta.Pieces)
+		"need_ms", need.Milliseconds(), "left_ms", left.Milliseconds(), "objective_ms", c.route.Objective.Milliseconds(), "late", late, "pieces", c.meta.Pieces, "digest", c.digest)
 	if time.Duration(admitShare*float64(need)) > left {
 		back := min(need-left+c.comeBack(), time.Duration(backShare*float64(left)))
 		return notRun(verdict.DeadlineUnreachable, "the request needs about %v and %v are left",
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -109,7 +109,8 @@
 		l.Done(targets.Failed, 0)
 	}
 	stale := ce != nil && ce.Reused && time.Since(start) < staleWithin
-	c.log.Info("no answer from target", "target", l.ID, "addr", l.Addr, "sent", sent, "stale", stale, "err", err)
+	c.log.Info("no answer from target", "target", l.ID, "addr", l.Addr, "digest", c.digest, "sent", sent, "stale", stale,
+		"ran_ms", time.Since(start).Milliseconds(), "err", err)
 	return &failure{ran: sent, stale: stale, target: l.ID, err: err}
 }
 
--- a/internal/passthrough/plain.go
+++ b/internal/passthrough/plain.go
@@ -159,7 +159,8 @@
 			outcome = targets.Abandoned
 		}
 		l.Done(outcome, 0)
-		c.log.Info("answer of target broke off", "target", l.ID, "addr", l.Addr, "err", err)
+		c.log.Info("answer of target broke off", "target", l.ID, "addr", l.Addr, "digest", c.digest,
+			"ran_ms", time.Since(a.start).Milliseconds(), "err", err)
 		return result{f: &failure{ran: true, err: err}}
 	}
 	l.Done(targets.Served, time.Since(a.start))
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -14,6 +14,7 @@
 	"topazmoor/internal/flow"
 	"topazmoor/internal/httpconn"
 	"topazmoor/internal/mechanism"
+	"topazmoor/internal/poison"
 	"topazmoor/internal/routes"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/targets"
@@ -145,6 +146,8 @@
 	rank    int
 	meta    Meta
 	body    []byte
+	// digest names the request among all attempts of its caller.
+	digest  poison.Digest
 	arrived time.Time
 	// deadline is when the final answer is due.
 	deadline time.Time
@@ -213,7 +216,11 @@
 	}
 	c.service = c.route.Choose(rand.Float64())
 	c.deadline = c.arrived.Add(c.patience())
-	return c.readBody()
+	if err := c.readBody(); err != nil {
+		return err
+	}
+	c.digest = poison.DigestOf(c.account, c.r.Method, c.r.Host, c.r.RequestURI, c.body)
+	return nil
 }
 
 // deny refuses what the configuration does not allow. A node that may have
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -226,8 +226,8 @@
 		outcome = targets.Abandoned
 	}
 	a.lease.Done(outcome, 0)
-	x.c.log.Info("stream broke off", "target", a.lease.ID, "addr", a.lease.Addr, "events", x.events, "last", x.last,
-		"silent", errors.Is(context.Cause(ctx), errSilent), "err", err)
+	x.c.log.Info("stream broke off", "target", a.lease.ID, "addr", a.lease.Addr, "digest", x.c.digest, "events", x.events, "last", x.last,
+		"ran_ms", time.Since(a.start).Milliseconds(), "silent", errors.Is(context.Cause(ctx), errSilent), "err", err)
 	return &failure{ran: true, err: err}
 }
 
