Keep requests that crash targets away from them, at all nodes

Cause: what a node learned of a request from a target's end died with the attempt; no other node heard of it. Repeats were bounded by attempt and by service, so a request that comes back ended one to three targets an attempt, faster than targets came back. Class: a promise of the fleet counted by one node, within one attempt. Ruled out: a bound on the attempt alone (most ends have the first send); counting each broken connection (targets that spoil answers, resets, kept connections that their target had closed: a run of the second test blamed an innocent for three dead kept connections, so such an end counts only where the connection was new). Change: internal/poison. A request is known by a digest of account, method, host, path and body. When a run breaks off and nobody listens at the target any more, the end is written to the store before the request is sent again. With the second process it is quarantined: a row that all nodes follow. It is then sent alone, to the least busy target, by whoever claims its probe in the store: once at once, twice more after 5 and 30 minutes; an answer ends the quarantine. Who cannot be served is refused at admission, with when to come back, and 502 where it may have run. Also: PromptRead read a target's state without its lock (race detector, found by the new test); ending a followed node's calls no longer costs a second call a table (Table.Renew).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"topazmoor/internal/mechanism"
 	"topazmoor/internal/metrics"
 	"topazmoor/internal/passthrough"
+	"topazmoor/internal/poison"
 	"topazmoor/internal/relay"
 	"topazmoor/internal/routes"
 	"topazmoor/internal/stagebatch"
@@ -116,15 +117,17 @@
 	// versions hears of newer configurations from the other nodes.
 	versions *versions
 	// teller and follower share what nodes of a data centre hear of the store.
-	teller   *relay.Teller
-	follower *relay.Follower
-	former   *stagebatch.Former
-	router   *stagebatch.Router
-	front    *passthrough.Server
-	callers  *callers
-	ready    *http.Server
-	readyLn  net.Listener
-	metrics  *metrics.Entry
+	guard      *poison.Guard
+	quarantine *watch.Table
+	teller     *relay.Teller
+	follower   *relay.Follower
+	former     *stagebatch.Former
+	router     *stagebatch.Router
+	front      *passthrough.Server
+	callers    *callers
+	ready      *http.Server
+	readyLn    net.Listener
+	metrics    *metrics.Entry
 	// unreadable are the entries of targets that were left out.
 	unreadable unreadable
 	// memberRows is the member table as it was last seen.
@@ -174,11 +177,12 @@
 	if n.peers, err = n.provisionPeers(); err != nil {
 		return nil, err
 	}
+	n.provisionGuard()
 	n.provisionRelay()
 	n.router = stagebatch.NewRouter(stagebatch.Node{Name: set.Node, Means: set.Means}, n.former, n.peers.client, n.board.Members.Get, n.log)
 	n.front = passthrough.New(passthrough.Config{
 		Routes: n.board.Routes.Get, Current: n.current, StoreAway: n.storeAway, Targets: n.targets, Stages: n.router,
-		Sender: env.Conns, Wire: env.Wire, Off: set.Off,
+		Guard: n.guard, Sender: env.Conns, Wire: env.Wire, Off: set.Off,
 		Repeats:   flow.NewRepeatBudgets(set.Repeats.Ratio, set.Repeats.Fixed, set.Repeats.Window, n.router.Live),
 		BodyBytes: defaultBodyBytes, ReadTimeout: defaultReadTimeout, Observer: n.metrics, Log: n.log,
 	})
@@ -313,6 +317,7 @@
 	if n.follower.Alone() {
 		n.config.Poke()
 		n.peers.members.Poke()
+		n.quarantine.Poke()
 	}
 }
 
@@ -339,7 +344,7 @@
 		supervise.Named("configuration", n.config), supervise.Named("list of targets", n.servers),
 		supervise.Named("peers", n.peers), supervise.Named("peer server", n.peers.server), supervise.Named("members", n.peers.members),
 		supervise.Named("follower", n.follower), supervise.Named("teller", n.teller),
-		supervise.Named("callers", n.callers), supervise.Named("sweeper", &sweeper{n}),
+		supervise.Named("callers", n.callers), supervise.Named("quarantine", n.quarantine), supervise.Named("guard", n.guard), supervise.Named("sweeper", &sweeper{n}),
 	} {
 		sup.Add(s)
 	}
--- /dev/null
+++ b/internal/entry/guard.go
@@ -0,0 +1,24 @@
+package entry
+
+import (
+	"topazmoor/internal/poison"
+	"topazmoor/internal/watch"
+)
+
+// provisionGuard builds what keeps requests that crash targets away from them, and the table
+// of those in quarantine. Its changes are not gathered: a caller may come back at once.
+func (n *Node) provisionGuard() {
+	n.guard = poison.New(poison.Config{Node: n.set.Node, Store: n.env.Store, Dial: n.env.Dial, Nodes: func() int { return n.router.Live() }, Log: n.log})
+	n.quarantine = &watch.Table{
+		Name: poison.QuarantineTable, From: n.env.Store, Wait: watch.LongWait, Lead: n.servers, Log: n.log,
+		Apply: func(v watch.View) {
+			n.guard.Apply(v)
+			n.teller.Wake()
+		},
+	}
+	n.metrics.Gauge("topazmoor_entry_quarantined_requests", "Requests in quarantine, as targets ended under them.", func() float64 { return float64(n.guard.Counts().Quarantined) })
+	n.metrics.Counter("topazmoor_entry_target_ends_total", "Ends of targets under requests of this node.", func() float64 { return float64(n.guard.Counts().Ends) })
+	n.metrics.Counter("topazmoor_entry_quarantine_probes_total", "Requests in quarantine that were sent alone.", func() float64 { return float64(n.guard.Counts().Probes) })
+	n.metrics.Counter("topazmoor_entry_quarantine_refusals_total", "Requests in quarantine that were not sent.", func() float64 { return float64(n.guard.Counts().Refused) })
+	n.metrics.Counter("topazmoor_entry_target_ends_dropped_total", "Ends under requests that could not be told to the store.", func() float64 { return float64(n.guard.Counts().Dropped) })
+}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -13,7 +13,7 @@
 	if n.set.Off.Has(mechanism.Relays) {
 		near = func() []relay.Node { return nil }
 	}
-	n.teller = relay.NewTeller(n.servers, n.config, n.peers.members)
+	n.teller = relay.NewTeller(n.servers, n.config, n.peers.members, n.quarantine)
 	shared := func() bool { return n.teller.Followers() > 0 }
 	n.servers.Shared, n.servers.SharedWait = shared, watch.SharedWait
 	n.config.Shared, n.config.SharedWait = shared, watch.SharedLongWait
--- a/internal/frontdoor/reply.go
+++ b/internal/frontdoor/reply.go
@@ -64,6 +64,7 @@
 	verdict.NoTarget:            http.StatusServiceUnavailable,
 	verdict.TargetRefused:       http.StatusServiceUnavailable,
 	verdict.TargetFailed:        http.StatusBadGateway,
+	verdict.CrashesTargets:      http.StatusServiceUnavailable,
 	verdict.WrongAnswer:         http.StatusBadGateway,
 	verdict.KeyReused:           http.StatusUnprocessableEntity,
 	verdict.KeyInProgress:       http.StatusConflict,
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -56,9 +56,9 @@
 // bufferSize holds the head and the body of most requests and answers.
 const bufferSize = 4 << 10
 
-// get returns a kept connection, or opens one.
-func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
-	for {
+// get returns a kept connection, unless a fresh one is asked for, or opens one.
+func (p *Pool) get(ctx context.Context, addr string, fresh bool) (*conn, error) {
+	for !fresh {
 		c := p.pop(addr)
 		if c == nil {
 			break
--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -21,6 +21,9 @@
 	Method, Target, Host string
 	Header               http.Header
 	Body                 []byte
+	// Fresh asks for a new connection: if it ends, the target ended, or ended it, after the
+	// request was sent.
+	Fresh bool
 }
 
 // Answer is an answer whose head was read. Body must be closed.
@@ -64,7 +67,7 @@
 // Do sends a request to addr and reads the head of its answer. It fails with
 // *Error. The connection closes when ctx ends.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Answer, error) {
-	c, err := p.get(ctx, addr)
+	c, err := p.get(ctx, addr, r.Fresh)
 	if err != nil {
 		return nil, &Error{cause: eris.Wrap(err, "connect"), Refused: refused(err)}
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -63,6 +63,11 @@
 	s.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
 }
 
+// Counter adds a counter that is read when metrics are collected.
+func (s *Registry) Counter(name, help string, read func() float64) {
+	s.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, read))
+}
+
 // GaugeVec adds gauges of one name that differ by a label and are read when
 // metrics are collected.
 func (s *Registry) GaugeVec(name, help, label string, read func() map[string]float64) {
--- a/internal/passthrough/admit.go
+++ b/internal/passthrough/admit.go
@@ -24,6 +24,9 @@
 // later still. Late work goes after all other work in the queues of the stages, so that
 // it takes longer, and it is refused when too much of it waits already.
 func (c *call) admit() error {
+	if err := c.s.cfg.Guard.Admit(c.digest); err != nil {
+		return c.quarantined(err)
+	}
 	need := c.onTime().need()
 	late := c.route.Kind == routes.Stream && need > c.route.Objective
 	if late && !c.s.cfg.Off.Has(mechanism.RefuseHopeless) {
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -16,6 +16,7 @@
 // attempt is one request at one target whose answer has begun.
 type attempt struct {
 	lease *targets.Lease
+	n     sending
 	ans   *httpconn.Answer
 	told  Told
 	start time.Time
@@ -48,34 +49,29 @@
 	return "failure"
 }
 
-// pick chooses a target that was not tried yet.
-func (c *call) pick(q targets.Query) *targets.Lease {
-	q.Service = c.service
-	q.Exclude = c.tried
-	return c.s.cfg.Targets.Pick(q)
-}
-
-// send hands the request to a target, as the send of that number, and reads the
-// head of its answer. Exactly one of its results is set. The lease is ended with
-// a failure. It only reads the call: sends run beside each other.
-func (c *call) send(ctx context.Context, l *targets.Lease, number int, o Outgoing) (*attempt, *failure) {
+// send hands the request to a target and reads the head of its answer. Exactly one of its
+// results is set. The lease is ended with a failure. It only reads the call: sends run beside
+// each other.
+func (c *call) send(ctx context.Context, l *targets.Lease, n sending, o Outgoing) (*attempt, *failure) {
 	o.Target, o.Account, o.Rank = l.ID, c.account, c.rank
 	o.Remaining = time.Until(c.deadline)
-	a := &attempt{lease: l, start: time.Now()}
+	a := &attempt{lease: l, n: n, start: time.Now()}
 	// The list may have changed between the choice and the send.
 	if !c.s.cfg.Targets.MayCall(l.ID) {
 		l.Done(targets.Abandoned, 0)
+		c.abandoned(n)
 		return nil, &failure{err: errors.New("the target left before the request was sent")}
 	}
-	c.log.Info("sent", "target", l.ID, "addr", l.Addr, "service", c.service, "send", number, "rank", c.rank,
+	c.log.Info("sent", "target", l.ID, "addr", l.Addr, "service", c.service, "send", n.number, "fresh", n.fresh, "rank", c.rank,
 		"left_ms", o.Remaining.Milliseconds(), "config", c.cfg.Version, "candidates", l.Basis.Candidates, "calls", l.Basis.Calls,
 		"failures", l.Basis.Failures, "load_age_ms", l.Basis.LoadAge.Milliseconds(), "inputs", len(o.Inputs), "after_event", o.LastEvent, "copy_from", o.CopyFrom)
 	ans, err := c.s.cfg.Sender.Do(ctx, l.Addr, &httpconn.Request{
 		ID: c.meta.ID, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
 		Header: c.s.cfg.Wire.ToTarget(c.r.Header, o), Body: c.body,
+		Fresh: n.fresh,
 	})
 	if err != nil {
-		return nil, c.noAnswer(ctx, l, a.start, err)
+		return nil, c.noAnswer(ctx, l, n, a.start, err)
 	}
 	a.ans, a.told = ans, c.s.cfg.Wire.FromTarget(ans.Status, ans.Header)
 	if a.told.Load != nil {
@@ -97,7 +93,7 @@
 const staleWithin = 20 * time.Millisecond
 
 // noAnswer reads a send without an answer.
-func (c *call) noAnswer(ctx context.Context, l *targets.Lease, start time.Time, err error) *failure {
+func (c *call) noAnswer(ctx context.Context, l *targets.Lease, n sending, start time.Time, err error) *failure {
 	var ce *httpconn.Error
 	sent := !errors.As(err, &ce) || ce.Sent
 	switch {
@@ -111,6 +107,11 @@
 	stale := ce != nil && ce.Reused && time.Since(start) < staleWithin
 	c.log.Info("no answer from target", "target", l.ID, "addr", l.Addr, "digest", c.digest, "sent", sent, "stale", stale,
 		"ran_ms", time.Since(start).Milliseconds(), "err", err)
+	if sent && !stale {
+		c.brokeOff(l, n, ctx.Err() != nil)
+	} else {
+		c.abandoned(n)
+	}
 	return &failure{ran: sent, stale: stale, target: l.ID, err: err}
 }
 
@@ -144,6 +145,7 @@
 		outcome = targets.Busy
 	}
 	a.lease.Done(outcome, 0)
+	c.abandoned(a.n)
 	c.log.Info("target rejected the request", "target", a.lease.ID, "addr", a.lease.Addr, "status", a.ans.Status,
 		"not_run", a.told.NotRun, "moved", a.told.Moved, "load", a.told.Load, "err", f.err)
 }
@@ -183,6 +185,8 @@
 	switch {
 	case c.ctx.Err() != nil:
 		return c.timedOut()
+	case f.isQuarantined():
+		return c.quarantined(f.err)
 	case f == nil:
 		return notRun(verdict.NoTarget, "no target of the service can take the request").After(c.comeBack())
 	case c.runs > 0:
--- a/internal/passthrough/plain.go
+++ b/internal/passthrough/plain.go
@@ -64,7 +64,7 @@
 	defer cancel()
 	x := &plainRun{c: c, ctx: ctx, results: make(chan result, maxSends)}
 	if !x.start() {
-		c.refuse(c.failed(nil))
+		c.refuse(c.failed(x.last))
 		return
 	}
 	hedge := time.NewTimer(c.hedgeAfter())
@@ -75,7 +75,7 @@
 			c.refuse(c.timedOut())
 			return
 		case <-hedge.C:
-			if c.route.Repeatable() && !c.s.cfg.Off.Has(mechanism.Hedges) && c.mayRepeat(nil, "hedge") {
+			if c.mayHedge() && c.mayRepeat(nil, "hedge") {
 				x.start()
 			}
 		case r := <-x.results:
@@ -98,17 +98,17 @@
 	if c.sends >= maxSends {
 		return false
 	}
-	l := c.pick(targets.Query{})
-	if l == nil {
+	l, n, f := c.nextSend(targets.Query{})
+	if f != nil {
+		if f.isQuarantined() {
+			x.last = f
+		}
 		return false
 	}
-	c.tried = append(c.tried, l.ID)
-	c.sends++
 	// Until the attempt proves otherwise the request may have run.
 	c.runs++
 	x.running++
-	number := c.sends
-	go func() { x.results <- c.attemptPlain(x.ctx, l, number) }()
+	go func() { x.results <- c.attemptPlain(x.ctx, l, n) }()
 	return true
 }
 
@@ -136,6 +136,12 @@
 	return false
 }
 
+// mayHedge reports whether the request may go to a second target while the first works on
+// it. Where a target ended under it, it runs at one at a time.
+func (c *call) mayHedge() bool {
+	return c.route.Repeatable() && !c.s.cfg.Off.Has(mechanism.Hedges) && !c.s.cfg.Guard.Suspect(c.digest)
+}
+
 // maxSends bounds the sends of one request, rejected ones included.
 const maxSends = 4
 
@@ -146,8 +152,8 @@
 }
 
 // attemptPlain makes one attempt and reads its answer.
-func (c *call) attemptPlain(ctx context.Context, l *targets.Lease, number int) result {
-	a, f := c.send(ctx, l, number, Outgoing{})
+func (c *call) attemptPlain(ctx context.Context, l *targets.Lease, n sending) result {
+	a, f := c.send(ctx, l, n, Outgoing{})
 	if f != nil {
 		return result{f: f}
 	}
@@ -159,11 +165,13 @@
 			outcome = targets.Abandoned
 		}
 		l.Done(outcome, 0)
+		c.brokeOff(l, n, ctx.Err() != nil)
 		c.log.Info("answer of target broke off", "target", l.ID, "addr", l.Addr, "digest", c.digest,
 			"ran_ms", time.Since(a.start).Milliseconds(), "err", err)
 		return result{f: &failure{ran: true, err: err}}
 	}
 	l.Done(targets.Served, time.Since(a.start))
+	c.answered()
 	return result{ans: w}
 }
 
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -31,6 +31,23 @@
 	FreeIfTight(service string, res stagebatch.Result)
 }
 
+// Guard keeps requests that crash targets away from them; *poison.Guard in production.
+type Guard interface {
+	// Admit reports whether a request may be worked on, by what this node knows. Its error
+	// is *poison.Refused, as is that of Send.
+	Admit(d poison.Digest) error
+	// Send asks whether a request may be sent now; a probe must be sent alone.
+	Send(ctx context.Context, d poison.Digest) (probe string, err error)
+	// Suspect reports whether a target ended under the request.
+	Suspect(d poison.Digest) bool
+	// Ended, Answered and Abandoned tell how a run came out: it broke off at a target, the
+	// target answered, or nothing is known of it. The request should not be sent again before
+	// the channel of Ended is closed.
+	Ended(d poison.Digest, process, addr, probe string) <-chan struct{}
+	Answered(d poison.Digest)
+	Abandoned(d poison.Digest, probe string)
+}
+
 // Sender sends one request to a target; *httpconn.Pool in production.
 type Sender interface {
 	Do(ctx context.Context, addr string, r *httpconn.Request) (*httpconn.Answer, error)
@@ -82,6 +99,7 @@
 	Stages  Stages
 	Sender  Sender
 	Wire    Wire
+	Guard   Guard
 	// Repeats bounds requests that are sent again, by service.
 	Repeats *flow.RepeatBudgets
 	// Off are the mechanisms that an experiment switches off.
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -108,12 +108,10 @@
 // when the stream is complete.
 func (x *streaming) run() *failure {
 	c := x.c
-	l := c.pick(targets.Query{Engine: c.engineQuery(x.in)})
-	if l == nil {
-		return &failure{none: true, busy: true, err: errors.New("no engine may be called")}
+	l, n, f := c.nextSend(targets.Query{Engine: c.engineQuery(x.in)})
+	if f != nil {
+		return f
 	}
-	c.tried = append(c.tried, l.ID)
-	c.sends++
 	ctx, cancel := context.WithCancelCause(c.ctx)
 	defer cancel(nil)
 	// A silent engine is given up only where the stream may go on elsewhere.
@@ -129,7 +127,7 @@
 		watchdog.watch(max(stallFactor*c.firstEventTime(), minStall))
 	}
 	c.runs++
-	a, f := c.send(ctx, l, c.sends, Outgoing{Inputs: x.in.handles, LastEvent: x.last, CopyFrom: l.CopyFrom})
+	a, f := c.send(ctx, l, n, Outgoing{Inputs: x.in.handles, LastEvent: x.last, CopyFrom: l.CopyFrom})
 	if f != nil {
 		if !f.ran {
 			c.runs--
@@ -149,9 +147,11 @@
 	w, err := readWhole(a)
 	if err != nil {
 		a.lease.Done(targets.Failed, 0)
+		x.c.brokeOff(a.lease, a.n, x.c.ctx.Err() != nil)
 		return &failure{ran: true, err: err}
 	}
 	a.lease.Done(targets.Served, 0)
+	x.c.answered()
 	if x.started || (x.c.route.Resumable && a.ans.Status >= http.StatusInternalServerError && x.c.runs < x.c.route.MaxAttempts) {
 		return &failure{ran: true, err: errors.New("the engine answered with a failure")}
 	}
@@ -174,6 +174,7 @@
 		ev, err := events.Next()
 		if err == io.EOF {
 			a.lease.Done(targets.Served, 0)
+			c.answered()
 			if !x.started {
 				x.head(a)
 			}
@@ -228,11 +229,13 @@
 	a.lease.Done(outcome, 0)
 	x.c.log.Info("stream broke off", "target", a.lease.ID, "addr", a.lease.Addr, "digest", x.c.digest, "events", x.events, "last", x.last,
 		"ran_ms", time.Since(a.start).Milliseconds(), "silent", errors.Is(context.Cause(ctx), errSilent), "err", err)
+	x.c.brokeOff(a.lease, a.n, ctx.Err() != nil)
 	return &failure{ran: true, err: err}
 }
 
 // callerLeft notes that events can no longer be sent to the caller.
 func (x *streaming) callerLeft(a *attempt, err error) *failure {
 	a.lease.Done(targets.Abandoned, 0)
+	x.c.abandoned(a.n)
 	return &failure{ran: true, none: true, err: err}
 }
--- /dev/null
+++ b/internal/poison/guard.go
@@ -0,0 +1,237 @@
+package poison
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"topazmoor/internal/store"
+	"topazmoor/internal/watch"
+)
+
+const (
+	// reportWait is the longest that a request waits until an end under it is known to all
+	// nodes before it is sent again: a commit takes 5 ms, two where another node was first.
+	reportWait = 80 * time.Millisecond
+	// ownRecords bounds what a node remembers by itself, at about 200 bytes each.
+	ownRecords = 4096
+	// retryProbing is when a caller may come back to a request of which a probe runs.
+	retryProbing = time.Second
+	// retryWithoutStore is when a caller may come back where no probe could be claimed.
+	retryWithoutStore = 2 * time.Second
+)
+
+// Refused is the error of a request that must not be sent.
+type Refused struct {
+	// Ends is how many targets are known to have ended under it.
+	Ends int
+	// After is when it may be let through again; 0 for unknown.
+	After time.Duration
+}
+
+// Error implements error.
+func (e *Refused) Error() string {
+	return fmt.Sprintf("poison: %d targets ended under the request", e.Ends)
+}
+
+// Config is what a Guard is built from.
+type Config struct {
+	// Node is the name of this node.
+	Node  string
+	Store store.Tables
+	// Dial opens a connection to a target, to learn whether its process still runs.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Nodes returns how many nodes share the work of removing old rows.
+	Nodes func() int
+	Log   *slog.Logger
+}
+
+// Guard keeps requests that crash targets away from them, with the other nodes: an end under
+// a request is written to the store before the request is sent again, and whoever has a
+// quarantined request must claim a probe there. It is safe for concurrent use. It implements
+// suture.Service.
+type Guard struct {
+	cfg   Config
+	gone  gone
+	queue queue
+	stats stats
+
+	mu sync.Mutex
+	// fleet are the quarantined requests as the store has them.
+	fleet map[Digest]seen
+	// own are the ends that this node saw, whether the store has them or not.
+	own *simplelru.LRU[Digest, Record]
+}
+
+// seen is a record of the store and since when this node has had it.
+type seen struct {
+	Record
+	version int64
+	since   time.Time
+}
+
+// New returns a Guard that knows of nothing.
+func New(cfg Config) *Guard {
+	own, err := simplelru.NewLRU[Digest, Record](ownRecords, nil)
+	if err != nil {
+		panic(err) // the size is positive
+	}
+	return &Guard{cfg: cfg, gone: newGone(cfg.Dial), queue: newQueue(), fleet: make(map[Digest]seen), own: own}
+}
+
+// Apply takes in the table of quarantined requests.
+func (g *Guard) Apply(v watch.View) {
+	now := time.Now()
+	next := make(map[Digest]seen, len(v.Rows))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for key, row := range v.Rows {
+		d, err := ParseDigest(key)
+		if err != nil {
+			g.cfg.Log.Error("row of a quarantined request left out", "err", err)
+			continue
+		}
+		r, err := decodeRecord(row.Value)
+		if err != nil {
+			g.cfg.Log.Error("row of a quarantined request left out", "digest", d, "err", err)
+			continue
+		}
+		old, ok := g.fleet[d]
+		if ok && old.version == row.Version {
+			next[d] = old
+			continue
+		}
+		next[d] = seen{Record: r, version: row.Version, since: now}
+	}
+	for d := range g.fleet {
+		if _, ok := next[d]; !ok {
+			// Another node saw it answered, or an operator lifted it.
+			g.own.Remove(d)
+			g.cfg.Log.Info("quarantine of a request ended", "digest", d)
+		}
+	}
+	g.fleet = next
+}
+
+// known returns the record of a request by what this node knows, and for how long it has
+// been as it is.
+func (g *Guard) known(d Digest) (r Record, unchanged time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f, inStore := g.fleet[d]
+	own, _ := g.own.Get(d)
+	if inStore {
+		r, unchanged = f.Record, time.Since(f.since)
+	}
+	for _, process := range own.Ended {
+		r = r.withEnd(process, "")
+	}
+	r.Probes = max(r.Probes, own.Probes)
+	return r, unchanged
+}
+
+// Suspect reports whether a target is known to have ended under a request.
+func (g *Guard) Suspect(d Digest) bool {
+	r, _ := g.known(d)
+	return len(r.Ended) > 0
+}
+
+// Admit reports whether a request that has just come may be worked on, by what is known here.
+// Its error is *Refused.
+func (g *Guard) Admit(d Digest) error {
+	r, unchanged := g.known(d)
+	decision, after := r.Decide(unchanged)
+	if decision != Refuse {
+		return nil
+	}
+	return g.refuse(r, after)
+}
+
+func (g *Guard) refuse(r Record, after time.Duration) error {
+	g.stats.refused.Add(1)
+	if r.Probe != "" {
+		after = min(after, retryProbing)
+	}
+	return &Refused{Ends: len(r.Ended), After: after}
+}
+
+// Send asks whether a request may be sent now. In quarantine it claims the probe, whose name
+// it returns: the request must then be sent alone, and its end told to Ended, Answered or
+// Abandoned. Its error is *Refused.
+func (g *Guard) Send(ctx context.Context, d Digest) (probe string, err error) {
+	r, unchanged := g.known(d)
+	decision, after := r.Decide(unchanged)
+	switch decision {
+	case Pass:
+		return "", nil
+	case Refuse:
+		return "", g.refuse(r, after)
+	}
+	probe, err = g.claim(ctx, d, unchanged)
+	if err != nil {
+		g.cfg.Log.Info("request in quarantine not sent", "digest", d, "ends", len(r.Ended), "err", err)
+		return "", err
+	}
+	g.stats.probes.Add(1)
+	g.cfg.Log.Info("request in quarantine sent alone", "digest", d, "ends", len(r.Ended), "probes", r.Probes+1, "probe", probe)
+	return probe, nil
+}
+
+// Ended tells that a run of a request broke off at a target. If the target's process has
+// ended, all nodes learn of it. The channel is closed once they can, or after reportWait: the
+// request should not be sent again before.
+func (g *Guard) Ended(d Digest, process, addr, probe string) <-chan struct{} {
+	known := make(chan struct{})
+	go func() {
+		defer close(known)
+		if !g.gone.confirm(process, addr) {
+			g.Abandoned(d, probe)
+			return
+		}
+		g.noteOwn(d, process, addr, probe)
+		written := g.queue.push(op{kind: opEnd, digest: d, process: process, probe: probe})
+		timer := time.NewTimer(reportWait)
+		defer timer.Stop()
+		select {
+		case <-written:
+		case <-timer.C:
+		}
+	}()
+	return known
+}
+
+// noteOwn remembers an end under a request of this node.
+func (g *Guard) noteOwn(d Digest, process, addr, probe string) {
+	g.mu.Lock()
+	own, _ := g.own.Get(d)
+	own = own.withEnd(process, "")
+	g.own.Add(d, own)
+	g.mu.Unlock()
+	g.stats.ends.Add(1)
+	g.cfg.Log.Info("target ended under the request", "digest", d, "process", process, "addr", addr, "own_ends", len(own.Ended), "probe", probe)
+}
+
+// Answered tells that a target answered a request: it does not crash targets.
+func (g *Guard) Answered(d Digest) {
+	g.mu.Lock()
+	_, quarantined := g.fleet[d]
+	own := g.own.Contains(d)
+	g.own.Remove(d)
+	g.mu.Unlock()
+	if quarantined || own {
+		g.queue.push(op{kind: opAnswered, digest: d})
+	}
+}
+
+// Abandoned tells that a send ended without an answer though its target lives on, or before
+// the target had begun to run it: a probe that says nothing is not counted.
+func (g *Guard) Abandoned(d Digest, probe string) {
+	if probe != "" {
+		g.queue.push(op{kind: opAbandoned, digest: d, probe: probe})
+	}
+}
--- /dev/null
+++ b/internal/poison/sweep.go
@@ -0,0 +1,84 @@
+package poison
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"topazmoor/internal/store"
+)
+
+// sweepEvery is how often old rows are looked for; the nodes take turns by chance.
+const sweepEvery = recordLife / 4
+
+// sweep removes rows that have been the same for recordLife, as one node sees them: the store
+// keeps no times, and a row's version changes with each write.
+func (g *Guard) sweep(ctx context.Context) {
+	if n := g.cfg.Nodes(); n > 1 && rand.IntN(n) > 0 {
+		return
+	}
+	before, err := g.versions(ctx)
+	if err != nil {
+		g.cfg.Log.Info("old records of requests not looked for", "err", err)
+		return
+	}
+	timer := time.NewTimer(recordLife)
+	go func() {
+		defer timer.Stop()
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+			g.removeOld(ctx, before)
+		}
+	}()
+}
+
+// versions returns the rows of all requests under which a target ended, by key.
+func (g *Guard) versions(ctx context.Context) (map[string]int64, error) {
+	out := make(map[string]int64)
+	for after := ""; ; {
+		page, err := g.cfg.Store.Scan(ctx, crashTable, "", after, sweepPage)
+		if err != nil {
+			return nil, err
+		}
+		for _, r := range page {
+			out[r.Key] = r.Version
+			after = r.Key
+		}
+		if len(page) < sweepPage {
+			return out, nil
+		}
+	}
+}
+
+// sweepPage is how many rows one call reads.
+const sweepPage = 500
+
+// removeOld removes the rows that are still as they were.
+func (g *Guard) removeOld(ctx context.Context, before map[string]int64) {
+	now, err := g.versions(ctx)
+	if err != nil {
+		g.cfg.Log.Info("old records of requests not removed", "err", err)
+		return
+	}
+	removed := 0
+	for key, version := range now {
+		if before[key] != version {
+			continue
+		}
+		d, err := ParseDigest(key)
+		if err != nil {
+			g.cfg.Log.Error("record of a request left", "err", err)
+			continue
+		}
+		err = g.commit(ctx, rows(d, version, change{remove: true}))
+		var conflict *store.ConflictError
+		if err != nil && !errors.As(err, &conflict) {
+			g.cfg.Log.Info("old records of requests not removed", "err", err)
+			return
+		}
+		removed++
+	}
+	g.cfg.Log.Info("old records of requests removed", "removed", removed, "kept", len(now)-removed)
+}
--- a/internal/relay/teller.go
+++ b/internal/relay/teller.go
@@ -108,8 +108,9 @@
 	if t.followers.Load() > 1 || now-last < int64(maxAge) || !t.refreshed.CompareAndSwap(last, now) {
 		return
 	}
-	for _, table := range t.tables {
-		table.Poke()
+	t.tables[0].Poke()
+	for _, table := range t.tables[1:] {
+		table.Renew()
 	}
 }
 
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -17,6 +17,8 @@
 	Exclude []string
 	// Engine is set for calls of model engines.
 	Engine *EngineQuery
+	// Alone asks for the target with the least to lose: the call may end it.
+	Alone bool
 }
 
 // EngineQuery is what matters for the choice of a model engine.
@@ -52,6 +54,8 @@
 // Lease is a target that was chosen for one call. Done must be called once.
 type Lease struct {
 	Target
+	// Process names this start of the target's process.
+	Process string
 	// CopyFrom is the address of an engine that presumably keeps more of the prompt than
 	// this target does; "" for none.
 	CopyFrom string
@@ -104,16 +108,22 @@
 		return nil
 	}
 	l := &Lease{t: t}
-	if q.Engine != nil {
+	switch {
+	case q.Alone:
+		l.s = leastBusy(cands, now)
+		if q.Engine != nil {
+			l.tokens, l.prompt = q.Engine.Tokens, q.Engine.Prompt
+		}
+	case q.Engine != nil:
 		l.s = bestEngine(q.Engine, cands, now, t.Off)
 		l.tokens, l.prompt = q.Engine.Tokens, q.Engine.Prompt
 		if !t.Off.Has(mechanism.CopyPrompts) {
 			l.CopyFrom = source(l.s, q.Engine, t.keepers(q.Engine, now), cands)
 		}
-	} else {
+	default:
 		l.s = cheapest(q, cands, t.DataCentre, now)
 	}
-	l.Target = l.s.Target
+	l.Target, l.Process = l.s.Target, l.s.process
 	l.Basis = Basis{Candidates: len(cands), Calls: l.s.calls(now), Failures: l.s.failures, LoadAge: -1}
 	if !l.s.loadAt.IsZero() {
 		l.Basis.LoadAge = now.Sub(l.s.loadAt)
@@ -186,9 +196,21 @@
 	return best
 }
 
+// leastBusy returns the candidate with the fewest calls; equal ones by chance.
+func leastBusy(cands []*state, now time.Time) *state {
+	start := rand.IntN(len(cands))
+	best := cands[start]
+	for i := 1; i < len(cands); i++ {
+		if s := cands[(start+i)%len(cands)]; s.calls(now) < best.calls(now) {
+			best = s
+		}
+	}
+	return best
+}
+
 // PromptRead notes that the target has read the prompt of the call.
 func (l *Lease) PromptRead() {
-	l.t.prompts.Read(l.s.process, l.prompt)
+	l.t.prompts.Read(l.Process, l.prompt)
 	l.t.mu.Lock()
 	defer l.t.mu.Unlock()
 	l.s.pending -= l.tokens
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -77,6 +77,7 @@
 	NoTarget            Code = "no_target"
 	TargetRefused       Code = "target_refused"
 	TargetFailed        Code = "target_failed"
+	CrashesTargets      Code = "crashes_targets"
 	WrongAnswer         Code = "wrong_answer"
 	KeyReused           Code = "key_reused"
 	KeyInProgress       Code = "key_in_progress"
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -86,6 +86,8 @@
 	// takes that in.
 	cancel context.CancelFunc
 	poked  chan struct{}
+	// renewed says that Renew ended the call in progress.
+	renewed bool
 	// relayed is set while another node tells what the store has; turn is closed when
 	// that changes.
 	relayed bool
@@ -144,6 +146,26 @@
 	}
 }
 
+// Renew ends the call in progress, so that the next one goes out on another connection.
+// Unlike Poke it does not ask for an answer at once, which would be one more call.
+func (t *Table) Renew() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.cancel != nil {
+		t.renewed = true
+		t.cancel()
+	}
+}
+
+// wasRenewed reports whether Renew ended the last call, and forgets it.
+func (t *Table) wasRenewed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	renewed := t.renewed
+	t.renewed = false
+	return renewed
+}
+
 func closed(c <-chan struct{}) bool {
 	select {
 	case <-c:
@@ -158,6 +180,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	call, t.cancel = context.WithCancel(ctx)
+	t.renewed = false
 	if t.poked != nil {
 		poked = closed(t.poked)
 	}
@@ -190,9 +213,13 @@
 			retry = firstRetry
 			continue
 		}
+		renewed := t.wasRenewed()
 		switch {
 		case t.wasPoked():
 			// That ended the call, which says nothing of the store.
+		case renewed:
+			// So did that.
+			continue
 		case errors.Is(err, store.ErrCompacted):
 			t.Log.Info("history of the table is gone, reading it whole", "table", t.Name, "version", t.copy.Position().Version)
 			t.setGap()
