--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -53,8 +53,10 @@
 
 // queue holds what is to be written, oldest first.
 type queue struct {
-	mu      sync.Mutex
-	ops     []op
+	mu  sync.Mutex
+	ops []op
+	// writing are those that were taken and are not written yet.
+	writing []op
 	dropped int64
 	wake    chan struct{}
 }
@@ -89,16 +91,17 @@
 		named[q.ops[n].digest] = true
 		n++
 	}
-	out := q.ops[:n:n]
+	q.writing = q.ops[:n:n]
 	q.ops = q.ops[n:]
-	return out
+	return q.writing
 }
 
 // holds reports whether something about a request is still to be written.
 func (q *queue) holds(d Digest) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return slices.ContainsFunc(q.ops, func(o op) bool { return o.digest == d })
+	about := func(o op) bool { return o.digest == d }
+	return slices.ContainsFunc(q.ops, about) || slices.ContainsFunc(q.writing, about)
 }
 
 // putBack returns ops that could not be written.
@@ -106,6 +109,14 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.ops = append(ops, q.ops...)
+	q.writing = nil
+}
+
+// wrote notes that what was taken is written.
+func (q *queue) wrote() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.writing = nil
 }
 
 // Serve implements suture.Service: it writes what was told, and removes old rows.
@@ -132,6 +143,7 @@
 func (g *Guard) write(ctx context.Context, ops []op) {
 	left, err := g.writeAll(ctx, ops)
 	if err == nil {
+		g.queue.wrote()
 		return
 	}
 	g.queue.putBack(left)
