Keep requests whose pieces crash stage targets away from them

Change: orders carry the request's digest and, in quarantine, its probe. A call that breaks off with its target's end is told to the guard for each of its requests; its orders then go into calls of their own, and those in quarantine end (ErrCrashed), so that the home asks the guard. A probe covers stages and engine. Ways weighed: all orders alone at once (kept; a call holds up to 54 orders of one piece, some 3 s of a pool of 4), halves (twice the ends of the innocent), the same batch again (all its orders reach quarantine together).

--- a/internal/entry/guard.go
+++ b/internal/entry/guard.go
@@ -9,6 +9,7 @@
 // of those in quarantine. Its changes are not gathered: a caller may come back at once.
 func (n *Node) provisionGuard() {
 	n.guard = poison.New(poison.Config{Node: n.set.Node, Store: n.env.Store, Dial: n.env.Dial, Nodes: func() int { return n.router.Live() }, Log: n.log})
+	n.former.Guard = n.guard
 	n.quarantine = &watch.Table{
 		Name: poison.QuarantineTable, From: n.env.Store, Wait: watch.LongWait, Lead: n.servers, Log: n.log,
 		Apply: func(v watch.View) {
--- a/internal/passthrough/quarantine.go
+++ b/internal/passthrough/quarantine.go
@@ -22,12 +22,11 @@
 // once its probe was claimed; the failure says why it is not sent. The end of each send goes
 // to brokeOff, answered or abandoned.
 func (c *call) nextSend(q targets.Query) (*targets.Lease, sending, *failure) {
-	// All nodes are asked, not this attempt alone: counted by attempt, or by node, one request
-	// that comes back ends every target of its service.
-	probe, err := c.s.cfg.Guard.Send(c.ctx, c.digest)
-	if err != nil {
+	if err := c.hold(); err != nil {
 		return nil, sending{}, &failure{none: true, err: err}
 	}
+	probe := c.held
+	c.held = ""
 	n := sending{number: c.sends + 1, fresh: c.stale > 0 || c.s.cfg.Guard.Suspect(c.digest), probe: probe}
 	q.Service, q.Exclude, q.Alone = c.service, c.tried, probe != ""
 	l := c.s.cfg.Targets.Pick(q)
@@ -40,6 +39,28 @@
 	return l, n, nil
 }
 
+// hold claims the probe of a request in quarantine, for its stages and its next send. The
+// error is *poison.Refused.
+//
+// All nodes are asked, not this attempt alone: counted by attempt, or by node, one request
+// that comes back ends every target of its service.
+func (c *call) hold() error {
+	if c.held != "" {
+		return nil
+	}
+	probe, err := c.s.cfg.Guard.Send(c.ctx, c.digest)
+	c.held = probe
+	return err
+}
+
+// drop gives up a probe that was not used.
+func (c *call) drop() {
+	if c.held != "" {
+		c.s.cfg.Guard.Abandoned(c.digest, c.held)
+		c.held = ""
+	}
+}
+
 var errNoTarget = errors.New("no target may be called")
 
 // brokeOff tells that the run at a target broke off without its answer. Where this node or
@@ -49,7 +70,7 @@
 		c.abandoned(n)
 		return
 	}
-	known := c.s.cfg.Guard.Ended(c.digest, l.Process, l.Addr, n.probe)
+	known := c.s.cfg.Guard.Ended(c.digest, l.Process(), l.Addr, n.probe)
 	if !c.route.Repeatable() {
 		return
 	}
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -42,8 +42,8 @@
 	Suspect(d poison.Digest) bool
 	// Ended, Answered and Abandoned tell how a run came out: it broke off at a target, the
 	// target answered, or nothing is known of it. The request should not be sent again before
-	// the channel of Ended is closed.
-	Ended(d poison.Digest, process, addr, probe string) <-chan struct{}
+	// the channel of Ended has told whether the target ended.
+	Ended(d poison.Digest, process, addr, probe string) <-chan bool
 	Answered(d poison.Digest)
 	Abandoned(d poison.Digest, probe string)
 }
@@ -165,7 +165,9 @@
 	meta    Meta
 	body    []byte
 	// digest names the request among all attempts of its caller.
-	digest  poison.Digest
+	digest poison.Digest
+	// held is a claimed probe that the stages of the request run under; "" for none.
+	held    string
 	arrived time.Time
 	// deadline is when the final answer is due.
 	deadline time.Time
--- a/internal/passthrough/stages.go
+++ b/internal/passthrough/stages.go
@@ -181,7 +181,7 @@
 	o := stagebatch.Order{
 		Service: st.Service, Request: c.meta.ID, Stage: i, Pieces: n, Priority: c.rank,
 		Due: c.due(i), Deadline: c.stageDeadline(i), ResultBytes: st.ResultBytes,
-		DataCentre: c.makerDataCentre(in, i), InputsRead: inputsRead,
+		DataCentre: c.makerDataCentre(in, i), InputsRead: inputsRead, Digest: c.digest, Probe: c.held,
 	}
 	if len(st.After) == 0 {
 		o.Key = c.meta.PieceKey
@@ -300,6 +300,8 @@
 	switch {
 	case errors.Is(err, stagebatch.ErrLate):
 		return verdict.Wrap(err, verdict.NotRun, verdict.DeadlineUnreachable, "the stages cannot be done in time").After(c.comeBack())
+	case errors.Is(err, stagebatch.ErrCrashed):
+		return c.quarantined(err)
 	case errors.Is(err, stagebatch.ErrNoTarget):
 		return verdict.Wrap(err, verdict.NotRun, verdict.NoTarget, "a stage has no target").After(c.comeBack())
 	}
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -36,10 +36,19 @@
 	c.s.cfg.Repeats.Request(c.service)
 	x := &streaming{c: c, last: c.meta.LastEvent}
 	defer func() { c.release(x.in) }()
+	defer c.drop()
 	for {
 		if x.in == nil {
+			if err := c.hold(); err != nil {
+				x.end(c.quarantined(err))
+				return
+			}
 			in, err := c.produceInputs(c.ctx)
-			if errors.Is(err, stagebatch.ErrInputGone) && x.redone < maxRedo && c.ctx.Err() == nil {
+			if errors.Is(err, stagebatch.ErrCrashed) {
+				// The former told of it, and of the probe.
+				c.held = ""
+			}
+			if mayRedo(err) && x.redone < maxRedo && c.ctx.Err() == nil {
 				x.redone++
 				continue
 			}
@@ -68,6 +77,12 @@
 	}
 }
 
+// mayRedo reports whether stages that failed may run again: their inputs were gone, or their
+// targets ended, in which case the guard decides.
+func mayRedo(err error) bool {
+	return errors.Is(err, stagebatch.ErrInputGone) || errors.Is(err, stagebatch.ErrCrashed)
+}
+
 // maxRedo is how often the stages of a request run again because their results
 // were gone.
 const maxRedo = 2
--- a/internal/peer/stages.go
+++ b/internal/peer/stages.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/peer/peerpb"
+	"topazmoor/internal/poison"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/verdict"
 )
@@ -41,7 +42,10 @@
 
 // failures are the errors of orders in the order of their numbers on the wire;
 // 0 is success.
-var failures = []error{nil, stagebatch.ErrLate, stagebatch.ErrInputGone, stagebatch.ErrFailed, stagebatch.ErrNoTarget}
+var failures = []error{nil, stagebatch.ErrLate, stagebatch.ErrInputGone, stagebatch.ErrFailed, stagebatch.ErrNoTarget, stagebatch.ErrCrashed}
+
+// anyFailure is the number of an error without one of its own: that of ErrNoTarget.
+const anyFailure = 4
 
 func failureNumber(err error) uint32 {
 	for i, e := range failures {
@@ -49,7 +53,7 @@
 			return uint32(i)
 		}
 	}
-	return uint32(len(failures) - 1)
+	return anyFailure
 }
 
 func failureOf(n uint32) error {
@@ -63,12 +67,16 @@
 	return &peerpb.Order{
 		Service: o.Service, Request: o.Request, Stage: uint32(o.Stage), Pieces: uint32(o.Pieces),
 		Key: o.Key, Input: o.Inputs, Priority: int32(o.Priority), ResultBytes: o.ResultBytes, DataCentre: o.DataCentre,
+		Digest: o.Digest[:], Probe: o.Probe,
 		DueInMs: o.Due.Sub(now).Milliseconds(), DeadlineInMs: o.Deadline.Sub(now).Milliseconds(),
 	}
 }
 
 func orderFrom(m *peerpb.Order, now time.Time) stagebatch.Order {
+	var digest poison.Digest
+	copy(digest[:], m.Digest)
 	return stagebatch.Order{
+		Digest: digest, Probe: m.Probe,
 		Service: m.Service, Request: m.Request, Stage: int(m.Stage), Pieces: int(m.Pieces),
 		Key: m.Key, Inputs: m.Input, Priority: int(m.Priority), ResultBytes: m.ResultBytes, DataCentre: m.DataCentre,
 		Due:      now.Add(time.Duration(m.DueInMs) * time.Millisecond),
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -141,6 +141,12 @@
 	return len(r.Ended) > 0
 }
 
+// Quarantined reports whether a request is known to be let through by probes only.
+func (g *Guard) Quarantined(d Digest) bool {
+	r, _ := g.known(d)
+	return r.Quarantined()
+}
+
 // Admit reports whether a request that has just come may be worked on, by what is known here.
 // Its error is *Refused.
 func (g *Guard) Admit(d Digest) error {
@@ -183,16 +189,22 @@
 }
 
 // Ended tells that a run of a request broke off at a target. If the target's process has
-// ended, all nodes learn of it. The channel is closed once they can, or after reportWait: the
-// request should not be sent again before.
-func (g *Guard) Ended(d Digest, process, addr, probe string) <-chan struct{} {
-	known := make(chan struct{})
+// ended, all nodes learn of it. The channel tells whether it has, once they can know, or after
+// reportWait: the request should not be sent again before.
+func (g *Guard) Ended(d Digest, process, addr, probe string) <-chan bool {
+	known := make(chan bool, 1)
+	if d == (Digest{}) {
+		// An order of a node that tells no digest.
+		known <- false
+		return known
+	}
 	go func() {
-		defer close(known)
 		if !g.gone.confirm(process, addr) {
 			g.Abandoned(d, probe)
+			known <- false
 			return
 		}
+		defer func() { known <- true }()
 		g.noteOwn(d, process, addr, probe)
 		written := g.queue.push(op{kind: opEnd, digest: d, process: process, probe: probe})
 		timer := time.NewTimer(reportWait)
--- a/internal/stagebatch/calls.go
+++ b/internal/stagebatch/calls.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"topazmoor/internal/mechanism"
+	"topazmoor/internal/poison"
 	"topazmoor/internal/routes"
+	"topazmoor/internal/targets"
 )
 
 const (
@@ -76,10 +78,53 @@
 		defer cancel()
 		reply, err := f.worker.Run(ctx, target, items)
 		watchdog.Stop()
+		if brokeOff(ctx, err) && f.targetEnded(c, target) {
+			f.spread(c)
+		}
 		f.ended(c, reply, err)
 	}()
 }
 
+// brokeOff reports whether a call ended at its target without an answer.
+func brokeOff(ctx context.Context, err error) bool {
+	var ce *CallError
+	return ctx.Err() == nil && errors.As(err, &ce) && !ce.NotRun && !ce.Unreachable && !ce.Moved
+}
+
+// targetEnded tells under which requests a call broke off, and reports whether its target
+// ended.
+func (f *Former) targetEnded(c *call, target targets.Target) bool {
+	if f.Guard == nil {
+		return false
+	}
+	told := make(map[poison.Digest]<-chan bool)
+	for _, p := range c.batch {
+		o := p.order
+		if told[o.Digest] == nil {
+			told[o.Digest] = f.Guard.Ended(o.Digest, target.Process(), target.Addr, o.Probe)
+		}
+	}
+	ended := false
+	for _, ch := range told {
+		ended = <-ch || ended
+	}
+	return ended
+}
+
+// spread puts the orders of a call under which its target ended into calls of their own; those
+// in quarantine end.
+func (f *Former) spread(c *call) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range c.batch {
+		o := p.order
+		o.alone = true
+		if o.Probe != "" || f.Guard.Quarantined(o.Digest) {
+			o.finish(ErrCrashed)
+		}
+	}
+}
+
 // requestsOf lists the requests that a batch serves, for logs.
 func requestsOf(batch []*piece) []string {
 	var out []string
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -18,6 +18,8 @@
 type Former struct {
 	// Off are the mechanisms that an experiment switches off.
 	Off mechanism.Set
+	// Guard is told under which orders targets ended; nil for nobody.
+	Guard Guard
 
 	worker Worker
 	list   *targets.Table
@@ -56,7 +58,8 @@
 	if spec == nil {
 		return Result{}, ErrNoTarget
 	}
-	w := &order{Order: o, handles: make([]string, o.Pieces), missing: o.Pieces, unread: o.Pieces, done: make(chan struct{})}
+	suspect := f.Guard != nil && f.Guard.Suspect(o.Digest)
+	w := &order{Order: o, alone: o.Probe != "" || suspect, handles: make([]string, o.Pieces), missing: o.Pieces, unread: o.Pieces, done: make(chan struct{})}
 	f.mu.Lock()
 	p := f.pool(o.Service)
 	f.refresh(p, o.Service)
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -38,6 +38,9 @@
 	done   chan struct{}
 	err    error
 	ended  bool
+	// alone says that a target ended under the order: it is put into calls by itself, so that
+	// the others of its call are not taken for what ended the target.
+	alone bool
 }
 
 // finish ends an order once.
@@ -249,6 +252,7 @@
 	// Of a long queue each call is full: who has less time than that takes is late.
 	soonest, late := now.Add(expected(spec, 1)), now.Add(expected(spec, min(size, len(queue))))
 	slices.SortStableFunc(queue, func(a, b *piece) int { return before(a, b, late, pl) })
+	full := false
 	fullRoom := int64(roomShare * float64(spec.RoomBytes))
 	for len(queue) > 0 {
 		var group []*piece
@@ -264,10 +268,13 @@
 		case o.Deadline.Before(soonest):
 			dequeue(group)
 			o.finish(ErrLate)
+		case full || o.alone && len(batch) > 0:
+			rest = append(rest, group...)
 		case n > 0 && len(batch)+n <= size && int64(n)*o.ResultBytes <= room && pl.takes(o, spec, now) && pl.inTime(o, expected(spec, n), now):
 			room -= int64(n) * o.ResultBytes
 			dequeue(group[:n])
 			batch = append(batch, group[:n]...)
+			full = o.alone
 			rest = append(rest, group[n:]...)
 		default:
 			rest = append(rest, group...)
--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -142,7 +142,7 @@
 	if errors.Is(err, ErrNoTarget) {
 		return len(r.local.list.Usable(service)) == 0
 	}
-	for _, e := range []error{ErrLate, ErrInputGone, ErrFailed} {
+	for _, e := range []error{ErrLate, ErrInputGone, ErrFailed, ErrCrashed} {
 		if errors.Is(err, e) {
 			return true
 		}
--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -11,6 +11,7 @@
 	"errors"
 	"time"
 
+	"topazmoor/internal/poison"
 	"topazmoor/internal/targets"
 )
 
@@ -36,6 +37,10 @@
 	// DataCentre is where the results should be made if a target there is free;
 	// "" for anywhere.
 	DataCentre string
+	// Digest names the request among all attempts of its caller, Probe the probe under which it
+	// is made where it is in quarantine: alone in its calls.
+	Digest poison.Digest
+	Probe  string
 	// InputsRead, when set, is called at most once, when the targets have read
 	// the inputs: they may be given up although the order is still in work.
 	InputsRead func()
@@ -59,6 +64,8 @@
 	ErrInputGone = errors.New("stagebatch: an input is gone")
 	// ErrFailed: the targets failed the stage repeatedly.
 	ErrFailed = errors.New("stagebatch: the stage failed")
+	// ErrCrashed: targets ended under the stage, and it is not for the former to go on.
+	ErrCrashed = errors.New("stagebatch: targets ended under the stage")
 	// ErrNoTarget: the pool has no target.
 	ErrNoTarget = errors.New("stagebatch: the pool has no target")
 )
@@ -112,6 +119,16 @@
 // Unwrap returns the cause.
 func (e *CallError) Unwrap() error { return e.Cause }
 
+// Guard learns under which requests targets ended; *poison.Guard in production.
+type Guard interface {
+	// Suspect reports whether a target ended under a request, Quarantined whether it may run
+	// under a probe only.
+	Suspect(d poison.Digest) bool
+	Quarantined(d poison.Digest) bool
+	// Ended tells that a call broke off at a target, and tells whether the target ended.
+	Ended(d poison.Digest, process, addr, probe string) <-chan bool
+}
+
 // Worker makes calls at stage targets; platform/ has the real one.
 type Worker interface {
 	// Run makes one call. It fails with *CallError.
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -54,8 +54,6 @@
 // Lease is a target that was chosen for one call. Done must be called once.
 type Lease struct {
 	Target
-	// Process names this start of the target's process.
-	Process string
 	// CopyFrom is the address of an engine that presumably keeps more of the prompt than
 	// this target does; "" for none.
 	CopyFrom string
@@ -123,7 +121,7 @@
 	default:
 		l.s = cheapest(q, cands, t.DataCentre, now)
 	}
-	l.Target, l.Process = l.s.Target, l.s.process
+	l.Target = l.s.Target
 	l.Basis = Basis{Candidates: len(cands), Calls: l.s.calls(now), Failures: l.s.failures, LoadAge: -1}
 	if !l.s.loadAt.IsZero() {
 		l.Basis.LoadAge = now.Sub(l.s.loadAt)
@@ -210,7 +208,7 @@
 
 // PromptRead notes that the target has read the prompt of the call.
 func (l *Lease) PromptRead() {
-	l.t.prompts.Read(l.Process, l.prompt)
+	l.t.prompts.Read(l.Process(), l.prompt)
 	l.t.mu.Lock()
 	defer l.t.mu.Unlock()
 	l.s.pending -= l.tokens
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -175,7 +175,7 @@
 		what, s = restarted, nil
 	}
 	if s == nil {
-		s = &state{Target: target, hash: xxhash.Sum64String(target.ID), process: processName(target), drained: t.drained[target.DataCentre]}
+		s = &state{Target: target, hash: xxhash.Sum64String(target.ID), process: target.Process(), drained: t.drained[target.DataCentre]}
 		s.warmup.told(target.Warmup, now)
 		t.byID[target.ID] = s
 		return change(s, what), true
@@ -188,7 +188,7 @@
 	if s.Born != 0 && target.Born == 0 {
 		target.Born = s.Born
 	}
-	s.Target, s.process = target, processName(target)
+	s.Target, s.process = target, target.Process()
 	s.drained = t.drained[target.DataCentre]
 	s.vanishes = time.Time{}
 	if turnsCold && !drains {
@@ -197,8 +197,8 @@
 	return change(s, "draining"), drains
 }
 
-// processName names one start of a target's process.
-func processName(t Target) string { return t.ID + "@" + strconv.FormatInt(t.Born, 10) }
+// Process names this start of the target's process.
+func (t Target) Process() string { return t.ID + "@" + strconv.FormatInt(t.Born, 10) }
 
 // index rebuilds the lists by service.
 func (t *Table) index() {
