Tell other nodes of ends that the store does not take

Cause: a node that the store turns away kept ends to itself until it was back; two such nodes and the careful probe of the others would have made more than three sends after the third end.

--- a/internal/entry/guard.go
+++ b/internal/entry/guard.go
@@ -8,7 +8,7 @@
 // provisionGuard builds what keeps requests that crash targets away from them, and the table
 // of those in quarantine. Its changes are not gathered: a caller may come back at once.
 func (n *Node) provisionGuard() {
-	n.guard = poison.New(poison.Config{Node: n.set.Node, Store: n.env.Store, Dial: n.env.Dial, Nodes: func() int { return n.router.Live() }, Log: n.log})
+	n.guard = poison.New(poison.Config{Node: n.set.Node, Store: n.env.Store, Dial: n.env.Dial, Nodes: func() int { return n.router.Live() }, Others: n.otherAddrs, Tell: n.peers.client.TellEnds, Log: n.log})
 	n.former.Guard = n.guard
 	n.quarantine = &watch.Table{
 		Name: poison.QuarantineTable, From: n.env.Store, Wait: watch.LongWait, Lead: n.servers, Log: n.log,
@@ -23,3 +23,12 @@
 	n.metrics.Counter("topazmoor_entry_quarantine_refusals_total", "Requests in quarantine that were not sent.", func() float64 { return float64(n.guard.Counts().Refused) })
 	n.metrics.Counter("topazmoor_entry_target_ends_dropped_total", "Ends under requests that could not be told to the store.", func() float64 { return float64(n.guard.Counts().Dropped) })
 }
+
+// otherAddrs lists where the other nodes take calls.
+func (n *Node) otherAddrs() []string {
+	var out []string
+	for _, other := range n.board.Members.Get() {
+		out = append(out, other.Addr)
+	}
+	return out
+}
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -14,6 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/peer"
+	"topazmoor/internal/poison"
 	"topazmoor/internal/relay"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/store"
@@ -85,7 +86,7 @@
 	p := &peers{n: n, client: newLateClient(), known: make(chan struct{}), answered: make(chan struct{}), server: &lateServer{ln: ln, key: make(chan []byte, 1)}}
 	p.missing.Store(2)
 	p.server.start = func(key []byte) *peer.Server {
-		return peer.NewServer(ln, key, n.set.Node, peer.Handler{Stages: n.former, Versions: n.versions, Teller: n.teller}, n.log)
+		return peer.NewServer(ln, key, n.set.Node, peer.Handler{Stages: n.former, Versions: n.versions, Teller: n.teller, Ends: n.guard}, n.log)
 	}
 	p.row, err = json.Marshal(member{Addr: ln.Addr().String(), DataCentre: n.set.DataCentre, Memory: n.set.MemoryBytes, Means: n.set.Means})
 	if err != nil {
@@ -313,6 +314,15 @@
 	return c.Free(ctx, addr, service, handles, ifTight)
 }
 
+// TellEnds tells another node of ends of targets under requests.
+func (l *lateClient) TellEnds(ctx context.Context, addr string, ends []poison.End) error {
+	c := l.c.Load()
+	if c == nil {
+		return errNoKey
+	}
+	return c.TellEnds(ctx, addr, ends)
+}
+
 func (l *lateClient) close() {
 	if c := l.c.Load(); c != nil {
 		c.Close()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -39,6 +39,8 @@
 	Stages Stages
 	// Teller answers nodes that follow this one; nil at nodes without it.
 	Teller Teller
+	// Ends takes in ends of targets that other nodes could not write; nil for nobody.
+	Ends Ends
 	// Versions exchanges configuration versions with orders; nil for not.
 	Versions Versions
 }
@@ -172,6 +174,8 @@
 
 func (s *Server) answer(ctx context.Context, st *yamux.Stream, req *peerpb.Request) (*peerpb.Response, error) {
 	switch call := req.Call.(type) {
+	case *peerpb.Request_Ends:
+		return s.ends(call.Ends), nil
 	case *peerpb.Request_Produce:
 		return s.produce(ctx, st, call.Produce)
 	case *peerpb.Request_Free:
--- a/internal/peer/stages.go
+++ b/internal/peer/stages.go
@@ -10,7 +10,6 @@
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/peer/peerpb"
-	"topazmoor/internal/poison"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/verdict"
 )
@@ -73,10 +72,8 @@
 }
 
 func orderFrom(m *peerpb.Order, now time.Time) stagebatch.Order {
-	var digest poison.Digest
-	copy(digest[:], m.Digest)
 	return stagebatch.Order{
-		Digest: digest, Probe: m.Probe,
+		Digest: digestFrom(m.Digest), Probe: m.Probe,
 		Service: m.Service, Request: m.Request, Stage: int(m.Stage), Pieces: int(m.Pieces),
 		Key: m.Key, Inputs: m.Input, Priority: int(m.Priority), ResultBytes: m.ResultBytes, DataCentre: m.DataCentre,
 		Due:      now.Add(time.Duration(m.DueInMs) * time.Millisecond),
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -46,6 +46,10 @@
 	Store store.Tables
 	// Dial opens a connection to a target, to learn whether its process still runs.
 	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+	// Others lists the addresses of the other nodes, Tell tells one of them of ends that the
+	// store did not take; nil for not.
+	Others func() []string
+	Tell   func(ctx context.Context, addr string, ends []End) error
 	// Nodes returns how many nodes share the work of removing old rows.
 	Nodes func() int
 	Log   *slog.Logger
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -48,7 +48,9 @@
 	kind           opKind
 	digest         Digest
 	process, probe string
-	written        chan struct{}
+	// told says that other nodes were told of it, or that this one was.
+	told    bool
+	written chan struct{}
 }
 
 // queue holds what is to be written, oldest first.
@@ -112,6 +114,20 @@
 	q.writing = nil
 }
 
+// untold returns the ends that other nodes were not told of, which they now are.
+func (q *queue) untold() []End {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var out []End
+	for i := range q.ops {
+		if o := &q.ops[i]; o.kind == opEnd && !o.told {
+			o.told = true
+			out = append(out, End{Digest: o.digest, Process: o.process, Probe: o.probe})
+		}
+	}
+	return out
+}
+
 // wrote notes that what was taken is written.
 func (q *queue) wrote() {
 	q.mu.Lock()
@@ -148,9 +164,22 @@
 	}
 	g.queue.putBack(left)
 	g.cfg.Log.Info("ends under requests not written yet", "waiting", len(left), "err", err)
-	select {
-	case <-ctx.Done():
-	case <-time.After(retryStore/2 + rand.N(retryStore/2)):
+	g.pause(ctx)
+}
+
+// pause waits until the store is asked again, and tells other nodes what comes meanwhile.
+func (g *Guard) pause(ctx context.Context) {
+	timer := time.NewTimer(retryStore/2 + rand.N(retryStore/2))
+	defer timer.Stop()
+	for {
+		g.tell(ctx, g.queue.untold())
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-g.queue.wake:
+		}
 	}
 }
 
