Do not count targets that were found gone as repeats

Cause: a connection that is refused arrives nowhere, but used up the budget of repeats; with many nodes a node's part of it is a few a window, and ended targets stand in the list for some 3.6 s. Change: the first four such finds of a request are free.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -29,6 +29,8 @@
 	// busy says that the target rejected the request.
 	busy      bool
 	inputGone bool
+	// unsent says that the target was not reached, so that nothing arrived anywhere.
+	unsent bool
 	// stale says that a kept connection ended at once, without a byte of an answer:
 	// its target had closed it, or ended.
 	stale bool
@@ -112,7 +114,7 @@
 	} else {
 		c.abandoned(n)
 	}
-	return &failure{ran: sent, stale: stale, target: l.ID, err: err}
+	return &failure{ran: sent, unsent: !sent, stale: stale, target: l.ID, err: err}
 }
 
 // rejected returns the failure of an answer that is not the target's answer to
@@ -169,7 +171,7 @@
 	if c.runs > 0 && (!c.route.Repeatable() || c.runs-c.stale >= max(c.route.MaxAttempts, 1)) {
 		return false
 	}
-	if c.sends > 0 && (f == nil || !f.paid) && !c.s.cfg.Repeats.Take(c.service) {
+	if c.takesBudget(f) && !c.s.cfg.Repeats.Take(c.service) {
 		c.log.Info("not sent again: the budget of repeats is used up", "service", c.service, "why", why)
 		return false
 	}
@@ -180,6 +182,25 @@
 	return true
 }
 
+// maxUnsent is how often a request may find a target gone without using up the budget of
+// repeats. Nothing arrived there, and targets that ended stand in the list for some seconds:
+// with 3 of 12 engines ended and 12 nodes, whose part of the budget is small, 33 of 500
+// requests were refused where each such find was a repeat, 3 where four are free. More would
+// be a search through a service that is gone.
+const maxUnsent = 4
+
+// takesBudget reports whether another send counts as a repeat.
+func (c *call) takesBudget(f *failure) bool {
+	switch {
+	case c.sends == 0, f != nil && f.paid:
+		return false
+	case f != nil && f.unsent && c.unsent < maxUnsent:
+		c.unsent++
+		return false
+	}
+	return true
+}
+
 // failed is the final answer after a failure that may not be mended.
 func (c *call) failed(f *failure) error {
 	switch {
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -179,8 +179,9 @@
 	tried []string
 	runs  int
 	sends int
-	// stale counts the sends on kept connections that had been closed.
-	stale int
+	// stale counts the sends on kept connections that had been closed, unsent the targets that
+	// were found gone.
+	stale, unsent int
 	// estimated is the time until the answer would begin, as it was admitted.
 	estimated time.Duration
 }
