Notice that the host stood still, and act on nothing that was known before

Cause: Go's time does not count a suspension, so that after one every age, deadline and wait of a node was too young by it: it would send to targets that drained, deny by an old configuration, tell targets more time than callers have, and hold requests whose callers had left. When the store last answered is no longer kept as a time of day, so that steps of it change nothing.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,6 +30,7 @@
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/store"
 	"topazmoor/internal/supervise"
+	"topazmoor/internal/suspend"
 	"topazmoor/internal/targets"
 	"topazmoor/internal/watch"
 )
@@ -89,6 +90,9 @@
 	Wire   passthrough.Wire
 	Worker stagebatch.Worker
 	Sources
+	// BootAhead tells how far the kernel's boot clock is ahead of the steady one; nil for the
+	// kernel's clocks.
+	BootAhead suspend.Read
 	// Reload reads the settings again.
 	Reload func() (Settings, error)
 	// Dropped counts the log lines that were dropped; nil when none are.
@@ -133,6 +137,11 @@
 	// memberRows is the member table as it was last seen.
 	memberRows blackboard.Cell[map[string]store.Row]
 
+	// detector notices that the host stood still; distrusted is set from then until what this
+	// node knows was heard of again, or the time of it is over.
+	detector   *suspend.Detector
+	distrusted atomic.Pointer[time.Time]
+
 	started  time.Time
 	stopOnce sync.Once
 	stopping chan struct{}
@@ -177,11 +186,15 @@
 	if n.peers, err = n.provisionPeers(); err != nil {
 		return nil, err
 	}
+	if n.detector, err = suspend.New(env.BootAhead, n.woke); err != nil {
+		return nil, err
+	}
+	n.targets.Trusted = n.trusted
 	n.provisionGuard()
 	n.provisionRelay()
 	n.router = stagebatch.NewRouter(stagebatch.Node{Name: set.Node, Means: set.Means}, n.former, n.peers.client, n.board.Members.Get, n.log)
 	n.front = passthrough.New(passthrough.Config{
-		Routes: n.board.Routes.Get, Current: n.current, StoreAway: n.storeAway, Targets: n.targets, Stages: n.router,
+		Routes: n.board.Routes.Get, Current: n.current, StoreAway: n.storeAway, Slept: n.detector.Slept, Trusted: n.trusted, Targets: n.targets, Stages: n.router,
 		Guard: n.guard, Sender: env.Conns, Wire: env.Wire, Off: set.Off,
 		Repeats:   flow.NewRepeatBudgets(set.Repeats.Ratio, set.Repeats.Fixed, set.Repeats.Window, n.router.Live),
 		BodyBytes: defaultBodyBytes, ReadTimeout: defaultReadTimeout, Observer: n.metrics, Log: n.log,
@@ -344,7 +357,7 @@
 		supervise.Named("configuration", n.config), supervise.Named("list of targets", n.servers),
 		supervise.Named("peers", n.peers), supervise.Named("peer server", n.peers.server), supervise.Named("members", n.peers.members),
 		supervise.Named("follower", n.follower), supervise.Named("teller", n.teller),
-		supervise.Named("callers", n.callers), supervise.Named("quarantine", n.quarantine), supervise.Named("guard", n.guard), supervise.Named("sweeper", &sweeper{n}),
+		supervise.Named("callers", n.callers), supervise.Named("quarantine", n.quarantine), supervise.Named("guard", n.guard), supervise.Named("suspensions", n.detector), supervise.Named("sweeper", &sweeper{n}),
 	} {
 		sup.Add(s)
 	}
@@ -385,6 +398,8 @@
 		return false, "no configuration yet"
 	case !n.targets.Seen():
 		return false, "no targets yet"
+	case !n.trusted():
+		return false, "the host stood still"
 	}
 	return true, ""
 }
--- a/internal/passthrough/admit.go
+++ b/internal/passthrough/admit.go
@@ -33,7 +33,7 @@
 		need = max(need, outlook{c: c, late: true}.need())
 	}
 	c.estimated = need
-	left := time.Until(c.deadline)
+	left := c.timeLeft()
 	c.log.Info("accepted", "route", c.route.Name, "service", c.service, "account", c.account, "rank", c.rank, "config", c.cfg.Version,
 		"need_ms", need.Milliseconds(), "left_ms", left.Milliseconds(), "objective_ms", c.route.Objective.Milliseconds(), "late", late, "pieces", c.meta.Pieces, "digest", c.digest)
 	if time.Duration(admitShare*float64(need)) > left {
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -56,7 +56,7 @@
 // each other.
 func (c *call) send(ctx context.Context, l *targets.Lease, n sending, o Outgoing) (*attempt, *failure) {
 	o.Target, o.Account, o.Rank = l.ID, c.account, c.rank
-	o.Remaining = time.Until(c.deadline)
+	o.Remaining = c.timeLeft()
 	a := &attempt{lease: l, n: n, start: time.Now()}
 	// The list may have changed between the choice and the send.
 	if !c.s.cfg.Targets.MayCall(l.ID) {
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -92,6 +93,11 @@
 	Routes func() *routes.Config
 	// StoreAway reports whether the store does not answer the node.
 	StoreAway func() bool
+	// Slept is for how long the host has been suspended so far; Go's time does not count it.
+	Slept func() time.Duration
+	// Trusted reports whether what the node knows may be acted on; not after the host stood
+	// still, until it was heard of again.
+	Trusted func() bool
 	// Current reports whether the configuration can be trusted to be the newest
 	// one: the store was heard lately.
 	Current func() bool
@@ -121,11 +127,15 @@
 	endsAt atomic.Int64
 	ending context.Context
 	cut    context.CancelCauseFunc
+
+	mu sync.Mutex
+	// calls are the requests in work.
+	calls map[*call]context.CancelFunc
 }
 
 // New returns a Server.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg}
+	s := &Server{cfg: cfg, calls: make(map[*call]context.CancelFunc)}
 	s.ending, s.cut = context.WithCancelCause(context.Background())
 	return s
 }
@@ -169,8 +179,10 @@
 	// held is a claimed probe that the stages of the request run under; "" for none.
 	held    string
 	arrived time.Time
-	// deadline is when the final answer is due.
+	// deadline is when the final answer is due, less what the host was suspended since slept;
+	// left tells how far away it is.
 	deadline time.Time
+	slept    time.Duration
 	// ctx ends when the caller leaves, at the deadline, or when the process ends.
 	ctx context.Context
 
@@ -190,11 +202,12 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	c := &call{s: s, w: w, r: r, arrived: time.Now(), cfg: s.cfg.Routes()}
+	trusted := s.cfg.Trusted()
+	c := &call{s: s, w: w, r: r, arrived: time.Now(), slept: s.cfg.Slept(), cfg: s.cfg.Routes()}
 	if !s.stopping().IsZero() {
 		w.Header().Set("Connection", "close")
 	}
-	if err := c.accept(); err != nil {
+	if err := c.accept(trusted); err != nil {
 		c.refuse(err)
 		return
 	}
@@ -202,6 +215,8 @@
 	defer cancel()
 	defer context.AfterFunc(s.ending, cancel)()
 	c.ctx = ctx
+	s.begin(c, cancel)
+	defer s.end(c)
 	if err := c.admit(); err != nil {
 		c.refuse(err)
 		return
@@ -214,13 +229,16 @@
 }
 
 // accept finds the route and the account, and reads the message.
-func (c *call) accept() error {
+func (c *call) accept(trusted bool) error {
 	meta, metaErr := c.s.cfg.Wire.ReadMeta(c.r.Header)
 	c.meta = meta
 	c.log = c.s.cfg.Log.With("request", meta.ID)
 	if c.cfg == nil || !c.s.cfg.Targets.Seen() {
 		return notRun(verdict.NotReady, "the node has no configuration yet").After(c.comeBackUnready())
 	}
+	if !trusted {
+		return notRun(verdict.NotReady, "the host stood still, and the node looks what has changed").After(c.comeBackUnready())
+	}
 	if metaErr != nil {
 		return notRun(verdict.InvalidRequest, "%v", metaErr)
 	}
--- a/internal/passthrough/stages.go
+++ b/internal/passthrough/stages.go
@@ -228,7 +228,7 @@
 // not begin by the request's deadline. Estimates err, so that less than the estimated
 // time of what follows is kept free.
 func (c *call) stageDeadline(i int) time.Time {
-	return c.deadline.Add(-time.Duration(admitShare * float64(c.onTime().after(i)+c.firstEventTime())))
+	return time.Now().Add(c.timeLeft() - time.Duration(admitShare*float64(c.onTime().after(i)+c.firstEventTime())))
 }
 
 // readers counts, by stage, the stages that read its results.
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -74,6 +75,10 @@
 	// following is set while the tables are kept by what another node tells.
 	following atomic.Bool
 
+	// leaving ends the call at the node that is followed.
+	mu      sync.Mutex
+	leaving context.CancelCauseFunc
+
 	passed map[string]passed
 	// teller is the node that is followed, selfFollows for none; "" while that is open.
 	teller string
@@ -228,16 +233,20 @@
 	asked, probe time.Time
 	// looked is when the choice was last looked at.
 	looked time.Time
+	// doubts are those of the tables when the call began.
+	doubts []int64
 }
 
 // follow keeps the tables by what a node tells until it is to be left.
 func (f *Follower) follow(ctx context.Context, n Node) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	f.setLeaving(cancel)
+	defer f.setLeaving(nil)
 	watchdog := time.AfterFunc(acceptTimeout, func() { cancel(ErrSilent) })
 	defer watchdog.Stop()
 	now := time.Now()
-	s := &session{f: f, node: n, began: now, looked: now}
+	s := &session{f: f, node: n, began: now, looked: now, doubts: f.doubts()}
 	err := f.Remote.Follow(ctx, n.Addr, f.have(), func(t Told) error {
 		watchdog.Reset(silence)
 		return s.take(t, time.Now())
@@ -245,12 +254,31 @@
 	if errors.Is(context.Cause(ctx), ErrSilent) {
 		return ErrSilent
 	}
+	if errors.Is(context.Cause(ctx), errMoved) {
+		return errMoved
+	}
 	if errors.Is(err, watch.ErrDiffers) {
 		f.whole = true
 	}
 	return err
 }
 
+func (f *Follower) setLeaving(cancel context.CancelCauseFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = cancel
+}
+
+// Renew ends the call at the node that is followed, so that a new one begins: the host stood
+// still, and what comes on the old one may be as old.
+func (f *Follower) Renew() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.leaving != nil {
+		f.leaving(errMoved)
+	}
+}
+
 // have is how far the tables are.
 func (f *Follower) have() []Have {
 	out := make([]Have, len(f.Tables))
@@ -264,6 +292,15 @@
 	return out
 }
 
+// doubts returns those of the tables.
+func (f *Follower) doubts() []int64 {
+	out := make([]int64, len(f.Tables))
+	for i, t := range f.Tables {
+		out[i] = t.Doubt()
+	}
+	return out
+}
+
 // take takes one message in; its error is why the node is left.
 func (s *session) take(t Told, now time.Time) error {
 	if now.Sub(s.looked) > lookAgain {
@@ -294,6 +331,9 @@
 		s.f.begin(s.node)
 	}
 	s.f.hold()
+	for i, table := range s.f.Tables {
+		table.Confirm(s.doubts[i])
+	}
 	return s.keepsUp(t, now)
 }
 
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -98,6 +98,9 @@
 
 // Pick chooses a target, or returns nil when none may be called.
 func (t *Table) Pick(q Query) *Lease {
+	if !t.trusted() {
+		return nil
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -92,6 +92,10 @@
 	// nodes together; 0 for no bound, which also holds where WarmupRate is nil.
 	WarmupRate func(service string) float64
 
+	// Trusted reports whether the list may be acted on: not after the host stood still, until
+	// the list was heard of again. nil for always. It is asked without the Table's lock.
+	Trusted func() bool
+
 	mu       sync.Mutex
 	byID     map[string]*state
 	services map[string][]*state
@@ -232,9 +236,14 @@
 	return s.vanishes.IsZero() || now.Before(s.vanishes)
 }
 
+func (t *Table) trusted() bool { return t.Trusted == nil || t.Trusted() }
+
 // Usable returns the targets of a service that may be sent work now, with how long they
 // are still cold.
 func (t *Table) Usable(service string) []Target {
+	if !t.trusted() {
+		return nil
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
@@ -251,6 +260,9 @@
 
 // MayCall reports whether a target may be sent work at this moment.
 func (t *Table) MayCall(id string) bool {
+	if !t.trusted() {
+		return false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.byID[id]
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -96,9 +96,13 @@
 	// byPoke says that the last call was made for a poke; only Serve uses it.
 	byPoke bool
 
-	copy  Copy
-	lost  atomic.Bool
-	heard atomic.Int64
+	copy Copy
+	lost atomic.Bool
+	// heard is when the store last answered; nil for never, or not since Distrust.
+	heard atomic.Pointer[time.Time]
+
+	// doubt counts the calls of Distrust, sure is how many of them the copy was confirmed after.
+	doubt, sure atomic.Int64
 
 	// taking holds one update of the copy at a time, with its Apply. It guards the
 	// fields below.
@@ -112,15 +116,39 @@
 // Copy returns the copy that the table keeps.
 func (t *Table) Copy() *Copy { return &t.copy }
 
-// LastHeard returns when the store last answered; zero for never.
+// LastHeard returns when the store last answered; zero for never, or not since Distrust.
 func (t *Table) LastHeard() time.Time {
-	n := t.heard.Load()
-	if n == 0 {
-		return time.Time{}
+	if at := t.heard.Load(); at != nil {
+		return *at
 	}
-	return time.Unix(0, n)
+	return time.Time{}
+}
+
+// Distrust forgets when the store last answered, as the host stood still meanwhile, and asks
+// the store at once: what comes on calls that were open may be as old.
+func (t *Table) Distrust() {
+	t.doubt.Add(1)
+	t.heard.Store(nil)
+	t.Poke()
 }
 
+// Doubt returns what Confirm is given by who began to ask for the copy now.
+func (t *Table) Doubt() int64 { return t.doubt.Load() }
+
+// Confirm notes that the copy is as the store has it, by an answer that was asked for at a
+// moment of Doubt.
+func (t *Table) Confirm(doubt int64) {
+	for {
+		sure := t.sure.Load()
+		if doubt <= sure || t.sure.CompareAndSwap(sure, doubt) {
+			return
+		}
+	}
+}
+
+// Trusted reports whether the copy was confirmed since Distrust.
+func (t *Table) Trusted() bool { return t.sure.Load() >= t.doubt.Load() }
+
 // Connected reports whether the store answers: it did lately, and no call has failed
 // since.
 func (t *Table) Connected() bool {
@@ -269,9 +297,14 @@
 func (t *Table) step(ctx context.Context) error {
 	ctx, end, poked := t.begin(ctx)
 	defer end()
+	doubt := t.Doubt()
 	t.byPoke = poked
 	if t.wantsWhole() {
-		return t.readWhole(ctx)
+		err := t.readWhole(ctx)
+		if err == nil {
+			t.Confirm(doubt)
+		}
+		return err
 	}
 	patience := t.Wait
 	if t.SharedWait > 0 && t.Shared() {
@@ -286,7 +319,9 @@
 		return err
 	}
 	t.answered(time.Now())
-	if !t.takeChanges(changes) || t.Pause == nil {
+	changed := t.takeChanges(changes)
+	t.Confirm(doubt)
+	if !changed || t.Pause == nil {
 		return nil
 	}
 	select {
@@ -375,7 +410,7 @@
 func (t *Table) answered(at time.Time) {
 	for {
 		last := t.heard.Load()
-		if at.UnixNano() <= last || t.heard.CompareAndSwap(last, at.UnixNano()) {
+		if (last != nil && !at.After(*last)) || t.heard.CompareAndSwap(last, &at) {
 			break
 		}
 	}
