Do not count an end under a message that was just answered elsewhere

Cause, found by reading the soak: callers may send the very same message all the time (a status page, a poll); two ends of targets with any cause quarantined it, and it was sent one at a time until a probe came back. Change: a node remembers 8,192 requests that targets lately answered; the next end under one of them does not count. A request that is never answered, which a poison request is, loses nothing by it.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -20,6 +20,9 @@
 	reportWait = 80 * time.Millisecond
 	// ownRecords bounds what a node remembers by itself, at about 200 bytes each.
 	ownRecords = 4096
+	// answeredRecords bounds the answered requests that a node remembers, at about 100 bytes
+	// each: a minute and more of a node's requests.
+	answeredRecords = 8192
 	// retryProbing is when a caller may come back to a request of which a probe runs.
 	retryProbing = time.Second
 	// retryWithoutStore is when a caller may come back where no probe could be claimed.
@@ -70,6 +73,9 @@
 	fleet map[Digest]seen
 	// own are the ends that this node saw, whether the store has them or not.
 	own *simplelru.LRU[Digest, Record]
+	// answered are requests that targets lately answered here: the next end under one of them
+	// has another cause.
+	answered *simplelru.LRU[Digest, struct{}]
 }
 
 // seen is a record of the store and since when this node has had it.
@@ -81,11 +87,18 @@
 
 // New returns a Guard that knows of nothing.
 func New(cfg Config) *Guard {
-	own, err := simplelru.NewLRU[Digest, Record](ownRecords, nil)
+	return &Guard{
+		cfg: cfg, gone: newGone(cfg.Dial), queue: newQueue(), fleet: make(map[Digest]seen),
+		own: newLRU[Record](ownRecords), answered: newLRU[struct{}](answeredRecords),
+	}
+}
+
+func newLRU[V any](size int) *simplelru.LRU[Digest, V] {
+	l, err := simplelru.NewLRU[Digest, V](size, nil)
 	if err != nil {
 		panic(err) // the size is positive
 	}
-	return &Guard{cfg: cfg, gone: newGone(cfg.Dial), queue: newQueue(), fleet: make(map[Digest]seen), own: own}
+	return l
 }
 
 // Apply takes in the table of quarantined requests.
@@ -209,7 +222,9 @@
 			return
 		}
 		defer func() { known <- true }()
-		g.noteOwn(d, process, addr, probe)
+		if !g.noteOwn(d, process, addr, probe) {
+			return
+		}
 		written := g.queue.push(op{kind: opEnd, digest: d, process: process, probe: probe})
 		timer := time.NewTimer(reportWait)
 		defer timer.Stop()
@@ -221,23 +236,31 @@
 	return known
 }
 
-// noteOwn remembers an end under a request of this node.
-func (g *Guard) noteOwn(d Digest, process, addr, probe string) {
+// noteOwn remembers an end under a request of this node, and reports whether it counts: the
+// same message may come all the time, and where a target has just answered it, its end has
+// another cause.
+func (g *Guard) noteOwn(d Digest, process, addr, probe string) bool {
+	g.stats.ends.Add(1)
 	g.mu.Lock()
+	if g.answered.Remove(d) && probe == "" {
+		g.mu.Unlock()
+		g.cfg.Log.Info("target ended under a request that was just answered elsewhere", "digest", d, "process", process, "addr", addr)
+		return false
+	}
 	own, _ := g.own.Get(d)
 	own = own.withEnd(process, "")
 	g.own.Add(d, own)
 	g.mu.Unlock()
-	g.stats.ends.Add(1)
 	g.cfg.Log.Info("target ended under the request", "digest", d, "process", process, "addr", addr, "own_ends", len(own.Ended), "probe", probe)
+	return true
 }
 
 // Answered tells that a target answered a request: it does not crash targets.
 func (g *Guard) Answered(d Digest) {
 	g.mu.Lock()
 	_, quarantined := g.fleet[d]
-	own := g.own.Contains(d)
-	g.own.Remove(d)
+	own := g.own.Remove(d)
+	g.answered.Add(d, struct{}{})
 	g.mu.Unlock()
 	if quarantined || own {
 		g.queue.push(op{kind: opAnswered, digest: d})
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -189,6 +189,25 @@
 	})
 }
 
+// The same message comes all the time, and any target survives it: ends with another cause,
+// each between two answers, quarantine nothing.
+func TestMessageThatIsAnsweredAllTheTimeIsNotQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(3)
+		defer f.stop()
+		for i := range f.guards {
+			f.run(i, digest("x"), "sound", false)
+		}
+		for i := range 20 {
+			_, probe := f.run(i%3, digest("x"), fmt.Sprint("e", i), true)
+			c.Assert(probe, qt.IsFalse)
+			_, probe = f.run(i%3, digest("x"), "sound", false)
+			c.Assert(probe, qt.IsFalse)
+		}
+	})
+}
+
 // An account that sends ever new requests under which targets end takes a bounded amount of
 // memory, and nobody else's requests are refused.
 func TestEndsUnderManyRequestsAreBounded(t *testing.T) {
