--- a/internal/entry/guard.go
+++ b/internal/entry/guard.go
@@ -8,7 +8,7 @@
 // provisionGuard builds what keeps requests that crash targets away from them, and the table
 // of those in quarantine. Its changes are not gathered: a caller may come back at once.
 func (n *Node) provisionGuard() {
-	n.guard = poison.New(poison.Config{Node: n.set.Node, Store: n.env.Store, Dial: n.env.Dial, Nodes: func() int { return n.router.Live() }, Others: n.otherAddrs, Tell: n.peers.client.TellEnds, Log: n.log})
+	n.guard = poison.New(poison.Config{Node: n.set.Node, Store: n.env.Store, Dial: n.env.Dial, Nodes: func() int { return n.router.Live() }, Others: n.otherAddrs, Tell: n.peers.client.TellEnds, Gone: n.targets.Ended, Log: n.log})
 	n.former.Guard = n.guard
 	n.quarantine = &watch.Table{
 		Name: poison.QuarantineTable, From: n.env.Store, Wait: watch.LongWait, Lead: n.servers, Log: n.log,
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -110,7 +110,7 @@
 	c.log.Info("no answer from target", "target", l.ID, "addr", l.Addr, "digest", c.digest, "sent", sent, "stale", stale,
 		"ran_ms", time.Since(start).Milliseconds(), "err", err)
 	if sent && !stale {
-		c.brokeOff(l, n, ctx.Err() != nil)
+		c.brokeOff(l, n, start, ctx.Err() != nil)
 	} else {
 		c.abandoned(n)
 	}
--- a/internal/passthrough/plain.go
+++ b/internal/passthrough/plain.go
@@ -165,7 +165,7 @@
 			outcome = targets.Abandoned
 		}
 		l.Done(outcome, 0)
-		c.brokeOff(l, n, ctx.Err() != nil)
+		c.brokeOff(l, n, a.start, ctx.Err() != nil)
 		c.log.Info("answer of target broke off", "target", l.ID, "addr", l.Addr, "digest", c.digest,
 			"ran_ms", time.Since(a.start).Milliseconds(), "err", err)
 		return result{f: &failure{ran: true, err: err}}
--- a/internal/passthrough/quarantine.go
+++ b/internal/passthrough/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"topazmoor/internal/poison"
 	"topazmoor/internal/targets"
@@ -65,12 +66,12 @@
 
 // brokeOff tells that the run at a target broke off without its answer. Where this node or
 // the caller ended it, that says nothing of the target.
-func (c *call) brokeOff(l *targets.Lease, n sending, byUs bool) {
+func (c *call) brokeOff(l *targets.Lease, n sending, began time.Time, byUs bool) {
 	if byUs {
 		c.abandoned(n)
 		return
 	}
-	known := c.s.cfg.Guard.Ended(c.digest, l.Process(), l.Addr, n.probe)
+	known := c.s.cfg.Guard.Ended(c.digest, began, l.Process(), l.Addr, n.probe)
 	if !c.route.Repeatable() {
 		return
 	}
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -162,7 +162,7 @@
 	w, err := readWhole(a)
 	if err != nil {
 		a.lease.Done(targets.Failed, 0)
-		x.c.brokeOff(a.lease, a.n, x.c.ctx.Err() != nil)
+		x.c.brokeOff(a.lease, a.n, a.start, x.c.ctx.Err() != nil)
 		return &failure{ran: true, err: err}
 	}
 	a.lease.Done(targets.Served, 0)
@@ -244,7 +244,7 @@
 	a.lease.Done(outcome, 0)
 	x.c.log.Info("stream broke off", "target", a.lease.ID, "addr", a.lease.Addr, "digest", x.c.digest, "events", x.events, "last", x.last,
 		"ran_ms", time.Since(a.start).Milliseconds(), "silent", errors.Is(context.Cause(ctx), errSilent), "err", err)
-	x.c.brokeOff(a.lease, a.n, ctx.Err() != nil)
+	x.c.brokeOff(a.lease, a.n, a.start, ctx.Err() != nil)
 	return &failure{ran: true, err: err}
 }
 
--- a/internal/poison/gone.go
+++ b/internal/poison/gone.go
@@ -12,9 +12,12 @@
 	// dialTimeout is how long a target may take to accept a connection before it counts as
 	// ended: one round trip of 1 to 3 ms.
 	dialTimeout = 250 * time.Millisecond
-	// answerLife is how long it is remembered whether a process has ended: as many calls as
-	// ran there ask at once.
-	answerLife = 2 * time.Second
+	// aliveLife is how long it is believed that a process runs: as many calls as ran there
+	// ask at once.
+	aliveLife = time.Second
+	// endedLife is how long it is remembered when a process ended; nobody sends to it for
+	// longer than it stands in the list of targets.
+	endedLife = 30 * time.Second
 )
 
 // gone finds out whether processes of targets have ended. A connection that breaks off may
@@ -36,27 +39,41 @@
 	at    time.Time
 }
 
+// old reports whether the answer is no longer believed. While it is open it is not.
+func (q *question) old(now time.Time) bool {
+	select {
+	case <-q.done:
+	default:
+		return false
+	}
+	if q.ended {
+		return now.Sub(q.at) > endedLife
+	}
+	return now.Sub(q.at) > aliveLife
+}
+
 func newGone(dial func(ctx context.Context, network, addr string) (net.Conn, error)) gone {
 	return gone{dial: dial, asked: make(map[string]*question)}
 }
 
-// confirm reports whether a process has ended, within dialTimeout. It asks once for all who
-// ask at the same time.
-func (g *gone) confirm(process, addr string) bool {
+// endedUnder reports whether a process has ended while a run that began at a moment was
+// there, within dialTimeout. It asks once for all who ask at the same time. A run that began
+// when the process was known to have ended says nothing of its request.
+func (g *gone) endedUnder(process, addr string, began time.Time) bool {
 	q := g.question(process, addr)
 	<-q.done
-	return q.ended
+	return q.ended && began.Before(q.at)
 }
 
 func (g *gone) question(process, addr string) *question {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	if now.Sub(g.swept) > answerLife {
-		maps.DeleteFunc(g.asked, func(_ string, q *question) bool { return now.Sub(q.at) > answerLife })
+	if now.Sub(g.swept) > aliveLife {
+		maps.DeleteFunc(g.asked, func(_ string, q *question) bool { return q.old(now) })
 		g.swept = now
 	}
-	if q := g.asked[process]; q != nil && now.Sub(q.at) <= answerLife {
+	if q := g.asked[process]; q != nil && !q.old(now) {
 		return q
 	}
 	q := &question{done: make(chan struct{}), at: now}
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -53,6 +53,8 @@
 	// store did not take; nil for not.
 	Others func() []string
 	Tell   func(ctx context.Context, addr string, ends []End) error
+	// Gone is told of a process that has ended; nil for nobody.
+	Gone func(process string)
 	// Nodes returns how many nodes share the work of removing old rows.
 	Nodes func() int
 	Log   *slog.Logger
@@ -74,8 +76,8 @@
 	// own are the ends that this node saw, whether the store has them or not.
 	own *simplelru.LRU[Digest, Record]
 	// answered are requests that targets lately answered here: the next end under one of them
-	// has another cause.
-	answered *simplelru.LRU[Digest, struct{}]
+	// has another cause. It names the process that has ended since; "" for none.
+	answered *simplelru.LRU[Digest, string]
 }
 
 // seen is a record of the store and since when this node has had it.
@@ -89,7 +91,7 @@
 func New(cfg Config) *Guard {
 	return &Guard{
 		cfg: cfg, gone: newGone(cfg.Dial), queue: newQueue(), fleet: make(map[Digest]seen),
-		own: newLRU[Record](ownRecords), answered: newLRU[struct{}](answeredRecords),
+		own: newLRU[Record](ownRecords), answered: newLRU[string](answeredRecords),
 	}
 }
 
@@ -205,10 +207,10 @@
 	return probe, nil
 }
 
-// Ended tells that a run of a request broke off at a target. If the target's process has
-// ended, all nodes learn of it. The channel tells whether it has, once they can know, or after
+// Ended tells that a run of a request that began at a moment broke off at a target. If the
+// target's process has ended, all nodes learn of it. The channel tells whether it has, once they can know, or after
 // reportWait: the request should not be sent again before.
-func (g *Guard) Ended(d Digest, process, addr, probe string) <-chan bool {
+func (g *Guard) Ended(d Digest, began time.Time, process, addr, probe string) <-chan bool {
 	known := make(chan bool, 1)
 	if d == (Digest{}) {
 		// An order of a node that tells no digest.
@@ -216,12 +218,15 @@
 		return known
 	}
 	go func() {
-		if !g.gone.confirm(process, addr) {
+		if !g.gone.endedUnder(process, addr, began) {
 			g.Abandoned(d, probe)
 			known <- false
 			return
 		}
 		defer func() { known <- true }()
+		if g.cfg.Gone != nil {
+			g.cfg.Gone(process)
+		}
 		if !g.noteOwn(d, process, addr, probe) {
 			return
 		}
@@ -242,11 +247,14 @@
 func (g *Guard) noteOwn(d Digest, process, addr, probe string) bool {
 	g.stats.ends.Add(1)
 	g.mu.Lock()
-	if g.answered.Remove(d) && probe == "" {
+	spared, ok := g.answered.Get(d)
+	if ok && probe == "" && (spared == "" || spared == process) {
+		g.answered.Add(d, process)
 		g.mu.Unlock()
 		g.cfg.Log.Info("target ended under a request that was just answered elsewhere", "digest", d, "process", process, "addr", addr)
 		return false
 	}
+	g.answered.Remove(d)
 	own, _ := g.own.Get(d)
 	own = own.withEnd(process, "")
 	g.own.Add(d, own)
@@ -260,7 +268,7 @@
 	g.mu.Lock()
 	_, quarantined := g.fleet[d]
 	own := g.own.Remove(d)
-	g.answered.Add(d, struct{}{})
+	g.answered.Add(d, "")
 	g.mu.Unlock()
 	if quarantined || own {
 		g.queue.push(op{kind: opAnswered, digest: d})
--- a/internal/poison/record.go
+++ b/internal/poison/record.go
@@ -22,9 +22,11 @@
 )
 
 // probePauses are the times that must have passed since anything was learned before the next
-// probe: the first one at once, as a request that is innocent must not wait; the others cost a
-// target each where it is not. There are no more of them while the record stands.
-var probePauses = [...]time.Duration{0, 5 * time.Minute, 30 * time.Minute}
+// probe: the first one at once, as a request that is innocent must not wait, nor long after a
+// probe that met an end with another cause; each costs a target where it is not innocent. There
+// are no more of them while the record stands: of the three sends that may follow a third end
+// one is left for what nodes send that have not heard of it.
+var probePauses = [...]time.Duration{0, 15 * time.Second, 2 * time.Minute}
 
 // recordLife is how long a record stands of which nothing new was learned.
 const recordLife = 2 * time.Hour
--- a/internal/stagebatch/calls.go
+++ b/internal/stagebatch/calls.go
@@ -101,7 +101,7 @@
 	for _, p := range c.batch {
 		o := p.order
 		if told[o.Digest] == nil {
-			told[o.Digest] = f.Guard.Ended(o.Digest, target.Process(), target.Addr, o.Probe)
+			told[o.Digest] = f.Guard.Ended(o.Digest, c.started, target.Process(), target.Addr, o.Probe)
 		}
 	}
 	ended := false
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -255,6 +255,16 @@
 	}
 }
 
+// Ended notes that a target's process has ended: it gets no calls for a while. It may be
+// listed for some seconds yet, or only out of this node's reach.
+func (t *Table) Ended(process string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.byProcess[process]; s != nil {
+		s.breaker.Unreachable(t.now())
+	}
+}
+
 // latencyLife is how long the time of a call is believed in estimates. Requests are
 // refused on them, and what is refused measures nothing: a fault that has ended would
 // never be forgotten. Each node calls each service several times a second.
