--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -46,7 +46,7 @@
 
 func TestEveryCommandHasHelp(t *testing.T) {
 	c := qt.New(t)
-	for _, name := range []string{"serve", "demo", "standin", "check", "apply", "get", "drain", "stop", "status", "audit", "batch", "load", "version"} {
+	for _, name := range []string{"serve", "demo", "standin", "check", "apply", "get", "drain", "stop", "status", "audit", "batch", "load", "quarantine", "version"} {
 		code, out, _ := invoke(name, "--help")
 		c.Assert(code, qt.Equals, ExitOK)
 		c.Assert(out, qt.Contains, "Usage: topazmoor "+name)
