--- a/internal/passthrough/refuse.go
+++ b/internal/passthrough/refuse.go
@@ -100,7 +100,7 @@
 	}
 	c.s.cfg.Observer.RequestDone(Done{Rank: c.rank, Code: code, Verdict: ran, Took: took})
 	attrs := []any{"route", route, "service", c.service, "account", c.account, "rank", c.rank, "config", version,
-		"status", status, "code", code, "ms", took.Milliseconds(), "sends", c.sends, "targets", c.tried}
+		"status", status, "code", code, "ms", took.Milliseconds(), "sends", c.sends, "targets", c.tried, "digest", c.digest}
 	if err == nil {
 		c.log.Info("answered", attrs...)
 		return
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -202,14 +202,18 @@
 		g.cfg.Log.Info("request in quarantine not sent", "digest", d, "ends", len(r.Ended), "err", err)
 		return "", err
 	}
+	if probe == "" {
+		// It was answered meanwhile.
+		return "", nil
+	}
 	g.stats.probes.Add(1)
 	g.cfg.Log.Info("request in quarantine sent alone", "digest", d, "ends", len(r.Ended), "probes", r.Probes+1, "probe", probe)
 	return probe, nil
 }
 
 // Ended tells that a run of a request that began at a moment broke off at a target. If the
-// target's process has ended, all nodes learn of it. The channel tells whether it has, once they can know, or after
-// reportWait: the request should not be sent again before.
+// target's process has ended, all nodes learn of it. The channel tells whether it has, once
+// they can know, or after reportWait: the request should not be sent again before.
 func (g *Guard) Ended(d Digest, began time.Time, process, addr, probe string) <-chan bool {
 	known := make(chan bool, 1)
 	if d == (Digest{}) {
