Let a renewal end only calls that wait: one that was poked for was lost

Cause, found while the rare count of store calls of nodes that come back together was traced: a first follower ended its teller's read of the table of nodes in the midst, and nothing asked for it again until the start's patience of 1.5 s was over.

--- a/internal/relay/teller.go
+++ b/internal/relay/teller.go
@@ -110,6 +110,10 @@
 	}
 	t.tables[0].Poke()
 	for _, table := range t.tables[1:] {
+		if table.Copy().Rows() == nil {
+			table.Poke()
+			continue
+		}
 		table.Renew()
 	}
 }
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -86,8 +86,8 @@
 	// takes that in.
 	cancel context.CancelFunc
 	poked  chan struct{}
-	// renewed says that Renew ended the call in progress.
-	renewed bool
+	// waits says that the call in progress waits for changes, renewed that Renew ended it.
+	waits, renewed bool
 	// relayed is set while another node tells what the store has; turn is closed when
 	// that changes.
 	relayed bool
@@ -174,17 +174,25 @@
 	}
 }
 
-// Renew ends the call in progress, so that the next one goes out on another connection.
-// Unlike Poke it does not ask for an answer at once, which would be one more call.
+// Renew ends the call in progress if it waits for changes, so that the next one goes out on
+// another connection. Unlike Poke it does not ask for an answer at once, which would be one
+// more call; one that asks at once goes on.
 func (t *Table) Renew() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.cancel != nil {
+	if t.cancel != nil && t.waits {
 		t.renewed = true
 		t.cancel()
 	}
 }
 
+// setWaits notes whether the call that begins waits for changes.
+func (t *Table) setWaits(waits bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.waits = waits
+}
+
 // wasRenewed reports whether Renew ended the last call, and forgets it.
 func (t *Table) wasRenewed() bool {
 	t.mu.Lock()
@@ -208,7 +216,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	call, t.cancel = context.WithCancel(ctx)
-	t.renewed = false
+	t.waits, t.renewed = false, false
 	if t.poked != nil {
 		poked = closed(t.poked)
 	}
@@ -314,6 +322,7 @@
 		// Hear at once whether the store is back.
 		patience = 0
 	}
+	t.setWaits(patience > 0)
 	changes, err := t.From.Changes(ctx, t.Name, t.copy.Position().Version, patience)
 	if err != nil {
 		return err
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -295,3 +295,42 @@
 		}
 	})
 }
+
+// A table that another node keeps is asked for by a poke, and its calls are renewed in the midst
+// of the answer: the answer is taken in all the same, as nothing else would ask again.
+func TestRenewalDoesNotLoseAPoke(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		m := store.NewMemory()
+		put(t, m, "a", "1")
+		m.SetFaults(store.Faults{Delay: 5 * time.Millisecond})
+		last, table := follow(t.Context(), m)
+		table.Hold()
+		time.Sleep(time.Second)
+		put(t, m, "a", "2")
+		table.Poke()
+		time.Sleep(2 * time.Millisecond)
+		table.Renew()
+		time.Sleep(50 * time.Millisecond)
+		c.Assert(string(last().Rows["a"].Value), qt.Equals, "2")
+	})
+}
+
+// A renewed call is no outage, and asks again without a pause.
+func TestRenewalIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		m := store.NewMemory()
+		put(t, m, "a", "1")
+		last, table := follow(t.Context(), m)
+		synctest.Wait()
+		before := m.Counts().Reads
+		table.Renew()
+		synctest.Wait()
+		c.Assert(m.Counts().Reads, qt.Equals, before+1)
+		c.Assert(table.Lost(), qt.IsFalse)
+		put(t, m, "a", "2")
+		synctest.Wait()
+		c.Assert(string(last().Rows["a"].Value), qt.Equals, "2")
+	})
+}
