Let a probe of which nothing is heard lapse with its request's own time

A probe was waited for for a minute. Change: the record says how long its probe may take, which is what is left of the request's time. Ruled out: a probe that is never told of by a node that lives (each path of a send ends in Ended, Answered or Abandoned; read, and in the logs).

--- a/internal/passthrough/quarantine.go
+++ b/internal/passthrough/quarantine.go
@@ -49,7 +49,7 @@
 	if c.held != "" {
 		return nil
 	}
-	probe, err := c.s.cfg.Guard.Send(c.ctx, c.digest)
+	probe, err := c.s.cfg.Guard.Send(c.ctx, c.digest, c.timeLeft())
 	c.held = probe
 	return err
 }
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -37,8 +37,9 @@
 	// Admit reports whether a request may be worked on, by what this node knows. Its error
 	// is *poison.Refused, as is that of Send.
 	Admit(d poison.Digest) error
-	// Send asks whether a request may be sent now; a probe must be sent alone.
-	Send(ctx context.Context, d poison.Digest) (probe string, err error)
+	// Send asks whether a request may be sent now, and run for a time; a probe must be sent
+	// alone.
+	Send(ctx context.Context, d poison.Digest, lasts time.Duration) (probe string, err error)
 	// Suspect reports whether a target ended under the request.
 	Suspect(d poison.Digest) bool
 	// Ended, Answered and Abandoned tell how a run came out: it broke off at a target, the
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -185,10 +185,10 @@
 	return &Refused{Ends: len(r.Ended), After: after}
 }
 
-// Send asks whether a request may be sent now. In quarantine it claims the probe, whose name
-// it returns: the request must then be sent alone, and its end told to Ended, Answered or
-// Abandoned. Its error is *Refused.
-func (g *Guard) Send(ctx context.Context, d Digest) (probe string, err error) {
+// Send asks whether a request may be sent now, and run for a time. In quarantine it claims the
+// probe, whose name it returns: the request must then be sent alone, and its end told to Ended,
+// Answered or Abandoned. Its error is *Refused.
+func (g *Guard) Send(ctx context.Context, d Digest, lasts time.Duration) (probe string, err error) {
 	r, unchanged := g.known(d)
 	decision, after := r.Decide(unchanged)
 	switch decision {
@@ -197,7 +197,7 @@
 	case Refuse:
 		return "", g.refuse(r, after)
 	}
-	probe, err = g.claim(ctx, d, unchanged)
+	probe, err = g.claim(ctx, d, lasts, unchanged)
 	if err != nil {
 		g.cfg.Log.Info("request in quarantine not sent", "digest", d, "ends", len(r.Ended), "err", err)
 		return "", err
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -19,6 +19,9 @@
 	"topazmoor/internal/watch"
 )
 
+// probeLasts is how long requests of the tests may run.
+const probeLasts = 5 * time.Second
+
 // fleet is nodes with a guard each, before one store and targets that can end.
 type fleet struct {
 	store  *store.Memory
@@ -120,7 +123,7 @@
 // request was sent, and whether as a probe.
 func (f *fleet) run(node int, d Digest, target string, ends bool) (sent, probe bool) {
 	g := f.guards[node]
-	name, err := g.Send(context.Background(), d)
+	name, err := g.Send(context.Background(), d, probeLasts)
 	if err != nil {
 		return false, false
 	}
@@ -148,7 +151,7 @@
 		f.run(1, d, "e1", true)
 		time.Sleep(10 * time.Millisecond)
 		// One probe, by whoever claims it, and nothing else meanwhile.
-		name, err := f.guards[2].Send(t.Context(), d)
+		name, err := f.guards[2].Send(t.Context(), d, probeLasts)
 		c.Assert(err, qt.IsNil)
 		c.Assert(name, qt.Not(qt.Equals), "")
 		time.Sleep(10 * time.Millisecond)
@@ -210,6 +213,28 @@
 	})
 }
 
+// A node that holds a probe is killed: another may try once the probe's own time is over and the
+// pause after it, not a minute later.
+func TestProbeOfANodeThatIsGoneIsNotWaitedForLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(2)
+		defer f.stop()
+		f.run(0, digest("x"), "a", true)
+		f.run(0, digest("x"), "b", true)
+		time.Sleep(10 * time.Millisecond)
+		name, err := f.guards[0].Send(t.Context(), digest("x"), 2*time.Second)
+		c.Assert(err, qt.IsNil)
+		c.Assert(name, qt.Not(qt.Equals), "")
+		time.Sleep(probePauses[1] - time.Second)
+		c.Assert(f.guards[1].Admit(digest("x")), qt.IsNotNil)
+		time.Sleep(2 * time.Second)
+		sent, probe := f.run(1, digest("x"), "sound", false)
+		c.Assert(sent, qt.IsTrue)
+		c.Assert(probe, qt.IsTrue)
+	})
+}
+
 // Runs that began at a process which was known to have ended say nothing of their requests.
 func TestRunAtAProcessThatHadEndedIsNoEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -396,7 +421,7 @@
 	probes := make([]string, len(s.guards))
 	var wg sync.WaitGroup
 	for i, g := range s.guards {
-		wg.Go(func() { probes[i], _ = g.Send(context.Background(), d) })
+		wg.Go(func() { probes[i], _ = g.Send(context.Background(), d, probeLasts) })
 	}
 	wg.Wait()
 	running := 0
--- a/internal/poison/record.go
+++ b/internal/poison/record.go
@@ -14,9 +14,11 @@
 	// of those that see a second one nearly all are innocent only where targets end all the
 	// time, and a probe clears them.
 	quarantineEnds = 2
-	// probeTime is how long a probe may take before its node is presumed gone; routes give
-	// requests up to 20 s.
+	// probeTime bounds how long a probe may take; routes give requests up to 20 s.
 	probeTime = time.Minute
+	// probeSlack is how long after a probe's own time its node may take to tell its end: a
+	// commit, at a slow store. A node that says nothing by then is presumed gone.
+	probeSlack = time.Second
 	// maxNamed bounds the processes that a record names.
 	maxNamed = 8
 )
@@ -38,8 +40,26 @@
 	Ended []string `json:"ended"`
 	// Probes is how often it was let through in quarantine.
 	Probes int `json:"probes,omitempty"`
-	// Probe names the probe in progress; "" for none.
-	Probe string `json:"probe,omitempty"`
+	// Probe names the probe in progress; "" for none. ProbeMS is how long it may take, in
+	// milliseconds.
+	Probe   string `json:"probe,omitempty"`
+	ProbeMS int64  `json:"probe_ms,omitempty"`
+}
+
+// withProbe returns the record with a probe in progress that may take so long.
+func (r Record) withProbe(name string, lasts time.Duration) Record {
+	r.Probes++
+	r.Probe, r.ProbeMS = name, min(lasts+probeSlack, probeTime).Milliseconds()
+	return r
+}
+
+// probing returns for how long the probe in progress may still run when nothing was learned
+// for a time; 0 for none.
+func (r Record) probing(unchanged time.Duration) time.Duration {
+	if r.Probe == "" {
+		return 0
+	}
+	return max(time.Duration(r.ProbeMS)*time.Millisecond-unchanged, 0)
 }
 
 // Quarantined reports whether the request is let through by probes only.
@@ -82,8 +102,8 @@
 	if !r.Quarantined() {
 		return Pass, 0
 	}
-	if r.Probe != "" && unchanged < probeTime {
-		return Refuse, probeTime - unchanged
+	if left := r.probing(unchanged); left > 0 {
+		return Refuse, left
 	}
 	if r.Probes >= len(probePauses) {
 		return Refuse, 0
--- a/internal/poison/record_test.go
+++ b/internal/poison/record_test.go
@@ -36,14 +36,15 @@
 		decision  Decision
 		after     time.Duration
 	}{
-		"nothing known":              {Record{}, 0, Pass, 0},
-		"one end may be anything":    {Record{Ended: []string{"a"}}, 0, Pass, 0},
-		"the first probe at once":    {Record{Ended: two}, 0, MayProbe, 0},
-		"one probe at a time":        {Record{Ended: two, Probes: 1, Probe: "p"}, time.Second, Refuse, probeTime - time.Second},
-		"a probe whose node is gone": {Record{Ended: two, Probes: 1, Probe: "p"}, probeTime, MayProbe, 0},
-		"the next after a pause":     {Record{Ended: two, Probes: 1}, time.Second, Refuse, probePauses[1] - time.Second},
-		"the pause has passed":       {Record{Ended: two, Probes: 2}, probePauses[2], MayProbe, 0},
-		"no more":                    {Record{Ended: two, Probes: len(probePauses)}, recordLife, Refuse, 0},
+		"nothing known":                       {Record{}, 0, Pass, 0},
+		"one end may be anything":             {Record{Ended: []string{"a"}}, 0, Pass, 0},
+		"the first probe at once":             {Record{Ended: two}, 0, MayProbe, 0},
+		"one probe at a time":                 {Record{Ended: two, Probes: 1, Probe: "p", ProbeMS: 5000}, time.Second, Refuse, 4 * time.Second},
+		"a probe whose node is gone just now": {Record{Ended: two, Probes: 1, Probe: "p", ProbeMS: 5000}, 5 * time.Second, Refuse, probePauses[1] - 5*time.Second},
+		"a probe whose node is gone":          {Record{Ended: two, Probes: 1, Probe: "p", ProbeMS: 5000}, probePauses[1], MayProbe, 0},
+		"the next after a pause":              {Record{Ended: two, Probes: 1}, time.Second, Refuse, probePauses[1] - time.Second},
+		"the pause has passed":                {Record{Ended: two, Probes: 2}, probePauses[2], MayProbe, 0},
+		"no more":                             {Record{Ended: two, Probes: len(probePauses)}, recordLife, Refuse, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -326,9 +326,9 @@
 	return row, r, nil
 }
 
-// claim claims the probe of a quarantined request. unchanged is for how long this node has
-// seen its record as it is.
-func (g *Guard) claim(ctx context.Context, d Digest, unchanged time.Duration) (string, error) {
+// claim claims the probe of a quarantined request, which may take so long. unchanged is for how
+// long this node has seen its record as it is.
+func (g *Guard) claim(ctx context.Context, d Digest, lasts, unchanged time.Duration) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	probe := fmt.Sprintf("%s/%x", g.cfg.Node, rand.Uint64())
@@ -346,9 +346,7 @@
 		if decision, after := r.Decide(g.sinceChange(d, row.Version, unchanged)); decision != MayProbe {
 			return "", g.refuse(r, after)
 		}
-		r.Probes++
-		r.Probe = probe
-		err = g.commit(ctx, rows(d, row.Version, change{record: r}))
+		err = g.commit(ctx, rows(d, row.Version, change{record: r.withProbe(probe, lasts)}))
 		if err == nil {
 			return probe, nil
 		}
