--- a/internal/entry/guard.go
+++ b/internal/entry/guard.go
@@ -8,7 +8,10 @@
 // provisionGuard builds what keeps requests that crash targets away from them, and the table
 // of those in quarantine. Its changes are not gathered: a caller may come back at once.
 func (n *Node) provisionGuard() {
-	n.guard = poison.New(poison.Config{Node: n.set.Node, Store: n.env.Store, Dial: n.env.Dial, Nodes: func() int { return n.router.Live() }, Others: n.otherAddrs, Tell: n.peers.client.TellEnds, Gone: n.targets.Ended, Log: n.log})
+	n.guard = poison.New(poison.Config{
+		Node: n.set.Node, Store: n.env.Store, Dial: n.env.Dial, Nodes: func() int { return n.router.Live() },
+		Others: n.otherAddrs, Tell: n.peers.client.TellEnds, Gone: n.targets.Ended, Log: n.log,
+	})
 	n.former.Guard = n.guard
 	n.quarantine = &watch.Table{
 		Name: poison.QuarantineTable, From: n.env.Store, Wait: watch.LongWait, Lead: n.servers, Log: n.log,
@@ -17,6 +20,10 @@
 			n.teller.Wake()
 		},
 	}
+	n.provisionGuardMetrics()
+}
+
+func (n *Node) provisionGuardMetrics() {
 	n.metrics.Gauge("topazmoor_entry_quarantined_requests", "Requests in quarantine, as targets ended under them.", func() float64 { return float64(n.guard.Counts().Quarantined) })
 	n.metrics.Counter("topazmoor_entry_target_ends_total", "Ends of targets under requests of this node.", func() float64 { return float64(n.guard.Counts().Ends) })
 	n.metrics.Counter("topazmoor_entry_quarantine_probes_total", "Requests in quarantine that were sent alone.", func() float64 { return float64(n.guard.Counts().Probes) })
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -180,8 +180,8 @@
 	// held is a claimed probe that the stages of the request run under; "" for none.
 	held    string
 	arrived time.Time
-	// deadline is when the final answer is due, less what the host was suspended since slept;
-	// left tells how far away it is.
+	// deadline is when the final answer is due by a clock that stands while the host is
+	// suspended; slept is for how long it had been when the request came. timeLeft has both.
 	deadline time.Time
 	slept    time.Duration
 	// ctx ends when the caller leaves, at the deadline, or when the process ends.
--- a/internal/passthrough/suspended.go
+++ b/internal/passthrough/suspended.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// left returns how long the request is still of use, by a clock that goes on while the host
+// timeLeft returns how long the request is still of use, by a clock that goes on while the host
 // is suspended: its caller's does.
 func (c *call) timeLeft() time.Duration {
 	return time.Until(c.deadline) - (c.s.cfg.Slept() - c.slept)
--- a/internal/relay/teller.go
+++ b/internal/relay/teller.go
@@ -121,7 +121,7 @@
 // tell makes one message and notes in have what it tells.
 func (t *Teller) tell(have []Have) Told {
 	lead := t.tables[0]
-	// Before a first answer, and after the host stood still, nothing is told for new.
+	// Before a first answer, and after the host stood still, what is here may be old.
 	told := Told{Away: lead.Lost() || lead.LastHeard().IsZero(), Tables: make([]TableTold, len(have))}
 	if heard := lead.LastHeard(); !heard.IsZero() {
 		told.Age = time.Since(heard)
--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -125,7 +125,8 @@
 	// under a probe only.
 	Suspect(d poison.Digest) bool
 	Quarantined(d poison.Digest) bool
-	// Ended tells that a call that began at a moment broke off at a target, and tells whether the target ended.
+	// Ended tells that a call that began at a moment broke off at a target. The channel tells
+	// whether the target's process ended.
 	Ended(d poison.Digest, began time.Time, process, addr, probe string) <-chan bool
 }
 
