--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -241,9 +241,18 @@
 
 var errAway = errors.New("the store is away")
 
+// takeTime is the time of a refused call, which ends with its context as the store client's calls
+// do: time in a bubble stands once its test has returned.
+func takeTime(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Millisecond):
+	}
+}
+
 func (r *refusing) Snapshot(ctx context.Context, table string) (store.Snapshot, error) {
 	if r.calls.Add(1); r.away.Load() {
-		time.Sleep(time.Millisecond)
+		takeTime(ctx)
 		return store.Snapshot{}, errAway
 	}
 	return r.Watchable.Snapshot(ctx, table)
@@ -251,7 +260,7 @@
 
 func (r *refusing) Changes(ctx context.Context, table string, after int64, wait time.Duration) (store.Changes, error) {
 	if r.calls.Add(1); r.away.Load() {
-		time.Sleep(time.Millisecond)
+		takeTime(ctx)
 		return store.Changes{}, errAway
 	}
 	return r.Watchable.Changes(ctx, table, after, wait)
