Keep a probe while a former goes on under it; one type for a run that broke off

The guard's five arguments hid that a run may not be the probe's last. Change: poison.Run, with GoesOn. Measured: TestProbeThatGoesOnIsNotGivenUp, red without the guard.

--- a/internal/passthrough/quarantine.go
+++ b/internal/passthrough/quarantine.go
@@ -71,7 +71,7 @@
 		c.abandoned(n)
 		return
 	}
-	known := c.s.cfg.Guard.Ended(c.digest, began, l.Process(), l.Addr, n.probe)
+	known := c.s.cfg.Guard.Ended(poison.Run{Digest: c.digest, Began: began, Process: l.Process(), Addr: l.Addr, Probe: n.probe})
 	if !c.route.Repeatable() {
 		return
 	}
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -45,7 +45,7 @@
 	// Ended, Answered and Abandoned tell how a run came out: it broke off at a target, the
 	// target answered, or nothing is known of it. The request should not be sent again before
 	// the channel of Ended has told whether the target ended.
-	Ended(d poison.Digest, began time.Time, process, addr, probe string) <-chan bool
+	Ended(r poison.Run) <-chan bool
 	Answered(d poison.Digest)
 	Abandoned(d poison.Digest, probe string)
 }
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -211,59 +211,76 @@
 	return probe, nil
 }
 
-// Ended tells that a run of a request that began at a moment broke off at a target. If the
-// target's process has ended, all nodes learn of it. The channel tells whether it has, once
-// they can know, or after reportWait: the request should not be sent again before.
-func (g *Guard) Ended(d Digest, began time.Time, process, addr, probe string) <-chan bool {
+// Run is a run of a request at a target.
+type Run struct {
+	Digest Digest
+	// Began is when the run began.
+	Began time.Time
+	// Process names the start of the target's process, Addr is where it takes calls.
+	Process, Addr string
+	// Probe names the probe that the run belongs to; "" for none. GoesOn says that the probe has
+	// more runs to come unless this one ended its target: it is not given up.
+	Probe  string
+	GoesOn bool
+}
+
+// Ended tells that a run broke off at its target. If the target's process has ended, all nodes
+// learn of it. The channel tells whether it has, once they can know, or after reportWait: the
+// request should not be sent again before.
+func (g *Guard) Ended(r Run) <-chan bool {
 	known := make(chan bool, 1)
-	if d == (Digest{}) {
+	if r.Digest == (Digest{}) {
 		// An order of a node that tells no digest.
 		known <- false
 		return known
 	}
-	go func() {
-		if !g.gone.endedUnder(process, addr, began) {
-			g.Abandoned(d, probe)
-			known <- false
-			return
-		}
-		defer func() { known <- true }()
-		if g.cfg.Gone != nil {
-			g.cfg.Gone(process)
-		}
-		if !g.noteOwn(d, process, addr, probe) {
-			return
-		}
-		written := g.queue.push(op{kind: opEnd, digest: d, process: process, probe: probe})
-		timer := time.NewTimer(reportWait)
-		defer timer.Stop()
-		select {
-		case <-written:
-		case <-timer.C:
-		}
-	}()
+	go func() { known <- g.ended(r) }()
 	return known
 }
 
+// ended finds out whether a run ended its target, and makes it known.
+func (g *Guard) ended(r Run) bool {
+	if !g.gone.endedUnder(r.Process, r.Addr, r.Began) {
+		if !r.GoesOn {
+			g.Abandoned(r.Digest, r.Probe)
+		}
+		return false
+	}
+	if g.cfg.Gone != nil {
+		g.cfg.Gone(r.Process)
+	}
+	if !g.noteOwn(r) {
+		return true
+	}
+	written := g.queue.push(op{kind: opEnd, digest: r.Digest, process: r.Process, probe: r.Probe})
+	timer := time.NewTimer(reportWait)
+	defer timer.Stop()
+	select {
+	case <-written:
+	case <-timer.C:
+	}
+	return true
+}
+
 // noteOwn remembers an end under a request of this node, and reports whether it counts: the
 // same message may come all the time, and where a target has just answered it, its end has
 // another cause.
-func (g *Guard) noteOwn(d Digest, process, addr, probe string) bool {
+func (g *Guard) noteOwn(r Run) bool {
 	g.stats.ends.Add(1)
 	g.mu.Lock()
-	spared, ok := g.answered.Get(d)
-	if ok && probe == "" && (spared == "" || spared == process) {
-		g.answered.Add(d, process)
+	spared, ok := g.answered.Get(r.Digest)
+	if ok && r.Probe == "" && (spared == "" || spared == r.Process) {
+		g.answered.Add(r.Digest, r.Process)
 		g.mu.Unlock()
-		g.cfg.Log.Info("target ended under a request that was just answered elsewhere", "digest", d, "process", process, "addr", addr)
+		g.cfg.Log.Info("target ended under a request that was just answered elsewhere", "digest", r.Digest, "process", r.Process, "addr", r.Addr)
 		return false
 	}
-	g.answered.Remove(d)
-	own, _ := g.own.Get(d)
-	own = own.withEnd(process, "")
-	g.own.Add(d, own)
+	g.answered.Remove(r.Digest)
+	own, _ := g.own.Get(r.Digest)
+	own = own.withEnd(r.Process, "")
+	g.own.Add(r.Digest, own)
 	g.mu.Unlock()
-	g.cfg.Log.Info("target ended under the request", "digest", d, "process", process, "addr", addr, "own_ends", len(own.Ended), "probe", probe)
+	g.cfg.Log.Info("target ended under the request", "digest", r.Digest, "process", r.Process, "addr", r.Addr, "own_ends", len(own.Ended), "probe", r.Probe)
 	return true
 }
 
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -134,10 +134,17 @@
 	began := time.Now()
 	time.Sleep(time.Millisecond)
 	f.end(target)
-	<-g.Ended(d, began, target+"@0", target, name)
+	<-g.Ended(Run{Digest: d, Began: began, Process: target + "@0", Addr: target, Probe: name})
 	return true, name != ""
 }
 
+// quarantine lets two targets end under a request, and all nodes hear of it.
+func (f *fleet) quarantine(d Digest) {
+	f.run(0, d, "a", true)
+	f.run(0, d, "b", true)
+	time.Sleep(10 * time.Millisecond)
+}
+
 func digest(name string) Digest { return DigestOf("pilots", "POST", "port.example", "/"+name, nil) }
 
 func TestSecondEndQuarantinesARequestAtAllNodes(t *testing.T) {
@@ -161,7 +168,7 @@
 			c.Assert(refused.After, qt.Equals, retryProbing)
 		}
 		f.end("e2")
-		<-f.guards[2].Ended(d, time.Now().Add(-time.Second), "e2@0", "e2", name)
+		<-f.guards[2].Ended(Run{Digest: d, Began: time.Now().Add(-time.Second), Process: "e2@0", Addr: "e2", Probe: name})
 		time.Sleep(10 * time.Millisecond)
 		for _, g := range f.guards {
 			var refused *Refused
@@ -188,7 +195,7 @@
 		f := newFleet(1)
 		defer f.stop()
 		for i := range 5 {
-			<-f.guards[0].Ended(digest("x"), time.Now(), fmt.Sprint("e", i), fmt.Sprint("e", i), "")
+			<-f.guards[0].Ended(Run{Digest: digest("x"), Began: time.Now(), Process: fmt.Sprint("e", i), Addr: fmt.Sprint("e", i)})
 		}
 		c.Assert(f.guards[0].Suspect(digest("x")), qt.IsFalse)
 	})
@@ -213,6 +220,28 @@
 	})
 }
 
+// A call of a stage breaks off under a probe and its target lives on: the former makes another
+// one under the same probe, so that nobody else may claim one meanwhile.
+func TestProbeThatGoesOnIsNotGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(2)
+		defer f.stop()
+		f.quarantine(digest("x"))
+		name, err := f.guards[0].Send(t.Context(), digest("x"), probeLasts)
+		c.Assert(err, qt.IsNil)
+		r := Run{Digest: digest("x"), Began: time.Now(), Process: "c@0", Addr: "c", Probe: name, GoesOn: true}
+		c.Assert(<-f.guards[0].Ended(r), qt.IsFalse)
+		time.Sleep(10 * time.Millisecond)
+		c.Assert(f.guards[1].Admit(digest("x")), qt.IsNotNil)
+		// The last run of the probe.
+		r.GoesOn = false
+		c.Assert(<-f.guards[0].Ended(r), qt.IsFalse)
+		time.Sleep(10 * time.Millisecond)
+		c.Assert(f.guards[1].Admit(digest("x")), qt.IsNil)
+	})
+}
+
 // A node that holds a probe is killed: another may try once the probe's own time is over and the
 // pause after it, not a minute later.
 func TestProbeOfANodeThatIsGoneIsNotWaitedForLong(t *testing.T) {
@@ -220,9 +249,7 @@
 		c := qt.New(t)
 		f := newFleet(2)
 		defer f.stop()
-		f.run(0, digest("x"), "a", true)
-		f.run(0, digest("x"), "b", true)
-		time.Sleep(10 * time.Millisecond)
+		f.quarantine(digest("x"))
 		name, err := f.guards[0].Send(t.Context(), digest("x"), 2*time.Second)
 		c.Assert(err, qt.IsNil)
 		c.Assert(name, qt.Not(qt.Equals), "")
@@ -243,7 +270,7 @@
 		defer f.stop()
 		f.run(0, digest("x"), "e", true)
 		time.Sleep(10 * time.Millisecond)
-		c.Assert(<-f.guards[0].Ended(digest("y"), time.Now(), "e@0", "e", ""), qt.IsFalse)
+		c.Assert(<-f.guards[0].Ended(Run{Digest: digest("y"), Began: time.Now(), Process: "e@0", Addr: "e"}), qt.IsFalse)
 		c.Assert(f.guards[0].Suspect(digest("y")), qt.IsFalse)
 	})
 }
@@ -259,7 +286,7 @@
 		g := f.guards[0]
 		f.end("e")
 		for i := range 2 * ownRecords {
-			g.Ended(digest(fmt.Sprint(i)), time.Now().Add(-time.Second), fmt.Sprint("e@", i), "e", "")
+			g.Ended(Run{Digest: digest(fmt.Sprint(i)), Began: time.Now().Add(-time.Second), Process: fmt.Sprint("e@", i), Addr: "e"})
 		}
 		time.Sleep(time.Second)
 		g.mu.Lock()
@@ -403,7 +430,7 @@
 		// With another cause, under a request that any target survives.
 		if !poisonous[st.Request] {
 			s.end(target)
-			<-s.guards[st.Node].Ended(digest(st.Request), time.Now().Add(-time.Second), target+"@0", target, "")
+			<-s.guards[st.Node].Ended(Run{Digest: digest(st.Request), Began: time.Now().Add(-time.Second), Process: target + "@0", Addr: target})
 		}
 	case "all ask":
 		s.probesExclude(digest(st.Request))
--- a/internal/stagebatch/calls.go
+++ b/internal/stagebatch/calls.go
@@ -101,7 +101,9 @@
 	for _, p := range c.batch {
 		o := p.order
 		if told[o.Digest] == nil {
-			told[o.Digest] = f.Guard.Ended(o.Digest, c.started, target.Process(), target.Addr, o.Probe)
+			told[o.Digest] = f.Guard.Ended(poison.Run{
+				Digest: o.Digest, Began: c.started, Process: target.Process(), Addr: target.Addr, Probe: o.Probe, GoesOn: true,
+			})
 		}
 	}
 	ended := false
--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -125,9 +125,9 @@
 	// under a probe only.
 	Suspect(d poison.Digest) bool
 	Quarantined(d poison.Digest) bool
-	// Ended tells that a call that began at a moment broke off at a target. The channel tells
+	// Ended tells that a call broke off at a target. The channel tells
 	// whether the target's process ended.
-	Ended(d poison.Digest, began time.Time, process, addr, probe string) <-chan bool
+	Ended(r poison.Run) <-chan bool
 }
 
 // Worker makes calls at stage targets; platform/ has the real one.
