Tell in the logs what targets say of themselves: that they leave, that they want rest

Cause: the incident's hypotheses cannot be told apart by the logs, as no line says whether an answer spoke of its target, nor when the target of a send was chosen. Change: the headers are read into one type (readiness.Notice) at the platform's boundary, for requests and stage calls, and logged; nothing is decided by them yet. Conclusion: the next logs name both.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -64,7 +64,7 @@
 		c.abandoned(n)
 		return nil, &failure{err: errors.New("the target left before the request was sent")}
 	}
-	c.log.Info("sent", "target", l.ID, "addr", l.Addr, "service", c.service, "send", n.number, "fresh", n.fresh, "rank", c.rank,
+	c.log.Info("sent", "target", l.ID, "addr", l.Addr, "service", c.service, "send", n.number, "fresh", n.fresh, "chosen_ms", a.start.Sub(n.chosen).Milliseconds(), "rank", c.rank,
 		"left_ms", o.Remaining.Milliseconds(), "config", c.cfg.Version, "candidates", l.Basis.Candidates, "calls", l.Basis.Calls,
 		"failures", l.Basis.Failures, "load_age_ms", l.Basis.LoadAge.Milliseconds(), "inputs", len(o.Inputs), "after_event", o.LastEvent, "copy_from", o.CopyFrom)
 	ans, err := c.s.cfg.Sender.Do(ctx, l.Addr, &httpconn.Request{
@@ -79,6 +79,9 @@
 	if a.told.Load != nil {
 		l.Told(*a.told.Load)
 	}
+	if a.told.Notice.Leaving {
+		c.log.Info("target says that it leaves", "target", l.ID, "addr", l.Addr, "status", ans.Status, "chosen_ms", time.Since(n.chosen).Milliseconds())
+	}
 	if a.told.Moved && c.meta.VersionBound {
 		// Its weights may be other ones: no reason to think that the target is gone.
 		a.told.Moved = false
@@ -149,7 +152,7 @@
 	a.lease.Done(outcome, 0)
 	c.abandoned(a.n)
 	c.log.Info("target rejected the request", "target", a.lease.ID, "addr", a.lease.Addr, "status", a.ans.Status,
-		"not_run", a.told.NotRun, "moved", a.told.Moved, "load", a.told.Load, "err", f.err)
+		"not_run", a.told.NotRun, "moved", a.told.Moved, "load", a.told.Load, "leaving", a.told.Notice.Leaving, "rest_ms", a.told.Notice.Rest.Milliseconds(), "err", f.err)
 }
 
 // maxRejection bounds the body of a rejection that is read off, in bytes.
--- a/internal/passthrough/quarantine.go
+++ b/internal/passthrough/quarantine.go
@@ -12,6 +12,8 @@
 // sending is one send of a request.
 type sending struct {
 	number int
+	// chosen is when its target was chosen.
+	chosen time.Time
 	// fresh asks for a new connection: of a kept one that ends nobody can say whether its
 	// target had ended before.
 	fresh bool
@@ -28,7 +30,7 @@
 	}
 	probe := c.held
 	c.held = ""
-	n := sending{number: c.sends + 1, fresh: c.stale > 0 || c.s.cfg.Guard.Suspect(c.digest), probe: probe}
+	n := sending{number: c.sends + 1, chosen: time.Now(), fresh: c.stale > 0 || c.s.cfg.Guard.Suspect(c.digest), probe: probe}
 	q.Service, q.Exclude, q.Alone = c.service, c.tried, probe != ""
 	l := c.s.cfg.Targets.Pick(q)
 	if l == nil {
--- a/internal/passthrough/wire.go
+++ b/internal/passthrough/wire.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"topazmoor/internal/promptcache"
+	"topazmoor/internal/readiness"
 	"topazmoor/internal/targets"
 )
 
@@ -75,6 +76,8 @@
 	InputGone bool
 	// Load is the target's load; nil when it does not tell.
 	Load *targets.Load
+	// Notice is what the target says of whether it takes work.
+	Notice readiness.Notice
 }
 
 // Wire translates between messages and the types above; platform/ has the real
--- a/internal/stagebatch/calls.go
+++ b/internal/stagebatch/calls.go
@@ -8,6 +8,7 @@
 
 	"topazmoor/internal/mechanism"
 	"topazmoor/internal/poison"
+	"topazmoor/internal/readiness"
 	"topazmoor/internal/routes"
 	"topazmoor/internal/targets"
 )
@@ -197,6 +198,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.ended, c.failed = true, err != nil
+	if noticeOf(reply, err).Leaving {
+		f.log.Info("target says that it leaves", "service", c.service, "target", c.m.ID, "addr", c.m.Addr)
+	}
 	c.m.calls--
 	now := time.Now()
 	if err != nil {
@@ -240,10 +244,19 @@
 		c.m.failures++
 	}
 	c.m.pausedUntil = now.Add(min(pause, maxFailPause))
-	f.log.Warn("stage call failed", "service", c.service, "target", c.m.ID, "addr", c.m.Addr, "items", len(c.batch), "pause_ms", pause.Milliseconds(), "requests", requestsOf(c.batch), "err", err)
+	f.log.Warn("stage call failed", "service", c.service, "target", c.m.ID, "addr", c.m.Addr, "items", len(c.batch), "pause_ms", pause.Milliseconds(), "requests", requestsOf(c.batch), "notice", noticeOf(Reply{}, err), "err", err)
 	f.requeue(c)
 }
 
+// noticeOf returns what the target said with the outcome of a call.
+func noticeOf(reply Reply, err error) readiness.Notice {
+	var ce *CallError
+	if errors.As(err, &ce) {
+		return ce.Notice
+	}
+	return reply.Notice
+}
+
 // takeIn hands out the results of a call. The lock is held.
 func (f *Former) takeIn(c *call, results []ItemResult, now time.Time) {
 	full := false
--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"topazmoor/internal/poison"
+	"topazmoor/internal/readiness"
 	"topazmoor/internal/targets"
 )
 
@@ -104,13 +105,17 @@
 	Results []ItemResult
 	// Others is how many calls of other formers the target had when this one ended.
 	Others int
+	// Notice is what the target says of whether it takes work.
+	Notice readiness.Notice
 }
 
 // CallError is a call without results. NotRun says that the target rejected it
 // or was never reached, Moved that another process has the address.
 type CallError struct {
 	NotRun, Unreachable, Moved bool
-	Cause                      error
+	// Notice is what the target said with a rejection.
+	Notice readiness.Notice
+	Cause  error
 }
 
 // Error implements error.
