Heed what targets say of themselves: leaving and rest, by process, asked at the send

Cause: a node believed the store's list alone; the words of an answer on its target were dropped where they were read, and a choice was not looked at again once the request waited for its connection. Class: knowledge that comes with the work itself is thrown away, and an older, slower source is asked instead. Ruled out: a bound on repeats (most sends to targets at rest were first sends); a pause after rejections without the target's time (it is longer or shorter than asked). Change: package readiness keeps the words of each process; targets.Table has them beside the list, remembers them where the entry lapses, and gives them to requests, streams, stage calls and copies of prompts. httpconn asks just before the first byte. After a rest one call at a time is the trial. All at rest: refused at admission, with the end of the first rest, spread.

--- a/internal/experiment/stagepools.go
+++ b/internal/experiment/stagepools.go
@@ -129,7 +129,7 @@
 func targetAddr(i int) string { return fmt.Sprintf("10.1.0.%d:80", i) }
 
 // Run implements stagebatch.Worker.
-func (p *stagePool) Run(ctx context.Context, t targets.Target, items []stagebatch.Item) (stagebatch.Reply, error) {
+func (p *stagePool) Run(ctx context.Context, t targets.Target, items []stagebatch.Item, _ func() bool) (stagebatch.Reply, error) {
 	time.Sleep(peerLatency)
 	slot, err := p.enter(t.Addr)
 	if err != nil {
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -354,3 +354,36 @@
 		}
 	})
 }
+
+// What is not to be sent any more when its turn comes leaves no byte, and its connection serves
+// others.
+func TestRequestIsWithheldBeforeItsFirstByte(t *testing.T) {
+	c := qt.New(t)
+	var mu sync.Mutex
+	var got []string
+	addr := target(t, func(conn net.Conn, r *http.Request) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		got = append(got, r.Header.Get(idHeader))
+		answer(conn, r.Header.Get(idHeader), "ok")
+		return true
+	})
+	p := newPool(t)
+	never := func() bool { return false }
+	for i := range 3 {
+		kept := get(fmt.Sprint("withheld-", i))
+		kept.May = never
+		_, err := p.Do(t.Context(), addr, kept)
+		var ce *Error
+		c.Assert(errors.As(err, &ce), qt.IsTrue)
+		c.Assert(ce.Withheld, qt.IsTrue)
+		c.Assert(ce.Sent, qt.IsFalse)
+		ans, err := p.Do(t.Context(), addr, get(fmt.Sprint("sent-", i)))
+		c.Assert(err, qt.IsNil)
+		_, err = io.ReadAll(ans.Body)
+		c.Assert(err, qt.IsNil)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	c.Assert(got, qt.DeepEquals, []string{"sent-0", "sent-1", "sent-2"})
+}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -100,6 +100,16 @@
 	p.idle[c.addr] = append(list, c)
 }
 
+// unused gives up a connection that was got for nothing. A new one is closed: who gets a kept
+// one takes its end for that of an idle connection, which it is not yet.
+func (p *Pool) unused(c *conn) {
+	if !c.used {
+		c.Close()
+		return
+	}
+	p.keep(c)
+}
+
 // Forget closes the kept connections of a target.
 func (p *Pool) Forget(addr string) {
 	p.mu.Lock()
--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -24,6 +24,9 @@
 	// Fresh asks for a new connection: if it ends, the target ended, or ended it, after the
 	// request was sent.
 	Fresh bool
+	// May, when set, is asked just before the first byte is written, after the connection was
+	// got, which may take a while. Where it reports false nothing is sent.
+	May func() bool
 }
 
 // Answer is an answer whose head was read. Body must be closed.
@@ -45,7 +48,9 @@
 	Reused bool
 	// Refused is set when the target's host answered that nobody listens.
 	Refused bool
-	cause   error
+	// Withheld is set when May kept the request back.
+	Withheld bool
+	cause    error
 }
 
 // Error implements error.
@@ -71,6 +76,10 @@
 	if err != nil {
 		return nil, &Error{cause: eris.Wrap(err, "connect"), Refused: refused(err)}
 	}
+	if r.May != nil && !r.May() {
+		p.unused(c)
+		return nil, &Error{Withheld: true, cause: errWithheld}
+	}
 	x := &exchange{p: p, c: c, r: r}
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
 	resp, err := x.run()
@@ -85,6 +94,8 @@
 	return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: &body{x: x, resp: resp}}, nil
 }
 
+var errWithheld = eris.New("withheld before its first byte")
+
 func refused(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && !op.Timeout() && !errors.Is(err, context.Canceled)
--- a/internal/passthrough/admit.go
+++ b/internal/passthrough/admit.go
@@ -27,6 +27,9 @@
 	if err := c.s.cfg.Guard.Admit(c.digest); err != nil {
 		return c.quarantined(err)
 	}
+	if err := c.refuseAtRest(); err != nil {
+		return err
+	}
 	need := c.onTime().need()
 	late := c.route.Kind == routes.Stream && need > c.route.Objective
 	if late && !c.s.cfg.Off.Has(mechanism.RefuseHopeless) {
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"topazmoor/internal/httpconn"
+	"topazmoor/internal/readiness"
 	"topazmoor/internal/targets"
 	"topazmoor/internal/verdict"
 )
@@ -29,8 +30,9 @@
 	// busy says that the target rejected the request.
 	busy      bool
 	inputGone bool
-	// unsent says that the target was not reached, so that nothing arrived anywhere.
-	unsent bool
+	// unsent says that the target was not reached, so that nothing arrived anywhere; withheld
+	// that it was not to be sent anything any more when the send's turn came.
+	unsent, withheld bool
 	// stale says that a kept connection ended at once, without a byte of an answer:
 	// its target had closed it, or ended.
 	stale bool
@@ -45,8 +47,11 @@
 
 // why names the failure for logs and metrics.
 func (f *failure) why() string {
-	if f.busy {
+	switch {
+	case f.busy:
 		return "busy"
+	case f.withheld:
+		return "withheld"
 	}
 	return "failure"
 }
@@ -58,19 +63,15 @@
 	o.Target, o.Account, o.Rank = l.ID, c.account, c.rank
 	o.Remaining = c.timeLeft()
 	a := &attempt{lease: l, n: n, start: time.Now()}
-	// The list may have changed between the choice and the send.
-	if !c.s.cfg.Targets.MayCall(l.ID) {
-		l.Done(targets.Abandoned, 0)
-		c.abandoned(n)
-		return nil, &failure{err: errors.New("the target left before the request was sent")}
-	}
 	c.log.Info("sent", "target", l.ID, "addr", l.Addr, "service", c.service, "send", n.number, "fresh", n.fresh, "chosen_ms", a.start.Sub(n.chosen).Milliseconds(), "rank", c.rank,
 		"left_ms", o.Remaining.Milliseconds(), "config", c.cfg.Version, "candidates", l.Basis.Candidates, "calls", l.Basis.Calls,
 		"failures", l.Basis.Failures, "load_age_ms", l.Basis.LoadAge.Milliseconds(), "inputs", len(o.Inputs), "after_event", o.LastEvent, "copy_from", o.CopyFrom)
 	ans, err := c.s.cfg.Sender.Do(ctx, l.Addr, &httpconn.Request{
 		ID: c.meta.ID, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
 		Header: c.s.cfg.Wire.ToTarget(c.r.Header, o), Body: c.body,
-		Fresh: n.fresh,
+		// What a target says of itself may come between its choice and the first byte, also
+		// while a connection is opened.
+		Fresh: n.fresh, May: l.MaySend,
 	})
 	if err != nil {
 		return nil, c.noAnswer(ctx, l, n, a.start, err)
@@ -79,9 +80,7 @@
 	if a.told.Load != nil {
 		l.Told(*a.told.Load)
 	}
-	if a.told.Notice.Leaving {
-		c.log.Info("target says that it leaves", "target", l.ID, "addr", l.Addr, "status", ans.Status, "chosen_ms", time.Since(n.chosen).Milliseconds())
-	}
+	c.heard(a)
 	if a.told.Moved && c.meta.VersionBound {
 		// Its weights may be other ones: no reason to think that the target is gone.
 		a.told.Moved = false
@@ -93,6 +92,20 @@
 	return a, nil
 }
 
+// heard takes in what the target says of whether it takes work. The head of a stream says it
+// as any other answer does.
+func (c *call) heard(a *attempt) {
+	rejected := a.told.NotRun && !a.told.Moved && !a.told.InputGone
+	switch a.lease.Heard(a.told.Notice, rejected) {
+	case readiness.BeganToLeave:
+		c.log.Info("target says that it leaves", "target", a.lease.ID, "addr", a.lease.Addr, "service", c.service, "status", a.ans.Status)
+	case readiness.BeganToRest:
+		c.log.Info("target asks for rest", "target", a.lease.ID, "addr", a.lease.Addr, "service", c.service, "status", a.ans.Status,
+			"rest_ms", a.told.Notice.Rest.Milliseconds())
+	case readiness.Unchanged:
+	}
+}
+
 // staleWithin is how soon a kept connection ends that its target had closed:
 // after one round trip.
 const staleWithin = 20 * time.Millisecond
@@ -102,7 +115,7 @@
 	var ce *httpconn.Error
 	sent := !errors.As(err, &ce) || ce.Sent
 	switch {
-	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent):
+	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent), ce != nil && ce.Withheld:
 		l.Done(targets.Abandoned, 0)
 	case ce != nil && ce.Refused:
 		l.Done(targets.Unreachable, 0)
@@ -117,7 +130,7 @@
 	} else {
 		c.abandoned(n)
 	}
-	return &failure{ran: sent, unsent: !sent, stale: stale, target: l.ID, err: err}
+	return &failure{ran: sent, unsent: !sent, withheld: ce != nil && ce.Withheld, stale: stale, target: l.ID, err: err}
 }
 
 // rejected returns the failure of an answer that is not the target's answer to
@@ -164,6 +177,9 @@
 	if c.ctx.Err() != nil {
 		return false
 	}
+	if f != nil && f.withheld {
+		c.sends--
+	}
 	if f != nil && f.stale {
 		c.stale++
 		c.tried = slices.DeleteFunc(c.tried, func(id string) bool { return id == f.target })
@@ -195,7 +211,7 @@
 // takesBudget reports whether another send counts as a repeat.
 func (c *call) takesBudget(f *failure) bool {
 	switch {
-	case c.sends == 0, f != nil && f.paid:
+	case c.sends == 0, f != nil && (f.paid || f.withheld):
 		return false
 	case f != nil && f.unsent && c.unsent < maxUnsent:
 		c.unsent++
@@ -212,11 +228,11 @@
 	case f.isQuarantined():
 		return c.quarantined(f.err)
 	case f == nil:
-		return notRun(verdict.NoTarget, "no target of the service can take the request").After(c.comeBack())
+		return notRun(verdict.NoTarget, "no target of the service can take the request").After(c.comeBackOpen())
 	case c.runs > 0:
 		return verdict.Wrap(f.err, verdict.MayHaveRun, verdict.TargetFailed, "the target gave no complete answer")
 	case f.busy:
-		return verdict.Wrap(f.err, verdict.NotRun, verdict.TargetRefused, "the targets of the service are full").After(c.comeBack())
+		return verdict.Wrap(f.err, verdict.NotRun, verdict.TargetRefused, "the targets of the service are full").After(c.comeBackOpen())
 	}
 	return verdict.Wrap(f.err, verdict.NotRun, verdict.NoTarget, "no target of the service was reached").After(c.comeBack())
 }
--- a/internal/stagebatch/bench_test.go
+++ b/internal/stagebatch/bench_test.go
@@ -12,7 +12,7 @@
 // idlePool is a pool whose calls never end, so that what is measured is the choice.
 type idlePool struct{ instant }
 
-func (idlePool) Run(ctx context.Context, _ targets.Target, _ []Item) (Reply, error) {
+func (idlePool) Run(ctx context.Context, _ targets.Target, _ []Item, _ func() bool) (Reply, error) {
 	<-ctx.Done()
 	return Reply{}, ctx.Err()
 }
--- a/internal/stagebatch/burst_test.go
+++ b/internal/stagebatch/burst_test.go
@@ -21,7 +21,7 @@
 type soundTargets struct{ spec *routes.Batch }
 
 // Run implements Worker.
-func (s soundTargets) Run(_ context.Context, t targets.Target, items []Item) (Reply, error) {
+func (s soundTargets) Run(_ context.Context, t targets.Target, items []Item, _ func() bool) (Reply, error) {
 	time.Sleep(expected(s.spec, len(items)))
 	out := make([]ItemResult, len(items))
 	for i, it := range items {
--- a/internal/stagebatch/calls.go
+++ b/internal/stagebatch/calls.go
@@ -47,6 +47,8 @@
 	spec    *routes.Batch
 	batch   []*piece
 	started time.Time
+	// began is when the call was given to its target, by the list of targets.
+	began time.Time
 	// sound is the time that a sound target takes, expected what this one does.
 	sound, expected time.Duration
 	// failed calls may not have fetched their inputs.
@@ -58,7 +60,7 @@
 	slower := m.slower(f.pools[service].makers, now)
 	m.calls++
 	m.lastCall, m.callBytes = now, 0
-	c := &call{service: service, m: m, spec: spec, batch: batch, started: now, sound: expected(spec, len(batch))}
+	c := &call{service: service, m: m, spec: spec, batch: batch, started: now, began: f.list.Began(m.Process()), sound: expected(spec, len(batch))}
 	c.expected = times(c.sound, slower)
 	items := make([]Item, len(batch))
 	for i, p := range batch {
@@ -77,7 +79,8 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), times(c.expected, lostFactor)+lostSlack)
 		defer cancel()
-		reply, err := f.worker.Run(ctx, target, items)
+		reply, err := f.worker.Run(ctx, target, items, func() bool { return f.list.MaySend(target.Process(), c.began) })
+		f.heard(c, target, reply, err)
 		watchdog.Stop()
 		if brokeOff(ctx, err) && f.targetEnded(c, target) {
 			f.spread(c)
@@ -198,9 +201,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	c.ended, c.failed = true, err != nil
-	if noticeOf(reply, err).Leaving {
-		f.log.Info("target says that it leaves", "service", c.service, "target", c.m.ID, "addr", c.m.Addr)
-	}
 	c.m.calls--
 	now := time.Now()
 	if err != nil {
@@ -235,8 +235,11 @@
 	var ce *CallError
 	c.m.soundAt = time.Time{}
 	pause := failPause << min(c.m.failures, 4)
+	if errors.As(err, &ce) && ce.Withheld {
+		pause = 0
+	}
 	if errors.As(err, &ce) && ce.NotRun && !ce.Unreachable && !ce.Moved {
-		pause = busyPause
+		pause = min(pause, busyPause)
 		for _, p := range c.batch {
 			p.attempts--
 		}
@@ -244,10 +247,29 @@
 		c.m.failures++
 	}
 	c.m.pausedUntil = now.Add(min(pause, maxFailPause))
-	f.log.Warn("stage call failed", "service", c.service, "target", c.m.ID, "addr", c.m.Addr, "items", len(c.batch), "pause_ms", pause.Milliseconds(), "requests", requestsOf(c.batch), "notice", noticeOf(Reply{}, err), "err", err)
+	f.log.Warn("stage call failed", "service", c.service, "target", c.m.ID, "addr", c.m.Addr, "items", len(c.batch), "pause_ms", pause.Milliseconds(), "requests", requestsOf(c.batch), "rest_ms", noticeOf(Reply{}, err).Rest.Milliseconds(), "err", err)
 	f.requeue(c)
 }
 
+// heard takes in what a target says of whether it takes work.
+func (f *Former) heard(c *call, target targets.Target, reply Reply, err error) {
+	a := targets.Answer{Notice: noticeOf(reply, err), Began: c.began}
+	var ce *CallError
+	if errors.As(err, &ce) {
+		a.Rejected = ce.NotRun && !ce.Moved
+		if ce.Unreachable || ce.Withheld || !ce.NotRun {
+			f.list.EndedUnheard(target.Process(), c.began)
+		}
+	}
+	switch f.list.Heard(target.Process(), a) {
+	case readiness.BeganToLeave:
+		f.log.Info("target says that it leaves", "target", target.ID, "addr", target.Addr, "service", c.service)
+	case readiness.BeganToRest:
+		f.log.Info("target asks for rest", "target", target.ID, "addr", target.Addr, "service", c.service, "rest_ms", a.Notice.Rest.Milliseconds())
+	case readiness.Unchanged:
+	}
+}
+
 // noticeOf returns what the target said with the outcome of a call.
 func noticeOf(reply Reply, err error) readiness.Notice {
 	var ce *CallError
--- a/internal/stagebatch/estimate.go
+++ b/internal/stagebatch/estimate.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"topazmoor/internal/readiness"
 	"topazmoor/internal/routes"
 )
 
@@ -149,6 +150,7 @@
 		// The next of the busy targets is free after a part of its call.
 		residual = expected(spec, spec.Items/2) / time.Duration(good+1)
 	}
+	residual = max(residual, p.opensIn(now))
 	out := Waits{OnTime: make([]time.Duration, p.ranks)}
 	before, urgent := 0, 0.0
 	// made returns how long the pool makes a number of pieces, while more urgent ones
@@ -168,10 +170,25 @@
 	return out
 }
 
+// opensIn is how long all targets of a pool rest; 0 where one may be called.
+func (p *pool) opensIn(now time.Time) time.Duration {
+	var least time.Duration
+	for _, m := range p.makers {
+		left := m.opens.Sub(now)
+		if m.standing < readiness.Resting || left <= 0 {
+			return 0
+		}
+		if least == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
 // targets counts the targets that work well, and of these the idle ones.
 func (p *pool) targets(spec *routes.Batch, now time.Time) (good, idle int) {
 	for _, m := range p.makers {
-		if now.Before(m.pausedUntil) || m.slow() >= slowFactor {
+		if now.Before(m.pausedUntil) || m.standing >= readiness.Resting || m.slow() >= slowFactor {
 			continue
 		}
 		good++
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -172,6 +172,7 @@
 			p.makers[t.ID] = m
 		}
 		m.Target, m.spacing = t, 0
+		m.standing, m.opens = f.list.Standing(t.Process())
 		if t.Warmup > 0 {
 			m.spacing = f.list.WarmupInterval(service)
 		}
--- a/internal/stagebatch/former_test.go
+++ b/internal/stagebatch/former_test.go
@@ -40,6 +40,10 @@
 	others int
 	// fail is the error of the next calls.
 	fail []error
+	// connects is how long a call takes before its first byte, reached counts those that were
+	// sent.
+	connects time.Duration
+	reached  int
 	// room is what results may still take; results holds those that lie here.
 	room    int64
 	results map[string]int64
@@ -61,7 +65,7 @@
 const testResultBytes = 100 << 10
 
 // Run implements Worker.
-func (p *fakePool) Run(ctx context.Context, t targets.Target, items []Item) (Reply, error) {
+func (p *fakePool) Run(ctx context.Context, t targets.Target, items []Item, may func() bool) (Reply, error) {
 	p.mu.Lock()
 	h := p.hosts[t.Addr]
 	h.calls++
@@ -85,12 +89,20 @@
 	if len(h.fail) > 0 {
 		fail, h.fail = h.fail[0], h.fail[1:]
 	}
+	connects := h.connects
 	p.mu.Unlock()
 	defer func() {
 		p.mu.Lock()
 		h.running--
 		p.mu.Unlock()
 	}()
+	time.Sleep(connects)
+	if !may() {
+		return Reply{}, &CallError{NotRun: true, Withheld: true, Cause: errors.New("withheld")}
+	}
+	p.mu.Lock()
+	h.reached++
+	p.mu.Unlock()
 	if fail != nil {
 		time.Sleep(10 * time.Millisecond)
 		return Reply{}, fail
--- a/internal/stagebatch/leaving_test.go
+++ b/internal/stagebatch/leaving_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"topazmoor/internal/readiness"
 	"topazmoor/internal/targets"
 )
 
@@ -52,6 +53,55 @@
 	})
 }
 
+// A call that still connects when its target asks for rest, or says that it leaves, is not sent;
+// its pieces are made elsewhere, and have lost none of their tries.
+func TestCallIsWithheldWhenItsTargetSpeaksMeanwhile(t *testing.T) {
+	for _, n := range []readiness.Notice{{Leaving: true}, {Rest: 2 * time.Second}} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			p, list := newFakePool(2)
+			for i := range 2 {
+				p.host(i).connects = 100 * time.Millisecond
+			}
+			f := NewFormer(p, list, poolSpec, quiet)
+			go func() {
+				time.Sleep(50 * time.Millisecond)
+				for _, target := range list.Usable("pool") {
+					if p.host(0).calls+p.host(1).calls == 1 && p.hosts[target.Addr].calls == 1 {
+						list.Heard(target.Process(), targets.Answer{Notice: n, Rejected: true, Began: time.Now()})
+					}
+				}
+			}()
+			res, err := f.Produce(t.Context(), at("r", 2, 0, 5*time.Second), nil)
+			c.Assert(err, qt.IsNil)
+			c.Assert(res.Handles, qt.HasLen, 2)
+			c.Assert(p.host(0).calls+p.host(1).calls, qt.Equals, 2)
+			c.Assert(p.host(0).reached+p.host(1).reached, qt.Equals, 1)
+			time.Sleep(5 * time.Second)
+		})
+	}
+}
+
+// While all targets of a pool rest, nothing reaches them, and admission hears how long that lasts.
+func TestPoolThatRestsTellsForHowLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p, list := newFakePool(2)
+		f := NewFormer(p, list, poolSpec, quiet)
+		for _, target := range list.Usable("pool") {
+			list.Heard(target.Process(), targets.Answer{Notice: readiness.Notice{Rest: 3 * time.Second}, Rejected: true, Began: time.Now()})
+		}
+		var told Waits
+		started := time.Now()
+		_, err := f.Produce(t.Context(), at("r", 2, 0, 5*time.Second), func(w Waits) { told = w })
+		c.Assert(err, qt.IsNil)
+		// The rest, and the time of the pieces themselves.
+		c.Assert(told.Of(0) >= 3*time.Second && told.Of(0) < 3200*time.Millisecond, qt.IsTrue, qt.Commentf("%v", told.Of(0)))
+		c.Assert(time.Since(started) >= 3*time.Second, qt.IsTrue)
+		time.Sleep(5 * time.Second)
+	})
+}
+
 // A cold stage target is called no more often than it bears.
 func TestColdStageTargetIsSpared(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"topazmoor/internal/mechanism"
+	"topazmoor/internal/readiness"
 	"topazmoor/internal/routes"
 	"topazmoor/internal/targets"
 )
@@ -61,6 +62,10 @@
 // maker is what the former knows of one target of its pool.
 type maker struct {
 	targets.Target
+	// standing is what the target said of whether it takes work, opens when it may next be
+	// called if it rests.
+	standing readiness.Standing
+	opens    time.Time
 	// calls is the number of this node's calls there.
 	calls int
 	// pausedUntil sets the target aside after it rejected or failed a call.
@@ -182,7 +187,7 @@
 
 // free reports whether the target may be given a call now.
 func (m *maker) free(spec *routes.Batch, now time.Time) bool {
-	return m.calls < max(spec.Slots, 1) && !now.Before(m.pausedUntil) && now.Sub(m.lastCall) >= m.spacing
+	return m.standing < readiness.Resting && m.calls < max(spec.Slots, 1) && !now.Before(m.pausedUntil) && now.Sub(m.lastCall) >= m.spacing
 }
 
 // slower returns how many times slower than the fastest of a pool's targets this one is; 1
--- a/internal/stagebatch/room.go
+++ b/internal/stagebatch/room.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"topazmoor/internal/readiness"
 	"topazmoor/internal/routes"
 )
 
@@ -19,7 +20,7 @@
 // nothing. The lock is held.
 func (f *Former) askDoubtful(service string, p *pool, spec *routes.Batch, now time.Time) {
 	for _, m := range p.makers {
-		if !m.doubtful(spec, now) {
+		if m.standing >= readiness.Resting || !m.doubtful(spec, now) {
 			continue
 		}
 		m.asking = true
@@ -73,6 +74,11 @@
 // freeNow makes the call that frees results. Their room is counted as free
 // once the maker has answered.
 func (f *Former) freeNow(service, addr string) {
+	if wait := f.list.RestAt(addr); wait > 0 {
+		// It wants nothing now; what is gathered meanwhile goes with it.
+		time.AfterFunc(wait, func() { f.freeNow(service, addr) })
+		return
+	}
 	f.mu.Lock()
 	handles := f.freeing[addr]
 	delete(f.freeing, addr)
--- a/internal/stagebatch/router_test.go
+++ b/internal/stagebatch/router_test.go
@@ -52,7 +52,7 @@
 // instant is a Worker whose calls take the time of the specification.
 type instant struct{}
 
-func (instant) Run(ctx context.Context, t targets.Target, items []Item) (Reply, error) {
+func (instant) Run(ctx context.Context, t targets.Target, items []Item, may func() bool) (Reply, error) {
 	time.Sleep(200 * time.Millisecond)
 	out := make([]ItemResult, len(items))
 	for i, it := range items {
--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -110,9 +110,10 @@
 }
 
 // CallError is a call without results. NotRun says that the target rejected it
-// or was never reached, Moved that another process has the address.
+// or was never reached, Moved that another process has the address, Withheld that it was not to
+// be sent any more when its turn came.
 type CallError struct {
-	NotRun, Unreachable, Moved bool
+	NotRun, Unreachable, Moved, Withheld bool
 	// Notice is what the target said with a rejection.
 	Notice readiness.Notice
 	Cause  error
@@ -137,8 +138,9 @@
 
 // Worker makes calls at stage targets; platform/ has the real one.
 type Worker interface {
-	// Run makes one call. It fails with *CallError.
-	Run(ctx context.Context, t targets.Target, items []Item) (Reply, error)
+	// Run makes one call. may is asked just before its first byte is sent; where it reports
+	// false nothing is. It fails with *CallError.
+	Run(ctx context.Context, t targets.Target, items []Item, may func() bool) (Reply, error)
 	// Free gives up results at their maker.
 	Free(ctx context.Context, addr string, handles []string) error
 	// Room returns how many bytes of results a target can still take at the most; targets
--- a/internal/targets/engine.go
+++ b/internal/targets/engine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"topazmoor/internal/mechanism"
+	"topazmoor/internal/readiness"
 	"topazmoor/internal/routing"
 )
 
@@ -38,11 +39,11 @@
 
 // keepers returns the listed engines in good health that this node saw read the beginning
 // of a prompt, those that read most of it first. Draining ones are among them: they hand
-// out copies, but get no requests. Those of a drained data centre do neither.
+// out copies, but get no requests. Those of a drained data centre, and those at rest, do neither.
 func (t *Table) keepers(q *EngineQuery, now time.Time) []keeper {
 	var out []keeper
 	for _, k := range t.prompts.Kept(q.Prompt) {
-		if s := t.byProcess[k.Engine]; s != nil && !s.moved && !s.drained && s.vanishes.IsZero() && !s.breaker.Down(now) {
+		if s := t.byProcess[k.Engine]; s != nil && !s.moved && !s.drained && s.vanishes.IsZero() && s.ready.Standing(now) != readiness.Resting && !s.breaker.Down(now) {
 			out = append(out, keeper{s, k.Tokens})
 		}
 	}
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -8,6 +8,7 @@
 	"topazmoor/internal/flow"
 	"topazmoor/internal/mechanism"
 	"topazmoor/internal/promptcache"
+	"topazmoor/internal/readiness"
 )
 
 // Query describes one call that needs a target.
@@ -19,6 +20,9 @@
 	Engine *EngineQuery
 	// Alone asks for the target with the least to lose: the call may end it.
 	Alone bool
+	// Again says that the request was sent before: it does not serve to try a target that
+	// asked for rest.
+	Again bool
 }
 
 // EngineQuery is what matters for the choice of a model engine.
@@ -63,6 +67,8 @@
 	prompt   []promptcache.Prefix
 	// Basis is what decided the choice.
 	Basis Basis
+	// began is when the target was chosen.
+	began time.Time
 }
 
 // Basis is what was believed of a target when it was chosen.
@@ -108,7 +114,7 @@
 	if len(cands) == 0 {
 		return nil
 	}
-	l := &Lease{t: t}
+	l := &Lease{t: t, began: now}
 	switch {
 	case q.Alone:
 		l.s = leastBusy(cands, now)
@@ -130,6 +136,7 @@
 		l.Basis.LoadAge = now.Sub(l.s.loadAt)
 	}
 	l.s.breaker.Start()
+	l.s.ready.Begin(now)
 	l.s.warmup.take(now)
 	l.s.inFlight++
 	l.s.pending += l.tokens
@@ -144,7 +151,11 @@
 		if !s.usable(now) || slices.Contains(q.Exclude, s.ID) {
 			continue
 		}
-		if s.breaker.Down(now) {
+		standing := s.ready.Standing(now)
+		if standing == readiness.Resting {
+			continue
+		}
+		if s.breaker.Down(now) || q.spares(standing) {
 			others = append(others, s)
 			continue
 		}
@@ -156,6 +167,13 @@
 	return others
 }
 
+// spares reports whether a target of a standing is called only where there is no other.
+// A request that is turned away by the trial of one target would else meet that of the next,
+// and use up what it may be sent.
+func (q Query) spares(s readiness.Standing) bool {
+	return s == readiness.OnTrial && (q.Again || q.Alone)
+}
+
 // calls estimates all calls at a target: its last word, corrected by what this
 // node sent and got back since.
 func (s *state) calls(now time.Time) int {
@@ -231,6 +249,7 @@
 	l.t.mu.Lock()
 	defer l.t.mu.Unlock()
 	s := l.s
+	s.ready.Lost(l.began)
 	s.inFlight--
 	s.pending -= l.tokens
 	now := l.t.now()
--- /dev/null
+++ b/internal/targets/said_test.go
@@ -0,0 +1,95 @@
+package targets
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"topazmoor/internal/readiness"
+)
+
+// What a process said of itself holds whatever lists say later, also where its entry was away for
+// a while; another process, at its address or under its ID, inherits nothing.
+func TestWordOfATargetGoesBeforeItsList(t *testing.T) {
+	c := qt.New(t)
+	e := engine(1, "dc1")
+	e.Born = 1000
+	tb, now := newTable(e)
+	l := tb.Pick(Query{Service: "engines"})
+	c.Assert(l.Heard(readiness.Notice{Leaving: true}, false), qt.Equals, readiness.BeganToLeave)
+	l.Done(Served, 0)
+	c.Assert(l.MaySend(), qt.IsFalse)
+	for range 3 {
+		now.at = now.at.Add(5 * time.Second)
+		tb.Update([]Target{e}, time.Time{})
+		c.Assert(tb.Pick(Query{Service: "engines"}), qt.IsNil)
+		c.Assert(tb.Usable("engines"), qt.HasLen, 0)
+		tb.Update(nil, time.Time{})
+	}
+	_, ok := tb.Opens("engines")
+	c.Assert(ok, qt.IsFalse)
+
+	again := e
+	again.Born = 2000
+	other := engine(2, "dc1")
+	other.Addr = e.Addr
+	tb.Update([]Target{again, other}, time.Time{})
+	c.Assert(tb.Usable("engines"), qt.HasLen, 2)
+}
+
+// The words of processes that are gone are forgotten.
+func TestWordsOfProcessesThatAreGoneAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	tb, now := newTable(engines(3)...)
+	tb.Heard(engine(0, "dc1").Process(), Answer{Notice: readiness.Notice{Leaving: true}})
+	tb.Update(nil, time.Time{})
+	c.Assert(tb.said, qt.HasLen, 1)
+	now.at = now.at.Add(saidLife + time.Second)
+	tb.Update(nil, time.Time{})
+	c.Assert(tb.said, qt.HasLen, 0)
+}
+
+// Targets at rest get nothing, those whose rest is over one call until they take it. Requests
+// that were turned away before don't serve as that call.
+func TestTargetsAtRestAreLeftAlone(t *testing.T) {
+	c := qt.New(t)
+	tb, now := newTable(engines(2)...)
+	for range 2 {
+		l := tb.Pick(Query{Service: "engines"})
+		l.Heard(readiness.Notice{Rest: 3 * time.Second}, true)
+		l.Done(Busy, 0)
+		now.at = now.at.Add(time.Second)
+	}
+	c.Assert(tb.Pick(Query{Service: "engines"}), qt.IsNil)
+	at, ok := tb.Opens("engines")
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(at.Sub(now.at), qt.Equals, time.Second)
+	now.at = at
+	trial := tb.Pick(Query{Service: "engines"})
+	c.Assert(trial, qt.IsNotNil)
+	c.Assert(trial.MaySend(), qt.IsTrue)
+	c.Assert(tb.Pick(Query{Service: "engines"}), qt.IsNil)
+	trial.Heard(readiness.Notice{}, false)
+	trial.Done(Served, 0)
+	now.at = now.at.Add(2 * time.Second)
+	for range 5 {
+		l := tb.Pick(Query{Service: "engines", Again: true})
+		c.Assert(l.ID, qt.Equals, trial.ID)
+		l.Done(Abandoned, 0)
+	}
+	c.Assert(tb.RestAt(trial.Addr), qt.Equals, time.Duration(0))
+}
+
+// A call that was chosen before its target spoke is not sent after.
+func TestChoiceIsLookedAtAgainAtTheSend(t *testing.T) {
+	c := qt.New(t)
+	for _, n := range []readiness.Notice{{Leaving: true}, {Rest: time.Second}} {
+		tb, _ := newTable(engines(1)...)
+		waits, speaks := tb.Pick(Query{Service: "engines"}), tb.Pick(Query{Service: "engines"})
+		c.Assert(waits.MaySend(), qt.IsTrue)
+		speaks.Heard(n, true)
+		c.Assert(waits.MaySend(), qt.IsFalse)
+		c.Assert(tb.MaySend(waits.Process(), waits.began), qt.IsFalse)
+	}
+}
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -13,6 +13,7 @@
 	"topazmoor/internal/flow"
 	"topazmoor/internal/mechanism"
 	"topazmoor/internal/promptcache"
+	"topazmoor/internal/readiness"
 	"topazmoor/internal/routing"
 )
 
@@ -53,6 +54,8 @@
 	hash uint64
 	// process names this start of the target's process.
 	process string
+	// ready is what the process said of itself.
+	ready *readiness.State
 	// drained is set while the data centre is drained.
 	drained bool
 	// warmup bounds the calls while the target is cold.
@@ -101,6 +104,9 @@
 	services map[string][]*state
 	// byProcess has the targets by the start of their processes, byAddr by their addresses.
 	byProcess, byAddr map[string]*state
+	// said has what processes said of themselves, by process; those that left the list are
+	// remembered for a while.
+	said map[string]*said
 	// drained are the data centres that get no work.
 	drained map[string]bool
 	nodes   nodes
@@ -115,6 +121,7 @@
 func New(dataCentre string) *Table {
 	return &Table{
 		DataCentre: dataCentre, byID: make(map[string]*state), services: make(map[string][]*state), byProcess: make(map[string]*state), byAddr: make(map[string]*state),
+		said:    make(map[string]*said),
 		prompts: promptcache.New(promptMemory), now: time.Now,
 	}
 }
@@ -161,6 +168,7 @@
 		gone = append(gone, s.Addr)
 	}
 	t.index()
+	t.forgetSaid(now)
 	return changes, gone
 }
 
@@ -180,6 +188,7 @@
 	}
 	if s == nil {
 		s = &state{Target: target, hash: xxhash.Sum64String(target.ID), process: target.Process(), drained: t.drained[target.DataCentre]}
+		s.ready = t.saidBy(s.process, now)
 		s.warmup.told(target.Warmup, now)
 		t.byID[target.ID] = s
 		return change(s, what), true
@@ -192,7 +201,14 @@
 	if s.Born != 0 && target.Born == 0 {
 		target.Born = s.Born
 	}
-	s.Target, s.process = target, target.Process()
+	if p := target.Process(); p != s.process {
+		// The list has only now told when the process started.
+		t.said[p] = t.said[s.process]
+		delete(t.said, s.process)
+		s.process = p
+	}
+	s.Target = target
+	t.said[s.process].listed = now
 	s.drained = t.drained[target.DataCentre]
 	s.vanishes = time.Time{}
 	if turnsCold && !drains {
@@ -228,9 +244,9 @@
 // superseded reports whether another target may be at the address by now.
 func (s *state) superseded() bool { return s.moved || !s.vanishes.IsZero() }
 
-// usable reports whether a target may be sent work now.
+// usable reports whether a target may be sent work, now or after a rest.
 func (s *state) usable(now time.Time) bool {
-	if s.Draining || s.moved || s.drained {
+	if s.Draining || s.moved || s.drained || s.ready.Standing(now) == readiness.Leaving {
 		return false
 	}
 	return s.vanishes.IsZero() || now.Before(s.vanishes)
@@ -258,15 +274,15 @@
 	return out
 }
 
-// MayCall reports whether a target may be sent work at this moment.
+// MayCall reports whether a target may be sent work at this moment, were it chosen now.
 func (t *Table) MayCall(id string) bool {
 	if !t.trusted() {
 		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.byID[id]
-	return s != nil && s.usable(t.now())
+	s, now := t.byID[id], t.now()
+	return s != nil && s.usable(now) && s.ready.Standing(now) != readiness.Resting
 }
 
 // DataCentreOf returns where the target at an address stands; "" for unknown.
