--- a/internal/stagebatch/calls.go
+++ b/internal/stagebatch/calls.go
@@ -235,11 +235,8 @@
 	var ce *CallError
 	c.m.soundAt = time.Time{}
 	pause := failPause << min(c.m.failures, 4)
-	if errors.As(err, &ce) && ce.Withheld {
-		pause = 0
-	}
 	if errors.As(err, &ce) && ce.NotRun && !ce.Unreachable && !ce.Moved {
-		pause = min(pause, busyPause)
+		pause = busyPause
 		for _, p := range c.batch {
 			p.attempts--
 		}
