Compare versions of the store by era first, then number, in one type

Cause: versions were taken for rising for ever; a store that comes back from a copy of itself gives numbers out again, so that copies would stay where they were, merge changes of two histories, and conditions would hold for another write. Copies of another era are read whole, late answers of an earlier one dropped, directly or through a neighbour; news and positions between nodes carry the era; a condition of an earlier era does not hold, and one that was on its way when the era changed has an unknown outcome.

--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -62,7 +62,7 @@
 
 // sighting is when a row version was first seen.
 type sighting struct {
-	row int64
+	row store.Version
 	at  time.Time
 }
 
--- a/internal/batch/store.go
+++ b/internal/batch/store.go
@@ -85,7 +85,7 @@
 // version is a batch with the version of its row.
 type version struct {
 	Batch
-	row int64
+	row store.Version
 }
 
 func inputKey(id string) string { return "batch/" + id + "/input" }
@@ -118,7 +118,7 @@
 	if err := s.store.Put(ctx, inputKey(b.ID), body); err != nil {
 		return Batch{}, err
 	}
-	err = s.write(ctx, b, 0)
+	err = s.write(ctx, b, store.Version{})
 	var conflict *store.ConflictError
 	if errors.As(err, &conflict) {
 		old, err := s.get(ctx, b.ID)
@@ -141,7 +141,7 @@
 }
 
 // write replaces the row if it still has the version.
-func (s *Store) write(ctx context.Context, b Batch, row int64) error {
+func (s *Store) write(ctx context.Context, b Batch, row store.Version) error {
 	value, err := json.Marshal(b)
 	if err != nil {
 		return eris.Wrap(err, "encode batch")
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -61,17 +61,17 @@
 	return rev, err
 }
 
-func (s *Store) head(ctx context.Context) (revision, rowVersion int64, err error) {
+func (s *Store) head(ctx context.Context) (revision int64, at store.Version, err error) {
 	row, err := s.tables.Get(ctx, metaTable, headKey)
 	if errors.Is(err, store.ErrNotFound) {
-		return 0, 0, nil
+		return 0, store.Version{}, nil
 	}
 	if err != nil {
-		return 0, 0, err
+		return 0, store.Version{}, err
 	}
 	var h head
 	if err := json.Unmarshal(row.Value, &h); err != nil {
-		return 0, 0, eris.Wrap(err, "decode head")
+		return 0, store.Version{}, eris.Wrap(err, "decode head")
 	}
 	return h.Revision, row.Version, nil
 }
@@ -187,7 +187,7 @@
 }
 
 // transaction writes the change row first: its value is unique by the ID.
-func transaction(c catalog.Change, headVersion int64) (store.Tx, error) {
+func transaction(c catalog.Change, headVersion store.Version) (store.Tx, error) {
 	record, err := json.Marshal(c)
 	if err != nil {
 		return store.Tx{}, eris.Wrap(err, "encode change")
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -46,7 +46,7 @@
 	writes map[string]int
 }
 
-func (t tracked) Commit(ctx context.Context, tx store.Tx) (int64, error) {
+func (t tracked) Commit(ctx context.Context, tx store.Tx) (store.Version, error) {
 	v, err := t.Gate.Commit(ctx, tx)
 	if err == nil {
 		t.mu.Lock()
--- a/internal/control/shard.go
+++ b/internal/control/shard.go
@@ -69,8 +69,8 @@
 	Log    *slog.Logger
 
 	cur     row
-	version int64
-	seen    int64
+	version store.Version
+	seen    store.Version
 	seenAt  time.Time
 	owned   bool
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -77,7 +77,7 @@
 type Unreadable struct {
 	Key string
 	// Revision is the version of the row.
-	Revision int64
+	Revision store.Version
 	Err      error
 }
 
--- a/internal/entry/unreadable.go
+++ b/internal/entry/unreadable.go
@@ -3,20 +3,21 @@
 import (
 	"log/slog"
 	"sync"
+	"topazmoor/internal/store"
 )
 
 // unreadable keeps which entries of targets were left out, so that each is logged once.
 type unreadable struct {
 	mu sync.Mutex
 	// seen has the revisions of the entries by their keys.
-	seen map[string]int64
+	seen map[string]store.Version
 }
 
 // note takes in the entries that were left out of the list as it is now.
 func (u *unreadable) note(bad []Unreadable, log *slog.Logger) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	next := make(map[string]int64, len(bad))
+	next := make(map[string]store.Version, len(bad))
 	for _, e := range bad {
 		next[e.Key] = e.Revision
 		if before, ok := u.seen[e.Key]; !ok || before != e.Revision {
--- a/internal/entry/versions.go
+++ b/internal/entry/versions.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"topazmoor/internal/store"
@@ -17,50 +17,57 @@
 // end; it would be noticed only when its waiting time is over. It implements peer.Versions.
 type versions struct {
 	n *Node
+
+	mu sync.Mutex
 	// mine is the newest version of a row that this process ever saw there.
-	mine atomic.Int64
+	mine store.Version
 	// waiting says that a look at the newest version heard of is on its way.
-	waiting atomic.Bool
-	newest  atomic.Int64
+	waiting bool
+	newest  store.Version
 	// asked is the newest version that the store was asked for again: once is enough,
 	// as that takes a new call.
-	asked atomic.Int64
+	asked store.Version
 }
 
 // Mine implements peer.Versions.
-func (v *versions) Mine() int64 { return v.mine.Load() }
+func (v *versions) Mine() store.Version {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.mine
+}
 
-// saw takes in the operator's table. Only Apply of its watch calls it, one at a time.
+// saw takes in the operator's table.
 func (v *versions) saw(rows map[string]store.Row) {
-	newest := v.mine.Load()
+	v.mu.Lock()
+	defer v.mu.Unlock()
 	for _, r := range rows {
-		newest = max(newest, r.Version)
+		v.mine = v.mine.Max(r.Version)
 	}
-	v.mine.Store(newest)
 }
 
 // Heard implements peer.Versions.
-func (v *versions) Heard(version int64) {
-	for {
-		newest := v.newest.Load()
-		if version <= newest || v.newest.CompareAndSwap(newest, version) {
-			break
-		}
-	}
-	if newest := v.newest.Load(); newest <= v.Mine() || newest == v.asked.Load() || !v.waiting.CompareAndSwap(false, true) {
+func (v *versions) Heard(version store.Version) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.newest = v.newest.Max(version)
+	if !v.mine.Before(v.newest) || v.newest == v.asked || v.waiting {
 		return
 	}
+	v.waiting = true
 	time.AfterFunc(hearsayPause, v.look)
 }
 
 // look asks the store again if this node still lacks what another one has.
 func (v *versions) look() {
-	v.waiting.Store(false)
-	newest, mine := v.newest.Load(), v.Mine()
-	if newest <= mine {
+	v.mu.Lock()
+	v.waiting = false
+	newest, mine := v.newest, v.mine
+	if !mine.Before(newest) {
+		v.mu.Unlock()
 		return
 	}
-	v.asked.Store(newest)
+	v.asked = newest
+	v.mu.Unlock()
 	v.n.log.Warn("another node has a newer row of the operator, asking the store again", "row_version", mine, "newer", newest)
 	v.n.config.Poke()
 }
--- a/internal/ledger/commit.go
+++ b/internal/ledger/commit.go
@@ -26,7 +26,7 @@
 	ctx     context.Context
 	claim   Claim
 	write   store.Write
-	version int64 // expected version of the row; 0 for none
+	version store.Version // expected version of the row; zero for none
 	until   time.Time
 	done    chan opResult
 }
--- a/internal/ledger/table.go
+++ b/internal/ledger/table.go
@@ -77,7 +77,7 @@
 // rowVersion is the version that an attempt's claim gave its row.
 type rowVersion struct {
 	attempt string
-	version int64
+	version store.Version
 }
 
 // versionsLimit bounds the versions held.
@@ -183,7 +183,7 @@
 
 // heldVersion returns the version of the row if the attempt still holds it
 // without an outcome.
-func (b *TableBook) heldVersion(ctx context.Context, c Claim) (version int64, held bool, err error) {
+func (b *TableBook) heldVersion(ctx context.Context, c Claim) (version store.Version, held bool, err error) {
 	b.mu.Lock()
 	v, ok := b.versions[c.rowKey()]
 	delete(b.versions, c.rowKey())
@@ -193,20 +193,20 @@
 	}
 	row, err := b.tables.Get(ctx, claimTable, c.rowKey())
 	if errors.Is(err, store.ErrNotFound) {
-		return 0, false, nil
+		return store.Version{}, false, nil
 	}
 	if err != nil {
-		return 0, false, err
+		return store.Version{}, false, err
 	}
 	rec, err := decodeRecord(row)
 	if err != nil {
-		return 0, false, err
+		return store.Version{}, false, err
 	}
 	return row.Version, rec.heldBy(c.Attempt), nil
 }
 
 // remember notes the versions of claims that a commit granted.
-func (b *TableBook) remember(group []*op, version int64) {
+func (b *TableBook) remember(group []*op, version store.Version) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.versions) >= versionsLimit {
--- a/internal/peer/follow.go
+++ b/internal/peer/follow.go
@@ -47,7 +47,7 @@
 	tables := make([]string, len(have))
 	for i, h := range have {
 		tables[i] = h.Table
-		ask.Have = append(ask.Have, &peerpb.Follow_Have{Table: h.Table, Version: h.Version})
+		ask.Have = append(ask.Have, &peerpb.Follow_Have{Table: h.Table, Era: h.Version.Era, Version: h.Version.Number})
 	}
 	if err := writeFrame(st, &peerpb.Request{Call: &peerpb.Request_Follow{Follow: ask}}); err != nil {
 		return eris.Wrap(err, "send to peer")
@@ -82,7 +82,7 @@
 	go cancelWhenLeft(st, cancel)
 	var have []relay.Have
 	for _, h := range m.Have {
-		have = append(have, relay.Have{Table: h.Table, Version: h.Version})
+		have = append(have, relay.Have{Table: h.Table, Version: store.Version{Era: h.Era, Number: h.Version}})
 	}
 	return s.h.Teller.Follow(ctx, have, func(t relay.Told) error {
 		msg, err := s.packer.toldTo(t)
@@ -116,7 +116,7 @@
 func (p *packer) toldTo(t relay.Told) (*peerpb.Told, error) {
 	out := &peerpb.Told{Away: t.Away, AgeMs: t.Age.Milliseconds()}
 	for _, table := range t.Tables {
-		m := &peerpb.TableTold{Version: table.Position.Version, Sum: table.Position.Sum}
+		m := &peerpb.TableTold{Era: table.Position.Version.Era, Version: table.Position.Version.Number, Sum: table.Position.Sum}
 		if table.News != nil {
 			var err error
 			if m.News, err = p.newsTo(table.News); err != nil {
@@ -129,7 +129,7 @@
 }
 
 func (p *packer) newsTo(n *watch.News) (*peerpb.News, error) {
-	out := &peerpb.News{Since: n.Since, Version: n.Version, Whole: n.Whole, Deleted: n.Deleted}
+	out := &peerpb.News{Since: n.Since.Number, Era: n.Version.Era, Version: n.Version.Number, Whole: n.Whole, Deleted: n.Deleted}
 	if !n.Whole {
 		out.Row = rowsTo(n.Rows)
 		return out, nil
@@ -142,7 +142,7 @@
 func rowsTo(rows []store.Row) []*peerpb.Row {
 	out := make([]*peerpb.Row, len(rows))
 	for i, r := range rows {
-		out[i] = &peerpb.Row{Key: r.Key, Value: r.Value, Version: r.Version}
+		out[i] = &peerpb.Row{Key: r.Key, Value: r.Value, Version: r.Version.Number}
 	}
 	return out
 }
@@ -180,7 +180,7 @@
 	}
 	out := relay.Told{Away: m.Away, Age: time.Duration(m.AgeMs) * time.Millisecond}
 	for i, table := range m.Table {
-		told := relay.TableTold{Position: watch.Position{Version: table.Version, Sum: table.Sum}}
+		told := relay.TableTold{Position: watch.Position{Version: store.Version{Era: table.Era, Number: table.Version}, Sum: table.Sum}}
 		if table.News != nil {
 			news, err := newsFrom(table.News, tables[i])
 			if err != nil {
@@ -206,9 +206,10 @@
 		}
 		rows = whole.Row
 	}
-	out := &watch.News{Since: m.Since, Version: m.Version, Whole: m.Whole, Deleted: m.Deleted}
+	at := func(number int64) store.Version { return store.Version{Era: m.Era, Number: number} }
+	out := &watch.News{Since: at(m.Since), Version: at(m.Version), Whole: m.Whole, Deleted: m.Deleted}
 	for _, r := range rows {
-		out.Rows = append(out.Rows, store.Row{Table: table, Key: r.Key, Value: r.Value, Version: r.Version})
+		out.Rows = append(out.Rows, store.Row{Table: table, Key: r.Key, Value: r.Value, Version: at(r.Version)})
 	}
 	return out, nil
 }
--- a/internal/peer/stages.go
+++ b/internal/peer/stages.go
@@ -11,6 +11,7 @@
 
 	"topazmoor/internal/peer/peerpb"
 	"topazmoor/internal/stagebatch"
+	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
 )
 
@@ -28,16 +29,16 @@
 // and answer anyway.
 type Versions interface {
 	// Mine returns the version in force at this node.
-	Mine() int64
+	Mine() store.Version
 	// Heard takes in the version in force at another node.
-	Heard(version int64)
+	Heard(v store.Version)
 }
 
 // unversioned is for nodes that tell nothing of their configuration with orders.
 type unversioned struct{}
 
-func (unversioned) Mine() int64 { return 0 }
-func (unversioned) Heard(int64) {}
+func (unversioned) Mine() store.Version { return store.Version{} }
+func (unversioned) Heard(store.Version) {}
 
 // failures are the errors of orders in the order of their numbers on the wire;
 // 0 is success.
@@ -116,7 +117,8 @@
 	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	msg := orderTo(o, time.Now())
-	msg.ConfigVersion = c.versions.Mine()
+	mine := c.versions.Mine()
+	msg.ConfigEra, msg.ConfigVersion = mine.Era, mine.Number
 	if err := writeFrame(st, &peerpb.Request{Call: &peerpb.Request_Produce{Produce: msg}}); err != nil {
 		return stagebatch.Result{}, eris.Wrap(err, "send to peer")
 	}
@@ -153,7 +155,7 @@
 			return resp, nil
 		}
 		accepted(waitsFrom(a))
-		c.versions.Heard(a.ConfigVersion)
+		c.versions.Heard(store.Version{Era: a.ConfigEra, Number: a.ConfigVersion})
 		if a.InputsRead {
 			inputsRead()
 		}
@@ -201,10 +203,11 @@
 		res, err := s.h.Stages.Produce(ctx, o, func(stagebatch.Waits) { accepted <- struct{}{} })
 		done <- produced{res, err}
 	}()
-	s.h.Versions.Heard(m.ConfigVersion)
+	s.h.Versions.Heard(store.Version{Era: m.ConfigEra, Number: m.ConfigVersion})
 	state := func() *peerpb.Accepted {
 		a := acceptedTo(s.h.Stages.Waits(m.Service))
-		a.ConfigVersion = s.h.Versions.Mine()
+		mine := s.h.Versions.Mine()
+		a.ConfigEra, a.ConfigVersion = mine.Era, mine.Number
 		return a
 	}
 	p := awaitOrder(ctx, st, state, accepted, read, done)
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -83,7 +83,7 @@
 // seen is a record of the store and since when this node has had it.
 type seen struct {
 	Record
-	version int64
+	version store.Version
 	since   time.Time
 }
 
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -54,9 +54,9 @@
 	p.cut = cut
 }
 
-func (p *path) Commit(ctx context.Context, tx store.Tx) (int64, error) {
+func (p *path) Commit(ctx context.Context, tx store.Tx) (store.Version, error) {
 	if p.isCut() {
-		return 0, store.ErrUnavailable
+		return store.Version{}, store.ErrUnavailable
 	}
 	return p.Store.Commit(ctx, tx)
 }
@@ -75,7 +75,7 @@
 	return p.watched.Snapshot(ctx, table)
 }
 
-func (p *path) Changes(ctx context.Context, table string, after int64, wait time.Duration) (store.Changes, error) {
+func (p *path) Changes(ctx context.Context, table string, after store.Version, wait time.Duration) (store.Changes, error) {
 	if p.isCut() {
 		return store.Changes{}, store.ErrUnavailable
 	}
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -291,7 +291,7 @@
 }
 
 // rows is the transaction that changes a request's rows.
-func rows(d Digest, version int64, c change) store.Tx {
+func rows(d Digest, version store.Version, c change) store.Tx {
 	key := d.String()
 	tx := store.Tx{Conditions: []store.Condition{{Table: crashTable, Key: key, Version: version}}}
 	if c.remove {
@@ -368,10 +368,10 @@
 
 // sinceChange is for how long the store's record has been as it is: as long as this node has
 // seen it so, which is not at all where it is another one.
-func (g *Guard) sinceChange(d Digest, version int64, unchanged time.Duration) time.Duration {
+func (g *Guard) sinceChange(d Digest, version store.Version, unchanged time.Duration) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.fleet[d].version < version {
+	if g.fleet[d].version.Before(version) {
 		// The quarantine's row is written in the same transaction.
 		return 0
 	}
--- a/internal/poison/sweep.go
+++ b/internal/poison/sweep.go
@@ -35,8 +35,8 @@
 }
 
 // versions returns the rows of all requests under which a target ended, by key.
-func (g *Guard) versions(ctx context.Context) (map[string]int64, error) {
-	out := make(map[string]int64)
+func (g *Guard) versions(ctx context.Context) (map[string]store.Version, error) {
+	out := make(map[string]store.Version)
 	for after := ""; ; {
 		page, err := g.cfg.Store.Scan(ctx, crashTable, "", after, sweepPage)
 		if err != nil {
@@ -56,7 +56,7 @@
 const sweepPage = 500
 
 // removeOld removes the rows that are still as they were.
-func (g *Guard) removeOld(ctx context.Context, before map[string]int64) {
+func (g *Guard) removeOld(ctx context.Context, before map[string]store.Version) {
 	now, err := g.versions(ctx)
 	if err != nil {
 		g.cfg.Log.Info("old records of requests not removed", "err", err)
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -285,7 +285,7 @@
 	for i, t := range f.Tables {
 		out[i] = Have{Table: t.Name, Version: t.Copy().Position().Version}
 		if f.whole || t.Copy().Rows() == nil {
-			out[i].Version = -1
+			out[i].Version = Nothing
 		}
 	}
 	f.whole = false
@@ -312,7 +312,7 @@
 	if len(t.Tables) != len(s.f.Tables) {
 		return ErrEmpty
 	}
-	if t.Tables[0].Position.Version != 0 && !t.Away && t.Age <= maxAge {
+	if !t.Tables[0].Position.Version.IsZero() && !t.Away && t.Age <= maxAge {
 		// Before the rows: some may be missing shortly after the store's return.
 		s.heard(now.Add(-t.Age))
 	}
@@ -320,7 +320,7 @@
 	if err := s.copy(t); err != nil {
 		return err
 	}
-	if t.Tables[0].Position.Version == 0 {
+	if t.Tables[0].Position.Version.IsZero() {
 		return s.empty(now)
 	}
 	if t.Away || t.Age > maxAge {
@@ -387,16 +387,16 @@
 func (s *session) copy(t Told) error {
 	for i, table := range s.f.Tables {
 		theirs := t.Tables[i]
-		if theirs.Position.Version == 0 {
+		if theirs.Position.Version.IsZero() {
 			continue
 		}
 		if theirs.News != nil {
 			if err := table.Take(*theirs.News); err != nil {
-				return eris.Wrapf(err, "table %s at version %d", table.Name, theirs.Position.Version)
+				return eris.Wrapf(err, "table %s at version %s", table.Name, theirs.Position.Version)
 			}
 		}
 		if err := table.Compare(theirs.Position); err != nil {
-			return eris.Wrapf(err, "table %s at version %d", table.Name, theirs.Position.Version)
+			return eris.Wrapf(err, "table %s at version %s", table.Name, theirs.Position.Version)
 		}
 	}
 	return nil
@@ -406,7 +406,7 @@
 // table tells: the version of a copy rises with each answer of the store, and the others'
 // calls wait long for one.
 func (s *session) keepsUp(t Told, now time.Time) error {
-	if t.Tables[0].Position.Version >= s.f.Tables[0].Copy().Position().Version {
+	if !t.Tables[0].Position.Version.Before(s.f.Tables[0].Copy().Position().Version) {
 		s.behind = time.Time{}
 		return nil
 	}
--- a/internal/relay/follower_test.go
+++ b/internal/relay/follower_test.go
@@ -71,10 +71,11 @@
 
 // tellerWith is what a node with a copy at a version says of one table.
 func tellerWith(version int64, age time.Duration) Told {
-	row := store.Row{Key: "a", Version: version}
+	at := store.Version{Number: version}
+	row := store.Row{Key: "a", Version: at}
 	var copied watch.Table
 	copied.Apply = func(watch.View) {}
-	news := &watch.News{Whole: true, Version: version, Rows: []store.Row{row}}
+	news := &watch.News{Whole: true, Version: at, Rows: []store.Row{row}}
 	if err := copied.Take(*news); err != nil {
 		panic(err)
 	}
@@ -133,10 +134,10 @@
 	says := map[string]Told{"0": tellerWith(9, 0), "1": tellerWith(20, 0)}
 	following(t, says, func(r *scripted, table *watch.Table, ranked []Node) {
 		time.Sleep(time.Second)
-		qt.Assert(t, table.Copy().Position().Version, qt.Equals, int64(9))
+		qt.Assert(t, table.Copy().Position().Version.Number, qt.Equals, int64(9))
 		r.set(ranked[0].Addr, tellerWith(7, 0))
 		time.Sleep(behindPatience + 2*beat)
-		qt.Assert(t, table.Copy().Position().Version, qt.Equals, int64(20))
+		qt.Assert(t, table.Copy().Position().Version.Number, qt.Equals, int64(20))
 	})
 }
 
@@ -147,7 +148,7 @@
 	following(t, map[string]Told{"0": wrong, "1": tellerWith(20, 0)}, func(r *scripted, table *watch.Table, ranked []Node) {
 		time.Sleep(4 * time.Second)
 		qt.Check(t, r.askedAt(ranked[0].Addr) <= 4, qt.IsTrue, qt.Commentf("asked %d times", r.askedAt(ranked[0].Addr)))
-		qt.Check(t, table.Copy().Position().Version, qt.Equals, int64(20))
+		qt.Check(t, table.Copy().Position().Version.Number, qt.Equals, int64(20))
 	})
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"topazmoor/internal/routing"
+	"topazmoor/internal/store"
 	"topazmoor/internal/watch"
 )
 
@@ -27,12 +28,15 @@
 	Memory int64
 }
 
-// Have is how far the asking node's copy of a table is; Version -1 asks for the whole table.
+// Have is how far the asking node's copy of a table is; Nothing asks for the whole table.
 type Have struct {
 	Table   string
-	Version int64
+	Version store.Version
 }
 
+// Nothing is the version of a copy that lacks all rows.
+var Nothing = store.Version{Number: -1}
+
 // Told is one message of a node that is followed.
 type Told struct {
 	// Away says that the store does not answer that node.
--- a/internal/relay/teller.go
+++ b/internal/relay/teller.go
@@ -132,7 +132,7 @@
 			continue
 		}
 		told.Tables[i].News, told.Tables[i].Position = table.Copy().Since(have[i].Version)
-		have[i].Version = max(have[i].Version, told.Tables[i].Position.Version)
+		have[i].Version = have[i].Version.Max(told.Tables[i].Position.Version)
 	}
 	return told
 }
--- a/internal/stagebatch/leaving_test.go
+++ b/internal/stagebatch/leaving_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"topazmoor/internal/readiness"
+	"topazmoor/internal/store"
 	"topazmoor/internal/targets"
 )
 
@@ -109,7 +110,7 @@
 		p, list := newFakePool(1)
 		list.WarmupRate = func(string) float64 { return 0.5 }
 		cold := list.Usable("pool")[0]
-		cold.Warmup, cold.Revision = 10*time.Second, 2
+		cold.Warmup, cold.Revision = 10*time.Second, store.Version{Number: 2}
 		list.Update([]targets.Target{cold}, time.Time{})
 		f := NewFormer(p, list, poolSpec, quiet)
 		for i := range 40 {
--- a/internal/standin/gate.go
+++ b/internal/standin/gate.go
@@ -62,13 +62,13 @@
 
 // Commit implements store.Tables. A node that is cut off during the commit
 // does not get its answer.
-func (g *Gate) Commit(ctx context.Context, tx store.Tx) (int64, error) {
+func (g *Gate) Commit(ctx context.Context, tx store.Tx) (store.Version, error) {
 	if err := g.wait(); err != nil {
-		return 0, err
+		return store.Version{}, err
 	}
 	v, err := g.inner.Commit(ctx, tx)
 	if g.wait() != nil {
-		return 0, store.ErrUnknown
+		return store.Version{}, store.ErrUnknown
 	}
 	return v, err
 }
@@ -98,7 +98,7 @@
 }
 
 // Changes implements store.Watchable.
-func (g *Gate) Changes(ctx context.Context, table string, after int64, wait time.Duration) (store.Changes, error) {
+func (g *Gate) Changes(ctx context.Context, table string, after store.Version, wait time.Duration) (store.Changes, error) {
 	if err := g.wait(); err != nil {
 		return store.Changes{}, err
 	}
--- a/internal/store/memory.go
+++ b/internal/store/memory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -44,12 +45,12 @@
 	tables  map[string]map[string]Row
 	objects map[string][]byte
 	// deleted holds the version at which rows were deleted.
-	deleted map[rowID]int64
+	deleted map[rowID]Version
 	// compacted is the version up to which changes are forgotten.
-	compacted int64
+	compacted Version
 	// changed is closed at the next change.
 	changed chan struct{}
-	version int64
+	version Version
 	faults  Faults
 	counts  Counts
 }
@@ -59,7 +60,7 @@
 	return &Memory{
 		tables:  make(map[string]map[string]Row),
 		objects: make(map[string][]byte),
-		deleted: make(map[rowID]int64),
+		deleted: make(map[rowID]Version),
 		changed: make(chan struct{}),
 	}
 }
@@ -111,6 +112,54 @@
 	m.changed = make(chan struct{})
 }
 
+// Saved is a copy of a Memory, from which it may come back.
+type Saved struct {
+	tables  map[string]map[string]Row
+	objects map[string][]byte
+	deleted map[rowID]Version
+	version Version
+}
+
+// Save copies the store as it is.
+func (m *Memory) Save() *Saved {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := &Saved{tables: make(map[string]map[string]Row), objects: maps.Clone(m.objects), deleted: maps.Clone(m.deleted), version: m.version}
+	for name, t := range m.tables {
+		s.tables[name] = maps.Clone(t)
+	}
+	return s
+}
+
+// Restore brings the store back as it was when s was saved, in a new era.
+func (m *Memory) Restore(s *Saved) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	era := m.version.Era + 1
+	m.objects, m.deleted = maps.Clone(s.objects), maps.Clone(s.deleted)
+	m.tables = make(map[string]map[string]Row, len(s.tables))
+	for name, t := range s.tables {
+		m.tables[name] = maps.Clone(t)
+	}
+	m.version = Version{Era: era, Number: s.version.Number}
+	// Changes of before the copy are kept; the copy knows no number that was given out since.
+	m.compacted = Version{Era: era}
+	m.wake()
+}
+
+// Version returns where the store is.
+func (m *Memory) Version() Version {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version
+}
+
+// read returns a row as it is read now: in this era. The lock is held.
+func (m *Memory) read(r Row) Row {
+	r.Version.Era = m.version.Era
+	return r
+}
+
 // enter waits out the delay and reports whether the call is refused.
 func (m *Memory) enter(ctx context.Context) error {
 	m.mu.Lock()
@@ -130,9 +179,9 @@
 }
 
 // Commit implements Tables.
-func (m *Memory) Commit(ctx context.Context, tx Tx) (int64, error) {
+func (m *Memory) Commit(ctx context.Context, tx Tx) (Version, error) {
 	if err := m.enter(ctx); err != nil {
-		return 0, err
+		return Version{}, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -140,26 +189,26 @@
 	m.counts.Writes += int64(len(tx.Writes))
 	if m.faults.DropCommits > 0 {
 		m.faults.DropCommits--
-		return 0, ErrUnknown
+		return Version{}, ErrUnknown
 	}
 	if m.faults.LateCommits > 0 {
 		m.faults.LateCommits--
 		time.AfterFunc(m.faults.LateBy, func() { m.applyLate(tx) })
-		return 0, ErrUnknown
+		return Version{}, ErrUnknown
 	}
 	if failed := m.failed(tx.Conditions); len(failed) > 0 {
-		return 0, &ConflictError{Failed: failed}
+		return Version{}, &ConflictError{Failed: failed}
 	}
 	m.applyAll(tx)
 	if m.faults.LoseReplies > 0 {
 		m.faults.LoseReplies--
-		return 0, ErrUnknown
+		return Version{}, ErrUnknown
 	}
 	return m.version, nil
 }
 
 func (m *Memory) applyAll(tx Tx) {
-	m.version++
+	m.version.Number++
 	for _, w := range tx.Writes {
 		m.apply(w)
 	}
@@ -177,7 +226,11 @@
 func (m *Memory) failed(conds []Condition) []int {
 	var out []int
 	for i, c := range conds {
-		if m.tables[c.Table][c.Key].Version != c.Version {
+		now := m.tables[c.Table][c.Key].Version
+		if !now.IsZero() {
+			now.Era = m.version.Era
+		}
+		if now != c.Version && !(now.IsZero() && c.Version.IsZero()) {
 			out = append(out, i)
 		}
 	}
@@ -212,7 +265,7 @@
 	if !ok {
 		return Row{}, ErrNotFound
 	}
-	return r, nil
+	return m.read(r), nil
 }
 
 // Scan implements Tables.
@@ -226,7 +279,7 @@
 	var out []Row
 	for k, r := range m.tables[table] {
 		if strings.HasPrefix(k, prefix) && k > after {
-			out = append(out, r)
+			out = append(out, m.read(r))
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
@@ -290,14 +343,14 @@
 	m.counts.Reads++
 	s := Snapshot{Version: m.version}
 	for _, r := range m.tables[table] {
-		s.Rows = append(s.Rows, r)
+		s.Rows = append(s.Rows, m.read(r))
 	}
 	sort.Slice(s.Rows, func(i, j int) bool { return s.Rows[i].Key < s.Rows[j].Key })
 	return s, nil
 }
 
 // Changes implements Watchable.
-func (m *Memory) Changes(ctx context.Context, table string, after int64, wait time.Duration) (Changes, error) {
+func (m *Memory) Changes(ctx context.Context, table string, after Version, wait time.Duration) (Changes, error) {
 	if err := m.enter(ctx); err != nil {
 		return Changes{}, err
 	}
@@ -325,22 +378,22 @@
 }
 
 // changesAfter lists the changes of a table. The lock is held.
-func (m *Memory) changesAfter(table string, after int64) (Changes, error) {
-	if after < m.compacted {
+func (m *Memory) changesAfter(table string, after Version) (Changes, error) {
+	if after.Before(m.compacted) || m.version.Before(after) || !after.IsZero() && !after.SameEra(m.version) {
 		return Changes{}, ErrCompacted
 	}
 	m.counts.Reads++
 	out := Changes{Version: m.version}
 	for _, r := range m.tables[table] {
-		if r.Version > after {
-			out.Changes = append(out.Changes, Change{Row: r})
+		if r.Version.Number > after.Number {
+			out.Changes = append(out.Changes, Change{Row: m.read(r)})
 		}
 	}
 	for id, version := range m.deleted {
-		if id.table == table && version > after {
-			out.Changes = append(out.Changes, Change{Row: Row{Table: table, Key: id.key, Version: version}, Deleted: true})
+		if id.table == table && version.Number > after.Number {
+			out.Changes = append(out.Changes, Change{Row: m.read(Row{Table: table, Key: id.key, Version: version}), Deleted: true})
 		}
 	}
-	sort.Slice(out.Changes, func(i, j int) bool { return out.Changes[i].Version < out.Changes[j].Version })
+	sort.Slice(out.Changes, func(i, j int) bool { return out.Changes[i].Version.Before(out.Changes[j].Version) })
 	return out, nil
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -31,17 +31,17 @@
 	Table string `json:"table"`
 	Key   string `json:"key"`
 	Value []byte `json:"value"`
-	// Version is the commit number of the last write; it grows with each
-	// commit of the service and is never 0 for a row that exists.
-	Version int64 `json:"version"`
+	// Version is that of the last write, in the era in which the row was read; it is never
+	// zero for a row that exists.
+	Version Version `json:"version"`
 }
 
-// Condition demands that a row has exactly this version; 0 demands that the
-// row does not exist.
+// Condition demands that a row has exactly this version; the zero Version demands that
+// the row does not exist. It holds in the era of the version only.
 type Condition struct {
-	Table   string `json:"table"`
-	Key     string `json:"key"`
-	Version int64  `json:"version"`
+	Table   string  `json:"table"`
+	Key     string  `json:"key"`
+	Version Version `json:"version"`
 }
 
 // Write sets or deletes one row.
@@ -70,9 +70,11 @@
 
 // Tables is the transactional table service.
 type Tables interface {
-	// Commit applies tx and returns its commit number. It fails with
-	// *ConflictError, ErrUnavailable or ErrUnknown.
-	Commit(ctx context.Context, tx Tx) (int64, error)
+	// Commit applies tx and returns its version. It fails with *ConflictError,
+	// ErrUnavailable or ErrUnknown. A condition of an earlier era does not hold; where the
+	// service began another era meanwhile the error is ErrUnknown, as a number may have been
+	// given out again.
+	Commit(ctx context.Context, tx Tx) (Version, error)
 	// Get returns one row, or ErrNotFound.
 	Get(ctx context.Context, table, key string) (Row, error)
 	// Scan returns up to limit rows whose keys start with prefix and are
@@ -83,8 +85,8 @@
 // Snapshot is a whole table as of one version.
 type Snapshot struct {
 	Rows []Row
-	// Version is the newest commit number that the rows take in.
-	Version int64
+	// Version is the newest one that the rows take in.
+	Version Version
 }
 
 // Change is one changed row; the last change of a row stands for all before.
@@ -98,7 +100,7 @@
 type Changes struct {
 	Changes []Change
 	// Version is where the next call goes on.
-	Version int64
+	Version Version
 }
 
 // Watchable is a table service whose tables can be followed.
@@ -107,8 +109,9 @@
 	Snapshot(ctx context.Context, table string) (Snapshot, error)
 	// Changes returns what changed in a table after a version, in order. It
 	// waits up to wait for a first change and then returns none. It fails with
-	// ErrCompacted or ErrUnavailable.
-	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Changes, error)
+	// ErrCompacted or ErrUnavailable; ErrCompacted also where the service has never had
+	// that version, or is of another era.
+	Changes(ctx context.Context, table string, after Version, wait time.Duration) (Changes, error)
 }
 
 // Objects is the object store.
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -15,6 +15,7 @@
 	"topazmoor/internal/promptcache"
 	"topazmoor/internal/readiness"
 	"topazmoor/internal/routing"
+	"topazmoor/internal/store"
 )
 
 // Target is one listed target.
@@ -33,7 +34,7 @@
 	// Warmup is how long the target is still cold, from when Revision of its entry was
 	// written.
 	Warmup   time.Duration
-	Revision int64
+	Revision store.Version
 }
 
 // lapseGrace is how long after the store's return a target that vanished from
--- a/internal/targets/warmup_test.go
+++ b/internal/targets/warmup_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"testing"
 	"time"
+	"topazmoor/internal/store"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -41,7 +42,7 @@
 			t.SetNodes(fmt.Sprint("node-", i), others)
 		}
 		list := engines(2)
-		list[0].Warmup, list[0].Revision = coldTime, 1
+		list[0].Warmup, list[0].Revision = coldTime, store.Version{Number: 1}
 		t.Update(list, time.Time{})
 		f.tables = append(f.tables, t)
 	}
@@ -131,7 +132,7 @@
 	}
 	// It turns cold again, at any moment; another change of its entry leaves it cold.
 	list := engines(2)
-	list[0].Warmup, list[0].Revision = coldTime, 2
+	list[0].Warmup, list[0].Revision = coldTime, store.Version{Number: 2}
 	changes, _ := f.tables[0].Update(list, time.Time{})
 	c.Assert(changes, qt.HasLen, 1)
 	c.Assert(changes[0].What, qt.Equals, "cold")
--- a/internal/watch/copy.go
+++ b/internal/watch/copy.go
@@ -18,7 +18,7 @@
 // News brings a copy of a table from one version to another.
 type News struct {
 	// Since and Version bound the changes: they hold for any copy at or after Since.
-	Since, Version int64
+	Since, Version store.Version
 	// Whole says that Rows are the whole table, whatever the other copy holds.
 	Whole bool
 	Rows  []store.Row
@@ -28,8 +28,8 @@
 
 // Position is how far a copy is.
 type Position struct {
-	// Version is the newest commit number that the copy takes in; 0 before the first read.
-	Version int64
+	// Version is the newest one that the copy takes in; zero before the first read.
+	Version store.Version
 	// Sum is the same for copies with the same rows.
 	Sum uint64
 }
@@ -43,14 +43,14 @@
 	// editions are the latest changes, oldest first. They are complete from version
 	// base on.
 	editions []edition
-	base     int64
+	base     store.Version
 	// whole is the table as news, once somebody asked for it, until it changes.
 	whole *News
 }
 
 // edition is the keys that became different at a version of the copy.
 type edition struct {
-	version int64
+	version store.Version
 	keys    []string
 }
 
@@ -69,14 +69,14 @@
 }
 
 // replace sets the whole copy as of a version.
-func (c *Copy) replace(list []store.Row, version int64) {
+func (c *Copy) replace(list []store.Row, version store.Version) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	next := make(map[string]store.Row, len(list))
 	for _, r := range list {
 		next[r.Key] = r
 	}
-	first := c.rows == nil
+	first := c.rows == nil || !version.SameEra(c.position.Version)
 	var changed []string
 	for k, r := range next {
 		if old, ok := c.rows[k]; !ok || old.Version != r.Version {
@@ -90,14 +90,14 @@
 	}
 	c.set(next, changed, version)
 	if first {
-		// Nobody follows a copy from before it was read.
+		// Nobody follows a copy from before it was read, nor from an earlier era.
 		c.editions, c.base = nil, version
 	}
 }
 
 // merge takes changes in and builds the next copy beside the old one, which readers may
 // still hold.
-func (c *Copy) merge(rows []store.Row, deleted []string, version int64) {
+func (c *Copy) merge(rows []store.Row, deleted []string, version store.Version) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	next := make(map[string]store.Row, len(c.rows)+len(rows))
@@ -117,14 +117,14 @@
 }
 
 // advance notes that nothing changed up to a version.
-func (c *Copy) advance(version int64) {
+func (c *Copy) advance(version store.Version) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.position.Version = max(c.position.Version, version)
+	c.position.Version = c.position.Version.Max(version)
 }
 
 // set puts the next rows in place; changed has each key once. The caller holds c.mu.
-func (c *Copy) set(next map[string]store.Row, changed []string, version int64) {
+func (c *Copy) set(next map[string]store.Row, changed []string, version store.Version) {
 	for _, k := range changed {
 		if old, ok := c.rows[k]; ok {
 			c.position.Sum -= rowSum(old)
@@ -149,24 +149,24 @@
 func rowSum(r store.Row) uint64 {
 	buf := make([]byte, 0, 64)
 	buf = append(buf, r.Key...)
-	return xxhash.Sum64(binary.BigEndian.AppendUint64(buf, uint64(r.Version)))
+	return xxhash.Sum64(binary.BigEndian.AppendUint64(buf, uint64(r.Version.Number)))
 }
 
 // Since returns what a copy at a version lacks, nil for nothing, and where this copy is. News
 // must not be changed: all followers that need the whole table share it.
-func (c *Copy) Since(version int64) (*News, Position) {
+func (c *Copy) Since(version store.Version) (*News, Position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.rows == nil || version >= c.position.Version:
+	case c.rows == nil || !version.Before(c.position.Version):
 		return nil, c.position
-	case version < c.base:
+	case version.Before(c.base):
 		return c.wholeNews(), c.position
 	}
 	news := &News{Since: version, Version: c.position.Version}
 	seen := make(map[string]bool)
 	for _, e := range c.editions {
-		if e.version > version {
+		if version.Before(e.version) {
 			c.addKeys(news, e.keys, seen)
 		}
 	}
--- a/internal/watch/copy_test.go
+++ b/internal/watch/copy_test.go
@@ -22,7 +22,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		var lead Copy
 		truth := map[string]store.Row{}
-		version := int64(10)
+		version := store.Version{Number: 10}
 		lead.replace(nil, version)
 		followers := []*Table{{Apply: func(View) {}}, {Apply: func(View) {}}}
 		key := rapid.SampledFrom([]string{"a", "b", "c", "d"})
@@ -32,19 +32,19 @@
 				var rows []store.Row
 				var deleted []string
 				for range rapid.IntRange(1, 3).Draw(t, "changes") {
-					version++
+					version.Number++
 					k := key.Draw(t, "key")
-					r := store.Row{Key: k, Value: fmt.Append(nil, version), Version: version}
+					r := store.Row{Key: k, Value: fmt.Append(nil, version.Number), Version: version}
 					rows, truth[k] = append(rows, r), r
 				}
-				if k := key.Draw(t, "deleted"); rapid.Bool().Draw(t, "delete") && truth[k].Version < version-3 {
-					version++
+				if k := key.Draw(t, "deleted"); rapid.Bool().Draw(t, "delete") && truth[k].Version.Number < version.Number-3 {
+					version.Number++
 					delete(truth, k)
 					deleted = append(deleted, k)
 				}
 				lead.merge(rows, deleted, version)
 			case 2:
-				version++
+				version.Number++
 				delete(truth, key.Draw(t, "key"))
 				var rows []store.Row
 				for _, r := range truth {
@@ -52,7 +52,7 @@
 				}
 				lead.replace(rows, version)
 			case 3:
-				version++
+				version.Number++
 				lead.advance(version)
 			default:
 				catchUp(t, followers[rapid.IntRange(0, 1).Draw(t, "follower")], &lead)
@@ -72,7 +72,7 @@
 	before := f.copy.Position().Version
 	since := before
 	if f.copy.Rows() == nil {
-		since = -1
+		since = store.Version{Number: -1}
 	}
 	news, at := lead.Since(since)
 	if news != nil {
@@ -83,24 +83,24 @@
 	if err := f.Compare(at); err != nil {
 		t.Fatal(err)
 	}
-	if after := f.copy.Position(); after != at || after.Version < before {
-		t.Fatalf("at %v after %d, want %v", after, before, at)
+	if after := f.copy.Position(); after != at || after.Version.Before(before) {
+		t.Fatalf("at %v after %s, want %v", after, before, at)
 	}
 }
 
 func TestCopyTellsTheWholeTableToWhoIsFarBehind(t *testing.T) {
 	c := qt.New(t)
 	var lead Copy
-	lead.replace(nil, 1)
+	lead.replace(nil, store.Version{Number: 1})
 	for i := range 2 * maxEditions {
-		lead.merge([]store.Row{{Key: fmt.Sprint(i % 3), Version: int64(i + 2)}}, nil, int64(i+2))
+		lead.merge([]store.Row{{Key: fmt.Sprint(i % 3), Version: store.Version{Number: int64(i + 2)}}}, nil, store.Version{Number: int64(i + 2)})
 	}
-	news, at := lead.Since(2)
+	news, at := lead.Since(store.Version{Number: 2})
 	c.Assert(news.Whole, qt.IsTrue)
 	c.Assert(news.Rows, qt.HasLen, 3)
-	again, _ := lead.Since(1)
+	again, _ := lead.Since(store.Version{Number: 1})
 	c.Assert(again, qt.Equals, news, qt.Commentf("all that are far behind share it"))
-	news, _ = lead.Since(at.Version - 1)
+	news, _ = lead.Since(store.Version{Number: at.Version.Number - 1})
 	c.Assert(news.Whole, qt.IsFalse)
 	c.Assert(news.Rows, qt.HasLen, 1)
 	news, _ = lead.Since(at.Version)
@@ -110,12 +110,12 @@
 func TestNewsThatDoNotGoOnWhereTheCopyEndsAreRefused(t *testing.T) {
 	c := qt.New(t)
 	f := &Table{Apply: func(View) {}}
-	c.Assert(f.Take(News{Since: 3, Version: 4}), qt.Equals, ErrGap)
-	c.Assert(f.Take(News{Whole: true, Version: 5, Rows: []store.Row{{Key: "a", Version: 5}}}), qt.IsNil)
-	c.Assert(f.Take(News{Since: 6, Version: 7}), qt.Equals, ErrGap)
+	c.Assert(f.Take(News{Since: store.Version{Number: 3}, Version: store.Version{Number: 4}}), qt.Equals, ErrGap)
+	c.Assert(f.Take(News{Whole: true, Version: store.Version{Number: 5}, Rows: []store.Row{{Key: "a", Version: store.Version{Number: 5}}}}), qt.IsNil)
+	c.Assert(f.Take(News{Since: store.Version{Number: 6}, Version: store.Version{Number: 7}}), qt.Equals, ErrGap)
 	// Older than the copy: dropped.
-	c.Assert(f.Take(News{Whole: true, Version: 4}), qt.IsNil)
+	c.Assert(f.Take(News{Whole: true, Version: store.Version{Number: 4}}), qt.IsNil)
 	c.Assert(f.Copy().Rows(), qt.HasLen, 1)
-	c.Assert(f.Compare(Position{Version: 6}), qt.Equals, ErrDiffers)
-	c.Assert(f.Compare(Position{Version: 4}), qt.IsNil)
+	c.Assert(f.Compare(Position{Version: store.Version{Number: 6}}), qt.Equals, ErrDiffers)
+	c.Assert(f.Compare(Position{Version: store.Version{Number: 4}}), qt.IsNil)
 }
--- a/internal/watch/relayed.go
+++ b/internal/watch/relayed.go
@@ -73,11 +73,12 @@
 	defer t.taking.Unlock()
 	version := t.copy.Position().Version
 	switch {
-	case n.Version < version:
+	case n.Version.Before(version):
 		return nil
 	case n.Whole:
+		t.noteEra(n.Version)
 		t.copy.replace(n.Rows, n.Version)
-	case n.Since > version || t.copy.Rows() == nil:
+	case version.Before(n.Since) || !n.Version.SameEra(version) || t.copy.Rows() == nil:
 		return ErrGap
 	default:
 		t.copy.merge(n.Rows, n.Deleted, n.Version)
@@ -97,10 +98,10 @@
 	t.taking.Lock()
 	defer t.taking.Unlock()
 	mine := t.copy.Position()
-	if theirs.Version < mine.Version {
+	if theirs.Version.Before(mine.Version) {
 		return nil
 	}
-	if theirs.Sum != mine.Sum {
+	if theirs.Sum != mine.Sum || !theirs.Version.SameEra(mine.Version) {
 		return ErrDiffers
 	}
 	t.copy.advance(theirs.Version)
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -1,7 +1,9 @@
 // Package watch keeps a copy of a table up to date: it reads the table whole,
 // follows its changes, and reads it whole again when changes may have been
 // missed. Instead of asking the store, a copy can be kept by what another node tells of
-// its own one. Versions only rise: an answer older than the copy is dropped.
+// its own one. Versions only rise: an answer older than the copy is dropped. A store that came
+// back from an older copy of itself begins another era, which is newer than all of the last one;
+// what was seen of the last one leads nowhere, so that the table is read whole.
 package watch
 
 import (
@@ -50,8 +52,8 @@
 // View is a copy of a table.
 type View struct {
 	Rows map[string]store.Row
-	// Version is the commit number of the copy.
-	Version int64
+	// Version is that of the copy.
+	Version store.Version
 	// Regained is when the store last came back after it was away; zero for
 	// never. Rows may be missing shortly after it that their writers restore.
 	Regained time.Time
@@ -351,7 +353,12 @@
 func (t *Table) takeChanges(changes store.Changes) bool {
 	t.taking.Lock()
 	defer t.taking.Unlock()
-	if changes.Version < t.copy.Position().Version {
+	have := t.copy.Position().Version
+	if changes.Version.Before(have) {
+		return false
+	}
+	if !changes.Version.SameEra(have) {
+		t.gap = true
 		return false
 	}
 	if len(changes.Changes) == 0 {
@@ -402,19 +409,31 @@
 	t.taking.Lock()
 	defer t.taking.Unlock()
 	version := t.copy.Position().Version
-	if snap.Version < version && t.gap {
+	if snap.Version.Before(version) && t.gap {
 		return errStale
 	}
 	t.lastRead = time.Now()
-	if snap.Version < version {
+	if snap.Version.Before(version) {
 		return nil
 	}
 	t.gap = false
+	t.noteEra(snap.Version)
 	t.copy.replace(snap.Rows, snap.Version)
 	t.apply()
 	return nil
 }
 
+// noteEra notes a copy of a store that came back from an older one, before it is taken over: as
+// after an outage, rows may be missing that their writers write again. The caller holds t.taking.
+func (t *Table) noteEra(next store.Version) {
+	have := t.copy.Position().Version
+	if have.IsZero() || next.SameEra(have) {
+		return
+	}
+	t.regained = time.Now()
+	t.Log.Warn("the store came back from a copy", "table", t.Name, "era", next.Era, "version", next.Number, "era_before", have.Era, "version_before", have.Number)
+}
+
 // answered notes that the store answered at a moment.
 func (t *Table) answered(at time.Time) {
 	for {
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -28,8 +28,8 @@
 	table = &Table{Name: "t", From: from, Wait: ShortWait, Log: quiet, Apply: func(v View) {
 		mu.Lock()
 		defer mu.Unlock()
-		if v.Version < view.Version {
-			panic(fmt.Sprintf("version fell from %d to %d", view.Version, v.Version))
+		if v.Version.Before(view.Version) {
+			panic(fmt.Sprintf("version fell from %s to %s", view.Version, v.Version))
 		}
 		view = v
 	}}
@@ -188,7 +188,7 @@
 	until time.Time
 }
 
-func (s *silent) Changes(ctx context.Context, table string, after int64, wait time.Duration) (store.Changes, error) {
+func (s *silent) Changes(ctx context.Context, table string, after store.Version, wait time.Duration) (store.Changes, error) {
 	if time.Now().Before(s.until) {
 		<-ctx.Done()
 		return store.Changes{}, store.ErrUnavailable
@@ -258,7 +258,7 @@
 	return r.Watchable.Snapshot(ctx, table)
 }
 
-func (r *refusing) Changes(ctx context.Context, table string, after int64, wait time.Duration) (store.Changes, error) {
+func (r *refusing) Changes(ctx context.Context, table string, after store.Version, wait time.Duration) (store.Changes, error) {
 	if r.calls.Add(1); r.away.Load() {
 		takeTime(ctx)
 		return store.Changes{}, errAway
