--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -10,8 +10,8 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"topazmoor/internal/store"
 	"topazmoor/internal/restore"
+	"topazmoor/internal/store"
 	"topazmoor/internal/watch"
 )
 
