Do not take a quarantine that the store lost for one that was answered

Cause: no record means that the request was answered; a store that came back from a copy has none either. Change: that there is no row comes with the era in which there is none; what this node saw in an earlier era counts beside the store's record, and is written with the claim.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -74,8 +74,6 @@
 	mu sync.Mutex
 	// fleet are the quarantined requests as the store has them.
 	fleet map[Digest]seen
-	// lost are those of them that the store lost when it came back from a copy.
-	lost map[Digest]bool
 	// own are the ends that this node saw, whether the store has them or not.
 	own *simplelru.LRU[Digest, Record]
 	// answered are requests that targets lately answered here: the next end under one of them
@@ -107,7 +105,7 @@
 }
 
 // Apply takes in what is in force of the table of quarantined requests.
-func (g *Guard) Apply(v watch.View, kept restore.Result) {
+func (g *Guard) Apply(v watch.View, _ restore.Result) {
 	now := time.Now()
 	next := make(map[Digest]seen, len(v.Rows))
 	g.mu.Lock()
@@ -138,12 +136,6 @@
 		}
 	}
 	g.fleet = next
-	g.lost = make(map[Digest]bool, len(kept.Lost))
-	for _, key := range kept.Lost {
-		if d, err := ParseDigest(key); err == nil {
-			g.lost[d] = true
-		}
-	}
 }
 
 // Mend writes again what a store that came back from a copy has lost: records of requests in
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -312,13 +312,15 @@
 	return tx
 }
 
-// read returns the record of a request as the store has it now; an empty one for none.
+// read returns the record of a request as the store has it now; an empty one for none, with the
+// store's era.
 func (g *Guard) read(ctx context.Context, d Digest) (store.Row, Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	row, err := g.cfg.Store.Get(ctx, crashTable, d.String())
-	if errors.Is(err, store.ErrNotFound) {
-		return store.Row{}, Record{}, nil
+	var none *store.NotFoundError
+	if errors.As(err, &none) {
+		return store.Row{Version: store.Version{Era: none.Era}}, Record{}, nil
 	}
 	if err != nil {
 		return store.Row{}, Record{}, err
@@ -346,6 +348,7 @@
 		if r.Probe == probe {
 			return probe, nil
 		}
+		r = g.withLost(d, row.Version, r)
 		if !r.Quarantined() {
 			return "", g.unlisted(d, r)
 		}
@@ -360,6 +363,19 @@
 	return "", &Refused{After: retryWithoutStore}
 }
 
+// withLost returns the store's record, read at a version, with what this node has seen of it in an
+// earlier era: a store that came back from a copy has lost that. No record does not mean then that
+// the request was answered.
+func (g *Guard) withLost(d Digest, at store.Version, r Record) Record {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f, ok := g.fleet[d]
+	if !ok || f.version.SameEra(at) {
+		return r
+	}
+	return r.merged(f.Record)
+}
+
 // unlisted decides on a request that only this node takes for quarantined: its ends are still
 // to be written, or it was answered meanwhile.
 func (g *Guard) unlisted(d Digest, r Record) error {
@@ -368,9 +384,6 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.lost[d] {
-		return &Refused{Ends: len(g.fleet[d].Ended), After: retryProbing}
-	}
 	g.own.Remove(d)
 	return nil
 }
--- a/internal/store/memory.go
+++ b/internal/store/memory.go
@@ -230,7 +230,7 @@
 		if !now.IsZero() {
 			now.Era = m.version.Era
 		}
-		if now != c.Version && !(now.IsZero() && c.Version.IsZero()) {
+		if !now.Same(c.Version) {
 			out = append(out, i)
 		}
 	}
@@ -263,7 +263,7 @@
 	m.counts.Reads++
 	r, ok := m.tables[table][key]
 	if !ok {
-		return Row{}, ErrNotFound
+		return Row{}, &NotFoundError{Era: m.version.Era}
 	}
 	return m.read(r), nil
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -26,6 +26,15 @@
 // ErrNotFound: no such row or object.
 var ErrNotFound = errors.New("store: not found")
 
+// NotFoundError is ErrNotFound with the era in which there is no such row.
+type NotFoundError struct{ Era int64 }
+
+// Error implements error.
+func (e *NotFoundError) Error() string { return ErrNotFound.Error() }
+
+// Is makes it an ErrNotFound.
+func (e *NotFoundError) Is(target error) bool { return target == ErrNotFound }
+
 // Row is one row of a table.
 type Row struct {
 	Table string `json:"table"`
@@ -75,7 +84,7 @@
 	// service began another era meanwhile the error is ErrUnknown, as a number may have been
 	// given out again.
 	Commit(ctx context.Context, tx Tx) (Version, error)
-	// Get returns one row, or ErrNotFound.
+	// Get returns one row, or *NotFoundError.
 	Get(ctx context.Context, table, key string) (Row, error)
 	// Scan returns up to limit rows whose keys start with prefix and are
 	// greater than after, in key order.
--- a/internal/store/version.go
+++ b/internal/store/version.go
@@ -23,6 +23,9 @@
 // Before reports whether v is older than w.
 func (v Version) Before(w Version) bool { return v.Compare(w) < 0 }
 
+// Same reports whether a condition on v holds at w. That there is no row is the same in all eras.
+func (v Version) Same(w Version) bool { return v == w || v.IsZero() && w.IsZero() }
+
 // IsZero reports whether v is the version of nothing.
 func (v Version) IsZero() bool { return v.Number == 0 }
 
