--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -318,7 +318,9 @@
 	}
 	patience := t.Wait
 	if t.SharedWait > 0 && t.Shared() {
-		patience = t.SharedWait
+		// Counted from the last answer: while changes were gathered nothing was heard either,
+		// and the followers leave a node by how old its word is.
+		patience = max(t.SharedWait-time.Since(t.LastHeard()), 0)
 	}
 	if t.lost.Load() || poked {
 		// Hear at once whether the store is back.
