Avoid targets that turn calls away without a time

Two ways: a pause as after a rest that was asked for (excludes merely full targets, refuses callers while all are in it), and to avoid such a target for 0.25 s to 2 s, doubling, then one trial, but to call it where there is no other; the second is kept, as it takes nothing away where all are full.

--- a/internal/readiness/state.go
+++ b/internal/readiness/state.go
@@ -11,6 +11,9 @@
 	Open Standing = iota
 	// OnTrial: its rest is over; one call may be made, and no other one until that was taken.
 	OnTrial
+	// Avoided: it turned a call away without a time, or the trial after that is under way; it is
+	// called only where no other target is.
+	Avoided
 	// Resting: it asked for rest, or its trial is under way.
 	Resting
 	// Leaving: it takes no new work any more.
@@ -19,13 +22,16 @@
 
 // String implements fmt.Stringer.
 func (s Standing) String() string {
-	return [...]string{"open", "on trial", "resting", "leaving"}[s]
+	return [...]string{"open", "on trial", "avoided", "resting", "leaving"}[s]
 }
 
 const (
-	// trialPause is how long a target is left alone whose trial was turned away without a
-	// time: about a call of another caller, as for a target that is merely full.
-	trialPause = 250 * time.Millisecond
+	// firstAvoid is how long a target is avoided that turned a call away without a time: about
+	// a call of another caller, as it may be merely full. It doubles with each trial that is
+	// turned away too, up to maxAvoid: a target that turns everything away has nothing to do,
+	// and would be chosen first for that.
+	firstAvoid = 250 * time.Millisecond
+	maxAvoid   = 2 * time.Second
 	// trialLife is when a trial of which nothing was heard is over.
 	trialLife = 3 * time.Second
 )
@@ -39,8 +45,12 @@
 // must not be used concurrently.
 type State struct {
 	leaving bool
-	// until is when the last rest ends; zero once a call after it was taken.
+	// until is when the last rest, or the time in which the target is avoided, ends; zero once
+	// a call after it was taken. asked says that the target asked for it.
 	until time.Time
+	asked bool
+	// strikes counts the rejections without a time since a call was taken.
+	strikes int
 	// trial is when the call of the trial was begun; zero for none.
 	trial time.Time
 }
@@ -66,31 +76,36 @@
 		s.leaving = true
 		change = BeganToLeave
 	}
-	rest := min(n.Rest, Longest)
-	if rejected && rest <= 0 && s.onTrial(now) {
-		rest = trialPause
-	}
-	if rest <= 0 {
-		return change
-	}
-	s.trial = time.Time{}
-	until := now.Add(rest)
-	if !until.After(s.until) {
+	if rest := min(n.Rest, Longest); rest > 0 {
+		if !(s.asked && s.waiting(now)) && change == Unchanged {
+			change = BeganToRest
+		}
+		s.wait(now.Add(rest), true, now)
 		return change
 	}
-	if !s.resting(now) && n.Rest > 0 && change == Unchanged {
-		change = BeganToRest
+	if rejected && !s.waiting(now) {
+		s.wait(now.Add(min(firstAvoid<<min(s.strikes, maxStrikes), maxAvoid)), false, now)
+		s.strikes++
 	}
-	s.until = until
 	return change
 }
 
-// onTrial reports whether only single calls may be made.
-func (s *State) onTrial(now time.Time) bool { return !s.until.IsZero() && !s.resting(now) }
+// maxStrikes bounds the doubling.
+const maxStrikes = 8
+
+// wait begins a rest, or a time in which the target is avoided, which shortens no rest.
+func (s *State) wait(until time.Time, asked bool, now time.Time) {
+	s.trial = time.Time{}
+	if s.asked && s.waiting(now) && !until.After(s.until) {
+		return
+	}
+	s.until, s.asked = until, asked
+}
 
-// resting reports whether the target's rest goes on. A call that it takes meanwhile does not end
-// it: the target asked for a time, and that is what it gets.
-func (s *State) resting(now time.Time) bool { return now.Before(s.until) }
+// waiting reports whether the rest goes on, or the time in which the target is avoided. A call
+// that it takes meanwhile does not end a rest: the target asked for a time, and that is what it
+// gets.
+func (s *State) waiting(now time.Time) bool { return now.Before(s.until) }
 
 // Standing returns whether the target may be sent work now.
 func (s *State) Standing(now time.Time) Standing {
@@ -99,16 +114,18 @@
 		return Leaving
 	case s.until.IsZero():
 		return Open
-	case s.resting(now), !s.trial.IsZero() && now.Sub(s.trial) < trialLife:
+	case !s.waiting(now) && (s.trial.IsZero() || now.Sub(s.trial) >= trialLife):
+		return OnTrial
+	case s.asked:
 		return Resting
 	}
-	return OnTrial
+	return Avoided
 }
 
 // Opens returns when a target that rests may be called again; zero for at once, and for one
 // whose trial is under way.
 func (s *State) Opens(now time.Time) time.Time {
-	if s.leaving || !s.resting(now) {
+	if s.leaving || !s.asked || !s.waiting(now) {
 		return time.Time{}
 	}
 	return s.until
@@ -125,7 +142,7 @@
 // the call of the trial. One from before the rest tells nothing.
 func (s *State) Took(began time.Time) {
 	if !s.trial.IsZero() && !began.Before(s.trial) {
-		s.until, s.trial = time.Time{}, time.Time{}
+		s.until, s.trial, s.asked, s.strikes = time.Time{}, time.Time{}, false, 0
 	}
 }
 
@@ -144,7 +161,7 @@
 // standing of that moment, which may have changed while it waited.
 func (s *State) Admits(began, now time.Time) bool {
 	switch s.Standing(now) {
-	case Open, OnTrial:
+	case Open, OnTrial, Avoided:
 		return true
 	case Resting:
 		return !s.trial.IsZero() && began.Equal(s.trial)
--- a/internal/readiness/state_test.go
+++ b/internal/readiness/state_test.go
@@ -60,15 +60,42 @@
 	c.Assert(s.Standing(trial), qt.Equals, OnTrial)
 	s.Begin(trial)
 	s.Hear(Notice{}, true, trial)
-	c.Assert(s.Standing(trial), qt.Equals, Resting)
-	again := trial.Add(trialPause)
+	c.Assert(s.Standing(trial), qt.Equals, Avoided)
+	again := trial.Add(firstAvoid)
 	c.Assert(s.Standing(again), qt.Equals, OnTrial)
 	s.Begin(again)
 	// Nothing is heard of it.
-	c.Assert(s.Standing(again.Add(trialLife-1)), qt.Equals, Resting)
+	c.Assert(s.Standing(again.Add(trialLife-1)), qt.Equals, Avoided)
 	c.Assert(s.Standing(again.Add(trialLife)), qt.Equals, OnTrial)
 }
 
+// A target that turns calls away without a time is avoided, for longer each time.
+func TestTargetThatTurnsEverythingAwayIsAvoided(t *testing.T) {
+	c := qt.New(t)
+	var s State
+	now := start
+	for _, avoided := range []time.Duration{firstAvoid, 2 * firstAvoid, 4 * firstAvoid, maxAvoid, maxAvoid} {
+		s.Begin(now)
+		c.Assert(s.Hear(Notice{}, true, now), qt.Equals, Unchanged)
+		// Others that were on their way there tell nothing new.
+		s.Hear(Notice{}, true, now)
+		c.Assert(s.Standing(now.Add(avoided-1)), qt.Equals, Avoided)
+		c.Assert(s.Opens(now).IsZero(), qt.IsTrue)
+		c.Assert(s.Admits(now, now), qt.IsTrue)
+		now = now.Add(avoided)
+		c.Assert(s.Standing(now), qt.Equals, OnTrial)
+	}
+	s.Begin(now)
+	s.Took(now)
+	c.Assert(s.Standing(now), qt.Equals, Open)
+	s.Hear(Notice{}, true, now)
+	c.Assert(s.Standing(now.Add(firstAvoid)), qt.Equals, OnTrial)
+	// Who asks for rest meanwhile gets it, whole.
+	s.Hear(Notice{Rest: 3 * time.Second}, true, now)
+	s.Hear(Notice{}, true, now)
+	c.Assert(s.Standing(now.Add(3*time.Second-1)), qt.Equals, Resting)
+}
+
 func TestRestOfHoursIsTriedAfterOne(t *testing.T) {
 	c := qt.New(t)
 	var s State
@@ -108,7 +135,7 @@
 			case 1:
 				now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "s")) * time.Second)
 			case 2:
-				if s.Standing(now) <= OnTrial {
+				if s.Standing(now) < Resting {
 					s.Begin(now)
 					waiting = append(waiting, &call{began: now})
 				}
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -143,10 +143,10 @@
 	return l
 }
 
-// candidates returns the targets that may be called: those in good health, or
-// all when none is.
+// candidates returns the targets that may be called: those in good health that take calls, else
+// those that lately turned one away, else all.
 func (t *Table) candidates(q Query, now time.Time) []*state {
-	var healthy, others []*state
+	var healthy, spared, down []*state
 	for _, s := range t.services[q.Service] {
 		if !s.usable(now) || slices.Contains(q.Exclude, s.ID) {
 			continue
@@ -155,23 +155,28 @@
 		if standing == readiness.Resting {
 			continue
 		}
-		if s.breaker.Down(now) || q.spares(standing) {
-			others = append(others, s)
-			continue
+		switch {
+		case s.breaker.Down(now):
+			down = append(down, s)
+		case q.spares(standing):
+			spared = append(spared, s)
+		default:
+			healthy = append(healthy, s)
 		}
-		healthy = append(healthy, s)
 	}
-	if len(healthy) > 0 {
-		return healthy
+	for _, cands := range [][]*state{healthy, spared} {
+		if len(cands) > 0 {
+			return cands
+		}
 	}
-	return others
+	return down
 }
 
 // spares reports whether a target of a standing is called only where there is no other.
 // A request that is turned away by the trial of one target would else meet that of the next,
 // and use up what it may be sent.
 func (q Query) spares(s readiness.Standing) bool {
-	return s == readiness.OnTrial && (q.Again || q.Alone)
+	return s == readiness.Avoided || s == readiness.OnTrial && (q.Again || q.Alone)
 }
 
 // calls estimates all calls at a target: its last word, corrected by what this
