Let the caller API's targets rest as well; one reader of Retry-After

Cause: what a target says with a rejection was read twice, and by the caller API as a time for its callers only: the next call went to the same target at once. Measured: the new test fails without the state; all tests green.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -18,12 +18,12 @@
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"topazmoor/internal/readiness"
 	"topazmoor/internal/verdict"
 )
 
@@ -163,7 +163,7 @@
 	}
 	if slices.Contains(call.RefusalStatuses, resp.StatusCode) {
 		return verdict.New(verdict.NotRun, verdict.TargetRefused, "the target refused with status %d", resp.StatusCode).
-			After(retryAfter(resp.Header)).At(call.Identity.Stage, call.Target)
+			After(readiness.ParseRest(resp.Header.Values("Retry-After"), resp.Header.Get("Date"), time.Now())).At(call.Identity.Stage, call.Target)
 	}
 	return verdict.New(verdict.MayHaveRun, verdict.TargetFailed, "the target failed with status %d", resp.StatusCode).
 		At(call.Identity.Stage, call.Target)
@@ -187,11 +187,3 @@
 	}
 	return verdict.Wrap(err, v, code, "%s", reason).At(call.Identity.Stage, call.Target)
 }
-
-func retryAfter(h http.Header) time.Duration {
-	sec, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || sec < 0 {
-		return 0
-	}
-	return time.Duration(sec) * time.Second
-}
--- a/internal/pipeline/stage.go
+++ b/internal/pipeline/stage.go
@@ -7,6 +7,7 @@
 
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/dispatch"
+	"topazmoor/internal/readiness"
 	"topazmoor/internal/scheduler"
 	"topazmoor/internal/settings"
 	"topazmoor/internal/verdict"
@@ -209,7 +210,7 @@
 				At(s.st.Name, a.lease.Target.ID)
 		}
 	}
-	a.lease.Release(outcomeOf(a.err))
+	release(a.lease, a.err)
 	s.r.obs.StageCall(s.st.Pool, s.st.Name, took, a.err)
 	s.soFar = s.soFar.Combine(verdict.Of(a.err))
 	if a.err != nil {
@@ -250,6 +251,15 @@
 	s.r.obs.Wasted(s.st.Pool, s.st.Name, took)
 }
 
+// release ends a lease by how its call ended.
+func release(l *scheduler.Lease, err error) {
+	o := outcomeOf(err)
+	if o == scheduler.Refused {
+		l.Heard(readiness.Notice{Rest: verdict.As(err).RetryAfter})
+	}
+	l.Release(o)
+}
+
 func outcomeOf(err error) scheduler.Outcome {
 	if err == nil {
 		return scheduler.Succeeded
@@ -332,7 +342,7 @@
 	if sink.callerErr != nil {
 		a.err = verdict.Wrap(sink.callerErr, verdict.MayHaveRun, verdict.Canceled, "the caller left").At(s.st.Name, a.lease.Target.ID)
 	}
-	a.lease.Release(outcomeOf(a.err))
+	release(a.lease, a.err)
 	s.r.obs.StageCall(s.st.Pool, s.st.Name, took, a.err)
 	s.soFar = s.soFar.Combine(verdict.Of(a.err))
 	s.cost.Tokens = len(sink.tokens)
--- a/internal/scheduler/acquire.go
+++ b/internal/scheduler/acquire.go
@@ -129,8 +129,9 @@
 	t := p.targets[i]
 	t.sent++
 	t.breaker.Start()
+	t.ready.Begin(now)
 	p.cands[i].Sent = t.sent
-	p.cands[i].Down = t.breaker.Down(now)
+	p.cands[i].Down = t.down(now)
 	return &Lease{Target: p.cands[i].Target, s: s, p: p, t: t, stage: c.Stage, model: c.Model, start: now}
 }
 
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"topazmoor/internal/flow"
+	"topazmoor/internal/readiness"
 	"topazmoor/internal/routing"
 )
 
@@ -22,6 +23,13 @@
 	once  sync.Once
 }
 
+// Heard takes in what the target said of whether it takes work when it turned the call away.
+func (l *Lease) Heard(n readiness.Notice) {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	l.t.ready.Hear(n, true, time.Now())
+}
+
 // Release gives the slot back and notes how the call ended. Only the first
 // Release counts.
 func (l *Lease) Release(o Outcome) {
@@ -36,6 +44,10 @@
 	t := l.t
 	t.sent--
 	l.p.left(l.model)
+	if o == Succeeded {
+		t.ready.Took(l.start)
+	}
+	t.ready.Lost(l.start)
 	switch o {
 	case Succeeded:
 		t.breaker.Success()
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -7,6 +7,7 @@
 
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/flow"
+	"topazmoor/internal/readiness"
 	"topazmoor/internal/routing"
 	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
@@ -31,8 +32,10 @@
 	limit   flow.Limit
 	service flow.Estimate
 	breaker routing.Breaker
-	sent    int
-	slots   int
+	// ready is what the target said of whether it takes work.
+	ready readiness.State
+	sent  int
+	slots int
 }
 
 // left notes that a call of a model ended or gave up.
@@ -83,7 +86,7 @@
 		c := &p.cands[i]
 		c.Sent = t.sent
 		c.Limit = t.limit.Calls()
-		c.Down = t.breaker.Down(now)
+		c.Down = t.down(now)
 		c.Service = t.service.Mean()
 		if c.Service == 0 {
 			c.Service = unknownService
@@ -91,6 +94,11 @@
 	}
 }
 
+// down reports whether a target gets no call now: it fails, or asked for rest.
+func (t *target) down(now time.Time) bool {
+	return t.breaker.Down(now) || t.ready.Standing(now) == readiness.Resting
+}
+
 func (p *pool) anyFree() bool {
 	for i := range p.cands {
 		c := &p.cands[i]
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"topazmoor/internal/catalog"
+	"topazmoor/internal/readiness"
 	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
 )
@@ -175,3 +176,28 @@
 		c.Assert(err, qt.IsNil)
 	})
 }
+
+// A target that turned a call away and asked for rest gets none until then, and one first.
+func TestTargetAtRestGetsNoCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newScheduler(host("t1", 4))
+		l, err := s.Acquire(t.Context(), call(time.Second))
+		c.Assert(err, qt.IsNil)
+		l.Heard(readiness.Notice{Rest: 3 * time.Second})
+		l.Release(Refused)
+		start := time.Now()
+		_, err = s.Acquire(t.Context(), call(2*time.Second))
+		c.Assert(verdict.Of(err), qt.Equals, verdict.NotRun)
+		trial, err := s.Acquire(t.Context(), call(2*time.Second))
+		c.Assert(err, qt.IsNil)
+		c.Assert(time.Since(start) >= 3*time.Second, qt.IsTrue)
+		_, err = s.Acquire(t.Context(), call(500*time.Millisecond))
+		c.Assert(verdict.Of(err), qt.Equals, verdict.NotRun)
+		trial.Release(Succeeded)
+		for range 3 {
+			_, err = s.Acquire(t.Context(), call(time.Second))
+			c.Assert(err, qt.IsNil)
+		}
+	})
+}
