--- a/internal/stagebatch/leaving_test.go
+++ b/internal/stagebatch/leaving_test.go
@@ -94,6 +94,11 @@
 		}
 		var told Waits
 		started := time.Now()
+		time.AfterFunc(2900*time.Millisecond, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			c.Check(p.host(0).calls+p.host(1).calls, qt.Equals, 0)
+		})
 		_, err := f.Produce(t.Context(), at("r", 2, 0, 5*time.Second), func(w Waits) { told = w })
 		c.Assert(err, qt.IsNil)
 		// The rest, and the time of the pieces themselves.
@@ -103,6 +108,28 @@
 	})
 }
 
+// Results at a target that rests are given up when the rest is over.
+func TestResultsAreGivenUpAfterTheRestOfTheirMaker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p, list := newFakePool(1)
+		f := NewFormer(p, list, poolSpec, quiet)
+		res, err := f.Produce(t.Context(), at("r", 2, 0, time.Second), nil)
+		c.Assert(err, qt.IsNil)
+		lie := func() int {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return len(p.host(0).results)
+		}
+		list.Heard(list.Usable("pool")[0].Process(), targets.Answer{Notice: readiness.Notice{Rest: time.Second}, Rejected: true})
+		f.Free("pool", res.Handles)
+		time.Sleep(900 * time.Millisecond)
+		c.Assert(lie(), qt.Equals, 2)
+		time.Sleep(200 * time.Millisecond)
+		c.Assert(lie(), qt.Equals, 0)
+	})
+}
+
 // A cold stage target is called no more often than it bears.
 func TestColdStageTargetIsSpared(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/store/memory.go
+++ b/internal/store/memory.go
@@ -118,13 +118,15 @@
 	objects map[string][]byte
 	deleted map[rowID]Version
 	version Version
+	// compacted is the version up to which changes were forgotten.
+	compacted Version
 }
 
 // Save copies the store as it is.
 func (m *Memory) Save() *Saved {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := &Saved{tables: make(map[string]map[string]Row), objects: maps.Clone(m.objects), deleted: maps.Clone(m.deleted), version: m.version}
+	s := &Saved{tables: make(map[string]map[string]Row), objects: maps.Clone(m.objects), deleted: maps.Clone(m.deleted), version: m.version, compacted: m.compacted}
 	for name, t := range m.tables {
 		s.tables[name] = maps.Clone(t)
 	}
@@ -142,8 +144,7 @@
 		m.tables[name] = maps.Clone(t)
 	}
 	m.version = Version{Era: era, Number: s.version.Number}
-	// Changes of before the copy are kept; the copy knows no number that was given out since.
-	m.compacted = Version{Era: era}
+	m.compacted = s.compacted
 	m.wake()
 }
 
@@ -379,7 +380,8 @@
 
 // changesAfter lists the changes of a table. The lock is held.
 func (m *Memory) changesAfter(table string, after Version) (Changes, error) {
-	if after.Before(m.compacted) || m.version.Before(after) || !after.IsZero() && !after.SameEra(m.version) {
+	// It knows callers' numbers only, not of which era they are.
+	if after.Number < m.compacted.Number || after.Number > m.version.Number {
 		return Changes{}, ErrCompacted
 	}
 	m.counts.Reads++
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -118,8 +118,8 @@
 	Snapshot(ctx context.Context, table string) (Snapshot, error)
 	// Changes returns what changed in a table after a version, in order. It
 	// waits up to wait for a first change and then returns none. It fails with
-	// ErrCompacted or ErrUnavailable; ErrCompacted also where the service has never had
-	// that version, or is of another era.
+	// ErrCompacted or ErrUnavailable; ErrCompacted also where the service does not have that
+	// number. It knows the number only: changes of another era do not go on where after is.
 	Changes(ctx context.Context, table string, after Version, wait time.Duration) (Changes, error)
 }
 
--- a/internal/targets/said_test.go
+++ b/internal/targets/said_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"topazmoor/internal/promptcache"
 	"topazmoor/internal/readiness"
 	"topazmoor/internal/store"
 )
@@ -115,3 +116,41 @@
 	tb.Update([]Target{written}, time.Time{})
 	c.Assert(tb.MayCall(ready.ID), qt.IsTrue)
 }
+
+// A request that was turned away before goes to targets that take calls, where there is one, and to
+// the others only where there is none.
+func TestRequestThatWasTurnedAwayTriesNobody(t *testing.T) {
+	c := qt.New(t)
+	tb, now := newTable(engines(8)...)
+	open := ""
+	for range 7 {
+		l := tb.Pick(Query{Service: "engines"})
+		l.Heard(readiness.Notice{Rest: time.Second}, true)
+		l.Done(Busy, 0)
+	}
+	l := tb.Pick(Query{Service: "engines"})
+	open = l.ID
+	l.Done(Abandoned, 0)
+	now.at = now.at.Add(time.Second)
+	for range 8 {
+		c.Assert(tb.Pick(Query{Service: "engines", Again: true}).ID, qt.Equals, open)
+	}
+	c.Assert(tb.Pick(Query{Service: "engines", Again: true, Exclude: []string{open}}), qt.IsNotNil)
+}
+
+// A target that rests is not copied from either.
+func TestPromptsAreNotCopiedFromATargetAtRest(t *testing.T) {
+	c := qt.New(t)
+	tb, _ := newTable(engines(3)...)
+	prompt := []promptcache.Prefix{{Hash: 7, Tokens: 5000}, {Hash: 8, Tokens: 5100}}
+	q := Query{Service: "engines", Engine: &EngineQuery{Affinity: 7, Tokens: 5100, Shared: 5000, Prompt: prompt}}
+	first := tb.Pick(q)
+	first.PromptRead()
+	first.Done(Served, 0)
+	q.Exclude = []string{first.ID}
+	second := tb.Pick(q)
+	c.Assert(second.CopyFrom, qt.Equals, first.Addr)
+	second.Done(Abandoned, 0)
+	tb.Heard(first.Process(), Answer{Notice: readiness.Notice{Rest: time.Second}, Rejected: true})
+	c.Assert(tb.Pick(q).CopyFrom, qt.Not(qt.Equals), first.Addr)
+}
