--- a/internal/watch/copy_test.go
+++ b/internal/watch/copy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"maps"
 	"testing"
 
@@ -119,3 +120,26 @@
 	c.Assert(f.Compare(Position{Version: store.Version{Number: 6}}), qt.Equals, ErrDiffers)
 	c.Assert(f.Compare(Position{Version: store.Version{Number: 4}}), qt.IsNil)
 }
+
+// A copy of a later era is told whole to whoever is of an earlier one, and taken, whatever the
+// numbers are; the other way round nothing changes.
+func TestCopyOfALaterEraIsToldWhole(t *testing.T) {
+	c := qt.New(t)
+	var lead Copy
+	lead.replace([]store.Row{{Key: "a", Version: store.Version{Number: 8}}}, store.Version{Number: 9})
+	follower := &Table{Apply: func(View) {}, Log: slog.New(slog.DiscardHandler)}
+	behind, _ := lead.Since(store.Version{Number: -1})
+	c.Assert(follower.Take(*behind), qt.IsNil)
+	lead.replace([]store.Row{{Key: "b", Version: store.Version{Era: 1, Number: 3}}}, store.Version{Era: 1, Number: 5})
+	news, at := lead.Since(follower.copy.Position().Version)
+	c.Assert(news.Whole, qt.IsTrue)
+	c.Assert(follower.Compare(at), qt.Equals, ErrDiffers)
+	c.Assert(follower.Take(*news), qt.IsNil)
+	c.Assert(follower.Compare(at), qt.IsNil)
+	c.Assert(follower.copy.Rows(), qt.HasLen, 1)
+	// The former copy is old news.
+	c.Assert(follower.Take(*behind), qt.IsNil)
+	c.Assert(follower.copy.Position(), qt.Equals, at)
+	none, _ := lead.Since(store.Version{Era: 2, Number: 1})
+	c.Assert(none, qt.IsNil)
+}
