Explore all orders of messages of two nodes and a store that returns

An explorer drives the real copies: at any moment each has what the store had at its version, none goes back, and both catch up from each state.

--- a/internal/watch/copy_test.go
+++ b/internal/watch/copy_test.go
@@ -140,6 +140,9 @@
 	// The former copy is old news.
 	c.Assert(follower.Take(*behind), qt.IsNil)
 	c.Assert(follower.copy.Position(), qt.Equals, at)
+	// The same rows of another era are not the same copy.
+	same := Position{Version: store.Version{Era: 2, Number: 5}, Sum: at.Sum}
+	c.Assert(follower.Compare(same), qt.Equals, ErrDiffers)
 	none, _ := lead.Since(store.Version{Era: 2, Number: 1})
 	c.Assert(none, qt.IsNil)
 }
--- /dev/null
+++ b/internal/watch/explore_test.go
@@ -0,0 +1,293 @@
+package watch
+
+import (
+	"flag"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"topazmoor/internal/store"
+)
+
+var exploreDepth = flag.Int("explore.depth", 8, "how many steps TestExploreReturnsOfTheStore takes")
+
+// explorer is a store that comes back from copies of itself, a node that follows it and another one
+// that follows the node, with the messages on their way. All are the real ones, but for the network.
+type explorer struct {
+	t     *testing.T
+	m     *store.Memory
+	saved *store.Saved
+	// writes and returns count what was done, as both are bounded.
+	writes, returns int
+	lead, follower  *Table
+	// answers are on their way from the store to the lead, words from there to the follower.
+	answers []answer
+	words   []word
+	// truth has the store's rows at each version that it ever was at.
+	truth map[store.Version]string
+	wrong string
+}
+
+// answer is what the store answered to a call of the lead.
+type answer struct {
+	whole   *store.Snapshot
+	changes store.Changes
+	err     error
+}
+
+// word is one message of the lead to its follower.
+type word struct {
+	news *News
+	at   Position
+}
+
+const (
+	exploreWrites  = 3
+	exploreReturns = 2
+	exploreInAir   = 2
+)
+
+func newExplorer(t *testing.T) *explorer {
+	table := func() *Table {
+		return &Table{Name: "t", Apply: func(View) {}, Log: slog.New(slog.DiscardHandler)}
+	}
+	x := &explorer{t: t, m: store.NewMemory(), lead: table(), follower: table(), truth: make(map[store.Version]string)}
+	x.write("a")
+	x.writes = 0
+	return x
+}
+
+func (x *explorer) snapshot() store.Snapshot {
+	snap, err := x.m.Snapshot(x.t.Context(), "t")
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	return snap
+}
+
+func describe(rows map[string]store.Row) string {
+	var b strings.Builder
+	for _, key := range slices.Sorted(maps.Keys(rows)) {
+		fmt.Fprintf(&b, "%s=%s@%d ", key, rows[key].Value, rows[key].Version.Number)
+	}
+	return b.String()
+}
+
+// note keeps what the store has now.
+func (x *explorer) note() {
+	snap := x.snapshot()
+	rows := make(map[string]store.Row)
+	for _, r := range snap.Rows {
+		rows[r.Key] = r
+	}
+	x.truth[snap.Version] = describe(rows)
+}
+
+func (x *explorer) write(key string) {
+	x.writes++
+	value := fmt.Appendf(nil, "%d.%d", x.returns, x.writes)
+	if _, err := x.m.Commit(x.t.Context(), store.Tx{Writes: []store.Write{{Table: "t", Key: key, Value: value}}}); err != nil {
+		x.t.Fatal(err)
+	}
+	x.note()
+}
+
+// steps are what may come next.
+func (x *explorer) steps() []string {
+	var out []string
+	if x.writes < exploreWrites {
+		out = append(out, "write a", "write b", "remove a")
+	}
+	if x.saved == nil {
+		out = append(out, "save")
+	} else if x.returns < exploreReturns {
+		out = append(out, "return")
+	}
+	if len(x.answers) < exploreInAir {
+		out = append(out, "ask whole")
+		if x.lead.copy.Rows() != nil {
+			out = append(out, "ask changes")
+		}
+	}
+	if len(x.words) < exploreInAir && x.lead.copy.Rows() != nil {
+		out = append(out, "tell", "tell whole")
+	}
+	for i := range x.answers {
+		out = append(out, fmt.Sprint("answer ", i))
+	}
+	for i := range x.words {
+		out = append(out, fmt.Sprint("word ", i))
+	}
+	return out
+}
+
+func (x *explorer) step(what string) {
+	before := [2]Position{x.lead.copy.Position(), x.follower.copy.Position()}
+	kind, rest, _ := strings.Cut(what, " ")
+	switch kind {
+	case "write":
+		x.write(rest)
+	case "remove":
+		x.writes++
+		_, err := x.m.Commit(x.t.Context(), store.Tx{Writes: []store.Write{{Table: "t", Key: rest, Delete: true}}})
+		if err != nil {
+			x.t.Fatal(err)
+		}
+		x.note()
+	case "save":
+		x.saved = x.m.Save()
+	case "return":
+		x.returns++
+		x.m.Restore(x.saved)
+		x.note()
+	case "ask":
+		x.ask(rest)
+	case "tell":
+		since := x.follower.copy.Position().Version
+		if rest == "whole" || x.follower.copy.Rows() == nil {
+			since = store.Version{Number: -1}
+		}
+		news, at := x.lead.copy.Since(since)
+		x.words = append(x.words, word{news, at})
+	case "answer":
+		i := int(rest[0] - '0')
+		a := x.answers[i]
+		x.answers = slices.Delete(slices.Clone(x.answers), i, i+1)
+		x.take(a)
+	case "word":
+		i := int(rest[0] - '0')
+		w := x.words[i]
+		x.words = slices.Delete(slices.Clone(x.words), i, i+1)
+		if w.news != nil && x.follower.Take(*w.news) != nil {
+			return
+		}
+		// A difference makes the follower ask for the whole table.
+		_ = x.follower.Compare(w.at)
+	}
+	x.check(before)
+}
+
+func (x *explorer) ask(what string) {
+	if what == "whole" {
+		snap := x.snapshot()
+		x.answers = append(x.answers, answer{whole: &snap})
+		return
+	}
+	changes, err := x.m.Changes(x.t.Context(), "t", x.lead.copy.Position().Version, 0)
+	x.answers = append(x.answers, answer{changes: changes, err: err})
+}
+
+func (x *explorer) take(a answer) {
+	switch {
+	case a.err != nil:
+		x.lead.setGap()
+	case a.whole != nil:
+		// An old read is dropped.
+		_ = x.lead.takeWhole(*a.whole)
+	case !x.lead.gap:
+		x.lead.takeChanges(a.changes)
+	}
+}
+
+// check compares each copy with what the store had at the copy's version, and with where it was.
+func (x *explorer) check(before [2]Position) {
+	for i, table := range []*Table{x.lead, x.follower} {
+		at := table.copy.Position()
+		if at.Version.Before(before[i].Version) {
+			x.wrong = fmt.Sprintf("copy %d went back from %v to %v", i, before[i].Version, at.Version)
+		}
+		if rows := table.copy.Rows(); rows != nil && x.truth[at.Version] != describe(rows) {
+			x.wrong = fmt.Sprintf("copy %d at %v has %q, the store had %q", i, at.Version, describe(rows), x.truth[at.Version])
+		}
+	}
+}
+
+// settle lets both nodes catch up, and checks that they do.
+func (x *explorer) settle() {
+	x.ask("changes")
+	x.take(x.answers[len(x.answers)-1])
+	if x.lead.gap || x.lead.copy.Rows() == nil {
+		x.ask("whole")
+		x.take(x.answers[len(x.answers)-1])
+	}
+	for range 2 {
+		news, at := x.lead.copy.Since(x.follower.copy.Position().Version)
+		if x.follower.copy.Rows() == nil {
+			news, at = x.lead.copy.Since(store.Version{Number: -1})
+		}
+		if news != nil && x.follower.Take(*news) == nil && x.follower.Compare(at) == nil {
+			break
+		}
+	}
+	want := x.truth[x.snapshot().Version]
+	for i, table := range []*Table{x.lead, x.follower} {
+		if got := describe(table.copy.Rows()); got != want {
+			x.wrong = fmt.Sprintf("copy %d ends with %q, the store has %q", i, got, want)
+		}
+	}
+}
+
+// key tells states apart.
+func (x *explorer) key() string {
+	var b strings.Builder
+	fmt.Fprint(&b, x.m.Version(), x.truth[x.m.Version()], x.saved != nil, x.writes, x.returns)
+	for _, table := range []*Table{x.lead, x.follower} {
+		table.copy.mu.Lock()
+		fmt.Fprint(&b, "|", table.copy.position, describe(table.copy.rows), table.gap, table.copy.base)
+		for _, e := range table.copy.editions {
+			fmt.Fprint(&b, e.version, e.keys)
+		}
+		table.copy.mu.Unlock()
+	}
+	for _, a := range x.answers {
+		fmt.Fprint(&b, "|a", a.whole, a.changes, a.err)
+	}
+	for _, w := range x.words {
+		fmt.Fprint(&b, "|w", w.news, w.at)
+	}
+	return b.String()
+}
+
+func (x *explorer) replay(path []string) {
+	for _, what := range path {
+		x.step(what)
+	}
+}
+
+// TestExploreReturnsOfTheStore takes all orders of writes, returns of the store, calls, answers and
+// words between the nodes, up to a depth: at any moment each copy has what the store had at the
+// copy's version, none goes back, and from each state both nodes catch up.
+func TestExploreReturnsOfTheStore(t *testing.T) {
+	seen := make(map[string]bool)
+	paths := [][]string{nil}
+	began := time.Now()
+	for depth := 0; depth < *exploreDepth; depth++ {
+		var next [][]string
+		for _, path := range paths {
+			x := newExplorer(t)
+			x.replay(path)
+			for _, what := range x.steps() {
+				y := newExplorer(t)
+				y.replay(path)
+				y.step(what)
+				further := append(slices.Clone(path), what)
+				if y.wrong != "" {
+					t.Fatalf("%s: %s", strings.Join(further, ", "), y.wrong)
+				}
+				if k := y.key(); !seen[k] {
+					seen[k] = true
+					next = append(next, further)
+					if y.settle(); y.wrong != "" {
+						t.Fatalf("%s, then at rest: %s", strings.Join(further, ", "), y.wrong)
+					}
+				}
+			}
+		}
+		paths = next
+	}
+	t.Logf("%d states to depth %d in %v", len(seen), *exploreDepth, time.Since(began).Round(time.Second))
+}
--- a/internal/watch/relayed.go
+++ b/internal/watch/relayed.go
@@ -78,7 +78,7 @@
 	case n.Whole:
 		t.noteEra(n.Version)
 		t.copy.replace(n.Rows, n.Version)
-	case version.Before(n.Since) || !n.Version.SameEra(version) || t.copy.Rows() == nil:
+	case version.Before(n.Since) || t.copy.Rows() == nil:
 		return ErrGap
 	default:
 		t.copy.merge(n.Rows, n.Deleted, n.Version)
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -408,6 +408,11 @@
 		return err
 	}
 	t.answered(time.Now())
+	return t.takeWhole(snap)
+}
+
+// takeWhole takes in a whole read.
+func (t *Table) takeWhole(snap store.Snapshot) error {
 	t.taking.Lock()
 	defer t.taking.Unlock()
 	version := t.copy.Position().Version
