Drop changes that were asked for in another era than they are answered in

Cause: a call for changes names a number; where the copy moved to the next era while it was on its way, as another node told it so, its answer was taken as going on from there. Found by the explorer at depth 11 (state 2/2 with the rows of 2/1). Change: the answer is held against the version that was asked from. Measured: the path is a test, red before; depth 11 follows. Conclusion: mended.

--- a/internal/watch/explore_test.go
+++ b/internal/watch/explore_test.go
@@ -35,6 +35,7 @@
 // answer is what the store answered to a call of the lead.
 type answer struct {
 	whole   *store.Snapshot
+	asked   store.Version
 	changes store.Changes
 	err     error
 }
@@ -177,8 +178,9 @@
 		x.answers = append(x.answers, answer{whole: &snap})
 		return
 	}
-	changes, err := x.m.Changes(x.t.Context(), "t", x.lead.copy.Position().Version, 0)
-	x.answers = append(x.answers, answer{changes: changes, err: err})
+	asked := x.lead.copy.Position().Version
+	changes, err := x.m.Changes(x.t.Context(), "t", asked, 0)
+	x.answers = append(x.answers, answer{asked: asked, changes: changes, err: err})
 }
 
 func (x *explorer) take(a answer) {
@@ -189,7 +191,7 @@
 		// An old read is dropped.
 		_ = x.lead.takeWhole(*a.whole)
 	case !x.lead.gap:
-		x.lead.takeChanges(a.changes)
+		x.lead.takeChanges(a.asked, a.changes)
 	}
 }
 
@@ -244,7 +246,7 @@
 		table.copy.mu.Unlock()
 	}
 	for _, a := range x.answers {
-		fmt.Fprint(&b, "|a", a.whole, a.changes, a.err)
+		fmt.Fprint(&b, "|a", a.whole, a.asked, a.changes, a.err)
 	}
 	for _, w := range x.words {
 		fmt.Fprint(&b, "|w", w.news, w.at)
@@ -258,6 +260,19 @@
 	}
 }
 
+// A copy that moves to another era while a call for changes is on its way, as another node tells it
+// so, must not take the answer: it goes on from a number of the former era. The explorer found it at
+// depth 11, more than CI plays.
+func TestChangesAskedForInAnEarlierEraAreDropped(t *testing.T) {
+	x := newExplorer(t)
+	x.replay([]string{
+		"save", "return", "write a", "ask whole", "return", "ask whole", "write a", "answer 0", "ask changes", "answer 0", "answer 0",
+	})
+	if x.wrong != "" {
+		t.Fatal(x.wrong)
+	}
+}
+
 // TestExploreReturnsOfTheStore takes all orders of writes, returns of the store, calls, answers and
 // words between the nodes, up to a depth: at any moment each copy has what the store had at the
 // copy's version, none goes back, and from each state both nodes catch up.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -327,12 +327,13 @@
 		patience = 0
 	}
 	t.setWaits(patience > 0)
-	changes, err := t.From.Changes(ctx, t.Name, t.copy.Position().Version, patience)
+	asked := t.copy.Position().Version
+	changes, err := t.From.Changes(ctx, t.Name, asked, patience)
 	if err != nil {
 		return err
 	}
 	t.answered(time.Now())
-	changed := t.takeChanges(changes)
+	changed := t.takeChanges(asked, changes)
 	t.Confirm(doubt)
 	if !changed || t.Pause == nil {
 		return nil
@@ -351,16 +352,19 @@
 	return t.gap || time.Since(t.lastRead) > rereadEvery
 }
 
-// takeChanges takes in an answer of the store and reports whether anything changed.
-func (t *Table) takeChanges(changes store.Changes) bool {
+// takeChanges takes in an answer of the store to a call for what changed after a version, and
+// reports whether anything did.
+func (t *Table) takeChanges(asked store.Version, changes store.Changes) bool {
 	t.taking.Lock()
 	defer t.taking.Unlock()
 	have := t.copy.Position().Version
 	if changes.Version.Before(have) {
 		return false
 	}
-	if !changes.Version.SameEra(have) {
-		t.gap = true
+	if !changes.Version.SameEra(asked) {
+		// They begin at a number of another era, also where the copy has moved to this one
+		// meanwhile.
+		t.gap = t.gap || !changes.Version.SameEra(have)
 		return false
 	}
 	if len(changes.Changes) == 0 {
