--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -95,8 +95,9 @@
 // heard takes in what the target says of whether it takes work. The head of a stream says it
 // as any other answer does.
 func (c *call) heard(a *attempt) {
-	rejected := a.told.NotRun && !a.told.Moved && !a.told.InputGone
-	switch a.lease.Heard(a.told.Notice, rejected) {
+	// Other statuses than these are about the request.
+	busy := a.ans.Status == http.StatusServiceUnavailable || a.ans.Status == http.StatusTooManyRequests
+	switch a.lease.Heard(a.told.Notice, busy && a.told.NotRun) {
 	case readiness.BeganToLeave:
 		c.log.Info("target says that it leaves", "target", a.lease.ID, "addr", a.lease.Addr, "service", c.service, "status", a.ans.Status)
 	case readiness.BeganToRest:
