--- a/internal/stagebatch/leaving_test.go
+++ b/internal/stagebatch/leaving_test.go
@@ -67,8 +67,10 @@
 			f := NewFormer(p, list, poolSpec, quiet)
 			go func() {
 				time.Sleep(50 * time.Millisecond)
+				p.mu.Lock()
+				defer p.mu.Unlock()
 				for _, target := range list.Usable("pool") {
-					if p.host(0).calls+p.host(1).calls == 1 && p.hosts[target.Addr].calls == 1 {
+					if p.hosts[target.Addr].calls == 1 {
 						list.Heard(target.Process(), targets.Answer{Notice: n, Rejected: true, Began: time.Now()})
 					}
 				}
