Bound what is remembered of rows that are gone

A keeper remembered each row that a table ever had, so that a caller who sends a million different poison requests would take 100 MB of each node. 4,096 rows beside those in the store now; a test.

--- a/internal/restore/restore.go
+++ b/internal/restore/restore.go
@@ -23,8 +23,10 @@
 	// moment. With the time in which changes are gathered (0.25 s) it leaves half of the 2 s in
 	// which a change must be in force.
 	newHold = time.Second
-	// maxPast bounds the values of a row that are remembered.
+	// maxPast bounds the values of a row that are remembered, maxGone the rows that are
+	// remembered although the store has them no more: some 100 bytes each.
 	maxPast = 32
+	maxGone = 4096
 )
 
 // mark names one value of a row. The number alone is given out again.
@@ -142,6 +144,14 @@
 		}
 	}
 	k.rows = inForce
+	if len(k.past) <= len(stored)+maxGone {
+		return
+	}
+	for key := range k.past {
+		if _, ok := stored[key]; !ok {
+			delete(k.past, key)
+		}
+	}
 }
 
 // isPast reports whether the store had the row as it is before.
--- a/internal/restore/restore_test.go
+++ b/internal/restore/restore_test.go
@@ -114,6 +114,18 @@
 	c.Assert(b.values["config"], qt.Equals, "v2, gathered with v3")
 }
 
+// What is remembered of rows that are gone is bounded.
+func TestRowsThatAreGoneAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	var k Keeper
+	for i := range 3 * maxGone {
+		key := fmt.Sprint(i)
+		at := store.Version{Number: int64(i + 1)}
+		k.Take(watch.View{Rows: map[string]store.Row{key: {Key: key, Version: at}}, Version: at}, start)
+		c.Assert(len(k.past) <= maxGone+1, qt.IsTrue)
+	}
+}
+
 // TestOracleStoreComesBack writes, copies and brings back a store in any order. Whoever sees all
 // writes has in force, at any moment, the last one of each key that was made, in whichever era;
 // once a key is written again the store's word holds, and after the holds everything does.
