--- a/internal/watch/copy_test.go
+++ b/internal/watch/copy_test.go
@@ -146,3 +146,18 @@
 	none, _ := lead.Since(store.Version{Era: 2, Number: 1})
 	c.Assert(none, qt.IsNil)
 }
+
+// A copy of a later era comes with the moment of the store's return, whoever tells it: rows may be
+// missing that their writers write again.
+func TestCopyOfALaterEraTellsOfTheReturn(t *testing.T) {
+	c := qt.New(t)
+	var view View
+	table := &Table{Apply: func(v View) { view = v }, Log: slog.New(slog.DiscardHandler)}
+	c.Assert(table.takeWhole(store.Snapshot{Version: store.Version{Number: 9}}), qt.IsNil)
+	c.Assert(view.Regained.IsZero(), qt.IsTrue)
+	c.Assert(table.takeWhole(store.Snapshot{Version: store.Version{Era: 1, Number: 5}}), qt.IsNil)
+	first := view.Regained
+	c.Assert(first.IsZero(), qt.IsFalse)
+	c.Assert(table.Take(News{Whole: true, Version: store.Version{Era: 2, Number: 5}}), qt.IsNil)
+	c.Assert(view.Regained.After(first), qt.IsTrue)
+}
