End the streams of a connection between nodes before the connection

Cause: a yamux session marks its streams closed only once its connection is closed, and closing waits for the reading loop. Blocked reads and writes of streams meanwhile go round a select that is always ready; on one processor they keep the reading loop from its turn.

Change: the connection that is handed to yamux expires the deadlines of all streams before it closes; each way in which a session ends goes through its Close. Deadlines that are set later stay over. All reads and writes of streams go through the new type.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/catalog"
@@ -41,7 +40,7 @@
 	// lock holds one token; a channel, so that who waits for a connection that
 	// is being made can give up.
 	lock chan struct{}
-	mux  *yamux.Session
+	mux  *muxConn
 	used time.Time
 }
 
@@ -80,7 +79,7 @@
 }
 
 // stream opens a stream to the node at addr, connecting if needed.
-func (c *Client) stream(ctx context.Context, addr string) (*yamux.Stream, error) {
+func (c *Client) stream(ctx context.Context, addr string) (*stream, error) {
 	c.mu.Lock()
 	s := c.sessions[addr]
 	if s == nil {
@@ -112,7 +111,7 @@
 // retire makes the next call to a node use a new connection: this one may have gone
 // silent for good, while new ones work. Calls on it go on; it is closed after the
 // last of them, or when its keep-alives fail.
-func (c *Client) retire(addr string, mux *yamux.Session) {
+func (c *Client) retire(addr string, mux *muxConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.sessions[addr]
@@ -137,7 +136,7 @@
 const unusedPoll = time.Second
 
 // closeWhenUnused closes a connection after its last call.
-func closeWhenUnused(mux *yamux.Session) {
+func closeWhenUnused(mux *muxConn) {
 	for mux.NumStreams() > 0 && !mux.IsClosed() {
 		time.Sleep(unusedPoll)
 	}
@@ -145,7 +144,7 @@
 	_ = mux.Close()
 }
 
-func (c *Client) connect(ctx context.Context, addr string) (*yamux.Session, error) {
+func (c *Client) connect(ctx context.Context, addr string) (*muxConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	conn, err := c.dial(ctx, "tcp", addr)
@@ -161,8 +160,7 @@
 	if !stop() {
 		return nil, eris.Wrap(ctx.Err(), "connect to peer")
 	}
-	mux, err := yamux.Client(conn, muxConfig())
-	return mux, eris.Wrap(err, "connect to peer")
+	return newMux(conn, true)
 }
 
 // call sends one request. The error is a *verdict.Error when the peer refused,
@@ -175,11 +173,10 @@
 		return nil, err
 	}
 	defer st.Close()
-	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { st.SetDeadline(expired) })
 	defer stop()
 	if deadline, ok := ctx.Deadline(); ok {
-		// Deadlines of an open stream cannot fail.
-		_ = st.SetDeadline(deadline)
+		st.SetDeadline(deadline)
 	}
 	if err := writeFrame(st, req); err != nil {
 		return nil, eris.Wrap(err, "send to peer")
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -12,7 +12,6 @@
 	"net"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
@@ -111,13 +110,3 @@
 	}
 	return eris.Wrap(writeFrame(c, send), "handshake")
 }
-
-func muxConfig() *yamux.Config {
-	c := yamux.DefaultConfig()
-	c.LogOutput = io.Discard
-	c.KeepAliveInterval = 10 * time.Second
-	c.ConnectionWriteTimeout = 3 * time.Second
-	c.StreamOpenTimeout = 3 * time.Second
-	c.StreamCloseTimeout = 10 * time.Second
-	return c
-}
--- a/internal/peer/follow.go
+++ b/internal/peer/follow.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
@@ -42,7 +41,7 @@
 	// A deadline would not end a read of a frame that stopped midway: the connection's reader
 	// holds the stream then. Nothing else on a connection that says nothing is worth waiting
 	// for.
-	defer context.AfterFunc(ctx, func() { _ = st.Session().Close() })()
+	defer context.AfterFunc(ctx, func() { _ = st.conn.Close() })()
 	ask := &peerpb.Follow{}
 	tables := make([]string, len(have))
 	for i, h := range have {
@@ -71,14 +70,13 @@
 }
 
 // follow answers a node that follows this one, until it leaves.
-func (s *Server) follow(ctx context.Context, st *yamux.Stream, m *peerpb.Follow) error {
+func (s *Server) follow(ctx context.Context, st *stream, m *peerpb.Follow) error {
 	if s.h.Teller == nil {
 		return verdict.New(verdict.NotRun, verdict.Internal, "this node tells nothing of the store")
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	// Deadlines of an open stream cannot fail.
-	_ = st.SetReadDeadline(time.Time{})
+	st.SetReadDeadline(time.Time{})
 	go cancelWhenLeft(st, cancel)
 	var have []relay.Have
 	for _, h := range m.Have {
@@ -89,13 +87,13 @@
 		if err != nil {
 			return err
 		}
-		_ = st.SetWriteDeadline(time.Now().Add(tellTimeout))
+		st.SetWriteDeadline(time.Now().Add(tellTimeout))
 		return writeFrame(st, &peerpb.Response{Result: &peerpb.Response_Told{Told: msg}})
 	})
 }
 
 // cancelWhenLeft cancels when the peer closes its stream, on which it sends nothing more.
-func cancelWhenLeft(st *yamux.Stream, cancel func()) {
+func cancelWhenLeft(st *stream, cancel func()) {
 	var b [1]byte
 	_, _ = st.Read(b[:])
 	cancel()
--- /dev/null
+++ b/internal/peer/mux_test.go
@@ -0,0 +1,104 @@
+package peer
+
+import (
+	"net"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// mostYields bounds how often a closing connection lets others run.
+const mostYields = 10_000
+
+// heldConn is a connection whose Close lets others run until all blocked calls on its streams
+// have returned, as that of a connection whose reading loop is queued behind them does.
+type heldConn struct {
+	net.Conn
+	blocked *atomic.Int64
+	// left is how many calls were still blocked when the connection was closed.
+	left atomic.Int64
+}
+
+func (c *heldConn) Close() error {
+	for range mostYields {
+		if c.blocked.Load() == 0 {
+			break
+		}
+		runtime.Gosched()
+	}
+	c.left.Store(c.blocked.Load())
+	return c.Conn.Close()
+}
+
+// muxPair returns a muxConn on a connection that is held when it closes, and the other end.
+func muxPair(c *quicktest.C, blocked *atomic.Int64) (*muxConn, *muxConn, *heldConn) {
+	here, there := net.Pipe()
+	held := &heldConn{Conn: here, blocked: blocked}
+	near, err := newMux(held, true)
+	c.Assert(err, quicktest.IsNil)
+	far, err := newMux(there, false)
+	c.Assert(err, quicktest.IsNil)
+	c.Cleanup(func() { _ = near.Close(); _ = far.Close() })
+	return near, far, held
+}
+
+const blockedCalls = 20
+
+// TestReadsEndBeforeTheConnectionCloses guards against reads that go round a select that is
+// always ready while the connection closes.
+func TestReadsEndBeforeTheConnectionCloses(t *testing.T) {
+	c := quicktest.New(t)
+	var blocked atomic.Int64
+	near, _, held := muxPair(c, &blocked)
+	for range blockedCalls {
+		st, err := near.OpenStream()
+		c.Assert(err, quicktest.IsNil)
+		blocked.Add(1)
+		go func() {
+			defer blocked.Add(-1)
+			_, _ = st.Read(make([]byte, 1))
+		}()
+	}
+	c.Assert(near.Close(), quicktest.IsNil)
+	c.Assert(held.left.Load(), quicktest.Equals, int64(0))
+}
+
+// TestWritesEndBeforeTheConnectionCloses does the same for writes that wait for the other end to
+// read.
+func TestWritesEndBeforeTheConnectionCloses(t *testing.T) {
+	c := quicktest.New(t)
+	var blocked atomic.Int64
+	near, _, held := muxPair(c, &blocked)
+	full := make([]byte, muxConfig().MaxStreamWindowSize)
+	for range blockedCalls {
+		st, err := near.OpenStream()
+		c.Assert(err, quicktest.IsNil)
+		_, err = st.Write(full)
+		c.Assert(err, quicktest.IsNil)
+		blocked.Add(1)
+		go func() {
+			defer blocked.Add(-1)
+			_, _ = st.Write(full)
+		}()
+	}
+	c.Assert(near.Close(), quicktest.IsNil)
+	c.Assert(held.left.Load(), quicktest.Equals, int64(0))
+}
+
+// TestDeadlinesStayOverOnceTheSessionEnded guards calls that begin, or set a later deadline,
+// while the connection closes.
+func TestDeadlinesStayOverOnceTheSessionEnded(t *testing.T) {
+	c := quicktest.New(t)
+	var blocked atomic.Int64
+	near, _, _ := muxPair(c, &blocked)
+	st, err := near.OpenStream()
+	c.Assert(err, quicktest.IsNil)
+	near.end()
+	st.SetDeadline(time.Time{})
+	st.SetReadDeadline(time.Time{})
+	_, err = st.Read(make([]byte, 1))
+	c.Assert(err, quicktest.ErrorMatches, ".*deadline.*|.*timeout.*")
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/thejerf/suture/v4"
 
 	"topazmoor/internal/catalog"
@@ -58,7 +57,7 @@
 	packer packer
 
 	mu       sync.Mutex
-	sessions map[*yamux.Session]bool
+	sessions map[*muxConn]bool
 }
 
 // NewServer returns a server on a listener.
@@ -66,7 +65,7 @@
 	if h.Versions == nil {
 		h.Versions = unversioned{}
 	}
-	return &Server{listener: l, key: key, node: node, h: h, log: log, sessions: make(map[*yamux.Session]bool)}
+	return &Server{listener: l, key: key, node: node, h: h, log: log, sessions: make(map[*muxConn]bool)}
 }
 
 // Addr returns the address that the server listens on.
@@ -105,7 +104,7 @@
 		s.log.Warn("peer refused", "remote", c.RemoteAddr().String(), "err", err)
 		return
 	}
-	sess, err := yamux.Server(c, muxConfig())
+	sess, err := newMux(c, false)
 	if err != nil {
 		return
 	}
@@ -124,7 +123,7 @@
 	}
 }
 
-func (s *Server) add(sess *yamux.Session) bool {
+func (s *Server) add(sess *muxConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.sessions) >= maxSessions {
@@ -134,18 +133,17 @@
 	return true
 }
 
-func (s *Server) remove(sess *yamux.Session) {
+func (s *Server) remove(sess *muxConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.sessions, sess)
 }
 
-func (s *Server) call(life context.Context, st *yamux.Stream) {
+func (s *Server) call(life context.Context, st *stream) {
 	defer st.Close()
 	ctx, cancel := context.WithTimeout(life, serveTimeout)
 	defer cancel()
-	// Deadlines of an open stream cannot fail.
-	_ = st.SetDeadline(time.Now().Add(serveTimeout))
+	st.SetDeadline(time.Now().Add(serveTimeout))
 	req := &peerpb.Request{}
 	if err := readFrame(st, req, maxFrame); err != nil {
 		return
@@ -164,7 +162,7 @@
 }
 
 // serveFollow answers a node that follows this one for as long as it wants.
-func (s *Server) serveFollow(ctx context.Context, st *yamux.Stream, f *peerpb.Follow) {
+func (s *Server) serveFollow(ctx context.Context, st *stream, f *peerpb.Follow) {
 	err := s.follow(ctx, st, f)
 	if errors.Is(err, context.Canceled) {
 		return
@@ -174,7 +172,7 @@
 	}
 }
 
-func (s *Server) answer(ctx context.Context, st *yamux.Stream, req *peerpb.Request) (*peerpb.Response, error) {
+func (s *Server) answer(ctx context.Context, st *stream, req *peerpb.Request) (*peerpb.Response, error) {
 	switch call := req.Call.(type) {
 	case *peerpb.Request_Ends:
 		return s.ends(call.Ends), nil
--- a/internal/peer/stages.go
+++ b/internal/peer/stages.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/peer/peerpb"
@@ -111,10 +110,10 @@
 	defer st.Close()
 	defer func() {
 		if errors.Is(context.Cause(ctx), stagebatch.ErrSilent) {
-			c.retire(addr, st.Session())
+			c.retire(addr, st.conn)
 		}
 	}()
-	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { st.SetDeadline(expired) })
 	defer stop()
 	msg := orderTo(o, time.Now())
 	mine := c.versions.Mine()
@@ -141,7 +140,7 @@
 }
 
 // awaitProduced reads the answers to an order until the last one.
-func (c *Client) awaitProduced(st *yamux.Stream, accepted func(stagebatch.Waits), inputsRead func()) (*peerpb.Response, error) {
+func (c *Client) awaitProduced(st *stream, accepted func(stagebatch.Waits), inputsRead func()) (*peerpb.Response, error) {
 	for {
 		resp := &peerpb.Response{}
 		if err := readFrame(st, resp, maxFrame); err != nil {
@@ -182,7 +181,7 @@
 
 // produce answers an order: that it was accepted, that it still is, then with
 // its results. The order ends when the peer closes its stream.
-func (s *Server) produce(ctx context.Context, st *yamux.Stream, m *peerpb.Order) (*peerpb.Response, error) {
+func (s *Server) produce(ctx context.Context, st *stream, m *peerpb.Order) (*peerpb.Response, error) {
 	if s.h.Stages == nil {
 		return nil, verdict.New(verdict.NotRun, verdict.Internal, "this node forms no batches")
 	}
@@ -220,7 +219,7 @@
 
 // awaitOrder tells the peer of an order's progress until its end. A peer that
 // cannot be told has left; the reader of its stream withdraws the order.
-func awaitOrder(ctx context.Context, st *yamux.Stream, state func() *peerpb.Accepted, accepted, read <-chan struct{}, done <-chan produced) produced {
+func awaitOrder(ctx context.Context, st *stream, state func() *peerpb.Accepted, accepted, read <-chan struct{}, done <-chan produced) produced {
 	tick := time.NewTicker(orderHeartbeat)
 	defer tick.Stop()
 	inputsRead := false
