Serve requests only in the regions that their route and client account allow

Cause: limits of regions were not read at all.

Change: package region has the set and the map of data centres. The set is worked out once at admission (route and account, what both allow; nothing in common is refused at once). The choice of targets, repeats, hedges, resumed streams, copies of prompts, the home of a prompt, the makers of stage results, the node that forms their batches and the estimates of waits read it; an order to another node carries it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"reflect"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,7 @@
 	"topazmoor/internal/metrics"
 	"topazmoor/internal/passthrough"
 	"topazmoor/internal/poison"
+	"topazmoor/internal/region"
 	"topazmoor/internal/relay"
 	"topazmoor/internal/restore"
 	"topazmoor/internal/routes"
@@ -40,6 +42,8 @@
 // Settings is what an entry node is told at its start.
 type Settings struct {
 	Node, DataCentre, Region string
+	// Regions gives the region of each data centre.
+	Regions region.Map
 	// ListenCallers takes callers, ListenReady answers the balancer, and
 	// ListenPeers takes calls of other nodes; all are IP:port.
 	ListenCallers, ListenReady, ListenPeers string
@@ -182,6 +186,7 @@
 	}
 	n.targets = targets.New(set.DataCentre)
 	n.targets.Off = set.Off
+	n.targets.Regions = set.Regions
 	n.targets.WarmupRate = n.warmupRate
 	n.provisionLimits()
 	n.config = &watch.Table{Name: env.ConfigTable, From: env.Store, Wait: watch.ShortWait, Pause: n.pause(0, configPause, configPause), Apply: (&restore.Table{Name: env.ConfigTable, Apply: n.applyOperator, Log: n.log}).Take, Log: n.log}
@@ -190,6 +195,7 @@
 	n.versions = &versions{n: n}
 	n.former = stagebatch.NewFormer(env.Worker, n.targets, n.batchSpec, n.log)
 	n.former.Off = set.Off
+	n.former.Regions = set.Regions
 	var err error
 	if n.peers, err = n.provisionPeers(); err != nil {
 		return nil, err
@@ -200,7 +206,7 @@
 	n.targets.Trusted = n.trusted
 	n.provisionGuard()
 	n.provisionRelay()
-	n.router = stagebatch.NewRouter(stagebatch.Node{Name: set.Node, Means: set.Means}, n.former, n.peers.client, n.board.Members.Get, n.log)
+	n.router = stagebatch.NewRouter(stagebatch.Node{Name: set.Node, DataCentre: set.DataCentre, Means: set.Means}, n.former, n.peers.client, n.board.Members.Get, n.log)
 	n.front = passthrough.New(passthrough.Config{
 		Routes: n.board.Routes.Get, Current: n.current, StoreAway: n.storeAway, Slept: n.detector.Slept, Trusted: n.trusted, Targets: n.targets, Stages: n.router,
 		Guard: n.guard, Sender: env.Conns, Wire: env.Wire, Off: set.Off,
@@ -390,7 +396,7 @@
 		n.log.Error("settings not reloaded", "err", err)
 		return
 	}
-	n.log.Info("settings reloaded", "changed", set != n.set)
+	n.log.Info("settings reloaded", "changed", !reflect.DeepEqual(set, n.set))
 }
 
 // sweeper closes connections whose time is over. It implements suture.Service.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -295,7 +295,7 @@
 		}
 		if name != p.n.set.Node {
 			sharing = append(sharing, sharedrate.Node{Name: name, Addr: m.Addr})
-			out = append(out, stagebatch.Node{Name: name, Addr: m.Addr, Means: m.Means})
+			out = append(out, stagebatch.Node{Name: name, Addr: m.Addr, DataCentre: m.DataCentre, Means: m.Means})
 		}
 	}
 	p.n.board.Members.Store(out)
--- a/internal/passthrough/outlook.go
+++ b/internal/passthrough/outlook.go
@@ -45,7 +45,7 @@
 		return 0
 	}
 	st := o.c.route.Stages[i]
-	return o.c.s.cfg.Stages.Estimate(st.Service, stagebatch.Work{Rank: o.c.rank, Pieces: n, Late: o.late, Begun: len(st.After) > 0})
+	return o.c.s.cfg.Stages.Estimate(st.Service, stagebatch.Work{Rank: o.c.rank, Pieces: n, Late: o.late, Begun: len(st.After) > 0, Regions: o.c.regions()})
 }
 
 // after estimates the time of the stages that follow stage i, on the longest path.
--- a/internal/passthrough/rest.go
+++ b/internal/passthrough/rest.go
@@ -13,7 +13,7 @@
 
 // untilOpen is how long no target of a service may be called; 0 where one may, or none is known.
 func (c *call) untilOpen() time.Duration {
-	at, ok := c.s.cfg.Targets.Opens(c.service)
+	at, ok := c.s.cfg.Targets.Opens(c.service, c.regions())
 	if !ok || at.IsZero() {
 		return 0
 	}
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -16,6 +16,7 @@
 	"topazmoor/internal/httpconn"
 	"topazmoor/internal/mechanism"
 	"topazmoor/internal/poison"
+	"topazmoor/internal/region"
 	"topazmoor/internal/routes"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/targets"
@@ -164,17 +165,21 @@
 
 // call is one request of a caller.
 type call struct {
-	s       *Server
-	w       http.ResponseWriter
-	r       *http.Request
-	log     *slog.Logger
-	cfg     *routes.Config
+	s   *Server
+	w   http.ResponseWriter
+	r   *http.Request
+	log *slog.Logger
+	cfg *routes.Config
+	// path is the path of the request, as it is on the wire.
+	path    string
 	route   *routes.Route
 	service string
-	account string
-	rank    int
-	meta    Meta
-	body    []byte
+	// admitted are the regions in which the request might be served when it came.
+	admitted region.Set
+	account  string
+	rank     int
+	meta     Meta
+	body     []byte
 	// digest names the request among all attempts of its caller.
 	digest poison.Digest
 	// held is a claimed probe that the stages of the request run under; "" for none.
@@ -247,13 +252,17 @@
 	if err != nil {
 		return notRun(verdict.InvalidRequest, "the path cannot be read")
 	}
-	c.route = c.cfg.Match(c.r.Host, u.EscapedPath())
+	c.path = u.EscapedPath()
+	c.route = c.cfg.Match(c.r.Host, c.path)
 	if c.route == nil {
 		return c.deny(verdict.NotFound, "no route of this host begins the path")
 	}
 	if err := c.authenticate(); err != nil {
 		return err
 	}
+	if err := c.checkRegions(); err != nil {
+		return err
+	}
 	c.service = c.route.Choose(rand.Float64())
 	c.deadline = c.arrived.Add(c.patience())
 	if err := c.readBody(); err != nil {
--- a/internal/peer/stages.go
+++ b/internal/peer/stages.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/peer/peerpb"
+	"topazmoor/internal/region"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
@@ -62,18 +63,25 @@
 	return stagebatch.ErrFailed
 }
 
+func regionsFrom(m *peerpb.Order) region.Set {
+	if !m.Limited {
+		return region.Set{}
+	}
+	return region.Only(m.Region...)
+}
+
 func orderTo(o stagebatch.Order, now time.Time) *peerpb.Order {
 	return &peerpb.Order{
 		Service: o.Service, Request: o.Request, Stage: uint32(o.Stage), Pieces: uint32(o.Pieces),
 		Key: o.Key, Input: o.Inputs, Priority: int32(o.Priority), ResultBytes: o.ResultBytes, DataCentre: o.DataCentre,
-		Digest: o.Digest[:], Probe: o.Probe,
+		Digest: o.Digest[:], Probe: o.Probe, Region: o.Regions.Names(), Limited: !o.Regions.All(),
 		DueInMs: o.Due.Sub(now).Milliseconds(), DeadlineInMs: o.Deadline.Sub(now).Milliseconds(),
 	}
 }
 
 func orderFrom(m *peerpb.Order, now time.Time) stagebatch.Order {
 	return stagebatch.Order{
-		Digest: digestFrom(m.Digest), Probe: m.Probe,
+		Digest: digestFrom(m.Digest), Probe: m.Probe, Regions: regionsFrom(m),
 		Service: m.Service, Request: m.Request, Stage: int(m.Stage), Pieces: int(m.Pieces),
 		Key: m.Key, Inputs: m.Input, Priority: int(m.Priority), ResultBytes: m.ResultBytes, DataCentre: m.DataCentre,
 		Due:      now.Add(time.Duration(m.DueInMs) * time.Millisecond),
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -8,6 +8,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"topazmoor/internal/region"
 )
 
 // Kind says what may be repeated on a route.
@@ -70,6 +72,8 @@
 	Public bool
 	// Resumable streams may go on at another target.
 	Resumable bool
+	// Regions are those in which requests may be served.
+	Regions region.Set
 }
 
 // Share is one service of a route and its weight.
@@ -125,6 +129,8 @@
 	Name string
 	// Priority goes before that of the route; nil for none.
 	Priority *int
+	// Regions are those in which the account's requests may be served.
+	Regions region.Set
 }
 
 // Key gives an account to requests that carry a credential.
@@ -188,6 +194,14 @@
 	return max(first, 0)*max(c.routeRanks, 1) + max(r.Priority, 0)
 }
 
+// Regions returns where a request may be served; a is nil without an account.
+func (c *Config) Regions(r *Route, a *Account) region.Set {
+	if a == nil {
+		return r.Regions
+	}
+	return r.Regions.And(a.Regions)
+}
+
 // NeedsKey reports whether requests on a route need a credential.
 func (c *Config) NeedsKey(r *Route) bool { return c.demandsKey && !r.Public }
 
--- a/internal/stagebatch/estimate.go
+++ b/internal/stagebatch/estimate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"topazmoor/internal/readiness"
+	"topazmoor/internal/region"
 	"topazmoor/internal/routes"
 )
 
@@ -32,6 +33,8 @@
 	// Late says that the request will miss its objective, Begun that results of earlier
 	// stages are there.
 	Late, Begun bool
+	// Regions are those in which the work may be done.
+	Regions region.Set
 }
 
 // of returns the wait of a piece.
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"topazmoor/internal/mechanism"
+	"topazmoor/internal/region"
 	"topazmoor/internal/routes"
 	"topazmoor/internal/targets"
 )
@@ -16,6 +17,8 @@
 // Former forms the batches of stage pools at this node. It is safe for
 // concurrent use.
 type Former struct {
+	// Regions gives the region of each data centre.
+	Regions region.Map
 	// Off are the mechanisms that an experiment switches off.
 	Off mechanism.Set
 	// Guard is told under which orders targets ended; nil for nobody.
@@ -63,7 +66,7 @@
 	f.mu.Lock()
 	p := f.pool(o.Service)
 	f.refresh(p, o.Service)
-	if len(p.makers) == 0 {
+	if !f.hasMaker(p, o.Regions) {
 		f.mu.Unlock()
 		return Result{}, ErrNoTarget
 	}
@@ -159,6 +162,21 @@
 	return p
 }
 
+// hasMaker reports whether a pool has a target in some regions. The lock is held.
+func (f *Former) hasMaker(p *pool, in region.Set) bool {
+	for _, m := range p.makers {
+		if f.Regions.Allows(in, m.DataCentre) {
+			return true
+		}
+	}
+	return false
+}
+
+// knowsTarget reports whether a service has a target in some regions that may be sent work.
+func (f *Former) knowsTarget(service string, in region.Set) bool {
+	return slices.ContainsFunc(f.list.Usable(service), func(t targets.Target) bool { return f.Regions.Allows(in, t.DataCentre) })
+}
+
 // refresh takes in the targets as they are listed now. The lock is held.
 func (f *Former) refresh(p *pool, service string) {
 	listed := f.list.Usable(service)
@@ -199,7 +217,7 @@
 		if len(p.queue) == 0 {
 			break
 		}
-		f.fill(service, p, m, spec, now, p.placeOf(m, working, spec, f.Off, now))
+		f.fill(service, p, m, spec, now, f.placeOf(p, m, working, spec, now))
 	}
 	f.wakeLater(service, p, spec, now)
 }
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -8,6 +8,7 @@
 
 	"topazmoor/internal/mechanism"
 	"topazmoor/internal/readiness"
+	"topazmoor/internal/region"
 	"topazmoor/internal/routes"
 	"topazmoor/internal/targets"
 )
@@ -331,6 +332,8 @@
 // place is where a target stands that is free, as orders see it.
 type place struct {
 	dataCentre string
+	// regions gives the region of each data centre.
+	regions region.Map
 	// working are the data centres that have a target; nil when it does not matter
 	// where a target stands.
 	working map[string]bool
@@ -343,11 +346,11 @@
 }
 
 // placeOf returns the place of a target.
-func (p *pool) placeOf(m *maker, working map[string]bool, spec *routes.Batch, off mechanism.Set, now time.Time) place {
+func (f *Former) placeOf(p *pool, m *maker, working map[string]bool, spec *routes.Batch, now time.Time) place {
 	most := holdQueue * float64(len(p.makers)*max(spec.Items, 1))
-	hold := float64(len(p.queue)) <= most && !off.Has(mechanism.WaitForPlace)
-	pl := place{dataCentre: m.DataCentre, working: working, hold: hold, slower: 1, off: off}
-	if !off.Has(mechanism.SlowTargets) {
+	hold := float64(len(p.queue)) <= most && !f.Off.Has(mechanism.WaitForPlace)
+	pl := place{dataCentre: m.DataCentre, regions: f.Regions, working: working, hold: hold, slower: 1, off: f.Off}
+	if !f.Off.Has(mechanism.SlowTargets) {
 		pl.slower = m.slower(p.makers, now)
 	}
 	return pl
@@ -382,9 +385,12 @@
 	return !due.Before(now.Add(times(takes, pl.slower)))
 }
 
-// takes reports whether an order may be made here: it wishes so, or has waited for its
-// own place for long enough.
+// takes reports whether an order may be made here: its regions allow it, and it wishes so, or has
+// waited for its own place for long enough.
 func (pl place) takes(o *order, spec *routes.Batch, now time.Time) bool {
+	if !pl.regions.Allows(o.Regions, pl.dataCentre) {
+		return false
+	}
 	if !pl.hold || pl.wished(o) {
 		return true
 	}
--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -6,12 +6,16 @@
 	"log/slog"
 	"sync"
 	"time"
+
+	"topazmoor/internal/region"
 )
 
 // Node is another node that may form batches.
 type Node struct {
 	// Name is unique, Addr is where the node takes calls.
 	Name, Addr string
+	// DataCentre is where the node stands.
+	DataCentre string
 	// Means is what the node has for the batches that it forms.
 	Means Means
 }
@@ -59,10 +63,14 @@
 
 	mu       sync.Mutex
 	suspects map[string]time.Time
-	waits    map[string]told
+	waits    map[waitsKey]told
 	stopping bool
 }
 
+// waitsKey names a pool as a former sees it: work that may be done in some regions only has a
+// former there.
+type waitsKey struct{ service, regions string }
+
 // told is what the former of a pool said of the time that pieces wait.
 type told struct {
 	waits Waits
@@ -73,7 +81,7 @@
 func NewRouter(self Node, local *Former, remote Remote, nodes func() []Node, log *slog.Logger) *Router {
 	return &Router{
 		self: self, local: local, remote: remote, nodes: nodes, log: log,
-		suspects: make(map[string]time.Time), waits: make(map[string]told),
+		suspects: make(map[string]time.Time), waits: make(map[waitsKey]told),
 	}
 }
 
@@ -84,18 +92,18 @@
 	r.stopping = true
 }
 
-// ranked returns the nodes that are not suspect in the order in which they form
+// ranked returns the nodes in some regions that are not suspect, in the order in which they form
 // the batches of a service.
-func (r *Router) ranked(service string) []Node {
+func (r *Router) ranked(service string, in region.Set) []Node {
 	now := time.Now()
 	all := r.nodes()
 	r.mu.Lock()
 	out := make([]Node, 0, len(all)+1)
-	if !r.stopping {
+	if !r.stopping && r.local.Regions.Allows(in, r.self.DataCentre) {
 		out = append(out, r.self)
 	}
 	for _, n := range all {
-		if until, ok := r.suspects[n.Name]; ok && now.Before(until) {
+		if until, ok := r.suspects[n.Name]; ok && now.Before(until) || !r.local.Regions.Allows(in, n.DataCentre) {
 			continue
 		}
 		out = append(out, n)
@@ -122,25 +130,25 @@
 
 // Produce runs an order at the first node that takes it.
 func (r *Router) Produce(ctx context.Context, o Order) (Result, error) {
-	for i, n := range r.ranked(o.Service) {
+	for i, n := range r.ranked(o.Service, o.Regions) {
 		if n.Name == r.self.Name || i >= maxNodes {
 			break
 		}
 		res, err := r.produceAt(ctx, n, o)
-		if err == nil || r.final(o.Service, err) || ctx.Err() != nil {
+		if err == nil || r.final(o, err) || ctx.Err() != nil {
 			return res, err
 		}
 		r.suspect(n, o, err)
 	}
-	return r.local.Produce(ctx, o, func(w Waits) { r.note(o.Service, w) })
+	return r.local.Produce(ctx, o, func(w Waits) { r.note(o, w) })
 }
 
 // final reports whether another node would give the same answer. A node that knows no target
 // of a pool which this one knows has just started: a loss of all nodes is over sooner where
 // its orders go on to the next.
-func (r *Router) final(service string, err error) bool {
+func (r *Router) final(o Order, err error) bool {
 	if errors.Is(err, ErrNoTarget) {
-		return len(r.local.list.Usable(service)) == 0
+		return !r.local.knowsTarget(o.Service, o.Regions)
 	}
 	for _, e := range []error{ErrLate, ErrInputGone, ErrFailed, ErrCrashed} {
 		if errors.Is(err, e) {
@@ -165,7 +173,7 @@
 	go func() {
 		res, err := r.remote.Produce(ctx, n.Addr, o, func(w Waits) {
 			watchdog.Reset(silenceTimeout)
-			r.note(o.Service, w)
+			r.note(o, w)
 		})
 		res.Former = n.Addr
 		done <- outcome{res, err}
@@ -204,10 +212,10 @@
 }
 
 // note keeps the waits of a pool.
-func (r *Router) note(service string, w Waits) {
+func (r *Router) note(o Order, w Waits) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.waits[service] = told{waits: w, at: time.Now()}
+	r.waits[waitsKey{o.Service, o.Regions.String()}] = told{waits: w, at: time.Now()}
 }
 
 // Estimate returns the time that an order would take, by what the pool's former last
@@ -220,7 +228,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := expected(spec, w.Pieces)
-	if last := r.waits[service]; time.Since(last.at) < estimateLife {
+	if last := r.waits[waitsKey{service, w.Regions.String()}]; time.Since(last.at) < estimateLife {
 		e += last.waits.of(w)
 	}
 	return e
@@ -268,7 +276,7 @@
 // First returns the node that forms the batches of a service now, as this node
 // sees it.
 func (r *Router) First(service string) string {
-	ranked := r.ranked(service)
+	ranked := r.ranked(service, region.Set{})
 	if len(ranked) == 0 {
 		return r.self.Name
 	}
--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -13,6 +13,7 @@
 
 	"topazmoor/internal/poison"
 	"topazmoor/internal/readiness"
+	"topazmoor/internal/region"
 	"topazmoor/internal/sharedrate"
 	"topazmoor/internal/targets"
 )
@@ -39,6 +40,8 @@
 	// DataCentre is where the results should be made if a target there is free;
 	// "" for anywhere.
 	DataCentre string
+	// Regions are those in which the results may be made.
+	Regions region.Set
 	// Digest names the request among all attempts of its caller, Probe the probe under which it
 	// is made where it is in quarantine: alone in its calls.
 	Digest poison.Digest
--- a/internal/targets/engine.go
+++ b/internal/targets/engine.go
@@ -6,6 +6,7 @@
 
 	"topazmoor/internal/mechanism"
 	"topazmoor/internal/readiness"
+	"topazmoor/internal/region"
 	"topazmoor/internal/routing"
 )
 
@@ -41,10 +42,10 @@
 // of a prompt, those that read most of it first. Draining ones are among them: they hand
 // out copies, but get no requests. Those of a drained data centre, those at rest, and those that name a
 // limit, do neither.
-func (t *Table) keepers(q *EngineQuery, now time.Time) []keeper {
+func (t *Table) keepers(q Query, now time.Time) []keeper {
 	var out []keeper
-	for _, k := range t.prompts.Kept(q.Prompt) {
-		if s := t.byProcess[k.Engine]; s != nil && !s.moved && !s.drained && s.vanishes.IsZero() && s.ready.Standing(now) != readiness.Resting && !s.said.limit.limited() && !s.breaker.Down(now) {
+	for _, k := range t.prompts.Kept(q.Engine.Prompt) {
+		if s := t.byProcess[k.Engine]; s != nil && t.Regions.Allows(q.Regions, s.DataCentre) && !s.moved && !s.drained && s.vanishes.IsZero() && s.ready.Standing(now) != readiness.Resting && !s.said.limit.limited() && !s.breaker.Down(now) {
 			out = append(out, keeper{s, k.Tokens})
 		}
 	}
@@ -160,12 +161,12 @@
 	return first, second
 }
 
-// Home returns the data centre of the engine that a prompt is kept at; "" when
+// Home returns the data centre of the engine in some regions that a prompt is kept at; "" when
 // there is none.
-func (t *Table) Home(service string, affinity uint64) string {
+func (t *Table) Home(service string, affinity uint64, in region.Set) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	cands := t.candidates(Query{Service: service}, t.now())
+	cands := t.candidates(Query{Service: service, Regions: in}, t.now())
 	if affinity == 0 || len(cands) == 0 {
 		return ""
 	}
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -9,12 +9,15 @@
 	"topazmoor/internal/mechanism"
 	"topazmoor/internal/promptcache"
 	"topazmoor/internal/readiness"
+	"topazmoor/internal/region"
 	"topazmoor/internal/sharedrate"
 )
 
 // Query describes one call that needs a target.
 type Query struct {
 	Service string
+	// Regions are those in which the call may be made.
+	Regions region.Set
 	// Exclude lists targets that were tried already.
 	Exclude []string
 	// Engine is set for calls of model engines.
@@ -140,7 +143,7 @@
 		l.s = bestEngine(q.Engine, cands, now, t.Off)
 		l.tokens, l.prompt = q.Engine.Tokens, q.Engine.Prompt
 		if !t.Off.Has(mechanism.CopyPrompts) {
-			l.CopyFrom = source(l.s, q.Engine, t.keepers(q.Engine, now), cands)
+			l.CopyFrom = source(l.s, q.Engine, t.keepers(q, now), cands)
 		}
 	default:
 		l.s = cheapest(q, cands, t.DataCentre, now)
@@ -164,7 +167,7 @@
 	var healthy, spared, down []*state
 	var opening *state
 	for _, s := range t.services[q.Service] {
-		if !s.usable(now) || slices.Contains(q.Exclude, s.ID) || q.Unbounded && t.bounded(s, now) {
+		if !s.usable(now) || !t.Regions.Allows(q.Regions, s.DataCentre) || slices.Contains(q.Exclude, s.ID) || q.Unbounded && t.bounded(s, now) {
 			continue
 		}
 		standing := s.ready.Standing(now)
--- a/internal/targets/said.go
+++ b/internal/targets/said.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"topazmoor/internal/readiness"
+	"topazmoor/internal/region"
 	"topazmoor/internal/sharedrate"
 	"topazmoor/internal/store"
 )
@@ -145,14 +146,14 @@
 	return s != nil && s.usable(now) && s.ready.Admits(began, now)
 }
 
-// Opens returns when a target of a service may next be called: zero for now. ok is false where
-// no target will be.
-func (t *Table) Opens(service string) (at time.Time, ok bool) {
+// Opens returns when a target of a service in some regions may next be called: zero for now. ok
+// is false where no target will be.
+func (t *Table) Opens(service string, in region.Set) (at time.Time, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
 	for _, s := range t.services[service] {
-		if !s.usable(now) {
+		if !s.usable(now) || !t.Regions.Allows(in, s.DataCentre) {
 			continue
 		}
 		opens := s.ready.Opens(now)
--- a/internal/targets/said_test.go
+++ b/internal/targets/said_test.go
@@ -8,6 +8,7 @@
 
 	"topazmoor/internal/promptcache"
 	"topazmoor/internal/readiness"
+	"topazmoor/internal/region"
 	"topazmoor/internal/sharedrate"
 	"topazmoor/internal/store"
 )
@@ -30,7 +31,7 @@
 		c.Assert(tb.Usable("engines"), qt.HasLen, 0)
 		tb.Update(nil, time.Time{})
 	}
-	_, ok := tb.Opens("engines")
+	_, ok := tb.Opens("engines", region.Set{})
 	c.Assert(ok, qt.IsFalse)
 
 	again := e
@@ -65,7 +66,7 @@
 		now.at = now.at.Add(time.Second)
 	}
 	c.Assert(tb.Pick(Query{Service: "engines"}), qt.IsNil)
-	at, ok := tb.Opens("engines")
+	at, ok := tb.Opens("engines", region.Set{})
 	c.Assert(ok, qt.IsTrue)
 	c.Assert(at.Sub(now.at), qt.Equals, time.Second)
 	now.at = at
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -14,6 +14,7 @@
 	"topazmoor/internal/mechanism"
 	"topazmoor/internal/promptcache"
 	"topazmoor/internal/readiness"
+	"topazmoor/internal/region"
 	"topazmoor/internal/routing"
 	"topazmoor/internal/store"
 )
@@ -90,6 +91,8 @@
 type Table struct {
 	// DataCentre is where this node stands.
 	DataCentre string
+	// Regions gives the region of each data centre.
+	Regions region.Map
 	// Off are the mechanisms that an experiment switches off.
 	Off mechanism.Set
 
