--- /dev/null
+++ b/internal/targets/regions_test.go
@@ -0,0 +1,52 @@
+package targets
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"topazmoor/internal/promptcache"
+	"topazmoor/internal/readiness"
+	"topazmoor/internal/region"
+)
+
+// inRegions returns a table of engines in two data centres, each in a region of its own.
+func inRegions(n int) (*Table, *clock) {
+	tb, now := newTable(engines(n)...)
+	tb.Regions = region.Map{"dc1": "north", "dc2": "south"}
+	return tb, now
+}
+
+func TestPromptsAreNotCopiedFromOtherRegions(t *testing.T) {
+	c := qt.New(t)
+	tb, _ := inRegions(6)
+	q := EngineQuery{Affinity: 7, Tokens: 9000, Shared: 6300, Prompt: []promptcache.Prefix{{Hash: 7, Tokens: 6300}, {Hash: 8, Tokens: 9000}}}
+	read := tb.Pick(Query{Service: "engines", Engine: &q, Regions: region.Only("south")})
+	read.PromptRead()
+	read.Done(Served, 0)
+	copying := tb.Pick(Query{Service: "engines", Engine: &q, Exclude: []string{read.ID}, Regions: region.Only("south")})
+	c.Assert(copying.CopyFrom, qt.Equals, read.Addr)
+	for range 3 {
+		l := tb.Pick(Query{Service: "engines", Engine: &q, Regions: region.Only("north")})
+		c.Assert(l.DataCentre, qt.Equals, "dc1")
+		if l.CopyFrom != "" {
+			c.Assert(tb.DataCentreOf(l.CopyFrom), qt.Equals, "dc1")
+		}
+	}
+}
+
+func TestRestsOfOtherRegionsDoNotCount(t *testing.T) {
+	c := qt.New(t)
+	tb, now := inRegions(2)
+	l := tb.Pick(Query{Service: "engines", Regions: region.Only("north")})
+	l.Heard(readiness.Notice{Rest: 3 * time.Second}, true)
+	l.Done(Busy, 0)
+	at, ok := tb.Opens("engines", region.Only("north"))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(at.Sub(now.at), qt.Equals, 3*time.Second)
+	at, ok = tb.Opens("engines", region.Only("south"))
+	c.Assert(ok && at.IsZero(), qt.IsTrue)
+	_, ok = tb.Opens("engines", region.Only("west"))
+	c.Assert(ok, qt.IsFalse)
+}
