Move traffic to other versions of a service, judged by all nodes together

Cause: orders for roll-outs were not read at all; a new version's servers got traffic like any.

Change: package rollout. A gate at each node decides by version where a call goes and counts how calls end; one node, by the rank in which batches are formed, sums the reports up, compares the new version with the old one by a sequential test (cumulative sums of likelihood ratios, by route and over all, without the worst target) and decides: spread trial, bursts of full load within the same bound, moving, settled. Reports are held until something changes, so that a stop reaches all nodes at once; a bad answer is reported at once, and until it is heard the node sends nothing more to the version. The record is written under a condition with the row that the operator reads.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -29,6 +29,7 @@
 	"topazmoor/internal/region"
 	"topazmoor/internal/relay"
 	"topazmoor/internal/restore"
+	"topazmoor/internal/rollout"
 	"topazmoor/internal/routes"
 	"topazmoor/internal/sharedrate"
 	"topazmoor/internal/stagebatch"
@@ -55,6 +56,8 @@
 	// end.
 	StopGrace time.Duration
 	Repeats   RepeatBudget
+	// Rollouts bounds what versions get that are not known to be good.
+	Rollouts rollout.Bounds
 	// Off are the mechanisms that an experiment switches off.
 	Off mechanism.Set
 }
@@ -73,8 +76,12 @@
 	// Config returns nil when there is no configuration yet.
 	Config func(rows map[string]store.Row) (*routes.Config, error)
 	// Drained reads from the same table which data centres get no work.
-	Drained     func(rows map[string]store.Row) map[string]bool
-	TargetTable string
+	Drained func(rows map[string]store.Row) map[string]bool
+	// Rollouts reads from the same table which roll-outs of versions are asked for;
+	// RolloutState is the row that tells the operator of one.
+	Rollouts     func(rows map[string]store.Row) []rollout.Order
+	RolloutState func(r rollout.Record) (store.Write, error)
+	TargetTable  string
 	// Targets also returns the entries that name no target to use.
 	Targets func(rows map[string]store.Row) ([]targets.Target, []Unreadable)
 }
@@ -130,6 +137,8 @@
 	guard      *poison.Guard
 	quarantine *watch.Table
 	limiter    *sharedrate.Limiter
+	gate       *rollout.Gate
+	owner      *rollout.Owner
 	teller     *relay.Teller
 	follower   *relay.Follower
 	former     *stagebatch.Former
@@ -189,6 +198,7 @@
 	n.targets.Regions = set.Regions
 	n.targets.WarmupRate = n.warmupRate
 	n.provisionLimits()
+	n.provisionRollouts()
 	n.config = &watch.Table{Name: env.ConfigTable, From: env.Store, Wait: watch.ShortWait, Pause: n.pause(0, configPause, configPause), Apply: (&restore.Table{Name: env.ConfigTable, Apply: n.applyOperator, Log: n.log}).Take, Log: n.log}
 	n.servers = &watch.Table{Name: env.TargetTable, From: env.Store, Wait: watch.ShortWait, Pause: n.pause(targetPausePerNode, targetPause, maxTargetPause), Apply: n.applyTargets, Contact: n.storeContact, Log: n.log}
 	n.config.Lead = n.servers
@@ -332,7 +342,7 @@
 		supervise.Named("configuration", n.config), supervise.Named("list of targets", n.servers),
 		supervise.Named("peers", n.peers), supervise.Named("peer server", n.peers.server), supervise.Named("members", n.peers.members),
 		supervise.Named("follower", n.follower), supervise.Named("teller", n.teller),
-		supervise.Named("callers", n.callers), supervise.Named("quarantine", n.quarantine), supervise.Named("guard", n.guard), supervise.Named("suspensions", n.detector), supervise.Named("sweeper", &sweeper{n}),
+		supervise.Named("callers", n.callers), supervise.Named("quarantine", n.quarantine), supervise.Named("guard", n.guard), supervise.Named("suspensions", n.detector), supervise.Named("roll-outs", n.gate), supervise.Named("sweeper", &sweeper{n}),
 	} {
 		sup.Add(s)
 	}
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -13,6 +13,7 @@
 func (n *Node) applyOperator(v watch.View, _ restore.Result) {
 	n.versions.saw(v.Rows)
 	n.applyDrains(v)
+	n.gate.SetOrders(n.env.Sources.Rollouts(v.Rows))
 	n.applyConfig(v)
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -19,6 +19,7 @@
 	"topazmoor/internal/poison"
 	"topazmoor/internal/relay"
 	"topazmoor/internal/restore"
+	"topazmoor/internal/rollout"
 	"topazmoor/internal/sharedrate"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/store"
@@ -93,7 +94,7 @@
 	p := &peers{n: n, mended: make(chan struct{}, 1), client: newLateClient(), known: make(chan struct{}), answered: make(chan struct{}), server: &lateServer{ln: ln, key: make(chan []byte, 1)}}
 	p.missing.Store(2)
 	p.server.start = func(key []byte) *peer.Server {
-		return peer.NewServer(ln, key, n.set.Node, peer.Handler{Stages: n.former, Versions: n.versions, Teller: n.teller, Ends: n.guard, Permits: n.limiter}, n.log)
+		return peer.NewServer(ln, key, n.set.Node, peer.Handler{Stages: n.former, Versions: n.versions, Teller: n.teller, Ends: n.guard, Permits: n.limiter, Rollouts: n.owner}, n.log)
 	}
 	p.row, err = json.Marshal(member{Addr: ln.Addr().String(), DataCentre: n.set.DataCentre, Memory: n.set.MemoryBytes, Means: n.set.Means})
 	if err != nil {
@@ -397,6 +398,15 @@
 	return c.TellEnds(ctx, addr, ends)
 }
 
+// ReportRollout tells the node that decides on a roll-out what this one saw of it.
+func (l *lateClient) ReportRollout(ctx context.Context, addr string, r rollout.Report) (rollout.Answer, error) {
+	c := l.c.Load()
+	if c == nil {
+		return rollout.Answer{}, errNoKey
+	}
+	return c.ReportRollout(ctx, addr, r)
+}
+
 // AskPermits asks another node for permits of a rate.
 func (l *lateClient) AskPermits(ctx context.Context, addr string, a sharedrate.Ask) (sharedrate.Grant, error) {
 	c := l.c.Load()
--- /dev/null
+++ b/internal/entry/rollouts.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/rotisserie/eris"
+
+	"topazmoor/internal/rollout"
+	"topazmoor/internal/store"
+)
+
+// rolloutTable holds the records of roll-outs, by service.
+const rolloutTable = "rollouts"
+
+// provisionRollouts builds what moves traffic to other versions of services.
+func (n *Node) provisionRollouts() {
+	n.owner = &rollout.Owner{
+		Bounds: n.set.Rollouts, Book: rolloutBook{n}, Targets: n.targets.Versions, Log: n.log,
+		Withdrawn: func(o rollout.Order) bool { return n.gate.Withdrawn(o) },
+	}
+	n.gate = rollout.NewGate(n.set.Node, rolloutOwners{n}, func() int { return len(n.board.Members.Get()) + 1 }, n.log)
+	n.targets.Rollouts = n.gate
+	n.metrics.GaugeVec("topazmoor_entry_rollout_share", "Share of the calls that go to the version of a roll-out, where this node decides on it, by service.", "service", func() map[string]float64 {
+		out := make(map[string]float64)
+		for _, s := range n.owner.Orders() {
+			out[s.Service] = s.Share
+		}
+		return out
+	})
+}
+
+// rolloutOwners reports to the node that decides on a roll-out. It implements rollout.Remote.
+type rolloutOwners struct{ n *Node }
+
+// Report implements rollout.Remote.
+func (o rolloutOwners) Report(ctx context.Context, r rollout.Report) (rollout.Answer, error) {
+	lead, self := o.n.router.Lead("roll-out of " + r.Order.Service)
+	if self {
+		return o.n.owner.Report(ctx, r)
+	}
+	a, err := o.n.peers.client.ReportRollout(ctx, lead.Addr, r)
+	if err != nil && ctx.Err() == nil {
+		o.n.router.Suspect(lead)
+	}
+	return a, err
+}
+
+// rolloutBook keeps records of roll-outs in the store. It implements rollout.Book.
+type rolloutBook struct{ n *Node }
+
+// Save implements rollout.Book. The row that the operator reads is written with the record.
+func (b rolloutBook) Save(ctx context.Context, r rollout.Record) (rollout.Record, error) {
+	row, kept, err := b.load(ctx, r.Service)
+	switch {
+	case err != nil:
+		return rollout.Record{}, err
+	case r.Revision.Before(kept.Revision):
+		return rollout.Record{}, rollout.ErrSuperseded
+	case kept.Revision == r.Revision && (kept.State.Final() || r.State == rollout.Running):
+		// What was decided stands, and an order begins once.
+		return kept, nil
+	}
+	value, err := json.Marshal(r)
+	if err != nil {
+		return rollout.Record{}, eris.Wrap(err, "encode record of roll-out")
+	}
+	state, err := b.n.env.RolloutState(r)
+	if err != nil {
+		return rollout.Record{}, err
+	}
+	_, err = b.n.env.Store.Commit(ctx, store.Tx{
+		Conditions: []store.Condition{{Table: rolloutTable, Key: r.Service, Version: row.Version}},
+		Writes:     []store.Write{{Table: rolloutTable, Key: r.Service, Value: value}, state},
+	})
+	if err != nil {
+		return rollout.Record{}, eris.Wrap(err, "write record of roll-out")
+	}
+	b.n.log.Info("roll-out written", "service", r.Service, "to", r.To, "state", r.State, "reason", r.Reason)
+	return r, nil
+}
+
+// load returns the record of a service's last roll-out; zero for none.
+func (b rolloutBook) load(ctx context.Context, service string) (store.Row, rollout.Record, error) {
+	row, err := b.n.env.Store.Get(ctx, rolloutTable, service)
+	if errors.Is(err, store.ErrNotFound) {
+		return store.Row{}, rollout.Record{}, nil
+	}
+	var r rollout.Record
+	if err == nil {
+		err = json.Unmarshal(row.Value, &r)
+	}
+	return row, r, eris.Wrap(err, "read record of roll-out")
+}
--- a/internal/passthrough/plain.go
+++ b/internal/passthrough/plain.go
@@ -170,6 +170,9 @@
 			"ran_ms", time.Since(a.start).Milliseconds(), "err", err)
 		return result{f: &failure{ran: true, err: err}}
 	}
+	if a.ans.Status >= http.StatusInternalServerError {
+		l.Faulty()
+	}
 	l.Done(targets.Served, time.Since(a.start))
 	c.answered()
 	return result{ans: w}
--- a/internal/passthrough/quarantine.go
+++ b/internal/passthrough/quarantine.go
@@ -31,7 +31,7 @@
 	probe := c.held
 	c.held = ""
 	n := sending{number: c.sends + 1, chosen: time.Now(), fresh: c.stale > 0 || c.s.cfg.Guard.Suspect(c.digest), probe: probe}
-	q.Service, q.Regions, q.Exclude, q.Alone, q.Again = c.service, c.regions(), c.tried, probe != "", c.sends > 0
+	q.Service, q.Route, q.Regions, q.Exclude, q.Alone, q.Again = c.service, c.route.Name, c.regions(), c.tried, probe != "", c.sends > 0
 	l := c.choose(q)
 	if l == nil {
 		c.abandoned(n)
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -165,6 +165,9 @@
 		x.c.brokeOff(a.lease, a.n, a.start, x.c.ctx.Err() != nil)
 		return &failure{ran: true, err: err}
 	}
+	if a.ans.Status >= http.StatusInternalServerError {
+		a.lease.Faulty()
+	}
 	a.lease.Done(targets.Served, 0)
 	x.c.answered()
 	if x.started || (x.c.route.Resumable && a.ans.Status >= http.StatusInternalServerError && x.c.runs < x.c.route.MaxAttempts) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -42,6 +42,8 @@
 	Ends Ends
 	// Permits grants permits of rates that nodes share; nil at nodes without them.
 	Permits Permits
+	// Rollouts decides on roll-outs of versions; nil at nodes without them.
+	Rollouts Rollouts
 	// Versions exchanges configuration versions with orders; nil for not.
 	Versions Versions
 }
@@ -178,6 +180,8 @@
 		return s.ends(call.Ends), nil
 	case *peerpb.Request_Permits:
 		return s.permits(call.Permits)
+	case *peerpb.Request_Rollout:
+		return s.rollout(ctx, call.Rollout)
 	case *peerpb.Request_Produce:
 		return s.produce(ctx, st, call.Produce)
 	case *peerpb.Request_Free:
--- /dev/null
+++ b/internal/rollout/controller_test.go
@@ -0,0 +1,62 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Date(2026, 3, 5, 0, 0, 0, 0, time.UTC)
+
+func newController(lasts time.Duration) *Controller {
+	return &Controller{Order: Order{Service: "s", To: "v2", Lasts: lasts}, Bounds: Bounds{Share: 0.1, Slack: 50}, Began: start, Judge: NewJudge()}
+}
+
+// goodFor feeds the judge with good answers of both versions.
+func goodFor(c *Controller, answers int) {
+	var t Tally
+	t.Took[bucketOf(20*time.Millisecond)] = uint32(answers)
+	c.Judge.Take(map[Source]Tally{{Route: "a"}: t, {Route: "a", New: true, Target: "t"}: t})
+}
+
+func TestTrialKeepsToItsBoundWhateverTheLoad(t *testing.T) {
+	for _, perStep := range []float64{0.2, 2, 20, 400} {
+		c := newController(30 * time.Second)
+		var sent, sentNew float64
+		for now := start; c.moving.IsZero() && now.Before(c.deadline()); now = now.Add(stepInterval) {
+			step := c.Step(Situation{Now: now, Targets: Targets{New: 4, Warm: 4, Old: 4}, Sent: uint64(sent), SentNew: uint64(sentNew)})
+			if !c.moving.IsZero() {
+				break
+			}
+			sent += perStep
+			sentNew += step.Share * perStep
+			goodFor(c, max(int(step.Share*perStep), 0))
+		}
+		qt.Check(t, sentNew <= c.Bounds.Share*sent+c.Bounds.Slack, qt.IsTrue, qt.Commentf("%v a step: %v of %v", perStep, sentNew, sent))
+	}
+}
+
+func TestOrderIsCompletedOnceNothingIsLeftAtTheOldVersion(t *testing.T) {
+	c := newController(20 * time.Second)
+	s := Situation{Now: start, Targets: Targets{New: 4, Warm: 4, Old: 4}, Sent: 1000, SentNew: 50, OldInFlight: 3}
+	goodFor(c, 200)
+	for s.Now.Before(c.at(moveUntil)) {
+		qt.Assert(t, c.Step(s).State, qt.Equals, Running)
+		s.Now = s.Now.Add(stepInterval)
+		s.Sent += 40
+	}
+	step := c.Step(s)
+	qt.Assert(t, step.State, qt.Equals, Running)
+	qt.Assert(t, step.Share, qt.Equals, 1.0)
+	s.Now, s.OldInFlight = s.Now.Add(settleTime), 0
+	qt.Assert(t, c.Step(s).State, qt.Equals, Completed)
+}
+
+func TestOrderWithoutAnswersIsRolledBack(t *testing.T) {
+	c := newController(20 * time.Second)
+	s := Situation{Now: c.deadline().Add(-lastMoment), Targets: Targets{New: 4, Warm: 4}, Sent: 3, SentNew: 1}
+	qt.Assert(t, c.Step(s).State, qt.Equals, RolledBack)
+	s.Targets = Targets{}
+	qt.Assert(t, c.Step(s).Reason, qt.Equals, "no target of the version came")
+}
--- /dev/null
+++ b/internal/rollout/owner.go
@@ -0,0 +1,263 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+)
+
+// ErrSuperseded: the store has the record of a newer order.
+var ErrSuperseded = errors.New("rollout: a newer order of the service stands")
+
+// Book keeps the records of orders in the store.
+type Book interface {
+	// Save keeps a record unless the store has a final one of the same order, and returns what
+	// it has then. It fails with ErrSuperseded, or with an error of the store.
+	Save(ctx context.Context, r Record) (Record, error)
+}
+
+const (
+	// stepInterval is the time between two looks at an order.
+	stepInterval = 200 * time.Millisecond
+	// idleAfter is how long without a report an owner forgets an order.
+	idleAfter = 20 * time.Second
+	// saveTimeout bounds one call of the store.
+	saveTimeout = 2 * time.Second
+	// inFlightLife is how long a node's count of calls at the old version is believed.
+	inFlightLife = 3 * mostHold
+)
+
+// Owner sums up the reports on orders and decides on them. Each node has one; which node is asked
+// is for the nodes that report. It is safe for concurrent use.
+type Owner struct {
+	Bounds Bounds
+	Book   Book
+	// Targets counts the targets of a service as this node sees them.
+	Targets func(service, version string) Targets
+	// Withdrawn reports whether an order does not stand any more.
+	Withdrawn func(o Order) bool
+	Log       *slog.Logger
+
+	mu   sync.Mutex
+	runs map[Order]*run
+}
+
+// run is an order at its owner.
+type run struct {
+	o       *Owner
+	record  Record
+	control Controller
+	nodes   map[string]*reporter
+	// news is what came since the last step.
+	news          map[Source]Tally
+	sent, sentNew uint64
+	heardAt       time.Time
+	step          Step
+	answer        Answer
+	// changed is closed when the answer changes.
+	changed chan struct{}
+	// saved says that the store has the record.
+	saved bool
+}
+
+// reporter is what one node reported.
+type reporter struct {
+	evidence    Evidence
+	oldInFlight int
+	at          time.Time
+	// release ends the wait of the node's last report.
+	release chan struct{}
+}
+
+// Report takes in a report and answers it once its node should go by something else.
+func (w *Owner) Report(ctx context.Context, r Report) (Answer, error) {
+	release := make(chan struct{})
+	x := w.take(r, release)
+	timer := time.NewTimer(min(r.Hold, mostHold))
+	defer timer.Stop()
+	for {
+		w.mu.Lock()
+		answer, changed := x.answer, x.changed
+		w.mu.Unlock()
+		if answer != r.Has && answer.State != Unknown {
+			return answer, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			if answer.State == Unknown {
+				return Answer{}, errUndecided
+			}
+			return answer, nil
+		case <-release:
+			return answer, nil
+		case <-ctx.Done():
+			return Answer{}, ctx.Err()
+		}
+	}
+}
+
+var errUndecided = errors.New("rollout: the store does not have the order's record yet")
+
+// take adds a report to what is known of its order.
+func (w *Owner) take(r Report, release chan struct{}) *run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	x := w.runs[r.Order]
+	if x == nil {
+		x = w.begin(r.Order, now)
+	}
+	node := x.nodes[r.Node]
+	if node == nil {
+		node = &reporter{release: make(chan struct{})}
+		x.nodes[r.Node] = node
+	}
+	news := r.Evidence.since(node.evidence)
+	for source, t := range news.Tallies {
+		sum := x.news[source]
+		sum.add(t)
+		x.news[source] = sum
+	}
+	x.sent += news.Sent
+	x.sentNew += news.SentNew
+	close(node.release)
+	node.evidence, node.oldInFlight, node.at, node.release = r.Evidence, r.OldInFlight, now, release
+	x.heardAt = now
+	return x
+}
+
+// begin starts to decide on an order. The lock is held.
+func (w *Owner) begin(o Order, now time.Time) *run {
+	x := &run{
+		o: w, nodes: make(map[string]*reporter), news: make(map[Source]Tally), changed: make(chan struct{}),
+		control: Controller{Order: o, Bounds: w.Bounds, Began: now, Judge: NewJudge()},
+		record:  Record{Service: o.Service, To: o.To, Revision: o.Revision, State: Running, Began: now, Deadline: now.Add(o.Lasts)},
+	}
+	if w.runs == nil {
+		w.runs = make(map[Order]*run)
+	}
+	w.runs[o] = x
+	w.Log.Info("this node decides on a roll-out", "service", o.Service, "to", o.To, "lasts", o.Lasts)
+	go x.decide()
+	return x
+}
+
+// decide looks at the order until nobody reports on it any more.
+func (x *run) decide() {
+	tick := time.NewTicker(stepInterval)
+	defer tick.Stop()
+	for {
+		if !x.saved {
+			x.save()
+		}
+		if x.look() {
+			return
+		}
+		<-tick.C
+	}
+}
+
+// save writes the record, and goes by what the store has.
+func (x *run) save() {
+	w := x.o
+	w.mu.Lock()
+	record := x.record
+	w.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
+	defer cancel()
+	kept, err := w.Book.Save(ctx, record)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case errors.Is(err, ErrSuperseded):
+		x.record.State, x.record.Reason, x.saved = RolledBack, err.Error(), true
+	case err != nil:
+		w.Log.Info("state of the roll-out not written yet", "service", record.Service, "to", record.To, "state", record.State, "err", err)
+		return
+	default:
+		x.record, x.saved = kept, true
+		x.control.Began = kept.Began
+	}
+	x.tell(Answer{State: x.record.State, Share: x.answer.Share})
+}
+
+// look takes one step, and reports whether the order is forgotten.
+func (x *run) look() (forgotten bool) {
+	w := x.o
+	targets, withdrawn := w.Targets(x.record.Service, x.record.To), w.Withdrawn(x.control.Order)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if now.Sub(x.heardAt) > idleAfter {
+		delete(w.runs, x.control.Order)
+		return true
+	}
+	if x.record.State.Final() {
+		return false
+	}
+	x.control.Judge.Take(x.news)
+	clear(x.news)
+	step := x.control.Step(Situation{
+		Now: now, Targets: targets, Sent: x.sent, SentNew: x.sentNew, OldInFlight: x.oldInFlight(now), Withdrawn: withdrawn,
+	})
+	if step.State != x.step.State || step.Phase != x.step.Phase || step.Share != x.step.Share {
+		w.Log.Info("roll-out decided", "service", x.record.Service, "to", x.record.To, "state", step.State, "phase", step.Phase, "share", step.Share, "reason", step.Reason,
+			"sent", x.sent, "sent_new", x.sentNew, "new_targets", targets.New, "warm", targets.Warm, "old_targets", targets.Old, "nodes", len(x.nodes))
+	}
+	x.step = step
+	if !step.State.Final() {
+		if x.saved {
+			x.tell(Answer{State: Running, Share: step.Share})
+		}
+		return false
+	}
+	x.record.State, x.record.Reason, x.saved = step.State, step.Reason, false
+	if step.State == RolledBack {
+		// Nobody waits for the store with this.
+		x.tell(Answer{State: Running})
+	}
+	return false
+}
+
+// oldInFlight counts the calls that the old version still works on. The lock is held.
+func (x *run) oldInFlight(now time.Time) (n int) {
+	for _, node := range x.nodes {
+		if now.Sub(node.at) < inFlightLife {
+			n += node.oldInFlight
+		}
+	}
+	return n
+}
+
+// tell gives all nodes an answer. The lock is held.
+func (x *run) tell(a Answer) {
+	if a == x.answer {
+		return
+	}
+	x.answer = a
+	close(x.changed)
+	x.changed = make(chan struct{})
+}
+
+// Status is what the owner of an order knows of it.
+type Status struct {
+	Record
+	Share         float64
+	Phase         string
+	Sent, SentNew uint64
+	Nodes         int
+}
+
+// Orders returns the orders that this node decides on.
+func (w *Owner) Orders() []Status {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []Status
+	for _, x := range w.runs {
+		out = append(out, Status{Record: x.record, Share: x.answer.Share, Phase: x.step.Phase, Sent: x.sent, SentNew: x.sentNew, Nodes: len(x.nodes)})
+	}
+	return out
+}
--- a/internal/stagebatch/calls.go
+++ b/internal/stagebatch/calls.go
@@ -45,6 +45,8 @@
 type call struct {
 	service string
 	m       *maker
+	// target is the process that was called: m may stand for another one by now.
+	target  targets.Target
 	spec    *routes.Batch
 	batch   []*piece
 	started time.Time
@@ -63,7 +65,9 @@
 	slower := m.slower(f.pools[service].makers, now)
 	m.calls++
 	m.lastCall, m.callBytes = now, 0
-	c := &call{service: service, m: m, spec: spec, batch: batch, started: now, began: f.list.Began(m.Process()), permit: m.usePermit(), sound: expected(spec, len(batch))}
+	f.pools[service].versions.called(m.Version, len(batch), max(spec.Items, 1))
+	f.list.StageCalled(m.Target)
+	c := &call{service: service, m: m, target: m.Target, spec: spec, batch: batch, started: now, began: f.list.Began(m.Process()), permit: m.usePermit(), sound: expected(spec, len(batch))}
 	c.expected = times(c.sound, slower)
 	items := make([]Item, len(batch))
 	for i, p := range batch {
@@ -206,6 +210,7 @@
 	c.ended, c.failed = true, err != nil
 	c.m.calls--
 	now := time.Now()
+	f.list.StageEnded(c.target, outcomeOf(reply, err), times(c.spec.CallTime, float64(now.Sub(c.started))/float64(c.sound)))
 	if err != nil {
 		f.failed(c, err, now)
 	} else {
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -46,6 +46,8 @@
 	// sharedUntil is until when other nodes are presumed to form batches of this
 	// pool too, so that calls may have to wait at their targets.
 	sharedUntil time.Time
+	// versions shares out the calls while the version of the targets changes.
+	versions versions
 }
 
 // NewFormer returns a Former. spec describes the targets of a service; nil for
@@ -198,6 +200,7 @@
 			delete(p.makers, id)
 		}
 	}
+	p.versions.set(f.list.Trial(service))
 }
 
 // pump hands batches to all targets that are free. The lock is held.
@@ -217,6 +220,9 @@
 		if len(p.queue) == 0 {
 			break
 		}
+		if !p.versions.mayCall(m.Version) {
+			continue
+		}
 		f.fill(service, p, m, spec, now, f.placeOf(p, m, working, spec, now))
 	}
 	f.wakeLater(service, p, spec, now)
--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -273,6 +273,23 @@
 	}()
 }
 
+// Lead returns the node that answers for something that all nodes share, as this node sees it,
+// and whether it is this one.
+func (r *Router) Lead(name string) (n Node, self bool) {
+	ranked := r.ranked(name, region.Set{})
+	if len(ranked) == 0 {
+		return r.self, true
+	}
+	return ranked[0], ranked[0].Name == r.self.Name
+}
+
+// Suspect passes over a node that did not answer for a while.
+func (r *Router) Suspect(n Node) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.suspects[n.Name] = time.Now().Add(suspectFor)
+}
+
 // First returns the node that forms the batches of a service now, as this node
 // sees it.
 func (r *Router) First(service string) string {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -149,6 +149,8 @@
 	// Pool is the stage pool, engine pool or service that it serves.
 	Pool       string `json:"pool"`
 	DataCentre string `json:"data_centre"`
+	// Version is that of its software; "" for unknown.
+	Version string `json:"version,omitempty"`
 	// Models and Adapters are loaded now; empty for plain services.
 	Models   []string `json:"models,omitempty"`
 	Adapters []string `json:"adapters,omitempty"`
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -16,6 +16,8 @@
 // Query describes one call that needs a target.
 type Query struct {
 	Service string
+	// Route names the route of the request, by which versions of targets are compared.
+	Route string
 	// Regions are those in which the call may be made.
 	Regions region.Set
 	// Exclude lists targets that were tried already.
@@ -82,6 +84,8 @@
 	// latest is how long the call may wait for its permit, permit what it got.
 	latest time.Time
 	permit sharedrate.Permit
+	// seen is what the call tells of its target's version.
+	seen observed
 }
 
 // Basis is what was believed of a target when it was chosen.
@@ -129,7 +133,7 @@
 	if len(cands) == 0 {
 		return nil
 	}
-	l := &Lease{t: t, began: now, latest: now}
+	l := &Lease{t: t, began: now, latest: now, seen: observed{route: q.Route}}
 	if !slices.ContainsFunc(cands, func(s *state) bool { return !t.bounded(s, now) }) {
 		l.latest = q.Latest
 	}
@@ -157,17 +161,33 @@
 	l.s.ready.Begin(now)
 	l.s.inFlight++
 	l.s.pending += l.tokens
+	t.sent(l)
 	return l
 }
 
-// candidates returns the targets that may be called: those in good health that take calls, else
-// those that lately turned one away, else the one that next takes one of its bounded rate, if the
-// request may wait for it, else all.
+// candidates returns the targets that may be called, of the first of a service's lanes that has
+// any.
 func (t *Table) candidates(q Query, now time.Time) []*state {
+	lanes := t.lanes(q)
+	if lanes == nil {
+		return t.candidatesOf(q, now, anyTarget)
+	}
+	for _, lane := range lanes {
+		if cands := t.candidatesOf(q, now, t.admits(q.Service, lane, now)); len(cands) > 0 {
+			return cands
+		}
+	}
+	return nil
+}
+
+// candidatesOf returns the targets of a lane that may be called: those in good health that take
+// calls, else those that lately turned one away, else the one that next takes one of its bounded
+// rate, if the request may wait for it, else all.
+func (t *Table) candidatesOf(q Query, now time.Time, admits func(*state) bool) []*state {
 	var healthy, spared, down []*state
 	var opening *state
 	for _, s := range t.services[q.Service] {
-		if !s.usable(now) || !t.Regions.Allows(q.Regions, s.DataCentre) || slices.Contains(q.Exclude, s.ID) || q.Unbounded && t.bounded(s, now) {
+		if !s.usable(now) || !admits(s) || !t.Regions.Allows(q.Regions, s.DataCentre) || slices.Contains(q.Exclude, s.ID) || q.Unbounded && t.bounded(s, now) {
 			continue
 		}
 		standing := s.ready.Standing(now)
@@ -284,6 +304,7 @@
 	s.inFlight--
 	s.pending -= l.tokens
 	now := l.t.now()
+	l.t.ended(l, o, took, now)
 	switch o {
 	case Served:
 		s.breaker.Success()
@@ -354,4 +375,5 @@
 	l.t.mu.Lock()
 	defer l.t.mu.Unlock()
 	l.s.measured(took, l.t.now())
+	l.seen.first = took
 }
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -22,6 +22,8 @@
 // Target is one listed target.
 type Target struct {
 	ID, Service string
+	// Version is that of the target's software; "" for unknown.
+	Version string
 	// Born is when the target's process started, in Unix milliseconds; 0 for unknown. A
 	// process may start again under the ID that it had: it knows nothing of before then.
 	Born int64
@@ -104,6 +106,9 @@
 	// bound.
 	Permits Permits
 
+	// Rollouts tells which versions of a service calls go to; nil for all.
+	Rollouts Rollouts
+
 	// LimitChanged is told of each change of a limit that a target names; nil for nobody. It is
 	// called with the Table's lock held.
 	LimitChanged func(LimitChange)
