Read changes of the list of targets by themselves

Cause: each change of one entry made each node decode the whole list, compare it and build its indexes again: 132 ms of processor time at 9,992 targets, of which a host of 0.192 processors has one such change behind the other while servers start, drain or are replaced. It grows with the targets for each node, so with the square of a fleet that grows in both.

Ruled out: the copy of the table itself (about 1 ms); compression by the followed node (once a version).

Change: a view of a table names the rows that changed; entries are decoded one by one, in one pass; targets.Table keeps its indexes by what changed.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -82,16 +82,8 @@
 	Rollouts     func(rows map[string]store.Row) []rollout.Order
 	RolloutState func(r rollout.Record) (store.Write, error)
 	TargetTable  string
-	// Targets also returns the entries that name no target to use.
-	Targets func(rows map[string]store.Row) ([]targets.Target, []Unreadable)
-}
-
-// Unreadable is an entry that names no target to use.
-type Unreadable struct {
-	Key string
-	// Revision is the version of the row.
-	Revision store.Version
-	Err      error
+	// Target reads one entry. It fails for one that names no target to use.
+	Target func(r store.Row) (targets.Target, error)
 }
 
 // Env is the outside world of a node; tests replace it.
@@ -322,9 +314,7 @@
 // applyTargets takes in a list of targets.
 func (n *Node) applyTargets(v watch.View) {
 	n.teller.Wake()
-	list, bad := n.env.Sources.Targets(v.Rows)
-	n.unreadable.note(bad, n.log)
-	changes, gone := n.targets.Update(list, v.Regained)
+	changes, gone := n.targets.Change(n.readTargets(v), v.Regained)
 	for _, addr := range gone {
 		n.env.Conns.Forget(addr)
 	}
@@ -333,6 +323,28 @@
 	}
 }
 
+// readTargets reads the entries of targets that changed.
+func (n *Node) readTargets(v watch.View) targets.News {
+	var news targets.News
+	for _, key := range v.Changed {
+		row, listed := v.Rows[key]
+		if !listed {
+			n.unreadable.drop(key)
+			news.Gone = append(news.Gone, key)
+			continue
+		}
+		t, err := n.env.Sources.Target(row)
+		if err != nil {
+			n.unreadable.note(row, err, n.log)
+			news.Gone = append(news.Gone, key)
+			continue
+		}
+		n.unreadable.drop(key)
+		news.Listed = append(news.Listed, t)
+	}
+	return news
+}
+
 // Serve runs the node until ctx ends or a graceful stop is complete.
 func (n *Node) Serve(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/entry/unreadable.go
+++ b/internal/entry/unreadable.go
@@ -3,28 +3,33 @@
 import (
 	"log/slog"
 	"sync"
+
 	"topazmoor/internal/store"
 )
 
-// unreadable keeps which entries of targets were left out, so that each is logged once.
+// unreadable keeps which entries of targets were left out.
 type unreadable struct {
 	mu sync.Mutex
-	// seen has the revisions of the entries by their keys.
-	seen map[string]store.Version
+	// seen has the keys of the entries.
+	seen map[string]bool
 }
 
-// note takes in the entries that were left out of the list as it is now.
-func (u *unreadable) note(bad []Unreadable, log *slog.Logger) {
+// note logs an entry that is left out, which has changed.
+func (u *unreadable) note(r store.Row, err error, log *slog.Logger) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	next := make(map[string]store.Version, len(bad))
-	for _, e := range bad {
-		next[e.Key] = e.Revision
-		if before, ok := u.seen[e.Key]; !ok || before != e.Revision {
-			log.Error("entry of a target left out", "target", e.Key, "row_version", e.Revision, "err", e.Err)
-		}
+	if u.seen == nil {
+		u.seen = make(map[string]bool)
 	}
-	u.seen = next
+	u.seen[r.Key] = true
+	log.Error("entry of a target left out", "target", r.Key, "row_version", r.Version, "err", err)
+}
+
+// drop notes that an entry is not left out any more.
+func (u *unreadable) drop(key string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.seen, key)
 }
 
 // count returns how many entries are left out now.
--- a/internal/targets/datacentre.go
+++ b/internal/targets/datacentre.go
@@ -29,6 +29,6 @@
 func (t *Table) Drained(addr string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.byAddr[addr]
+	s := t.at(addr)
 	return s != nil && s.drained
 }
--- a/internal/targets/datacentre_test.go
+++ b/internal/targets/datacentre_test.go
@@ -136,7 +136,7 @@
 				if target := listed[l.ID]; target.Draining || drained[target.DataCentre] {
 					rt.Fatalf("%s was called", l.ID)
 				}
-				if from := tb.byAddr[l.CopyFrom]; from != nil && drained[from.DataCentre] {
+				if from := tb.at(l.CopyFrom); from != nil && drained[from.DataCentre] {
 					rt.Fatalf("a prompt is copied from %s", from.ID)
 				}
 				l.PromptRead()
--- a/internal/targets/limit.go
+++ b/internal/targets/limit.go
@@ -216,7 +216,7 @@
 func (t *Table) BoundedAt(addr string) (process string, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.byAddr[addr]
+	s := t.at(addr)
 	if s == nil || !t.bounded(s, t.now()) {
 		return "", false
 	}
--- a/internal/targets/said.go
+++ b/internal/targets/said.go
@@ -50,8 +50,16 @@
 	return s
 }
 
-// forgetSaid drops the words of processes that are not listed and said nothing, or long ago.
-func (t *Table) forgetSaid(now time.Time) {
+// forgetPause is how often what processes said is looked through where none has left the list.
+const forgetPause = 30 * time.Second
+
+// forgetSaid drops the words of processes that are not listed and said nothing, or long ago. left
+// says that a process has left the list.
+func (t *Table) forgetSaid(now time.Time, left bool) {
+	if !left && now.Sub(t.forgot) < forgetPause {
+		return
+	}
+	t.forgot = now
 	for process, s := range t.said {
 		if t.byProcess[process] == nil && (!s.Said() && !s.limit.limited() && s.drained.IsZero() || now.Sub(s.listed) > saidLife) {
 			delete(t.said, process)
@@ -186,7 +194,7 @@
 func (t *Table) RestAt(addr string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s, now := t.byAddr[addr], t.now()
+	s, now := t.at(addr), t.now()
 	if s == nil {
 		return 0
 	}
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -4,6 +4,7 @@
 package targets
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -121,10 +122,15 @@
 	byID     map[string]*state
 	services map[string][]*state
 	// byProcess has the targets by the start of their processes, byAddr by their addresses.
-	byProcess, byAddr map[string]*state
+	byProcess map[string]*state
+	byAddr    map[string][]*state
+	// lapsed are the targets that are not listed any more but still used.
+	lapsed map[string]*state
 	// said has what processes said of themselves, by process; those that left the list are
 	// remembered for a while.
 	said map[string]*said
+	// forgot is when said was last looked through.
+	forgot time.Time
 	// drained are the data centres that get no work.
 	drained map[string]bool
 	// prompts remembers which engines read which prompts.
@@ -137,7 +143,8 @@
 // New returns an empty Table.
 func New(dataCentre string) *Table {
 	return &Table{
-		DataCentre: dataCentre, byID: make(map[string]*state), services: make(map[string][]*state), byProcess: make(map[string]*state), byAddr: make(map[string]*state),
+		DataCentre: dataCentre, byID: make(map[string]*state), services: make(map[string][]*state), byProcess: make(map[string]*state), byAddr: make(map[string][]*state),
+		lapsed:  make(map[string]*state),
 		said:    make(map[string]*said),
 		prompts: promptcache.New(promptMemory), now: time.Now,
 	}
@@ -151,16 +158,40 @@
 	What string
 }
 
-// Update takes in a new list. regained is when the store last came back.
-// It returns what changed, and the addresses where no process is any more that was there.
+// News is what changed in the list.
+type News struct {
+	// Listed are entries that are new or changed.
+	Listed []Target
+	// Gone are the IDs of targets that are not listed any more.
+	Gone []string
+}
+
+// Update takes in a whole list; see Change.
 func (t *Table) Update(list []Target, regained time.Time) (changes []Change, gone []string) {
+	listed := make(map[string]bool, len(list))
+	for _, target := range list {
+		listed[target.ID] = true
+	}
+	news := News{Listed: list}
+	t.mu.Lock()
+	for id := range t.byID {
+		if !listed[id] {
+			news.Gone = append(news.Gone, id)
+		}
+	}
+	t.mu.Unlock()
+	return t.Change(news, regained)
+}
+
+// Change takes in changes of the list, at a cost that goes by their number. regained is when the
+// store last came back. It returns what changed, and the addresses where no process is any more
+// that was there.
+func (t *Table) Change(n News, regained time.Time) (changes []Change, gone []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.seen = true
 	now := t.now()
-	listed := make(map[string]bool, len(list))
-	for _, target := range list {
-		listed[target.ID] = true
+	for _, target := range n.Listed {
 		c, changed := t.put(target, now)
 		if changed {
 			changes = append(changes, c)
@@ -169,23 +200,27 @@
 			gone = append(gone, c.Addr)
 		}
 	}
-	for id, s := range t.byID {
-		if listed[id] {
+	for _, id := range n.Gone {
+		s := t.byID[id]
+		if s == nil || t.lapsed[id] != nil {
 			continue
 		}
-		if s.vanishes.IsZero() && !s.Draining && now.Before(regained.Add(lapseGrace)) {
+		t.lapsed[id] = s
+		if !s.Draining && now.Before(regained.Add(lapseGrace)) {
 			s.vanishes = regained.Add(lapseGrace)
 			changes = append(changes, change(s, "kept"))
 		}
+	}
+	for id, s := range t.lapsed {
 		if now.Before(s.vanishes) {
 			continue
 		}
-		delete(t.byID, id)
+		t.remove(s)
+		delete(t.lapsed, id)
 		changes = append(changes, change(s, "gone"))
 		gone = append(gone, s.Addr)
 	}
-	t.index()
-	t.forgetSaid(now)
+	t.forgetSaid(now, len(gone) > 0)
 	return changes, gone
 }
 
@@ -197,6 +232,7 @@
 
 func (t *Table) put(target Target, now time.Time) (Change, bool) {
 	s := t.byID[target.ID]
+	delete(t.lapsed, target.ID)
 	what := "added"
 	if s != nil && target.Born == 0 {
 		target.Born = s.Born
@@ -205,6 +241,7 @@
 	if s != nil && s.Born != target.Born && target.Born != 0 {
 		// All that was believed of the former process is void. Calls to it end at the state
 		// that they began with.
+		t.remove(s)
 		what, s = restarted, nil
 	}
 	if s == nil {
@@ -212,9 +249,13 @@
 		s.said = t.saidBy(s.process, now)
 		s.ready = &s.said.State
 		s.warmup.told(target.Warmup, now)
-		t.byID[target.ID] = s
+		t.add(s)
 		return change(s, what), true
 	}
+	if s.Service != target.Service || s.Addr != target.Addr || s.process != target.Process() {
+		t.remove(s)
+		defer t.add(s)
+	}
 	drains := target.Draining && !s.Draining
 	turnsCold := target.Warmup > 0 && target.Revision != s.Revision && !s.warmup.cold(now)
 	if target.Revision != s.Revision {
@@ -232,18 +273,47 @@
 // Process names this start of the target's process.
 func (t Target) Process() string { return t.ID + "@" + strconv.FormatInt(t.Born, 10) }
 
-// index rebuilds the lists by service.
-func (t *Table) index() {
-	clear(t.services)
-	clear(t.byProcess)
-	clear(t.byAddr)
-	for _, s := range t.byID {
-		t.services[s.Service] = append(t.services[s.Service], s)
-		t.byProcess[s.process] = s
-		if other := t.byAddr[s.Addr]; other == nil || other.superseded() {
-			t.byAddr[s.Addr] = s
+// add enters a target in all indexes.
+func (t *Table) add(s *state) {
+	s.process = s.Process()
+	t.byID[s.ID] = s
+	t.services[s.Service] = append(t.services[s.Service], s)
+	t.byProcess[s.process] = s
+	t.byAddr[s.Addr] = append(t.byAddr[s.Addr], s)
+}
+
+// remove takes a target out of all indexes.
+func (t *Table) remove(s *state) {
+	s.said.listed = t.now()
+	delete(t.byID, s.ID)
+	delete(t.byProcess, s.process)
+	t.services[s.Service] = without(t.services[s.Service], s)
+	if t.byAddr[s.Addr] = without(t.byAddr[s.Addr], s); len(t.byAddr[s.Addr]) == 0 {
+		delete(t.byAddr, s.Addr)
+	}
+}
+
+// without returns a list less one target, in another order.
+func without(list []*state, s *state) []*state {
+	i := slices.Index(list, s)
+	if i < 0 {
+		return list
+	}
+	last := len(list) - 1
+	list[i], list[last] = list[last], nil
+	return list[:last]
+}
+
+// at returns the target at an address; nil for none. Where several are listed there it is one
+// that no other has superseded.
+func (t *Table) at(addr string) *state {
+	var found *state
+	for _, s := range t.byAddr[addr] {
+		if found == nil || found.superseded() {
+			found = s
 		}
 	}
+	return found
 }
 
 // Seen reports whether a list was taken in.
@@ -301,7 +371,7 @@
 func (t *Table) DataCentreOf(addr string) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.byAddr[addr]; s != nil {
+	if s := t.at(addr); s != nil {
 		return s.DataCentre
 	}
 	return ""
--- a/internal/watch/copy.go
+++ b/internal/watch/copy.go
@@ -68,8 +68,8 @@
 	return c.position
 }
 
-// replace sets the whole copy as of a version.
-func (c *Copy) replace(list []store.Row, version store.Version) {
+// replace sets the whole copy as of a version, and returns the keys of the rows that differ.
+func (c *Copy) replace(list []store.Row, version store.Version) (changed []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	next := make(map[string]store.Row, len(list))
@@ -77,7 +77,6 @@
 		next[r.Key] = r
 	}
 	first := c.rows == nil || !version.SameEra(c.position.Version)
-	var changed []string
 	for k, r := range next {
 		if old, ok := c.rows[k]; !ok || old.Version != r.Version {
 			changed = append(changed, k)
@@ -93,17 +92,16 @@
 		// Nobody follows a copy from before it was read, nor from an earlier era.
 		c.editions, c.base = nil, version
 	}
+	return changed
 }
 
 // merge takes changes in and builds the next copy beside the old one, which readers may
-// still hold.
-func (c *Copy) merge(rows []store.Row, deleted []string, version store.Version) {
+// still hold. It returns the keys of the rows that changed.
+func (c *Copy) merge(rows []store.Row, deleted []string, version store.Version) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	next := make(map[string]store.Row, len(c.rows)+len(rows))
-	for k, r := range c.rows {
-		next[k] = r
-	}
+	maps.Copy(next, c.rows)
 	changed := make(map[string]bool, len(rows)+len(deleted))
 	for _, r := range rows {
 		next[r.Key] = r
@@ -113,7 +111,9 @@
 		delete(next, k)
 		changed[k] = true
 	}
-	c.set(next, slices.Collect(maps.Keys(changed)), version)
+	keys := slices.Collect(maps.Keys(changed))
+	c.set(next, keys, version)
+	return keys
 }
 
 // advance notes that nothing changed up to a version.
--- a/internal/watch/relayed.go
+++ b/internal/watch/relayed.go
@@ -72,20 +72,21 @@
 	t.taking.Lock()
 	defer t.taking.Unlock()
 	version := t.copy.Position().Version
+	var changed []string
 	switch {
 	case n.Version.Before(version):
 		return nil
 	case n.Whole:
 		t.noteEra(n.Version)
-		t.copy.replace(n.Rows, n.Version)
+		changed = t.copy.replace(n.Rows, n.Version)
 	case version.Before(n.Since) || t.copy.Rows() == nil:
 		return ErrGap
 	default:
-		t.copy.merge(n.Rows, n.Deleted, n.Version)
+		changed = t.copy.merge(n.Rows, n.Deleted, n.Version)
 	}
 	t.gap = false
 	t.lastRead = time.Now()
-	t.apply()
+	t.apply(changed)
 	return nil
 }
 
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -53,6 +53,8 @@
 // View is a copy of a table.
 type View struct {
 	Rows map[string]store.Row
+	// Changed are the keys of the rows that differ from the last view: changed, new or gone.
+	Changed []string
 	// Version is that of the copy.
 	Version store.Version
 	// Regained is when the store last came back after it was away; zero for
@@ -386,8 +388,7 @@
 		}
 		rows = append(rows, c.Row)
 	}
-	t.copy.merge(rows, deleted, changes.Version)
-	t.apply()
+	t.apply(t.copy.merge(rows, deleted, changes.Version))
 	return true
 }
 
@@ -398,9 +399,9 @@
 	}
 }
 
-// apply hands the copy on. The caller holds t.taking.
-func (t *Table) apply() {
-	t.Apply(View{Rows: t.copy.Rows(), Version: t.copy.Position().Version, Regained: t.regained})
+// apply hands the copy on, with the keys that changed. The caller holds t.taking.
+func (t *Table) apply(changed []string) {
+	t.Apply(View{Rows: t.copy.Rows(), Changed: changed, Version: t.copy.Position().Version, Regained: t.regained})
 }
 
 // errStale: the read is older than the copy that it should complete.
@@ -430,8 +431,7 @@
 	}
 	t.gap = false
 	t.noteEra(snap.Version)
-	t.copy.replace(snap.Rows, snap.Version)
-	t.apply()
+	t.apply(t.copy.replace(snap.Rows, snap.Version))
 	return nil
 }
 
