Take the connections of all nodes that a node knows

Cause: a node took 1,024 connections of others. A former, a granter and a node that is followed may be called by all: at 985 nodes 39 were left, at 2,000 half of the fleet would be turned away.

Change: the bound is twice the nodes that it knows, 1,024 at least.

Measured: TestConnectionsOfAllNodesOfAFleetAreTaken at 0, 985, 2,000 and 4,000 nodes; the old bound takes 1,024 of 2,000.

--- a/internal/peer/mux_test.go
+++ b/internal/peer/mux_test.go
@@ -102,3 +102,22 @@
 	_, err = st.Read(make([]byte, 1))
 	c.Assert(err, quicktest.ErrorMatches, ".*deadline.*|.*timeout.*")
 }
+
+// All nodes of a fleet may call one of them: it forms their batches, or is followed.
+func TestConnectionsOfAllNodesOfAFleetAreTaken(t *testing.T) {
+	c := quicktest.New(t)
+	for _, nodes := range []int{0, 985, 2000, 4000} {
+		s := NewServer(nil, nil, "a", Handler{Nodes: func() int { return nodes }}, nil)
+		taken := 0
+		for range nodes {
+			if s.add(&muxConn{}) {
+				taken++
+			}
+		}
+		c.Check(taken, quicktest.Equals, nodes)
+		for s.add(&muxConn{}) {
+			taken++
+		}
+		c.Check(taken <= max(leastSessions, sessionsPerNode*nodes), quicktest.IsTrue)
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -20,11 +20,19 @@
 // serveTimeout bounds the work for one call of a peer.
 const serveTimeout = 30 * time.Second
 
-// maxSessions bounds the connections of a server.
-const maxSessions = 1024
+const (
+	// leastSessions is the bound of the connections of a server that knows few nodes: at a start
+	// others come before it knows them.
+	leastSessions = 1024
+	// sessionsPerNode is the bound for each node that it knows: one connection in use and one
+	// that is replaced.
+	sessionsPerNode = 2
+)
 
 // Handler answers the calls of other nodes.
 type Handler struct {
+	// Nodes is how many nodes this one knows; nil for few.
+	Nodes func() int
 	// Books are this node's own books.
 	Books ledger.Book
 	// Changes returns the accepted changes after a revision that this node
@@ -128,13 +136,22 @@
 func (s *Server) add(sess *muxConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.sessions) >= maxSessions {
+	if len(s.sessions) >= s.mostSessions() {
 		return false
 	}
 	s.sessions[sess] = true
 	return true
 }
 
+// mostSessions bounds the connections, so that callers that do not close theirs cannot use up the
+// process. All nodes may call this one at the same time.
+func (s *Server) mostSessions() int {
+	if s.h.Nodes == nil {
+		return leastSessions
+	}
+	return max(leastSessions, sessionsPerNode*s.h.Nodes())
+}
+
 func (s *Server) remove(sess *muxConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
