Keep calls, prompts and copies in the region of the node while its targets are free

Cause: the choice of an engine looked at the data centre of stage results only, and all nodes kept a prompt at the same engine of all regions: two of three requests crossed regions 12 ms apart.

Change: an engine in another region counts as 2,000 tokens more, a target of a plain service as 40 ms; a prompt's own engine is one of the region's; copies come from the target's region. With one region nothing changes.

--- a/internal/targets/engine.go
+++ b/internal/targets/engine.go
@@ -26,6 +26,9 @@
 	// secondShare is the part of the shared tokens that the second engine in the
 	// order of a prompt is presumed to lack: it serves what the first cannot.
 	secondShare = 0.7
+	// regionTokens is what an engine in another region counts more: the messages of a request
+	// cross regions with their delay, and links between them are dear.
+	regionTokens = 2000
 	// failureTokens is what an engine counts more that lately failed every call:
 	// a whole prompt, and the time until the failure is seen.
 	failureTokens = 30000
@@ -38,14 +41,14 @@
 	tokens int
 }
 
-// keepers returns the listed engines in good health that this node saw read the beginning
-// of a prompt, those that read most of it first. Draining ones are among them: they hand
-// out copies, but get no requests. Those of a drained data centre, those at rest, and those that name a
-// limit, do neither.
-func (t *Table) keepers(q Query, now time.Time) []keeper {
+// keepers returns the listed engines in good health, in the region of an engine, that this node saw
+// read the beginning of a prompt, those that read most of it first. Draining ones are among them: they hand
+// out copies, but get no requests. Those of a drained data centre, those at rest, those that name a
+// limit, and those in another region, from which a copy takes longer than reading, do neither.
+func (t *Table) keepers(q Query, to *state, now time.Time) []keeper {
 	var out []keeper
 	for _, k := range t.prompts.Kept(q.Engine.Prompt) {
-		if s := t.byProcess[k.Engine]; s != nil && t.Regions.Allows(q.Regions, s.DataCentre) && !s.moved && !s.drained && s.vanishes.IsZero() && s.ready.Standing(now) != readiness.Resting && !s.said.limit.limited() && !s.breaker.Down(now) {
+		if s := t.byProcess[k.Engine]; s != nil && t.Regions.Allows(q.Regions, s.DataCentre) && t.regionOf(s) == t.regionOf(to) && !s.moved && !s.drained && s.vanishes.IsZero() && s.ready.Standing(now) != readiness.Resting && !s.said.limit.limited() && !s.breaker.Down(now) {
 			out = append(out, keeper{s, k.Tokens})
 		}
 	}
@@ -107,8 +110,8 @@
 
 // bestEngine returns the candidate of least cost. off are the mechanisms that an experiment
 // switches off.
-func bestEngine(q *EngineQuery, cands []*state, now time.Time, off mechanism.Set) *state {
-	first, second := preferred(q.Affinity, cands)
+func (t *Table) bestEngine(q *EngineQuery, cands []*state, now time.Time, off mechanism.Set) *state {
+	first, second := preferred(q.Affinity, t.near(cands))
 	least := cands[0].calls(now)
 	for _, s := range cands {
 		least = min(least, s.calls(now))
@@ -120,6 +123,9 @@
 		if !off.Has(mechanism.NearInputs) {
 			c += float64(remoteBytes(q.Inputs, s.DataCentre)) / bytesPerToken
 		}
+		if t.far(s) {
+			c += regionTokens
+		}
 		switch {
 		case q.Affinity == 0 || s == first || off.Has(mechanism.PromptAffinity):
 		case s == second:
@@ -134,6 +140,29 @@
 	return best
 }
 
+// far reports whether a target stands in another region than this node.
+func (t *Table) far(s *state) bool { return t.regionOf(s) != t.Regions[t.DataCentre] }
+
+func (t *Table) regionOf(s *state) string { return t.Regions[s.DataCentre] }
+
+// near returns the candidates in this node's region, or all where there is none: the nodes of a
+// region keep the prompts of their callers there.
+func (t *Table) near(cands []*state) []*state {
+	if near := t.within(t.Regions[t.DataCentre], cands); len(near) > 0 {
+		return near
+	}
+	return cands
+}
+
+// within returns the candidates in a region.
+func (t *Table) within(region string, cands []*state) []*state {
+	outside := func(s *state) bool { return t.regionOf(s) != region }
+	if !slices.ContainsFunc(cands, outside) {
+		return cands
+	}
+	return slices.DeleteFunc(slices.Clone(cands), outside)
+}
+
 // remoteBytes returns how much lies outside of a data centre.
 func remoteBytes(inputs map[string]int64, dataCentre string) int64 {
 	var sum int64
@@ -170,6 +199,6 @@
 	if affinity == 0 || len(cands) == 0 {
 		return ""
 	}
-	first, _ := preferred(affinity, cands)
+	first, _ := preferred(affinity, t.near(cands))
 	return first.DataCentre
 }
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -56,6 +56,9 @@
 	// remoteCost is what a call to another data centre counts more: two ways
 	// of 0.5 to 1 ms, and its bytes are paid for.
 	remoteCost = 5 * time.Millisecond
+	// regionCost is what one to another region counts more beside: two ways of 10 to 20 ms,
+	// over links that are dear.
+	regionCost = 40 * time.Millisecond
 	// failureCost is what a call counts more at a target that lately failed
 	// every call.
 	failureCost = 400 * time.Millisecond
@@ -144,13 +147,13 @@
 			l.tokens, l.prompt = q.Engine.Tokens, q.Engine.Prompt
 		}
 	case q.Engine != nil:
-		l.s = bestEngine(q.Engine, cands, now, t.Off)
+		l.s = t.bestEngine(q.Engine, cands, now, t.Off)
 		l.tokens, l.prompt = q.Engine.Tokens, q.Engine.Prompt
 		if !t.Off.Has(mechanism.CopyPrompts) {
-			l.CopyFrom = source(l.s, q.Engine, t.keepers(q, now), cands)
+			l.CopyFrom = source(l.s, q.Engine, t.keepers(q, l.s, now), t.within(t.regionOf(l.s), cands))
 		}
 	default:
-		l.s = cheapest(q, cands, t.DataCentre, now)
+		l.s = t.cheapest(cands, now)
 	}
 	l.Target = l.s.Target
 	l.Basis = Basis{Candidates: len(cands), Calls: l.s.calls(now), Failures: l.s.failures, LoadAge: -1, Limit: l.s.said.limit.named()}
@@ -235,7 +238,7 @@
 }
 
 // cost estimates the time of a call at a target, with what it is worth to avoid.
-func (s *state) cost(q Query, home string, now time.Time) time.Duration {
+func (s *state) cost(home string, far bool, now time.Time) time.Duration {
 	latency := s.latency.Mean()
 	if latency == 0 {
 		latency = presumedLatency
@@ -249,17 +252,20 @@
 	if s.DataCentre != home {
 		c += remoteCost
 	}
+	if far {
+		c += regionCost
+	}
 	return c + time.Duration(s.failures*float64(failureCost))
 }
 
 // cheapest returns the candidate of least cost; equal ones by chance.
-func cheapest(q Query, cands []*state, home string, now time.Time) *state {
+func (t *Table) cheapest(cands []*state, now time.Time) *state {
 	start := rand.IntN(len(cands))
 	best := cands[start]
-	bestCost := best.cost(q, home, now)
+	bestCost := best.cost(t.DataCentre, t.far(best), now)
 	for i := 1; i < len(cands); i++ {
 		s := cands[(start+i)%len(cands)]
-		if c := s.cost(q, home, now); c < bestCost {
+		if c := s.cost(t.DataCentre, t.far(s), now); c < bestCost {
 			best, bestCost = s, c
 		}
 	}
--- a/internal/targets/regions_test.go
+++ b/internal/targets/regions_test.go
@@ -50,3 +50,27 @@
 	_, ok = tb.Opens("engines", region.Only("west"))
 	c.Assert(ok, qt.IsFalse)
 }
+
+// The prompts of a region's callers are read there, and leave it only where its engines are busy.
+func TestCallsStayInTheRegionOfTheNodeWhileItsTargetsAreFree(t *testing.T) {
+	c := qt.New(t)
+	tb, _ := inRegions(6)
+	for i := range 30 {
+		q := EngineQuery{Affinity: uint64(i + 1), Tokens: 9000, Shared: 6300}
+		l := tb.Pick(Query{Service: "engines", Engine: &q})
+		c.Assert(l.DataCentre, qt.Equals, "dc1")
+		l.PromptRead()
+		l.Done(Served, 0)
+		plain := tb.Pick(Query{Service: "engines"})
+		c.Assert(plain.DataCentre, qt.Equals, "dc1")
+		plain.Done(Served, 10*time.Millisecond)
+	}
+	for _, s := range tb.byID {
+		if s.DataCentre == "dc1" {
+			s.inFlight = 2000
+		}
+	}
+	q := EngineQuery{Affinity: 3, Tokens: 9000, Shared: 6300}
+	c.Assert(tb.Pick(Query{Service: "engines", Engine: &q}).DataCentre, qt.Equals, "dc2")
+	c.Assert(tb.Pick(Query{Service: "engines"}).DataCentre, qt.Equals, "dc2")
+}
--- a/internal/targets/targets_test.go
+++ b/internal/targets/targets_test.go
@@ -148,7 +148,7 @@
 			Inputs: map[string]int64{"dc1": rapid.Int64Range(0, 4<<20).Draw(rt, "here"), "dc2": rapid.Int64Range(0, 4<<20).Draw(rt, "there")},
 		}
 		cands := tb.candidates(Query{Service: "engines"}, now.at)
-		got := bestEngine(q, cands, now.at, 0)
+		got := tb.bestEngine(q, cands, now.at, 0)
 		first, second := preferred(q.Affinity, cands)
 		cost := func(s *state) float64 {
 			c := callTokens*float64(s.inFlight) + pendingShare*float64(s.pending)
