Keep prompts that take long to read at one engine of all regions

Change: the region decides where a prompt is kept only where its shared part is shorter than what crossing regions counts; copies come from any region again.

--- a/internal/passthrough/engine.go
+++ b/internal/passthrough/engine.go
@@ -79,5 +79,5 @@
 	if c.route.Stages[stage].ResultBytes < bigResult || shared < keptPrompt {
 		return ""
 	}
-	return c.s.cfg.Targets.Home(c.service, hash, c.regions())
+	return c.s.cfg.Targets.Home(c.service, hash, shared, c.regions())
 }
--- a/internal/targets/engine.go
+++ b/internal/targets/engine.go
@@ -41,14 +41,14 @@
 	tokens int
 }
 
-// keepers returns the listed engines in good health, in the region of an engine, that this node saw
-// read the beginning of a prompt, those that read most of it first. Draining ones are among them: they hand
-// out copies, but get no requests. Those of a drained data centre, those at rest, those that name a
-// limit, and those in another region, from which a copy takes longer than reading, do neither.
-func (t *Table) keepers(q Query, to *state, now time.Time) []keeper {
+// keepers returns the listed engines in good health that this node saw read the beginning
+// of a prompt, those that read most of it first. Draining ones are among them: they hand
+// out copies, but get no requests. Those of a drained data centre, those at rest, and those that name a
+// limit, do neither.
+func (t *Table) keepers(q Query, now time.Time) []keeper {
 	var out []keeper
 	for _, k := range t.prompts.Kept(q.Engine.Prompt) {
-		if s := t.byProcess[k.Engine]; s != nil && t.Regions.Allows(q.Regions, s.DataCentre) && t.regionOf(s) == t.regionOf(to) && !s.moved && !s.drained && s.vanishes.IsZero() && s.ready.Standing(now) != readiness.Resting && !s.said.limit.limited() && !s.breaker.Down(now) {
+		if s := t.byProcess[k.Engine]; s != nil && t.Regions.Allows(q.Regions, s.DataCentre) && !s.moved && !s.drained && s.vanishes.IsZero() && s.ready.Standing(now) != readiness.Resting && !s.said.limit.limited() && !s.breaker.Down(now) {
 			out = append(out, keeper{s, k.Tokens})
 		}
 	}
@@ -111,7 +111,7 @@
 // bestEngine returns the candidate of least cost. off are the mechanisms that an experiment
 // switches off.
 func (t *Table) bestEngine(q *EngineQuery, cands []*state, now time.Time, off mechanism.Set) *state {
-	first, second := preferred(q.Affinity, t.near(cands))
+	first, second := preferred(q.Affinity, t.homes(q.Shared, cands))
 	least := cands[0].calls(now)
 	for _, s := range cands {
 		least = min(least, s.calls(now))
@@ -145,9 +145,13 @@
 
 func (t *Table) regionOf(s *state) string { return t.Regions[s.DataCentre] }
 
-// near returns the candidates in this node's region, or all where there is none: the nodes of a
-// region keep the prompts of their callers there.
-func (t *Table) near(cands []*state) []*state {
+// homes returns the candidates of which one keeps a prompt with so many shared tokens: all of them
+// where reading it once in each region costs more than to go there, else those in this node's
+// region, if there is one.
+func (t *Table) homes(shared int, cands []*state) []*state {
+	if shared >= regionTokens {
+		return cands
+	}
 	if near := t.within(t.Regions[t.DataCentre], cands); len(near) > 0 {
 		return near
 	}
@@ -192,13 +196,13 @@
 
 // Home returns the data centre of the engine in some regions that a prompt is kept at; "" when
 // there is none.
-func (t *Table) Home(service string, affinity uint64, in region.Set) string {
+func (t *Table) Home(service string, affinity uint64, shared int, in region.Set) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	cands := t.candidates(Query{Service: service, Regions: in}, t.now())
 	if affinity == 0 || len(cands) == 0 {
 		return ""
 	}
-	first, _ := preferred(affinity, t.near(cands))
+	first, _ := preferred(affinity, t.homes(shared, cands))
 	return first.DataCentre
 }
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -150,7 +150,7 @@
 		l.s = t.bestEngine(q.Engine, cands, now, t.Off)
 		l.tokens, l.prompt = q.Engine.Tokens, q.Engine.Prompt
 		if !t.Off.Has(mechanism.CopyPrompts) {
-			l.CopyFrom = source(l.s, q.Engine, t.keepers(q, l.s, now), t.within(t.regionOf(l.s), cands))
+			l.CopyFrom = source(l.s, q.Engine, t.keepers(q, now), cands)
 		}
 	default:
 		l.s = t.cheapest(cands, now)
