Repeat failures also where a node's part of the budget is less than one repeat

Cause: each node uses its part of a fixed number of repeats by itself. At 985 nodes that is 0.475 at once, and a repeat takes one: nothing is ever sent again, from 468 nodes on. On the whole fleet 36 of 491 requests that may be repeated failed by one answer of one server.

Two ways beside the even share: a part of a repeat by chance (expected: 0.475 of the failures are repeated while 0.007 of the budget is asked for), and permits of a rate that all nodes share, which stand already. Chosen: permits, where a part is good for less than two repeats (from 234 nodes on for that number); half of the number, as nodes that miscount the others use their own parts beside.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -212,7 +212,7 @@
 	n.front = passthrough.New(passthrough.Config{
 		Routes: n.board.Routes.Get, Current: n.current, StoreAway: n.storeAway, Slept: n.detector.Slept, Trusted: n.trusted, Targets: n.targets, Stages: n.router,
 		Guard: n.guard, Sender: env.Conns, Wire: env.Wire, Off: set.Off,
-		Repeats:   flow.NewRepeatBudgets(set.Repeats.Ratio, set.Repeats.Fixed, set.Repeats.Window, n.router.Live),
+		Repeats:   flow.NewRepeatBudgets(set.Repeats.Ratio, set.Repeats.Fixed, set.Repeats.Window, n.router.Live, n.askRepeat),
 		BodyBytes: defaultBodyBytes, ReadTimeout: defaultReadTimeout, Observer: n.metrics, Log: n.log,
 	})
 	n.provisionGauges()
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"topazmoor/internal/sharedrate"
 	"topazmoor/internal/targets"
@@ -24,6 +25,20 @@
 	n.metrics.Counter("topazmoor_entry_permit_asks_total", "Asks for permits that this node answered.", func() float64 { return n.limiter.Counts().Asked })
 }
 
+// repeatPatience is how long a repeat waits for its permit: its caller waits too.
+const repeatPatience = 50 * time.Millisecond
+
+// askRepeat gets a permit for a repeat of a rate that all nodes share.
+func (n *Node) askRepeat(ctx context.Context, service string, perSecond float64) bool {
+	now := time.Now()
+	rate := sharedrate.Rate{Key: "repeats at " + service, PerSecond: perSecond, Heard: now}
+	_, err := n.limiter.Acquire(ctx, rate, now, now.Add(repeatPatience))
+	if err != nil {
+		n.log.Info("no permit for a repeat", "service", service, "per_second", perSecond, "err", err)
+	}
+	return err == nil
+}
+
 // limitChanged logs that a target named, changed or took back its limit.
 func (n *Node) limitChanged(c targets.LimitChange) {
 	attrs := []any{"process", c.Process, "addr", c.Addr, "service", c.Service, "lasted_ms", c.Lasted.Milliseconds(), "told", c.Told}
--- a/internal/flow/repeats.go
+++ b/internal/flow/repeats.go
@@ -1,14 +1,16 @@
 package flow
 
 import (
+	"context"
 	"sync"
 	"time"
 )
 
 // RepeatBudgets bounds, by service, how often all nodes together send requests
-// a second time, without a message between them: in any window the repeats stay
-// under a share of the requests and a fixed number, of which each node uses its
-// part. It is safe for concurrent use.
+// a second time: in any window the repeats stay under a share of the requests and
+// a fixed number. Each node uses its part of that number without a message to others,
+// as long as the part is good for a repeat; in a fleet so large that it isn't, nodes
+// ask for each repeat. It is safe for concurrent use.
 type RepeatBudgets struct {
 	// Ratio is the repeats that one request allows, Fixed those that all nodes
 	// may make in a Window beside them.
@@ -17,11 +19,17 @@
 	// nodes returns how many nodes share the fixed part.
 	nodes   func() int
 	started time.Time
+	// ask gets a permit for a repeat of a rate that all nodes share; nil for none.
+	ask AskRepeat
 
 	mu       sync.Mutex
 	services map[string]*repeatBucket
 }
 
+// AskRepeat gets a permit for one repeat at a service, of a rate a second that all nodes share. It
+// returns soon.
+type AskRepeat func(ctx context.Context, service string, perSecond float64) bool
+
 type repeatBucket struct {
 	tokens float64
 	filled time.Time
@@ -36,12 +44,18 @@
 	// ratioShare of the allowed ratio is used: requests are counted where they
 	// arrive, repeats where they are sent.
 	ratioShare = 0.8
+	// leastPart is the number of repeats that a node's part must be good for at once: a second
+	// failure would find nothing left for many seconds.
+	leastPart = 2
+	// sharedShare of the fixed part is the rate of permits. While nodes differ over how many they
+	// are some may use their own parts beside it.
+	sharedShare = 0.5
 )
 
 // NewRepeatBudgets returns budgets that allow ratio repeats a request and fixed
-// ones a window, over all nodes.
-func NewRepeatBudgets(ratio, fixed float64, window time.Duration, nodes func() int) *RepeatBudgets {
-	return &RepeatBudgets{ratio: ratio, fixed: fixed, window: window, nodes: nodes, started: time.Now(), services: make(map[string]*repeatBucket)}
+// ones a window, over all nodes. ask gets permits where a node's part is too small; nil for none.
+func NewRepeatBudgets(ratio, fixed float64, window time.Duration, nodes func() int, ask AskRepeat) *RepeatBudgets {
+	return &RepeatBudgets{ratio: ratio, fixed: fixed, window: window, nodes: nodes, ask: ask, started: time.Now(), services: make(map[string]*repeatBucket)}
 }
 
 // bucket returns the refilled bucket of a service. The lock is held.
@@ -69,8 +83,11 @@
 	s.tokens = min(limit, s.tokens+b.ratio*ratioShare)
 }
 
-// Take reports whether one repeat is allowed and uses it up.
-func (b *RepeatBudgets) Take(service string) bool {
+// Take reports whether one repeat is allowed and uses it up. It may ask another node.
+func (b *RepeatBudgets) Take(ctx context.Context, service string) bool {
+	if b.ask != nil && b.fixed > 0 && burstShare*b.fixed/float64(max(b.nodes(), 1)) < leastPart {
+		return b.ask(ctx, service, sharedShare*b.fixed/b.window.Seconds())
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s, _ := b.bucket(service)
--- a/internal/flow/repeats_test.go
+++ b/internal/flow/repeats_test.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,7 +32,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			budgets := make([]*RepeatBudgets, nodes)
 			fresh := func() *RepeatBudgets {
-				return NewRepeatBudgets(ratio, fixed, window, func() int { return max(nodes+error, 1) })
+				return NewRepeatBudgets(ratio, fixed, window, func() int { return max(nodes+error, 1) }, nil)
 			}
 			for i := range budgets {
 				budgets[i] = fresh()
@@ -50,7 +51,7 @@
 					}
 				}
 				for _, b := range budgets {
-					for b.Take("s") {
+					for b.Take(t.Context(), "s") {
 						repeats[now]++
 					}
 				}
@@ -72,3 +73,61 @@
 		})
 	})
 }
+
+// sharedPermits is a rate that all nodes share, as one node grants it.
+type sharedPermits struct {
+	tokens float64
+	at     time.Time
+}
+
+func (p *sharedPermits) take(_ context.Context, _ string, perSecond float64) bool {
+	now := time.Now()
+	p.tokens = min(p.tokens+perSecond*now.Sub(p.at).Seconds(), perSecond)
+	p.at = now
+	if p.tokens < 1 {
+		return false
+	}
+	p.tokens--
+	return true
+}
+
+// In a fleet of any size a failure here and there is repeated, and a failure of all requests keeps
+// to the bound: a node's part of it may be less than one repeat.
+func TestRepeatsInAFleetOfAnySize(t *testing.T) {
+	const (
+		ratio   = 0.2
+		fixed   = 1040.0
+		window  = 10 * time.Second
+		seconds = 30
+	)
+	for _, nodes := range []int{10, 100, 400, 985, 2000, 4000} {
+		play := func(failures int) (asked, got int) {
+			synctest.Test(t, func(t *testing.T) {
+				shared := &sharedPermits{at: time.Now()}
+				budgets := make([]*RepeatBudgets, nodes)
+				for i := range budgets {
+					budgets[i] = NewRepeatBudgets(ratio, fixed, window, func() int { return nodes }, shared.take)
+				}
+				time.Sleep(window)
+				for second := range seconds {
+					for i := range failures {
+						b := budgets[(second*977+i*331)%nodes]
+						b.Request("s")
+						asked++
+						if b.Take(t.Context(), "s") {
+							got++
+						}
+					}
+					time.Sleep(time.Second)
+				}
+			})
+			return asked, got
+		}
+		if asked, got := play(7); got < asked*9/10 {
+			t.Errorf("%d nodes: %d of %d failures are repeated", nodes, got, asked)
+		}
+		if asked, got := play(1000); float64(got) > fixed*seconds/window.Seconds()+ratio*float64(asked) {
+			t.Errorf("%d nodes: %d of %d failures are repeated", nodes, got, asked)
+		}
+	}
+}
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -195,7 +195,7 @@
 	if c.runs > 0 && (!c.route.Repeatable() || c.runs-c.stale >= max(c.route.MaxAttempts, 1)) {
 		return false
 	}
-	if c.takesBudget(f) && !c.s.cfg.Repeats.Take(c.service) {
+	if c.takesBudget(f) && !c.s.cfg.Repeats.Take(c.ctx, c.service) {
 		c.log.Info("not sent again: the budget of repeats is used up", "service", c.service, "why", why)
 		return false
 	}
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -131,7 +131,7 @@
 	defer cancel(nil)
 	// A silent engine is given up only where the stream may go on elsewhere.
 	watchdog := newWatchdog(func() bool {
-		if !c.s.cfg.Repeats.Take(c.service) {
+		if !c.s.cfg.Repeats.Take(c.ctx, c.service) {
 			return false
 		}
 		cancel(errSilent)
