Read the table of nodes once at a first start of all

Change: a node that finds no shared secret enters itself, waits for 1.2 to 2.4 s, and reads the table once; nodes to follow are chosen then. The tables are held meanwhile, for 4 s at the most.

Ruled out: nodes that start again, which read the secret and the table once already.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -40,6 +40,9 @@
 	keyBytes = 32
 	// enterRetry is the pause between tries to reach the store, half random.
 	enterRetry = 400 * time.Millisecond
+	// freshGather, half of it random, is how long nodes that all start now wait for each other
+	// before they read who is there: they start within some 100 ms, weak ones take a second.
+	freshGather = 2400 * time.Millisecond
 	// enterAgain is how often a node looks whether its row still stands.
 	enterAgain = 5 * time.Second
 	// memberPause gathers the entries of nodes that start together, up to
@@ -74,7 +77,7 @@
 	lost   atomic.Bool
 	mended chan struct{}
 	// known is closed when the secret and the nodes are known, so that one to follow can be
-	// chosen. Of a platform that no node knew before it never is.
+	// chosen.
 	missing atomic.Int32
 	known   chan struct{}
 	read    sync.Once
@@ -113,9 +116,10 @@
 	}
 	p.client.set(peer.NewClient(peer.Dial(p.n.env.Dial), key, p.n.set.Node, p.n.versions))
 	p.server.key <- key
-	if !fresh {
-		p.learned()
+	if fresh {
+		p.gather(ctx)
 	}
+	p.learned()
 	for {
 		wait := enterAgain
 		if p.n.servers.Lost() {
@@ -133,6 +137,19 @@
 	}
 }
 
+// gather enters this node in a platform that no node knew before, waits until the others did as
+// well, and has the table of nodes read: once, instead of at each change while it fills.
+func (p *peers) gather(ctx context.Context) {
+	for p.write(ctx) != nil {
+		if !sleep(ctx, enterRetry) {
+			return
+		}
+	}
+	if sleep(ctx, freshGather) {
+		p.members.Poke()
+	}
+}
+
 // sleepOrMend waits for about d, or until the store has lost something, which it reports.
 func (p *peers) sleepOrMend(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d/2 + mathrand.N(d/2))
@@ -208,8 +225,7 @@
 
 // sharedKey reads the secret of all nodes, or makes it: the first commit wins. fresh says
 // that there was none: all nodes start now, look twice before they make one (most of them
-// need not then), and read who is there until all are. Otherwise one read of the nodes is
-// enough to choose one to follow.
+// need not then). Otherwise one read of the nodes is enough to choose one to follow.
 func (p *peers) sharedKey(ctx context.Context) (key []byte, fresh bool, err error) {
 	for {
 		r, err := p.n.env.Store.Get(ctx, keyTable, peerKey)
@@ -225,7 +241,6 @@
 		}
 		if errors.Is(err, store.ErrNotFound) && !fresh {
 			fresh = true
-			p.members.Release()
 			if !sleep(ctx, enterRetry) {
 				return nil, fresh, ctx.Err()
 			}
@@ -266,6 +281,11 @@
 	if ok && string(r.Value) == string(p.row) && !p.lost.Load() {
 		return nil
 	}
+	return p.write(ctx)
+}
+
+// write writes this node's row.
+func (p *peers) write(ctx context.Context) error {
 	_, err := p.n.env.Store.Commit(ctx, store.Tx{Writes: []store.Write{{Table: memberTable, Key: p.n.set.Node, Value: p.row}}})
 	if err != nil {
 		p.n.log.Info("this node's entry not written yet", "err", err)
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -46,9 +46,9 @@
 	// askPatience is how long the store may take to answer this node, before it counts as
 	// one that no other asks for.
 	askPatience = 800 * time.Millisecond
-	// startPatience is how long the tables are held at a start for the list of nodes, which
-	// fills while nodes that never ran before enter themselves.
-	startPatience = 1500 * time.Millisecond
+	// startPatience is how long the tables are held at a start for the list of nodes: nodes that
+	// never ran before enter themselves, and wait for each other, first.
+	startPatience = 4 * time.Second
 	// startGrace is how long a node without a copy goes on looking for one that has some:
 	// where all nodes start at once the first in order may be up some 100 ms later.
 	startGrace = 800 * time.Millisecond
