--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -12,14 +12,18 @@
 
 // experimentCmd plays models of what nodes do together.
 type experimentCmd struct {
-	Rates *ratesCmd `arg:"subcommand:rates" help:"play nodes that share the rates of targets, three ways"`
+	Rates    *ratesCmd    `arg:"subcommand:rates" help:"play nodes that share the rates of targets, three ways"`
+	Capacity *capacityCmd `arg:"subcommand:capacity" help:"measure what decisions cost by the size of the fleet"`
 }
 
 func (e *experimentCmd) run(ctx context.Context, c *console) error {
-	if e.Rates == nil {
-		return usage(fmt.Errorf("name the experiment: rates"))
+	switch {
+	case e.Rates != nil:
+		return e.Rates.run(ctx, c)
+	case e.Capacity != nil:
+		return e.Capacity.run(ctx, c)
 	}
-	return e.Rates.run(ctx, c)
+	return usage(fmt.Errorf("name the experiment: rates or capacity"))
 }
 
 // ratesCmd plays scenarios of shared rates.
--- a/internal/flow/repeats.go
+++ b/internal/flow/repeats.go
@@ -97,3 +97,6 @@
 	s.tokens--
 	return true
 }
+
+// Credit lets the budgets begin as if some time had passed since the process started; for models.
+func (b *RepeatBudgets) Credit(d time.Duration) { b.started = b.started.Add(-d) }
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -320,9 +320,14 @@
 	}
 }
 
+// HoldOf returns for how long an owner holds the report of a node in a fleet of some nodes.
+func HoldOf(nodes int) time.Duration {
+	return min(max(time.Duration(nodes)*holdPerNode, leastHold), mostHold)
+}
+
 // next returns the next report, and whether it tells of a bad answer.
 func (g *Gate) next(s *standing) (Report, bool) {
-	hold := min(max(time.Duration(g.Nodes())*holdPerNode, leastHold), mostHold)
+	hold := HoldOf(g.Nodes())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r := Report{Node: g.Node, Order: s.Order, Evidence: s.evidence.clone(), OldInFlight: s.oldInFlight, Has: s.answer, Hold: hold}
