--- a/internal/experiment/report/report.go
+++ b/internal/experiment/report/report.go
@@ -3,6 +3,7 @@
 
 import (
 	"io"
+	"math"
 
 	"github.com/rotisserie/eris"
 	"gonum.org/v1/plot"
@@ -33,6 +34,9 @@
 const (
 	chartWidth  = 14 * vg.Centimeter
 	chartHeight = 9 * vg.Centimeter
+	legendSize  = 8
+	// legendPart is the part of a chart's height that one line of its legend takes.
+	legendPart = 0.09
 	// chartsInARow is how many charts stand beside each other.
 	chartsInARow = 2
 )
@@ -58,6 +62,7 @@
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = c.Title, c.X, c.Y
 	p.Legend.Top, p.Legend.Left = true, true
+	p.Legend.TextStyle.Font.Size = vg.Points(legendSize)
 	p.Add(plotter.NewGrid())
 	var lines []any
 	for _, l := range c.Lines {
@@ -80,5 +85,21 @@
 		p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
 		p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
 	}
-	return p, eris.Wrap(plotutil.AddLinePoints(p, lines...), "draw chart")
+	if err := plotutil.AddLinePoints(p, lines...); err != nil {
+		return nil, eris.Wrap(err, "draw chart")
+	}
+	c.makeRoom(p)
+	return p, nil
+}
+
+// makeRoom leaves room for the legend above the lines.
+func (c Chart) makeRoom(p *plot.Plot) {
+	part := legendPart * float64(len(c.Lines))
+	if c.Log {
+		p.Y.Max *= math.Pow(max(p.Y.Max/p.Y.Min, 10), part)
+		p.Y.Min /= 2
+		return
+	}
+	p.Y.Max += (p.Y.Max - min(p.Y.Min, 0)) * part
+	p.Y.Min = min(p.Y.Min, 0)
 }
