Let calls leave a region for a little less load

Cause: an engine in another region counted as 2,000 tokens, nearly seven calls: under bursts callers waited for the region's engines while others were free.

Change: 600 tokens, two calls; so long is a shared part, too, from which a prompt is kept once for all regions.

--- a/internal/targets/engine.go
+++ b/internal/targets/engine.go
@@ -28,7 +28,7 @@
 	secondShare = 0.7
 	// regionTokens is what an engine in another region counts more: the messages of a request
 	// cross regions with their delay, and links between them are dear.
-	regionTokens = 2000
+	regionTokens = 600
 	// failureTokens is what an engine counts more that lately failed every call:
 	// a whole prompt, and the time until the failure is seen.
 	failureTokens = 30000
