Give a whole read up at its first page where the store answers with old ones

Cause: a store that lost its history answers whole reads for some seconds with the tables as they were before.

Ruled out: nodes that read by themselves (all follow); pauses that double up to 0.7 s already.

Change: a whole read names the version that it must have; it ends at the first page that is older.

--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -69,11 +69,11 @@
 	return p.Store.Get(ctx, table, key)
 }
 
-func (p *path) Snapshot(ctx context.Context, table string) (store.Snapshot, error) {
+func (p *path) Snapshot(ctx context.Context, table string, least store.Version) (store.Snapshot, error) {
 	if p.isCut() {
 		return store.Snapshot{}, store.ErrUnavailable
 	}
-	return p.watched.Snapshot(ctx, table)
+	return p.watched.Snapshot(ctx, table, least)
 }
 
 func (p *path) Changes(ctx context.Context, table string, after store.Version, wait time.Duration) (store.Changes, error) {
--- a/internal/restore/restore_test.go
+++ b/internal/restore/restore_test.go
@@ -33,7 +33,7 @@
 }
 
 func (b *table) look() Result {
-	snap, err := b.m.Snapshot(b.t.Context(), "op")
+	snap, err := b.m.Snapshot(b.t.Context(), "op", store.Version{})
 	qt.Assert(b.t, err, qt.IsNil)
 	rows := make(map[string]store.Row)
 	for _, r := range snap.Rows {
@@ -170,7 +170,7 @@
 		}
 		b.now = b.now.Add(lostHold)
 		res := b.look()
-		snap, err := b.m.Snapshot(t.Context(), "op")
+		snap, err := b.m.Snapshot(t.Context(), "op", store.Version{})
 		if err != nil || len(res.Lost)+len(res.Undone) > 0 || len(snap.Rows) != len(b.values) {
 			rt.Fatalf("the store is not believed after the holds: %v, %v, %v", res, snap, err)
 		}
--- a/internal/standin/gate.go
+++ b/internal/standin/gate.go
@@ -90,11 +90,11 @@
 }
 
 // Snapshot implements store.Watchable.
-func (g *Gate) Snapshot(ctx context.Context, table string) (store.Snapshot, error) {
+func (g *Gate) Snapshot(ctx context.Context, table string, least store.Version) (store.Snapshot, error) {
 	if err := g.wait(); err != nil {
 		return store.Snapshot{}, err
 	}
-	return g.inner.Snapshot(ctx, table)
+	return g.inner.Snapshot(ctx, table, least)
 }
 
 // Changes implements store.Watchable.
--- a/internal/store/memory.go
+++ b/internal/store/memory.go
@@ -319,7 +319,7 @@
 
 // ListHosts returns the host list, sorted by ID.
 func (m *Memory) ListHosts(ctx context.Context) ([]Host, error) {
-	snap, err := m.Snapshot(ctx, HostTable)
+	snap, err := m.Snapshot(ctx, HostTable, Version{})
 	if err != nil {
 		return nil, err
 	}
@@ -335,7 +335,7 @@
 }
 
 // Snapshot implements Watchable. Rows are sorted by key.
-func (m *Memory) Snapshot(ctx context.Context, table string) (Snapshot, error) {
+func (m *Memory) Snapshot(ctx context.Context, table string, _ Version) (Snapshot, error) {
 	if err := m.enter(ctx); err != nil {
 		return Snapshot{}, err
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -23,6 +23,9 @@
 // ErrCompacted: the changes asked for are no longer kept; read the whole table.
 var ErrCompacted = errors.New("store: history compacted")
 
+// ErrStale: the table was read as it was before a version that is known already.
+var ErrStale = errors.New("store: the read is older than what is known")
+
 // ErrNotFound: no such row or object.
 var ErrNotFound = errors.New("store: not found")
 
@@ -114,8 +117,9 @@
 
 // Watchable is a table service whose tables can be followed.
 type Watchable interface {
-	// Snapshot returns a whole table. It may be some seconds old.
-	Snapshot(ctx context.Context, table string) (Snapshot, error)
+	// Snapshot returns a whole table. It may be some seconds old; it fails with ErrStale, as soon
+	// as that is known, where it is older than least.
+	Snapshot(ctx context.Context, table string, least Version) (Snapshot, error)
 	// Changes returns what changed in a table after a version, in order. It
 	// waits up to wait for a first change and then returns none. It fails with
 	// ErrCompacted or ErrUnavailable; ErrCompacted also where the service does not have that
--- a/internal/watch/explore_test.go
+++ b/internal/watch/explore_test.go
@@ -63,7 +63,7 @@
 }
 
 func (x *explorer) snapshot() store.Snapshot {
-	snap, err := x.m.Snapshot(x.t.Context(), "t")
+	snap, err := x.m.Snapshot(x.t.Context(), "t", store.Version{})
 	if err != nil {
 		x.t.Fatal(err)
 	}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -264,7 +264,7 @@
 		case errors.Is(err, store.ErrCompacted):
 			t.Log.Info("history of the table is gone, reading it whole", "table", t.Name, "version", t.copy.Position().Version)
 			t.setGap()
-		case errors.Is(err, errStale):
+		case errors.Is(err, store.ErrStale):
 			t.Log.Info("old read of the table dropped", "table", t.Name, "version", t.copy.Position().Version)
 		case t.isRelayed() && !t.byPoke:
 			// A call that was begun before; the other node knows better now.
@@ -404,12 +404,19 @@
 	t.Apply(View{Rows: t.copy.Rows(), Changed: changed, Version: t.copy.Position().Version, Regained: t.regained})
 }
 
-// errStale: the read is older than the copy that it should complete.
-var errStale = errors.New("watch: the store answered with an old read")
+// least is the version before which a whole read does not complete the copy.
+func (t *Table) least() store.Version {
+	t.taking.Lock()
+	defer t.taking.Unlock()
+	if !t.gap {
+		return store.Version{}
+	}
+	return t.copy.Position().Version
+}
 
 // readWhole replaces the copy, unless the answer is older than the copy.
 func (t *Table) readWhole(ctx context.Context) error {
-	snap, err := t.From.Snapshot(ctx, t.Name)
+	snap, err := t.From.Snapshot(ctx, t.Name, t.least())
 	if err != nil {
 		return err
 	}
@@ -423,7 +430,7 @@
 	defer t.taking.Unlock()
 	version := t.copy.Position().Version
 	if snap.Version.Before(version) && t.gap {
-		return errStale
+		return store.ErrStale
 	}
 	t.lastRead = time.Now()
 	if snap.Version.Before(version) {
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -73,11 +73,11 @@
 	until time.Time
 }
 
-func (s *staleReads) Snapshot(ctx context.Context, table string) (store.Snapshot, error) {
+func (s *staleReads) Snapshot(ctx context.Context, table string, least store.Version) (store.Snapshot, error) {
 	if time.Now().Before(s.until) {
 		return s.old, nil
 	}
-	return s.Watchable.Snapshot(ctx, table)
+	return s.Watchable.Snapshot(ctx, table, least)
 }
 
 func TestOldReadNeitherRevertsNorHidesChanges(t *testing.T) {
@@ -85,7 +85,7 @@
 		c := qt.New(t)
 		m := store.NewMemory()
 		put(t, m, "a", "1")
-		old, err := m.Snapshot(t.Context(), "t")
+		old, err := m.Snapshot(t.Context(), "t", store.Version{})
 		c.Assert(err, qt.IsNil)
 		s := &staleReads{Watchable: m}
 		last, _ := follow(t.Context(), s)
@@ -165,7 +165,7 @@
 			m.SetFaults(store.Faults{})
 			// A call that waits for changes, a retry and a read.
 			time.Sleep(ShortWait + 2*maxRetry)
-			want, err := m.Snapshot(t.Context(), "t")
+			want, err := m.Snapshot(t.Context(), "t", store.Version{})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -217,7 +217,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		m := store.NewMemory()
-		old, err := m.Snapshot(t.Context(), "t")
+		old, err := m.Snapshot(t.Context(), "t", store.Version{})
 		c.Assert(err, qt.IsNil)
 		put(t, m, "a", "1")
 		s := &staleReads{Watchable: m}
@@ -250,12 +250,12 @@
 	}
 }
 
-func (r *refusing) Snapshot(ctx context.Context, table string) (store.Snapshot, error) {
+func (r *refusing) Snapshot(ctx context.Context, table string, least store.Version) (store.Snapshot, error) {
 	if r.calls.Add(1); r.away.Load() {
 		takeTime(ctx)
 		return store.Snapshot{}, errAway
 	}
-	return r.Watchable.Snapshot(ctx, table)
+	return r.Watchable.Snapshot(ctx, table, least)
 }
 
 func (r *refusing) Changes(ctx context.Context, table string, after store.Version, wait time.Duration) (store.Changes, error) {
