Count an answer without history as one of the store

A followed node that is told that the history is gone says nothing of the store until it has read the table whole; with 9,992 rows that, and the call before it, takes longer than its followers wait (2.2 s): they would all leave it and read the table themselves.

Change: the answer that the history is gone, and an old read, count as heard.

Measured: TestStoreWithoutHistoryCountsAsHeard (a poll of 1.2 s, a read of 1.8 s): last heard over 2.6 s ago before, under after.

--- /dev/null
+++ b/internal/watch/history_test.go
@@ -0,0 +1,76 @@
+package watch
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"topazmoor/internal/store"
+)
+
+const (
+	// pollTime is how long a call for changes takes, readTime how long the table takes to read.
+	pollTime = 1200 * time.Millisecond
+	readTime = 1800 * time.Millisecond
+)
+
+// forgetful is a store that has lost its history, and whose table takes long to read.
+type forgetful struct {
+	reads int
+	// stale is how many reads after the first are older than what is known.
+	stale int
+}
+
+func (f *forgetful) Snapshot(_ context.Context, _ string, least store.Version) (store.Snapshot, error) {
+	f.reads++
+	if f.reads == 1 {
+		return store.Snapshot{Version: store.Version{Number: 5}}, nil
+	}
+	if f.reads <= f.stale+1 {
+		return store.Snapshot{}, store.ErrStale
+	}
+	time.Sleep(readTime)
+	return store.Snapshot{Version: store.Version{Number: 9}}, nil
+}
+
+func (f *forgetful) Changes(ctx context.Context, _ string, after store.Version, _ time.Duration) (store.Changes, error) {
+	select {
+	case <-time.After(pollTime):
+	case <-ctx.Done():
+		return store.Changes{}, ctx.Err()
+	}
+	if f.reads == 1 {
+		return store.Changes{}, store.ErrCompacted
+	}
+	return store.Changes{Version: after}, nil
+}
+
+// While a long table is read again, as the store lost its history, the store answers all the time:
+// who follows the copy goes by when it was last heard.
+func TestStoreWithoutHistoryCountsAsHeard(t *testing.T) {
+	for _, stale := range []int{0, 8} {
+		synctest.Test(t, func(t *testing.T) {
+			table := &Table{
+				Name: "t", From: &forgetful{stale: stale}, Wait: pollTime, Apply: func(View) {},
+				Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() { done <- table.Serve(ctx) }()
+			oldest := time.Duration(0)
+			for range 800 {
+				time.Sleep(10 * time.Millisecond)
+				oldest = max(oldest, time.Since(table.LastHeard()))
+			}
+			qt.Check(t, oldest < readTime+maxRetry+100*time.Millisecond, qt.IsTrue, qt.Commentf("last heard %v ago, %d old reads", oldest, stale))
+			qt.Check(t, table.Lost(), qt.IsFalse)
+			cancel()
+			<-done
+		})
+	}
+}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -263,9 +263,13 @@
 			continue
 		case errors.Is(err, store.ErrCompacted):
 			t.Log.Info("history of the table is gone, reading it whole", "table", t.Name, "version", t.copy.Position().Version)
+			// The store answered: a long table takes long to read, and who follows this copy would
+			// leave it meanwhile, all to read the table themselves.
+			t.answered(time.Now())
 			t.setGap()
 		case errors.Is(err, store.ErrStale):
 			t.Log.Info("old read of the table dropped", "table", t.Name, "version", t.copy.Position().Version)
+			t.answered(time.Now())
 		case t.isRelayed() && !t.byPoke:
 			// A call that was begun before; the other node knows better now.
 		default:
