Do not pass a roll-out's owner over that cannot write yet

Cause: a refusal of the owner, which has no record in the store yet, counted as silence; for two seconds the node was then no former of batches either.

Measured: TestOwnerWithoutTheStoreIsNotPassedOver fails without the change (four of five nodes see one less).

--- a/internal/entry/rollouts.go
+++ b/internal/entry/rollouts.go
@@ -9,6 +9,7 @@
 
 	"topazmoor/internal/rollout"
 	"topazmoor/internal/store"
+	"topazmoor/internal/verdict"
 )
 
 // rolloutTable holds the records of roll-outs, by service.
@@ -41,7 +42,9 @@
 		return o.n.owner.Report(ctx, r)
 	}
 	a, err := o.n.peers.client.ReportRollout(ctx, lead.Addr, r)
-	if err != nil && ctx.Err() == nil {
+	var refused *verdict.Error
+	if err != nil && ctx.Err() == nil && !errors.As(err, &refused) {
+		// One that answers, but knows nothing yet, is well: it also forms batches.
 		o.n.router.Suspect(lead)
 	}
 	return a, err
