Start a fleet that is larger than the writes that the store takes

Since a first start waited for its own entry before it looked whom to follow, nodes gave up after 4 s and 88 times read the list by themselves (1.3 GB); 88 times a node that was followed fell silent, as each of 164 followers got a whole table of another version, packed anew.

Change: a node that is turned away comes back later and later, up to 4 s, and follows others meanwhile; the whole table is told as it was up to 2 s ago, with what changed since as the next news, so that it is packed once for all.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -40,6 +40,9 @@
 	keyBytes = 32
 	// enterRetry is the pause between tries to reach the store, half random.
 	enterRetry = 400 * time.Millisecond
+	// maxEnterRetry is up to where that doubles for this node's row: the store takes some 200 writes a
+	// second of one table, and all nodes of a fleet may start at once.
+	maxEnterRetry = 4 * time.Second
 	// freshGather, half of it random, is how long nodes that all start now wait for each other
 	// before they read who is there: they start within some 100 ms, weak ones take a second.
 	freshGather = 2400 * time.Millisecond
@@ -120,13 +123,18 @@
 		p.gather(ctx)
 	}
 	p.learned()
+	retry := enterRetry
 	for {
 		wait := enterAgain
 		if p.n.servers.Lost() {
 			// The list of targets finds out when the store is back.
 			wait = enterRetry
-		} else if err := p.enter(ctx); err != nil {
+		} else if err := p.enter(ctx); errors.Is(err, errMembersUnknown) {
 			wait = enterRetry
+		} else if err != nil {
+			wait, retry = retry, min(2*retry, maxEnterRetry)
+		} else {
+			retry = enterRetry
 		}
 		if p.sleepOrMend(ctx, wait) {
 			p.keepKey(ctx, key)
@@ -140,11 +148,8 @@
 // gather enters this node in a platform that no node knew before, waits until the others did as
 // well, and has the table of nodes read: once, instead of at each change while it fills.
 func (p *peers) gather(ctx context.Context) {
-	for p.write(ctx) != nil {
-		if !sleep(ctx, enterRetry) {
-			return
-		}
-	}
+	// Where the store takes no more writes now, Serve goes on; others can be followed before.
+	_ = p.write(ctx)
 	if sleep(ctx, freshGather) {
 		p.members.Poke()
 	}
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -284,8 +284,11 @@
 	out := make([]Have, len(f.Tables))
 	for i, t := range f.Tables {
 		out[i] = Have{Table: t.Name, Version: t.Copy().Position().Version}
-		if f.whole || t.Copy().Rows() == nil {
+		switch {
+		case t.Copy().Rows() == nil:
 			out[i].Version = Nothing
+		case f.whole:
+			out[i].Version = watch.Anew
 		}
 	}
 	f.whole = false
--- a/internal/relay/teller.go
+++ b/internal/relay/teller.go
@@ -74,6 +74,9 @@
 		if err := send(t.tell(have)); err != nil {
 			return err
 		}
+		if t.lacks(have) {
+			continue
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -82,6 +85,16 @@
 	}
 }
 
+// lacks reports whether a table was told as it was a moment ago.
+func (t *Teller) lacks(have []Have) bool {
+	for _, h := range have {
+		if table := t.table(h.Table); table != nil && h.Version.Before(table.Copy().Position().Version) {
+			return true
+		}
+	}
+	return false
+}
+
 // Serve implements suture.Service: it makes a message go out each beat.
 func (t *Teller) Serve(ctx context.Context) error {
 	tick := time.NewTicker(beat)
@@ -131,7 +144,7 @@
 		if table == nil {
 			continue
 		}
-		told.Tables[i].News, told.Tables[i].Position = table.Copy().Since(have[i].Version)
+		told.Tables[i].News, told.Tables[i].Position = table.Copy().Tell(have[i].Version)
 		have[i].Version = have[i].Version.Max(told.Tables[i].Position.Version)
 	}
 	return told
--- a/internal/watch/copy.go
+++ b/internal/watch/copy.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -44,8 +45,11 @@
 	// base on.
 	editions []edition
 	base     store.Version
-	// whole is the table as news, once somebody asked for it, until it changes.
-	whole *News
+	// whole is the table as news, as somebody last asked for it, wholeAt where the copy was then
+	// and wholeBuilt when that was.
+	whole      *News
+	wholeAt    Position
+	wholeBuilt time.Time
 }
 
 // edition is the keys that became different at a version of the copy.
@@ -133,7 +137,7 @@
 			c.position.Sum += rowSum(r)
 		}
 	}
-	c.rows, c.whole = next, nil
+	c.rows = next
 	c.position.Version = version
 	if len(changed) == 0 {
 		return
@@ -152,6 +156,25 @@
 	return xxhash.Sum64(binary.BigEndian.AppendUint64(buf, uint64(r.Version.Number)))
 }
 
+// Anew is the version of a copy that differs from this one, and is to be replaced.
+var Anew = store.Version{Number: -2}
+
+// wholeLife is for how long the whole table is told as it was. While all nodes and targets start, it changes many times a second, and each of the many nodes
+// that ask would get another one.
+const wholeLife = 2 * time.Second
+
+// Tell is Since, but may return the whole table as it was a moment ago: the position is where it was
+// then, and the next call goes on from there.
+func (c *Copy) Tell(version store.Version) (*News, Position) {
+	c.mu.Lock()
+	if c.rows != nil && version != Anew && version.Before(c.base) {
+		defer c.mu.Unlock()
+		return c.wholeNews(wholeLife), c.wholeAt
+	}
+	c.mu.Unlock()
+	return c.Since(version)
+}
+
 // Since returns what a copy at a version lacks, nil for nothing, and where this copy is. News
 // must not be changed: all followers that need the whole table share it.
 func (c *Copy) Since(version store.Version) (*News, Position) {
@@ -161,7 +184,7 @@
 	case c.rows == nil || !version.Before(c.position.Version):
 		return nil, c.position
 	case version.Before(c.base):
-		return c.wholeNews(), c.position
+		return c.wholeNews(0), c.wholeAt
 	}
 	news := &News{Since: version, Version: c.position.Version}
 	seen := make(map[string]bool)
@@ -191,10 +214,16 @@
 	}
 }
 
-// wholeNews returns the table as news. The caller holds c.mu.
-func (c *Copy) wholeNews() *News {
-	if c.whole == nil {
+// wholeNews returns the table as news, as it was at most some time ago. The caller holds c.mu.
+func (c *Copy) wholeNews(life time.Duration) *News {
+	now := time.Now()
+	old := c.whole == nil || c.wholeAt.Version.Before(c.base) || now.Sub(c.wholeBuilt) >= life
+	if old && (c.whole == nil || c.wholeAt != c.position) {
 		c.whole = &News{Version: c.position.Version, Whole: true, Rows: slices.Collect(maps.Values(c.rows))}
+		c.wholeAt = c.position
+	}
+	if old {
+		c.wholeBuilt = now
 	}
 	return c.whole
 }
--- a/internal/watch/history_test.go
+++ b/internal/watch/history_test.go
@@ -74,3 +74,30 @@
 		})
 	}
 }
+
+// While many nodes start they are told the same whole table, with what changed since after it.
+func TestWholeTableIsToldAsItWasAMomentAgo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		at := func(n int64) store.Version { return store.Version{Number: n} }
+		row := func(key string, n int64) store.Row { return store.Row{Key: key, Version: at(n)} }
+		var have Copy
+		have.replace([]store.Row{row("a", 1), row("b", 2)}, at(2))
+		first, position := have.Tell(at(-1))
+		c.Assert(position, qt.Equals, have.Position())
+		have.merge([]store.Row{row("a", 3)}, nil, at(3))
+		again, position := have.Tell(at(-1))
+		c.Assert(again, qt.Equals, first)
+		c.Assert(position.Version, qt.Equals, at(2))
+		rest, position := have.Tell(position.Version)
+		c.Assert(rest.Rows, qt.DeepEquals, []store.Row{row("a", 3)})
+		c.Assert(position, qt.Equals, have.Position())
+		// A copy that differs needs the table as it is.
+		_, position = have.Tell(Anew)
+		c.Assert(position, qt.Equals, have.Position())
+		have.merge([]store.Row{row("a", 4)}, nil, at(4))
+		time.Sleep(wholeLife)
+		_, position = have.Tell(at(-1))
+		c.Assert(position, qt.Equals, have.Position())
+	})
+}
