Ask for a second try beside the first

Cause: since repeats are asked for at another node, a request whose second try was due waited for that node's word, also when its first answer was ready.

Change: the ask runs beside; what may be tried is looked at again when it is answered.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -189,10 +189,7 @@
 		c.stale++
 		c.tried = slices.DeleteFunc(c.tried, func(id string) bool { return id == f.target })
 	}
-	// A request may have run wherever it was sent; where a kept connection had
-	// been closed it almost surely has not, which does not use up an attempt of a
-	// request that may be repeated.
-	if c.runs > 0 && (!c.route.Repeatable() || c.runs-c.stale >= max(c.route.MaxAttempts, 1)) {
+	if !c.mayRunAgain() {
 		return false
 	}
 	if c.takesBudget(f) && !c.s.cfg.Repeats.Take(c.ctx, c.service) {
@@ -206,6 +203,13 @@
 	return true
 }
 
+// mayRunAgain reports whether the request may run at one more target. It may have run wherever it
+// was sent; where a kept connection had been closed it almost surely has not, which does not use up
+// an attempt of a request that may be repeated.
+func (c *call) mayRunAgain() bool {
+	return c.runs == 0 || c.route.Repeatable() && c.runs-c.stale < max(c.route.MaxAttempts, 1)
+}
+
 // maxUnsent is how often a request may find a target gone without using up the budget of
 // repeats. Nothing arrived there, and targets that ended stand in the list for some seconds, while
 // a node's part of the budget is small. More would be a search through a service that is gone.
--- a/internal/passthrough/plain.go
+++ b/internal/passthrough/plain.go
@@ -67,6 +67,7 @@
 		c.refuse(c.failed(x.last))
 		return
 	}
+	hedges := make(chan bool, 1)
 	hedge := time.NewTimer(c.hedgeAfter())
 	defer hedge.Stop()
 	for x.running > 0 {
@@ -75,7 +76,13 @@
 			c.refuse(c.timedOut())
 			return
 		case <-hedge.C:
-			if c.mayHedge() && c.mayRepeat(nil, "hedge") {
+			if c.mayHedge() && c.mayRunAgain() {
+				// Another node may be asked; an answer that comes meanwhile does not wait for that.
+				go func() { hedges <- c.s.cfg.Repeats.Take(c.ctx, c.service) }()
+			}
+		case allowed := <-hedges:
+			if allowed && c.mayHedge() && c.mayRunAgain() {
+				c.s.cfg.Observer.Repeated(c.service, "hedge")
 				x.start(targets.Query{Unbounded: true})
 			}
 		case r := <-x.results:
