--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -205,9 +205,7 @@
 }
 
 func (r *Router) suspect(n Node, o Order, err error) {
-	r.mu.Lock()
-	r.suspects[n.Name] = time.Now().Add(suspectFor)
-	r.mu.Unlock()
+	r.Suspect(n)
 	r.log.Warn("node does not form batches, passed over", "peer", n.Name, "addr", n.Addr, "request", o.Request, "service", o.Service, "err", err)
 }
 
