--- a/internal/experiment/capacity/measures.go
+++ b/internal/experiment/capacity/measures.go
@@ -65,9 +65,10 @@
 }
 
 func changeOfATarget(s Size) Figure {
-	t, changed := tableOf(s), listOf(s)[0]
+	t, changed, last := tableOf(s), listOf(s)[0], int64(s.Targets)
 	return micros(func() {
-		changed.Revision.Number++
+		last++
+		changed.Revision = store.Version{Number: last}
 		t.Change(targets.News{Listed: []targets.Target{changed}}, time.Time{})
 	})
 }
@@ -78,7 +79,7 @@
 	for i := range s.Targets {
 		whole.Rows = append(whole.Rows, store.Row{Key: fmt.Sprint("t-", i), Value: make([]byte, 300), Version: store.Version{Number: int64(i + 1)}})
 	}
-	at := whole.Version
+	at, last := whole.Version, int64(s.Targets)
 	take := func(n watch.News) {
 		if err := t.Take(n); err != nil {
 			// The copy is only told what goes on where it ends.
@@ -87,7 +88,8 @@
 	}
 	take(whole)
 	return micros(func() {
-		next := store.Version{Number: at.Number + 1}
+		last++
+		next := store.Version{Number: last}
 		row := whole.Rows[0]
 		row.Version = next
 		take(watch.News{Since: at, Version: next, Rows: []store.Row{row}})
