Let a roll-out's share lapse when the host stood still; own word for its end

Cause: a share holds for up to 8 s by a clock that stands while the host is suspended; a version that was rolled back meanwhile would get calls once the node acts again. And the state's text was the platform's word.

Change: after a suspension a share holds only once the owner has answered what was asked since.

Measured: TestShareLapsesWhenTheHostStoodStill.

--- a/internal/entry/suspended.go
+++ b/internal/entry/suspended.go
@@ -22,6 +22,7 @@
 	}
 	n.follower.Renew()
 	n.limiter.Clear()
+	n.gate.Lapse()
 	// Their other ends may be gone.
 	n.env.Conns.Close()
 }
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -81,7 +81,9 @@
 	// unheard says that the owner has not heard of a bad answer yet; alarm wakes the reports.
 	unheard bool
 	alarm   chan struct{}
-	cancel  context.CancelFunc
+	// lapses counts the calls of Lapse: what was asked for before them may be old.
+	lapses int
+	cancel context.CancelFunc
 }
 
 // NewGate returns a Gate without orders.
@@ -136,6 +138,21 @@
 	g.barred[s.Service] = barred[max(len(barred)-maxBarred, 0):]
 }
 
+// Lapse takes all shares back until the owner answers anew: the host stood still, and its clock with
+// it.
+func (g *Gate) Lapse() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.orders {
+		s.lapses++
+		s.until = time.Time{}
+		select {
+		case s.alarm <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // Withdrawn reports whether an order stood at this node and does not any more.
 func (g *Gate) Withdrawn(o Order) bool {
 	g.mu.Lock()
@@ -288,7 +305,7 @@
 // report reports on an order until it is decided.
 func (g *Gate) report(ctx context.Context, s *standing) {
 	for ctx.Err() == nil {
-		r, unheard := g.next(s)
+		r, unheard, lapses := g.next(s)
 		call, cancel := context.WithCancel(ctx)
 		waits := make(chan struct{})
 		go func() {
@@ -306,7 +323,7 @@
 		pause := reportPause
 		switch {
 		case err == nil:
-			if g.heard(s, r, unheard, answer) {
+			if g.heard(s, r, unheard, lapses, answer) {
 				return
 			}
 		case !alarmed:
@@ -325,22 +342,25 @@
 	return min(max(time.Duration(nodes)*holdPerNode, leastHold), mostHold)
 }
 
-// next returns the next report, and whether it tells of a bad answer.
-func (g *Gate) next(s *standing) (Report, bool) {
+// next returns the next report, whether it tells of a bad answer, and how many lapses it follows.
+func (g *Gate) next(s *standing) (r Report, unheard bool, lapses int) {
 	hold := HoldOf(g.Nodes())
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := Report{Node: g.Node, Order: s.Order, Evidence: s.evidence.clone(), OldInFlight: s.oldInFlight, Has: s.answer, Hold: hold}
+	r = Report{Node: g.Node, Order: s.Order, Evidence: s.evidence.clone(), OldInFlight: s.oldInFlight, Has: s.answer, Hold: hold}
 	if s.unheard {
 		r.Hold = 0
 	}
-	return r, s.unheard
+	return r, s.unheard, s.lapses
 }
 
 // heard takes in an answer, and reports whether the order is decided.
-func (g *Gate) heard(s *standing, r Report, unheard bool, a Answer) (decided bool) {
+func (g *Gate) heard(s *standing, r Report, unheard bool, lapses int, a Answer) (decided bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if lapses != s.lapses {
+		return false
+	}
 	if a != s.answer {
 		g.Log.Info("roll-out", "service", s.Service, "to", s.To, "state", a.State, "share", a.Share, "before", s.answer.State, "share_before", s.answer.Share)
 	}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -32,7 +32,7 @@
 	Unknown    State = ""
 	Running    State = "running"
 	Completed  State = "completed"
-	RolledBack State = "rolled_back"
+	RolledBack State = "reverted"
 )
 
 // Final reports whether a state does not change any more.
