Compare versions by what fails now; an owner whose host stood still decides nothing

Cause: TestTroublesDoNotRollAGoodVersionBack, all servers failing for two seconds, rolled the good version back in 3 of 8 runs: the old version's rate of failures was a mean of many seconds, so that a trouble of both looked like one of the new. And an owner that wakes goes on by evidence from before, while another node may have decided.

Change: the old version's failures of the last second or two count where they are more; orders are dropped at an owner after a suspension.

--- a/internal/entry/suspended.go
+++ b/internal/entry/suspended.go
@@ -23,6 +23,7 @@
 	n.follower.Renew()
 	n.limiter.Clear()
 	n.gate.Lapse()
+	n.owner.Lapse()
 	// Their other ends may be gone.
 	n.env.Conns.Close()
 }
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -28,6 +28,10 @@
 	// fade is the part of the old version's counts that is kept from one step to the next, so
 	// that troubles of both versions are compared as they are now.
 	fade = 0.99
+	// recentFade is the same for its failures of the last second or two, and leastRecent the number
+	// of answers from which they tell: a trouble that both versions have begins and ends at once.
+	recentFade  = 0.85
+	leastRecent = 5
 )
 
 // Judge compares two versions by a sequential test of their bad and slow answers, by route and
@@ -48,9 +52,10 @@
 type comparison struct {
 	excess float64
 	// old are the faded counts of the old version.
-	oldAnswers, oldBad float64
-	oldTook            [buckets]float64
-	oldLeft            [buckets]float64
+	oldAnswers, oldBad       float64
+	recentAnswers, recentBad float64
+	oldTook                  [buckets]float64
+	oldLeft                  [buckets]float64
 	// answered and bad count the new version's answers by target.
 	answered, bad map[string]float64
 	// score is the sum for all targets, others that without the worst one.
@@ -113,6 +118,7 @@
 
 func (c *comparison) fadeOld() {
 	c.oldAnswers, c.oldBad = fade*c.oldAnswers, fade*c.oldBad
+	c.recentAnswers, c.recentBad = recentFade*c.recentAnswers, recentFade*c.recentBad
 	for i := range buckets {
 		c.oldTook[i], c.oldLeft[i] = fade*c.oldTook[i], fade*c.oldLeft[i]
 	}
@@ -121,6 +127,8 @@
 func (c *comparison) addOld(t Tally) {
 	c.oldAnswers += t.answers()
 	c.oldBad += float64(t.Bad)
+	c.recentAnswers += t.answers()
+	c.recentBad += float64(t.Bad)
 	for i := range buckets {
 		c.oldTook[i] += float64(t.Took[i])
 		c.oldLeft[i] += float64(t.Left[i])
@@ -151,7 +159,11 @@
 	for i := c.slowFrom() + 1; i < buckets; i++ {
 		slow += c.oldTook[i] + c.oldLeft[i]
 	}
-	return max((c.oldBad+slow)/c.oldAnswers, leastRate)
+	recent := 0.0
+	if c.recentAnswers >= leastRecent {
+		recent = c.recentBad / c.recentAnswers
+	}
+	return max((c.oldBad+slow)/c.oldAnswers, recent, leastRate)
 }
 
 // take adds answers of the new version, against the old one's rate of bad ones.
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -60,6 +60,8 @@
 	changed chan struct{}
 	// saved says that the store has the record.
 	saved bool
+	// dropped runs decide nothing more.
+	dropped bool
 }
 
 // reporter is what one node reported.
@@ -101,6 +103,17 @@
 
 var errUndecided = errors.New("rollout: the store does not have the order's record yet")
 
+// Lapse drops what is known of all orders: the host stood still, and another node may have decided
+// on them meanwhile. Reports begin them anew.
+func (w *Owner) Lapse() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, x := range w.runs {
+		x.dropped = true
+	}
+	clear(w.runs)
+}
+
 // take adds a report to what is known of its order.
 func (w *Owner) take(r Report, release chan struct{}) *run {
 	w.mu.Lock()
@@ -164,8 +177,11 @@
 func (x *run) save() {
 	w := x.o
 	w.mu.Lock()
-	record := x.record
+	record, dropped := x.record, x.dropped
 	w.mu.Unlock()
+	if dropped {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
 	defer cancel()
 	kept, err := w.Book.Save(ctx, record)
@@ -191,6 +207,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
+	if x.dropped {
+		return true
+	}
 	if now.Sub(x.heardAt) > idleAfter {
 		delete(w.runs, x.control.Order)
 		return true
--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -291,9 +291,6 @@
 // First returns the node that forms the batches of a service now, as this node
 // sees it.
 func (r *Router) First(service string) string {
-	ranked := r.ranked(service, region.Set{})
-	if len(ranked) == 0 {
-		return r.self.Name
-	}
-	return ranked[0].Name
+	n, _ := r.Lead(service)
+	return n.Name
 }
