Hand sessions between nodes whole frames only

What callers saw: a caller of a limited target was not answered.

Cause: yamux takes the lock of a stream's receive buffer once it has the header of a frame, and reads the body from the connection under that lock. Where the other node is frozen, killed or cut off between header and body, each read of the stream and the accepting of it wait for that lock. Deadlines are looked at only outside of it.

Why this works: frameConn collects a frame before the session sees its header, so the session waits for bytes outside of its locks only, where deadlines and its end are seen. The bytes held are bounded by the window of a stream.

--- /dev/null
+++ b/internal/peer/frames_test.go
@@ -0,0 +1,108 @@
+package peer
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/hashicorp/yamux"
+	"pgregory.net/rapid"
+)
+
+// frameOf returns a frame of yamux as it is on the wire.
+func frameOf(kind byte, stream, length uint32, body []byte) []byte {
+	b := make([]byte, frameHead, frameHead+len(body))
+	b[frameType] = kind
+	binary.BigEndian.PutUint32(b[4:], stream)
+	binary.BigEndian.PutUint32(b[frameLength:], length)
+	return append(b, body...)
+}
+
+// halfFrame is what a peer sent that was stopped in the midst of a frame for the first stream.
+func halfFrame() (sent, rest []byte) {
+	whole := frameOf(dataFrame, 1, 100, make([]byte, 100))
+	return whole[:frameHead+10], whole[frameHead+10:]
+}
+
+// TestDeadlineHoldsInTheMidstOfAFrame guards against reads that wait for the rest of a frame,
+// whatever their deadline.
+func TestDeadlineHoldsInTheMidstOfAFrame(t *testing.T) {
+	c := quicktest.New(t)
+	here, there := net.Pipe()
+	m, err := newMux(here, true)
+	c.Assert(err, quicktest.IsNil)
+	c.Cleanup(func() { _ = m.Close() })
+	go func() { _, _ = io.Copy(io.Discard, there) }()
+	st, err := m.OpenStream()
+	c.Assert(err, quicktest.IsNil)
+	sent, rest := halfFrame()
+	// In two parts: once the second is taken, the session has seen the head.
+	for _, part := range [][]byte{sent[:frameHead], sent[frameHead:]} {
+		_, err = there.Write(part)
+		c.Assert(err, quicktest.IsNil)
+	}
+	st.SetDeadline(expired)
+	_, err = st.Read(make([]byte, 1))
+	c.Assert(err, quicktest.Equals, yamux.ErrTimeout)
+
+	// The connection goes on once the rest comes.
+	st.SetDeadline(time.Time{})
+	_, err = there.Write(rest)
+	c.Assert(err, quicktest.IsNil)
+	got := make([]byte, 100)
+	_, err = io.ReadFull(st, got)
+	c.Assert(err, quicktest.IsNil)
+}
+
+// TestWholeFramesArePassedOnUnchanged compares what a session reads with what came, however the
+// connection splits it.
+func TestWholeFramesArePassedOnUnchanged(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var sent []byte
+		for range rapid.IntRange(0, 8).Draw(rt, "frames") {
+			body := rapid.SliceOfN(rapid.Byte(), 0, 40).Draw(rt, "body")
+			if rapid.IntRange(0, 5).Draw(rt, "long") == 0 {
+				body = make([]byte, rapid.IntRange(4000, 70_000).Draw(rt, "length"))
+			}
+			kind := rapid.SampledFrom([]byte{dataFrame, 1, 2, 3}).Draw(rt, "kind")
+			length := uint32(len(body))
+			if kind != dataFrame {
+				body, length = nil, rapid.Uint32().Draw(rt, "value")
+			}
+			sent = append(sent, frameOf(kind, 1, length, body)...)
+		}
+		whole := len(sent)
+		half, _ := halfFrame()
+		sent = append(sent, half[:rapid.IntRange(0, len(half)).Draw(rt, "half")]...)
+		here, there := net.Pipe()
+		go func() {
+			for len(sent) > 0 {
+				n := min(len(sent), rapid.IntRange(1, 9000).Draw(rt, "part"))
+				_, _ = there.Write(sent[:n])
+				sent = sent[n:]
+			}
+			_ = there.Close()
+		}()
+		want := append([]byte(nil), sent[:whole]...)
+		got, err := io.ReadAll(iotest.OneByteReader(&frameConn{Conn: here, longest: 100_000}))
+		if err != nil {
+			rt.Fatal(err)
+		}
+		if string(got) != string(want) {
+			rt.Fatalf("%d bytes of %d", len(got), len(want))
+		}
+	})
+}
+
+// TestFrameOverTheWindowEndsTheSession guards the memory that a peer can make a node hold.
+func TestFrameOverTheWindowEndsTheSession(t *testing.T) {
+	c := quicktest.New(t)
+	here, there := net.Pipe()
+	go func() { _, _ = there.Write(frameOf(dataFrame, 1, 1<<31, nil)) }()
+	_, err := (&frameConn{Conn: here, longest: 1 << 18}).Read(make([]byte, 1))
+	c.Assert(err, quicktest.Equals, errFrameTooLong)
+}
--- a/internal/peer/mux.go
+++ b/internal/peer/mux.go
@@ -51,7 +51,9 @@
 		open = yamux.Client
 	}
 	var err error
-	m.session, err = open(endingConn{Conn: c, end: m.end}, muxConfig())
+	config := muxConfig()
+	frames := &frameConn{Conn: c, longest: config.MaxStreamWindowSize}
+	m.session, err = open(endingConn{Conn: frames, end: m.end}, config)
 	if err != nil {
 		return nil, eris.Wrap(err, "begin session")
 	}
