End calls between nodes at their deadline, whatever the connection does

What callers saw: a request that waits for a permit, a claim or a stage result of another node waited up to 3 s more where that node took nothing more of the connection.

Cause: a stream's write deadline is looked at only while its window is empty. Writes, opening and closing wait for the connection's send queue, up to 3 s each. Found while the cause of the half frame was looked for elsewhere.

Evidence: TestCallsEndAtTheirDeadlineWhateverThePeerDoes, four peers and three calls. On all twelve cases failed: five came back after 3 s instead of 0.3 s, two never (half a frame), five in time but without naming the deadline.

Change: a goroutine of its own does the writing and reading of a call; who asked waits for answers or for the end of its context only. The request is encoded before, so nothing of the caller's is read later; a call that was given up before its stream was open sends nothing. The connection's lock is not held while a stream is opened. Follow does not end the connection any more, and with it the orders of others on it, but retires it.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// stream opens a stream to the node at addr, connecting if needed.
-func (c *Client) stream(ctx context.Context, addr string) (*stream, error) {
+// connection returns the connection to the node at addr, connecting if needed.
+func (c *Client) connection(ctx context.Context, addr string) (*muxConn, error) {
 	c.mu.Lock()
 	s := c.sessions[addr]
 	if s == nil {
@@ -95,17 +95,14 @@
 	defer func() { <-s.lock }()
 	s.used = time.Now()
 	if s.mux != nil && !s.mux.IsClosed() {
-		if st, err := s.mux.OpenStream(); err == nil {
-			return st, nil
-		}
-		s.mux.Close()
+		return s.mux, nil
 	}
 	mux, err := c.connect(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
 	s.mux = mux
-	return mux.OpenStream()
+	return mux, nil
 }
 
 // retire makes the next call to a node use a new connection: this one may have gone
@@ -168,27 +165,11 @@
 func (c *Client) call(ctx context.Context, addr string, req *peerpb.Request) (*peerpb.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	st, err := c.stream(ctx, addr)
+	x, err := c.ask(ctx, addr, req)
 	if err != nil {
 		return nil, err
 	}
-	defer st.Close()
-	stop := context.AfterFunc(ctx, func() { st.SetDeadline(expired) })
-	defer stop()
-	if deadline, ok := ctx.Deadline(); ok {
-		st.SetDeadline(deadline)
-	}
-	if err := writeFrame(st, req); err != nil {
-		return nil, eris.Wrap(err, "send to peer")
-	}
-	resp := &peerpb.Response{}
-	if err := readFrame(st, resp, maxFrame); err != nil {
-		return nil, eris.Wrap(err, "answer of peer")
-	}
-	if resp.Refusal != nil {
-		return nil, refusalFrom(resp.Refusal)
-	}
-	return resp, nil
+	return x.next()
 }
 
 // Changes asks a node for the changes after a revision. It returns nil when
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -29,13 +29,21 @@
 )
 
 func writeFrame(w io.Writer, m proto.Message) error {
+	frame, err := encodeFrame(m)
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(frame)
+	return err
+}
+
+func encodeFrame(m proto.Message) ([]byte, error) {
 	b, err := proto.Marshal(m)
 	if err != nil {
-		return eris.Wrap(err, "encode message")
+		return nil, eris.Wrap(err, "encode message")
 	}
 	frame := binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(b)), uint32(len(b)))
-	_, err = w.Write(append(frame, b...))
-	return err
+	return append(frame, b...), nil
 }
 
 func readFrame(r io.Reader, m proto.Message, limit uint32) error {
--- a/internal/peer/follow.go
+++ b/internal/peer/follow.go
@@ -33,31 +33,25 @@
 
 // Follow implements relay.Remote.
 func (c *Client) Follow(ctx context.Context, addr string, have []relay.Have, told func(relay.Told) error) error {
-	st, err := c.stream(ctx, addr)
-	if err != nil {
-		return err
-	}
-	defer st.Close()
-	// A deadline would not end a read of a frame that stopped midway: the connection's reader
-	// holds the stream then. Nothing else on a connection that says nothing is worth waiting
-	// for.
-	defer context.AfterFunc(ctx, func() { _ = st.conn.Close() })()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	ask := &peerpb.Follow{}
 	tables := make([]string, len(have))
 	for i, h := range have {
 		tables[i] = h.Table
 		ask.Have = append(ask.Have, &peerpb.Follow_Have{Table: h.Table, Era: h.Version.Era, Version: h.Version.Number})
 	}
-	if err := writeFrame(st, &peerpb.Request{Call: &peerpb.Request_Follow{Follow: ask}}); err != nil {
-		return eris.Wrap(err, "send to peer")
+	x, err := c.ask(ctx, addr, &peerpb.Request{Call: &peerpb.Request_Follow{Follow: ask}})
+	if err != nil {
+		return err
 	}
+	// A node is left that says nothing, or after this host stood still: its connection may be
+	// gone.
+	defer x.retire()
 	for {
-		resp := &peerpb.Response{}
-		if err := readFrame(st, resp, maxFrame); err != nil {
-			return eris.Wrap(err, "answer of peer")
-		}
-		if resp.Refusal != nil {
-			return refusalFrom(resp.Refusal)
+		resp, err := x.next()
+		if err != nil {
+			return err
 		}
 		msg, err := toldFrom(resp.GetTold(), tables)
 		if err != nil {
--- /dev/null
+++ b/internal/peer/pending_test.go
@@ -0,0 +1,76 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"topazmoor/internal/sharedrate"
+	"topazmoor/internal/stagebatch"
+)
+
+// stuckPeer returns a Client whose peer takes its connection and then takes, or sends, nothing
+// more than it is told to.
+func stuckPeer(key []byte, then func(c net.Conn)) *Client {
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		here, there := net.Pipe()
+		go func() {
+			if _, err := handshake(there, key, "b", false); err == nil {
+				then(there)
+			}
+		}()
+		return here, nil
+	}
+	return NewClient(dial, key, "a", nil)
+}
+
+// TestCallsEndAtTheirDeadlineWhateverThePeerDoes guards against calls that wait for a connection
+// rather than for their deadline: a caller's request waits for them.
+func TestCallsEndAtTheirDeadlineWhateverThePeerDoes(t *testing.T) {
+	const patience = 300 * time.Millisecond
+	peers := map[string]func(net.Conn){
+		"takes nothing": func(net.Conn) {},
+		"stops taking in the midst of the call": func(c net.Conn) {
+			_, _ = io.ReadFull(c, make([]byte, frameHead))
+		},
+		"stops in the midst of a frame": func(c net.Conn) {
+			go func() { _, _ = io.Copy(io.Discard, c) }()
+			sent, _ := halfFrame()
+			_, _ = c.Write(sent)
+		},
+		"says nothing": func(c net.Conn) { _, _ = io.Copy(io.Discard, c) },
+	}
+	calls := map[string]func(ctx context.Context, c *Client) error{
+		"permits": func(ctx context.Context, c *Client) error {
+			_, err := c.AskPermits(ctx, "b", sharedrate.Ask{})
+			return err
+		},
+		"order": func(ctx context.Context, c *Client) error {
+			_, err := c.Produce(ctx, "b", stagebatch.Order{}, func(stagebatch.Waits) {})
+			return err
+		},
+		"follow": func(ctx context.Context, c *Client) error { return c.Follow(ctx, "b", nil, nil) },
+	}
+	for does, then := range peers {
+		for name, call := range calls {
+			t.Run(name+" "+does, func(t *testing.T) {
+				inBubble(t, func(t *testing.T) {
+					client := stuckPeer([]byte("key"), then)
+					began := time.Now()
+					ctx, cancel := context.WithTimeout(t.Context(), patience)
+					defer cancel()
+					err := call(ctx, client)
+					quicktest.Check(t, time.Since(began), quicktest.Equals, patience)
+					quicktest.Check(t, err, quicktest.ErrorIs, context.DeadlineExceeded)
+					client.Close()
+					// What the call left behind ends too.
+					time.Sleep(time.Minute)
+				})
+			})
+		}
+	}
+}
--- a/internal/peer/stages.go
+++ b/internal/peer/stages.go
@@ -111,25 +111,21 @@
 
 // Produce implements stagebatch.Remote.
 func (c *Client) Produce(ctx context.Context, addr string, o stagebatch.Order, accepted func(stagebatch.Waits)) (stagebatch.Result, error) {
-	st, err := c.stream(ctx, addr)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	msg := orderTo(o, time.Now())
+	mine := c.versions.Mine()
+	msg.ConfigEra, msg.ConfigVersion = mine.Era, mine.Number
+	x, err := c.ask(ctx, addr, &peerpb.Request{Call: &peerpb.Request_Produce{Produce: msg}})
 	if err != nil {
 		return stagebatch.Result{}, err
 	}
-	defer st.Close()
 	defer func() {
 		if errors.Is(context.Cause(ctx), stagebatch.ErrSilent) {
-			c.retire(addr, st.conn)
+			x.retire()
 		}
 	}()
-	stop := context.AfterFunc(ctx, func() { st.SetDeadline(expired) })
-	defer stop()
-	msg := orderTo(o, time.Now())
-	mine := c.versions.Mine()
-	msg.ConfigEra, msg.ConfigVersion = mine.Era, mine.Number
-	if err := writeFrame(st, &peerpb.Request{Call: &peerpb.Request_Produce{Produce: msg}}); err != nil {
-		return stagebatch.Result{}, eris.Wrap(err, "send to peer")
-	}
-	resp, err := c.awaitProduced(st, accepted, sync.OnceFunc(func() {
+	resp, err := c.awaitProduced(x, accepted, sync.OnceFunc(func() {
 		if o.InputsRead != nil {
 			o.InputsRead()
 		}
@@ -148,14 +144,11 @@
 }
 
 // awaitProduced reads the answers to an order until the last one.
-func (c *Client) awaitProduced(st *stream, accepted func(stagebatch.Waits), inputsRead func()) (*peerpb.Response, error) {
+func (c *Client) awaitProduced(x *pendingCall, accepted func(stagebatch.Waits), inputsRead func()) (*peerpb.Response, error) {
 	for {
-		resp := &peerpb.Response{}
-		if err := readFrame(st, resp, maxFrame); err != nil {
-			return nil, eris.Wrap(err, "answer of peer")
-		}
-		if resp.Refusal != nil {
-			return nil, refusalFrom(resp.Refusal)
+		resp, err := x.next()
+		if err != nil {
+			return nil, err
 		}
 		a := resp.GetAccepted()
 		if a == nil {
