Let only an owner that nodes report to decide on a roll-out

What operators saw: a good version was rolled back, "only 9 to 14 answers to judge the version by", while all nodes were killed in turn.

Cause: an owner forgot an order 20 s after the last report on it, and decided all the while. Here node-3 suspects the owner, which restarts, and reports to node-1 for 1.6 s; node-1 decides 14 s later by what it heard then. An owner that hears of one node of five could also say that too few answers came, or that the old version may stop, while the owner of the other four knew better.

Why this works: a node counts as one of an owner's for as long as its share holds on the other side (two holds and a second), and an owner without any leaves the order. An owner of half of the nodes or fewer leaves what needs the whole fleet to the others until one step after their last moment; what shows a bad version needs no majority. Decisions are written at once; an owner ends with its node.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -367,6 +367,7 @@
 		n.stop(ctx)
 	}
 	cancel()
+	n.owner.Close()
 	err := <-done
 	n.close()
 	if err == nil || errors.Is(err, context.Canceled) {
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -24,6 +24,8 @@
 type Situation struct {
 	Now     time.Time
 	Targets Targets
+	// Part is the part of the nodes that report to this owner.
+	Part float64
 	// Sent and SentNew are the calls so far, of all nodes.
 	Sent, SentNew uint64
 	// OldInFlight counts the calls that targets of the old version still work on.
@@ -32,6 +34,10 @@
 	Withdrawn bool
 }
 
+// minority reports whether most nodes report to other owners. It is left to those whether enough
+// answers came, and whether the old version may stop.
+func (s Situation) minority() bool { return s.Part <= 0.5 }
+
 // Step is what is to be done now.
 type Step struct {
 	State State
@@ -63,8 +69,10 @@
 	moveUntil = 0.93
 	// settleTime is how long all traffic stays with the new version before the old one may stop.
 	settleTime = time.Second
-	// lastMoment is how long before its deadline an order is decided at the latest.
-	lastMoment = 500 * time.Millisecond
+	// lastMoment is how long before its deadline an order is decided at the latest; by the owner of
+	// few nodes only where none decided before.
+	lastMoment           = 500 * time.Millisecond
+	lastMomentOfMinority = lastMoment - stepInterval
 	// enough is the number of answers on each route that show an excess of bad ones, fewest
 	// that in all without which nothing is known.
 	enough = 25
@@ -109,7 +117,7 @@
 	if reason, bad := c.Judge.Bad(); bad {
 		return Step{State: RolledBack, Reason: reason}
 	}
-	last := !s.Now.Before(c.deadline().Add(-lastMoment))
+	last := c.isLast(s)
 	switch {
 	case s.Withdrawn:
 		return Step{State: RolledBack, Reason: "the order was withdrawn"}
@@ -123,11 +131,20 @@
 	return c.try(s, last)
 }
 
+// isLast reports whether the order is to be decided now.
+func (c *Controller) isLast(s Situation) bool {
+	before := lastMoment
+	if s.minority() {
+		before = lastMomentOfMinority
+	}
+	return !s.Now.Before(c.deadline().Add(-before))
+}
+
 // try sends a bounded share to the new version until it is known well enough.
 func (c *Controller) try(s Situation, last bool) Step {
 	all, least := c.Judge.Seen()
 	switch {
-	case all < fewest && (last || s.Now.After(c.at(moveUntil))):
+	case all < fewest && (last || !s.minority() && s.Now.After(c.at(moveUntil))):
 		return Step{State: RolledBack, Reason: fmt.Sprintf("only %.0f answers to judge the version by", all)}
 	case all >= fewest && s.Targets.Warm > 0 && (s.Now.After(c.at(tryAtMost)) || least >= enough && c.bursts >= len(burstShares) && s.Now.After(c.at(tryUntil))):
 		c.moving = s.Now
@@ -192,7 +209,7 @@
 	if c.settled.IsZero() {
 		c.settled = s.Now
 	}
-	if last || s.OldInFlight == 0 && s.Now.Sub(c.settled) >= settleTime {
+	if last || !s.minority() && s.OldInFlight == 0 && s.Now.Sub(c.settled) >= settleTime {
 		return Step{State: Completed, Share: 1, Reason: "all traffic goes to the version, which is held to be good"}
 	}
 	return Step{State: Running, Phase: "settling", Share: 1, Reason: fmt.Sprintf("%d calls are left at the old version", s.OldInFlight)}
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -41,7 +41,8 @@
 	holdPerNode = 4 * time.Millisecond
 	leastHold   = 500 * time.Millisecond
 	mostHold    = 3500 * time.Millisecond
-	// leaseHolds and leaseSlack are for how long a share holds without an answer of the owner.
+	// leaseHolds and leaseSlack are for how long a share holds without an answer of the owner, and
+	// how long a node that does not report counts as one of the owner's.
 	leaseHolds = 2
 	leaseSlack = time.Second
 	// reportRetry is the pause after a report without an answer, reportPause that after others.
@@ -342,6 +343,10 @@
 	return min(max(time.Duration(nodes)*holdPerNode, leastHold), mostHold)
 }
 
+// leaseOf returns how long an owner and a node that reports count on each other, by the time for
+// which the report is held.
+func leaseOf(hold time.Duration) time.Duration { return leaseHolds*hold + leaseSlack }
+
 // next returns the next report, whether it tells of a bad answer, and how many lapses it follows.
 func (g *Gate) next(s *standing) (r Report, unheard bool, lapses int) {
 	hold := HoldOf(g.Nodes())
@@ -365,7 +370,7 @@
 		g.Log.Info("roll-out", "service", s.Service, "to", s.To, "state", a.State, "share", a.Share, "before", s.answer.State, "share_before", s.answer.Share)
 	}
 	s.answer = a
-	s.until = time.Now().Add(leaseHolds*r.Hold + leaseSlack)
+	s.until = time.Now().Add(leaseOf(r.Hold))
 	if unheard && s.evidence.newBad() == r.Evidence.newBad() {
 		s.unheard = false
 	}
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -21,8 +21,6 @@
 const (
 	// stepInterval is the time between two looks at an order.
 	stepInterval = 200 * time.Millisecond
-	// idleAfter is how long without a report an owner forgets an order.
-	idleAfter = 20 * time.Second
 	// saveTimeout bounds one call of the store.
 	saveTimeout = 2 * time.Second
 	// inFlightLife is how long a node's count of calls at the old version is believed.
@@ -30,18 +28,23 @@
 )
 
 // Owner sums up the reports on orders and decides on them. Each node has one; which node is asked
-// is for the nodes that report. It is safe for concurrent use.
+// is for the nodes that report, so that two nodes may own an order at the same time. It is safe for
+// concurrent use.
 type Owner struct {
 	Bounds Bounds
 	Book   Book
 	// Targets counts the targets of a service as this node sees them.
 	Targets func(service, version string) Targets
+	// Nodes is how many nodes there are.
+	Nodes func() int
 	// Withdrawn reports whether an order does not stand any more.
 	Withdrawn func(o Order) bool
 	Log       *slog.Logger
 
 	mu   sync.Mutex
 	runs map[Order]*run
+	// closed owners decide nothing more.
+	closed bool
 }
 
 // run is an order at its owner.
@@ -53,7 +56,6 @@
 	// news is what came since the last step.
 	news          map[Source]Tally
 	sent, sentNew uint64
-	heardAt       time.Time
 	step          Step
 	answer        Answer
 	// changed is closed when the answer changes.
@@ -69,6 +71,8 @@
 	evidence    Evidence
 	oldInFlight int
 	at          time.Time
+	// until is when the node is taken to report to another owner, if it does not report before.
+	until time.Time
 	// release ends the wait of the node's last report.
 	release chan struct{}
 }
@@ -77,6 +81,9 @@
 func (w *Owner) Report(ctx context.Context, r Report) (Answer, error) {
 	release := make(chan struct{})
 	x := w.take(r, release)
+	if x == nil {
+		return Answer{}, errClosed
+	}
 	timer := time.NewTimer(min(r.Hold, mostHold))
 	defer timer.Stop()
 	for {
@@ -101,23 +108,42 @@
 	}
 }
 
-var errUndecided = errors.New("rollout: the store does not have the order's record yet")
+var (
+	errUndecided = errors.New("rollout: the store does not have the order's record yet")
+	errClosed    = errors.New("rollout: this node ends")
+)
 
 // Lapse drops what is known of all orders: the host stood still, and another node may have decided
 // on them meanwhile. Reports begin them anew.
 func (w *Owner) Lapse() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.drop()
+}
+
+// Close ends all decisions, for good: the node ends, and another one decides.
+func (w *Owner) Close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+	w.drop()
+}
+
+// drop forgets all orders. The lock is held.
+func (w *Owner) drop() {
 	for _, x := range w.runs {
 		x.dropped = true
 	}
 	clear(w.runs)
 }
 
-// take adds a report to what is known of its order.
+// take adds a report to what is known of its order; nil where the owner is closed.
 func (w *Owner) take(r Report, release chan struct{}) *run {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.closed {
+		return nil
+	}
 	now := time.Now()
 	x := w.runs[r.Order]
 	if x == nil {
@@ -138,7 +164,7 @@
 	x.sentNew += news.SentNew
 	close(node.release)
 	node.evidence, node.oldInFlight, node.at, node.release = r.Evidence, r.OldInFlight, now, release
-	x.heardAt = now
+	node.until = now.Add(leaseOf(max(r.Hold, leastHold)))
 	return x
 }
 
@@ -166,9 +192,13 @@
 		if !x.saved {
 			x.save()
 		}
-		if x.look() {
+		forgotten, ended := x.look()
+		if forgotten {
 			return
 		}
+		if ended {
+			x.save()
+		}
 		<-tick.C
 	}
 }
@@ -200,45 +230,59 @@
 	x.tell(Answer{State: x.record.State, Share: x.answer.Share})
 }
 
-// look takes one step, and reports whether the order is forgotten.
-func (x *run) look() (forgotten bool) {
+// look takes one step, and reports whether the order is forgotten or was ended.
+func (x *run) look() (forgotten, ended bool) {
 	w := x.o
+	nodes := w.Nodes()
 	targets, withdrawn := w.Targets(x.record.Service, x.record.To), w.Withdrawn(x.control.Order)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
 	if x.dropped {
-		return true
+		return true, false
 	}
-	if now.Sub(x.heardAt) > idleAfter {
+	heard := x.heard(now)
+	if heard == 0 {
+		w.Log.Info("roll-out left to other nodes: none reports here", "service", x.record.Service, "to", x.record.To, "nodes", len(x.nodes))
 		delete(w.runs, x.control.Order)
-		return true
+		return true, false
 	}
 	if x.record.State.Final() {
-		return false
+		return false, false
 	}
 	x.control.Judge.Take(x.news)
 	clear(x.news)
 	step := x.control.Step(Situation{
 		Now: now, Targets: targets, Sent: x.sent, SentNew: x.sentNew, OldInFlight: x.oldInFlight(now), Withdrawn: withdrawn,
+		Part: min(float64(heard)/float64(nodes), 1),
 	})
 	if step.State != x.step.State || step.Phase != x.step.Phase || step.Share != x.step.Share {
 		w.Log.Info("roll-out decided", "service", x.record.Service, "to", x.record.To, "state", step.State, "phase", step.Phase, "share", step.Share, "reason", step.Reason,
-			"sent", x.sent, "sent_new", x.sentNew, "new_targets", targets.New, "warm", targets.Warm, "old_targets", targets.Old, "nodes", len(x.nodes))
+			"sent", x.sent, "sent_new", x.sentNew, "new_targets", targets.New, "warm", targets.Warm, "old_targets", targets.Old, "nodes", heard, "of", nodes)
 	}
 	x.step = step
 	if !step.State.Final() {
 		if x.saved {
 			x.tell(Answer{State: Running, Share: step.Share})
 		}
-		return false
+		return false, false
 	}
 	x.record.State, x.record.Reason, x.saved = step.State, step.Reason, false
 	if step.State == RolledBack {
 		// Nobody waits for the store with this.
 		x.tell(Answer{State: Running})
 	}
-	return false
+	return false, true
+}
+
+// heard counts the nodes that report to this owner. The lock is held.
+func (x *run) heard(now time.Time) (n int) {
+	for _, node := range x.nodes {
+		if now.Before(node.until) {
+			n++
+		}
+	}
+	return n
 }
 
 // oldInFlight counts the calls that the old version still works on. The lock is held.
