Bound what a version on trial gets by the calls of the nodes that report

What callers saw: a version on trial got a share of 1.0 for a moment, with 4 calls counted, after its owner was killed; callers of a bad one get its failures past the bound.

Cause: the rate of calls was what this owner had counted, by the time since the order began, so that one that begins late takes a busy fleet for an idle one; bursts used the same rate. Each of two owners had the whole slack. The room of nodes that report to another owner was counted twice, and what an ended process of a node had sent was dropped.

Evidence: TestVersionKeepsToItsBoundWhileOwnersChange, 5 nodes that restart and three owners that begin anew.

Why this works: the rate is measured from the first report of each node here, and unknown before a second has passed, when the plain share holds without bursts. An owner of a part of the nodes has that part of the slack. Only nodes that report count; of the others what went beyond their own share stays counted.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -26,8 +26,9 @@
 	Targets Targets
 	// Part is the part of the nodes that report to this owner.
 	Part float64
-	// Sent and SentNew are the calls so far, of all nodes.
+	// Sent and SentNew are the calls of these nodes so far, PerSecond is their rate; 0 for unknown.
 	Sent, SentNew uint64
+	PerSecond     float64
 	// OldInFlight counts the calls that targets of the old version still work on.
 	OldInFlight int
 	// Withdrawn says that the order does not stand any more.
@@ -155,20 +156,24 @@
 	return Step{State: Running, Phase: "trial", Share: c.trialShare(s), Reason: fmt.Sprintf("%.0f answers so far, %.0f on the route with the fewest", all, least)}
 }
 
+// room is how many calls more the new version may have while it is not known, if it is to have a share
+// of all. Owners of parts of the fleet have parts of the slack.
+func (c *Controller) room(s Situation, share float64) float64 {
+	return share*float64(s.Sent) + slackMargin*s.Part*c.Bounds.Slack - float64(s.SentNew)
+}
+
 // trialShare is the share of the calls that the new version may have while it is not known.
 func (c *Controller) trialShare(s Situation) float64 {
-	share := shareMargin * c.Bounds.Share
-	if float64(s.SentNew) >= c.Bounds.Share*float64(s.Sent)+slackMargin*c.Bounds.Slack {
+	if c.room(s, c.Bounds.Share) <= 0 {
 		return 0
 	}
-	elapsed := s.Now.Sub(c.Began)
-	// Half of what is spare is kept for bursts.
-	left := c.at(tryAtMost).Sub(s.Now)
-	if elapsed <= 0 || left <= 0 || s.Sent == 0 {
+	share := shareMargin * c.Bounds.Share
+	coming := s.PerSecond * c.at(tryAtMost).Sub(s.Now).Seconds()
+	if coming <= 0 {
 		return share
 	}
-	coming := float64(s.Sent) * float64(left) / float64(elapsed)
-	spare := (share*(float64(s.Sent)+coming) + slackMargin*c.Bounds.Slack - float64(s.SentNew)) / 2
+	// Half of what is spare is kept for bursts.
+	spare := (c.room(s, share) + share*coming) / 2
 	need := min(wanted-float64(s.SentNew), spare) / coming
 	return min(max(share, need), 1)
 }
@@ -181,9 +186,8 @@
 		step.Share = burstShares[min(max(c.bursts-1, 0), len(burstShares)-1)]
 		return step
 	}
-	spare := shareMargin*c.Bounds.Share*float64(s.Sent) + slackMargin*c.Bounds.Slack - float64(s.SentNew)
-	perSecond := float64(s.Sent) / max(s.Now.Sub(c.Began).Seconds(), 1)
-	if s.Now.Sub(c.burstEnds) >= burstPause && spare >= burstMargin*share*perSecond*burstTime.Seconds() {
+	spare := c.room(s, shareMargin*c.Bounds.Share)
+	if s.PerSecond > 0 && s.Now.Sub(c.burstEnds) >= burstPause && spare >= burstMargin*share*s.PerSecond*burstTime.Seconds() {
 		c.bursts++
 		c.burstEnds = s.Now.Add(burstTime)
 		step.Share = share
--- a/internal/rollout/controller_test.go
+++ b/internal/rollout/controller_test.go
@@ -25,7 +25,7 @@
 		c := newController(30 * time.Second)
 		var sent, sentNew float64
 		for now := start; c.moving.IsZero() && now.Before(c.deadline()); now = now.Add(stepInterval) {
-			step := c.Step(Situation{Now: now, Targets: Targets{New: 4, Warm: 4, Old: 4}, Part: 1, Sent: uint64(sent), SentNew: uint64(sentNew)})
+			step := c.Step(Situation{Now: now, Targets: Targets{New: 4, Warm: 4, Old: 4}, Part: 1, Sent: uint64(sent), SentNew: uint64(sentNew), PerSecond: perStep / stepInterval.Seconds()})
 			if !c.moving.IsZero() {
 				break
 			}
@@ -39,7 +39,7 @@
 
 func TestOrderIsCompletedOnceNothingIsLeftAtTheOldVersion(t *testing.T) {
 	c := newController(20 * time.Second)
-	s := Situation{Now: start, Targets: Targets{New: 4, Warm: 4, Old: 4}, Part: 1, Sent: 1000, SentNew: 50, OldInFlight: 3}
+	s := Situation{Now: start, Targets: Targets{New: 4, Warm: 4, Old: 4}, Part: 1, Sent: 1000, SentNew: 50, PerSecond: 200, OldInFlight: 3}
 	goodFor(c, 200)
 	for s.Now.Before(c.at(moveUntil)) {
 		qt.Assert(t, c.Step(s).State, qt.Equals, Running)
@@ -55,7 +55,7 @@
 
 func TestOrderWithoutAnswersIsRolledBack(t *testing.T) {
 	c := newController(20 * time.Second)
-	s := Situation{Now: c.deadline().Add(-lastMoment), Targets: Targets{New: 4, Warm: 4}, Part: 1, Sent: 3, SentNew: 1}
+	s := Situation{Now: c.deadline().Add(-lastMoment), Targets: Targets{New: 4, Warm: 4}, Part: 1, Sent: 3, SentNew: 1, PerSecond: 1}
 	qt.Assert(t, c.Step(s).State, qt.Equals, RolledBack)
 	s.Targets = Targets{}
 	qt.Assert(t, c.Step(s).Reason, qt.Equals, "no target of the version came")
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -54,10 +54,9 @@
 	control Controller
 	nodes   map[string]*reporter
 	// news is what came since the last step.
-	news          map[Source]Tally
-	sent, sentNew uint64
-	step          Step
-	answer        Answer
+	news   map[Source]Tally
+	step   Step
+	answer Answer
 	// changed is closed when the answer changes.
 	changed chan struct{}
 	// saved says that the store has the record.
@@ -68,9 +67,14 @@
 
 // reporter is what one node reported.
 type reporter struct {
-	evidence    Evidence
-	oldInFlight int
-	at          time.Time
+	evidence Evidence
+	// sent and sentNew are its calls since the order came, those of its earlier processes included.
+	sent, sentNew uint64
+	oldInFlight   int
+	// since is when this owner first heard of it, sentBefore its calls until then.
+	since      time.Time
+	sentBefore uint64
+	at         time.Time
 	// until is when the node is taken to report to another owner, if it does not report before.
 	until time.Time
 	// release ends the wait of the node's last report.
@@ -151,7 +155,7 @@
 	}
 	node := x.nodes[r.Node]
 	if node == nil {
-		node = &reporter{release: make(chan struct{})}
+		node = &reporter{release: make(chan struct{}), since: now, sentBefore: r.Evidence.Sent}
 		x.nodes[r.Node] = node
 	}
 	news := r.Evidence.since(node.evidence)
@@ -160,8 +164,8 @@
 		sum.add(t)
 		x.news[source] = sum
 	}
-	x.sent += news.Sent
-	x.sentNew += news.SentNew
+	node.sent += news.Sent
+	node.sentNew += news.SentNew
 	close(node.release)
 	node.evidence, node.oldInFlight, node.at, node.release = r.Evidence, r.OldInFlight, now, release
 	node.until = now.Add(leaseOf(max(r.Hold, leastHold)))
@@ -241,8 +245,8 @@
 	if x.dropped {
 		return true, false
 	}
-	heard := x.heard(now)
-	if heard == 0 {
+	calls := x.calls(now)
+	if calls.nodes == 0 {
 		w.Log.Info("roll-out left to other nodes: none reports here", "service", x.record.Service, "to", x.record.To, "nodes", len(x.nodes))
 		delete(w.runs, x.control.Order)
 		return true, false
@@ -253,12 +257,12 @@
 	x.control.Judge.Take(x.news)
 	clear(x.news)
 	step := x.control.Step(Situation{
-		Now: now, Targets: targets, Sent: x.sent, SentNew: x.sentNew, OldInFlight: x.oldInFlight(now), Withdrawn: withdrawn,
-		Part: min(float64(heard)/float64(nodes), 1),
+		Now: now, Targets: targets, Sent: calls.sent, SentNew: calls.sentNew, PerSecond: calls.perSecond, OldInFlight: x.oldInFlight(now),
+		Withdrawn: withdrawn, Part: min(float64(calls.nodes)/float64(nodes), 1),
 	})
 	if step.State != x.step.State || step.Phase != x.step.Phase || step.Share != x.step.Share {
 		w.Log.Info("roll-out decided", "service", x.record.Service, "to", x.record.To, "state", step.State, "phase", step.Phase, "share", step.Share, "reason", step.Reason,
-			"sent", x.sent, "sent_new", x.sentNew, "new_targets", targets.New, "warm", targets.Warm, "old_targets", targets.Old, "nodes", heard, "of", nodes)
+			"sent", calls.sent, "sent_new", calls.sentNew, "per_second", calls.perSecond, "new_targets", targets.New, "warm", targets.Warm, "old_targets", targets.Old, "nodes", calls.nodes, "of", nodes)
 	}
 	x.step = step
 	if !step.State.Final() {
@@ -275,16 +279,6 @@
 	return false, true
 }
 
-// heard counts the nodes that report to this owner. The lock is held.
-func (x *run) heard(now time.Time) (n int) {
-	for _, node := range x.nodes {
-		if now.Before(node.until) {
-			n++
-		}
-	}
-	return n
-}
-
 // oldInFlight counts the calls that the old version still works on. The lock is held.
 func (x *run) oldInFlight(now time.Time) (n int) {
 	for _, node := range x.nodes {
@@ -319,8 +313,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var out []Status
+	now := time.Now()
 	for _, x := range w.runs {
-		out = append(out, Status{Record: x.record, Share: x.answer.Share, Phase: x.step.Phase, Sent: x.sent, SentNew: x.sentNew, Nodes: len(x.nodes)})
+		calls := x.calls(now)
+		out = append(out, Status{Record: x.record, Share: x.answer.Share, Phase: x.step.Phase, Sent: calls.sent, SentNew: calls.sentNew, Nodes: calls.nodes})
 	}
 	return out
 }
--- a/internal/rollout/owners_test.go
+++ b/internal/rollout/owners_test.go
@@ -194,3 +194,37 @@
 		qt.Assert(t, f.book.state().Final(), qt.IsTrue)
 	})
 }
+
+// TestVersionKeepsToItsBoundWhileOwnersChange guards against owners that begin late, or beside
+// others, and give a version more than it may get. It turns bad later, and nothing is known of it yet.
+func TestVersionKeepsToItsBoundWhileOwnersChange(t *testing.T) {
+	for seed := range uint64(30) {
+		perSecond := []float64{4, 30, 120}[seed%3]
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			rnd := rand.New(rand.NewPCG(seed, 7))
+			f := &fleet{book: &sharedBook{}, nodes: 5, perSecond: each(perSecond), restarts: make(map[int]int), order: Order{Service: "s", To: "v2", Lasts: 25 * time.Second}}
+			var mu sync.Mutex
+			owners := []*Owner{f.newOwner(ctx), f.newOwner(ctx), f.newOwner(ctx)}
+			reportsTo := make([]int, f.nodes)
+			f.owner = func(node int) *Owner {
+				mu.Lock()
+				defer mu.Unlock()
+				return owners[reportsTo[node]]
+			}
+			f.play(t, seed, func(ctx context.Context) {
+				for began := time.Now(); time.Since(began) < time.Duration(tryUntil*float64(f.order.Lasts)); {
+					time.Sleep(time.Duration(rnd.Int64N(int64(3 * time.Second))))
+					node := rnd.IntN(f.nodes)
+					f.restart(node)
+					mu.Lock()
+					owners[rnd.IntN(len(owners))] = f.newOwner(ctx)
+					reportsTo[node] = rnd.IntN(len(owners))
+					mu.Unlock()
+					qt.Check(t, f.exposure() <= 1, qt.IsTrue, qt.Commentf("seed %d after %v: %.2f of the bound", seed, time.Since(began), f.exposure()))
+				}
+			})
+		})
+	}
+}
