Ask the store again about a request that only this node holds in quarantine

What callers saw: one node answers 503 to a request, with Retry-After 15 s each time, until it starts again. Where all callers send the same message the node serves none of them.

Cause: while the store is away a node counts ends under a request by itself and allows itself one probe. A probe that was given up was not given back here; what a node knows alone never got older, so that the pause before the next probe, at which the store would be asked, never passed; and it was dropped only when the request left the list, which the node may never have read of.

The new test TestRequestThatTheStoreDoesNotListIsServedAgain failed before in both cases.

--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -75,7 +75,7 @@
 	// fleet are the quarantined requests as the store has them.
 	fleet map[Digest]seen
 	// own are the ends that this node saw, whether the store has them or not.
-	own *simplelru.LRU[Digest, Record]
+	own *simplelru.LRU[Digest, ownRecord]
 	// answered are requests that targets lately answered here: the next end under one of them
 	// has another cause. It names the process that has ended since; "" for none.
 	answered *simplelru.LRU[Digest, string]
@@ -88,11 +88,39 @@
 	since   time.Time
 }
 
+// ownRecord is what a node knows of a request by itself.
+type ownRecord struct {
+	Record
+	// since is when the node last learned something of it, or asked the store in vain.
+	since time.Time
+}
+
+// knowledge is what a node goes by.
+type knowledge struct {
+	Record
+	// unchanged is for how long it has been as it is.
+	unchanged time.Duration
+	// listed says that the store's list of quarantined requests has it, as this node read it.
+	listed bool
+}
+
+// decide says what may be done with the request. Where the list does not have it, another node may
+// have seen it answered before this one could read of it: the store is asked again soon.
+func (k knowledge) decide() (d Decision, after time.Duration) {
+	if k.listed || !k.Quarantined() {
+		return k.Record.Decide(k.unchanged)
+	}
+	if wait := retryWithoutStore - k.unchanged; k.Probes > 0 && wait > 0 {
+		return Refuse, wait
+	}
+	return MayProbe, 0
+}
+
 // New returns a Guard that knows of nothing.
 func New(cfg Config) *Guard {
 	return &Guard{
 		cfg: cfg, gone: newGone(cfg.Dial), queue: newQueue(), fleet: make(map[Digest]seen),
-		own: newLRU[Record](ownRecords), answered: newLRU[string](answeredRecords),
+		own: newLRU[ownRecord](ownRecords), answered: newLRU[string](answeredRecords),
 	}
 }
 
@@ -161,44 +189,42 @@
 	g.cfg.Log.Info("quarantines written again that the store had lost", "lost", len(kept.Lost), "undone", len(kept.Undone))
 }
 
-// known returns the record of a request by what this node knows, and for how long it has
-// been as it is.
-func (g *Guard) known(d Digest) (r Record, unchanged time.Duration) {
+// known returns what this node knows of a request.
+func (g *Guard) known(d Digest) knowledge {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	f, inStore := g.fleet[d]
+	f, listed := g.fleet[d]
 	own, _ := g.own.Get(d)
-	if inStore {
-		r, unchanged = f.Record, time.Since(f.since)
+	k := knowledge{listed: listed, unchanged: time.Since(own.since)}
+	if listed {
+		k.Record, k.unchanged = f.Record, time.Since(f.since)
 	}
 	for _, process := range own.Ended {
-		r = r.withEnd(process, "")
+		k.Record = k.withEnd(process, "")
 	}
-	r.Probes = max(r.Probes, own.Probes)
-	return r, unchanged
+	k.Probes = max(k.Probes, own.Probes)
+	return k
 }
 
 // Suspect reports whether a target is known to have ended under a request.
 func (g *Guard) Suspect(d Digest) bool {
-	r, _ := g.known(d)
-	return len(r.Ended) > 0
+	return len(g.known(d).Ended) > 0
 }
 
 // Quarantined reports whether a request is known to be let through by probes only.
 func (g *Guard) Quarantined(d Digest) bool {
-	r, _ := g.known(d)
-	return r.Quarantined()
+	return g.known(d).Quarantined()
 }
 
 // Admit reports whether a request that has just come may be worked on, by what is known here.
 // Its error is *Refused.
 func (g *Guard) Admit(d Digest) error {
-	r, unchanged := g.known(d)
-	decision, after := r.Decide(unchanged)
+	k := g.known(d)
+	decision, after := k.decide()
 	if decision != Refuse {
 		return nil
 	}
-	return g.refuse(r, after)
+	return g.refuse(k.Record, after)
 }
 
 func (g *Guard) refuse(r Record, after time.Duration) error {
@@ -213,17 +239,17 @@
 // probe, whose name it returns: the request must then be sent alone, and its end told to Ended,
 // Answered or Abandoned. Its error is *Refused.
 func (g *Guard) Send(ctx context.Context, d Digest, lasts time.Duration) (probe string, err error) {
-	r, unchanged := g.known(d)
-	decision, after := r.Decide(unchanged)
+	k := g.known(d)
+	decision, after := k.decide()
 	switch decision {
 	case Pass:
 		return "", nil
 	case Refuse:
-		return "", g.refuse(r, after)
+		return "", g.refuse(k.Record, after)
 	}
-	probe, err = g.claim(ctx, d, lasts, unchanged)
+	probe, err = g.claim(ctx, d, lasts, k.unchanged)
 	if err != nil {
-		g.cfg.Log.Info("request in quarantine not sent", "digest", d, "ends", len(r.Ended), "err", err)
+		g.cfg.Log.Info("request in quarantine not sent", "digest", d, "ends", len(k.Ended), "listed", k.listed, "err", err)
 		return "", err
 	}
 	if probe == "" {
@@ -231,7 +257,7 @@
 		return "", nil
 	}
 	g.stats.probes.Add(1)
-	g.cfg.Log.Info("request in quarantine sent alone", "digest", d, "ends", len(r.Ended), "probes", r.Probes+1, "probe", probe)
+	g.cfg.Log.Info("request in quarantine sent alone", "digest", d, "ends", len(k.Ended), "probes", k.Probes+1, "probe", probe)
 	return probe, nil
 }
 
@@ -300,14 +326,20 @@
 		return false
 	}
 	g.answered.Remove(r.Digest)
-	own, _ := g.own.Get(r.Digest)
-	own = own.withEnd(r.Process, "")
-	g.own.Add(r.Digest, own)
+	own := g.learn(r.Digest, r.Process, "")
 	g.mu.Unlock()
 	g.cfg.Log.Info("target ended under the request", "digest", r.Digest, "process", r.Process, "addr", r.Addr, "own_ends", len(own.Ended), "probe", r.Probe)
 	return true
 }
 
+// learn adds an end to what this node knows by itself. The lock is held.
+func (g *Guard) learn(d Digest, process, probe string) ownRecord {
+	own, _ := g.own.Get(d)
+	own.Record, own.since = own.withEnd(process, probe), time.Now()
+	g.own.Add(d, own)
+	return own
+}
+
 // Answered tells that a target answered a request: it does not crash targets.
 func (g *Guard) Answered(d Digest) {
 	g.mu.Lock()
@@ -323,7 +355,26 @@
 // Abandoned tells that a send ended without an answer though its target lives on, or before
 // the target had begun to run it: a probe that says nothing is not counted.
 func (g *Guard) Abandoned(d Digest, probe string) {
-	if probe != "" {
+	if probe == "" {
+		return
+	}
+	g.mu.Lock()
+	alone := g.giveBack(d, probe)
+	g.mu.Unlock()
+	if !alone {
 		g.queue.push(op{kind: opAbandoned, digest: d, probe: probe})
 	}
 }
+
+// giveBack takes back a probe that this node allowed by itself, and reports whether it was one. The
+// lock is held.
+func (g *Guard) giveBack(d Digest, probe string) bool {
+	own, ok := g.own.Get(d)
+	if !ok || own.Probe != probe {
+		return false
+	}
+	own.Probe = ""
+	own.Probes--
+	g.own.Add(d, own)
+	return true
+}
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -41,6 +41,20 @@
 	watched store.Watchable
 	mu      sync.Mutex
 	cut     bool
+	// blind paths read nothing of what others write.
+	blind bool
+}
+
+func (p *path) setBlind(blind bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.blind = blind
+}
+
+func (p *path) isBlind() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cut || p.blind
 }
 
 func (p *path) isCut() bool {
@@ -70,14 +84,14 @@
 }
 
 func (p *path) Snapshot(ctx context.Context, table string, least store.Version) (store.Snapshot, error) {
-	if p.isCut() {
+	if p.isBlind() {
 		return store.Snapshot{}, store.ErrUnavailable
 	}
 	return p.watched.Snapshot(ctx, table, least)
 }
 
 func (p *path) Changes(ctx context.Context, table string, after store.Version, wait time.Duration) (store.Changes, error) {
-	if p.isCut() {
+	if p.isBlind() {
 		return store.Changes{}, store.ErrUnavailable
 	}
 	return p.watched.Changes(ctx, table, after, wait)
@@ -263,6 +277,43 @@
 	})
 }
 
+// TestRequestThatTheStoreDoesNotListIsServedAgain guards against a node that refuses a request for
+// good: targets end under it while the store is away, the probe that the node allows itself says
+// nothing, and another node sees the request answered before this one reads of its quarantine.
+func TestRequestThatTheStoreDoesNotListIsServedAgain(t *testing.T) {
+	for name, abandoned := range map[string]bool{"probe given up": true, "probe not heard of": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newFleet(2)
+				defer f.stop()
+				f.paths[0].setBlind(true)
+				f.paths[0].setCut(true)
+				// The call in progress ends.
+				time.Sleep(2 * watch.LongWait)
+				f.run(0, digest("x"), "a", true)
+				f.run(0, digest("x"), "b", true)
+				probe, err := f.guards[0].Send(t.Context(), digest("x"), probeLasts)
+				c.Assert(err, qt.IsNil)
+				c.Assert(probe, qt.Not(qt.Equals), "")
+				if abandoned {
+					f.guards[0].Abandoned(digest("x"), probe)
+				}
+				f.paths[0].setCut(false)
+				time.Sleep(5 * time.Second)
+				sent, _ := f.run(1, digest("x"), "sound", false)
+				c.Assert(sent, qt.IsTrue)
+				time.Sleep(100 * time.Millisecond)
+				f.paths[0].setBlind(false)
+				time.Sleep(5 * time.Second)
+				c.Assert(f.guards[0].Admit(digest("x")), qt.IsNil)
+				sent, _ = f.run(0, digest("x"), "sound", false)
+				c.Assert(sent, qt.IsTrue)
+			})
+		})
+	}
+}
+
 // Runs that began at a process which was known to have ended say nothing of their requests.
 func TestRunAtAProcessThatHadEndedIsNoEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -323,7 +374,7 @@
 		f.paths[0].setCut(false)
 		time.Sleep(time.Second)
 		c.Assert(f.guards[1].Admit(digest("x")), qt.IsNotNil)
-		r, _ := f.guards[1].known(digest("x"))
+		r := f.guards[1].known(digest("x"))
 		c.Assert(r.Probes, qt.Equals, 1)
 	})
 }
@@ -483,7 +534,7 @@
 		sent, _ := s.run(i, d, "sound", false)
 		time.Sleep(time.Second)
 		if !sent && i > 0 {
-			r, _ := s.guards[i].known(d)
+			r := s.guards[i].known(d)
 			s.violations = append(s.violations, fmt.Sprintf("%s is refused for good at node %d: %+v", name, i, r))
 		}
 	}
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -406,10 +406,13 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	own, _ := g.own.Get(d)
+	own.since = time.Now()
 	if f, ok := g.fleet[d]; (ok && f.Probes > 0) || own.Probes > 0 {
+		g.own.Add(d, own)
 		return "", &Refused{Ends: len(own.Ended), After: retryWithoutStore}
 	}
 	own.Probes++
+	own.Probe = probe
 	g.own.Add(d, own)
 	return probe, nil
 }
--- a/internal/poison/tell.go
+++ b/internal/poison/tell.go
@@ -51,8 +51,7 @@
 			continue
 		}
 		g.mu.Lock()
-		own, _ := g.own.Get(e.Digest)
-		g.own.Add(e.Digest, own.withEnd(e.Process, e.Probe))
+		g.learn(e.Digest, e.Process, e.Probe)
 		g.mu.Unlock()
 		g.queue.push(op{kind: opEnd, digest: e.Digest, process: e.Process, probe: e.Probe, told: true})
 	}
