Listen to reloads before anything else

What callers saw: a node that was killed did not come back.

Cause: SIGHUP was listened to only after the settings were read and the ports opened. Before that it ends the process, which takes seconds to start on a busy host.

Evidence: the log of node-1 ends with its first process; all nodes were killed at 46.16 s, the others serve at 47.65 s, node-1 got SIGHUP at 47.40 s and its new process wrote nothing.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -90,6 +90,10 @@
 
 // servePlatform runs an entry node on the platform.
 func (s *serveCmd) servePlatform(ctx context.Context, c *console) error {
+	// Heard before anything else: a hang-up that nobody hears ends the process.
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
+	defer signal.Stop(hangUps)
 	out := boundedlog.New(c.out)
 	defer out.Close()
 	log := slog.New(boundedlog.NewSampler(newLogger(out, "info", "json").Handler()))
@@ -97,11 +101,8 @@
 	if err != nil {
 		return usage(err)
 	}
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	go func() {
-		for range hup {
+		for range hangUps {
 			n.Reload()
 		}
 	}()
