Rank the nodes to follow without one that is not entered yet

Cause: a node counted itself among those that can be followed before its entry was written. While 60 nodes wait for the store to take 10 entries a second, each knows of some ten others, and one in eleven holds itself for the first of them and reads all tables by itself.

Change: near() is gone, the list of entered nodes is ranked as it is.

--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -9,7 +9,9 @@
 // provisionRelay lets this node follow the store through a node of its data centre, and
 // others through this one. The tables are held until that is decided.
 func (n *Node) provisionRelay() {
-	near := n.near
+	// A node that is not entered yet is not among them: it cannot be followed, so it need not ask the
+	// store by itself.
+	near := n.board.Near.Get
 	if n.set.Off.Has(mechanism.Relays) {
 		near = func() []relay.Node { return nil }
 	}
@@ -25,15 +27,3 @@
 		table.Hold()
 	}
 }
-
-// near lists the nodes of the data centre, this one included.
-func (n *Node) near() []relay.Node {
-	nodes := n.board.Near.Get()
-	for _, other := range nodes {
-		if other.Name == n.set.Node {
-			return nodes
-		}
-	}
-	self := relay.Node{Name: n.set.Node, Memory: n.set.MemoryBytes}
-	return append(append([]relay.Node(nil), nodes...), self)
-}
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -60,7 +60,7 @@
 // store. It implements suture.Service.
 type Follower struct {
 	Self, DataCentre string
-	// Nodes lists the nodes of the data centre, self included. Known is closed when they can
+	// Nodes lists the nodes of the data centre that can be followed. Known is closed when they can
 	// be chosen from and asked.
 	Nodes func() []Node
 	Known <-chan struct{}
