Model of roll-outs: good and bad versions on 8 to 2,000 nodes

`topazmoor experiment rollout` drives the decisions of package rollout in virtual time: 20 bad versions (five faults, each always, later, on one route or under load) and 20 good ones (five kinds, calm, with nodes that restart, owners that change, a burst), with a table, JSON and a picture. What an owner knows and how it decides is a Trial of its own now, without clock, network and locks; Owner keeps what waits and writes.

--- a/internal/cli/capacity.go
+++ b/internal/cli/capacity.go
@@ -36,7 +36,7 @@
 		fmt.Fprintln(c.err)
 	}
 	if m.SVG != "" {
-		if err := drawTo(m.SVG, costs); err != nil {
+		if err := drawTo(m.SVG, func(w io.Writer) error { return capacity.Draw(w, costs) }); err != nil {
 			return err
 		}
 	}
@@ -53,23 +53,37 @@
 	if m.Targets < 1 || m.Targets > mostTargetsPerHost {
 		return nil, fmt.Errorf("--targets-per-host is %d: write 1 to %d", m.Targets, mostTargetsPerHost)
 	}
+	hosts, err := fleetSizes(m.Hosts)
+	if err != nil {
+		return nil, err
+	}
 	var out []capacity.Size
-	for _, field := range strings.Split(m.Hosts, ",") {
+	for _, n := range hosts {
+		out = append(out, capacity.Size{Hosts: n, Targets: n * m.Targets})
+	}
+	return out, nil
+}
+
+// fleetSizes reads sizes of fleets, in hosts.
+func fleetSizes(list string) ([]int, error) {
+	var out []int
+	for _, field := range strings.Split(list, ",") {
 		n, err := strconv.Atoi(strings.TrimSpace(field))
 		if err != nil || n < 1 || n > mostHosts {
 			return nil, fmt.Errorf("--hosts has %q: write numbers from 1 to %d, separated by commas", field, mostHosts)
 		}
-		out = append(out, capacity.Size{Hosts: n, Targets: n * m.Targets})
+		out = append(out, n)
 	}
 	return out, nil
 }
 
-func drawTo(path string, costs []capacity.Cost) error {
+// drawTo writes a picture into a file.
+func drawTo(path string, draw func(io.Writer) error) error {
 	f, err := os.Create(path)
 	if err != nil {
 		return eris.Wrap(err, "picture")
 	}
-	if err := capacity.Draw(f, costs); err != nil {
+	if err := draw(f); err != nil {
 		f.Close()
 		return err
 	}
--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -13,6 +13,7 @@
 // experimentCmd plays models of what nodes do together.
 type experimentCmd struct {
 	Rates    *ratesCmd    `arg:"subcommand:rates" help:"play nodes that share the rates of targets, three ways"`
+	Rollout  *rolloutCmd  `arg:"subcommand:rollout" help:"play roll-outs of good and bad versions, by the size of the fleet"`
 	Capacity *capacityCmd `arg:"subcommand:capacity" help:"measure what decisions cost by the size of the fleet"`
 }
 
@@ -20,10 +21,12 @@
 	switch {
 	case e.Rates != nil:
 		return e.Rates.run(ctx, c)
+	case e.Rollout != nil:
+		return e.Rollout.run(ctx, c)
 	case e.Capacity != nil:
 		return e.Capacity.run(ctx, c)
 	}
-	return usage(fmt.Errorf("name the experiment: rates or capacity"))
+	return usage(fmt.Errorf("name the experiment: rates, rollout or capacity"))
 }
 
 // ratesCmd plays scenarios of shared rates.
--- a/internal/peer/rollout.go
+++ b/internal/peer/rollout.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"topazmoor/internal/peer/peerpb"
 	"topazmoor/internal/rollout"
 	"topazmoor/internal/store"
@@ -36,6 +38,11 @@
 	return &peerpb.Response{Result: &peerpb.Response_Rollout{Rollout: answerTo(a)}}, nil
 }
 
+// ReportSize returns the size of a report on its way, in bytes.
+func ReportSize(r rollout.Report) int {
+	return proto.Size(&peerpb.Request{Call: &peerpb.Request_Rollout{Rollout: reportTo(r)}})
+}
+
 func reportTo(r rollout.Report) *peerpb.RolloutReport {
 	m := &peerpb.RolloutReport{
 		Node: r.Node, Service: r.Order.Service, To: r.Order.To, Era: r.Order.Revision.Era, Version: r.Order.Revision.Number,
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -98,8 +98,19 @@
 	return out
 }
 
-// clone returns a copy.
-func (e Evidence) clone() Evidence {
+// Count adds an answer, good or bad, that took some time.
+func (e Evidence) Count(s Source, bad bool, took time.Duration) {
+	t := e.Tallies[s]
+	if bad {
+		t.Bad++
+	} else {
+		t.Took[bucketOf(took)]++
+	}
+	e.Tallies[s] = t
+}
+
+// Clone returns a copy.
+func (e Evidence) Clone() Evidence {
 	e.Tallies = maps.Clone(e.Tallies)
 	return e
 }
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -343,16 +343,16 @@
 	return min(max(time.Duration(nodes)*holdPerNode, leastHold), mostHold)
 }
 
-// leaseOf returns how long an owner and a node that reports count on each other, by the time for
+// LeaseOf returns how long an owner and a node that reports count on each other, by the time for
 // which the report is held.
-func leaseOf(hold time.Duration) time.Duration { return leaseHolds*hold + leaseSlack }
+func LeaseOf(hold time.Duration) time.Duration { return leaseHolds*hold + leaseSlack }
 
 // next returns the next report, whether it tells of a bad answer, and how many lapses it follows.
 func (g *Gate) next(s *standing) (r Report, unheard bool, lapses int) {
 	hold := HoldOf(g.Nodes())
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r = Report{Node: g.Node, Order: s.Order, Evidence: s.evidence.clone(), OldInFlight: s.oldInFlight, Has: s.answer, Hold: hold}
+	r = Report{Node: g.Node, Order: s.Order, Evidence: s.evidence.Clone(), OldInFlight: s.oldInFlight, Has: s.answer, Hold: hold}
 	if s.unheard {
 		r.Hold = 0
 	}
@@ -370,7 +370,7 @@
 		g.Log.Info("roll-out", "service", s.Service, "to", s.To, "state", a.State, "share", a.Share, "before", s.answer.State, "share_before", s.answer.Share)
 	}
 	s.answer = a
-	s.until = time.Now().Add(leaseOf(r.Hold))
+	s.until = time.Now().Add(LeaseOf(r.Hold))
 	if unheard && s.evidence.newBad() == r.Evidence.newBad() {
 		s.unheard = false
 	}
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -23,8 +23,6 @@
 	stepInterval = 200 * time.Millisecond
 	// saveTimeout bounds one call of the store.
 	saveTimeout = 2 * time.Second
-	// inFlightLife is how long a node's count of calls at the old version is believed.
-	inFlightLife = 3 * mostHold
 )
 
 // Owner sums up the reports on orders and decides on them. Each node has one; which node is asked
@@ -49,14 +47,13 @@
 
 // run is an order at its owner.
 type run struct {
-	o       *Owner
-	record  Record
-	control Controller
-	nodes   map[string]*reporter
-	// news is what came since the last step.
-	news   map[Source]Tally
-	step   Step
-	answer Answer
+	o      *Owner
+	record Record
+	trial  *Trial
+	// releases end the waits of the nodes' last reports.
+	releases map[string]chan struct{}
+	step     Step
+	answer   Answer
 	// changed is closed when the answer changes.
 	changed chan struct{}
 	// saved says that the store has the record.
@@ -65,22 +62,6 @@
 	dropped bool
 }
 
-// reporter is what one node reported.
-type reporter struct {
-	evidence Evidence
-	// sent and sentNew are its calls since the order came, those of its earlier processes included.
-	sent, sentNew uint64
-	oldInFlight   int
-	// since is when this owner first heard of it, sentBefore its calls until then.
-	since      time.Time
-	sentBefore uint64
-	at         time.Time
-	// until is when the node is taken to report to another owner, if it does not report before.
-	until time.Time
-	// release ends the wait of the node's last report.
-	release chan struct{}
-}
-
 // Report takes in a report and answers it once its node should go by something else.
 func (w *Owner) Report(ctx context.Context, r Report) (Answer, error) {
 	release := make(chan struct{})
@@ -153,31 +134,19 @@
 	if x == nil {
 		x = w.begin(r.Order, now)
 	}
-	node := x.nodes[r.Node]
-	if node == nil {
-		node = &reporter{release: make(chan struct{}), since: now, sentBefore: r.Evidence.Sent}
-		x.nodes[r.Node] = node
-	}
-	news := r.Evidence.since(node.evidence)
-	for source, t := range news.Tallies {
-		sum := x.news[source]
-		sum.add(t)
-		x.news[source] = sum
+	x.trial.Take(r, now)
+	if last := x.releases[r.Node]; last != nil {
+		close(last)
 	}
-	node.sent += news.Sent
-	node.sentNew += news.SentNew
-	close(node.release)
-	node.evidence, node.oldInFlight, node.at, node.release = r.Evidence, r.OldInFlight, now, release
-	node.until = now.Add(leaseOf(max(r.Hold, leastHold)))
+	x.releases[r.Node] = release
 	return x
 }
 
 // begin starts to decide on an order. The lock is held.
 func (w *Owner) begin(o Order, now time.Time) *run {
 	x := &run{
-		o: w, nodes: make(map[string]*reporter), news: make(map[Source]Tally), changed: make(chan struct{}),
-		control: Controller{Order: o, Bounds: w.Bounds, Began: now, Judge: NewJudge()},
-		record:  Record{Service: o.Service, To: o.To, Revision: o.Revision, State: Running, Began: now, Deadline: now.Add(o.Lasts)},
+		o: w, trial: NewTrial(o, w.Bounds, now), releases: make(map[string]chan struct{}), changed: make(chan struct{}),
+		record: Record{Service: o.Service, To: o.To, Revision: o.Revision, State: Running, Began: now, Deadline: now.Add(o.Lasts)},
 	}
 	if w.runs == nil {
 		w.runs = make(map[Order]*run)
@@ -229,7 +198,7 @@
 		return
 	default:
 		x.record, x.saved = kept, true
-		x.control.Began = kept.Began
+		x.trial.control.Began = kept.Began
 	}
 	x.tell(Answer{State: x.record.State, Share: x.answer.Share})
 }
@@ -237,56 +206,45 @@
 // look takes one step, and reports whether the order is forgotten or was ended.
 func (x *run) look() (forgotten, ended bool) {
 	w := x.o
-	nodes := w.Nodes()
-	targets, withdrawn := w.Targets(x.record.Service, x.record.To), w.Withdrawn(x.control.Order)
+	order := x.trial.control.Order
+	view := View{Nodes: w.Nodes(), Targets: w.Targets(order.Service, order.To), Withdrawn: w.Withdrawn(order)}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
 	if x.dropped {
 		return true, false
 	}
-	calls := x.calls(now)
-	if calls.nodes == 0 {
-		w.Log.Info("roll-out left to other nodes: none reports here", "service", x.record.Service, "to", x.record.To, "nodes", len(x.nodes))
-		delete(w.runs, x.control.Order)
+	if x.trial.Count(now).Nodes == 0 {
+		w.Log.Info("roll-out left to other nodes: none reports here", "service", order.Service, "to", order.To, "nodes", len(x.releases))
+		delete(w.runs, order)
 		return true, false
 	}
 	if x.record.State.Final() {
 		return false, false
 	}
-	x.control.Judge.Take(x.news)
-	clear(x.news)
-	step := x.control.Step(Situation{
-		Now: now, Targets: targets, Sent: calls.sent, SentNew: calls.sentNew, PerSecond: calls.perSecond, OldInFlight: x.oldInFlight(now),
-		Withdrawn: withdrawn, Part: min(float64(calls.nodes)/float64(nodes), 1),
-	})
+	x.take(x.trial.Step(now, view), view, now)
+	return false, x.record.State.Final()
+}
+
+// take goes by a step. The lock is held.
+func (x *run) take(step Step, view View, now time.Time) {
 	if step.State != x.step.State || step.Phase != x.step.Phase || step.Share != x.step.Share {
-		w.Log.Info("roll-out decided", "service", x.record.Service, "to", x.record.To, "state", step.State, "phase", step.Phase, "share", step.Share, "reason", step.Reason,
-			"sent", calls.sent, "sent_new", calls.sentNew, "per_second", calls.perSecond, "new_targets", targets.New, "warm", targets.Warm, "old_targets", targets.Old, "nodes", calls.nodes, "of", nodes)
+		n := x.trial.Count(now)
+		x.o.Log.Info("roll-out decided", "service", x.record.Service, "to", x.record.To, "state", step.State, "phase", step.Phase, "share", step.Share, "reason", step.Reason,
+			"sent", n.Sent, "sent_new", n.SentNew, "per_second", n.PerSecond, "new_targets", view.Targets.New, "warm", view.Targets.Warm, "old_targets", view.Targets.Old, "nodes", n.Nodes, "of", view.Nodes)
 	}
 	x.step = step
 	if !step.State.Final() {
 		if x.saved {
 			x.tell(Answer{State: Running, Share: step.Share})
 		}
-		return false, false
+		return
 	}
 	x.record.State, x.record.Reason, x.saved = step.State, step.Reason, false
 	if step.State == RolledBack {
 		// Nobody waits for the store with this.
 		x.tell(Answer{State: Running})
 	}
-	return false, true
-}
-
-// oldInFlight counts the calls that the old version still works on. The lock is held.
-func (x *run) oldInFlight(now time.Time) (n int) {
-	for _, node := range x.nodes {
-		if now.Sub(node.at) < inFlightLife {
-			n += node.oldInFlight
-		}
-	}
-	return n
 }
 
 // tell gives all nodes an answer. The lock is held.
@@ -315,8 +273,8 @@
 	var out []Status
 	now := time.Now()
 	for _, x := range w.runs {
-		calls := x.calls(now)
-		out = append(out, Status{Record: x.record, Share: x.answer.Share, Phase: x.step.Phase, Sent: calls.sent, SentNew: calls.sentNew, Nodes: calls.nodes})
+		n := x.trial.Count(now)
+		out = append(out, Status{Record: x.record, Share: x.answer.Share, Phase: x.step.Phase, Sent: n.Sent, SentNew: n.SentNew, Nodes: n.Nodes})
 	}
 	return out
 }
--- a/internal/rollout/owners_test.go
+++ b/internal/rollout/owners_test.go
@@ -108,9 +108,9 @@
 			f.count(source.New)
 		}
 		if w := f.owner(node); w != nil {
-			a, err := w.Report(ctx, Report{Node: fmt.Sprint("n", node), Order: f.order, Evidence: e.clone(), Has: has, Hold: leastHold})
+			a, err := w.Report(ctx, Report{Node: fmt.Sprint("n", node), Order: f.order, Evidence: e.Clone(), Has: has, Hold: leastHold})
 			if err == nil {
-				has, until = a, time.Now().Add(leaseOf(leastHold))
+				has, until = a, time.Now().Add(LeaseOf(leastHold))
 			}
 		}
 		time.Sleep(reportEach)
