Judge a version once all nodes have told of the same time

What an operator would see: in a large fleet a good version is rolled back while the old one fails as often for a while.

Cause: a bad answer of the new version is reported at once, all else after the time for which reports are held, up to 3.5 s. For that long the owner sees the failures of the new version only.

TestTroubleOfBothVersionsRollsNoneBackInALargeFleet failed before.

Why this works: a version that looks bad gets nothing at once, which also ends the waits of all reports; when most nodes have reported since, the judge goes back to its last level evidence and takes in together what came since.

--- a/internal/experiment/rollouts/rollouts_test.go
+++ b/internal/experiment/rollouts/rollouts_test.go
@@ -28,3 +28,15 @@
 		qt.Check(t, r.Late, qt.Equals, 0, qt.Commentf("%s", v.Name))
 	}
 }
+
+// TestTroubleOfBothVersionsRollsNoneBackInALargeFleet guards against a judge that hears of the new
+// version's bad answers before those of the old one: the latter are reported seconds later where
+// there are many nodes.
+func TestTroubleOfBothVersionsRollsNoneBackInALargeFleet(t *testing.T) {
+	for _, v := range GoodVersions() {
+		if v.Trouble == (Trouble{}) {
+			r := Play(scenarioOf(985), v, 1, noSize)
+			qt.Check(t, r.State, qt.Equals, rollout.Completed, qt.Commentf("%s", v.Name))
+		}
+	}
+}
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -33,6 +33,8 @@
 	OldInFlight int
 	// Withdrawn says that the order does not stand any more.
 	Withdrawn bool
+	// Level says that the evidence is that of all nodes up to the same moment.
+	Level bool
 }
 
 // minority reports whether most nodes report to other owners. It is left to those whether enough
@@ -115,11 +117,14 @@
 
 // Step returns what is to be done now.
 func (c *Controller) Step(s Situation) Step {
-	if reason, bad := c.Judge.Bad(); bad {
-		return Step{State: RolledBack, Reason: reason}
-	}
 	last := c.isLast(s)
+	reason, bad := c.Judge.Bad()
 	switch {
+	case bad && (s.Level || last):
+		return Step{State: RolledBack, Reason: reason}
+	case bad:
+		// Bad answers are reported at once, what both versions do alike is not.
+		return Step{State: Running, Phase: "doubt", Reason: reason}
 	case s.Withdrawn:
 		return Step{State: RolledBack, Reason: "the order was withdrawn"}
 	case s.Targets.New == 0 && last:
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 )
 
@@ -48,6 +49,31 @@
 	return &Judge{routes: make(map[string]*comparison), all: comparison{excess: overallExcess}}
 }
 
+// clone returns a copy.
+func (j *Judge) clone() *Judge {
+	out := &Judge{routes: make(map[string]*comparison, len(j.routes)), all: j.all.clone()}
+	for name, c := range j.routes {
+		route := c.clone()
+		out.routes[name] = &route
+	}
+	return out
+}
+
+// takeLate takes in what came in some steps, as Take would have done step by step.
+func (j *Judge) takeLate(news map[Source]Tally, steps int) {
+	for range steps - 1 {
+		j.fadeOld()
+	}
+	j.Take(news)
+}
+
+func (j *Judge) fadeOld() {
+	for _, c := range j.routes {
+		c.fadeOld()
+	}
+	j.all.fadeOld()
+}
+
 // comparison is the test of one route, or of all.
 type comparison struct {
 	excess float64
@@ -64,10 +90,7 @@
 
 // Take takes in what came since the last call.
 func (j *Judge) Take(news map[Source]Tally) {
-	for _, c := range j.routes {
-		c.fadeOld()
-	}
-	j.all.fadeOld()
+	j.fadeOld()
 	for source, t := range news {
 		if !source.New {
 			j.route(source.Route).addOld(t)
@@ -116,6 +139,12 @@
 	return c
 }
 
+func (c *comparison) clone() comparison {
+	out := *c
+	out.answered, out.bad = maps.Clone(c.answered), maps.Clone(c.bad)
+	return out
+}
+
 func (c *comparison) fadeOld() {
 	c.oldAnswers, c.oldBad = fade*c.oldAnswers, fade*c.oldBad
 	c.recentAnswers, c.recentBad = recentFade*c.recentAnswers, recentFade*c.recentBad
--- a/internal/rollout/trial.go
+++ b/internal/rollout/trial.go
@@ -5,6 +5,10 @@
 const (
 	// rateTime is how long a node's calls are counted before their rate is believed.
 	rateTime = time.Second
+	// levelPart is the part of the nodes whose reports make the evidence level, levelWait how long it
+	// is waited for.
+	levelPart = 0.9
+	levelWait = 2 * time.Second
 	// inFlightLife is how long a node's count of calls at the old version is believed.
 	inFlightLife = 3 * mostHold
 )
@@ -15,6 +19,14 @@
 	nodes   map[string]*reporter
 	// news is what came since the last step.
 	news map[Source]Tally
+	// level is the judge as it was when the evidence was level last, late what came since, in how many
+	// steps. levelled is since when nodes are to report for the next time.
+	level    *Judge
+	late     map[Source]Tally
+	steps    int
+	levelled time.Time
+	// doubted is since when the version is taken for bad by evidence that is not level; zero for not.
+	doubted time.Time
 }
 
 // reporter is what one node reported.
@@ -36,6 +48,7 @@
 	return &Trial{
 		control: Controller{Order: o, Bounds: b, Began: began, Judge: NewJudge()},
 		nodes:   make(map[string]*reporter), news: make(map[Source]Tally),
+		level: NewJudge(), late: make(map[Source]Tally),
 	}
 }
 
@@ -65,15 +78,58 @@
 
 // Step returns what is to be done now.
 func (t *Trial) Step(now time.Time, v View) Step {
-	t.control.Judge.Take(t.news)
-	clear(t.news)
+	level := t.judge(now)
 	n := t.Count(now)
 	return t.control.Step(Situation{
 		Now: now, Targets: v.Targets, Withdrawn: v.Withdrawn, Part: min(float64(n.Nodes)/float64(v.Nodes), 1),
 		Sent: n.Sent, SentNew: n.SentNew, PerSecond: n.PerSecond, OldInFlight: n.OldInFlight,
+		Level: level,
 	})
 }
 
+// judge takes in what came, and reports whether the evidence is level now.
+//
+// Nodes report bad answers of the new version at once, and all else when their report's time is over. So
+// a trouble that both versions have looks like one of the new version first. Once the evidence is
+// level the judge goes back to where it was so the last time, and takes in together what came since.
+func (t *Trial) judge(now time.Time) (level bool) {
+	t.control.Judge.Take(t.news)
+	addAll(t.late, t.news)
+	clear(t.news)
+	t.steps++
+	_, bad := t.control.Judge.Bad()
+	if bad && t.doubted.IsZero() {
+		t.doubted, t.levelled = now, now
+		return false
+	}
+	if !t.isLevel(now) {
+		return false
+	}
+	t.level.takeLate(t.late, t.steps)
+	t.control.Judge = t.level.clone()
+	clear(t.late)
+	t.steps, t.levelled, t.doubted = 0, now, time.Time{}
+	return true
+}
+
+// isLevel reports whether most nodes have reported since a time.
+func (t *Trial) isLevel(now time.Time) bool {
+	if !t.doubted.IsZero() && now.Sub(t.doubted) >= levelWait {
+		return true
+	}
+	var all, since float64
+	for _, node := range t.nodes {
+		if now.After(node.until) {
+			continue
+		}
+		all++
+		if node.at.After(t.levelled) {
+			since++
+		}
+	}
+	return since >= levelPart*all
+}
+
 // addAll adds tallies to others.
 func addAll(to, tallies map[Source]Tally) {
 	for source, tally := range tallies {
