Names of frames and of complete evidence; retire a followed node's connection only where it is left

A node that refuses to be followed, or whose news do not fit, keeps its connection: only a call that was ended from here retires it. The header of a frame, the checkpoint of a trial and complete evidence have the field's words; the number of nodes has one place.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -230,7 +230,7 @@
 		if len(n.board.Near.Get()) >= relay.Fewest {
 			return least
 		}
-		nodes := len(n.board.Members.Get()) + 1
+		nodes := n.nodes()
 		return min(max(time.Duration(nodes)*perNode, least), most)
 	}
 }
@@ -354,7 +354,8 @@
 		supervise.Named("configuration", n.config), supervise.Named("list of targets", n.servers),
 		supervise.Named("peers", n.peers), supervise.Named("peer server", n.peers.server), supervise.Named("members", n.peers.members),
 		supervise.Named("follower", n.follower), supervise.Named("teller", n.teller),
-		supervise.Named("callers", n.callers), supervise.Named("quarantine", n.quarantine), supervise.Named("guard", n.guard), supervise.Named("suspensions", n.detector), supervise.Named("roll-outs", n.gate), supervise.Named("sweeper", &sweeper{n}),
+		supervise.Named("callers", n.callers), supervise.Named("quarantine", n.quarantine), supervise.Named("guard", n.guard),
+		supervise.Named("suspensions", n.detector), supervise.Named("roll-outs", n.gate), supervise.Named("sweeper", &sweeper{n}),
 	} {
 		sup.Add(s)
 	}
@@ -448,6 +449,9 @@
 // Others returns how many other nodes this one knows.
 func (n *Node) Others() int { return len(n.board.Members.Get()) }
 
+// nodes returns how many nodes there are, as far as this one knows.
+func (n *Node) nodes() int { return n.Others() + 1 }
+
 // ConfigVersion returns the version of the configuration in force; 0 for none.
 func (n *Node) ConfigVersion() int64 {
 	if cfg := n.board.Routes.Get(); cfg != nil {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -100,7 +100,7 @@
 	p := &peers{n: n, mended: make(chan struct{}, 1), client: newLateClient(), known: make(chan struct{}), answered: make(chan struct{}), server: &lateServer{ln: ln, key: make(chan []byte, 1)}}
 	p.missing.Store(2)
 	p.server.start = func(key []byte) *peer.Server {
-		return peer.NewServer(ln, key, n.set.Node, peer.Handler{Nodes: func() int { return len(n.board.Members.Get()) }, Stages: n.former, Versions: n.versions, Teller: n.teller, Ends: n.guard, Permits: n.limiter, Rollouts: n.owner}, n.log)
+		return peer.NewServer(ln, key, n.set.Node, peer.Handler{Nodes: n.Others, Stages: n.former, Versions: n.versions, Teller: n.teller, Ends: n.guard, Permits: n.limiter, Rollouts: n.owner}, n.log)
 	}
 	p.row, err = json.Marshal(member{Addr: ln.Addr().String(), DataCentre: n.set.DataCentre, Memory: n.set.MemoryBytes, Means: n.set.Means})
 	if err != nil {
--- a/internal/entry/rollouts.go
+++ b/internal/entry/rollouts.go
@@ -17,12 +17,11 @@
 
 // provisionRollouts builds what moves traffic to other versions of services.
 func (n *Node) provisionRollouts() {
-	nodes := func() int { return len(n.board.Members.Get()) + 1 }
 	n.owner = &rollout.Owner{
-		Bounds: n.set.Rollouts, Book: rolloutBook{n}, Targets: n.targets.Versions, Nodes: nodes, Log: n.log,
+		Bounds: n.set.Rollouts, Book: rolloutBook{n}, Targets: n.targets.Versions, Nodes: n.nodes, Log: n.log,
 		Withdrawn: func(o rollout.Order) bool { return n.gate.Withdrawn(o) },
 	}
-	n.gate = rollout.NewGate(n.set.Node, rolloutOwners{n}, nodes, n.log)
+	n.gate = rollout.NewGate(n.set.Node, rolloutOwners{n}, n.nodes, n.log)
 	n.targets.Rollouts = n.gate
 	n.metrics.GaugeVec("topazmoor_entry_rollout_share", "Share of the calls that go to the version of a roll-out, where this node decides on it, by service.", "service", func() map[string]float64 {
 		out := make(map[string]float64)
--- a/internal/peer/follow.go
+++ b/internal/peer/follow.go
@@ -45,9 +45,12 @@
 	if err != nil {
 		return err
 	}
-	// A node is left that says nothing, or after this host stood still: its connection may be
-	// gone.
-	defer x.retire()
+	defer func() {
+		// The node is left as it says nothing, or as this host stood still.
+		if ctx.Err() != nil {
+			x.retire()
+		}
+	}()
 	for {
 		resp, err := x.next()
 		if err != nil {
--- a/internal/peer/frames.go
+++ b/internal/peer/frames.go
@@ -7,14 +7,17 @@
 	"github.com/rotisserie/eris"
 )
 
-// The head of a yamux frame: version, type, flags, stream and length. Only frames of data have a
-// body.
+// The header of a yamux frame: version, type, flags, stream and length. Only data frames have a body.
 const (
-	frameHead    = 12
-	frameType    = 1
-	frameLength  = 8
-	dataFrame    = 0
-	leastReceive = 4 << 10
+	headerLen    = 12
+	typeOffset   = 1
+	lengthOffset = 8
+	typeData     = 0
+)
+
+const (
+	// readBuffer is the least space for one read, in bytes.
+	readBuffer = 4 << 10
 	// mostKept bounds the memory that an idle connection keeps for frames, in bytes.
 	mostKept = 16 << 10
 )
@@ -22,7 +25,7 @@
 var errFrameTooLong = eris.New("frame of the peer is longer than its stream's window")
 
 // frameConn is the connection below a session. Reads return bytes of whole frames only: a session
-// locks a stream once it has the head of a frame and waits for the body under that lock, where no
+// locks a stream once it has the header of a frame and waits for the body under that lock, where no
 // deadline of the stream is seen. The body of a peer that was cut off or stands still may never
 // come.
 type frameConn struct {
@@ -63,7 +66,7 @@
 	if len(c.received) == 0 && cap(c.received) > mostKept {
 		c.received = nil
 	}
-	need := leastReceive
+	need := readBuffer
 	if rest, ok := c.next(); ok {
 		need = max(need, rest-len(c.received))
 	}
@@ -80,7 +83,7 @@
 		if !ok {
 			return nil
 		}
-		if n > frameHead+int(c.longest) {
+		if n > headerLen+int(c.longest) {
 			return errFrameTooLong
 		}
 		if len(c.received) < c.whole+n {
@@ -90,14 +93,14 @@
 	}
 }
 
-// next returns the length of the frame after the whole ones; not ok where its head has not come.
+// next returns the length of the frame after the whole ones; not ok where its header has not come.
 func (c *frameConn) next() (length int, ok bool) {
-	head := c.received[c.whole:]
-	if len(head) < frameHead {
+	header := c.received[c.whole:]
+	if len(header) < headerLen {
 		return 0, false
 	}
-	if head[frameType] != dataFrame {
-		return frameHead, true
+	if header[typeOffset] != typeData {
+		return headerLen, true
 	}
-	return frameHead + int(binary.BigEndian.Uint32(head[frameLength:])), true
+	return headerLen + int(binary.BigEndian.Uint32(header[lengthOffset:])), true
 }
--- a/internal/peer/frames_test.go
+++ b/internal/peer/frames_test.go
@@ -15,17 +15,17 @@
 
 // frameOf returns a frame of yamux as it is on the wire.
 func frameOf(kind byte, stream, length uint32, body []byte) []byte {
-	b := make([]byte, frameHead, frameHead+len(body))
-	b[frameType] = kind
+	b := make([]byte, headerLen, headerLen+len(body))
+	b[typeOffset] = kind
 	binary.BigEndian.PutUint32(b[4:], stream)
-	binary.BigEndian.PutUint32(b[frameLength:], length)
+	binary.BigEndian.PutUint32(b[lengthOffset:], length)
 	return append(b, body...)
 }
 
 // halfFrame is what a peer sent that was stopped in the midst of a frame for the first stream.
 func halfFrame() (sent, rest []byte) {
-	whole := frameOf(dataFrame, 1, 100, make([]byte, 100))
-	return whole[:frameHead+10], whole[frameHead+10:]
+	whole := frameOf(typeData, 1, 100, make([]byte, 100))
+	return whole[:headerLen+10], whole[headerLen+10:]
 }
 
 // TestDeadlineHoldsInTheMidstOfAFrame guards against reads that wait for the rest of a frame,
@@ -40,8 +40,8 @@
 	st, err := m.OpenStream()
 	c.Assert(err, quicktest.IsNil)
 	sent, rest := halfFrame()
-	// In two parts: once the second is taken, the session has seen the head.
-	for _, part := range [][]byte{sent[:frameHead], sent[frameHead:]} {
+	// In two parts: once the second is taken, the session has seen the header.
+	for _, part := range [][]byte{sent[:headerLen], sent[headerLen:]} {
 		_, err = there.Write(part)
 		c.Assert(err, quicktest.IsNil)
 	}
@@ -68,9 +68,9 @@
 			if rapid.IntRange(0, 5).Draw(rt, "long") == 0 {
 				body = make([]byte, rapid.IntRange(4000, 70_000).Draw(rt, "length"))
 			}
-			kind := rapid.SampledFrom([]byte{dataFrame, 1, 2, 3}).Draw(rt, "kind")
+			kind := rapid.SampledFrom([]byte{typeData, 1, 2, 3}).Draw(rt, "kind")
 			length := uint32(len(body))
-			if kind != dataFrame {
+			if kind != typeData {
 				body, length = nil, rapid.Uint32().Draw(rt, "value")
 			}
 			sent = append(sent, frameOf(kind, 1, length, body)...)
@@ -102,7 +102,7 @@
 func TestFrameOverTheWindowEndsTheSession(t *testing.T) {
 	c := quicktest.New(t)
 	here, there := net.Pipe()
-	go func() { _, _ = there.Write(frameOf(dataFrame, 1, 1<<31, nil)) }()
+	go func() { _, _ = there.Write(frameOf(typeData, 1, 1<<31, nil)) }()
 	_, err := (&frameConn{Conn: here, longest: 1 << 18}).Read(make([]byte, 1))
 	c.Assert(err, quicktest.Equals, errFrameTooLong)
 }
--- a/internal/peer/pending_test.go
+++ b/internal/peer/pending_test.go
@@ -35,7 +35,7 @@
 	peers := map[string]func(net.Conn){
 		"takes nothing": func(net.Conn) {},
 		"stops taking in the midst of the call": func(c net.Conn) {
-			_, _ = io.ReadFull(c, make([]byte, frameHead))
+			_, _ = io.ReadFull(c, make([]byte, headerLen))
 		},
 		"stops in the midst of a frame": func(c net.Conn) {
 			go func() { _, _ = io.Copy(io.Discard, c) }()
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -33,8 +33,8 @@
 	OldInFlight int
 	// Withdrawn says that the order does not stand any more.
 	Withdrawn bool
-	// Level says that the evidence is that of all nodes up to the same moment.
-	Level bool
+	// Complete says that the judge has the evidence of all nodes up to the same moment.
+	Complete bool
 }
 
 // minority reports whether most nodes report to other owners. It is left to those whether enough
@@ -120,7 +120,7 @@
 	last := c.isLast(s)
 	reason, bad := c.Judge.Bad()
 	switch {
-	case bad && (s.Level || last):
+	case bad && (s.Complete || last):
 		return Step{State: RolledBack, Reason: reason}
 	case bad:
 		// Bad answers are reported at once, what both versions do alike is not.
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -59,8 +59,8 @@
 	return out
 }
 
-// takeLate takes in what came in some steps, as Take would have done step by step.
-func (j *Judge) takeLate(news map[Source]Tally, steps int) {
+// takeTogether takes in what came in some steps.
+func (j *Judge) takeTogether(news map[Source]Tally, steps int) {
 	for range steps - 1 {
 		j.fadeOld()
 	}
--- a/internal/rollout/trial.go
+++ b/internal/rollout/trial.go
@@ -5,10 +5,10 @@
 const (
 	// rateTime is how long a node's calls are counted before their rate is believed.
 	rateTime = time.Second
-	// levelPart is the part of the nodes whose reports make the evidence level, levelWait how long it
-	// is waited for.
-	levelPart = 0.9
-	levelWait = 2 * time.Second
+	// completePart is the part of the nodes whose reports make the evidence complete, doubtTimeout how
+	// long they are waited for where the version looks bad.
+	completePart = 0.9
+	doubtTimeout = 2 * time.Second
 	// inFlightLife is how long a node's count of calls at the old version is believed.
 	inFlightLife = 3 * mostHold
 )
@@ -19,13 +19,13 @@
 	nodes   map[string]*reporter
 	// news is what came since the last step.
 	news map[Source]Tally
-	// level is the judge as it was when the evidence was level last, late what came since, in how many
-	// steps. levelled is since when nodes are to report for the next time.
-	level    *Judge
-	late     map[Source]Tally
-	steps    int
-	levelled time.Time
-	// doubted is since when the version is taken for bad by evidence that is not level; zero for not.
+	// checkpoint is the judge as it was when the evidence was complete last, pending what came since, in
+	// how many steps. It is complete again once nodes have reported after awaited.
+	checkpoint *Judge
+	pending    map[Source]Tally
+	steps      int
+	awaited    time.Time
+	// doubted is since when the version looks bad by evidence that is not complete; zero for not.
 	doubted time.Time
 }
 
@@ -48,7 +48,7 @@
 	return &Trial{
 		control: Controller{Order: o, Bounds: b, Began: began, Judge: NewJudge()},
 		nodes:   make(map[string]*reporter), news: make(map[Source]Tally),
-		level: NewJudge(), late: make(map[Source]Tally),
+		checkpoint: NewJudge(), pending: make(map[Source]Tally),
 	}
 }
 
@@ -78,43 +78,43 @@
 
 // Step returns what is to be done now.
 func (t *Trial) Step(now time.Time, v View) Step {
-	level := t.judge(now)
+	complete := t.judge(now)
 	n := t.Count(now)
 	return t.control.Step(Situation{
 		Now: now, Targets: v.Targets, Withdrawn: v.Withdrawn, Part: min(float64(n.Nodes)/float64(v.Nodes), 1),
 		Sent: n.Sent, SentNew: n.SentNew, PerSecond: n.PerSecond, OldInFlight: n.OldInFlight,
-		Level: level,
+		Complete: complete,
 	})
 }
 
-// judge takes in what came, and reports whether the evidence is level now.
+// judge takes in what came, and reports whether the evidence is complete now.
 //
 // Nodes report bad answers of the new version at once, and all else when their report's time is over. So
 // a trouble that both versions have looks like one of the new version first. Once the evidence is
-// level the judge goes back to where it was so the last time, and takes in together what came since.
-func (t *Trial) judge(now time.Time) (level bool) {
+// complete the judge goes back to its checkpoint, and takes in together what came since.
+func (t *Trial) judge(now time.Time) (complete bool) {
 	t.control.Judge.Take(t.news)
-	addAll(t.late, t.news)
+	addAll(t.pending, t.news)
 	clear(t.news)
 	t.steps++
 	_, bad := t.control.Judge.Bad()
 	if bad && t.doubted.IsZero() {
-		t.doubted, t.levelled = now, now
+		t.doubted, t.awaited = now, now
 		return false
 	}
-	if !t.isLevel(now) {
+	if !t.isComplete(now) {
 		return false
 	}
-	t.level.takeLate(t.late, t.steps)
-	t.control.Judge = t.level.clone()
-	clear(t.late)
-	t.steps, t.levelled, t.doubted = 0, now, time.Time{}
+	t.checkpoint.takeTogether(t.pending, t.steps)
+	t.control.Judge = t.checkpoint.clone()
+	clear(t.pending)
+	t.steps, t.awaited, t.doubted = 0, now, time.Time{}
 	return true
 }
 
-// isLevel reports whether most nodes have reported since a time.
-func (t *Trial) isLevel(now time.Time) bool {
-	if !t.doubted.IsZero() && now.Sub(t.doubted) >= levelWait {
+// isComplete reports whether most nodes have reported since they were awaited.
+func (t *Trial) isComplete(now time.Time) bool {
+	if !t.doubted.IsZero() && now.Sub(t.doubted) >= doubtTimeout {
 		return true
 	}
 	var all, since float64
@@ -123,11 +123,11 @@
 			continue
 		}
 		all++
-		if node.at.After(t.levelled) {
+		if node.at.After(t.awaited) {
 			since++
 		}
 	}
-	return since >= levelPart*all
+	return since >= completePart*all
 }
 
 // addAll adds tallies to others.
