Tests: calls that end before a connection closes, also on a busy machine; what mutations found

The connection that they hold let others run 10,000 times, which a machine does in milliseconds while the threads of the blocked calls wait for a processor. It now lets them run until they have returned, 10 s at most.

--- a/internal/peer/mux_test.go
+++ b/internal/peer/mux_test.go
@@ -10,8 +10,8 @@
 	"github.com/frankban/quicktest"
 )
 
-// mostYields bounds how often a closing connection lets others run.
-const mostYields = 10_000
+// closePatience is for how long a closing connection lets others run, on a busy machine.
+const closePatience = 10 * time.Second
 
 // heldConn is a connection whose Close lets others run until all blocked calls on its streams
 // have returned, as that of a connection whose reading loop is queued behind them does.
@@ -23,10 +23,7 @@
 }
 
 func (c *heldConn) Close() error {
-	for range mostYields {
-		if c.blocked.Load() == 0 {
-			break
-		}
+	for end := time.Now().Add(closePatience); c.blocked.Load() > 0 && time.Now().Before(end); {
 		runtime.Gosched()
 	}
 	c.left.Store(c.blocked.Load())
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -43,6 +43,14 @@
 	cut     bool
 	// blind paths read nothing of what others write.
 	blind bool
+	// gets counts the reads of one row.
+	gets int
+}
+
+func (p *path) countGet() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gets++
 }
 
 func (p *path) setBlind(blind bool) {
@@ -77,6 +85,7 @@
 }
 
 func (p *path) Get(ctx context.Context, table, key string) (store.Row, error) {
+	p.countGet()
 	if p.isCut() {
 		return store.Row{}, store.ErrUnavailable
 	}
@@ -298,6 +307,10 @@
 				c.Assert(probe, qt.Not(qt.Equals), "")
 				if abandoned {
 					f.guards[0].Abandoned(digest("x"), probe)
+					// It says nothing, so that the next one may come at once.
+					probe, err = f.guards[0].Send(t.Context(), digest("x"), probeLasts)
+					c.Assert(err, qt.IsNil)
+					f.guards[0].Abandoned(digest("x"), probe)
 				}
 				f.paths[0].setCut(false)
 				time.Sleep(5 * time.Second)
@@ -314,6 +327,26 @@
 	}
 }
 
+// While the store is away, a request that a node holds in quarantine by itself does not make it ask all
+// the time.
+func TestStoreThatIsAwayIsNotAskedForEachRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(1)
+		defer f.stop()
+		f.paths[0].setCut(true)
+		f.quarantine(digest("x"))
+		_, err := f.guards[0].Send(t.Context(), digest("x"), probeLasts)
+		c.Assert(err, qt.IsNil)
+		before := f.paths[0].gets
+		for range 100 {
+			_, err := f.guards[0].Send(t.Context(), digest("x"), probeLasts)
+			c.Assert(err, qt.IsNotNil)
+		}
+		c.Assert(f.paths[0].gets-before, qt.Equals, 0)
+	})
+}
+
 // Runs that began at a process which was known to have ended say nothing of their requests.
 func TestRunAtAProcessThatHadEndedIsNoEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/rollout/controller_test.go
+++ b/internal/rollout/controller_test.go
@@ -60,3 +60,17 @@
 	s.Targets = Targets{}
 	qt.Assert(t, c.Step(s).Reason, qt.Equals, "no target of the version came")
 }
+
+// Owners of parts of a fleet have parts of the slack, and the last word after the others.
+func TestOwnerOfAPartOfTheNodesMayDoLess(t *testing.T) {
+	c := newController(20 * time.Second)
+	s := Situation{Now: start, Targets: Targets{New: 4, Warm: 4}, Part: 1, SentNew: 10}
+	qt.Check(t, c.Step(s).Share > 0, qt.IsTrue)
+	s.Part = 0.4
+	qt.Check(t, c.Step(s).Share, qt.Equals, 0.0)
+
+	s.Now = c.deadline().Add(-lastMoment)
+	qt.Check(t, c.Step(s).State, qt.Equals, Running)
+	s.Now = s.Now.Add(stepInterval)
+	qt.Check(t, c.Step(s).State, qt.Equals, RolledBack)
+}
--- a/internal/rollout/owners_test.go
+++ b/internal/rollout/owners_test.go
@@ -228,3 +228,16 @@
 		})
 	}
 }
+
+// TestOwnerOfANodeThatEndsDecidesNothing guards against a process that stops and goes on deciding.
+func TestOwnerOfANodeThatEndsDecidesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{book: &sharedBook{}, nodes: 1}
+		w := f.newOwner(t.Context())
+		w.Close()
+		_, err := w.Report(t.Context(), Report{Node: "a", Order: Order{Service: "s", To: "v2", Lasts: time.Second}, Hold: leastHold})
+		qt.Assert(t, err, qt.ErrorIs, errClosed)
+		time.Sleep(2 * time.Second)
+		qt.Assert(t, f.book.state(), qt.Equals, Unknown)
+	})
+}
--- /dev/null
+++ b/internal/rollout/trial_test.go
@@ -0,0 +1,83 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var oneOrder = Order{Service: "s", To: "v2", Lasts: 30 * time.Second}
+
+// reportOf is a report of a node that sent calls, some of them with bad answers of either version.
+func reportOf(node string, calls, bad int, isNew bool) Report {
+	e := Evidence{Tallies: make(map[Source]Tally), Sent: uint64(calls)}
+	source := Source{Route: "a", New: isNew}
+	for range bad {
+		e.Count(source, true, time.Millisecond)
+	}
+	for range calls - bad {
+		e.Count(Source{Route: "a"}, false, time.Millisecond)
+	}
+	return Report{Node: node, Order: oneOrder, Evidence: e, Hold: leastHold}
+}
+
+// A node that this owner has just heard of tells what it sent before: that is no rate.
+func TestRateOfCallsIsNotKnownAtOnce(t *testing.T) {
+	trial := NewTrial(oneOrder, Bounds{}, start)
+	trial.Take(reportOf("a", 1000, 0, false), start)
+	qt.Check(t, trial.Count(start).PerSecond, qt.Equals, 0.0)
+	now := start.Add(100 * time.Millisecond)
+	trial.Take(reportOf("a", 1100, 0, false), now)
+	qt.Check(t, trial.Count(now).PerSecond, qt.Equals, 0.0)
+	now = start.Add(2 * time.Second)
+	trial.Take(reportOf("a", 1200, 0, false), now)
+	qt.Check(t, trial.Count(now).PerSecond, qt.Equals, 100.0)
+}
+
+// Bad answers of the new version come first. It gets nothing, and is judged once the other nodes
+// have reported too.
+func TestVersionIsInDoubtUntilAllNodesHaveReported(t *testing.T) {
+	for _, alike := range []bool{false, true} {
+		trial := NewTrial(oneOrder, Bounds{Share: 0.1, Slack: 50}, start)
+		view := View{Nodes: 2, Targets: Targets{New: 4, Warm: 4, Old: 4}}
+		for _, node := range []string{"a", "b"} {
+			trial.Take(reportOf(node, 100, 0, false), start)
+		}
+		qt.Assert(t, trial.Step(start, view).Share > 0, qt.IsTrue)
+		now := start.Add(stepInterval)
+		trial.Take(reportOf("a", 120, 20, true), now)
+		for range 3 {
+			step := trial.Step(now, view)
+			qt.Check(t, step.Phase, qt.Equals, "doubt")
+			qt.Check(t, step.Share, qt.Equals, 0.0)
+			now = now.Add(stepInterval)
+		}
+		bad := 0
+		if alike {
+			bad = 200
+		}
+		trial.Take(reportOf("a", 120, 20, true), now)
+		trial.Take(reportOf("b", 300, bad, false), now)
+		want := RolledBack
+		if alike {
+			want = Running
+		}
+		qt.Check(t, trial.Step(now, view).State, qt.Equals, want, qt.Commentf("alike: %v", alike))
+	}
+}
+
+// A node that reports no more may report to another owner, which counts its calls. What it sent to the
+// new version beyond its own share counts here too.
+func TestCallsBeyondTheShareOfALostNodeStayCounted(t *testing.T) {
+	trial := NewTrial(oneOrder, Bounds{Share: 0.1}, start)
+	lost := reportOf("a", 100, 0, false)
+	lost.Evidence.SentNew = 60
+	trial.Take(lost, start)
+	now := start.Add(LeaseOf(leastHold) + time.Second)
+	trial.Take(reportOf("b", 100, 0, false), now)
+	n := trial.Count(now)
+	qt.Check(t, n.Nodes, qt.Equals, 1)
+	qt.Check(t, n.Sent, qt.Equals, uint64(100))
+	qt.Check(t, n.SentNew, qt.Equals, uint64(50))
+}
