--- /dev/null
+++ b/internal/poison/unlisted_test.go
@@ -0,0 +1,72 @@
+package poison
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"topazmoor/internal/watch"
+)
+
+// TestRequestThatTheStoreDoesNotListIsServedAgain guards against a node that refuses a request for
+// good: targets end under it while the store is away, the probe that the node allows itself says
+// nothing, and another node sees the request answered before this one reads of its quarantine.
+func TestRequestThatTheStoreDoesNotListIsServedAgain(t *testing.T) {
+	for name, abandoned := range map[string]bool{"probe given up": true, "probe not heard of": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				f := newFleet(2)
+				defer f.stop()
+				f.paths[0].setBlind(true)
+				f.paths[0].setCut(true)
+				// The call in progress ends.
+				time.Sleep(2 * watch.LongWait)
+				f.run(0, digest("x"), "a", true)
+				f.run(0, digest("x"), "b", true)
+				probe, err := f.guards[0].Send(t.Context(), digest("x"), probeLasts)
+				c.Assert(err, qt.IsNil)
+				c.Assert(probe, qt.Not(qt.Equals), "")
+				if abandoned {
+					f.guards[0].Abandoned(digest("x"), probe)
+					// It says nothing, so that the next one may come at once.
+					probe, err = f.guards[0].Send(t.Context(), digest("x"), probeLasts)
+					c.Assert(err, qt.IsNil)
+					f.guards[0].Abandoned(digest("x"), probe)
+				}
+				f.paths[0].setCut(false)
+				time.Sleep(5 * time.Second)
+				sent, _ := f.run(1, digest("x"), "sound", false)
+				c.Assert(sent, qt.IsTrue)
+				time.Sleep(100 * time.Millisecond)
+				f.paths[0].setBlind(false)
+				time.Sleep(5 * time.Second)
+				c.Assert(f.guards[0].Admit(digest("x")), qt.IsNil)
+				sent, _ = f.run(0, digest("x"), "sound", false)
+				c.Assert(sent, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// While the store is away, a request that a node holds in quarantine by itself does not make it ask all
+// the time.
+func TestStoreThatIsAwayIsNotAskedForEachRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(1)
+		defer f.stop()
+		f.paths[0].setCut(true)
+		f.quarantine(digest("x"))
+		_, err := f.guards[0].Send(t.Context(), digest("x"), probeLasts)
+		c.Assert(err, qt.IsNil)
+		before := f.paths[0].gets
+		for range 100 {
+			_, err := f.guards[0].Send(t.Context(), digest("x"), probeLasts)
+			c.Assert(err, qt.IsNotNil)
+		}
+		c.Assert(f.paths[0].gets-before, qt.Equals, 0)
+	})
+}
