--- a/internal/admin/revert.go
+++ b/internal/admin/revert.go
@@ -34,7 +34,7 @@
 	if req.To < 1 || req.To >= cur.Revision {
 		return nil, verdict.New(verdict.NotRun, verdict.InvalidRequest, "to: write a revision from 1 to %d", cur.Revision-1)
 	}
-	items, err := s.contentAt(r.Context(), req.To)
+	items, err := s.itemsAtRevision(r.Context(), req.To)
 	if err != nil {
 		return nil, err
 	}
@@ -42,9 +42,9 @@
 	return s.submit(r.Context(), op, ApplyRequest{Base: cur.Revision, DryRun: req.DryRun, Note: note, Force: true}, items)
 }
 
-// contentAt returns the items that turn the present templates and accounts into
+// itemsAtRevision returns the items that turn the present templates and accounts into
 // those of a revision. Drains and stops are orders of their day and stay.
-func (s *Server) contentAt(ctx context.Context, revision int64) ([]catalog.Item, error) {
+func (s *Server) itemsAtRevision(ctx context.Context, revision int64) ([]catalog.Item, error) {
 	then := make(map[string]json.RawMessage)
 	since := make(map[string]catalog.Item)
 	for after := int64(0); ; {
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -90,7 +90,7 @@
 
 // servePlatform runs an entry node on the platform.
 func (s *serveCmd) servePlatform(ctx context.Context, c *console) error {
-	// Heard before anything else: a hang-up that nobody hears ends the process.
+	// Registered first: a SIGHUP without a handler ends the process.
 	hangUps := make(chan os.Signal, 1)
 	signal.Notify(hangUps, syscall.SIGHUP)
 	defer signal.Stop(hangUps)
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -13,7 +13,7 @@
 func (n *Node) provisionLimits() {
 	n.limiter = sharedrate.New(sharedrate.Config{
 		Self: sharedrate.Node{Name: n.set.Node, Addr: n.set.ListenPeers}, Log: n.log,
-		PermitRequest: func(ctx context.Context, addr string, a sharedrate.PermitRequest) (sharedrate.Grant, error) {
+		AskPermits: func(ctx context.Context, addr string, a sharedrate.PermitRequest) (sharedrate.Grant, error) {
 			return n.peers.client.AskPermits(ctx, addr, a)
 		},
 	})
@@ -33,7 +33,7 @@
 // acquireRepeatPermit acquires a permit for a repeat, of a rate that all nodes share.
 func (n *Node) acquireRepeatPermit(ctx context.Context, service string, perSecond float64) bool {
 	now := time.Now()
-	rate := sharedrate.Rate{Key: "repeats at " + service, PerSecond: perSecond, Heard: now}
+	rate := sharedrate.Rate{Key: "repeats at " + service, PerSecond: perSecond, ConfirmedAt: now}
 	_, err := n.limiter.Acquire(ctx, rate, now, now.Add(repeatPermitTimeout))
 	if err != nil {
 		n.log.Info("no permit for a repeat", "service", service, "per_second", perSecond, "err", err)
--- a/internal/experiment/capacity/capacity_test.go
+++ b/internal/experiment/capacity/capacity_test.go
@@ -11,7 +11,7 @@
 // What is counted must not grow with the fleet; times are not asserted.
 func TestCountsStayAsTheFleetGrows(t *testing.T) {
 	small, large := Size{Hosts: 100, Targets: 1000}, Size{Hosts: 2000, Targets: 20_000}
-	qt.Check(t, askedByAFormer(large).Value <= askedByAFormer(small).Value+dataCentres, qt.IsTrue)
+	qt.Check(t, spaceQueriesAtStart(large).Value <= spaceQueriesAtStart(small).Value+dataCentres, qt.IsTrue)
 	qt.Check(t, repeatedFailures(large).Value, qt.Equals, float64(failures))
 	qt.Check(t, changeOfATarget(large).Allocations <= changeOfATarget(small).Allocations+5, qt.IsTrue)
 	qt.Check(t, reportsOnARollout(large).Value <= 600, qt.IsTrue)
--- a/internal/experiment/capacity/measures.go
+++ b/internal/experiment/capacity/measures.go
@@ -25,9 +25,9 @@
 	{"a change of a target, in the copy of the table", "us", "each node, each change", changeOfACopy},
 	{"choice of an engine", "us", "each node, each request", choiceOfAnEngine},
 	{"order at a former", "us", "former, each order", orderAtAFormer},
-	{"targets asked by a former that begins", "targets", "former, at a start", askedByAFormer},
-	{"choice of the former", "us", "each node, each order", choiceOfTheFormer},
-	{"choice of the node to follow", "us", "each node, each second", choiceOfTheTeller},
+	{"targets asked by a former that begins", "targets", "former, at a start", spaceQueriesAtStart},
+	{"choice of the former", "us", "each node, each order", chooseFormer},
+	{"choice of the node to follow", "us", "each node, each second", chooseRelay},
 	{"failures that are repeated, of 100 here and there", "requests", "all nodes", repeatedFailures},
 	{"reports on a roll-out, a second", "reports", "owner", reportsOnARollout},
 }
@@ -157,7 +157,7 @@
 	})
 }
 
-func askedByAFormer(s Size) Figure {
+func spaceQueriesAtStart(s Size) Figure {
 	p, f := formerOf(s)
 	order(f, 0)
 	asked := p.asked.Load()
@@ -187,14 +187,14 @@
 	return out
 }
 
-func choiceOfTheFormer(s Size) Figure {
+func chooseFormer(s Size) Figure {
 	_, f := formerOf(Size{Hosts: 1, Targets: dataCentres})
 	nodes := nodesOf(s)
 	r := stagebatch.NewRouter(nodes[0], f, nil, func() []stagebatch.Node { return nodes[1:] }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	return micros(func() { r.FirstBatchNode(stagePool) })
 }
 
-func choiceOfTheTeller(s Size) Figure {
+func chooseRelay(s Size) Figure {
 	var near []relay.Node
 	for i := range max(s.Hosts/dataCentres, 1) {
 		near = append(near, relay.Node{Name: fmt.Sprint("node-", i), Memory: 184 << 20})
--- a/internal/experiment/rates/model.go
+++ b/internal/experiment/rates/model.go
@@ -59,7 +59,7 @@
 type node struct {
 	name   string
 	index  int
-	way    sharer
+	way    rateLimiter
 	up     bool
 	thaws  time.Duration
 	cut    bool
@@ -287,13 +287,13 @@
 		}
 		return
 	}
-	for _, n := range r.struck(t.Share) {
+	for _, n := range r.affectedNodes(t.Share) {
 		r.strike(n, t.Kind, lasts)
 	}
 }
 
-// struck are the nodes that a trouble happens to: the granters of the first targets, then others.
-func (r *run) struck(share float64) []*node {
+// affectedNodes are the nodes that a trouble happens to: the granters of the first targets, then others.
+func (r *run) affectedNodes(share float64) []*node {
 	count := max(int(math.Ceil(share*float64(r.Nodes))), 1)
 	var out []*node
 	for _, t := range r.targets {
--- a/internal/experiment/rates/ways.go
+++ b/internal/experiment/rates/ways.go
@@ -30,16 +30,16 @@
 
 var errLost = errors.New("rates: no answer")
 
-// sharer is a node's side of a way.
-type sharer interface {
+// rateLimiter is a node's side of a way.
+type rateLimiter interface {
 	// acquire calls done when the request may be sent, or may not be.
 	acquire(t *target, done func(ok bool))
 	grant(a sharedrate.PermitRequest) sharedrate.Grant
 	setNodes(others []*node, now time.Time)
 }
 
-// begin returns the sharer of a process that begins now.
-func (w Way) begin(r *run, n *node) sharer {
+// begin returns the rateLimiter of a process that begins now.
+func (w Way) begin(r *run, n *node) rateLimiter {
 	if w == Permits {
 		began := r.clock()
 		if r.now == 0 {
@@ -126,7 +126,7 @@
 			latest = w.latest
 		}
 	}
-	a := p.broker.PermitRequest(sharedrate.Rate{Key: t.key, PerSecond: t.perSecond, Heard: t.heard}, asked, latest, now)
+	a := p.broker.PermitRequest(sharedrate.Rate{Key: t.key, PerSecond: t.perSecond, ConfirmedAt: t.heard}, asked, latest, now)
 	switch {
 	case !ok:
 		p.answered(t, asked, nil)
--- a/internal/flow/queue.go
+++ b/internal/flow/queue.go
@@ -163,7 +163,7 @@
 	cq := &q.classes[it.Class]
 	heap.Remove(&aq.items, it.index)
 	aq.service += it.Cost
-	cq.raiseFloor()
+	cq.advanceFloor()
 	q.afterRemoval(it)
 	return it
 }
@@ -233,9 +233,9 @@
 	return a.items[0].seq < b.items[0].seq
 }
 
-// raiseFloor raises the floor to the least service of the accounts. It never
+// advanceFloor raises the floor to the least service of the accounts. It never
 // lowers it.
-func (cq *classQueue) raiseFloor() {
+func (cq *classQueue) advanceFloor() {
 	low := time.Duration(-1)
 	for _, aq := range cq.accounts {
 		if low < 0 || aq.service < low {
--- a/internal/peer/permits.go
+++ b/internal/peer/permits.go
@@ -18,7 +18,7 @@
 // AskPermits requests permits of a rate limit from the node at addr.
 func (c *Client) AskPermits(ctx context.Context, addr string, a sharedrate.PermitRequest) (sharedrate.Grant, error) {
 	msg := &peerpb.PermitAsk{
-		Key: a.Key, Asker: a.Asker, PerSecond: a.PerSecond, HeardUs: a.Heard.Microseconds(), Ended: a.Ended,
+		Key: a.Key, Asker: a.Asker, PerSecond: a.PerSecond, HeardUs: a.ConfirmedAge.Microseconds(), Ended: a.Ended,
 		Want: uint32(a.Want), WithinUs: a.Within.Microseconds(),
 	}
 	resp, err := c.call(ctx, addr, &peerpb.Request{Call: &peerpb.Request_Permits{Permits: msg}})
@@ -28,7 +28,7 @@
 	g := resp.GetPermits()
 	return sharedrate.Grant{
 		Permits: int(g.GetPermits()), FirstIn: micros(g.GetInUs()), Spacing: micros(g.GetSpacingUs()), RetryAfter: micros(g.GetOpensUs()),
-		Ended: g.GetEnded(), Heard: micros(g.GetHeardUs()),
+		Ended: g.GetEnded(), EndedAge: micros(g.GetHeardUs()),
 	}, nil
 }
 
@@ -38,12 +38,12 @@
 		return nil, verdict.New(verdict.NotRun, verdict.Internal, "this node grants no permits")
 	}
 	g := s.h.Permits.Grant(sharedrate.PermitRequest{
-		Key: m.GetKey(), Asker: m.GetAsker(), PerSecond: m.GetPerSecond(), Heard: micros(m.GetHeardUs()), Ended: m.GetEnded(),
+		Key: m.GetKey(), Asker: m.GetAsker(), PerSecond: m.GetPerSecond(), ConfirmedAge: micros(m.GetHeardUs()), Ended: m.GetEnded(),
 		Want: int(m.GetWant()), Within: micros(m.GetWithinUs()),
 	})
 	return &peerpb.Response{Result: &peerpb.Response_Permits{Permits: &peerpb.PermitGrant{
 		Permits: uint32(g.Permits), InUs: g.FirstIn.Microseconds(), SpacingUs: g.Spacing.Microseconds(), OpensUs: g.RetryAfter.Microseconds(),
-		Ended: g.Ended, HeardUs: g.Heard.Microseconds(),
+		Ended: g.Ended, HeardUs: g.EndedAge.Microseconds(),
 	}}}, nil
 }
 
--- a/internal/relay/teller.go
+++ b/internal/relay/publisher.go
@@ -34,48 +34,48 @@
 }
 
 // Tables returns the tables whose copies are sent.
-func (t *Publisher) Tables() []*watch.Table { return t.tables }
+func (p *Publisher) Tables() []*watch.Table { return p.tables }
 
 // Followers returns how many nodes follow this one.
-func (t *Publisher) Followers() int { return int(t.followers.Load()) }
+func (p *Publisher) Followers() int { return int(p.followers.Load()) }
 
 // Wake sends the next message to each follower now, as a copy changed, or the store stopped or
 // resumed answering.
-func (t *Publisher) Wake() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	close(t.wake)
-	t.wake = make(chan struct{})
+func (p *Publisher) Wake() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.wake)
+	p.wake = make(chan struct{})
 }
 
 // Stop ends all calls of followers with ErrStopping, also later ones.
-func (t *Publisher) Stop() {
-	t.stopping.Store(true)
-	t.Wake()
+func (p *Publisher) Stop() {
+	p.stopping.Store(true)
+	p.Wake()
 }
 
 // woken returns the channel that the next Wake closes.
-func (t *Publisher) woken() <-chan struct{} {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.wake
+func (p *Publisher) woken() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.wake
 }
 
 // Follow sends a follower what it lacks and all later changes, until ctx ends, send fails or Stop is
 // called. It updates the versions in have to what was sent.
-func (t *Publisher) Follow(ctx context.Context, have []Have, send func(Told) error) error {
-	t.followers.Add(1)
-	t.refresh()
-	defer t.followers.Add(-1)
+func (p *Publisher) Follow(ctx context.Context, have []Have, send func(Told) error) error {
+	p.followers.Add(1)
+	p.refresh()
+	defer p.followers.Add(-1)
 	for {
-		woken := t.woken()
-		if t.stopping.Load() {
+		woken := p.woken()
+		if p.stopping.Load() {
 			return ErrStopping
 		}
-		if err := send(t.buildMessage(have)); err != nil {
+		if err := send(p.buildMessage(have)); err != nil {
 			return err
 		}
-		if t.lacks(have) {
+		if p.lacks(have) {
 			continue
 		}
 		select {
@@ -88,9 +88,9 @@
 
 // lacks reports whether a follower at the versions in have lacks changes, as after a cached update
 // with a whole table.
-func (t *Publisher) lacks(have []Have) bool {
+func (p *Publisher) lacks(have []Have) bool {
 	for _, h := range have {
-		if table := t.table(h.Table); table != nil && h.Version.Before(table.Copy().Position().Version) {
+		if table := p.table(h.Table); table != nil && h.Version.Before(table.Copy().Position().Version) {
 			return true
 		}
 	}
@@ -98,7 +98,7 @@
 }
 
 // Serve implements suture.Service: it sends a message to each follower every heartbeat.
-func (t *Publisher) Serve(ctx context.Context) error {
+func (p *Publisher) Serve(ctx context.Context) error {
 	tick := time.NewTicker(heartbeat)
 	defer tick.Stop()
 	for {
@@ -106,8 +106,8 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-tick.C:
-			if t.Followers() > 0 {
-				t.Wake()
+			if p.Followers() > 0 {
+				p.Wake()
 			}
 		}
 	}
@@ -117,14 +117,14 @@
 // long that the last answer is too old for a follower. It does so at most once per maxAge, however
 // often followers come and go. It ends the calls of all tables, not only the first one's: usually the
 // first table's call in progress detects that another call hangs, but that one ends here.
-func (t *Publisher) refresh() {
-	last := t.refreshed.Load()
+func (p *Publisher) refresh() {
+	last := p.refreshed.Load()
 	now := time.Now().UnixNano()
-	if t.followers.Load() > 1 || now-last < int64(maxAge) || !t.refreshed.CompareAndSwap(last, now) {
+	if p.followers.Load() > 1 || now-last < int64(maxAge) || !p.refreshed.CompareAndSwap(last, now) {
 		return
 	}
-	t.tables[0].PollNow()
-	for _, table := range t.tables[1:] {
+	p.tables[0].PollNow()
+	for _, table := range p.tables[1:] {
 		if table.Copy().Rows() == nil {
 			table.PollNow()
 			continue
@@ -134,15 +134,15 @@
 }
 
 // buildMessage builds one message and records in have the versions that it brings a follower to.
-func (t *Publisher) buildMessage(have []Have) Told {
-	lead := t.tables[0]
+func (p *Publisher) buildMessage(have []Have) Told {
+	lead := p.tables[0]
 	// Before the first answer, and after the host was suspended, the copies may be old.
 	told := Told{Away: lead.Lost() || lead.LastAnswer().IsZero(), Tables: make([]TableMessage, len(have))}
 	if heard := lead.LastAnswer(); !heard.IsZero() {
 		told.AnswerAge = time.Since(heard)
 	}
 	for i := range have {
-		table := t.table(have[i].Table)
+		table := p.table(have[i].Table)
 		if table == nil {
 			continue
 		}
@@ -152,8 +152,8 @@
 	return told
 }
 
-func (t *Publisher) table(name string) *watch.Table {
-	for _, table := range t.tables {
+func (p *Publisher) table(name string) *watch.Table {
+	for _, table := range p.tables {
 		if table.Name == name {
 			return table
 		}
--- a/internal/sharedrate/broker.go
+++ b/internal/sharedrate/broker.go
@@ -121,7 +121,7 @@
 // of the rate. waiting is the number of these client requests; the last of them gives up at latest.
 func (b *Broker) PermitRequest(rate Rate, waiting int, latest, now time.Time) PermitRequest {
 	return PermitRequest{
-		Key: rate.Key, Asker: b.self.Name, PerSecond: rate.PerSecond, Heard: now.Sub(rate.Heard),
+		Key: rate.Key, Asker: b.self.Name, PerSecond: rate.PerSecond, ConfirmedAge: now.Sub(rate.ConfirmedAt),
 		Want: b.permitCache(rate.Key).want(waiting, now), Within: max(latest.Sub(now), 0),
 	}
 }
--- a/internal/sharedrate/granter.go
+++ b/internal/sharedrate/granter.go
@@ -12,11 +12,11 @@
 	Key string
 	// Asker is the name of the requesting node.
 	Asker string
-	// PerSecond is the rate that the requesting node last observed, in requests per second. Heard
-	// is the duration since that observation or, with Ended, since the node observed the end of the
+	// PerSecond is the rate that the requesting node last observed, in requests per second.
+	// ConfirmedAge is the duration since that observation or, with Ended, since the node observed the end of the
 	// limit.
-	PerSecond float64
-	Heard     time.Duration
+	PerSecond    float64
+	ConfirmedAge time.Duration
 	// Ended reports that the requesting node observed the end of the limit.
 	Ended bool
 	// Want is the number of permits that the node can use within the duration Within.
@@ -35,9 +35,9 @@
 	// granted fewer permits than it wanted.
 	RetryAfter time.Duration
 	// Ended reports that the target no longer has a rate limit, so that requests need no permits.
-	// Heard is then the duration since a node observed the end of the limit; 0 without Ended.
-	Ended bool
-	Heard time.Duration
+	// EndedAge is then the duration since a node observed the end of the limit; 0 without Ended.
+	Ended    bool
+	EndedAge time.Duration
 }
 
 // The bound that all constants here keep: in any period of length BoundWindow, all nodes together
@@ -130,7 +130,7 @@
 	}
 	r.lastRequest = now
 	if ended := r.observe(a, now); ended {
-		return Grant{Ended: true, Heard: now.Sub(r.ended)}
+		return Grant{Ended: true, EndedAge: now.Sub(r.ended)}
 	}
 	if a.Want <= 0 {
 		return Grant{}
@@ -157,7 +157,7 @@
 // observe applies the limit that the requesting node observed, if the observation is newer than the
 // last one applied, and reports whether the requesting node must take the limit as ended.
 func (r *rateState) observe(a PermitRequest, now time.Time) (ended bool) {
-	confirmedAt := now.Add(-a.Heard)
+	confirmedAt := now.Add(-a.ConfirmedAge)
 	if a.Ended {
 		if confirmedAt.After(r.confirmedAt) {
 			r.ended = confirmedAt
--- a/internal/sharedrate/limiter.go
+++ b/internal/sharedrate/limiter.go
@@ -15,8 +15,8 @@
 	// Key names the rate.
 	Key       string
 	PerSecond float64
-	// Heard is when this node last observed the limit.
-	Heard time.Time
+	// ConfirmedAt is when this node last observed the limit.
+	ConfirmedAt time.Time
 }
 
 // Denied is the error of a request that gets no permit in time.
@@ -41,10 +41,10 @@
 // Config configures a Limiter.
 type Config struct {
 	Self Node
-	// PermitRequest sends a permit request to the node at addr. Its error is ErrNotReady where this
+	// AskPermits sends a permit request to the node at addr. Its error is ErrNotReady where this
 	// node cannot send yet.
-	PermitRequest func(ctx context.Context, addr string, a PermitRequest) (Grant, error)
-	Log           *slog.Logger
+	AskPermits func(ctx context.Context, addr string, a PermitRequest) (Grant, error)
+	Log        *slog.Logger
 }
 
 // maxGranters bounds the nodes that are asked for one permit.
@@ -239,7 +239,7 @@
 	l.broker.ApplyGrant(key, grant, now)
 	denied := &Denied{RetryAt: l.broker.RetryAt(key), Granter: granter}
 	if grant != nil && grant.Ended {
-		denied.Ended, denied.EndedAt = true, now.Add(-grant.Heard)
+		denied.Ended, denied.EndedAt = true, now.Add(-grant.EndedAge)
 	}
 	var remaining []*waiter
 	for _, w := range q.waiting {
@@ -287,7 +287,7 @@
 func (l *Limiter) askNode(n Node, a PermitRequest) (Grant, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
-	g, err := l.cfg.PermitRequest(ctx, n.Addr, a)
+	g, err := l.cfg.AskPermits(ctx, n.Addr, a)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.broker.RecordAnswer(n.Name, err, time.Now())
@@ -314,7 +314,7 @@
 // the limit at heard, and drops this node's permits of the rate.
 func (l *Limiter) Ended(key string, heard time.Time) {
 	go func() {
-		if _, _, err := l.askGranter(PermitRequest{Key: key, Asker: l.cfg.Self.Name, Ended: true, Heard: time.Since(heard)}); err != nil {
+		if _, _, err := l.askGranter(PermitRequest{Key: key, Asker: l.cfg.Self.Name, Ended: true, ConfirmedAge: time.Since(heard)}); err != nil {
 			// The other nodes observe the end in answers of the target to their own requests.
 			l.cfg.Log.Debug("report of an ended limit failed", "key", key, "err", err)
 		}
--- a/internal/sharedrate/word.go
+++ b/internal/sharedrate/limitestimate.go
@@ -66,8 +66,8 @@
 // Limit returns the estimated limit in requests per second; limited is false for none.
 func (b *LimitEstimate) Limit() (perSecond float64, limited bool) { return b.perSecond, b.limited }
 
-// Heard returns when the limit was last confirmed.
-func (b *LimitEstimate) Heard() time.Time { return b.confirmedAt }
+// ConfirmedAt returns when the limit was last confirmed.
+func (b *LimitEstimate) ConfirmedAt() time.Time { return b.confirmedAt }
 
 // ObserveEnd applies the report of another node that it observed the end of the limit at the time
 // at, and reports whether the estimate changed. The report counts only if it is at least
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -178,8 +178,8 @@
 	return false
 }
 
-// knowsTarget reports whether a service has a usable target in the given regions.
-func (f *Former) knowsTarget(service string, in region.Set) bool {
+// hasUsableTarget reports whether a service has a usable target in the given regions.
+func (f *Former) hasUsableTarget(service string, in region.Set) bool {
 	return slices.ContainsFunc(f.list.Usable(service), func(t targets.Target) bool { return f.Regions.Allows(in, t.DataCentre) })
 }
 
--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -147,7 +147,7 @@
 // the next node shortens the recovery from a loss of all nodes.
 func (r *Router) final(o Order, err error) bool {
 	if errors.Is(err, ErrNoTarget) {
-		return !r.local.knowsTarget(o.Service, o.Regions)
+		return !r.local.hasUsableTarget(o.Service, o.Regions)
 	}
 	for _, e := range []error{ErrLate, ErrInputGone, ErrFailed, ErrCrashed} {
 		if errors.Is(err, e) {
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -133,7 +133,7 @@
 	}
 	if v == nil {
 		if t.Kind() != reflect.Pointer && t.Kind() != reflect.Interface {
-			probs.Add(orRoot(path), "is null: write %s or leave it out", describe(t))
+			probs.Add(pathOrInput(path), "is null: write %s or leave it out", describe(t))
 		}
 		return
 	}
@@ -156,12 +156,12 @@
 func checkCustom(probs *Problems, path string, v any, t reflect.Type) {
 	b, err := json.Marshal(v)
 	if err != nil {
-		probs.Add(orRoot(path), "cannot be encoded: %v", err)
+		probs.Add(pathOrInput(path), "cannot be encoded: %v", err)
 		return
 	}
 	p := reflect.New(t).Interface().(json.Unmarshaler)
 	if err := p.UnmarshalJSON(b); err != nil {
-		probs.Add(orRoot(path), "%v", err)
+		probs.Add(pathOrInput(path), "%v", err)
 	}
 }
 
@@ -170,7 +170,7 @@
 func checkStruct(probs *Problems, path string, v any, t reflect.Type) {
 	obj, ok := v.(map[string]any)
 	if !ok {
-		probs.Add(orRoot(path), "is %s: write an object", kindOf(v))
+		probs.Add(pathOrInput(path), "is %s: write an object", kindOf(v))
 		return
 	}
 	fields := fieldsOf(t)
@@ -207,7 +207,7 @@
 func checkMap(probs *Problems, path string, v any, t reflect.Type) {
 	obj, ok := v.(map[string]any)
 	if !ok {
-		probs.Add(orRoot(path), "is %s: write an object", kindOf(v))
+		probs.Add(pathOrInput(path), "is %s: write an object", kindOf(v))
 		return
 	}
 	for _, key := range sortedKeys(obj) {
@@ -221,7 +221,7 @@
 		if _, isString := v.(string); isString && t.Elem().Kind() == reflect.Uint8 {
 			return
 		}
-		probs.Add(orRoot(path), "is %s: write a list", kindOf(v))
+		probs.Add(pathOrInput(path), "is %s: write a list", kindOf(v))
 		return
 	}
 	for i, e := range list {
@@ -235,7 +235,7 @@
 		err = json.Unmarshal(b, reflect.New(t).Interface())
 	}
 	if err != nil {
-		probs.Add(orRoot(path), "is %s: write %s", kindOf(v), describe(t))
+		probs.Add(pathOrInput(path), "is %s: write %s", kindOf(v), describe(t))
 	}
 }
 
@@ -267,8 +267,8 @@
 	return path + "." + key
 }
 
-// orRoot returns path, or "(input)" for the path of the whole input.
-func orRoot(path string) string {
+// pathOrInput returns path, or "(input)" for the path of the whole input.
+func pathOrInput(path string) string {
 	if path == "" {
 		return "(input)"
 	}
--- a/internal/targets/limit.go
+++ b/internal/targets/limit.go
@@ -52,14 +52,14 @@
 	if t.Permits == nil {
 		return sharedrate.Rate{}, false
 	}
-	r = sharedrate.Rate{Key: s.process, Heard: s.reported.limit.Heard()}
+	r = sharedrate.Rate{Key: s.process, ConfirmedAt: s.reported.limit.ConfirmedAt()}
 	r.PerSecond, bounded = s.reported.limit.Limit()
 	if !s.warmup.cold(now) || t.WarmupRate == nil {
 		return r, bounded
 	}
 	if warm := t.WarmupRate(s.Service); warm > 0 && (!bounded || warm < r.PerSecond) {
 		// All nodes derive this rate from the same list, so it counts as confirmed now.
-		r.PerSecond, r.Heard, bounded = warm, now, true
+		r.PerSecond, r.ConfirmedAt, bounded = warm, now, true
 	}
 	return r, bounded
 }
--- a/internal/targets/warmup_test.go
+++ b/internal/targets/warmup_test.go
@@ -42,7 +42,7 @@
 		name := fmt.Sprint("node-", i)
 		l := sharedrate.New(sharedrate.Config{
 			Self: sharedrate.Node{Name: name, Addr: name}, Log: slog.New(slog.DiscardHandler),
-			PermitRequest: func(_ context.Context, addr string, a sharedrate.PermitRequest) (sharedrate.Grant, error) {
+			AskPermits: func(_ context.Context, addr string, a sharedrate.PermitRequest) (sharedrate.Grant, error) {
 				time.Sleep(oneWayDelay)
 				g := limiters[addr].Grant(a)
 				time.Sleep(oneWayDelay)
