Peers: nothing outlives Close

Callers: nothing shown; a node that stops could take orders and followers until its process ended. Cause: a connection whose handshake is under way at Close was registered, or stored by the dialling side, afterwards; Serve left its sessions open when the owner closed the listener; retire did nothing while any call held the session's lock; retired connections and clients that are set late outlived Close. Change: connections are recorded before the handshake, a closed client cancels and refuses, a retired connection is marked.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -384,16 +384,29 @@
 type deferredClient struct {
 	c     atomic.Pointer[peer.Client]
 	ready chan struct{}
+
+	mu     sync.Mutex
+	closed bool
 }
 
 func newDeferredClient() *deferredClient { return &deferredClient{ready: make(chan struct{})} }
 
 var errNoKey = eris.New("entry: the shared secret is not known yet")
 
+// set replaces the client, and closes the last one.
 func (l *deferredClient) set(c *peer.Client) {
-	if l.c.Swap(c) == nil {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		c.Close()
+		return
+	}
+	last := l.c.Swap(c)
+	if last == nil {
 		close(l.ready)
+		return
 	}
+	last.Close()
 }
 
 // Follow implements relay.Remote. It waits for the secret: a node that starts needs the tables
@@ -452,7 +465,11 @@
 	return c.AskPermits(ctx, addr, a)
 }
 
+// close closes the client, or the one that is set later.
 func (l *deferredClient) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
 	if c := l.c.Load(); c != nil {
 		c.Close()
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -31,10 +31,19 @@
 	node     string
 	versions Versions
 
+	// closing ends when the client is closed; close ends it.
+	closing context.Context
+	close   context.CancelFunc
+
 	mu       sync.Mutex
 	sessions map[string]*session
+	// retired are the connections that were retired and still have open streams.
+	retired map[*muxConn]bool
 }
 
+// errClientClosed is the error of calls of a closed Client.
+var errClientClosed = eris.New("peer: the client is closed")
+
 // session holds the connection to one node.
 type session struct {
 	// lock guards the fields below. It is a channel of capacity 1, so that a
@@ -52,11 +61,25 @@
 	if versions == nil {
 		versions = noVersions{}
 	}
-	return &Client{dial: dial, key: key, node: node, versions: versions, sessions: make(map[string]*session)}
+	closing, closeClient := context.WithCancel(context.Background())
+	return &Client{
+		dial: dial, key: key, node: node, versions: versions, closing: closing, close: closeClient,
+		sessions: make(map[string]*session), retired: make(map[*muxConn]bool),
+	}
 }
 
-// Close closes all connections that are not being established.
-func (c *Client) Close() { c.closeIf(func(*session) bool { return true }) }
+// Close closes all connections, and those that are being established as soon as they are ready.
+// Later calls fail.
+func (c *Client) Close() {
+	c.close()
+	c.closeIf(func(*session) bool { return true })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for mux := range c.retired {
+		// The client drops the connection, so an error of Close is of no use.
+		_ = mux.Close()
+	}
+}
 
 // CloseIdle closes the connections without open streams that were not requested
 // within idleTimeout.
@@ -84,15 +107,38 @@
 }
 
 // connection returns the connection to the node at addr. It establishes one if
-// there is none or the last one has ended.
+// there is none, the last one has ended or it was retired.
 func (c *Client) connection(ctx context.Context, addr string) (*muxConn, error) {
+	if c.closing.Err() != nil {
+		return nil, errClientClosed
+	}
+	mux, err := c.lockedConnection(ctx, c.session(addr), addr)
+	if err != nil {
+		return nil, err
+	}
+	// Close skips sessions that are locked. The session was locked until now, so either Close finds
+	// the connection, or the client counts as closed here.
+	if c.closing.Err() != nil {
+		_ = mux.Close()
+		return nil, errClientClosed
+	}
+	return mux, nil
+}
+
+// session returns the session of the node at addr.
+func (c *Client) session(addr string) *session {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	s := c.sessions[addr]
 	if s == nil {
 		s = &session{lock: make(chan struct{}, 1)}
 		c.sessions[addr] = s
 	}
-	c.mu.Unlock()
+	return s
+}
+
+// lockedConnection returns the connection of a session, which it locks meanwhile.
+func (c *Client) lockedConnection(ctx context.Context, s *session, addr string) (*muxConn, error) {
 	select {
 	case s.lock <- struct{}{}:
 	case <-ctx.Done():
@@ -100,7 +146,7 @@
 	}
 	defer func() { <-s.lock }()
 	s.used = time.Now()
-	if s.mux != nil && !s.mux.IsClosed() {
+	if s.mux != nil && !s.mux.IsClosed() && !c.isRetired(s.mux) {
 		return s.mux, nil
 	}
 	mux, err := c.connect(ctx, addr)
@@ -114,44 +160,48 @@
 // retire makes the next call to a node use a new connection: mux may be broken
 // although new connections work. Calls in progress on mux continue. It is closed
 // after the last of them, or when its keep-alives fail.
-func (c *Client) retire(addr string, mux *muxConn) {
+func (c *Client) retire(mux *muxConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := c.sessions[addr]
-	if s == nil {
-		return
-	}
-	select {
-	case s.lock <- struct{}{}:
-	default:
-		// The session is locked: its connection is being replaced.
-		return
-	}
-	defer func() { <-s.lock }()
-	if s.mux != mux {
+	if c.retired[mux] || mux.IsClosed() {
 		return
 	}
-	delete(c.sessions, addr)
-	go closeWhenUnused(mux)
+	c.retired[mux] = true
+	go c.closeWhenUnused(mux)
+}
+
+func (c *Client) isRetired(mux *muxConn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retired[mux]
 }
 
 // retiredPollInterval is the interval at which a retired connection is checked for open
 // streams.
 const retiredPollInterval = time.Second
 
-// closeWhenUnused closes a connection once it has no open streams.
-func closeWhenUnused(mux *muxConn) {
-	for mux.NumStreams() > 0 && !mux.IsClosed() {
-		time.Sleep(retiredPollInterval)
+// closeWhenUnused closes a retired connection once it has no open streams or the client is closed.
+func (c *Client) closeWhenUnused(mux *muxConn) {
+	tick := time.NewTicker(retiredPollInterval)
+	defer tick.Stop()
+	for mux.NumStreams() > 0 && !mux.IsClosed() && c.closing.Err() == nil {
+		select {
+		case <-tick.C:
+		case <-c.closing.Done():
+		}
 	}
 	// The connection is retired, so an error of Close is of no use.
 	_ = mux.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.retired, mux)
 }
 
 // connect dials the node at addr and authenticates.
 func (c *Client) connect(ctx context.Context, addr string) (*muxConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
+	defer context.AfterFunc(c.closing, cancel)()
 	conn, err := c.dial(ctx, "tcp", addr)
 	if err != nil {
 		return nil, eris.Wrap(err, "connect to peer")
--- a/internal/peer/pending.go
+++ b/internal/peer/pending.go
@@ -70,7 +70,7 @@
 // retire makes later calls use a new connection; see Client.retire.
 func (x *pendingCall) retire() {
 	if conn := x.conn.Load(); conn != nil {
-		x.client.retire(x.addr, conn)
+		x.client.retire(conn)
 	}
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -72,6 +72,9 @@
 
 	mu       sync.Mutex
 	sessions map[*muxConn]bool
+	// conns are the connections of the sessions, and those whose handshake is in progress.
+	conns  map[net.Conn]bool
+	closed bool
 }
 
 // NewServer returns a server that accepts connections from l and sends node as its name.
@@ -79,24 +82,30 @@
 	if h.Versions == nil {
 		h.Versions = noVersions{}
 	}
-	return &Server{listener: l, key: key, node: node, h: h, log: log, sessions: make(map[*muxConn]bool)}
+	return &Server{listener: l, key: key, node: node, h: h, log: log, sessions: make(map[*muxConn]bool), conns: make(map[net.Conn]bool)}
 }
 
 // Addr returns the address on which the server listens.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Close closes the listener and all connections.
+// Close closes the listener and all connections, also those whose handshake is in progress.
 func (s *Server) Close() {
 	s.listener.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for sess := range s.sessions {
 		sess.Close()
 	}
+	for c := range s.conns {
+		c.Close()
+	}
 }
 
 // Serve implements suture.Service.
 func (s *Server) Serve(ctx context.Context) error {
+	// The listener may also be closed by its owner.
+	defer s.Close()
 	stop := context.AfterFunc(ctx, s.Close)
 	defer stop()
 	for {
@@ -105,6 +114,7 @@
 			return suture.ErrDoNotRestart
 		}
 		if err != nil {
+			s.log.Warn("peer connection not accepted", "err", err)
 			return err
 		}
 		go s.session(ctx, c)
@@ -114,6 +124,10 @@
 // session authenticates a connection and handles the calls on it until it ends.
 func (s *Server) session(ctx context.Context, c net.Conn) {
 	defer c.Close()
+	if !s.track(c) {
+		return
+	}
+	defer s.untrack(c)
 	peer, err := handshake(c, s.key, s.node, false)
 	if err != nil {
 		s.log.Warn("peer handshake failed", "remote", c.RemoteAddr().String(), "err", err)
@@ -121,6 +135,7 @@
 	}
 	sess, err := newMux(c, false)
 	if err != nil {
+		s.log.Warn("peer connection failed", "peer", peer, "err", err)
 		return
 	}
 	defer sess.Close()
@@ -138,7 +153,24 @@
 	}
 }
 
-// add registers a connection. It returns false if that would exceed the limit.
+// track records a connection that Close must close. It returns false if the server is closed.
+func (s *Server) track(c net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[c] = true
+	return true
+}
+
+func (s *Server) untrack(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// add registers a session. It returns false if that would exceed the limit.
 func (s *Server) add(sess *muxConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
