--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -34,9 +34,8 @@
 
 	mu      sync.Mutex
 	limits  routes.Limits
-	current *http.Server
 	all     []*http.Server
-	conns   chan net.Conn
+	current *connListener
 	closed  bool
 }
 
@@ -77,11 +76,10 @@
 	if c.closed {
 		return
 	}
+	callerConns := &connListener{addr: c.ln.Addr(), conns: make(chan net.Conn), done: make(chan struct{})}
 	c.limits = l
-	c.conns = make(chan net.Conn)
-	c.current = srv
+	c.current = callerConns
 	c.all = append(c.all, srv)
-	callerConns := &connListener{addr: c.ln.Addr(), conns: c.conns, done: make(chan struct{})}
 	go func() {
 		if err := srv.Serve(callerConns); !errors.Is(err, http.ErrServerClosed) {
 			c.log.Error("http server for callers failed", "err", err)
@@ -107,10 +105,13 @@
 			return err
 		}
 		c.mu.Lock()
-		conns := c.conns
+		server := c.current
 		c.mu.Unlock()
 		select {
-		case conns <- conn:
+		case server.conns <- conn:
+		case <-server.done:
+			// The server was shut down after the connection was accepted.
+			conn.Close()
 		case <-ctx.Done():
 			conn.Close()
 		}
--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -7,9 +7,12 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"topazmoor/internal/peer"
 )
 
 // lastAccept is a listener that returns one connection just after the node has ended.
@@ -41,3 +44,67 @@
 	caller.Close()
 	c.close()
 }
+
+// shutdownAccept is a listener whose first connection arrives while the server is shut down, and
+// which has no others.
+type shutdownAccept struct {
+	net.Listener
+	conn     net.Conn
+	shutdown func()
+}
+
+// Accept implements net.Listener.
+func (l *shutdownAccept) Accept() (net.Conn, error) {
+	if l.conn == nil {
+		return nil, net.ErrClosed
+	}
+	conn := l.conn
+	l.conn = nil
+	l.shutdown()
+	return conn, nil
+}
+
+// A connection that is accepted while the server is shut down must be closed at once, not when the
+// process ends: no server reads its request.
+func TestConnectionThatIsAcceptedDuringAShutdownIsClosed(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer ln.Close()
+	synctest.Test(t, func(t *testing.T) {
+		caller, accepted := net.Pipe()
+		l := &shutdownAccept{Listener: ln, conn: accepted}
+		c := newCallerServer(l, http.NotFoundHandler(), slog.New(slog.DiscardHandler))
+		l.shutdown = func() { qt.Check(t, c.shutdown(t.Context()), qt.IsNil) }
+		synctest.Wait()
+		done := make(chan error, 1)
+		go func() { done <- c.Serve(t.Context()) }()
+		synctest.Wait()
+		qt.Check(t, accepted.SetDeadline(time.Time{}), qt.ErrorIs, io.ErrClosedPipe)
+		qt.Check(t, done, qt.HasLen, 1)
+		caller.Close()
+	})
+}
+
+// A client that is set after the node has closed its peers must be closed, as nobody closes it
+// later.
+func TestClientThatIsSetAfterTheCloseIsClosed(t *testing.T) {
+	dialed := false
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		dialed = true
+		return nil, net.ErrClosed
+	}
+	newClient := func() *peer.Client { return peer.NewClient(dial, nil, "a", nil) }
+	l := newDeferredClient()
+	first, second := newClient(), newClient()
+	l.set(first)
+	l.set(second)
+	_, err := first.Demand(t.Context(), "10.0.0.1:1")
+	qt.Check(t, err, qt.IsNotNil)
+	qt.Check(t, dialed, qt.IsFalse)
+	l.close()
+	late := newClient()
+	l.set(late)
+	_, err = late.Demand(t.Context(), "10.0.0.1:1")
+	qt.Check(t, err, qt.IsNotNil)
+	qt.Check(t, dialed, qt.IsFalse)
+}
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -388,3 +388,13 @@
 	defer mu.Unlock()
 	c.Assert(got, qt.DeepEquals, []string{"sent-0", "sent-1", "sent-2"})
 }
+
+// A connection whose request ends after the pool was closed must be closed: nobody closes it later.
+func TestConnectionThatIsReturnedAfterTheCloseIsClosed(t *testing.T) {
+	p := newPool(t)
+	here, there := net.Pipe()
+	defer there.Close()
+	p.Close()
+	p.putIdle(&conn{Conn: here, addr: "a"})
+	qt.Check(t, here.SetDeadline(time.Time{}), qt.ErrorIs, io.ErrClosedPipe)
+}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -34,8 +34,9 @@
 type Pool struct {
 	cfg Config
 
-	mu   sync.Mutex
-	idle map[string][]*conn
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	closed bool
 }
 
 // New returns an empty Pool.
@@ -92,13 +93,13 @@
 }
 
 // putIdle returns a connection to the pool after its last answer was read to its
-// end. It closes the connection if the target already has MaxIdle idle ones.
+// end. It closes the connection if the target already has MaxIdle idle ones or the pool is closed.
 func (p *Pool) putIdle(c *conn) {
 	c.used = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[c.addr]
-	if len(list) >= p.cfg.MaxIdle {
+	if p.closed || len(list) >= p.cfg.MaxIdle {
 		c.Close()
 		return
 	}
@@ -148,10 +149,11 @@
 	}
 }
 
-// Close closes all idle connections.
+// Close closes all idle connections, and those in use once their request has ended.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closed = true
 	for _, list := range p.idle {
 		for _, c := range list {
 			c.Close()
