--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -355,7 +355,7 @@
 	for _, s := range []suture.Service{
 		supervise.Named("configuration", n.configTable), supervise.Named("list of targets", n.targetTable),
 		supervise.Named("peers", n.peers), supervise.Named("peer server", n.peers.server), supervise.Named("members", n.peers.members),
-		supervise.Named("follower", n.follower), supervise.Named("teller", n.relayServer),
+		supervise.Named("follower", n.follower), supervise.Named("publisher", n.relayServer),
 		supervise.Named("callers", n.callerServer), supervise.Named("quarantine", n.quarantineTable), supervise.Named("guard", n.guard),
 		supervise.Named("suspensions", n.detector), supervise.Named("roll-outs", n.gate), supervise.Named("sweeper", &sweeper{n}),
 	} {
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -411,13 +411,13 @@
 
 // Follow implements relay.Remote. It waits for the secret: a node that starts needs the tables
 // of the store before anything else.
-func (l *deferredClient) Follow(ctx context.Context, addr string, have []relay.Have, told func(relay.Told) error) error {
+func (l *deferredClient) Follow(ctx context.Context, addr string, have []relay.KnownVersion, handle func(relay.Message) error) error {
 	select {
 	case <-ctx.Done():
 		return errNoKey
 	case <-l.ready:
 	}
-	return l.c.Load().Follow(ctx, addr, have, told)
+	return l.c.Load().Follow(ctx, addr, have, handle)
 }
 
 // Produce implements stagebatch.Remote.
--- a/internal/peer/follow.go
+++ b/internal/peer/follow.go
@@ -20,7 +20,7 @@
 
 // Publisher sends updates of store tables to the nodes that follow this node; see relay.Publisher.
 type Publisher interface {
-	Follow(ctx context.Context, have []relay.Have, send func(relay.Told) error) error
+	Follow(ctx context.Context, have []relay.KnownVersion, send func(relay.Message) error) error
 }
 
 const (
@@ -33,7 +33,7 @@
 )
 
 // Follow implements relay.Remote. It calls receive for each message until an error.
-func (c *Client) Follow(ctx context.Context, addr string, have []relay.Have, receive func(relay.Told) error) error {
+func (c *Client) Follow(ctx context.Context, addr string, have []relay.KnownVersion, receive func(relay.Message) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	request := &peerpb.Follow{}
@@ -77,11 +77,11 @@
 	defer cancel()
 	st.SetReadDeadline(time.Time{})
 	go cancelOnClose(st, cancel)
-	var have []relay.Have
+	var have []relay.KnownVersion
 	for _, h := range m.Have {
-		have = append(have, relay.Have{Table: h.Table, Version: store.Version{Era: h.Era, Number: h.Version}})
+		have = append(have, relay.KnownVersion{Table: h.Table, Version: store.Version{Era: h.Era, Number: h.Version}})
 	}
-	return s.h.Publisher.Follow(ctx, have, func(t relay.Told) error {
+	return s.h.Publisher.Follow(ctx, have, func(t relay.Message) error {
 		msg, err := s.packer.statusTo(t)
 		if err != nil {
 			return err
@@ -111,7 +111,7 @@
 // packedTables is the number of compressed tables that are cached.
 const packedTables = 3
 
-func (p *packer) statusTo(t relay.Told) (*peerpb.Told, error) {
+func (p *packer) statusTo(t relay.Message) (*peerpb.Told, error) {
 	out := &peerpb.Told{Away: t.Away, AgeMs: t.AnswerAge.Milliseconds()}
 	for _, table := range t.Tables {
 		m := &peerpb.TableTold{Era: table.Position.Version.Era, Version: table.Position.Version.Number, Sum: table.Position.Sum}
@@ -172,17 +172,17 @@
 }
 
 // statusFrom decodes a message about tables, which are in the order of the request.
-func statusFrom(m *peerpb.Told, tables []string) (relay.Told, error) {
+func statusFrom(m *peerpb.Told, tables []string) (relay.Message, error) {
 	if m == nil || len(m.Table) != len(tables) {
-		return relay.Told{}, eris.New("message from peer has the wrong number of tables")
+		return relay.Message{}, eris.New("message from peer has the wrong number of tables")
 	}
-	out := relay.Told{Away: m.Away, AnswerAge: time.Duration(m.AgeMs) * time.Millisecond}
+	out := relay.Message{Away: m.Away, AnswerAge: time.Duration(m.AgeMs) * time.Millisecond}
 	for i, table := range m.Table {
 		status := relay.TableMessage{Position: watch.Position{Version: store.Version{Era: table.Era, Number: table.Version}, Sum: table.Sum}}
 		if table.News != nil {
 			update, err := tableUpdateFrom(table.News, tables[i])
 			if err != nil {
-				return relay.Told{}, err
+				return relay.Message{}, err
 			}
 			status.News = update
 		}
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -9,8 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"topazmoor/internal/watch"
 )
 
@@ -84,9 +82,9 @@
 	leaving context.CancelCauseFunc
 
 	skipped map[string]skipped
-	// teller is the name of the node that is followed, selfFollows if the tables poll the store,
+	// publisher is the name of the node that is followed, selfFollows if the tables poll the store,
 	// and empty while neither is decided.
-	teller string
+	publisher string
 	// whole is set if the next call requests whole tables, as the copies differed.
 	whole bool
 	// repeated is when a node was last called again at once because its update did not fit.
@@ -174,8 +172,8 @@
 // pollStore lets the tables poll the store for about recheckInterval, and skips this node in the
 // choice if the store does not answer it.
 func (f *Follower) pollStore(ctx context.Context) {
-	if f.teller != selfFollows {
-		f.teller = selfFollows
+	if f.publisher != selfFollows {
+		f.publisher = selfFollows
 		f.Log.Info("following the store by itself", "data_centre_nodes", len(f.Nodes()), "followers", f.Publisher.Followers())
 	}
 	f.release()
@@ -208,7 +206,7 @@
 	}
 }
 
-// selfFollows is the value of Follower.teller if the tables poll the store.
+// selfFollows is the value of Follower.publisher if the tables poll the store.
 const selfFollows = "(none)"
 
 // leave skips a node after its call ended with err, unless it is to be called again at once.
@@ -222,28 +220,10 @@
 		return
 	}
 	pause := f.skip(n.Name, errors.Is(err, ErrStoreUnavailable))
-	f.teller = ""
+	f.publisher = ""
 	f.Log.Warn("following a node failed, skipping it", "peer", n.Name, "addr", n.Addr, "for_ms", pause.Milliseconds(), "err", err)
 }
 
-// session is one call to a node that is followed.
-type session struct {
-	f    *Follower
-	node Node
-	// began is when the call began; told is set after the first message that is usable.
-	began time.Time
-	told  bool
-	// behind is since when the node's copy has been older than that of this node; zero if it is not.
-	behind time.Time
-	// asked is when this node last called the store itself because the store does not answer the
-	// other node; probe is the earliest time of the next such call.
-	asked, probe time.Time
-	// looked is when the choice of the node to follow was last evaluated.
-	looked time.Time
-	// doubts are the values of Invalidations of the tables when the call began.
-	doubts []int64
-}
-
 // follow updates the tables from a node until the call ends, and returns why it ended.
 func (f *Follower) follow(ctx context.Context, n Node) error {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -253,8 +233,8 @@
 	watchdog := time.AfterFunc(acceptTimeout, func() { cancel(ErrNoMessage) })
 	defer watchdog.Stop()
 	now := time.Now()
-	s := &session{f: f, node: n, began: now, looked: now, doubts: f.doubts()}
-	err := f.Remote.Follow(ctx, n.Addr, f.have(), func(t Told) error {
+	s := &session{f: f, node: n, began: now, looked: now, invalidations: f.invalidations()}
+	err := f.Remote.Follow(ctx, n.Addr, f.have(), func(t Message) error {
 		watchdog.Reset(silenceTimeout)
 		return s.handle(t, time.Now())
 	})
@@ -287,10 +267,10 @@
 }
 
 // have returns the versions to request updates from.
-func (f *Follower) have() []Have {
-	out := make([]Have, len(f.Tables))
+func (f *Follower) have() []KnownVersion {
+	out := make([]KnownVersion, len(f.Tables))
 	for i, t := range f.Tables {
-		out[i] = Have{Table: t.Name, Version: t.Copy().Position().Version}
+		out[i] = KnownVersion{Table: t.Name, Version: t.Copy().Position().Version}
 		switch {
 		case t.Copy().Rows() == nil:
 			out[i].Version = NoVersion
@@ -302,8 +282,8 @@
 	return out
 }
 
-// doubts returns the values of Invalidations of the tables.
-func (f *Follower) doubts() []int64 {
+// invalidations returns the values of Invalidations of the tables.
+func (f *Follower) invalidations() []int64 {
 	out := make([]int64, len(f.Tables))
 	for i, t := range f.Tables {
 		out[i] = t.Invalidations()
@@ -311,73 +291,6 @@
 	return out
 }
 
-// handle applies one message; an error ends the call and is the reason to leave the node.
-func (s *session) handle(t Told, now time.Time) error {
-	if now.Sub(s.looked) > recheckInterval {
-		s.looked = now
-		if n, ok := s.f.choose(); !ok || n.Name != s.node.Name {
-			return errMoved
-		}
-	}
-	if len(t.Tables) != len(s.f.Tables) {
-		return ErrEmpty
-	}
-	if !t.Tables[0].Position.Version.IsZero() && !t.Away && t.AnswerAge <= maxAge {
-		// This precedes the rows, so that their views have the time of the store's return: some rows
-		// may be missing shortly after it.
-		s.recordAnswer(now.Add(-t.AnswerAge))
-	}
-	// An update is sent only once, so it is applied in any case.
-	if err := s.applyTables(t); err != nil {
-		return err
-	}
-	if t.Tables[0].Position.Version.IsZero() {
-		return s.checkEmpty(now)
-	}
-	if t.Away || t.AnswerAge > maxAge {
-		return s.handleAway(now)
-	}
-	if !s.told {
-		s.told = true
-		s.f.recordFollowed(s.node)
-	}
-	s.f.hold()
-	for i, table := range s.f.Tables {
-		table.Confirm(s.doubts[i])
-	}
-	return s.checkBehind(t, now)
-}
-
-// recordAnswer records in the tables that the store answered the node at the given time.
-func (s *session) recordAnswer(at time.Time) {
-	for _, table := range s.f.Tables {
-		table.RecordAnswer(at)
-	}
-}
-
-// handleAway decides what to do while the store does not answer the node. A node that ranks behind
-// this one is left at once. Otherwise this node calls the store once, and leaves the other node if the
-// store answers the call, or if ownAnswerTimeout passes without the call failing. If the call fails,
-// this node stays, so that the other one detects for both when the store is back. So an outage costs
-// a follower one call, and one more each probeInterval.
-func (s *session) handleAway(now time.Time) error {
-	lead := s.f.Tables[0]
-	if s.f.ranksBefore(s.node.Name) {
-		return ErrStoreUnavailable
-	}
-	s.f.hold()
-	switch {
-	case s.asked.IsZero(), lead.Lost() && now.After(s.probe):
-		s.asked = now
-		s.probe = now.Add(probeInterval/2 + rand.N(probeInterval))
-		lead.PollNow()
-	case lead.Lost():
-	case lead.LastAnswer().After(s.asked), now.Sub(s.asked) > ownAnswerTimeout:
-		return ErrStoreUnavailable
-	}
-	return nil
-}
-
 // ranksBefore reports whether self is ranked before another node.
 func (f *Follower) ranksBefore(other string) bool {
 	for _, n := range Rank(f.DataCentre, f.Nodes()) {
@@ -388,57 +301,13 @@
 	return false
 }
 
-// checkEmpty fails with ErrEmpty if the node has had no copy for more than emptyTimeout.
-func (s *session) checkEmpty(now time.Time) error {
-	if now.Sub(s.began) > emptyTimeout {
-		return ErrEmpty
-	}
-	return nil
-}
-
-// applyTables applies the updates of all tables, and compares the copies with the node's.
-func (s *session) applyTables(t Told) error {
-	for i, table := range s.f.Tables {
-		theirs := t.Tables[i]
-		if theirs.Position.Version.IsZero() {
-			continue
-		}
-		if theirs.News != nil {
-			if err := table.ApplyUpdate(*theirs.News); err != nil {
-				return eris.Wrapf(err, "table %s at version %s", table.Name, theirs.Position.Version)
-			}
-		}
-		if err := table.Compare(theirs.Position); err != nil {
-			return eris.Wrapf(err, "table %s at version %s", table.Name, theirs.Position.Version)
-		}
-	}
-	return nil
-}
-
-// checkBehind fails with ErrBehind if the node's copy has been older than that of this node for more
-// than behindTimeout. It compares only the first table: the version of a copy rises with each answer
-// of the store, and the calls of the other tables wait long for one.
-func (s *session) checkBehind(t Told, now time.Time) error {
-	if !t.Tables[0].Position.Version.Before(s.f.Tables[0].Copy().Position().Version) {
-		s.behind = time.Time{}
-		return nil
-	}
-	if s.behind.IsZero() {
-		s.behind = now
-	}
-	if now.Sub(s.behind) > behindTimeout {
-		return ErrBehind
-	}
-	return nil
-}
-
 // recordFollowed records that a node is followed now.
 func (f *Follower) recordFollowed(n Node) {
 	delete(f.skipped, n.Name)
-	if f.teller == n.Name {
+	if f.publisher == n.Name {
 		return
 	}
-	f.teller = n.Name
+	f.publisher = n.Name
 	f.Log.Info("following the store through another node", "peer", n.Name, "addr", n.Addr)
 }
 
--- a/internal/relay/follower_test.go
+++ b/internal/relay/follower_test.go
@@ -19,17 +19,17 @@
 type scripted struct {
 	mu sync.Mutex
 	// says has the message of each node by address; a node that sends none has no entry.
-	says map[string]Told
+	says map[string]Message
 	// asked are the calls of Follow in order.
 	asked []question
 }
 
 type question struct {
 	addr string
-	have []Have
+	have []KnownVersion
 }
 
-func (s *scripted) Follow(ctx context.Context, addr string, have []Have, told func(Told) error) error {
+func (s *scripted) Follow(ctx context.Context, addr string, have []KnownVersion, handle func(Message) error) error {
 	s.mu.Lock()
 	s.asked = append(s.asked, question{addr, have})
 	s.mu.Unlock()
@@ -38,7 +38,7 @@
 		msg, ok := s.says[addr]
 		s.mu.Unlock()
 		if ok {
-			if err := told(msg); err != nil {
+			if err := handle(msg); err != nil {
 				return err
 			}
 		}
@@ -50,7 +50,7 @@
 	}
 }
 
-func (s *scripted) set(addr string, t Told) {
+func (s *scripted) set(addr string, t Message) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.says[addr] = t
@@ -69,8 +69,8 @@
 	return n
 }
 
-// tellerWith returns the message of a node whose copy of one table is at a version.
-func tellerWith(version int64, age time.Duration) Told {
+// messageAt returns the message of a node whose copy of one table is at a version.
+func messageAt(version int64, age time.Duration) Message {
 	at := store.Version{Number: version}
 	row := store.Row{Key: "a", Version: at}
 	var copied watch.Table
@@ -79,21 +79,21 @@
 	if err := copied.ApplyUpdate(*news); err != nil {
 		panic(err)
 	}
-	return Told{AnswerAge: age, Tables: []TableMessage{{Position: copied.Copy().Position(), News: news}}}
+	return Message{AnswerAge: age, Tables: []TableMessage{{Position: copied.Copy().Position(), News: news}}}
 }
 
 // following runs a follower, the last in rank order of four nodes, while f runs.
-func following(t *testing.T, says map[string]Told, f func(r *scripted, table *watch.Table, ranked []Node)) {
+func following(t *testing.T, says map[string]Message, f func(r *scripted, table *watch.Table, ranked []Node)) {
 	synctest.Test(t, func(t *testing.T) {
 		quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
 		twin := store.NewMemory()
 		table := &watch.Table{Name: "t", From: twin, Wait: watch.ShortWait, Apply: func(watch.View) {}, Log: quiet}
 		table.StopPolling()
 		ranked := Rank("hall", dataCentre(4))
-		r := &scripted{says: make(map[string]Told)}
+		r := &scripted{says: make(map[string]Message)}
 		for i, n := range ranked {
-			if told, ok := says[string(rune('0'+i))]; ok {
-				r.says[n.Addr] = told
+			if message, ok := says[string(rune('0'+i))]; ok {
+				r.says[n.Addr] = message
 			}
 		}
 		known := make(chan struct{})
@@ -113,14 +113,14 @@
 }
 
 func TestFollowerLeavesATellerWhose(t *testing.T) {
-	for name, told := range map[string]Told{
-		"store is away":    {Away: true, Tables: tellerWith(9, 0).Tables},
-		"word is old":      tellerWith(9, maxAge+time.Millisecond),
+	for name, message := range map[string]Message{
+		"store is away":    {Away: true, Tables: messageAt(9, 0).Tables},
+		"word is old":      messageAt(9, maxAge+time.Millisecond),
 		"copy is empty":    {Tables: make([]TableMessage, 1)},
 		"tables are other": {Tables: make([]TableMessage, 2)},
 	} {
 		t.Run(name, func(t *testing.T) {
-			says := map[string]Told{"0": told, "1": tellerWith(5, 0)}
+			says := map[string]Message{"0": message, "1": messageAt(5, 0)}
 			following(t, says, func(r *scripted, table *watch.Table, ranked []Node) {
 				time.Sleep(emptyTimeout + acceptTimeout + heartbeat)
 				qt.Check(t, r.askedAt(ranked[1].Addr) > 0, qt.IsTrue)
@@ -131,11 +131,11 @@
 }
 
 func TestFollowerLeavesATellerThatFallsBehind(t *testing.T) {
-	says := map[string]Told{"0": tellerWith(9, 0), "1": tellerWith(20, 0)}
+	says := map[string]Message{"0": messageAt(9, 0), "1": messageAt(20, 0)}
 	following(t, says, func(r *scripted, table *watch.Table, ranked []Node) {
 		time.Sleep(time.Second)
 		qt.Assert(t, table.Copy().Position().Version.Number, qt.Equals, int64(9))
-		r.set(ranked[0].Addr, tellerWith(7, 0))
+		r.set(ranked[0].Addr, messageAt(7, 0))
 		time.Sleep(behindTimeout + 2*heartbeat)
 		qt.Assert(t, table.Copy().Position().Version.Number, qt.Equals, int64(20))
 	})
@@ -143,9 +143,9 @@
 
 // A followed node whose copy never fits is called again at once only once, not in an endless loop.
 func TestFollowerDoesNotAskAgainWithoutAnEnd(t *testing.T) {
-	wrong := tellerWith(9, 0)
+	wrong := messageAt(9, 0)
 	wrong.Tables[0].Position.Sum++
-	following(t, map[string]Told{"0": wrong, "1": tellerWith(20, 0)}, func(r *scripted, table *watch.Table, ranked []Node) {
+	following(t, map[string]Message{"0": wrong, "1": messageAt(20, 0)}, func(r *scripted, table *watch.Table, ranked []Node) {
 		time.Sleep(4 * time.Second)
 		qt.Check(t, r.askedAt(ranked[0].Addr) <= 4, qt.IsTrue, qt.Commentf("asked %d times", r.askedAt(ranked[0].Addr)))
 		qt.Check(t, table.Copy().Position().Version.Number, qt.Equals, int64(20))
--- a/internal/relay/publisher.go
+++ b/internal/relay/publisher.go
@@ -63,7 +63,7 @@
 
 // Follow sends a follower what it lacks and all later changes, until ctx ends, send fails or Stop is
 // called. It updates the versions in have to what was sent.
-func (p *Publisher) Follow(ctx context.Context, have []Have, send func(Told) error) error {
+func (p *Publisher) Follow(ctx context.Context, have []KnownVersion, send func(Message) error) error {
 	p.followers.Add(1)
 	p.refresh()
 	defer p.followers.Add(-1)
@@ -88,7 +88,7 @@
 
 // lacks reports whether a follower at the versions in have lacks changes, as after a cached update
 // with a whole table.
-func (p *Publisher) lacks(have []Have) bool {
+func (p *Publisher) lacks(have []KnownVersion) bool {
 	for _, h := range have {
 		if table := p.table(h.Table); table != nil && h.Version.Before(table.Copy().Position().Version) {
 			return true
@@ -134,22 +134,22 @@
 }
 
 // buildMessage builds one message and records in have the versions that it brings a follower to.
-func (p *Publisher) buildMessage(have []Have) Told {
+func (p *Publisher) buildMessage(have []KnownVersion) Message {
 	lead := p.tables[0]
 	// Before the first answer, and after the host was suspended, the copies may be old.
-	told := Told{Away: lead.Lost() || lead.LastAnswer().IsZero(), Tables: make([]TableMessage, len(have))}
+	message := Message{Away: lead.Lost() || lead.LastAnswer().IsZero(), Tables: make([]TableMessage, len(have))}
 	if heard := lead.LastAnswer(); !heard.IsZero() {
-		told.AnswerAge = time.Since(heard)
+		message.AnswerAge = time.Since(heard)
 	}
 	for i := range have {
 		table := p.table(have[i].Table)
 		if table == nil {
 			continue
 		}
-		told.Tables[i].News, told.Tables[i].Position = table.Copy().CachedSince(have[i].Version)
-		have[i].Version = have[i].Version.Max(told.Tables[i].Position.Version)
+		message.Tables[i].News, message.Tables[i].Position = table.Copy().CachedSince(have[i].Version)
+		have[i].Version = have[i].Version.Max(message.Tables[i].Position.Version)
 	}
-	return told
+	return message
 }
 
 func (p *Publisher) table(name string) *watch.Table {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,8 +29,8 @@
 	Memory int64
 }
 
-// Have is the version of a table that the requesting node has; NoVersion requests the whole table.
-type Have struct {
+// KnownVersion is the version of a table that the requesting node has; NoVersion requests the whole table.
+type KnownVersion struct {
 	Table   string
 	Version store.Version
 }
@@ -38,8 +38,8 @@
 // NoVersion is the version of a copy that has not been read yet.
 var NoVersion = store.Version{Number: -1}
 
-// Told is one message from a node that is followed to a follower.
-type Told struct {
+// Message is one message from a node that is followed to a follower.
+type Message struct {
 	// Away is set if the store does not answer the sending node.
 	Away bool
 	// AnswerAge is the time since the store last answered the sending node; 0 also if it never did.
@@ -59,8 +59,8 @@
 // Remote makes calls to other nodes; package peer implements it.
 type Remote interface {
 	// Follow requests from the node at addr what the caller lacks of some tables, and all later
-	// changes. It calls told with each message, one at a time; an error of told ends the call.
-	Follow(ctx context.Context, addr string, have []Have, told func(Told) error) error
+	// changes. It calls handle with each message, one at a time; an error of handle ends the call.
+	Follow(ctx context.Context, addr string, have []KnownVersion, handle func(Message) error) error
 }
 
 // Reasons to leave a node. Follow of a Remote also returns other errors.
@@ -132,7 +132,7 @@
 // confirm a state to each other that neither has read from the store. A node that the store refuses
 // may follow any other node that the store answers. If the store answers no node, the nodes ranked
 // behind the first one follow it, and that one detects when the store is back.
-func Choose(s ChoiceState) (teller Node, ok bool) {
+func Choose(s ChoiceState) (publisher Node, ok bool) {
 	if s.Followed || len(s.Ranked) < MinNodes {
 		return Node{}, false
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -88,8 +88,8 @@
 			for _, other := range nodes[slices.IndexFunc(nodes, func(o Node) bool { return o.Name == n.Name }):] {
 				s.Skipped[other.Name] = true
 			}
-			if teller, ok := Choose(s); ok {
-				choice[n.Name] = teller.Name
+			if publisher, ok := Choose(s); ok {
+				choice[n.Name] = publisher.Name
 			}
 		}
 		for _, n := range nodes {
--- /dev/null
+++ b/internal/relay/session.go
@@ -0,0 +1,137 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// session is one call to a node that is followed.
+type session struct {
+	f    *Follower
+	node Node
+	// began is when the call began; accepted is set after the first message that is usable.
+	began    time.Time
+	accepted bool
+	// behind is since when the node's copy has been older than that of this node; zero if it is not.
+	behind time.Time
+	// asked is when this node last called the store itself because the store does not answer the
+	// other node; probe is the earliest time of the next such call.
+	asked, probe time.Time
+	// looked is when the choice of the node to follow was last evaluated.
+	looked time.Time
+	// invalidations are the values of Invalidations of the tables when the call began.
+	invalidations []int64
+}
+
+// handle applies one message; an error ends the call and is the reason to leave the node.
+func (s *session) handle(t Message, now time.Time) error {
+	if now.Sub(s.looked) > recheckInterval {
+		s.looked = now
+		if n, ok := s.f.choose(); !ok || n.Name != s.node.Name {
+			return errMoved
+		}
+	}
+	if len(t.Tables) != len(s.f.Tables) {
+		return ErrEmpty
+	}
+	if !t.Tables[0].Position.Version.IsZero() && !t.Away && t.AnswerAge <= maxAge {
+		// This precedes the rows, so that their views have the time of the store's return: some rows
+		// may be missing shortly after it.
+		s.recordAnswer(now.Add(-t.AnswerAge))
+	}
+	// An update is sent only once, so it is applied in any case.
+	if err := s.applyTables(t); err != nil {
+		return err
+	}
+	if t.Tables[0].Position.Version.IsZero() {
+		return s.checkEmpty(now)
+	}
+	if t.Away || t.AnswerAge > maxAge {
+		return s.handleAway(now)
+	}
+	if !s.accepted {
+		s.accepted = true
+		s.f.recordFollowed(s.node)
+	}
+	s.f.hold()
+	for i, table := range s.f.Tables {
+		table.Confirm(s.invalidations[i])
+	}
+	return s.checkBehind(t, now)
+}
+
+// recordAnswer records in the tables that the store answered the node at the given time.
+func (s *session) recordAnswer(at time.Time) {
+	for _, table := range s.f.Tables {
+		table.RecordAnswer(at)
+	}
+}
+
+// handleAway decides what to do while the store does not answer the node. A node that ranks behind
+// this one is left at once. Otherwise this node calls the store once, and leaves the other node if the
+// store answers the call, or if ownAnswerTimeout passes without the call failing. If the call fails,
+// this node stays, so that the other one detects for both when the store is back. So an outage costs
+// a follower one call, and one more each probeInterval.
+func (s *session) handleAway(now time.Time) error {
+	lead := s.f.Tables[0]
+	if s.f.ranksBefore(s.node.Name) {
+		return ErrStoreUnavailable
+	}
+	s.f.hold()
+	switch {
+	case s.asked.IsZero(), lead.Lost() && now.After(s.probe):
+		s.asked = now
+		s.probe = now.Add(probeInterval/2 + rand.N(probeInterval))
+		lead.PollNow()
+	case lead.Lost():
+	case lead.LastAnswer().After(s.asked), now.Sub(s.asked) > ownAnswerTimeout:
+		return ErrStoreUnavailable
+	}
+	return nil
+}
+
+// checkEmpty fails with ErrEmpty if the node has had no copy for more than emptyTimeout.
+func (s *session) checkEmpty(now time.Time) error {
+	if now.Sub(s.began) > emptyTimeout {
+		return ErrEmpty
+	}
+	return nil
+}
+
+// applyTables applies the updates of all tables, and compares the copies with the node's.
+func (s *session) applyTables(t Message) error {
+	for i, table := range s.f.Tables {
+		theirs := t.Tables[i]
+		if theirs.Position.Version.IsZero() {
+			continue
+		}
+		if theirs.News != nil {
+			if err := table.ApplyUpdate(*theirs.News); err != nil {
+				return eris.Wrapf(err, "table %s at version %s", table.Name, theirs.Position.Version)
+			}
+		}
+		if err := table.Compare(theirs.Position); err != nil {
+			return eris.Wrapf(err, "table %s at version %s", table.Name, theirs.Position.Version)
+		}
+	}
+	return nil
+}
+
+// checkBehind fails with ErrBehind if the node's copy has been older than that of this node for more
+// than behindTimeout. It compares only the first table: the version of a copy rises with each answer
+// of the store, and the calls of the other tables wait long for one.
+func (s *session) checkBehind(t Message, now time.Time) error {
+	if !t.Tables[0].Position.Version.Before(s.f.Tables[0].Copy().Position().Version) {
+		s.behind = time.Time{}
+		return nil
+	}
+	if s.behind.IsZero() {
+		s.behind = now
+	}
+	if now.Sub(s.behind) > behindTimeout {
+		return ErrBehind
+	}
+	return nil
+}
--- a/internal/watch/relayed.go
+++ b/internal/watch/relayed.go
@@ -60,7 +60,7 @@
 		select {
 		case <-ctx.Done():
 		case <-sourceChanged:
-		case <-t.pokes():
+		case <-t.wakeups():
 			return true
 		}
 	}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -8,9 +8,7 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,7 +22,7 @@
 	// limit within which a change must be in force after the store is back (3 s). A single
 	// call may hang while the calls of all other tables are answered.
 	ShortWait = 3 * time.Second
-	// LongWait is the same for tables that are poked when another table detects a failure or
+	// LongWait is the same for tables that are woken when another table detects a failure or
 	// the return of the store. It is longer because each call is charged for.
 	LongWait = 20 * time.Second
 	// SharedWait replaces ShortWait while other nodes follow this one: if the store stops
@@ -33,7 +31,7 @@
 	// force within 3 s also then. It costs a followed node 30 more calls per minute.
 	SharedWait = 1200 * time.Millisecond
 	// SharedLongWait replaces LongWait on a followed node for tables whose changes must be in
-	// force in time: a single call may hang without the table that pokes the others detecting
+	// force in time: a single call may hang without the table that wakeups the others detecting
 	// it. The call is abandoned 0.7 s after this wait, within 3 s.
 	SharedLongWait = 2 * time.Second
 	// answerSlack is how long a call may take beyond the time that it waits for changes.
@@ -43,7 +41,7 @@
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = 700 * time.Millisecond
 	// followRetry is the retry pause of a table while its Primary finds the store unavailable. The
-	// table is poked when the store is back; this pause only bounds the delay if that poke is lost.
+	// table is woken when the store is back; this pause only bounds the delay if that wake-up is lost.
 	followRetry = 10 * time.Second
 	// rereadEvery is the time between two reads of the whole table without any sign of a missed
 	// change: calls for changes may return none although something changed.
@@ -77,7 +75,7 @@
 	Apply func(View)
 	// OnAvailability, if set, is called when the store stops or resumes answering.
 	OnAvailability func()
-	// Primary, if set, is a table whose calls detect when the store is back; this table is poked
+	// Primary, if set, is a table whose calls detect when the store is back; this table is woken
 	// then. Until then this table retries at followRetry: an outage must not cost calls for
 	// each table of each node.
 	Primary *Table
@@ -88,9 +86,9 @@
 	Log          *slog.Logger
 
 	mu sync.Mutex
-	// cancel ends the call in progress. PollNow closes poked; the next call replaces it.
+	// cancel ends the call in progress. PollNow closes wake; the next call replaces it.
 	cancel context.CancelFunc
-	poked  chan struct{}
+	wake   chan struct{}
 	// waits is set if the call in progress waits for changes, renewed if Renew ended it.
 	waits, renewed bool
 	// relayed is set while another node supplies the updates; sourceChanged is closed when that
@@ -98,17 +96,17 @@
 	relayed       bool
 	sourceChanged chan struct{}
 
-	// forPoke is set if the last call was made for a poke; only Serve and step use it.
-	forPoke bool
+	// forWake is set if the last call was made for a wake-up; only Serve and step use it.
+	forWake bool
 
 	copy Copy
 	lost atomic.Bool
 	// lastAnswer is when the store last answered; nil for never, or not since Invalidate.
 	lastAnswer atomic.Pointer[time.Time]
 
-	// distrusts counts the calls of Invalidate. confirmed is the value of that count at the start of the
+	// invalidations counts the calls of Invalidate. confirmed is the value of that count at the start of the
 	// latest call that confirmed the copy.
-	distrusts, confirmed atomic.Int64
+	invalidations, confirmed atomic.Int64
 
 	// updateMu serializes updates of the copy and the calls of Apply. It guards the fields
 	// below.
@@ -133,28 +131,28 @@
 // Invalidate discards the time of the store's last answer and calls the store at once. It is for a
 // host that was suspended: answers on calls that were open then may be as old as the suspension.
 func (t *Table) Invalidate() {
-	t.distrusts.Add(1)
+	t.invalidations.Add(1)
 	t.lastAnswer.Store(nil)
 	t.PollNow()
 }
 
 // Invalidations returns the number of calls of Invalidate so far. A caller that begins to fetch the copy
 // passes it to Confirm when the fetch is complete.
-func (t *Table) Invalidations() int64 { return t.distrusts.Load() }
+func (t *Table) Invalidations() int64 { return t.invalidations.Load() }
 
 // Confirm records that the copy matches the store, by an answer to a request that began when
-// Invalidations returned distrusts.
-func (t *Table) Confirm(distrusts int64) {
+// Invalidations returned invalidations.
+func (t *Table) Confirm(invalidations int64) {
 	for {
 		confirmed := t.confirmed.Load()
-		if distrusts <= confirmed || t.confirmed.CompareAndSwap(confirmed, distrusts) {
+		if invalidations <= confirmed || t.confirmed.CompareAndSwap(confirmed, invalidations) {
 			return
 		}
 	}
 }
 
 // Confirmed reports whether the copy was confirmed since the last Invalidate.
-func (t *Table) Confirmed() bool { return t.confirmed.Load() >= t.distrusts.Load() }
+func (t *Table) Confirmed() bool { return t.confirmed.Load() >= t.invalidations.Load() }
 
 // Connected reports whether the store answers: the last answer is younger than Wait plus
 // answerSlack, and no call has failed since.
@@ -165,149 +163,6 @@
 // Lost reports whether the store has stopped answering.
 func (t *Table) Lost() bool { return t.lost.Load() }
 
-// PollNow ends the call or the pause in progress and calls the store at once. It is for a caller
-// that found out that the store stopped or resumed answering.
-func (t *Table) PollNow() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.poked == nil {
-		t.poked = make(chan struct{})
-	}
-	if !closed(t.poked) {
-		close(t.poked)
-	}
-	if t.cancel != nil {
-		t.cancel()
-	}
-}
-
-// Renew ends the call in progress if it waits for changes, so that the next call uses another
-// connection. Unlike PollNow it does not add a call that returns at once. A call that does not wait
-// for changes continues.
-func (t *Table) Renew() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.cancel != nil && t.waits {
-		t.renewed = true
-		t.cancel()
-	}
-}
-
-// setWaits records whether the call that begins waits for changes.
-func (t *Table) setWaits(waits bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.waits = waits
-}
-
-// wasRenewed reports whether Renew ended the last call, and resets that.
-func (t *Table) wasRenewed() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	renewed := t.renewed
-	t.renewed = false
-	return renewed
-}
-
-// closed reports whether c is closed.
-func closed(c <-chan struct{}) bool {
-	select {
-	case <-c:
-		return true
-	default:
-		return false
-	}
-}
-
-// begin creates the context of one call, and reports and resets a pending poke.
-func (t *Table) begin(ctx context.Context) (call context.Context, end func(), poked bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	call, t.cancel = context.WithCancel(ctx)
-	t.waits, t.renewed = false, false
-	if t.poked != nil {
-		poked = closed(t.poked)
-	}
-	if poked {
-		t.poked = make(chan struct{})
-	}
-	return call, t.cancel, poked
-}
-
-// pokePending reports whether there was a poke since the last call began.
-func (t *Table) pokePending() bool { return closed(t.pokes()) }
-
-// pokes returns the channel that the next PollNow closes; it is closed if there was one since
-// the last call began.
-func (t *Table) pokes() <-chan struct{} {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.poked == nil {
-		t.poked = make(chan struct{})
-	}
-	return t.poked
-}
-
-// Serve implements suture.Service.
-func (t *Table) Serve(ctx context.Context) error {
-	retry := firstRetry
-	for t.awaitDirect(ctx) {
-		err := t.step(ctx)
-		if err == nil {
-			retry = firstRetry
-			continue
-		}
-		renewed := t.wasRenewed()
-		switch {
-		case t.pokePending():
-			// The poke ended the call; its error does not mean that the store is unavailable.
-		case renewed:
-			// Renew ended the call; its error does not mean that the store is unavailable.
-			continue
-		case errors.Is(err, store.ErrCompacted):
-			t.Log.Info("table history compacted, reading the whole table", "table", t.Name, "version", t.copy.Position().Version)
-			// The store answered. Without this, the followers of this copy would leave while a long
-			// table is read, and would all read it from the store themselves.
-			t.recordAnswer(time.Now())
-			t.setGap()
-		case errors.Is(err, store.ErrStale):
-			t.Log.Info("stale read of the table dropped", "table", t.Name, "version", t.copy.Position().Version)
-			t.recordAnswer(time.Now())
-		case t.isRelayed() && !t.forPoke:
-			// The call began before the table was relayed; the other node supplies newer updates.
-		default:
-			t.recordLoss(err)
-		}
-		t.pause(ctx, retry)
-		retry = min(2*retry, maxRetry)
-	}
-	return ctx.Err()
-}
-
-// pause waits after a failed call until the retry time or a poke. Half of the time is random,
-// so that nodes do not retry in step.
-func (t *Table) pause(ctx context.Context, retry time.Duration) {
-	if t.Primary != nil && t.Primary.Lost() {
-		retry = followRetry
-	}
-	timer := time.NewTimer(retry/2 + rand.N(retry/2))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.pokes():
-	case <-timer.C:
-	}
-}
-
-// recordLoss records that the store does not answer.
-func (t *Table) recordLoss(err error) {
-	if t.lost.Swap(true) {
-		return
-	}
-	t.notifyContact()
-	t.Log.Warn("store unavailable", "table", t.Name, "version", t.copy.Position().Version, "err", err)
-}
-
 // setGap records that changes may be missing from the copy.
 func (t *Table) setGap() {
 	t.updateMu.Lock()
@@ -317,14 +172,14 @@
 
 // step makes one call to the store and applies its answer.
 func (t *Table) step(ctx context.Context) error {
-	ctx, end, poked := t.begin(ctx)
+	ctx, end, woken := t.begin(ctx)
 	defer end()
-	distrusts := t.Invalidations()
-	t.forPoke = poked
+	invalidations := t.Invalidations()
+	t.forWake = woken
 	if t.needsSnapshot() {
 		err := t.readSnapshot(ctx)
 		if err == nil {
-			t.Confirm(distrusts)
+			t.Confirm(invalidations)
 		}
 		return err
 	}
@@ -334,7 +189,7 @@
 		// followers leave a node by the age of its last answer.
 		maxWait = max(t.SharedWait-time.Since(t.LastAnswer()), 0)
 	}
-	if t.lost.Load() || poked {
+	if t.lost.Load() || woken {
 		// Ask without waiting, to detect at once whether the store is back.
 		maxWait = 0
 	}
@@ -346,7 +201,7 @@
 	}
 	t.recordAnswer(time.Now())
 	changed := t.applyChanges(asked, changes)
-	t.Confirm(distrusts)
+	t.Confirm(invalidations)
 	if !changed || t.Pause == nil {
 		return nil
 	}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -266,7 +266,7 @@
 	return r.Watchable.Changes(ctx, table, after, wait)
 }
 
-// A poke that is not reset while a read of the whole table is due makes the table call the store
+// A wake-up that is not reset while a read of the whole table is due makes the table call the store
 // without a pause, 200 times a second, as long as the store is unavailable.
 func TestPokesDoNotKeepATableFromPausing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -286,7 +286,7 @@
 	})
 }
 
-// Each poke causes at most one call.
+// Each wake-up causes at most one call.
 func TestPokeEndsAPauseOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
@@ -305,7 +305,7 @@
 	})
 }
 
-// Another node supplies a table's updates, a poke starts a call to the store, and Renew comes while the
+// Another node supplies a table's updates, a wake-up starts a call to the store, and Renew comes while the
 // answer is under way: the answer must be applied, as no other call would follow.
 func TestRenewalDoesNotLoseAPoke(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
