Caller API: regions of pipelines and client accounts

Cause: only pass-through requests knew regions; templates and accounts of the caller API had none, so an account's requests went wherever a target was free.

Change: `regions` of a pipeline and of an account, both bind; the region of a target comes from its data centre by the settings (regions.data_centres). Targets are picked within the regions of the configuration in force, so retries, hedges, later stages, resumed streams, waiting calls and items of batches follow them. Admission refuses before the first stage where no target in the regions can serve. Nodes prefer their own region; a subset of a large pool has targets of each region. check and apply refuse empty lists, unknown regions and regions without a common one, now with file and line. status, audit and "request done" show regions. A template without parameters is no longer refused by apply ("is null").

TestExamplesCompile failed on a template without parameters before.

Conclusion: without regions in settings and configuration nothing changes: one more look-up of the account for each waiting call that is considered.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -20,6 +20,7 @@
 	"topazmoor/internal/config"
 	"topazmoor/internal/control"
 	"topazmoor/internal/frontdoor"
+	"topazmoor/internal/region"
 	"topazmoor/internal/settings"
 	"topazmoor/internal/store"
 	"topazmoor/internal/strictjson"
@@ -51,8 +52,11 @@
 	Operators []settings.Operator
 	Catalog   func() *catalog.Compiled
 	Store     *config.Store
-	// Offers returns why no target of a pool serves a model with an adapter, or "".
-	Offers func(pool, model, adapter string) string
+	// Offers returns why no target of a pool in the regions serves a model with an adapter, or "".
+	Offers func(pool, model, adapter string, regions region.Set) string
+	// Regions gives the region of each data centre; without entries, names of regions are not
+	// checked.
+	Regions region.Map
 	// Events returns the events after a time, and RecordEvent stores one.
 	Events      func(ctx context.Context, after time.Time, limit int) ([]control.Event, error)
 	RecordEvent func(ctx context.Context, e control.Event) error
@@ -84,6 +88,20 @@
 	// new work by order of an operator.
 	Hosts   int      `json:"hosts"`
 	Drained []string `json:"drained"`
+	// Regions describes the regions that the node knows, in the order of their names.
+	Regions []RegionStatus `json:"regions,omitempty"`
+}
+
+// RegionStatus describes one region as a node sees it.
+type RegionStatus struct {
+	Name        string   `json:"name"`
+	DataCentres []string `json:"data_centres"`
+	// Hosts is the number of target hosts in the region, Serving that of those that get new work.
+	Hosts   int `json:"hosts"`
+	Serving int `json:"serving"`
+	// Accounts is the number of accounts with a pipeline that is bound to regions, this one among
+	// them.
+	Accounts int `json:"accounts"`
 }
 
 // NodeStatus describes one node as seen by another.
@@ -301,15 +319,17 @@
 	if err := strictjson.Decode(body, &req); err != nil {
 		return nil, err
 	}
-	m, err := catalog.ParseManifest([]byte(req.Manifest))
+	src := []byte(req.Manifest)
+	m, err := catalog.ParseManifest(src)
 	if err != nil {
-		return nil, err
+		return nil, catalog.AddLines(err, "", src)
 	}
 	items, err := m.Items()
 	if err != nil {
 		return nil, err
 	}
-	return s.submit(r.Context(), op, req, items)
+	res, err := s.submit(r.Context(), op, req, items)
+	return res, catalog.AddLines(err, "", src)
 }
 
 // submit validates items against the current configuration and commits them.
@@ -326,6 +346,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := next.CheckRegions(items, s.cfg.Regions).Err(); err != nil {
+			return nil, err
+		}
 		if err := s.checkOffers(next.AffectedPlans(items)).Err(); err != nil && !req.Force {
 			return nil, err
 		}
@@ -348,13 +371,13 @@
 
 // checkOffers finds stages whose model or adapter no target offers. Pools
 // without any host are passed over: the host list may not have come yet.
-func (s *Server) checkOffers(plans []*catalog.Plan) strictjson.Problems {
+func (s *Server) checkOffers(plans []catalog.PlanInRegions) strictjson.Problems {
 	var probs strictjson.Problems
 	seen := make(map[string]bool)
 	for _, p := range plans {
 		for _, st := range p.Stages {
 			path := "template/" + p.Template + ".stages." + st.Name
-			reason := s.cfg.Offers(st.Pool, st.Model, st.Adapter)
+			reason := s.cfg.Offers(st.Pool, st.Model, st.Adapter, p.Regions)
 			if reason != "" && !seen[path+reason] {
 				seen[path+reason] = true
 				probs.Add(path, "%s: load it first, or apply with --force", reason)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -67,7 +67,7 @@
 	// Name is unique among templates.
 	Name string `json:"name" need:"true"`
 	// Parameters are the values that an account provides.
-	Parameters []Parameter `json:"parameters"`
+	Parameters []Parameter `json:"parameters,omitzero"`
 	// Pipeline is the JSON form of a Pipeline in which a string "${name}" is
 	// replaced by the value of a parameter.
 	Pipeline any `json:"pipeline" need:"true"`
@@ -110,6 +110,10 @@
 	Deadline strictjson.Duration `json:"deadline" need:"true"`
 	// Idempotent is true if a request may run more than once.
 	Idempotent bool `json:"idempotent"`
+	// Regions are those in which the requests are served; left out for all. An account may
+	// narrow them further. They hold for all stages, because each stage receives the
+	// results of the earlier ones.
+	Regions []string `json:"regions"`
 	// Stages run one after another; each receives the results of the earlier
 	// ones.
 	Stages []Stage `json:"stages" need:"true"`
@@ -146,6 +150,9 @@
 	// Concurrent is the maximum number of requests in flight at one node; 0 for
 	// no limit.
 	Concurrent int `json:"concurrent,omitempty"`
+	// Regions are those in which the account's requests are served; left out for all.
+	// A request is served where both the account and the pipeline allow it.
+	Regions []string `json:"regions,omitzero"`
 	// Pipelines are the templates that the account uses.
 	Pipelines []Binding `json:"pipelines" need:"true"`
 }
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -32,7 +32,7 @@
 
 func TestExamplesCompile(t *testing.T) {
 	c := qt.New(t)
-	for _, name := range []string{"harbour.hujson", "utility.hujson"} {
+	for _, name := range []string{"harbour.hujson", "utility.hujson", "regions.hujson"} {
 		cfg, err := New(testPools()).Apply(1, loadExample(c, name))
 		c.Assert(err, qt.IsNil)
 		c.Assert(cfg.Accounts(), qt.Equals, 2)
--- a/internal/catalog/compile.go
+++ b/internal/catalog/compile.go
@@ -158,6 +158,7 @@
 	acct := old.decode()
 	a := *old
 	a.plans = make([]namedPlan, 0, len(acct.Pipelines))
+	bound := regionSet(probs, path+".regions", acct.Regions)
 	for i, b := range acct.Pipelines {
 		at := fmt.Sprintf("%s.pipelines[%d]", path, i)
 		if a.Plan(b.Name) != nil {
@@ -165,7 +166,7 @@
 			continue
 		}
 		if p := c.plan(at, b, probs); p != nil {
-			a.plans = append(a.plans, namedPlan{name: b.Name, plan: p})
+			a.plans = append(a.plans, namedPlan{name: b.Name, plan: p, regions: commonRegions(probs, at, bound, p)})
 		}
 	}
 	c.accounts[name] = &a
@@ -229,6 +230,7 @@
 		return nil
 	}
 	plan := &Plan{Template: t.Name, Class: p.Class, Deadline: p.Deadline.Std(), Idempotent: p.Idempotent}
+	plan.Regions = regionSet(probs, "template/"+t.Name+".pipeline.regions", p.Regions)
 	for _, s := range p.Stages {
 		if s.Attempts == 0 {
 			s.Attempts = defaultAttempts
--- a/internal/catalog/compiled.go
+++ b/internal/catalog/compiled.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"topazmoor/internal/region"
 	"topazmoor/internal/settings"
 	"topazmoor/internal/strictjson"
 )
@@ -18,7 +19,9 @@
 	Class      Class
 	Deadline   time.Duration
 	Idempotent bool
-	Stages     []PlanStage
+	// Regions are those that the pipeline allows.
+	Regions region.Set
+	Stages  []PlanStage
 }
 
 // PlanStage is a stage with its pool resolved.
@@ -43,6 +46,8 @@
 type namedPlan struct {
 	name string
 	plan *Plan
+	// regions are those that both the account and the plan allow; nil stands for all.
+	regions *region.Set
 }
 
 // Plan returns the plan of the pipeline with this name, or nil.
@@ -184,19 +189,26 @@
 	return b
 }
 
+// PlanInRegions is a plan with the regions in which its requests may be served.
+type PlanInRegions struct {
+	*Plan
+	Regions region.Set
+}
+
 // AffectedPlans returns the plans in c that the items affect: those of changed accounts
-// and those of changed templates. A plan may occur more than once.
-func (c *Compiled) AffectedPlans(items []Item) []*Plan {
-	var out []*Plan
+// and those of changed templates. A plan may occur more than once. Those of a template have
+// the regions that the template allows.
+func (c *Compiled) AffectedPlans(items []Item) []PlanInRegions {
+	var out []PlanInRegions
 	for _, it := range items {
 		if it.Kind == AccountItem && c.accounts[it.Name] != nil {
 			for _, p := range c.accounts[it.Name].plans {
-				out = append(out, p.plan)
+				out = append(out, PlanInRegions{p.plan, p.allowed()})
 			}
 		}
 		for _, p := range c.plans {
 			if it.Kind == TemplateItem && p.Template == it.Name {
-				out = append(out, p)
+				out = append(out, PlanInRegions{p, p.Regions})
 			}
 		}
 	}
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/catalog"
+	"topazmoor/internal/region"
 	"topazmoor/internal/settings"
 	"topazmoor/platform"
 )
@@ -44,7 +45,7 @@
 	}
 	cfg := catalog.New(set.Pools)
 	for i, file := range k.Manifests {
-		cfg, err = checkManifest(cfg, int64(i+1), file)
+		cfg, err = checkManifest(cfg, int64(i+1), file, set.Regions.DataCentres)
 		if err != nil {
 			return usage(err)
 		}
@@ -63,18 +64,25 @@
 	return c.print(res, func(w io.Writer) { fmt.Fprintf(w, "ok: %s, node %s in %s\n", file, set.Node, set.DataCentre) })
 }
 
-func checkManifest(cfg *catalog.Compiled, revision int64, file string) (*catalog.Compiled, error) {
+func checkManifest(cfg *catalog.Compiled, revision int64, file string, regions region.Map) (*catalog.Compiled, error) {
 	src, err := os.ReadFile(file)
 	if err != nil {
 		return nil, eris.Wrap(err, "read manifest")
 	}
 	m, err := catalog.ParseManifest(src)
 	if err != nil {
-		return nil, err
+		return nil, catalog.AddLines(err, file, src)
 	}
 	items, err := m.Items()
 	if err != nil {
 		return nil, err
 	}
-	return cfg.Apply(revision, items)
+	next, err := cfg.Apply(revision, items)
+	if err == nil {
+		err = next.CheckRegions(items, regions).Err()
+	}
+	if err != nil {
+		return nil, catalog.AddLines(err, file, src)
+	}
+	return next, nil
 }
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -8,6 +8,8 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -111,12 +113,14 @@
 	if err != nil {
 		return admin.ApplyResult{}, usage(err)
 	}
-	return cl.Apply(ctx, admin.ApplyRequest{Base: a.Base, DryRun: a.DryRun, Note: a.Note, Force: a.Force, Manifest: string(src)})
+	res, err := cl.Apply(ctx, admin.ApplyRequest{Base: a.Base, DryRun: a.DryRun, Note: a.Note, Force: a.Force, Manifest: string(src)})
+	return res, eris.Wrap(err, a.File)
 }
 
 func printApply(w io.Writer, res admin.ApplyResult) {
 	for _, d := range res.Diff {
 		fmt.Fprintf(w, "%s %s\n", d.Action, d.Object)
+		printRegionChange(w, d)
 	}
 	if res.Accepted {
 		fmt.Fprintln(w, "accepted as revision", res.Revision)
@@ -125,6 +129,24 @@
 	fmt.Fprintln(w, "nothing changed; the configuration is at revision", res.Revision)
 }
 
+// printRegionChange shows the regions of an object that a change binds, frees or moves.
+func printRegionChange(w io.Writer, d admin.Difference) {
+	before := catalog.Item{Value: d.Before}.Regions()
+	after := catalog.Item{Value: d.After}.Regions()
+	if slices.Equal(before, after) {
+		return
+	}
+	fmt.Fprintf(w, "  regions %s -> %s\n", orAll(before), orAll(after))
+}
+
+// orAll returns the names, or "all" if there are none.
+func orAll(names []string) string {
+	if len(names) == 0 {
+		return "all"
+	}
+	return strings.Join(names, ",")
+}
+
 // printConflict shows what changed since the base of an outdated change.
 func printConflict(c *console, err error) {
 	var refused *admin.RefusedError
@@ -283,6 +305,19 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\n", n.Name, n.DataCentre, n.State, n.Revision)
 	}
 	w.Flush()
+	printRegions(out, st.Regions)
+}
+
+func printRegions(out io.Writer, regions []admin.RegionStatus) {
+	if len(regions) == 0 {
+		return
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "REGION\tDATA CENTRES\tTARGET HOSTS\tSERVING\tACCOUNTS BOUND TO IT")
+	for _, r := range regions {
+		fmt.Fprintf(w, "%s\t%v\t%d\t%d\t%d\n", r.Name, r.DataCentres, r.Hosts, r.Serving, r.Accounts)
+	}
+	w.Flush()
 }
 
 // auditCmd prints the audit trail.
@@ -323,13 +358,21 @@
 	w.Flush()
 }
 
+// describeItem returns the object of an item, with the regions that it names.
+func describeItem(it catalog.Item) string {
+	if regions := it.Regions(); len(regions) > 0 {
+		return it.Key() + " in " + strings.Join(regions, ",")
+	}
+	return it.Key()
+}
+
 func printAudit(out io.Writer, changes []catalog.Change) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "REVISION\tTIME\tBY\tOBJECTS\tNOTE")
 	for _, ch := range changes {
 		var objects []string
 		for _, it := range ch.Items {
-			objects = append(objects, it.Key())
+			objects = append(objects, describeItem(it))
 		}
 		fmt.Fprintf(w, "%d\t%s\t%s\t%v\t%s\n", ch.Revision, ch.At.Format(time.RFC3339), ch.By, objects, ch.Note)
 	}
--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -17,6 +17,7 @@
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/pipeline"
+	"topazmoor/internal/region"
 	"topazmoor/internal/verdict"
 )
 
@@ -255,10 +256,25 @@
 	req := &pipeline.Request{
 		ID: id, Account: acct.Name, Pipeline: name, Plan: plan,
 		Class: call.class, Deadline: arrived.Add(call.deadline), Input: call.input,
+		Regions: s.regionsOf(acct, name),
 	}
 	return &exchange{s: s, w: w, r: r, acct: acct, req: req, call: call, arrived: arrived, revision: s.cfg.Catalog().Revision}, nil
 }
 
+// regionsOf returns a function that gives the regions of an account's pipeline by the configuration in
+// force when it is called. If the pipeline was removed since, they are those that it had in acct.
+func (s *Server) regionsOf(acct *catalog.CompiledAccount, pipeline string) func() region.Set {
+	return func() region.Set {
+		if now := s.cfg.Catalog().Account(acct.Name); now != nil {
+			if allowed, ok := now.Regions(pipeline); ok {
+				return allowed
+			}
+		}
+		allowed, _ := acct.Regions(pipeline)
+		return allowed
+	}
+}
+
 // admit counts a request against the limits of the node and of the account, or
 // refuses it. leave must be called once when the request ends.
 func (s *Server) admit(acct *catalog.CompiledAccount) (leave func(), err error) {
--- a/internal/frontdoor/item.go
+++ b/internal/frontdoor/item.go
@@ -91,6 +91,7 @@
 	}
 	e.acct = acct
 	e.req.Plan = acct.Plan(it.Pipeline)
+	e.req.Regions = s.regionsOf(acct, it.Pipeline)
 	e.req.Deadline = e.arrived.Add(e.req.Plan.Deadline)
 	if e.req.Plan.Idempotent {
 		o := e.execute(ctx)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/membership"
 	"topazmoor/internal/metrics"
+	"topazmoor/internal/region"
 	"topazmoor/internal/scheduler"
 	"topazmoor/internal/settings"
 	"topazmoor/internal/store"
@@ -100,7 +101,7 @@
 		s: s, env: env, stopping: make(chan struct{}), metrics: metrics.New(), started: time.Now(),
 		log: env.Log.With("node", s.Node.Name),
 	}
-	n.sched = scheduler.New(scheduler.DefaultConfig(s.Node.DataCentre, env.Seed))
+	n.sched = scheduler.New(n.schedulerConfig())
 	n.calls = dispatch.New(env.Dial, s.Limits.AnswerBytes)
 	if err := n.provisionPeers(); err != nil {
 		return nil, err
@@ -120,6 +121,13 @@
 	return n, nil
 }
 
+func (n *Node) schedulerConfig() scheduler.Config {
+	cfg := scheduler.DefaultConfig(n.s.Node.DataCentre, n.env.Seed)
+	cfg.Regions = n.s.RegionMap()
+	cfg.Crossing = region.Crossing{RoundTrip: n.s.Regions.RoundTrip.Std()}
+	return cfg
+}
+
 // Addr returns the listen address of the named server ("caller", "admin",
 // "peer" or "observe"), or "" for an unknown name.
 func (n *Node) Addr(name string) string {
--- a/internal/node/pollers.go
+++ b/internal/node/pollers.go
@@ -87,7 +87,8 @@
 	}
 	p.last = now
 	p.n.sched.SetNodes(now.nodes)
-	p.n.sched.SetHosts(routing.Subset(p.n.s.Node.Name, servingHosts(hosts, cfg)), cfg.Drained)
+	serving := routing.Subset(p.n.s.Node.Name, servingHosts(hosts, cfg), p.n.s.RegionMap())
+	p.n.sched.SetHosts(serving, cfg.Drained)
 }
 
 // servingHosts returns the hosts that may receive new work: live hosts that are not
--- a/internal/node/provision.go
+++ b/internal/node/provision.go
@@ -14,6 +14,7 @@
 	"topazmoor/internal/frontdoor"
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/pipeline"
+	"topazmoor/internal/region"
 	"topazmoor/internal/settings"
 )
 
@@ -50,7 +51,7 @@
 		Store: store, Offer: n.follower.Offer, Status: n.Status, Refresh: n.peers.refresh,
 		Stop:     func(string) { n.RequestStop() },
 		StopTime: n.s.Stop.BalancerLag.Std() + n.s.Stop.Drain.Std(),
-		NewID:    n.env.NewID, Log: n.log, Offers: n.whyNotOffered,
+		NewID:    n.env.NewID, Log: n.log, Offers: n.whyNotOffered, Regions: n.s.Regions.DataCentres,
 		Events: func(ctx context.Context, after time.Time, limit int) ([]control.Event, error) {
 			return control.Events(ctx, n.env.Store, after, limit)
 		},
@@ -60,23 +61,28 @@
 	})
 }
 
-// whyNotOffered returns "" if a target of the pool offers the model with the
-// adapter, and otherwise the reason why none does. A pool without hosts gives "".
-func (n *Node) whyNotOffered(pool, model, adapter string) string {
+// whyNotOffered returns "" if a target of the pool in an allowed region offers the model with
+// the adapter, and otherwise the reason why none does. A pool without hosts gives "".
+func (n *Node) whyNotOffered(pool, model, adapter string, allowed region.Set) string {
 	hasHosts := false
+	regions := n.s.RegionMap()
 	for _, h := range n.board.Hosts.Get().Hosts {
 		if h.Pool != pool {
 			continue
 		}
 		hasHosts = true
-		if includes(h.Models, model) && includes(h.Adapters, adapter) {
+		if regions.Allows(allowed, h.DataCentre) && includes(h.Models, model) && includes(h.Adapters, adapter) {
 			return ""
 		}
 	}
 	if !hasHosts {
 		return ""
 	}
-	return fmt.Sprintf("no target of pool %s offers model %q with adapter %q", pool, model, adapter)
+	where := ""
+	if !allowed.All() {
+		where = " in the regions " + allowed.String()
+	}
+	return fmt.Sprintf("no target of pool %s%s offers model %q with adapter %q", pool, where, model, adapter)
 }
 
 // includes reports whether the list of a target's models, or adapters, includes
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -1,10 +1,15 @@
 package node
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"topazmoor/internal/admin"
+	"topazmoor/internal/catalog"
+	"topazmoor/internal/region"
+	"topazmoor/internal/store"
 )
 
 // Ready reports whether the load balancer should route callers to this node. If
@@ -61,6 +66,7 @@
 	for _, m := range n.board.Members.Get() {
 		st.Nodes = append(st.Nodes, admin.NodeStatus{Name: m.Name, DataCentre: m.DataCentre, State: m.Health.String(), Revision: m.Revision})
 	}
+	st.Regions = regionStatus(n.s.RegionMap(), n.board.Hosts.Get().Hosts, cfg)
 	for host := range cfg.Drains() {
 		st.Drained = append(st.Drained, host)
 	}
@@ -69,3 +75,22 @@
 	}
 	return st
 }
+
+// regionStatus describes the regions of the data centres, in the order of their names.
+func regionStatus(regions region.Map, hosts []store.Host, cfg *catalog.Compiled) []admin.RegionStatus {
+	use := cfg.RegionUse()
+	var out []admin.RegionStatus
+	for _, name := range regions.Names() {
+		st := admin.RegionStatus{Name: name, Accounts: use[name]}
+		for _, dc := range slices.Sorted(maps.Keys(regions)) {
+			if regions[dc] == name {
+				st.DataCentres = append(st.DataCentres, dc)
+			}
+		}
+		inRegion := slices.DeleteFunc(slices.Clone(hosts), func(h store.Host) bool { return regions[h.DataCentre] != name })
+		st.Hosts = len(inRegion)
+		st.Serving = len(servingHosts(inRegion, cfg))
+		out = append(out, st)
+	}
+	return out
+}
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -11,6 +11,7 @@
 
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/dispatch"
+	"topazmoor/internal/region"
 	"topazmoor/internal/scheduler"
 	"topazmoor/internal/settings"
 	"topazmoor/internal/verdict"
@@ -26,6 +27,9 @@
 	Class    catalog.Class
 	// Deadline is when the complete answer is due.
 	Deadline time.Time
+	// Regions returns the regions in which the request may be served by the configuration in
+	// force now; nil stands for all. It must not block.
+	Regions func() region.Set
 	// Input is the caller's input, a JSON value.
 	Input json.RawMessage
 	// Emit, when set, receives the tokens of the last stage as they arrive, if it is
@@ -95,6 +99,9 @@
 // estimated queueing and service times of all its stages. The error is a
 // *verdict.Error with NotRun.
 func (r *Runner) Admit(req *Request) error {
+	if err := r.checkRegions(req); err != nil {
+		return err
+	}
 	need, wait := r.sched.EstimateRemaining(stageDemands(req, 0), req.Class)
 	if time.Duration(admitShare*float64(need)) <= time.Until(req.Deadline) {
 		return nil
@@ -105,12 +112,44 @@
 		After(max(wait, time.Second))
 }
 
+// checkRegions refuses a request that is bound to regions if no target in them can serve one of its
+// stages. Otherwise the stages before would run in vain.
+func (r *Runner) checkRegions(req *Request) error {
+	allowed := req.Allowed()
+	switch {
+	case allowed.All():
+		return nil
+	case allowed.Empty():
+		return verdict.New(verdict.NotRun, verdict.NoTarget,
+			"the account and the pipeline %s have no region in common", req.Pipeline)
+	}
+	for i := range req.Plan.Stages {
+		st := &req.Plan.Stages[i]
+		err := r.sched.CheckTargets(scheduler.Call{
+			Pool: st.Pool, Model: st.Model, Adapter: st.Adapter, Stage: st.Name,
+			Latest: r.latest(req, i), Regions: req.Regions,
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Allowed returns the regions in which the request may be served now.
+func (r *Request) Allowed() region.Set {
+	if r.Regions == nil {
+		return region.Set{}
+	}
+	return r.Regions()
+}
+
 // stageDemands returns the stages of a request, from index from on, for an estimate.
 func stageDemands(req *Request, from int) []scheduler.StageDemand {
-	stages := req.Plan.Stages
+	stages, allowed := req.Plan.Stages, req.Allowed()
 	out := make([]scheduler.StageDemand, 0, len(stages)-from)
 	for i := from; i < len(stages); i++ {
-		out = append(out, scheduler.StageDemand{Pool: stages[i].Pool, Stage: stageKey(req, i)})
+		out = append(out, scheduler.StageDemand{Pool: stages[i].Pool, Stage: stageKey(req, i), Regions: allowed})
 	}
 	return out
 }
--- a/internal/pipeline/stage.go
+++ b/internal/pipeline/stage.go
@@ -65,6 +65,7 @@
 		Pool: s.st.Pool, Model: s.st.Model, Adapter: s.st.Adapter,
 		Account: s.req.Account, Class: s.req.Class, Stage: s.key(),
 		Latest: s.r.latest(s.req, s.index), Prefix: s.d.prefix(s.st), Exclude: s.exclude,
+		Regions: s.req.Regions,
 	})
 }
 
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -66,17 +66,19 @@
 func (m Map) Missing(s Set) []string {
 	var out []string
 	for _, name := range s.names {
-		if !slices.ContainsFunc(m.regions(), func(known string) bool { return known == name }) {
+		if !slices.Contains(m.Names(), name) {
 			out = append(out, name)
 		}
 	}
 	return out
 }
 
-func (m Map) regions() []string {
+// Names returns the sorted names of the regions in which the Map has a data centre.
+func (m Map) Names() []string {
 	out := make([]string, 0, len(m))
 	for _, name := range m {
 		out = append(out, name)
 	}
-	return out
+	slices.Sort(out)
+	return slices.Compact(out)
 }
--- a/internal/routing/breaker.go
+++ b/internal/routing/breaker.go
@@ -30,6 +30,14 @@
 	return b.probing || now.Before(b.until)
 }
 
+// AvailableAt returns when the pause of an open breaker ends; zero if the breaker is closed.
+func (b *Breaker) AvailableAt() time.Time {
+	if b.failures < breakerFailures {
+		return time.Time{}
+	}
+	return b.until
+}
+
 // Start records that a call was sent. If the breaker is open, the call is the probe.
 func (b *Breaker) Start() {
 	if b.failures >= breakerFailures {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"topazmoor/internal/region"
 )
 
 // Target describes a target host by the host list. It is immutable.
@@ -15,6 +17,8 @@
 	// ID is the host's ID in the host list; Addr is IP:port.
 	ID, Addr   string
 	DataCentre string
+	// Region is the region of the data centre; "" if it is not known.
+	Region string
 	// Models and Adapters are those that the target has loaded. An empty list
 	// matches any model or adapter.
 	Models, Adapters []string
@@ -57,8 +61,10 @@
 // Query describes one call.
 type Query struct {
 	Model, Adapter string
-	// DataCentre is the data centre of the calling node.
-	DataCentre string
+	// DataCentre is the data centre of the calling node, and Region its region.
+	DataCentre, Region string
+	// Regions are those in which the call may be served.
+	Regions region.Set
 	// Prefix is the hash of the prompt's prefix; 0 for no affinity.
 	Prefix uint64
 	// LimitFactor multiplies the limit of a target for this call. A higher class has a
@@ -69,6 +75,8 @@
 	Exclude []string
 	// RemoteCost is the time that a call to another data centre takes longer.
 	RemoteCost time.Duration
+	// CrossingCost is the time that a call to another region costs in addition.
+	CrossingCost time.Duration
 	// PrefixGain is the time that a call saves at a target that has the prefix
 	// cached.
 	PrefixGain time.Duration
@@ -82,6 +90,7 @@
 const (
 	Eligible Reason = iota
 	WrongModel
+	OutsideRegions
 	IsLeaving
 	Excluded
 	IsDown
@@ -94,6 +103,8 @@
 	switch {
 	case !serves(c.Models, q.Model) || !serves(c.Adapters, q.Adapter):
 		return WrongModel
+	case !q.Regions.Has(c.Region):
+		return OutsideRegions
 	case c.Leaving:
 		return IsLeaving
 	case slices.Contains(q.Exclude, c.ID):
@@ -144,6 +155,9 @@
 	if q.DataCentre != "" && c.DataCentre != q.DataCentre {
 		s += q.RemoteCost
 	}
+	if q.Region != "" && c.Region != "" && c.Region != q.Region {
+		s += q.CrossingCost
+	}
 	return s
 }
 
@@ -184,15 +198,15 @@
 }
 
 // preferredTarget returns the index of the target with the highest hash for the
-// prefix, among the candidates that serve the model and adapter and are neither
-// leaving nor down, or -1 when its load is above affinityBound. It ignores limits and
+// prefix, among the candidates that serve the model and adapter, are in a region of the
+// call and are neither leaving nor down, or -1 when its load is above affinityBound. It ignores limits and
 // q.Exclude, so that a prefix stays with a target that is at its limit.
 func preferredTarget(q *Query, candidates []Candidate) int {
 	best, n, total := -1, 0, 0
 	var bestHash uint64
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Leaving || c.Down || !serves(c.Models, q.Model) || !serves(c.Adapters, q.Adapter) {
+		if c.Leaving || c.Down || !q.Regions.Has(c.Region) || !serves(c.Models, q.Model) || !serves(c.Adapters, q.Adapter) {
 			continue
 		}
 		n++
--- a/internal/routing/subset_test.go
+++ b/internal/routing/subset_test.go
@@ -18,7 +18,7 @@
 }
 
 func TestSubsetKeepsSmallPoolsWhole(t *testing.T) {
-	qt.Assert(t, Subset("n", subsetHosts(18, 3)), qt.HasLen, 18)
+	qt.Assert(t, Subset("n", subsetHosts(18, 3), nil), qt.HasLen, 18)
 }
 
 func TestSubsetCoversEveryHostAndModel(t *testing.T) {
@@ -27,7 +27,7 @@
 	seen := make(map[string]int)
 	for n := range 400 {
 		models := make(map[string]int)
-		sub := Subset(fmt.Sprint("node", n), hosts)
+		sub := Subset(fmt.Sprint("node", n), hosts, nil)
 		c.Assert(len(sub) < 100, qt.IsTrue)
 		for _, h := range sub {
 			seen[h.ID]++
@@ -48,8 +48,8 @@
 func TestSubsetMovesLittle(t *testing.T) {
 	c := qt.New(t)
 	hosts := subsetHosts(100, 1)
-	before := Subset("n", hosts)
-	after := Subset("n", hosts[1:])
+	before := Subset("n", hosts, nil)
+	after := Subset("n", hosts[1:], nil)
 	kept := make(map[string]bool)
 	for _, h := range after {
 		kept[h.ID] = true
@@ -68,7 +68,7 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			hosts := subsetHosts(n, 10)
 			for b.Loop() {
-				Subset("node", hosts)
+				Subset("node", hosts, nil)
 			}
 		})
 	}
--- a/internal/scheduler/acquire.go
+++ b/internal/scheduler/acquire.go
@@ -6,6 +6,7 @@
 
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/flow"
+	"topazmoor/internal/region"
 	"topazmoor/internal/routing"
 	"topazmoor/internal/verdict"
 )
@@ -58,7 +59,7 @@
 		err = verdict.New(verdict.NotRun, verdict.Canceled, "the call was cancelled while it waited for pool %s", p.name)
 	case <-timer.C:
 		err = verdict.New(verdict.NotRun, verdict.DeadlineUnreachable,
-			"no target of pool %s came free in time", p.name).After(s.retryAfter(p, it.Class))
+			"no target of pool %s came free in time", p.name).After(s.retryAfter(p, it.Class, w.call.regions()))
 	}
 	s.mu.Lock()
 	removed := p.queue.Remove(it)
@@ -76,12 +77,12 @@
 	return nil, err
 }
 
-// retryAfter estimates how long a new call of the class would wait in the pool's queue now. It returns
-// at least a second.
-func (s *Scheduler) retryAfter(p *pool, class catalog.Class) time.Duration {
+// retryAfter estimates how long a new call of the class that may be served in the allowed regions would
+// wait in the pool's queue now. It returns at least a second.
+func (s *Scheduler) retryAfter(p *pool, class catalog.Class, allowed region.Set) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(p.queueWait(class, defaultServiceTime), time.Second)
+	return max(p.queueWait(class, allowed, defaultServiceTime), time.Second)
 }
 
 // grantWaiting grants targets to waiting calls until no call fits a target. The
@@ -111,6 +112,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		p.timer = nil
+		p.refuseUnservedInRegions()
 		s.grantWaiting(p)
 	})
 }
@@ -120,6 +122,7 @@
 func (s *Scheduler) pick(p *pool, c *Call) int {
 	q := routing.Query{
 		Model: c.Model, Adapter: c.Adapter, DataCentre: s.cfg.DataCentre,
+		Region: s.cfg.Regions[s.cfg.DataCentre], Regions: c.regions(), CrossingCost: s.cfg.Crossing.Cost(1, 0),
 		Prefix: c.Prefix, Exclude: c.Exclude, LimitFactor: limitFactor[c.Class],
 		RemoteCost: s.cfg.RemoteCost, PrefixGain: s.cfg.PrefixGain,
 	}
--- a/internal/scheduler/demand.go
+++ b/internal/scheduler/demand.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"topazmoor/internal/catalog"
+	"topazmoor/internal/region"
 )
 
 // Demand returns the number of waiting and running calls of this node, by pool.
@@ -99,6 +100,8 @@
 type StageDemand struct {
 	// Pool serves the stage; Stage is its estimate's key.
 	Pool, Stage string
+	// Regions are those in which the stage may be served.
+	Regions region.Set
 }
 
 // EstimateRemaining estimates the time that the stages need from now on: for each stage the
@@ -109,7 +112,7 @@
 	defer s.mu.Unlock()
 	for _, d := range stages {
 		mean := s.mean(d.Stage)
-		w := s.pool(d.Pool).queueWait(class, mean)
+		w := s.pool(d.Pool).queueWait(class, d.Regions, mean)
 		queueWait += w
 		total += w + mean
 	}
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -8,6 +8,7 @@
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/flow"
 	"topazmoor/internal/readiness"
+	"topazmoor/internal/region"
 	"topazmoor/internal/routing"
 	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
@@ -53,8 +54,9 @@
 }
 
 // setHosts replaces the targets of a pool and keeps the state of those that stay.
-// share is the part of each target's slots that this node may use.
-func (p *pool) setHosts(hosts []store.Host, drained func(string) bool, share float64) {
+// share is the part of each target's slots that this node may use, and regions the region of
+// each data centre.
+func (p *pool) setHosts(hosts []store.Host, drained func(string) bool, share float64, regions region.Map) {
 	existing := make(map[string]*target, len(p.targets))
 	loads := make(map[string]routing.Load, len(p.targets))
 	for i, t := range p.targets {
@@ -75,13 +77,13 @@
 		load := loads[h.ID]
 		load.Leaving = h.State != store.Live || drained(h.ID)
 		p.targets = append(p.targets, t)
-		p.candidates = append(p.candidates, routing.Candidate{Target: targetOf(h), Load: load})
+		p.candidates = append(p.candidates, routing.Candidate{Target: targetOf(h, regions), Load: load})
 	}
 }
 
-func targetOf(h store.Host) routing.Target {
+func targetOf(h store.Host, regions region.Map) routing.Target {
 	return routing.Target{
-		ID: h.ID, Addr: h.Addr, DataCentre: h.DataCentre,
+		ID: h.ID, Addr: h.Addr, DataCentre: h.DataCentre, Region: regions[h.DataCentre],
 		Models: h.Models, Adapters: h.Adapters,
 		Slots: h.Slots, Hash: xxhash.Sum64String(h.ID),
 	}
@@ -138,54 +140,23 @@
 		return verdict.New(verdict.NotRun, verdict.Overloaded, "pool %s has %d calls waiting", p.name, limit).
 			After(time.Second).At(c.Stage, "")
 	}
-	if p.serves(c) {
-		return nil
-	}
-	return noTargetError(p.name, c)
-}
-
-// noTargetError is the error of a call that no target of the pool serves.
-func noTargetError(pool string, c *Call) error {
-	return verdict.New(verdict.NotRun, verdict.NoTarget,
-		"no target of pool %s serves model %q with adapter %q", pool, c.Model, c.Adapter).
-		After(2*time.Second).At(c.Stage, "")
-}
-
-// serves reports whether any target has the call's model and adapter and is not
-// leaving. It may be busy or down.
-func (p *pool) serves(c *Call) bool {
-	q := routing.Query{Model: c.Model, Adapter: c.Adapter}
-	for i := range p.candidates {
-		switch routing.Filter(&q, &p.candidates[i]) {
-		case routing.WrongModel, routing.IsLeaving:
-		default:
-			return true
-		}
-	}
-	return false
-}
-
-// refuseUnserved refuses the waiting calls that no target serves any more. Their
-// refusal is final, so they get it at once and not at their deadline.
-func (p *pool) refuseUnserved() {
-	unserved := func(it *flow.Item) bool { return !p.serves(&it.Value.(*waiter).call) }
-	for _, it := range p.queue.Drop(unserved) {
-		w := it.Value.(*waiter)
-		p.callEnded(w.call.Model)
-		w.done <- grant{err: noTargetError(p.name, &w.call)}
-	}
+	return p.checkTargets(c, time.Now())
 }
 
-// queueWait estimates how long a new call of this class waits in the queue, by the
-// mean service time of a call.
-func (p *pool) queueWait(class catalog.Class, mean time.Duration) time.Duration {
+// queueWait estimates how long a new call of this class that may be served in the regions waits in
+// the queue, by the mean service time of a call.
+func (p *pool) queueWait(class catalog.Class, regions region.Set, mean time.Duration) time.Duration {
 	capacity, busy := 0, 0
 	for i := range p.candidates {
-		if !p.candidates[i].Leaving && !p.candidates[i].Down {
-			capacity += p.candidates[i].Limit
-			busy += min(p.targets[i].inFlight, p.candidates[i].Limit)
+		c := &p.candidates[i]
+		if !c.Leaving && !c.Down && regions.Has(c.Region) {
+			capacity += c.Limit
+			busy += min(p.targets[i].inFlight, c.Limit)
 		}
 	}
+	if !regions.All() && busy < capacity {
+		return 0
+	}
 	ahead := p.queue.Ahead(class)
 	if capacity == 0 || (ahead == 0 && busy < capacity) {
 		return 0
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/flow"
+	"topazmoor/internal/region"
 	"topazmoor/internal/store"
 )
 
@@ -19,6 +20,10 @@
 	DataCentre string
 	// RemoteCost is the time that a call to another data centre takes longer.
 	RemoteCost time.Duration
+	// Regions gives the region of each data centre, and Crossing the cost of a call to another
+	// region than the node's.
+	Regions  region.Map
+	Crossing region.Crossing
 	// PrefixGain is the time that a cached prompt prefix saves.
 	PrefixGain time.Duration
 	// QueueLimit is the maximum number of waiting calls per pool.
@@ -55,6 +60,17 @@
 	// Exclude lists the IDs of targets that this request was sent to already; they
 	// are used again only when no other target can serve the call.
 	Exclude []string
+	// Regions returns the regions in which the call may be served now; nil stands for all. It is
+	// called under the scheduler's lock and must not block.
+	Regions func() region.Set
+}
+
+// regions returns the regions in which the call may be served now.
+func (c *Call) regions() region.Set {
+	if c.Regions == nil {
+		return region.Set{}
+	}
+	return c.Regions()
 }
 
 // Outcome is how a granted call ended. It updates the target's live state.
@@ -115,13 +131,13 @@
 	}
 	for name, p := range s.pools {
 		if byPool[name] == nil {
-			p.setHosts(nil, drained, s.share)
+			p.setHosts(nil, drained, s.share, s.cfg.Regions)
 			p.refuseUnserved()
 		}
 	}
 	for name, list := range byPool {
 		p := s.pool(name)
-		p.setHosts(list, drained, s.share)
+		p.setHosts(list, drained, s.share, s.cfg.Regions)
 		p.refuseUnserved()
 		s.grantWaiting(p)
 	}
--- /dev/null
+++ b/internal/scheduler/serve.go
@@ -0,0 +1,103 @@
+package scheduler
+
+import (
+	"time"
+
+	"topazmoor/internal/flow"
+	"topazmoor/internal/region"
+	"topazmoor/internal/routing"
+	"topazmoor/internal/verdict"
+)
+
+// noTargetRetry is when a call that no target serves may be repeated: the host list may have
+// changed by then.
+const noTargetRetry = 2 * time.Second
+
+// CheckTargets returns an error if it is known that no target will serve the call: none that has its
+// model and adapter is in a region of the call, or all of those are down for longer than the call can
+// wait. The error is a *verdict.Error with NotRun.
+func (s *Scheduler) CheckTargets(c Call) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool(c.Pool).checkTargets(&c, time.Now())
+}
+
+// checkTargets is CheckTargets for the calls of one pool. That targets are down is held against calls
+// bound to regions only: few targets serve those, and they fail together.
+func (p *pool) checkTargets(c *Call, now time.Time) error {
+	allowed := c.regions()
+	available, ok := p.availableAt(c, allowed, now)
+	switch {
+	case !ok:
+		return noTargetError(p.name, c, allowed)
+	case !allowed.All() && available.After(c.Latest):
+		return verdict.New(verdict.NotRun, verdict.NoTarget,
+			"all targets of pool %s in the regions %s are down", p.name, allowed).
+			After(max(available.Sub(now), time.Second)).At(c.Stage, "")
+	}
+	return nil
+}
+
+// availableAt returns when the first target that has the call's model and adapter, is in an allowed
+// region and is not leaving is expected to be up; it may be busy then. The result is false if there
+// is no such target.
+func (p *pool) availableAt(c *Call, allowed region.Set, now time.Time) (at time.Time, ok bool) {
+	q := routing.Query{Model: c.Model, Adapter: c.Adapter, Regions: allowed}
+	for i, t := range p.targets {
+		switch routing.Filter(&q, &p.candidates[i]) {
+		case routing.WrongModel, routing.OutsideRegions, routing.IsLeaving:
+			continue
+		}
+		if up := t.availableAt(now); !ok || up.Before(at) {
+			at, ok = up, true
+		}
+	}
+	return at, ok
+}
+
+// availableAt returns when the target is expected to be up: now if it is.
+func (t *target) availableAt(now time.Time) time.Time {
+	at := now
+	for _, end := range []time.Time{t.breaker.AvailableAt(), t.ready.AvailableAt(now)} {
+		if end.After(at) {
+			at = end
+		}
+	}
+	return at
+}
+
+// noTargetError is the error of a call that no target of the pool serves.
+func noTargetError(pool string, c *Call, allowed region.Set) error {
+	where := ""
+	if !allowed.All() {
+		where = " in the regions " + allowed.String()
+	}
+	return verdict.New(verdict.NotRun, verdict.NoTarget,
+		"no target of pool %s%s serves model %q with adapter %q", pool, where, c.Model, c.Adapter).
+		After(noTargetRetry).At(c.Stage, "")
+}
+
+// refuseUnserved refuses the waiting calls that no target will serve. Their refusal is final, so they
+// get it at once and not at their deadline.
+func (p *pool) refuseUnserved() {
+	p.refuseIf(func(*Call) bool { return true })
+}
+
+// refuseUnservedInRegions is refuseUnserved for the calls that are bound to regions.
+func (p *pool) refuseUnservedInRegions() {
+	p.refuseIf(func(c *Call) bool { return !c.regions().All() })
+}
+
+// refuseIf refuses the waiting calls that the condition holds for and no target will serve.
+func (p *pool) refuseIf(condition func(*Call) bool) {
+	now := time.Now()
+	unserved := func(it *flow.Item) bool {
+		c := &it.Value.(*waiter).call
+		return condition(c) && p.checkTargets(c, now) != nil
+	}
+	for _, it := range p.queue.Drop(unserved) {
+		w := it.Value.(*waiter)
+		p.callEnded(w.call.Model)
+		w.done <- grant{err: p.checkTargets(&w.call, now)}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
+	"maps"
 	"net/netip"
 	"os"
 	"slices"
@@ -18,6 +19,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"topazmoor/internal/region"
 	"topazmoor/internal/strictjson"
 )
 
@@ -38,6 +40,8 @@
 	Operators []Operator `json:"operators"`
 	// Pools lists the pools of targets and their configuration.
 	Pools []Pool `json:"pools" need:"true"`
+	// Regions describes the regions of the deployment; leave it out if there is only one.
+	Regions Regions `json:"regions"`
 	// Limits bounds the resources that callers can occupy on the node.
 	Limits Limits `json:"limits"`
 	// Stop configures the graceful shutdown.
@@ -54,10 +58,20 @@
 	Name string `json:"name" need:"true"`
 	// DataCentre is the data centre of the host; calls stay within it where possible.
 	DataCentre string `json:"data_centre" need:"true"`
-	// Region groups data centres; empty if there is only one.
+	// Region is the region of the data centre; empty if there is only one. With
+	// regions.data_centres it may be left out.
 	Region string `json:"region"`
 }
 
+// Regions describes the regions of a deployment.
+type Regions struct {
+	// DataCentres gives the region of each data centre, those of the nodes and of the targets. A
+	// request that is bound to regions is not served in a data centre that is not listed.
+	DataCentres region.Map `json:"data_centres"`
+	// RoundTrip is the additional time of a call to another region. Default 20ms.
+	RoundTrip Duration `json:"round_trip"`
+}
+
 // Listen configures the listening addresses of a node.
 type Listen struct {
 	// Caller serves the caller API.
@@ -257,6 +271,7 @@
 	defaultTo(&s.Platform.ConfigPoll, Duration(3*time.Second))
 	defaultTo(&s.Peers.Interval, Duration(time.Second))
 	defaultTo(&s.Peers.SuspectAfter, Duration(5*time.Second))
+	defaultTo(&s.Regions.RoundTrip, Duration(20*time.Millisecond))
 	defaultTo(&s.Limits.BodyBytes, 1<<20)
 	defaultTo(&s.Limits.ReadTimeout, Duration(5*time.Second))
 	defaultTo(&s.Limits.Requests, 4096)
@@ -295,6 +310,7 @@
 	}
 	s.validateOperators(&p)
 	s.validatePools(&p)
+	s.validateRegions(&p)
 	s.validateRanges(&p)
 	return p
 }
@@ -336,10 +352,39 @@
 	}
 }
 
+func (s *Settings) validateRegions(p *strictjson.Problems) {
+	for _, dc := range slices.Sorted(maps.Keys(s.Regions.DataCentres)) {
+		path := "regions.data_centres." + dc
+		if dc == "" {
+			p.Add(path, "has no name: write the name of a data centre")
+		}
+		required(p, path, s.Regions.DataCentres[dc])
+	}
+	own, listed := s.Regions.DataCentres[s.Node.DataCentre]
+	switch {
+	case len(s.Regions.DataCentres) == 0 || s.Node.DataCentre == "":
+	case !listed:
+		p.Add("regions.data_centres", "has no entry for this node's data centre %q: add it", s.Node.DataCentre)
+	case s.Node.Region != "" && s.Node.Region != own:
+		p.Add("node.region", "is %q, but regions.data_centres puts %q into %q: write one of them", s.Node.Region, s.Node.DataCentre, own)
+	}
+}
+
+// RegionMap returns the region of each data centre that has a known one, this node's included.
+func (s *Settings) RegionMap() region.Map {
+	m := region.Map{}
+	maps.Copy(m, s.Regions.DataCentres)
+	if s.Node.Region != "" {
+		m[s.Node.DataCentre] = s.Node.Region
+	}
+	return m
+}
+
 func (s *Settings) validateRanges(p *strictjson.Problems) {
 	positive(p, "platform.timeout", int64(s.Platform.Timeout))
 	positive(p, "platform.config_poll", int64(s.Platform.ConfigPoll))
 	positive(p, "peers.interval", int64(s.Peers.Interval))
+	positive(p, "regions.round_trip", int64(s.Regions.RoundTrip))
 	positive(p, "limits.body_bytes", s.Limits.BodyBytes)
 	positive(p, "limits.requests", int64(s.Limits.Requests))
 	positive(p, "ledger.committers", int64(s.Ledger.Committers))
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -97,3 +97,19 @@
 		}
 	})
 }
+
+func TestRegionsOfDataCentresAgreeWithTheNode(t *testing.T) {
+	c := qt.New(t)
+	src, err := os.ReadFile(examplePath)
+	c.Assert(err, qt.IsNil)
+	const listed = `"poa-1": "sul"`
+	c.Assert(strings.Contains(string(src), listed), qt.IsTrue)
+	for _, x := range []struct{ entry, want string }{
+		{`"poa-1": "norte"`, `node.region: is "sul", but regions.data_centres puts "poa-1" into "norte": .*`},
+		{`"poa-2": "sul"`, `regions.data_centres: has no entry for this node's data centre "poa-1": .*`},
+		{`"poa-1": "sul", "x": ""`, `regions.data_centres.x: is empty: .*`},
+	} {
+		_, err := Parse([]byte(strings.Replace(string(src), listed, x.entry, 1)))
+		c.Assert(err, qt.ErrorMatches, x.want)
+	}
+}
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -24,6 +24,9 @@
 	Path string `json:"path"`
 	// Reason describes the fault and what to write instead.
 	Reason string `json:"reason"`
+	// File and Line locate the value in its file; "" and 0 if they are not known.
+	File string `json:"file,omitempty"`
+	Line int    `json:"line,omitempty"`
 }
 
 // Problems is a list of faults. Err returns it as an error if it is not empty.
@@ -59,11 +62,24 @@
 func (p Problems) Error() string {
 	lines := make([]string, len(p))
 	for i, pr := range p {
-		lines[i] = pr.Path + ": " + pr.Reason
+		lines[i] = pr.position() + pr.Path + ": " + pr.Reason
 	}
 	return strings.Join(lines, "\n")
 }
 
+// position returns the file and line, as far as they are known, as a prefix of a message.
+func (p Problem) position() string {
+	switch {
+	case p.File != "" && p.Line > 0:
+		return fmt.Sprintf("%s:%d: ", p.File, p.Line)
+	case p.File != "":
+		return p.File + ": "
+	case p.Line > 0:
+		return fmt.Sprintf("line %d: ", p.Line)
+	}
+	return ""
+}
+
 // Duration is a time.Duration written as a string such as "9s" or "250ms".
 type Duration time.Duration
 
