--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -9,7 +9,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -38,6 +37,8 @@
 	PathDataCentreDrains = "/v1/data-centre-drains/"
 	PathStop             = "/v1/stop"
 	PathRevert           = "/v1/revert"
+	// PathRollouts is followed by the name of a pool.
+	PathRollouts = "/v1/rollouts/"
 )
 
 // maxBody bounds the body of a call, in bytes.
@@ -57,6 +58,8 @@
 	// Regions gives the region of each data centre; without entries, names of regions are not
 	// checked.
 	Regions region.Map
+	// Rollouts knows of the roll-outs.
+	Rollouts Rollouts
 	// Events returns the events after a time, and RecordEvent stores one.
 	Events      func(ctx context.Context, after time.Time, limit int) ([]control.Event, error)
 	RecordEvent func(ctx context.Context, e control.Event) error
@@ -132,6 +135,9 @@
 	s.write("DELETE "+PathDrains+"{host}", s.undrain)
 	s.write("PUT "+PathDataCentreDrains+"{data_centre}", s.drainDataCentre)
 	s.write("DELETE "+PathDataCentreDrains+"{data_centre}", s.undrainDataCentre)
+	s.read("GET "+PathRollouts+"{pool}", s.rolloutStatus)
+	s.write("PUT "+PathRollouts+"{pool}", s.startRollout)
+	s.write("DELETE "+PathRollouts+"{pool}", s.stopRollout)
 	s.write("POST "+PathStop, s.stop)
 	s.write("PUT "+PathStop+"/{node}", s.scheduleStop)
 	s.write("DELETE "+PathStop+"/{node}", s.cancelStop)
@@ -311,12 +317,8 @@
 }
 
 func (s *Server) apply(r *http.Request, op settings.Operator) (any, error) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return nil, verdict.New(verdict.NotRun, verdict.TooLarge, "the body is over %d bytes", maxBody)
-	}
 	var req ApplyRequest
-	if err := strictjson.Decode(body, &req); err != nil {
+	if err := decodeBody(r, &req); err != nil {
 		return nil, err
 	}
 	src := []byte(req.Manifest)
@@ -333,7 +335,7 @@
 }
 
 // submit validates items against the current configuration and commits them.
-func (s *Server) submit(ctx context.Context, op settings.Operator, req ApplyRequest, items []catalog.Item) (any, error) {
+func (s *Server) submit(ctx context.Context, op settings.Operator, req ApplyRequest, items []catalog.Item) (ApplyResult, error) {
 	cur := s.cfg.Catalog()
 	base := req.Base
 	if base == 0 {
@@ -344,13 +346,13 @@
 	if base == cur.Revision {
 		next, err := cur.Apply(base+1, items)
 		if err != nil {
-			return nil, err
+			return ApplyResult{}, err
 		}
 		if err := next.CheckRegions(items, s.cfg.Regions).Err(); err != nil {
-			return nil, err
+			return ApplyResult{}, err
 		}
 		if err := s.checkOffers(next.AffectedPlans(items)).Err(); err != nil && !req.Force {
-			return nil, err
+			return ApplyResult{}, err
 		}
 	}
 	if req.DryRun || (len(diff) == 0 && base == cur.Revision) {
@@ -361,7 +363,7 @@
 	c := catalog.Change{ID: s.cfg.NewID(), By: op.Name, At: time.Now().UTC(), Note: req.Note, Items: items}
 	accepted, err := s.cfg.Store.Submit(ctx, base, c)
 	if err != nil {
-		return nil, err
+		return ApplyResult{}, err
 	}
 	s.cfg.Offer(accepted)
 	s.cfg.Log.Info("change accepted", "operator", op.Name, "revision", accepted.Revision, "items", len(items))
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -123,6 +123,28 @@
 	return out, err
 }
 
+// StartRollout orders that the calls of a pool move to another version, or says what that would do.
+func (c *Client) StartRollout(ctx context.Context, pool string, req RolloutRequest) (RolloutResult, error) {
+	var out RolloutResult
+	err := c.call(ctx, http.MethodPut, PathRollouts+url.PathEscape(pool), req, &out)
+	return out, err
+}
+
+// StopRollout withdraws the roll-out of a pool.
+func (c *Client) StopRollout(ctx context.Context, pool, note string) (ApplyResult, error) {
+	var out ApplyResult
+	q := url.Values{"note": {note}}
+	err := c.call(ctx, http.MethodDelete, PathRollouts+url.PathEscape(pool)+"?"+q.Encode(), nil, &out)
+	return out, err
+}
+
+// RolloutStatus describes the last roll-out of a pool.
+func (c *Client) RolloutStatus(ctx context.Context, pool string) (RolloutStatus, error) {
+	var out RolloutStatus
+	err := c.call(ctx, http.MethodGet, PathRollouts+url.PathEscape(pool), nil, &out)
+	return out, err
+}
+
 // Stop starts the graceful shutdown of the node.
 func (c *Client) Stop(ctx context.Context) (Status, error) {
 	var out Status
--- a/internal/admin/revert.go
+++ b/internal/admin/revert.go
@@ -4,12 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/settings"
-	"topazmoor/internal/strictjson"
 	"topazmoor/internal/verdict"
 )
 
@@ -22,12 +20,8 @@
 
 // revert submits the content of an earlier revision as a new one.
 func (s *Server) revert(r *http.Request, op settings.Operator) (any, error) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return nil, verdict.New(verdict.NotRun, verdict.TooLarge, "the body is over %d bytes", maxBody)
-	}
 	var req RevertRequest
-	if err := strictjson.Decode(body, &req); err != nil {
+	if err := decodeBody(r, &req); err != nil {
 		return nil, err
 	}
 	cur := s.cfg.Catalog()
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -178,6 +178,8 @@
 	// DataCentreDrainItem drains all target hosts of a data centre.
 	DataCentreDrainItem Kind = "data_centre_drain"
 	StopItem            Kind = "stop"
+	// RolloutItem is the order of a roll-out of a version; its name is the pool.
+	RolloutItem Kind = "rollout"
 )
 
 // Item is one created, replaced or deleted object of a change.
--- a/internal/catalog/compile.go
+++ b/internal/catalog/compile.go
@@ -27,6 +27,7 @@
 		drains:    maps.Clone(c.drains),
 		dcDrains:  maps.Clone(c.dcDrains),
 		stops:     maps.Clone(c.stops),
+		rollouts:  maps.Clone(c.rollouts),
 		plans:     maps.Clone(c.plans),
 		pools:     c.pools,
 	}
@@ -36,6 +37,8 @@
 	applyObjects(next.drains, DrainItem, items, &probs)
 	applyObjects(next.dcDrains, DataCentreDrainItem, items, &probs)
 	applyObjects(next.stops, StopItem, items, &probs)
+	applyObjects(next.rollouts, RolloutItem, items, &probs)
+	next.checkRollouts(items, &probs)
 	if len(changed) > 0 {
 		next.plans = make(map[string]*Plan)
 		next.addTemplateUsers(changed, affected)
--- a/internal/catalog/compiled.go
+++ b/internal/catalog/compiled.go
@@ -90,6 +90,8 @@
 	// dcDrains are the drains of data centres by name.
 	dcDrains map[string]DataCentreDrain
 	stops    map[string]Stop
+	// rollouts are the orders of roll-outs by pool.
+	rollouts map[string]Rollout
 	pools    map[string]settings.Pool
 	// plans is the cache of compiled plans, by template name and parameter values.
 	plans map[string]*Plan
@@ -108,6 +110,7 @@
 		drains:    make(map[string]Drain),
 		dcDrains:  make(map[string]DataCentreDrain),
 		stops:     make(map[string]Stop),
+		rollouts:  make(map[string]Rollout),
 		plans:     make(map[string]*Plan),
 		pools:     byName,
 	}
@@ -178,6 +181,10 @@
 		if st, ok := c.stops[name]; ok {
 			v = st
 		}
+	case RolloutItem:
+		if r, ok := c.rollouts[name]; ok {
+			v = r
+		}
 	}
 	if v == nil {
 		return nil
@@ -234,5 +241,8 @@
 	for name := range c.stops {
 		items = append(items, Item{Kind: StopItem, Name: name, Value: c.Object(StopItem, name)})
 	}
+	for name := range c.rollouts {
+		items = append(items, Item{Kind: RolloutItem, Name: name, Value: c.Object(RolloutItem, name)})
+	}
 	return items
 }
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -37,22 +37,23 @@
 
 // args are all commands.
 type args struct {
-	Serve      *serveCmd      `arg:"subcommand:serve" help:"run one node"`
-	Demo       *demoCmd       `arg:"subcommand:demo" help:"run nodes, targets and a platform in one process and show requests"`
-	Standin    *standinCmd    `arg:"subcommand:standin" help:"run stand-ins of the platform and the targets"`
-	Check      *checkCmd      `arg:"subcommand:check" help:"check settings and manifests"`
-	Apply      *applyCmd      `arg:"subcommand:apply" help:"submit templates and client accounts"`
-	Get        *getCmd        `arg:"subcommand:get" help:"print a template, account or drain order"`
-	Drain      *drainCmd      `arg:"subcommand:drain" help:"give a target host, or a data centre, no new work"`
-	Stop       *stopCmd       `arg:"subcommand:stop" help:"stop a node gracefully"`
-	Status     *statusCmd     `arg:"subcommand:status" help:"describe a node and the nodes it knows"`
-	Audit      *auditCmd      `arg:"subcommand:audit" help:"print who changed what"`
-	Batch      *batchCmd      `arg:"subcommand:batch" help:"submit a durable batch, show its progress or its results"`
-	Load       *loadCmd       `arg:"subcommand:load" help:"send requests at a fixed rate and report"`
-	Quarantine *quarantineCmd `arg:"subcommand:quarantine" help:"show and lift quarantines of requests that crash targets"`
-	Explain    *explainCmd    `arg:"subcommand:explain" help:"print the way of a request from the logs of nodes"`
-	Experiment *experimentCmd `arg:"subcommand:experiment" help:"play models of what nodes do together"`
-	Version    *versionCmd    `arg:"subcommand:version" help:"print the version"`
+	Serve      *serveCmd        `arg:"subcommand:serve" help:"run one node"`
+	Demo       *demoCmd         `arg:"subcommand:demo" help:"run nodes, targets and a platform in one process and show requests"`
+	Standin    *standinCmd      `arg:"subcommand:standin" help:"run stand-ins of the platform and the targets"`
+	Check      *checkCmd        `arg:"subcommand:check" help:"check settings and manifests"`
+	Apply      *applyCmd        `arg:"subcommand:apply" help:"submit templates and client accounts"`
+	Get        *getCmd          `arg:"subcommand:get" help:"print a template, account or drain order"`
+	Drain      *drainCmd        `arg:"subcommand:drain" help:"give a target host, or a data centre, no new work"`
+	Stop       *stopCmd         `arg:"subcommand:stop" help:"stop a node gracefully"`
+	Status     *statusCmd       `arg:"subcommand:status" help:"describe a node and the nodes it knows"`
+	Audit      *auditCmd        `arg:"subcommand:audit" help:"print who changed what"`
+	Batch      *batchCmd        `arg:"subcommand:batch" help:"submit a durable batch, show its progress or its results"`
+	Load       *loadCmd         `arg:"subcommand:load" help:"send requests at a fixed rate and report"`
+	Rollout    *rolloutOrderCmd `arg:"subcommand:rollout" help:"move the calls of a pool to another version of its targets"`
+	Quarantine *quarantineCmd   `arg:"subcommand:quarantine" help:"show and lift quarantines of requests that crash targets"`
+	Explain    *explainCmd      `arg:"subcommand:explain" help:"print the way of a request from the logs of nodes"`
+	Experiment *experimentCmd   `arg:"subcommand:experiment" help:"play models of what nodes do together"`
+	Version    *versionCmd      `arg:"subcommand:version" help:"print the version"`
 
 	Output string `arg:"-o,--output" default:"text" placeholder:"FORMAT" help:"text or json"`
 }
@@ -82,7 +83,7 @@
 		{a.Serve != nil, a.Serve}, {a.Demo != nil, a.Demo}, {a.Standin != nil, a.Standin}, {a.Check != nil, a.Check},
 		{a.Apply != nil, a.Apply}, {a.Get != nil, a.Get}, {a.Drain != nil, a.Drain}, {a.Stop != nil, a.Stop},
 		{a.Status != nil, a.Status}, {a.Audit != nil, a.Audit}, {a.Batch != nil, a.Batch}, {a.Load != nil, a.Load},
-		{a.Quarantine != nil, a.Quarantine}, {a.Explain != nil, a.Explain}, {a.Experiment != nil, a.Experiment}, {a.Version != nil, a.Version},
+		{a.Rollout != nil, a.Rollout}, {a.Quarantine != nil, a.Quarantine}, {a.Explain != nil, a.Explain}, {a.Experiment != nil, a.Experiment}, {a.Version != nil, a.Version},
 	} {
 		if c.given {
 			return c.cmd, true
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -196,7 +196,7 @@
 // getCmd prints one object of the configuration.
 type getCmd struct {
 	adminArgs
-	Kind string `arg:"positional,required" help:"template, account, drain or data_centre_drain"`
+	Kind string `arg:"positional,required" help:"template, account, drain, data_centre_drain or rollout"`
 	Name string `arg:"positional,required"`
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -144,6 +144,19 @@
 	}
 }
 
+// ObjectAt returns an object, and a condition that holds while it is unchanged. It fails with
+// store.ErrNotFound if there is no such object.
+func (s *Store) ObjectAt(ctx context.Context, kind catalog.Kind, name string) (catalog.Item, store.Condition, error) {
+	key := catalog.Item{Kind: kind, Name: name}.Key()
+	row, err := s.tables.Get(ctx, objectTable, key)
+	if err != nil {
+		return catalog.Item{}, store.Condition{}, err
+	}
+	var it catalog.Item
+	err = json.Unmarshal(row.Value, &it)
+	return it, store.Condition{Table: objectTable, Key: key, Version: row.Version}, eris.Wrapf(err, "decode object %s", key)
+}
+
 // Submit commits a change that was validated on revision base. It returns the
 // accepted change, or fails with *ConflictError, store.ErrUnavailable (not accepted),
 // or store.ErrUnknown if ctx ends before the outcome is known. In that case a later
--- a/internal/frontdoor/exchange.go
+++ b/internal/frontdoor/exchange.go
@@ -165,9 +165,12 @@
 func (e *exchange) observe(code verdict.Code, met bool) {
 	took := time.Since(e.arrived)
 	e.s.cfg.Observer.RequestDone(e.acct.Name, e.req.Pipeline, e.req.Class, code, took, met)
-	e.s.cfg.Log.Info("request done", "request", e.req.ID, "account", e.acct.Name,
-		"pipeline", e.req.Pipeline, "class", e.req.Class.String(), "code", string(code), "ms", took.Milliseconds(), "met", met,
-		"regions", e.req.Allowed().String())
+	log := e.s.cfg.Log
+	if allowed := e.req.Allowed(); !allowed.All() {
+		log = log.With("regions", allowed.String())
+	}
+	log.Info("request done", "request", e.req.ID, "account", e.acct.Name,
+		"pipeline", e.req.Pipeline, "class", e.req.Class.String(), "code", string(code), "ms", took.Milliseconds(), "met", met)
 }
 
 // serveClaimed claims the key and runs the request, or responds with the outcome of
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,8 +86,10 @@
 	batches *batch.Runner
 	admin   *admin.Server
 	peers   *peers
-	servers []*server
-	started time.Time
+	// rollouts moves the calls of pools to other versions.
+	rollouts *rollouts
+	servers  []*server
+	started  time.Time
 
 	stopOnce sync.Once
 	stopping chan struct{}
@@ -101,6 +103,7 @@
 		s: s, env: env, stopping: make(chan struct{}), metrics: metrics.New(), started: time.Now(),
 		log: env.Log.With("node", s.Node.Name),
 	}
+	n.rollouts = newRollouts(n)
 	n.sched = scheduler.New(n.schedulerConfig())
 	n.calls = dispatch.New(env.Dial, s.Limits.AnswerBytes)
 	if err := n.provisionPeers(); err != nil {
@@ -123,6 +126,7 @@
 
 func (n *Node) schedulerConfig() scheduler.Config {
 	cfg := scheduler.DefaultConfig(n.s.Node.DataCentre, n.env.Seed)
+	cfg.Rollouts = n.rollouts.gate
 	cfg.Regions = n.s.RegionMap()
 	cfg.Crossing = region.Crossing{RoundTrip: n.s.Regions.RoundTrip.Std()}
 	return cfg
@@ -156,6 +160,8 @@
 	sup.Add(supervise.Named("targets", &hostPublisher{n: n}))
 	sup.Add(supervise.Named("load reports", &loadPoller{n: n}))
 	sup.Add(supervise.Named("batches", n.batches))
+	sup.Add(supervise.Named("roll-outs", n.rollouts))
+	sup.Add(supervise.Named("roll-out reports", n.rollouts.gate))
 	sup.Add(supervise.Named("stops", &scheduledStop{n: n}))
 	sup.Add(supervise.Named("administration", n.admin))
 	for _, s := range n.servers {
--- a/internal/node/pollers.go
+++ b/internal/node/pollers.go
@@ -87,7 +87,7 @@
 	}
 	p.last = now
 	p.n.sched.SetNodes(now.nodes)
-	serving := routing.Subset(p.n.s.Node.Name, servingHosts(hosts, cfg), p.n.s.RegionMap())
+	serving := routing.Subset(p.n.s.Node.Name, servingHosts(hosts, cfg), p.n.hostGroups(cfg))
 	p.n.sched.SetHosts(serving, cfg.Drained)
 }
 
@@ -103,6 +103,18 @@
 	return out
 }
 
+// hostGroups returns the function that tells apart hosts of which a node keeps some each: by region, and
+// by version while their pool has a roll-out.
+func (n *Node) hostGroups(cfg *catalog.Compiled) func(store.Host) string {
+	regions, rollouts := n.s.RegionMap(), cfg.Rollouts()
+	return func(h store.Host) string {
+		if _, ok := rollouts[h.Pool]; !ok {
+			return regions[h.DataCentre]
+		}
+		return regions[h.DataCentre] + "\x00" + h.Version
+	}
+}
+
 const (
 	// loadInterval is the time between two load reports of one target while there
 	// are at most maxLoadReportsPerSecond targets.
--- a/internal/node/provision.go
+++ b/internal/node/provision.go
@@ -52,6 +52,7 @@
 		Stop:     func(string) { n.RequestStop() },
 		StopTime: n.s.Stop.BalancerLag.Std() + n.s.Stop.Drain.Std(),
 		NewID:    n.env.NewID, Log: n.log, Offers: n.whyNotOffered, Regions: n.s.Regions.DataCentres,
+		Rollouts: n.rollouts,
 		Events: func(ctx context.Context, after time.Time, limit int) ([]control.Event, error) {
 			return control.Events(ctx, n.env.Store, after, limit)
 		},
@@ -108,6 +109,8 @@
 	} {
 		n.metrics.Gauge(g.name, g.help, g.read)
 	}
+	n.metrics.GaugeVec("topazmoor_rollout_share", "Share of the calls that go to the version of a roll-out, where this node decides on it, by pool.", "pool", n.rollouts.shares)
+	n.metrics.GaugeVec("topazmoor_region_targets", "Target hosts that get new work, by region.", "region", n.servingByRegion)
 }
 
 func (n *Node) provisionServers() error {
--- a/internal/node/regions_test.go
+++ b/internal/node/regions_test.go
@@ -139,6 +139,7 @@
 		res, err := cl.confirm(0, "ship", "")
 		c.Assert(err, qt.IsNil)
 		c.Assert(res.Problem, qt.IsNil)
+		c.Assert(cl.node(0).servingByRegion(), qt.DeepEquals, map[string]float64{"north": 5, "south": 6})
 		c.Assert(cl.node(0).Status().Regions, qt.DeepEquals, []admin.RegionStatus{
 			{Name: "north", DataCentres: []string{"dc-1"}, Hosts: 7, Serving: 5, Accounts: 1},
 			{Name: "south", DataCentres: []string{"dc-2"}, Hosts: 6, Serving: 6},
--- /dev/null
+++ b/internal/node/rollouts.go
@@ -0,0 +1,236 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"topazmoor/internal/admin"
+	"topazmoor/internal/catalog"
+	"topazmoor/internal/membership"
+	"topazmoor/internal/rollout"
+	"topazmoor/internal/store"
+	"topazmoor/internal/verdict"
+)
+
+const (
+	// avoidOwner is how long a node that did not answer a report is not chosen as owner.
+	avoidOwner = 5 * time.Second
+	// stoppedRetry is the pause before the record of a stopped order is read again.
+	stoppedRetry = time.Second
+)
+
+// rollouts carries out the orders of roll-outs in the configuration: it passes them to the gate, sends
+// the gate's reports to the node that decides, and decides where this node is that one. It implements
+// suture.Service, peer.Rollouts and admin.Rollouts.
+type rollouts struct {
+	n    *Node
+	gate *rollout.Gate
+
+	mu sync.Mutex
+	// owners holds, by pool, the owner of the last order that this node decided on. Each order has an
+	// owner of its own, with the order's bounds.
+	owners map[string]ownedOrder
+	// avoided holds until when nodes are not chosen as owner, by address.
+	avoided map[string]time.Time
+	// stopped holds the stopped orders that were passed to the gate, and whether their record says that
+	// they were completed before.
+	stopped map[rollout.Order]stoppedOrder
+}
+
+type ownedOrder struct {
+	order rollout.Order
+	owner *rollout.Owner
+}
+
+type stoppedOrder struct{ known, completed bool }
+
+// newRollouts returns the roll-outs of a node whose peers are provisioned.
+func newRollouts(n *Node) *rollouts {
+	r := &rollouts{n: n, owners: make(map[string]ownedOrder), avoided: make(map[string]time.Time), stopped: make(map[rollout.Order]stoppedOrder)}
+	r.gate = rollout.NewGate(n.s.Node.Name, ownerReporter{r}, func() int { return n.peers.nodes() }, n.log)
+	return r
+}
+
+// orderOf returns the order of a roll-out of the configuration.
+func orderOf(o catalog.Rollout) rollout.Order {
+	return rollout.Order{Service: o.Pool, To: o.To, Revision: store.Version{Number: o.Revision}, Lasts: o.Within.Std()}
+}
+
+// Serve implements suture.Service. It keeps the gate's orders as those of the configuration.
+func (r *rollouts) Serve(ctx context.Context) error {
+	for {
+		changed := r.n.board.Catalog.Changed()
+		var again <-chan time.Time
+		if !r.apply(ctx) {
+			again = time.After(stoppedRetry)
+		}
+		select {
+		case <-ctx.Done():
+			r.close()
+			return ctx.Err()
+		case <-changed:
+		case <-again:
+		}
+	}
+}
+
+// apply passes the orders to the gate. It returns false if the record of a stopped order could not be
+// read.
+func (r *rollouts) apply(ctx context.Context) (known bool) {
+	var standing, fresh []rollout.Order
+	known = true
+	stopped := make(map[rollout.Order]stoppedOrder)
+	for _, o := range r.n.board.Catalog.Get().Rollouts() {
+		order := orderOf(o)
+		if !o.Stopped {
+			standing = append(standing, order)
+			continue
+		}
+		s, seen := r.stopped[order]
+		if !seen {
+			fresh = append(fresh, order)
+		}
+		if !s.known {
+			rec, err := r.record(ctx, o)
+			s = stoppedOrder{known: err == nil, completed: rec.State == rollout.Completed}
+			known = known && s.known
+		}
+		stopped[order] = s
+		if s.completed {
+			standing = append(standing, order)
+		}
+	}
+	r.stopped = stopped
+	if len(fresh) > 0 {
+		// A gate bars the version of an order that it had. One that starts after the stop must have had it.
+		r.gate.SetOrders(slices.Concat(standing, fresh))
+	}
+	r.gate.SetOrders(standing)
+	return known
+}
+
+// Report implements peer.Rollouts. It adds a report to the evidence of an order that this node decides
+// on.
+func (r *rollouts) Report(ctx context.Context, rep rollout.Report) (rollout.Answer, error) {
+	owner := r.ownerOf(rep.Order)
+	if owner == nil {
+		return rollout.Answer{}, errUnknownOrder
+	}
+	return owner.Report(ctx, rep)
+}
+
+var errUnknownOrder = errors.New("the configuration in force here does not have the order")
+
+// ownerOf returns the owner of an order; nil if the configuration in force here lacks the order.
+func (r *rollouts) ownerOf(order rollout.Order) *rollout.Owner {
+	o := r.n.board.Catalog.Get().Rollouts()[order.Service]
+	if orderOf(o) != order {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if owned := r.owners[order.Service]; owned.order == order {
+		return owned.owner
+	}
+	owner := &rollout.Owner{
+		Bounds: boundsOf(o), RecordStore: rolloutRecords{r.n}, Targets: r.targets,
+		Nodes: func() int { return r.n.peers.nodes() }, Withdrawn: r.gate.Withdrawn, Log: r.n.log,
+	}
+	r.owners[order.Service] = ownedOrder{order: order, owner: owner}
+	return owner
+}
+
+func boundsOf(o catalog.Rollout) rollout.Bounds {
+	return rollout.Bounds{Share: o.Share, Slack: o.Slack}
+}
+
+// close ends the decisions of this node.
+func (r *rollouts) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, owned := range r.owners {
+		owned.owner.Close()
+	}
+}
+
+// ownerReporter sends reports to the node that decides on an order. It implements rollout.Remote.
+type ownerReporter struct{ r *rollouts }
+
+// Report implements rollout.Remote. A node that does not answer is avoided for a time; a refusal shows
+// that it is alive.
+func (o ownerReporter) Report(ctx context.Context, rep rollout.Report) (rollout.Answer, error) {
+	addr := o.r.ownerAddr(rep.Order.Service)
+	if addr == "" {
+		return o.r.Report(ctx, rep)
+	}
+	answer, err := o.r.n.peers.client.ReportRollout(ctx, addr, rep)
+	var refused *verdict.Error
+	if err != nil && ctx.Err() == nil && !errors.As(err, &refused) {
+		o.r.avoid(addr)
+	}
+	return answer, err
+}
+
+// ownerAddr returns the address of the node that decides on the roll-out of a pool, by rendezvous hashing
+// over the live nodes that answer; "" for this node.
+func (r *rollouts) ownerAddr(pool string) string {
+	addrs := map[string]string{r.n.s.Node.Name: ""}
+	names := []string{r.n.s.Node.Name}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.n.peers.live() {
+		if m.Health == membership.Alive && !time.Now().Before(r.avoided[m.Addr]) {
+			addrs[m.Name] = m.Addr
+			names = append(names, m.Name)
+		}
+	}
+	return addrs[rendezvous(names, xxhash.Sum64String("roll-out of "+pool))]
+}
+
+// avoid excludes a node as owner for avoidOwner.
+func (r *rollouts) avoid(addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.avoided[addr] = time.Now().Add(avoidOwner)
+	r.n.log.Warn("owner of roll-outs avoided: it does not answer", "addr", addr, "for", avoidOwner)
+}
+
+// targets counts the targets of a pool that get work, by version.
+func (r *rollouts) targets(pool, version string) rollout.Targets {
+	var out rollout.Targets
+	for _, c := range r.versionCounts(pool, version) {
+		out.New += c.New
+		out.Old += c.Old
+	}
+	out.Warm = out.New
+	return out
+}
+
+// versionCounts counts the targets of a pool that get work by data centre, in the order of their names.
+func (r *rollouts) versionCounts(pool, version string) []admin.VersionCount {
+	regions := r.n.s.RegionMap()
+	var out []admin.VersionCount
+	for _, h := range servingHosts(r.n.board.Hosts.Get().Hosts, r.n.board.Catalog.Get()) {
+		if h.Pool != pool {
+			continue
+		}
+		i, found := slices.BinarySearchFunc(out, h.DataCentre, func(c admin.VersionCount, dc string) int {
+			return cmp.Compare(c.DataCentre, dc)
+		})
+		if !found {
+			out = slices.Insert(out, i, admin.VersionCount{DataCentre: h.DataCentre, Region: regions[h.DataCentre]})
+		}
+		if h.Version == version {
+			out[i].New++
+		} else {
+			out[i].Old++
+		}
+	}
+	return out
+}
--- a/internal/node/status.go
+++ b/internal/node/status.go
@@ -76,6 +76,22 @@
 	return st
 }
 
+// servingByRegion returns the number of target hosts that get new work, for each region that the node
+// knows.
+func (n *Node) servingByRegion() map[string]float64 {
+	regions := n.s.RegionMap()
+	out := make(map[string]float64)
+	for _, name := range regions.Names() {
+		out[name] = 0
+	}
+	for _, h := range servingHosts(n.board.Hosts.Get().Hosts, n.board.Catalog.Get()) {
+		if name, ok := regions[h.DataCentre]; ok {
+			out[name]++
+		}
+	}
+	return out
+}
+
 // regionStatus describes the regions of the data centres, in the order of their names.
 func regionStatus(regions region.Map, hosts []store.Host, cfg *catalog.Compiled) []admin.RegionStatus {
 	use := cfg.RegionUse()
--- a/internal/pipeline/stage.go
+++ b/internal/pipeline/stage.go
@@ -240,7 +240,7 @@
 
 func (s *stageRun) logFailure(a *attempt) {
 	s.r.log.Warn("stage call failed", "request", s.req.ID, "account", s.req.Account,
-		"pipeline", s.req.Pipeline, "stage", s.st.Name, "target", a.lease.Target.ID,
+		"pipeline", s.req.Pipeline, "stage", s.st.Name, "target", a.lease.Target.ID, "version", a.lease.Target.Version,
 		"attempt", a.number, "verdict", verdict.Of(a.err).String(), "code", verdict.CodeOf(a.err), "err", a.err)
 }
 
@@ -349,7 +349,10 @@
 	call := s.call(a, PathGenerate, body)
 	stall := dispatch.Stall{First: firstTokenStall, Next: nextTokenStall}
 	a.tokensBefore = len(sink.tokens)
-	a.err = s.r.calls.Stream(ctx, call, a.tokensBefore, stall, sink.add)
+	a.err = s.r.calls.Stream(ctx, call, a.tokensBefore, stall, func(tok dispatch.Token) error {
+		lease.FirstToken()
+		return sink.add(tok)
+	})
 	return a, nil
 }
 
--- a/internal/routing/regions_test.go
+++ b/internal/routing/regions_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"topazmoor/internal/region"
+	"topazmoor/internal/store"
 )
 
 func TestPickStaysInTheRegionsAndPrefersTheOwnOne(t *testing.T) {
@@ -57,10 +58,9 @@
 	}
 }
 
-func TestSubsetCoversEveryRegion(t *testing.T) {
+func TestSubsetCoversEveryGroup(t *testing.T) {
 	c := qt.New(t)
 	hosts := subsetHosts(300, 1)
-	regions := region.Map{"n1": "north", "s1": "south"}
 	for i := range hosts {
 		hosts[i].DataCentre = "n1"
 		if i%50 == 0 {
@@ -69,7 +69,7 @@
 	}
 	for n := range 50 {
 		south := 0
-		for _, h := range Subset(fmt.Sprint("node", n), hosts, regions) {
+		for _, h := range Subset(fmt.Sprint("node", n), hosts, func(h store.Host) string { return h.DataCentre }) {
 			if h.DataCentre == "s1" {
 				south++
 			}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"topazmoor/internal/region"
+	"topazmoor/internal/rollout"
 )
 
 // Target describes a target host by the host list. It is immutable.
@@ -19,6 +20,8 @@
 	DataCentre string
 	// Region is the region of the data centre; "" if it is not known.
 	Region string
+	// Version is the version of the target's software; "" if it is not known.
+	Version string
 	// Models and Adapters are those that the target has loaded. An empty list
 	// matches any model or adapter.
 	Models, Adapters []string
@@ -65,6 +68,10 @@
 	DataCentre, Region string
 	// Regions are those in which the call may be served.
 	Regions region.Set
+	// Group is the group of targets that a roll-out of a version lets the call go to; nil for all.
+	// With a MaxHash above 0 it has only the targets whose hash is at most that.
+	Group   *rollout.TargetGroup
+	MaxHash uint64
 	// Prefix is the hash of the prompt's prefix; 0 for no affinity.
 	Prefix uint64
 	// LimitFactor multiplies the limit of a target for this call. A higher class has a
@@ -91,6 +98,7 @@
 	Eligible Reason = iota
 	WrongModel
 	OutsideRegions
+	OutsideGroup
 	IsLeaving
 	Excluded
 	IsDown
@@ -105,6 +113,8 @@
 		return WrongModel
 	case !q.Regions.Has(c.Region):
 		return OutsideRegions
+	case !inGroup(q, c):
+		return OutsideGroup
 	case c.Leaving:
 		return IsLeaving
 	case slices.Contains(q.Exclude, c.ID):
@@ -117,6 +127,14 @@
 	return Eligible
 }
 
+// inGroup reports whether c is in the group of targets of q.
+func inGroup(q *Query, c *Candidate) bool {
+	if q.Group == nil {
+		return true
+	}
+	return q.Group.Admits(c.Version) && (q.MaxHash == 0 || c.Hash <= q.MaxHash)
+}
+
 // atLimit reports whether this node's calls at c have reached the limit for q, and c
 // has no idle slots to borrow.
 func atLimit(q *Query, c *Candidate) bool {
@@ -198,15 +216,15 @@
 }
 
 // preferredTarget returns the index of the target with the highest hash for the
-// prefix, among the candidates that serve the model and adapter, are in a region of the
-// call and are neither leaving nor down, or -1 when its load is above affinityBound. It ignores limits and
+// prefix, among the candidates that serve the model and adapter, are in a region and
+// the group of the call and are neither leaving nor down, or -1 when its load is above affinityBound. It ignores limits and
 // q.Exclude, so that a prefix stays with a target that is at its limit.
 func preferredTarget(q *Query, candidates []Candidate) int {
 	best, n, total := -1, 0, 0
 	var bestHash uint64
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Leaving || c.Down || !q.Regions.Has(c.Region) || !serves(c.Models, q.Model) || !serves(c.Adapters, q.Adapter) {
+		if c.Leaving || c.Down || !q.Regions.Has(c.Region) || !inGroup(q, c) || !serves(c.Models, q.Model) || !serves(c.Adapters, q.Adapter) {
 			continue
 		}
 		n++
--- a/internal/routing/subset.go
+++ b/internal/routing/subset.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"topazmoor/internal/region"
 	"topazmoor/internal/store"
 )
 
@@ -15,7 +14,7 @@
 	// subsetSize is the number of targets that a node uses of a larger pool, before
 	// the minimum per group is applied.
 	subsetSize = 20
-	// minGroupSize is the minimum number of targets per set of models and region.
+	// minGroupSize is the minimum number of targets per group.
 	minGroupSize = 6
 )
 
@@ -23,14 +22,18 @@
 // subsetSize hosts are kept whole. Of a larger pool each node selects its own subset
 // by rendezvous hashing, so that a host that is added or removed changes few
 // selections and all hosts are used by about the same number of nodes. Hosts of a pool
-// with the same models in the same region form a group, of which at least minGroupSize hosts
-// are kept, so that the node can call every model in every region.
-func Subset(node string, hosts []store.Host, regions region.Map) []store.Host {
+// with the same models and the same result of apart, such as their region, form a group, of
+// which at least minGroupSize hosts are kept, so that the node can call every model in every
+// region. A nil apart tells no hosts apart.
+func Subset(node string, hosts []store.Host, apart func(store.Host) string) []store.Host {
 	pools := make(map[string]int)
 	groups := make(map[string][]store.Host)
 	for _, h := range hosts {
 		pools[h.Pool]++
-		key := h.Pool + "\x00" + regions[h.DataCentre] + "\x00" + strings.Join(h.Models, "\x00")
+		key := h.Pool + "\x00" + strings.Join(h.Models, "\x00")
+		if apart != nil {
+			key += "\x00" + apart(h)
+		}
 		groups[key] = append(groups[key], h)
 	}
 	seed := xxhash.Sum64String(node)
--- a/internal/scheduler/acquire.go
+++ b/internal/scheduler/acquire.go
@@ -6,7 +6,7 @@
 
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/flow"
-	"topazmoor/internal/region"
+	"topazmoor/internal/rollout"
 	"topazmoor/internal/routing"
 	"topazmoor/internal/verdict"
 )
@@ -22,7 +22,7 @@
 	w := &waiter{call: c, done: make(chan grant, 1)}
 	s.mu.Lock()
 	p := s.pool(c.Pool)
-	if err := p.checkAdmission(s.cfg.QueueLimit, &c); err != nil {
+	if err := s.checkAdmission(p, &c); err != nil {
 		s.mu.Unlock()
 		return nil, err
 	}
@@ -59,7 +59,7 @@
 		err = verdict.New(verdict.NotRun, verdict.Canceled, "the call was cancelled while it waited for pool %s", p.name)
 	case <-timer.C:
 		err = verdict.New(verdict.NotRun, verdict.DeadlineUnreachable,
-			"no target of pool %s came free in time", p.name).After(s.retryAfter(p, it.Class, w.call.regions()))
+			"no target of pool %s came free in time", p.name).After(s.retryAfter(p, &w.call))
 	}
 	s.mu.Lock()
 	removed := p.queue.Remove(it)
@@ -77,12 +77,12 @@
 	return nil, err
 }
 
-// retryAfter estimates how long a new call of the class that may be served in the allowed regions would
-// wait in the pool's queue now. It returns at least a second.
-func (s *Scheduler) retryAfter(p *pool, class catalog.Class, allowed region.Set) time.Duration {
+// retryAfter estimates how long a new call like c would wait in the pool's queue now. It returns at
+// least a second.
+func (s *Scheduler) retryAfter(p *pool, c *Call) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(p.queueWait(class, allowed, defaultServiceTime), time.Second)
+	return max(p.queueWait(c.Class, c.regions(), defaultServiceTime), time.Second)
 }
 
 // grantWaiting grants targets to waiting calls until no call fits a target. The
@@ -90,14 +90,22 @@
 func (s *Scheduler) grantWaiting(p *pool) {
 	now := time.Now()
 	p.refresh(now)
-	fits := func(it *flow.Item) bool { return s.pick(p, &it.Value.(*waiter).call) >= 0 }
+	// Each waiting call gets one choice in a round: regions and versions may change before a second one.
+	fits := func(it *flow.Item) bool {
+		w := it.Value.(*waiter)
+		if w.round != p.round {
+			w.round, w.picked = p.round, s.pick(p, w)
+		}
+		return w.picked >= 0
+	}
 	for p.queue.Len() > 0 && p.anyFree() {
+		p.round++
 		it := p.queue.Pop(now, fits)
 		if it == nil {
 			break
 		}
 		w := it.Value.(*waiter)
-		w.done <- grant{lease: s.grant(p, s.pick(p, &w.call), &w.call, now)}
+		w.done <- grant{lease: s.grant(p, w.picked, &w.call, now)}
 	}
 	s.scheduleRecheck(p)
 }
@@ -112,19 +120,37 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		p.timer = nil
-		p.refuseUnservedInRegions()
+		s.refuseUnservedInRegions(p)
 		s.grantWaiting(p)
 	})
 }
 
-// pick returns the index of the target for a call, or -1 if none is available now.
+// pick returns the index of the target for a waiting call, or -1 if none is available now. It takes
+// the first group of targets that has one.
+func (s *Scheduler) pick(p *pool, w *waiter) int {
+	groups := s.groups(p, w)
+	if groups == nil {
+		return s.pickFrom(p, &w.call, nil)
+	}
+	for i := range groups {
+		if best := s.pickFrom(p, &w.call, &groups[i]); best >= 0 {
+			return best
+		}
+	}
+	return -1
+}
+
+// pickFrom returns the index of the target in a group for a call, or -1 if none is available now.
 // Excluded targets are used only if no other target can serve the call, now or later.
-func (s *Scheduler) pick(p *pool, c *Call) int {
+func (s *Scheduler) pickFrom(p *pool, c *Call, group *rollout.TargetGroup) int {
 	q := routing.Query{
 		Model: c.Model, Adapter: c.Adapter, DataCentre: s.cfg.DataCentre,
 		Region: s.cfg.Regions[s.cfg.DataCentre], Regions: c.regions(), CrossingCost: s.cfg.Crossing.Cost(1, 0),
 		Prefix: c.Prefix, Exclude: c.Exclude, LimitFactor: limitFactor[c.Class],
-		RemoteCost: s.cfg.RemoteCost, PrefixGain: s.cfg.PrefixGain,
+		RemoteCost: s.cfg.RemoteCost, PrefixGain: s.cfg.PrefixGain, Group: group,
+	}
+	if group != nil {
+		q.MaxHash = p.maxHash(*group)
 	}
 	if i := routing.Pick(&q, p.candidates, s.rng); i >= 0 || len(c.Exclude) == 0 {
 		return i
@@ -144,7 +170,12 @@
 	t.ready.CallStarted(now)
 	p.candidates[i].Sent = t.inFlight
 	p.candidates[i].Down = t.down(now)
-	return &Lease{Target: p.candidates[i].Target, s: s, p: p, t: t, stage: c.Stage, model: c.Model, start: now}
+	l := &Lease{Target: p.candidates[i].Target, s: s, p: p, t: t, stage: c.Stage, model: c.Model, start: now}
+	p.grants.add(now)
+	if s.cfg.Rollouts != nil {
+		s.cfg.Rollouts.Sent(l.evidence())
+	}
+	return l
 }
 
 // limitFactor holds, by priority class of a call, the factor on the limit of this
@@ -155,6 +186,13 @@
 type waiter struct {
 	call Call
 	done chan grant
+	// picked is the index of the target that the call fits in a round; -1 if there is none.
+	picked int
+	round  uint64
+	// refusal is why no target will serve the call; nil if one may.
+	refusal error
+	// draw is which version the call may go to; nil before its first try.
+	draw *draw
 }
 
 // grant is the result of waiting: a lease or an error.
--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -20,7 +20,9 @@
 	stage string
 	model string
 	start time.Time
-	once  sync.Once
+	// firstToken is the time until the first token of a streamed call; 0 without one.
+	firstToken time.Duration
+	once       sync.Once
 }
 
 // UpdateReadiness records the readiness notice that the target sent when it refused the call.
@@ -48,6 +50,7 @@
 		t.ready.Accepted(l.start)
 	}
 	t.ready.Unanswered(l.start)
+	l.recordEnd(o, took)
 	switch o {
 	case Succeeded:
 		t.breaker.Success()
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -28,6 +28,10 @@
 	demand map[string]int
 	// timer rechecks the queue; nil while none is scheduled.
 	timer *time.Timer
+	// round counts the choices of a waiting call and its target.
+	round uint64
+	// grants measures the rate of granted calls.
+	grants meter
 }
 
 // target is the live state of one target.
@@ -83,7 +87,7 @@
 
 func targetOf(h store.Host, regions region.Map) routing.Target {
 	return routing.Target{
-		ID: h.ID, Addr: h.Addr, DataCentre: h.DataCentre, Region: regions[h.DataCentre],
+		ID: h.ID, Addr: h.Addr, Version: h.Version, DataCentre: h.DataCentre, Region: regions[h.DataCentre],
 		Models: h.Models, Adapters: h.Adapters,
 		Slots: h.Slots, Hash: xxhash.Sum64String(h.ID),
 	}
@@ -133,14 +137,14 @@
 	return false
 }
 
-// checkAdmission returns an error if the call cannot be queued: limit calls wait
+// checkAdmission returns an error if the call cannot be queued: QueueLimit calls wait
 // already, or no target serves the call.
-func (p *pool) checkAdmission(limit int, c *Call) error {
-	if p.queue.Len() >= limit {
+func (s *Scheduler) checkAdmission(p *pool, c *Call) error {
+	if limit := s.cfg.QueueLimit; p.queue.Len() >= limit {
 		return verdict.New(verdict.NotRun, verdict.Overloaded, "pool %s has %d calls waiting", p.name, limit).
 			After(time.Second).At(c.Stage, "")
 	}
-	return p.checkTargets(c, time.Now())
+	return s.checkTargets(p, c, time.Now())
 }
 
 // queueWait estimates how long a new call of this class that may be served in the regions waits in
--- a/internal/scheduler/regions_test.go
+++ b/internal/scheduler/regions_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -115,3 +116,29 @@
 		c.Assert(wait, qt.Equals, time.Duration(0))
 	})
 }
+
+// TestRegionsThatChangeWhileATargetIsPicked: each look at the regions of a waiting call gives other ones. The
+// call gets a target or a refusal.
+func TestRegionsThatChangeWhileATargetIsPicked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s, _ := inRegions()
+		rng := rand.New(rand.NewPCG(1, 1))
+		flapping := call(time.Minute)
+		flapping.Regions = func() region.Set {
+			return region.Only([]string{"north", "south", "west"}[rng.IntN(3)])
+		}
+		granted := 0
+		for range 300 {
+			flapping.Latest = time.Now().Add(time.Minute)
+			l, err := s.Acquire(t.Context(), flapping)
+			if err != nil {
+				c.Assert(verdict.Of(err), qt.Equals, verdict.NotRun)
+				continue
+			}
+			granted++
+			l.Release(Succeeded)
+		}
+		c.Assert(granted > 0, qt.IsTrue)
+	})
+}
--- /dev/null
+++ b/internal/scheduler/rollouts.go
@@ -0,0 +1,115 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"topazmoor/internal/rollout"
+	"topazmoor/internal/routing"
+)
+
+// Rollouts decides which versions of a pool's targets get calls, and records how the calls end;
+// *rollout.Gate in production. It is called under the scheduler's lock and must not block.
+type Rollouts interface {
+	TargetGroups(pool string, again bool, others func(version string) bool) []rollout.TargetGroup
+	Trial(pool string) (version string, share float64)
+	Barred(pool string) []string
+	Sent(c rollout.Call)
+	Ended(c rollout.Call, o rollout.Outcome, took time.Duration)
+}
+
+// trial is the state of a roll-out for which the version of a call is drawn.
+type trial struct {
+	version string
+	share   float64
+	barred  int
+}
+
+// draw is the result of drawing the version of a call.
+type draw struct {
+	of     trial
+	groups []rollout.TargetGroup
+}
+
+// groups returns the groups of targets that a waiting call may go to, the preferred one first; nil if
+// all targets are allowed. The version is drawn again only when the roll-out has changed: if it was drawn
+// at each try, a call that waits would sooner or later be sent to the version on trial.
+func (s *Scheduler) groups(p *pool, w *waiter) []rollout.TargetGroup {
+	if s.cfg.Rollouts == nil {
+		return nil
+	}
+	version, share := s.cfg.Rollouts.Trial(p.name)
+	now := trial{version: version, share: share, barred: len(s.cfg.Rollouts.Barred(p.name))}
+	if w.draw == nil || w.draw.of != now {
+		again := len(w.call.Exclude) > 0
+		w.draw = &draw{of: now, groups: s.cfg.Rollouts.TargetGroups(p.name, again, p.hasOther)}
+	}
+	return w.draw.groups
+}
+
+// hasOther reports whether the pool has a target of another version that is not leaving.
+func (p *pool) hasOther(version string) bool {
+	return slices.ContainsFunc(p.candidates, func(c routing.Candidate) bool { return c.Version != version && !c.Leaving })
+}
+
+// maxHash returns the largest hash among the targets that take the calls of a group; 0 if all of the
+// group do.
+func (p *pool) maxHash(g rollout.TargetGroup) uint64 {
+	if g.Fraction <= 0 || g.Fraction >= 1 {
+		return 0
+	}
+	var hashes []uint64
+	for i := range p.candidates {
+		c := &p.candidates[i]
+		if g.Admits(c.Version) && !c.Leaving && !c.Down {
+			hashes = append(hashes, c.Hash)
+		}
+	}
+	return rollout.LastInPart(hashes, g.Fraction)
+}
+
+// barred returns the group without the versions that get no calls; nil if there are none.
+func (s *Scheduler) barred(pool string) *rollout.TargetGroup {
+	if s.cfg.Rollouts == nil {
+		return nil
+	}
+	versions := s.cfg.Rollouts.Barred(pool)
+	if len(versions) == 0 {
+		return nil
+	}
+	return &rollout.TargetGroup{Excluded: versions}
+}
+
+// evidence identifies the lease's call in the evidence on a roll-out.
+func (l *Lease) evidence() rollout.Call {
+	return rollout.Call{Service: l.p.name, Version: l.Target.Version, Target: l.Target.ID, Route: l.stage}
+}
+
+// FirstToken records that the first token of a streamed call came. In the evidence on a roll-out it
+// counts as the call's answer, as the length of a text says nothing about the version.
+func (l *Lease) FirstToken() {
+	l.s.mu.Lock()
+	defer l.s.mu.Unlock()
+	if l.firstToken == 0 {
+		l.firstToken = time.Since(l.start)
+	}
+}
+
+// recordEnd records the end of the call as evidence on the target's version.
+func (l *Lease) recordEnd(o Outcome, took time.Duration) {
+	if l.s.cfg.Rollouts == nil {
+		return
+	}
+	outcome := rollout.Inconclusive
+	switch {
+	case o == Failed:
+		outcome = rollout.Bad
+	case l.firstToken > 0:
+		outcome, took = rollout.Good, l.firstToken
+	case o == Succeeded:
+		outcome = rollout.Good
+	case o == Abandoned:
+		outcome = rollout.Left
+	}
+	l.s.cfg.Rollouts.Ended(l.evidence(), outcome, took)
+}
--- /dev/null
+++ b/internal/scheduler/rollouts_test.go
@@ -0,0 +1,135 @@
+package scheduler
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"topazmoor/internal/rollout"
+	"topazmoor/internal/store"
+	"topazmoor/internal/verdict"
+)
+
+// fakeRollouts lets the calls go to the groups in turn and notes how they end.
+type fakeRollouts struct {
+	groups [][]rollout.TargetGroup
+	drawn  int
+	share  float64
+	barred []string
+	ended  []rollout.Outcome
+	took   []time.Duration
+}
+
+func (f *fakeRollouts) TargetGroups(string, bool, func(string) bool) []rollout.TargetGroup {
+	g := f.groups[f.drawn%len(f.groups)]
+	f.drawn++
+	return g
+}
+
+func (f *fakeRollouts) Trial(string) (string, float64) { return "v2", f.share }
+
+func (f *fakeRollouts) Barred(string) []string { return f.barred }
+
+func (f *fakeRollouts) Sent(rollout.Call) {}
+
+func (f *fakeRollouts) Ended(_ rollout.Call, o rollout.Outcome, took time.Duration) {
+	f.ended = append(f.ended, o)
+	f.took = append(f.took, took)
+}
+
+// ofVersions returns a scheduler over hosts of one slot with these versions.
+func ofVersions(f *fakeRollouts, versions ...string) *Scheduler {
+	cfg := DefaultConfig("dc", 1)
+	cfg.Rollouts = f
+	s := New(cfg)
+	var hosts []store.Host
+	for i, v := range versions {
+		h := host(string(rune('a'+i)), 1)
+		h.Version = v
+		hosts = append(hosts, h)
+	}
+	s.SetHosts(hosts, never)
+	return s
+}
+
+var (
+	groupOld = []rollout.TargetGroup{{Excluded: []string{"v2"}}}
+	groupNew = []rollout.TargetGroup{{Version: "v2"}}
+)
+
+// TestVersionOfAWaitingCallIsDrawnOnce: a call that waits for the old version is not sent to the new one
+// by trying again, until the roll-out changes.
+func TestVersionOfAWaitingCallIsDrawnOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := &fakeRollouts{groups: [][]rollout.TargetGroup{groupOld, groupOld, groupNew}}
+		s := ofVersions(f, "v1", "v2")
+		first, err := s.Acquire(t.Context(), call(time.Minute))
+		c.Assert(err, qt.IsNil)
+		time.AfterFunc(2*time.Second, func() { first.Release(Succeeded) })
+		second, err := s.Acquire(t.Context(), call(time.Minute))
+		c.Assert(err, qt.IsNil)
+		c.Assert(second.Target.Version, qt.Equals, "v1")
+		defer second.Release(Succeeded)
+		f.drawn = 1
+		time.AfterFunc(time.Second, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			f.share = 1
+		})
+		third, err := s.Acquire(t.Context(), call(time.Minute))
+		c.Assert(err, qt.IsNil)
+		c.Assert(third.Target.Version, qt.Equals, "v2")
+		third.Release(Succeeded)
+	})
+}
+
+func TestTrialGoesToAFractionOfTheVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := &fakeRollouts{groups: [][]rollout.TargetGroup{{{Version: "v2", Fraction: 0.3}, {Excluded: []string{"v2"}}}}}
+		s := ofVersions(f, "v2", "v2", "v2", "v1", "v1")
+		versions := map[string]int{}
+		for range 3 {
+			l, err := s.Acquire(t.Context(), call(time.Minute))
+			c.Assert(err, qt.IsNil)
+			defer l.Release(Succeeded)
+			versions[l.Target.Version]++
+		}
+		c.Assert(versions, qt.DeepEquals, map[string]int{"v2": 1, "v1": 2})
+	})
+}
+
+// TestEndsAreEvidenceOnTheVersion: the answer of a stream is its first token, unless it breaks.
+func TestEndsAreEvidenceOnTheVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := &fakeRollouts{groups: [][]rollout.TargetGroup{groupNew}}
+		s := ofVersions(f, "v2")
+		for _, o := range []Outcome{Succeeded, Failed, Refused, Abandoned, Unreachable} {
+			l, err := s.Acquire(t.Context(), call(time.Minute))
+			c.Assert(err, qt.IsNil)
+			time.Sleep(100 * time.Millisecond)
+			l.FirstToken()
+			time.Sleep(time.Second)
+			l.Release(o)
+		}
+		l, err := s.Acquire(t.Context(), call(time.Minute))
+		c.Assert(err, qt.IsNil)
+		time.Sleep(200 * time.Millisecond)
+		l.Release(Abandoned)
+		c.Assert(f.ended, qt.DeepEquals, []rollout.Outcome{rollout.Good, rollout.Bad, rollout.Good, rollout.Good, rollout.Good, rollout.Left})
+		c.Assert(f.took[0], qt.Equals, 100*time.Millisecond)
+		c.Assert(f.took[5], qt.Equals, 200*time.Millisecond)
+	})
+}
+
+func TestCallWithoutAnAllowedVersionIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeRollouts{groups: [][]rollout.TargetGroup{groupOld}, barred: []string{"v2"}}
+		_, err := ofVersions(f, "v2").Acquire(t.Context(), call(time.Minute))
+		qt.Assert(t, verdict.CodeOf(err), qt.Equals, verdict.NoTarget)
+	})
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -26,6 +26,8 @@
 	Crossing region.Crossing
 	// PrefixGain is the time that a cached prompt prefix saves.
 	PrefixGain time.Duration
+	// Rollouts decides which versions get calls; nil for all.
+	Rollouts Rollouts
 	// QueueLimit is the maximum number of waiting calls per pool.
 	QueueLimit int
 	// RetryRatio is the number of retries and hedges allowed per call.
@@ -132,13 +134,13 @@
 	for name, p := range s.pools {
 		if byPool[name] == nil {
 			p.setHosts(nil, drained, s.share, s.cfg.Regions)
-			p.refuseUnserved()
+			s.refuseUnserved(p)
 		}
 	}
 	for name, list := range byPool {
 		p := s.pool(name)
 		p.setHosts(list, drained, s.share, s.cfg.Regions)
-		p.refuseUnserved()
+		s.refuseUnserved(p)
 		s.grantWaiting(p)
 	}
 }
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -5,6 +5,7 @@
 
 	"topazmoor/internal/flow"
 	"topazmoor/internal/region"
+	"topazmoor/internal/rollout"
 	"topazmoor/internal/routing"
 	"topazmoor/internal/verdict"
 )
@@ -19,14 +20,14 @@
 func (s *Scheduler) CheckTargets(c Call) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pool(c.Pool).checkTargets(&c, time.Now())
+	return s.checkTargets(s.pool(c.Pool), &c, time.Now())
 }
 
 // checkTargets is CheckTargets for the calls of one pool. That targets are down is held against calls
 // bound to regions only: few targets serve those, and they fail together.
-func (p *pool) checkTargets(c *Call, now time.Time) error {
+func (s *Scheduler) checkTargets(p *pool, c *Call, now time.Time) error {
 	allowed := c.regions()
-	available, ok := p.availableAt(c, allowed, now)
+	available, ok := p.availableAt(c, allowed, s.barred(p.name), now)
 	switch {
 	case !ok:
 		return noTargetError(p.name, c, allowed)
@@ -39,13 +40,13 @@
 }
 
 // availableAt returns when the first target that has the call's model and adapter, is in an allowed
-// region and is not leaving is expected to be up; it may be busy then. The result is false if there
+// region and in the group and is not leaving is expected to be up; it may be busy then. The result is false if there
 // is no such target.
-func (p *pool) availableAt(c *Call, allowed region.Set, now time.Time) (at time.Time, ok bool) {
-	q := routing.Query{Model: c.Model, Adapter: c.Adapter, Regions: allowed}
+func (p *pool) availableAt(c *Call, allowed region.Set, group *rollout.TargetGroup, now time.Time) (at time.Time, ok bool) {
+	q := routing.Query{Model: c.Model, Adapter: c.Adapter, Regions: allowed, Group: group}
 	for i, t := range p.targets {
 		switch routing.Filter(&q, &p.candidates[i]) {
-		case routing.WrongModel, routing.OutsideRegions, routing.IsLeaving:
+		case routing.WrongModel, routing.OutsideRegions, routing.OutsideGroup, routing.IsLeaving:
 			continue
 		}
 		if up := t.availableAt(now); !ok || up.Before(at) {
@@ -79,25 +80,29 @@
 
 // refuseUnserved refuses the waiting calls that no target will serve. Their refusal is final, so they
 // get it at once and not at their deadline.
-func (p *pool) refuseUnserved() {
-	p.refuseIf(func(*Call) bool { return true })
+func (s *Scheduler) refuseUnserved(p *pool) {
+	s.refuseIf(p, func(*Call) bool { return true })
 }
 
 // refuseUnservedInRegions is refuseUnserved for the calls that are bound to regions.
-func (p *pool) refuseUnservedInRegions() {
-	p.refuseIf(func(c *Call) bool { return !c.regions().All() })
+func (s *Scheduler) refuseUnservedInRegions(p *pool) {
+	s.refuseIf(p, func(c *Call) bool { return !c.regions().All() })
 }
 
 // refuseIf refuses the waiting calls that the condition holds for and no target will serve.
-func (p *pool) refuseIf(condition func(*Call) bool) {
+func (s *Scheduler) refuseIf(p *pool, condition func(*Call) bool) {
 	now := time.Now()
 	unserved := func(it *flow.Item) bool {
-		c := &it.Value.(*waiter).call
-		return condition(c) && p.checkTargets(c, now) != nil
+		w := it.Value.(*waiter)
+		if !condition(&w.call) {
+			return false
+		}
+		w.refusal = s.checkTargets(p, &w.call, now)
+		return w.refusal != nil
 	}
 	for _, it := range p.queue.Drop(unserved) {
 		w := it.Value.(*waiter)
 		p.callEnded(w.call.Model)
-		w.done <- grant{err: p.checkTargets(&w.call, now)}
+		w.done <- grant{err: w.refusal}
 	}
 }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -23,6 +23,8 @@
 	// lists the models of each engine instead.
 	Models         []string
 	ModelsByTarget [][]string
+	// Versions lists the version of each target; empty if they have none.
+	Versions []string
 }
 
 // modelLoadTime is the time that a stand-in engine takes to load models.
@@ -86,6 +88,9 @@
 		ID: id, Addr: ln.Addr().String(), Pool: spec.Pool.Name, DataCentre: fmt.Sprintf("dc-%d", i%2+1),
 		Models: spec.modelsOf(i), Slots: spec.Slots, State: store.Live,
 	}
+	if spec.Versions != nil {
+		host.Version = spec.Versions[i]
+	}
 	t := NewTarget(TargetConfig{
 		Kind: spec.Pool.Kind, Slots: spec.Slots, Service: spec.Service, Models: host.Models,
 		LoadTime: modelLoadTime, HonoursFencing: spec.Pool.HonoursFencing,
