Caller API: roll-outs after a suspension of the host and between halves of the nodes

Cause: a share lapses by the process's clock, which stands still while the host is suspended; the caller API's node did not notice suspensions. Nodes that lose each other during an order had no test here.

Change: while there are orders a node looks for a suspension each 100 ms, and drops shares and decisions after one. Tests of a suspension, of two halves of the nodes with a good and a bad version, and of what the gate is told of repeats.

--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -38,7 +38,9 @@
 	ids     atomic.Int64
 	ips     int
 	log     *slog.Logger
-	adjust  func(*settings.Settings)
+	// bootLead is the lead of the hosts' boot clocks, in nanoseconds; it grows by a suspension.
+	bootLead atomic.Int64
+	adjust   func(*settings.Settings)
 }
 
 type testNode struct {
@@ -148,7 +150,8 @@
 		Listen:       c.net.Listen,
 		ListenPacket: func(addr string) (membership.PacketConn, error) { return c.net.ListenPacket(addr) },
 		Store:        gate, PeerKey: []byte("a key that all nodes share......"),
-		NewID: c.newID, Seed: uint64(c.ips), Log: c.log,
+		BootLead: func() (time.Duration, error) { return time.Duration(c.bootLead.Load()), nil },
+		NewID:    c.newID, Seed: uint64(c.ips), Log: c.log,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"topazmoor/internal/settings"
 	"topazmoor/internal/store"
 	"topazmoor/internal/supervise"
+	"topazmoor/internal/suspend"
 	"topazmoor/internal/watch"
 )
 
@@ -43,6 +44,9 @@
 	Store store.Store
 	// PeerKey is the secret that all nodes share to authenticate each other.
 	PeerKey []byte
+	// BootLead returns the lead of the host's boot clock over its monotonic clock; nil reads the
+	// kernel's clocks.
+	BootLead suspend.Read
 	// NewID returns an ID that is unique across all nodes and restarts.
 	NewID func() string
 	// Seed seeds random choices that need not be unpredictable.
@@ -103,7 +107,10 @@
 		s: s, env: env, stopping: make(chan struct{}), metrics: metrics.New(), started: time.Now(),
 		log: env.Log.With("node", s.Node.Name),
 	}
-	n.rollouts = newRollouts(n)
+	var err error
+	if n.rollouts, err = newRollouts(n); err != nil {
+		return nil, err
+	}
 	n.sched = scheduler.New(n.schedulerConfig())
 	n.calls = dispatch.New(env.Dial, s.Limits.AnswerBytes)
 	if err := n.provisionPeers(); err != nil {
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -9,18 +9,22 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/admin"
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/membership"
 	"topazmoor/internal/rollout"
 	"topazmoor/internal/store"
+	"topazmoor/internal/suspend"
 	"topazmoor/internal/verdict"
 )
 
 const (
 	// avoidOwner is how long a node that did not answer a report is not chosen as owner.
 	avoidOwner = 5 * time.Second
+	// suspendCheck is the time between two checks for a suspension of the host, while there are orders.
+	suspendCheck = 100 * time.Millisecond
 	// stoppedRetry is the pause before the record of a stopped order is read again.
 	stoppedRetry = time.Second
 )
@@ -31,6 +35,8 @@
 type rollouts struct {
 	n    *Node
 	gate *rollout.Gate
+	// detector notices suspensions of the host, in which shares do not lapse by themselves.
+	detector *suspend.Detector
 
 	mu sync.Mutex
 	// owners holds, by pool, the owner of the last order that this node decided on. Each order has an
@@ -51,10 +57,12 @@
 type stoppedOrder struct{ known, completed bool }
 
 // newRollouts returns the roll-outs of a node whose peers are provisioned.
-func newRollouts(n *Node) *rollouts {
+func newRollouts(n *Node) (*rollouts, error) {
 	r := &rollouts{n: n, owners: make(map[string]ownedOrder), avoided: make(map[string]time.Time), stopped: make(map[rollout.Order]stoppedOrder)}
 	r.gate = rollout.NewGate(n.s.Node.Name, ownerReporter{r}, func() int { return n.peers.nodes() }, n.log)
-	return r
+	var err error
+	r.detector, err = suspend.New(n.env.BootLead, r.hostResumed)
+	return r, eris.Wrap(err, "notice suspensions of the host")
 }
 
 // orderOf returns the order of a roll-out of the configuration.
@@ -64,22 +72,53 @@
 
 // Serve implements suture.Service. It keeps the gate's orders as those of the configuration.
 func (r *rollouts) Serve(ctx context.Context) error {
-	for {
+	defer r.close()
+	for ctx.Err() == nil {
 		changed := r.n.board.Catalog.Changed()
 		var again <-chan time.Time
 		if !r.apply(ctx) {
 			again = time.After(stoppedRetry)
 		}
+		r.wait(ctx, changed, again)
+	}
+	return ctx.Err()
+}
+
+// wait returns when one of the channels is ready or ctx ends. Until then it checks for suspensions of the
+// host if there are orders.
+func (r *rollouts) wait(ctx context.Context, changed <-chan struct{}, again <-chan time.Time) {
+	var check <-chan time.Time
+	if len(r.n.board.Catalog.Get().Rollouts()) > 0 {
+		tick := time.NewTicker(suspendCheck)
+		defer tick.Stop()
+		check = tick.C
+	}
+	for {
 		select {
 		case <-ctx.Done():
-			r.close()
-			return ctx.Err()
+			return
 		case <-changed:
+			return
 		case <-again:
+			return
+		case <-check:
+			r.detector.Check()
 		}
 	}
 }
 
+// hostResumed is called after the host was suspended for gap. Shares and decisions from before are not
+// used any more: another node may have decided meanwhile.
+func (r *rollouts) hostResumed(gap time.Duration) {
+	r.n.log.Warn("host was suspended, roll-outs wait for their owners", "ms", gap.Milliseconds())
+	r.gate.Expire()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, owned := range r.owners {
+		owned.owner.Expire()
+	}
+}
+
 // apply passes the orders to the gate. It returns false if the record of a stopped order could not be
 // read.
 func (r *rollouts) apply(ctx context.Context) (known bool) {
--- a/internal/node/rollouts_test.go
+++ b/internal/node/rollouts_test.go
@@ -194,6 +194,34 @@
 	}
 }
 
+// TestRolloutOfNodesThatLoseEachOther: the links between two halves of the nodes are lost during the trial;
+// the order is decided in time, alike in both.
+func TestRolloutOfNodesThatLoseEachOther(t *testing.T) {
+	for _, bad := range []bool{false, true} {
+		inRollout(t, 4, func(c *qt.C, cl *cluster) {
+			cl.startV2(c)
+			time.Sleep(5 * time.Second)
+			half := map[string]bool{cl.node(0).ip: true, cl.node(1).ip: true}
+			other := map[string]bool{cl.node(2).ip: true, cl.node(3).ip: true}
+			cl.partition(func(from, to string) bool { return half[from] && other[to] || other[from] && half[to] })
+			want := admin.RolloutCompleted
+			if bad {
+				cl.breakV2()
+				want = admin.RolloutRolledBack
+			}
+			time.Sleep(26 * time.Second)
+			for i := range cl.all() {
+				st := cl.rolloutAt(c, i)
+				c.Assert(st.State, qt.Equals, want, qt.Commentf("%+v", st))
+			}
+			if bad {
+				cl.assertNoMore(c)
+			}
+			cl.partition()
+		})
+	}
+}
+
 // TestRolloutThatIsStoppedGetsNothingMore: also at a node that starts after the stop.
 func TestRolloutThatIsStoppedGetsNothingMore(t *testing.T) {
 	inRollout(t, 3, func(c *qt.C, cl *cluster) {
@@ -208,7 +236,8 @@
 		c.Assert(cl.rolloutAt(c, 2).State, qt.Equals, admin.RolloutRolledBack)
 		c.Assert(cl.rolloutAt(c, 2).Reason, qt.Not(qt.Equals), "")
 		cl.assertNoMore(c)
-		later := newRollouts(cl.node(2).Node)
+		later, err := newRollouts(cl.node(2).Node)
+		c.Assert(err, qt.IsNil)
 		c.Assert(later.apply(tctx), qt.IsTrue)
 		c.Assert(later.gate.Barred(rolloutPool), qt.DeepEquals, []string{"v2"})
 		c.Assert(cl.restart(2), qt.IsNil)
@@ -217,6 +246,25 @@
 	})
 }
 
+// TestRolloutWaitsForItsOwnerAfterASuspension: after a suspension of the hosts no node acts on a share from
+// before; the store is away, so that no owner can begin anew.
+func TestRolloutWaitsForItsOwnerAfterASuspension(t *testing.T) {
+	inRollout(t, 2, func(c *qt.C, cl *cluster) {
+		cl.startV2(c)
+		time.Sleep(3 * time.Second)
+		cl.world.Store.SetFaults(store.Faults{Down: true})
+		time.Sleep(time.Second)
+		_, share := cl.node(0).rollouts.gate.Trial(rolloutPool)
+		c.Assert(share > 0, qt.IsTrue)
+		cl.bootLead.Add(int64(time.Minute))
+		time.Sleep(2 * suspendCheck)
+		cl.assertNoMore(c)
+		cl.world.Store.SetFaults(store.Faults{})
+		time.Sleep(25 * time.Second)
+		c.Assert(cl.rolloutAt(c, 0).State, qt.Equals, admin.RolloutCompleted)
+	})
+}
+
 // TestRolloutRecordStands: the first final record stands, also before a stop that comes later; a stopped
 // order is not completed; a record of an earlier order is refused.
 func TestRolloutRecordStands(t *testing.T) {
@@ -243,7 +291,8 @@
 			c.Assert(kept, qt.Equals, rollout.Completed)
 		}
 		order(catalog.Rollout{Revision: 2, Stopped: true})
-		late := newRollouts(n.Node)
+		late, err := newRollouts(n.Node)
+		c.Assert(err, qt.IsNil)
 		c.Assert(late.apply(tctx), qt.IsTrue)
 		c.Assert(late.gate.Barred(rolloutPool), qt.HasLen, 0)
 		order(catalog.Rollout{Revision: 4, Stopped: true})
--- a/internal/scheduler/rollouts_test.go
+++ b/internal/scheduler/rollouts_test.go
@@ -16,15 +16,17 @@
 type fakeRollouts struct {
 	groups [][]rollout.TargetGroup
 	drawn  int
+	again  []bool
 	share  float64
 	barred []string
 	ended  []rollout.Outcome
 	took   []time.Duration
 }
 
-func (f *fakeRollouts) TargetGroups(string, bool, func(string) bool) []rollout.TargetGroup {
+func (f *fakeRollouts) TargetGroups(_ string, again bool, _ func(string) bool) []rollout.TargetGroup {
 	g := f.groups[f.drawn%len(f.groups)]
 	f.drawn++
+	f.again = append(f.again, again)
 	return g
 }
 
@@ -102,7 +104,8 @@
 	})
 }
 
-// TestEndsAreEvidenceOnTheVersion: the answer of a stream is its first token, unless it breaks.
+// TestEndsAreEvidenceOnTheVersion: the answer of a stream is its first token, unless it breaks. The gate
+// is told which calls are repeats.
 func TestEndsAreEvidenceOnTheVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
@@ -121,6 +124,12 @@
 		time.Sleep(200 * time.Millisecond)
 		l.Release(Abandoned)
 		c.Assert(f.ended, qt.DeepEquals, []rollout.Outcome{rollout.Good, rollout.Bad, rollout.Good, rollout.Good, rollout.Good, rollout.Left})
+		repeat := call(time.Minute)
+		repeat.Exclude = []string{"b"}
+		l, err = s.Acquire(t.Context(), repeat)
+		c.Assert(err, qt.IsNil)
+		l.Release(Refused)
+		c.Assert(f.again, qt.DeepEquals, []bool{false, false, false, false, false, false, true})
 		c.Assert(f.took[0], qt.Equals, 100*time.Millisecond)
 		c.Assert(f.took[5], qt.Equals, 200*time.Millisecond)
 	})
