--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -9,7 +9,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -20,6 +19,7 @@
 	"topazmoor/internal/config"
 	"topazmoor/internal/control"
 	"topazmoor/internal/frontdoor"
+	"topazmoor/internal/region"
 	"topazmoor/internal/settings"
 	"topazmoor/internal/store"
 	"topazmoor/internal/strictjson"
@@ -37,6 +37,8 @@
 	PathDataCentreDrains = "/v1/data-centre-drains/"
 	PathStop             = "/v1/stop"
 	PathRevert           = "/v1/revert"
+	// PathRollouts is followed by the name of a pool.
+	PathRollouts = "/v1/rollouts/"
 )
 
 // maxBody bounds the body of a call, in bytes.
@@ -51,8 +53,13 @@
 	Operators []settings.Operator
 	Catalog   func() *catalog.Compiled
 	Store     *config.Store
-	// Offers returns why no target of a pool serves a model with an adapter, or "".
-	Offers func(pool, model, adapter string) string
+	// Offers returns why no target of a pool in the regions serves a model with an adapter, or "".
+	Offers func(pool, model, adapter string, regions region.Set) string
+	// Regions gives the region of each data centre; without entries, names of regions are not
+	// checked.
+	Regions region.Map
+	// Rollouts knows of the roll-outs.
+	Rollouts Rollouts
 	// Events returns the events after a time, and RecordEvent stores one.
 	Events      func(ctx context.Context, after time.Time, limit int) ([]control.Event, error)
 	RecordEvent func(ctx context.Context, e control.Event) error
@@ -84,6 +91,20 @@
 	// new work by order of an operator.
 	Hosts   int      `json:"hosts"`
 	Drained []string `json:"drained"`
+	// Regions describes the regions that the node knows, in the order of their names.
+	Regions []RegionStatus `json:"regions,omitempty"`
+}
+
+// RegionStatus describes one region as a node sees it.
+type RegionStatus struct {
+	Name        string   `json:"name"`
+	DataCentres []string `json:"data_centres"`
+	// Hosts is the number of target hosts in the region, Serving that of those that get new work.
+	Hosts   int `json:"hosts"`
+	Serving int `json:"serving"`
+	// Accounts is the number of accounts with a pipeline that is bound to regions, this one among
+	// them.
+	Accounts int `json:"accounts"`
 }
 
 // NodeStatus describes one node as seen by another.
@@ -114,6 +135,9 @@
 	s.write("DELETE "+PathDrains+"{host}", s.undrain)
 	s.write("PUT "+PathDataCentreDrains+"{data_centre}", s.drainDataCentre)
 	s.write("DELETE "+PathDataCentreDrains+"{data_centre}", s.undrainDataCentre)
+	s.read("GET "+PathRollouts+"{pool}", s.rolloutStatus)
+	s.write("PUT "+PathRollouts+"{pool}", s.startRollout)
+	s.write("DELETE "+PathRollouts+"{pool}", s.stopRollout)
 	s.write("POST "+PathStop, s.stop)
 	s.write("PUT "+PathStop+"/{node}", s.scheduleStop)
 	s.write("DELETE "+PathStop+"/{node}", s.cancelStop)
@@ -293,27 +317,25 @@
 }
 
 func (s *Server) apply(r *http.Request, op settings.Operator) (any, error) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return nil, verdict.New(verdict.NotRun, verdict.TooLarge, "the body is over %d bytes", maxBody)
-	}
 	var req ApplyRequest
-	if err := strictjson.Decode(body, &req); err != nil {
+	if err := decodeBody(r, &req); err != nil {
 		return nil, err
 	}
-	m, err := catalog.ParseManifest([]byte(req.Manifest))
+	src := []byte(req.Manifest)
+	m, err := catalog.ParseManifest(src)
 	if err != nil {
-		return nil, err
+		return nil, catalog.AddLines(err, "", src)
 	}
 	items, err := m.Items()
 	if err != nil {
 		return nil, err
 	}
-	return s.submit(r.Context(), op, req, items)
+	res, err := s.submit(r.Context(), op, req, items)
+	return res, catalog.AddLines(err, "", src)
 }
 
 // submit validates items against the current configuration and commits them.
-func (s *Server) submit(ctx context.Context, op settings.Operator, req ApplyRequest, items []catalog.Item) (any, error) {
+func (s *Server) submit(ctx context.Context, op settings.Operator, req ApplyRequest, items []catalog.Item) (ApplyResult, error) {
 	cur := s.cfg.Catalog()
 	base := req.Base
 	if base == 0 {
@@ -324,10 +346,13 @@
 	if base == cur.Revision {
 		next, err := cur.Apply(base+1, items)
 		if err != nil {
-			return nil, err
+			return ApplyResult{}, err
+		}
+		if err := next.CheckRegions(items, s.cfg.Regions).Err(); err != nil {
+			return ApplyResult{}, err
 		}
 		if err := s.checkOffers(next.AffectedPlans(items)).Err(); err != nil && !req.Force {
-			return nil, err
+			return ApplyResult{}, err
 		}
 	}
 	if req.DryRun || (len(diff) == 0 && base == cur.Revision) {
@@ -338,7 +363,7 @@
 	c := catalog.Change{ID: s.cfg.NewID(), By: op.Name, At: time.Now().UTC(), Note: req.Note, Items: items}
 	accepted, err := s.cfg.Store.Submit(ctx, base, c)
 	if err != nil {
-		return nil, err
+		return ApplyResult{}, err
 	}
 	s.cfg.Offer(accepted)
 	s.cfg.Log.Info("change accepted", "operator", op.Name, "revision", accepted.Revision, "items", len(items))
@@ -348,13 +373,13 @@
 
 // checkOffers finds stages whose model or adapter no target offers. Pools
 // without any host are passed over: the host list may not have come yet.
-func (s *Server) checkOffers(plans []*catalog.Plan) strictjson.Problems {
+func (s *Server) checkOffers(plans []catalog.PlanInRegions) strictjson.Problems {
 	var probs strictjson.Problems
 	seen := make(map[string]bool)
 	for _, p := range plans {
 		for _, st := range p.Stages {
 			path := "template/" + p.Template + ".stages." + st.Name
-			reason := s.cfg.Offers(st.Pool, st.Model, st.Adapter)
+			reason := s.cfg.Offers(st.Pool, st.Model, st.Adapter, p.Regions)
 			if reason != "" && !seen[path+reason] {
 				seen[path+reason] = true
 				probs.Add(path, "%s: load it first, or apply with --force", reason)
--- a/internal/catalog/compile.go
+++ b/internal/catalog/compile.go
@@ -27,6 +27,7 @@
 		drains:    maps.Clone(c.drains),
 		dcDrains:  maps.Clone(c.dcDrains),
 		stops:     maps.Clone(c.stops),
+		rollouts:  maps.Clone(c.rollouts),
 		plans:     maps.Clone(c.plans),
 		pools:     c.pools,
 	}
@@ -36,6 +37,8 @@
 	applyObjects(next.drains, DrainItem, items, &probs)
 	applyObjects(next.dcDrains, DataCentreDrainItem, items, &probs)
 	applyObjects(next.stops, StopItem, items, &probs)
+	applyObjects(next.rollouts, RolloutItem, items, &probs)
+	next.checkRollouts(items, &probs)
 	if len(changed) > 0 {
 		next.plans = make(map[string]*Plan)
 		next.addTemplateUsers(changed, affected)
@@ -158,6 +161,7 @@
 	acct := old.decode()
 	a := *old
 	a.plans = make([]namedPlan, 0, len(acct.Pipelines))
+	bound := regionSet(probs, path+".regions", acct.Regions)
 	for i, b := range acct.Pipelines {
 		at := fmt.Sprintf("%s.pipelines[%d]", path, i)
 		if a.Plan(b.Name) != nil {
@@ -165,7 +169,7 @@
 			continue
 		}
 		if p := c.plan(at, b, probs); p != nil {
-			a.plans = append(a.plans, namedPlan{name: b.Name, plan: p})
+			a.plans = append(a.plans, namedPlan{name: b.Name, plan: p, regions: commonRegions(probs, at, bound, p)})
 		}
 	}
 	c.accounts[name] = &a
@@ -229,6 +233,7 @@
 		return nil
 	}
 	plan := &Plan{Template: t.Name, Class: p.Class, Deadline: p.Deadline.Std(), Idempotent: p.Idempotent}
+	plan.Regions = regionSet(probs, "template/"+t.Name+".pipeline.regions", p.Regions)
 	for _, s := range p.Stages {
 		if s.Attempts == 0 {
 			s.Attempts = defaultAttempts
--- a/internal/catalog/compiled.go
+++ b/internal/catalog/compiled.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"topazmoor/internal/region"
 	"topazmoor/internal/settings"
 	"topazmoor/internal/strictjson"
 )
@@ -18,7 +19,9 @@
 	Class      Class
 	Deadline   time.Duration
 	Idempotent bool
-	Stages     []PlanStage
+	// Regions are those that the pipeline allows.
+	Regions region.Set
+	Stages  []PlanStage
 }
 
 // PlanStage is a stage with its pool resolved.
@@ -43,6 +46,8 @@
 type namedPlan struct {
 	name string
 	plan *Plan
+	// regions are those that both the account and the plan allow; nil stands for all.
+	regions *region.Set
 }
 
 // Plan returns the plan of the pipeline with this name, or nil.
@@ -85,6 +90,8 @@
 	// dcDrains are the drains of data centres by name.
 	dcDrains map[string]DataCentreDrain
 	stops    map[string]Stop
+	// rollouts are the orders of roll-outs by pool.
+	rollouts map[string]Rollout
 	pools    map[string]settings.Pool
 	// plans is the cache of compiled plans, by template name and parameter values.
 	plans map[string]*Plan
@@ -103,6 +110,7 @@
 		drains:    make(map[string]Drain),
 		dcDrains:  make(map[string]DataCentreDrain),
 		stops:     make(map[string]Stop),
+		rollouts:  make(map[string]Rollout),
 		plans:     make(map[string]*Plan),
 		pools:     byName,
 	}
@@ -173,6 +181,10 @@
 		if st, ok := c.stops[name]; ok {
 			v = st
 		}
+	case RolloutItem:
+		if r, ok := c.rollouts[name]; ok {
+			v = r
+		}
 	}
 	if v == nil {
 		return nil
@@ -184,19 +196,26 @@
 	return b
 }
 
+// PlanInRegions is a plan with the regions in which its requests may be served.
+type PlanInRegions struct {
+	*Plan
+	Regions region.Set
+}
+
 // AffectedPlans returns the plans in c that the items affect: those of changed accounts
-// and those of changed templates. A plan may occur more than once.
-func (c *Compiled) AffectedPlans(items []Item) []*Plan {
-	var out []*Plan
+// and those of changed templates. A plan may occur more than once. Those of a template have
+// the regions that the template allows.
+func (c *Compiled) AffectedPlans(items []Item) []PlanInRegions {
+	var out []PlanInRegions
 	for _, it := range items {
 		if it.Kind == AccountItem && c.accounts[it.Name] != nil {
 			for _, p := range c.accounts[it.Name].plans {
-				out = append(out, p.plan)
+				out = append(out, PlanInRegions{p.plan, p.allowed()})
 			}
 		}
 		for _, p := range c.plans {
 			if it.Kind == TemplateItem && p.Template == it.Name {
-				out = append(out, p)
+				out = append(out, PlanInRegions{p, p.Regions})
 			}
 		}
 	}
@@ -222,5 +241,8 @@
 	for name := range c.stops {
 		items = append(items, Item{Kind: StopItem, Name: name, Value: c.Object(StopItem, name)})
 	}
+	for name := range c.rollouts {
+		items = append(items, Item{Kind: RolloutItem, Name: name, Value: c.Object(RolloutItem, name)})
+	}
 	return items
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,10 +23,12 @@
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/membership"
 	"topazmoor/internal/metrics"
+	"topazmoor/internal/region"
 	"topazmoor/internal/scheduler"
 	"topazmoor/internal/settings"
 	"topazmoor/internal/store"
 	"topazmoor/internal/supervise"
+	"topazmoor/internal/suspend"
 	"topazmoor/internal/watch"
 )
 
@@ -42,6 +44,9 @@
 	Store store.Store
 	// PeerKey is the secret that all nodes share to authenticate each other.
 	PeerKey []byte
+	// BootLead returns the lead of the host's boot clock over its monotonic clock; nil reads the
+	// kernel's clocks.
+	BootLead suspend.Read
 	// NewID returns an ID that is unique across all nodes and restarts.
 	NewID func() string
 	// Seed seeds random choices that need not be unpredictable.
@@ -85,8 +90,10 @@
 	batches *batch.Runner
 	admin   *admin.Server
 	peers   *peers
-	servers []*server
-	started time.Time
+	// rollouts moves the calls of pools to other versions.
+	rollouts *rollouts
+	servers  []*server
+	started  time.Time
 
 	stopOnce sync.Once
 	stopping chan struct{}
@@ -100,7 +107,11 @@
 		s: s, env: env, stopping: make(chan struct{}), metrics: metrics.New(), started: time.Now(),
 		log: env.Log.With("node", s.Node.Name),
 	}
-	n.sched = scheduler.New(scheduler.DefaultConfig(s.Node.DataCentre, env.Seed))
+	var err error
+	if n.rollouts, err = newRollouts(n); err != nil {
+		return nil, err
+	}
+	n.sched = scheduler.New(n.schedulerConfig())
 	n.calls = dispatch.New(env.Dial, s.Limits.AnswerBytes)
 	if err := n.provisionPeers(); err != nil {
 		return nil, err
@@ -120,6 +131,14 @@
 	return n, nil
 }
 
+func (n *Node) schedulerConfig() scheduler.Config {
+	cfg := scheduler.DefaultConfig(n.s.Node.DataCentre, n.env.Seed)
+	cfg.Rollouts = n.rollouts.gate
+	cfg.Regions = n.s.RegionMap()
+	cfg.Crossing = region.Crossing{RoundTrip: n.s.Regions.RoundTrip.Std()}
+	return cfg
+}
+
 // Addr returns the listen address of the named server ("caller", "admin",
 // "peer" or "observe"), or "" for an unknown name.
 func (n *Node) Addr(name string) string {
@@ -148,6 +167,8 @@
 	sup.Add(supervise.Named("targets", &hostPublisher{n: n}))
 	sup.Add(supervise.Named("load reports", &loadPoller{n: n}))
 	sup.Add(supervise.Named("batches", n.batches))
+	sup.Add(supervise.Named("roll-outs", n.rollouts))
+	sup.Add(supervise.Named("roll-out reports", n.rollouts.gate))
 	sup.Add(supervise.Named("stops", &scheduledStop{n: n}))
 	sup.Add(supervise.Named("administration", n.admin))
 	for _, s := range n.servers {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/flow"
+	"topazmoor/internal/region"
 	"topazmoor/internal/store"
 )
 
@@ -19,8 +20,14 @@
 	DataCentre string
 	// RemoteCost is the time that a call to another data centre takes longer.
 	RemoteCost time.Duration
+	// Regions gives the region of each data centre, and Crossing the cost of a call to another
+	// region than the node's.
+	Regions  region.Map
+	Crossing region.Crossing
 	// PrefixGain is the time that a cached prompt prefix saves.
 	PrefixGain time.Duration
+	// Rollouts decides which versions get calls; nil for all.
+	Rollouts Rollouts
 	// QueueLimit is the maximum number of waiting calls per pool.
 	QueueLimit int
 	// RetryRatio is the number of retries and hedges allowed per call.
@@ -55,6 +62,17 @@
 	// Exclude lists the IDs of targets that this request was sent to already; they
 	// are used again only when no other target can serve the call.
 	Exclude []string
+	// Regions returns the regions in which the call may be served now; nil stands for all. It is
+	// called under the scheduler's lock and must not block.
+	Regions func() region.Set
+}
+
+// regions returns the regions in which the call may be served now.
+func (c *Call) regions() region.Set {
+	if c.Regions == nil {
+		return region.Set{}
+	}
+	return c.Regions()
 }
 
 // Outcome is how a granted call ended. It updates the target's live state.
@@ -115,14 +133,14 @@
 	}
 	for name, p := range s.pools {
 		if byPool[name] == nil {
-			p.setHosts(nil, drained, s.share)
-			p.refuseUnserved()
+			p.setHosts(nil, drained, s.share, s.cfg.Regions)
+			s.refuseUnserved(p)
 		}
 	}
 	for name, list := range byPool {
 		p := s.pool(name)
-		p.setHosts(list, drained, s.share)
-		p.refuseUnserved()
+		p.setHosts(list, drained, s.share, s.cfg.Regions)
+		s.refuseUnserved(p)
 		s.grantWaiting(p)
 	}
 }
