--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,6 +45,9 @@
 	Node, DataCentre, Region string
 	// Regions maps data centres to regions.
 	Regions region.Map
+	// Crossing is the cost of producing stage results in another region than their home region;
+	// usually region.DefaultCrossing.
+	Crossing region.Crossing
 	// ListenCallers is for callers, ListenReady for the balancer's readiness checks and for
 	// metrics, and ListenPeers for calls of other nodes; all are IP:port.
 	ListenCallers, ListenReady, ListenPeers string
@@ -197,7 +200,8 @@
 	n.versionTracker = &versionTracker{n: n}
 	n.former = stagebatch.NewFormer(env.Worker, n.targets, n.batchSpec, n.log)
 	n.former.Name, n.former.Off = set.Node, set.Off
-	n.former.Regions = set.Regions
+	n.former.Regions, n.former.Crossing = set.Regions, set.Crossing
+	n.former.Spills = n.metrics
 	var err error
 	if n.peers, err = n.provisionPeers(); err != nil {
 		return nil, err
@@ -209,6 +213,7 @@
 	n.provisionGuard()
 	n.provisionRelay()
 	n.router = stagebatch.NewRouter(stagebatch.Node{Name: set.Node, DataCentre: set.DataCentre, Capacity: set.Capacity}, n.former, n.peers.client, n.state.Members.Get, n.log)
+	n.router.Exchange = n.peers.client
 	n.passThrough = passthrough.New(passthrough.Config{
 		Routes: n.state.Routes.Get, Current: n.current, StoreUnreachable: n.storeUnreachable, SuspendedTime: n.detector.SuspendedTime, Trusted: n.trusted, Targets: n.targets, Stages: n.router,
 		Guard: n.guard, Sender: env.Conns, Wire: env.Wire, Off: set.Off,
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -17,6 +17,7 @@
 
 	"topazmoor/internal/peer"
 	"topazmoor/internal/poison"
+	"topazmoor/internal/region"
 	"topazmoor/internal/relay"
 	"topazmoor/internal/restore"
 	"topazmoor/internal/rollout"
@@ -438,6 +439,15 @@
 	return c.Free(ctx, addr, service, handles, ifTight)
 }
 
+// Waits implements stagebatch.WaitsExchange.
+func (l *deferredClient) Waits(ctx context.Context, addr, service string, in region.Set) (stagebatch.Waits, error) {
+	c := l.c.Load()
+	if c == nil {
+		return stagebatch.Waits{}, errNoKey
+	}
+	return c.Waits(ctx, addr, service, in)
+}
+
 // SendEnds reports to another node which targets ended during requests.
 func (l *deferredClient) SendEnds(ctx context.Context, addr string, ends []poison.End) error {
 	c := l.c.Load()
--- a/internal/experiment/stagepools.go
+++ b/internal/experiment/stagepools.go
@@ -244,7 +244,7 @@
 			accepted(w)
 		case <-tick.C:
 			if !h.isDead(addr) {
-				accepted(h.formers[addr].Waits(o.Service))
+				accepted(h.formers[addr].Waits(o.Service, o.Regions))
 			}
 		case e := <-done:
 			if !h.isDead(addr) {
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -19,6 +19,8 @@
 	began         *prometheus.CounterVec
 	estimateError *prometheus.HistogramVec
 	repeats       *prometheus.CounterVec
+	spilled       *prometheus.CounterVec
+	spillRefused  *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds, from a network round trip (5 ms) to the longest
@@ -55,8 +57,14 @@
 		repeats: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "topazmoor_entry_repeats_total", Help: "Requests sent to one more target, by service and reason.",
 		}, []string{"service", "why"}),
+		spilled: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "topazmoor_entry_orders_spilled_total", Help: "Orders that this node sent from their home region to another one, by service and regions.",
+		}, []string{"service", "from", "to"}),
+		spillRefused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "topazmoor_entry_orders_late_everywhere_total", Help: "Orders that this node refused because no region completes them by their deadline, by service and region.",
+		}, []string{"service", "region"}),
 	}
-	e.registry.MustRegister(e.requests, e.latency, e.stages, e.began, e.estimateError, e.repeats)
+	e.registry.MustRegister(e.requests, e.latency, e.stages, e.began, e.estimateError, e.repeats, e.spilled, e.spillRefused)
 	return e
 }
 
@@ -79,5 +87,15 @@
 	e.estimateError.WithLabelValues(label).Observe((took - estimated).Seconds())
 }
 
+// Spilled implements stagebatch.SpillObserver.
+func (e *Entry) Spilled(service, from, to string) {
+	e.spilled.WithLabelValues(service, from, to).Inc()
+}
+
+// SpillRefused implements stagebatch.SpillObserver.
+func (e *Entry) SpillRefused(service, name string) {
+	e.spillRefused.WithLabelValues(service, name).Inc()
+}
+
 // Repeated implements passthrough.Observer.
 func (e *Entry) Repeated(service, why string) { e.repeats.WithLabelValues(service, why).Inc() }
--- a/internal/passthrough/engine.go
+++ b/internal/passthrough/engine.go
@@ -81,3 +81,21 @@
 	}
 	return c.s.cfg.Targets.PreferredDataCentre(c.service, hash, shared, c.regions())
 }
+
+// expectedDataCentre returns the data centre that producerDataCentre will prefer for a stage, if it is
+// known before any stage has run; else "". It is determined once for a request, and only in a fleet of
+// several regions, where the waits of a stage depend on it.
+func (c *call) expectedDataCentre(stage int) string {
+	if !c.s.cfg.Targets.Regions.Several() || len(c.route.Stages[stage].After) > 0 {
+		return ""
+	}
+	c.placesOnce.Do(func() {
+		c.places = make([]string, len(c.route.Stages))
+		for i, st := range c.route.Stages {
+			if len(st.After) == 0 && st.ResultBytes >= largeResultBytes {
+				c.places[i] = c.producerDataCentre(nil, i)
+			}
+		}
+	})
+	return c.places[stage]
+}
--- a/internal/passthrough/outlook.go
+++ b/internal/passthrough/outlook.go
@@ -46,7 +46,7 @@
 		return 0
 	}
 	st := o.c.route.Stages[i]
-	return o.c.s.cfg.Stages.Estimate(st.Service, stagebatch.Work{Rank: o.c.rank, Pieces: n, Late: o.late, Begun: len(st.After) > 0, Regions: o.c.regions()})
+	return o.c.s.cfg.Stages.Estimate(st.Service, stagebatch.Work{Rank: o.c.rank, Pieces: n, Late: o.late, Begun: len(st.After) > 0, DataCentre: o.c.expectedDataCentre(i), Regions: o.c.regions()})
 }
 
 // after estimates the time of the stages that follow stage i, along the longest path.
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"topazmoor/internal/region"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/standin/memnet"
 )
@@ -76,6 +77,6 @@
 	return stagebatch.Result{Handles: o.Inputs}, nil
 }
 
-func (*instantStages) Waits(string) stagebatch.Waits {
+func (*instantStages) Waits(string, region.Set) stagebatch.Waits {
 	return stagebatch.Waits{OnTime: []time.Duration{0, 100 * time.Millisecond, time.Second}}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -239,6 +239,8 @@
 		return s.permits(call.Permits)
 	case *peerpb.Request_Rollout:
 		return s.rollout(ctx, call.Rollout)
+	case *peerpb.Request_Waits:
+		return s.waits(call.Waits)
 	case *peerpb.Request_Produce:
 		return s.produce(ctx, st, call.Produce)
 	case *peerpb.Request_Free:
--- a/internal/peer/stages.go
+++ b/internal/peer/stages.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,8 +20,8 @@
 type Stages interface {
 	// Produce runs an order. It calls accepted when the order was accepted.
 	Produce(ctx context.Context, o stagebatch.Order, accepted func(stagebatch.Waits)) (stagebatch.Result, error)
-	// Waits returns the estimated waits of a service's pool.
-	Waits(service string) stagebatch.Waits
+	// Waits returns the estimated waits of a service's pool for orders that are limited to some regions.
+	Waits(service string, in region.Set) stagebatch.Waits
 	// Free releases results.
 	Free(service string, handles []string)
 	// FreeIfNearlyFull releases results that were read, where free memory is low.
@@ -67,6 +68,15 @@
 	return stagebatch.ErrFailed
 }
 
+// spillTo returns the region that runs an order instead, by the order's error; "" for none.
+func spillTo(err error) string {
+	var spilled *stagebatch.SpillError
+	if errors.As(err, &spilled) {
+		return spilled.Region
+	}
+	return ""
+}
+
 func regionsFrom(m *peerpb.Order) region.Set {
 	if !m.Limited {
 		return region.Set{}
@@ -78,6 +88,7 @@
 	return &peerpb.Order{
 		Service: o.Service, Request: o.Request, Stage: uint32(o.Stage), Pieces: uint32(o.Pieces),
 		Key: o.Key, Input: o.Inputs, Priority: int32(o.Priority), ResultBytes: o.ResultBytes, DataCentre: o.DataCentre,
+		SpillTo: o.SpillTo, Spilled: o.Spilled,
 		Digest: o.Digest[:], Probe: o.Probe, Region: o.Regions.Names(), Limited: !o.Regions.All(),
 		DueInMs: o.Due.Sub(now).Milliseconds(), DeadlineInMs: o.Deadline.Sub(now).Milliseconds(),
 	}
@@ -88,6 +99,7 @@
 		Digest: digestFrom(m.Digest), Probe: m.Probe, Regions: regionsFrom(m),
 		Service: m.Service, Request: m.Request, Stage: int(m.Stage), Pieces: int(m.Pieces),
 		Key: m.Key, Inputs: m.Input, Priority: int(m.Priority), ResultBytes: m.ResultBytes, DataCentre: m.DataCentre,
+		SpillTo: m.SpillTo, Spilled: m.Spilled,
 		Due:      now.Add(time.Duration(m.DueInMs) * time.Millisecond),
 		Deadline: now.Add(time.Duration(m.DeadlineInMs) * time.Millisecond),
 	}
@@ -95,7 +107,7 @@
 
 // acceptedTo encodes the estimated waits of a pool.
 func acceptedTo(w stagebatch.Waits) *peerpb.Accepted {
-	a := &peerpb.Accepted{LateBegunMs: w.LateBegun.Milliseconds(), LateNewMs: w.LateNew.Milliseconds()}
+	a := &peerpb.Accepted{LateBegunMs: w.LateBegun.Milliseconds(), LateNewMs: w.LateNew.Milliseconds(), SpilledMs: w.Spilled.Milliseconds()}
 	for _, d := range w.OnTime {
 		a.WaitMs = append(a.WaitMs, d.Milliseconds())
 	}
@@ -106,6 +118,7 @@
 	w := stagebatch.Waits{
 		LateBegun: time.Duration(a.LateBegunMs) * time.Millisecond,
 		LateNew:   time.Duration(a.LateNewMs) * time.Millisecond,
+		Spilled:   time.Duration(a.SpilledMs) * time.Millisecond,
 	}
 	for _, n := range a.WaitMs {
 		w.OnTime = append(w.OnTime, time.Duration(n)*time.Millisecond)
@@ -138,6 +151,9 @@
 		return stagebatch.Result{}, err
 	}
 	p := resp.GetProduced()
+	if name := p.GetSpillTo(); slices.Contains(o.SpillTo, name) {
+		return stagebatch.Result{}, &stagebatch.SpillError{Region: name}
+	}
 	if err := failureOf(p.GetFailure()); err != nil {
 		return stagebatch.Result{}, err
 	}
@@ -167,6 +183,25 @@
 	}
 }
 
+// Waits implements stagebatch.WaitsExchange.
+func (c *Client) Waits(ctx context.Context, addr, service string, in region.Set) (stagebatch.Waits, error) {
+	ask := &peerpb.WaitsAsk{Service: service, Region: in.Sole()}
+	resp, err := c.call(ctx, addr, &peerpb.Request{Call: &peerpb.Request_Waits{Waits: ask}})
+	if err != nil {
+		return stagebatch.Waits{}, err
+	}
+	return waitsFrom(resp.GetAccepted()), nil
+}
+
+// waits handles a request for the waits of a pool.
+func (s *Server) waits(m *peerpb.WaitsAsk) (*peerpb.Response, error) {
+	if s.h.Stages == nil {
+		return nil, verdict.New(verdict.NotRun, verdict.Internal, "this node forms no batches")
+	}
+	a := acceptedTo(s.h.Stages.Waits(m.Service, region.Only(m.Region)))
+	return &peerpb.Response{Result: &peerpb.Response_Accepted{Accepted: a}}, nil
+}
+
 // Free implements stagebatch.Remote.
 func (c *Client) Free(ctx context.Context, addr, service string, handles []string, ifTight bool) error {
 	free := &peerpb.Results{Service: service, Handle: handles, IfTight: ifTight}
@@ -212,7 +247,7 @@
 	}()
 	s.h.Versions.Observe(store.Version{Era: m.ConfigEra, Number: m.ConfigVersion})
 	state := func() *peerpb.Accepted {
-		a := acceptedTo(s.h.Stages.Waits(m.Service))
+		a := acceptedTo(s.h.Stages.Waits(m.Service, regionsFrom(m)))
 		current := s.h.Versions.Current()
 		a.ConfigEra, a.ConfigVersion = current.Era, current.Number
 		return a
@@ -221,7 +256,7 @@
 	if p.err != nil && ctx.Err() != nil {
 		return nil, verdict.Wrap(p.err, verdict.NotRun, verdict.Canceled, "the order was withdrawn")
 	}
-	out := &peerpb.Produced{Handle: p.res.Handles, Failure: failureNumber(p.err)}
+	out := &peerpb.Produced{Handle: p.res.Handles, Failure: failureNumber(p.err), SpillTo: spillTo(p.err)}
 	return &peerpb.Response{Result: &peerpb.Response_Produced{Produced: out}}, nil
 }
 
--- a/internal/peer/stages_test.go
+++ b/internal/peer/stages_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"topazmoor/internal/region"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/standin/memnet"
 )
@@ -36,7 +37,7 @@
 	return stagebatch.Result{Handles: []string{o.Request + "/0", o.Request + "/1"}}, nil
 }
 
-func (s *slowStages) Waits(string) stagebatch.Waits {
+func (s *slowStages) Waits(string, region.Set) stagebatch.Waits {
 	return stagebatch.Waits{OnTime: []time.Duration{0, time.Second}}
 }
 
--- a/internal/region/crossing.go
+++ b/internal/region/crossing.go
@@ -11,6 +11,9 @@
 	PerMB time.Duration
 }
 
+// DefaultCrossing is the cost between regions that are some 12 ms apart.
+var DefaultCrossing = Crossing{RoundTrip: 24 * time.Millisecond, PerMB: 100 * time.Millisecond}
+
 // Cost returns the cost of a number of round trips and bytes between regions.
 func (c Crossing) Cost(roundTrips int, bytes int64) time.Duration {
 	return time.Duration(roundTrips)*c.RoundTrip + time.Duration(float64(bytes)/1e6*float64(c.PerMB))
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -3,6 +3,7 @@
 package region
 
 import (
+	"maps"
 	"slices"
 	"strings"
 )
@@ -20,6 +21,14 @@
 	return Set{restricted: true, names: slices.Compact(sorted)}
 }
 
+// Sole returns the name of the only region in the set; "" for any other set.
+func (s Set) Sole() string {
+	if len(s.names) != 1 {
+		return ""
+	}
+	return s.names[0]
+}
+
 // All reports whether every region is in the set.
 func (s Set) All() bool { return !s.restricted }
 
@@ -66,17 +75,27 @@
 func (m Map) Missing(s Set) []string {
 	var out []string
 	for _, name := range s.names {
-		if !slices.ContainsFunc(m.regions(), func(known string) bool { return known == name }) {
+		if !slices.ContainsFunc(m.Regions(), func(known string) bool { return known == name }) {
 			out = append(out, name)
 		}
 	}
 	return out
 }
 
-func (m Map) regions() []string {
-	out := make([]string, 0, len(m))
+// Several reports whether the Map has more than one region.
+func (m Map) Several() bool {
+	first, seen := "", false
 	for _, name := range m {
-		out = append(out, name)
+		if seen && name != first {
+			return true
+		}
+		first, seen = name, true
 	}
-	return out
+	return false
+}
+
+// Regions returns the sorted names of the regions in the Map.
+func (m Map) Regions() []string {
+	out := slices.Sorted(maps.Values(m))
+	return slices.Compact(out)
 }
--- a/internal/stagebatch/bench_test.go
+++ b/internal/stagebatch/bench_test.go
@@ -70,7 +70,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				f.mu.Lock()
-				p := f.pool("pool")
+				p := f.pool(poolKey{service: "pool"})
 				p.waitsAt = time.Time{}
 				p.wait(spec, time.Now())
 				f.mu.Unlock()
--- a/internal/stagebatch/calls.go
+++ b/internal/stagebatch/calls.go
@@ -44,6 +44,7 @@
 
 type call struct {
 	service string
+	pool    *pool
 	m       *targetState
 	// target is the process that was called. m may represent its successor by now.
 	target  targets.Target
@@ -62,13 +63,13 @@
 }
 
 // start starts a call. The lock is held.
-func (f *Former) start(service string, m *targetState, spec *routes.Batch, batch []*piece, now time.Time) {
-	slower := m.slower(f.pools[service].states, now)
+func (f *Former) start(service string, pl *pool, m *targetState, spec *routes.Batch, batch []*piece, now time.Time) {
+	slower := m.slower(pl.states, now)
 	m.calls++
 	m.lastCall, m.callBytes = now, 0
-	f.pools[service].versionSplit.recordCall(m.Version, len(batch), max(spec.Items, 1))
+	pl.versionSplit.recordCall(m.Version, len(batch), max(spec.Items, 1))
 	f.list.RecordStageCallStart(m.Target)
-	c := &call{service: service, m: m, target: m.Target, spec: spec, batch: batch, started: now, began: f.list.BeginCall(m.Process()), permit: m.takePermit(), healthy: expected(spec, len(batch))}
+	c := &call{service: service, pool: pl, m: m, target: m.Target, spec: spec, batch: batch, started: now, began: f.list.BeginCall(m.Process()), permit: m.takePermit(), healthy: expected(spec, len(batch))}
 	c.expected = times(c.healthy, slower)
 	items := make([]Item, len(batch))
 	for i, p := range batch {
@@ -78,9 +79,9 @@
 		items[i] = Item{Request: o.Request, Stage: o.Stage, Piece: p.index, Key: o.Key, Inputs: o.Inputs, Remaining: o.Deadline.Sub(now)}
 	}
 	watchdog := time.AfterFunc(times(c.expected, overdueFactor)+overdueSlack, func() { f.overdue(c) })
-	f.log.Info("stage call", "service", service, "target", m.ID, "addr", m.Addr, "items", len(items), "queued", len(f.pools[service].queue),
+	f.log.Info("stage call", "service", service, "target", m.ID, "addr", m.Addr, "items", len(items), "queued", len(pl.queue),
 		"slow", m.slow(), "expected_ms", c.expected.Milliseconds(), "requests", requestsOf(batch))
-	if m.healthy(now) && now.After(f.pool(service).sharedUntil) {
+	if m.healthy(now) && now.After(pl.sharedUntil) {
 		time.AfterFunc(inputTime, func() { f.inputsRead(c) })
 	}
 	target := m.Target
@@ -186,12 +187,12 @@
 	c.m.overdue(float64(time.Since(c.started)) / float64(c.healthy))
 	f.log.Warn("stage call overdue, requeueing its pieces", "service", c.service, "target", c.m.ID, "items", len(c.batch), "ms", time.Since(c.started).Milliseconds(), "requests", requestsOf(c.batch))
 	f.requeue(c)
-	f.pump(c.service, f.pool(c.service), c.spec)
+	f.pump(c.service, c.pool, c.spec)
 }
 
 // requeue returns the pieces of a call that have no result to the queue. The lock is held.
 func (f *Former) requeue(c *call) {
-	p := f.pool(c.service)
+	p := c.pool
 	for _, pc := range c.batch {
 		if pc.order.ended || pc.queued || pc.order.handles[pc.index] != "" {
 			continue
@@ -226,14 +227,14 @@
 		if ratio < healthyRatio {
 			c.m.healthyAt = now
 		}
-		p := f.pool(c.service)
+		p := c.pool
 		p.recordProduced(len(c.batch), len(p.queue), now)
 		if reply.OtherCalls > 0 {
-			f.pool(c.service).sharedUntil = now.Add(sharedLife)
+			c.pool.sharedUntil = now.Add(sharedLife)
 		}
 		f.applyResults(c, reply.Results, now)
 	}
-	f.pump(c.service, f.pool(c.service), c.spec)
+	f.pump(c.service, c.pool, c.spec)
 }
 
 func producedAny(results []ItemResult) bool {
@@ -327,7 +328,7 @@
 		c.m.healthyAt = time.Time{}
 		// The pause lasts until the target's free space is known.
 		c.m.pausedUntil = now.Add(busyPause)
-		go f.querySpace(c.service, c.m, c.m.Addr, c.spec)
+		go f.querySpace(c.pool, c.m, c.m.Addr, c.spec)
 	}
 	f.requeue(c)
 }
--- a/internal/stagebatch/estimate.go
+++ b/internal/stagebatch/estimate.go
@@ -18,6 +18,8 @@
 	// of earlier stages, LateNew otherwise. The estimate assumes that late pieces without
 	// earlier results are served last.
 	LateBegun, LateNew time.Duration
+	// Spilled is the wait of orders from other regions that can meet their objective.
+	Spilled time.Duration
 }
 
 // ForRank returns the wait of pieces of a rank that can meet their objective.
@@ -34,6 +36,8 @@
 	// Late means that the request will miss its objective, Begun that results of earlier stages
 	// exist.
 	Late, Begun bool
+	// DataCentre is the preferred data centre of the order; "" means no preference.
+	DataCentre string
 	// Regions are the regions in which the order may run.
 	Regions region.Set
 }
@@ -84,6 +88,8 @@
 	at     time.Time
 	rank   int
 	pieces int
+	// spilled means that the order came from another region.
+	spilled bool
 }
 
 // recent returns the entries within rateWindow. all is sorted by time and is not modified.
@@ -96,10 +102,10 @@
 }
 
 // recordOrder counts the pieces of a new order.
-func (t *traffic) recordOrder(rank, pieces int, now time.Time) {
-	rank = min(max(rank, 0), maxRanks-1)
+func (t *traffic) recordOrder(o Order, now time.Time) {
+	rank := min(max(o.Priority, 0), maxRanks-1)
 	t.ranks = max(t.ranks, rank+1)
-	t.arrived = append(recent(t.arrived, now), pieceCount{at: now, rank: rank, pieces: pieces})
+	t.arrived = append(recent(t.arrived, now), pieceCount{at: now, rank: rank, pieces: o.Pieces, spilled: o.Spilled})
 }
 
 // recordProduced counts the pieces of a completed call. queued is the number of pieces in the pool's
@@ -128,17 +134,20 @@
 	return min(reachable, max(float64(produced)/rateWindow.Seconds(), reachable/4))
 }
 
-// wait returns the estimated waits of a pool. Late pieces are served after all others, so only
-// the estimates for late pieces include them.
+// wait returns the estimated waits of a pool. Pieces from other regions are served after those of this
+// region, and late pieces after all others, so the estimates of those served before do not include
+// them.
 func (p *pool) wait(spec *routes.Batch, now time.Time) Waits {
 	if now.Sub(p.waitsAt) < waitsTTL && len(p.waits.OnTime) == p.ranks {
 		return p.waits
 	}
 	ahead, coming := make([]int, p.ranks), make([]int, p.ranks)
-	lateBegun, lateNew := 0, 0
+	spilled, lateBegun, lateNew := 0, 0, 0
 	for _, pc := range p.queue {
 		switch {
 		case pc.order.ended:
+		case pc.order.Due.After(now) && pc.order.Spilled:
+			spilled++
 		case pc.order.Due.After(now):
 			ahead[min(max(pc.order.Priority, 0), p.ranks-1)]++
 		case pc.begun():
@@ -148,7 +157,9 @@
 		}
 	}
 	for _, c := range recent(p.arrived, now) {
-		coming[c.rank] += c.pieces
+		if !c.spilled {
+			coming[c.rank] += c.pieces
+		}
 	}
 	good, idle := p.countTargets(spec, now)
 	rate := p.rate(spec, good, now)
@@ -171,6 +182,8 @@
 		out.OnTime[rank] = timeFor(before)
 		urgent += float64(coming[rank])
 	}
+	before += spilled
+	out.Spilled = timeFor(before)
 	out.LateBegun = timeFor(before + lateBegun)
 	out.LateNew = timeFor(before + lateBegun + lateNew)
 	p.waits, p.waitsAt = out, now
--- a/internal/stagebatch/estimate_test.go
+++ b/internal/stagebatch/estimate_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"topazmoor/internal/region"
 	"topazmoor/internal/routes"
 )
 
@@ -39,7 +40,7 @@
 			go produceAndFree(t, f, rankedOrder(fmt.Sprint("low", i), 3, 8))
 		}
 		time.Sleep(2 * waitsTTL)
-		waits := f.Waits("pool")
+		waits := f.Waits("pool", region.Set{})
 		// Two of the ten orders are in calls, and the next call starts within the time of one
 		// call.
 		call := expected(poolSpec(""), 8)
@@ -64,13 +65,13 @@
 			low(fmt.Sprint("low", i))
 		}
 		time.Sleep(2 * waitsTTL)
-		alone := f.Waits("pool").ForRank(3)
+		alone := f.Waits("pool", region.Set{}).ForRank(3)
 		for i := range 3 {
 			go produceAndFree(t, f, rankedOrder(fmt.Sprint("high", i), 0, 8))
 		}
 		synctest.Wait()
 		time.Sleep(2 * waitsTTL)
-		c.Assert(f.Waits("pool").ForRank(3) > alone+expected(poolSpec(""), 8), qt.IsTrue)
+		c.Assert(f.Waits("pool", region.Set{}).ForRank(3) > alone+expected(poolSpec(""), 8), qt.IsTrue)
 	})
 }
 
@@ -86,7 +87,7 @@
 				time.Sleep(time.Duration(i%7) * 20 * time.Millisecond)
 			}
 			synctest.Wait()
-			waits := f.Waits("pool")
+			waits := f.Waits("pool", region.Set{})
 			onTime := waits.OnTime
 			for rank := 1; rank < len(onTime); rank++ {
 				if onTime[rank] < onTime[rank-1] || onTime[0] < 0 || waits.LateBegun < onTime[rank] || waits.LateNew < waits.LateBegun {
@@ -132,9 +133,9 @@
 	start := time.Date(2026, 3, 5, 0, 0, 0, 0, time.UTC)
 	counted := func(lookAgain bool) Waits {
 		p := &pool{states: map[string]*targetState{"a": {}}, traffic: traffic{busySince: start}}
-		p.recordOrder(2, 3, start)
-		p.recordOrder(1, 5, start.Add(time.Second))
-		p.recordOrder(0, 6, start.Add(rateWindow+100*time.Millisecond))
+		p.recordOrder(Order{Priority: 2, Pieces: 3}, start)
+		p.recordOrder(Order{Priority: 1, Pieces: 5}, start.Add(time.Second))
+		p.recordOrder(Order{Priority: 0, Pieces: 6}, start.Add(rateWindow+100*time.Millisecond))
 		for i := range 6 {
 			pc := &piece{order: &order{Order: Order{Priority: i % 3, Due: start.Add(time.Minute)}}, queued: true}
 			p.queue = append(p.queue, pc)
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -20,6 +20,13 @@
 	Name string
 	// Regions maps each data centre to its region.
 	Regions region.Map
+	// Crossing is the cost of running an order in another region.
+	Crossing region.Crossing
+	// OtherWaits returns the waits of a service's pools in other regions, as far as they are known;
+	// nil if no order is sent to another region.
+	OtherWaits func(service string, regions []string) []RegionWaits
+	// Spills counts the orders that are sent to other regions; nil for none.
+	Spills SpillObserver
 	// Off holds the mechanisms of the former that an experiment disables.
 	Off mechanism.Set
 	// Guard tracks the orders during which targets ended; nil disables this.
@@ -31,7 +38,7 @@
 	log    *slog.Logger
 
 	mu    sync.Mutex
-	pools map[string]*pool
+	pools map[poolKey]*pool
 	// orders counts the orders that this former accepted; an order's number (seq) is taken from it.
 	orders uint64
 	// releasing holds the handles of stage results that are to be released, by the address of the
@@ -39,8 +46,23 @@
 	releasing map[string][]string
 }
 
+// poolKey identifies a pool of targets: those of a service in one region, or in all regions if
+// region is "".
+type poolKey struct{ service, region string }
+
+// poolKey returns the pool whose targets run orders that are limited to the given regions. In a fleet
+// with several regions, orders for a single region have a pool of their own, so that its waits and its
+// working set are those of the region's targets.
+func (f *Former) poolKey(service string, in region.Set) poolKey {
+	if !f.Regions.Several() {
+		return poolKey{service: service}
+	}
+	return poolKey{service: service, region: in.Sole()}
+}
+
 // pool is the state of one stage pool.
 type pool struct {
+	poolKey
 	queue  []*piece
 	states map[string]*targetState
 	wakeAt time.Time
@@ -55,7 +77,7 @@
 // NewFormer returns a Former. spec returns the batch settings of a service, or nil for an
 // unknown service.
 func NewFormer(w Worker, list *targets.Table, spec func(service string) *routes.Batch, log *slog.Logger) *Former {
-	return &Former{worker: w, list: list, spec: spec, log: log, pools: make(map[string]*pool), releasing: make(map[string][]string)}
+	return &Former{worker: w, list: list, spec: spec, log: log, pools: make(map[poolKey]*pool), releasing: make(map[string][]string)}
 }
 
 // Produce runs an order and returns when it ends. It calls accepted with the estimated waits
@@ -68,16 +90,20 @@
 	suspect := f.Guard != nil && f.Guard.Suspect(o.Digest)
 	w := &order{Order: o, isolated: o.Probe != "" || suspect, handles: make([]string, o.Pieces), missing: o.Pieces, unread: o.Pieces, done: make(chan struct{})}
 	f.mu.Lock()
-	p := f.pool(o.Service)
+	p := f.pool(f.poolKey(o.Service, o.Regions))
 	f.refresh(p, o.Service)
 	if !f.hasTarget(p, o.Regions) {
 		f.mu.Unlock()
 		return Result{}, ErrNoTarget
 	}
-	f.orders++
 	now := time.Now()
+	if err := f.admitToRegion(p, o, spec, now); err != nil {
+		f.mu.Unlock()
+		return Result{}, err
+	}
+	f.orders++
 	w.seq, w.queuedAt = f.orders, now
-	p.recordOrder(o.Priority, o.Pieces, now)
+	p.recordOrder(o, now)
 	for i := range o.Pieces {
 		p.queue = append(p.queue, &piece{order: w, index: i, queued: true})
 	}
@@ -103,12 +129,13 @@
 	return Result{Handles: slices.Clone(w.handles)}, nil
 }
 
-// Waits returns the estimated waits of a service's pool.
-func (f *Former) Waits(service string) Waits {
+// Waits returns the estimated waits of the pool of a service whose targets run orders that are limited
+// to the given regions.
+func (f *Former) Waits(service string, in region.Set) Waits {
 	spec := f.spec(service)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := f.pools[service]
+	p := f.pools[f.poolKey(service, in)]
 	if spec == nil || p == nil {
 		return Waits{}
 	}
@@ -120,8 +147,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := make(map[string]float64, len(f.pools))
-	for service, p := range f.pools {
-		out[service] = float64(len(p.queue))
+	for key, p := range f.pools {
+		out[key.service] += float64(len(p.queue))
 	}
 	return out
 }
@@ -141,32 +168,53 @@
 	spec := f.spec(service)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := f.pools[service]
-	if spec == nil || p == nil {
+	if spec == nil {
 		return
 	}
 	now := time.Now()
-	for _, m := range p.states {
-		if !m.nearlyFull(spec, now) {
-			continue
-		}
-		for _, h := range handles {
-			if _, ok := m.results[h]; ok {
-				f.release(service, []string{h})
+	for _, p := range f.poolsOf(service) {
+		for _, m := range p.states {
+			if !m.nearlyFull(spec, now) {
+				continue
+			}
+			for _, h := range handles {
+				if _, ok := m.results[h]; ok {
+					f.release(service, []string{h})
+				}
 			}
 		}
 	}
 }
 
-func (f *Former) pool(service string) *pool {
-	p := f.pools[service]
+func (f *Former) pool(key poolKey) *pool {
+	p := f.pools[key]
 	if p == nil {
-		p = &pool{states: make(map[string]*targetState), traffic: traffic{busySince: time.Now()}}
-		f.pools[service] = p
+		p = &pool{poolKey: key, states: make(map[string]*targetState), traffic: traffic{busySince: time.Now()}}
+		f.pools[key] = p
 	}
 	return p
 }
 
+// poolsOf returns the pools of a service. The lock is held.
+func (f *Former) poolsOf(service string) []*pool {
+	var out []*pool
+	for key, p := range f.pools {
+		if key.service == service {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// usableTargets returns the usable targets of a pool.
+func (f *Former) usableTargets(key poolKey) []targets.Target {
+	usable := f.list.Usable(key.service)
+	if key.region == "" {
+		return usable
+	}
+	return slices.DeleteFunc(usable, func(t targets.Target) bool { return f.Regions[t.DataCentre] != key.region })
+}
+
 // hasTarget reports whether the pool's working set, the targets that this former uses, contains a
 // target in the given regions. The lock is held.
 func (f *Former) hasTarget(p *pool, in region.Set) bool {
@@ -199,7 +247,7 @@
 		return
 	}
 	p.working.generation = generation
-	listed := f.list.Usable(service)
+	listed := f.usableTargets(p.poolKey)
 	if spec != nil {
 		listed = f.chooseWorkingSet(p, listed, spec, now)
 	}
@@ -269,7 +317,7 @@
 	var batch []*piece
 	batch, p.queue = take(p.queue, spec, m.freeBytes(spec, now), now, pl)
 	if len(batch) > 0 {
-		f.start(service, m, spec, batch, now)
+		f.start(service, p, m, spec, batch, now)
 	}
 }
 
--- a/internal/stagebatch/leaving_test.go
+++ b/internal/stagebatch/leaving_test.go
@@ -42,16 +42,16 @@
 			_, err := f.Produce(t.Context(), orderDueIn(fmt.Sprint("r", i), 2, 0, 5*time.Second), nil)
 			c.Assert(err, qt.IsNil)
 		}
-		c.Assert(f.pools["pool"].states["t0"].slow() > 1.5, qt.IsTrue)
-		c.Assert(f.pools["pool"].states["t0"].results, qt.HasLen, 6)
+		c.Assert(f.pools[poolKey{service: "pool"}].states["t0"].slow() > 1.5, qt.IsTrue)
+		c.Assert(f.pools[poolKey{service: "pool"}].states["t0"].results, qt.HasLen, 6)
 		again := list.Usable("pool")[0]
 		again.Born = 2000
 		list.Replace([]targets.Target{again}, time.Time{})
 		f.mu.Lock()
-		f.refresh(f.pools["pool"], "pool")
+		f.refresh(f.pools[poolKey{service: "pool"}], "pool")
 		f.mu.Unlock()
-		c.Assert(f.pools["pool"].states["t0"].slow(), qt.Equals, 1.0)
-		c.Assert(f.pools["pool"].states["t0"].results, qt.HasLen, 0)
+		c.Assert(f.pools[poolKey{service: "pool"}].states["t0"].slow(), qt.Equals, 1.0)
+		c.Assert(f.pools[poolKey{service: "pool"}].states["t0"].results, qt.HasLen, 0)
 	})
 }
 
--- a/internal/stagebatch/permits.go
+++ b/internal/stagebatch/permits.go
@@ -53,12 +53,12 @@
 			continue
 		}
 		m.requestingPermit = true
-		go f.requestPermit(service, m, spec)
+		go f.requestPermit(p, m, spec)
 	}
 }
 
 // requestPermit waits for a permit for the next call of a target.
-func (f *Former) requestPermit(service string, m *targetState, spec *routes.Batch) {
+func (f *Former) requestPermit(p *pool, m *targetState, spec *routes.Batch) {
 	f.mu.Lock()
 	process := m.Process()
 	f.mu.Unlock()
@@ -70,10 +70,10 @@
 	var denied *sharedrate.Denied
 	if errors.As(err, &denied) {
 		m.permitOpensAt = denied.RetryAt
-		f.log.Info("no permit for a stage call", "service", service, "target", m.ID, "limit", m.perSecond, "err", err)
+		f.log.Info("no permit for a stage call", "service", p.service, "target", m.ID, "limit", m.perSecond, "err", err)
 		return
 	}
-	f.pump(service, f.pool(service), spec)
+	f.pump(p.service, p, spec)
 }
 
 // mayRelease reports whether the former may now tell the target at addr to free the results that are
@@ -104,9 +104,11 @@
 func (f *Former) processNearlyFull(service, process string, spec *routes.Batch) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, m := range f.pool(service).states {
-		if m.Process() == process {
-			return m.nearlyFull(spec, time.Now())
+	for _, p := range f.poolsOf(service) {
+		for _, m := range p.states {
+			if m.Process() == process {
+				return m.nearlyFull(spec, time.Now())
+			}
 		}
 	}
 	return false
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -238,8 +238,8 @@
 	return scheduledAt
 }
 
-// before compares two pieces: those that can still meet their objective come first, then the one
-// scheduled earlier.
+// before compares two pieces: those that can still meet their objective come first, then those of this
+// region, then the one scheduled earlier.
 func before(a, b *piece, late time.Time, pl placement) int {
 	aLate, bLate := a.order.Due.Before(late), b.order.Due.Before(late)
 	switch {
@@ -248,7 +248,7 @@
 	case bLate && !aLate:
 		return -1
 	}
-	return cmp.Or(pl.scheduledAt(a.order).Compare(pl.scheduledAt(b.order)), cmp.Compare(a.order.seq, b.order.seq))
+	return cmp.Or(firstIf(!a.order.Spilled, !b.order.Spilled), pl.scheduledAt(a.order).Compare(pl.scheduledAt(b.order)), cmp.Compare(a.order.seq, b.order.seq))
 }
 
 // take removes the next batch for a target from the queue: the first orders that fit. It drops
--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -59,10 +59,18 @@
 	remote Remote
 	nodes  func() []Node
 	log    *slog.Logger
+	// Exchange requests the waits of other regions; nil if no order is sent to another region.
+	Exchange WaitsExchange
 
 	mu       sync.Mutex
 	suspects map[string]time.Time
-	waits    map[waitsKey]reportedWaits
+	// suspectRegions are the regions in which no node accepted an order, with the time until which
+	// they get none if another region may.
+	suspectRegions map[string]time.Time
+	waits          map[waitsKey]reportedWaits
+	targetRegions  map[string]targetRegions
+	// asked is when the waits of other regions were last requested.
+	asked    map[waitsKey]time.Time
 	stopping bool
 }
 
@@ -78,10 +86,13 @@
 
 // NewRouter returns the Router of the node self. nodes returns the other nodes.
 func NewRouter(self Node, local *Former, remote Remote, nodes func() []Node, log *slog.Logger) *Router {
-	return &Router{
+	r := &Router{
 		self: self, local: local, remote: remote, nodes: nodes, log: log,
 		suspects: make(map[string]time.Time), waits: make(map[waitsKey]reportedWaits),
+		suspectRegions: make(map[string]time.Time), targetRegions: make(map[string]targetRegions), asked: make(map[waitsKey]time.Time),
 	}
+	local.OtherWaits = r.otherWaits
+	return r
 }
 
 // Stop makes the Router send new orders to other nodes if there are any.
@@ -127,18 +138,42 @@
 	return n
 }
 
-// Produce runs an order at the first node that accepts it.
+// Produce runs an order at the first node that accepts it. In a fleet with several regions that is a
+// node of the order's home region; see homeRegions.
 func (r *Router) Produce(ctx context.Context, o Order) (Result, error) {
+	regions := r.homeRegions(o.Service, o.DataCentre, o.Regions)
+	if len(regions) == 0 {
+		return r.produceWithin(ctx, o)
+	}
+	return r.produceByRegion(ctx, o, regions)
+}
+
+// produceWithin runs an order in its regions: at the first other node that accepts it, else at this
+// node.
+func (r *Router) produceWithin(ctx context.Context, o Order) (Result, error) {
+	if res, err, ended := r.produceAtOthers(ctx, o); ended {
+		return res, err
+	}
+	return r.produceLocally(ctx, o)
+}
+
+// produceAtOthers runs an order at the nodes that precede this one in the rank of its regions, until
+// one of them accepts it. ended reports whether the order has ended.
+func (r *Router) produceAtOthers(ctx context.Context, o Order) (res Result, err error, ended bool) {
 	for i, n := range r.ranked(o.Service, o.Regions) {
 		if n.Name == r.self.Name || i >= maxNodes {
 			break
 		}
 		res, err := r.produceAt(ctx, n, o)
 		if err == nil || r.final(o, err) || ctx.Err() != nil {
-			return res, err
+			return res, err, true
 		}
 		r.markSuspect(n, o, err)
 	}
+	return Result{}, nil, false
+}
+
+func (r *Router) produceLocally(ctx context.Context, o Order) (Result, error) {
 	return r.local.Produce(ctx, o, func(w Waits) { r.recordWaits(o, w) })
 }
 
@@ -149,6 +184,10 @@
 	if errors.Is(err, ErrNoTarget) {
 		return !r.local.hasUsableTarget(o.Service, o.Regions)
 	}
+	var spilled *SpillError
+	if errors.As(err, &spilled) {
+		return true
+	}
 	for _, e := range []error{ErrLate, ErrInputGone, ErrFailed, ErrCrashed} {
 		if errors.Is(err, e) {
 			return true
@@ -222,13 +261,21 @@
 	if spec == nil {
 		return 0
 	}
+	in := w.Regions
+	regions := r.homeRegions(service, w.DataCentre, in)
+	if len(regions) > 0 {
+		in = region.Only(regions[0])
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := expected(spec, w.Pieces)
-	if last := r.waits[waitsKey{service, w.Regions.String()}]; time.Since(last.at) < estimateTTL {
-		e += last.waits.forWork(w)
+	var wait time.Duration
+	if last := r.waits[waitsKey{service, in.String()}]; time.Since(last.at) < estimateTTL {
+		wait = last.waits.forWork(w)
+	}
+	if w.Late && len(regions) > 0 {
+		wait = min(wait, r.waitElsewhere(service, regions[1:]))
 	}
-	return e
+	return expected(spec, w.Pieces) + wait
 }
 
 // freeRemoteTimeout bounds a call to the former that releases results. Results that are not
@@ -289,9 +336,16 @@
 	r.suspects[n.Name] = time.Now().Add(suspectFor)
 }
 
-// FirstBatchNode returns the name of the node that forms the batches of a service, as seen by this
-// node.
+// FirstBatchNode returns the name of the node that forms the batches of a service for this node's
+// region, as seen by this node.
 func (r *Router) FirstBatchNode(service string) string {
-	n, _ := r.Leader(service)
-	return n.Name
+	in := region.Set{}
+	if regions := r.homeRegions(service, "", in); len(regions) > 0 {
+		in = region.Only(regions[0])
+	}
+	ranked := r.ranked(service, in)
+	if len(ranked) == 0 {
+		return r.self.Name
+	}
+	return ranked[0].Name
 }
--- a/internal/stagebatch/space.go
+++ b/internal/stagebatch/space.go
@@ -29,13 +29,13 @@
 		if pause := now.Add(queryPause); pause.After(m.pausedUntil) {
 			m.pausedUntil = pause
 		}
-		go f.querySpace(service, m, m.Addr, spec)
+		go f.querySpace(p, m, m.Addr, spec)
 	}
 }
 
 // querySpace queries a target's free space for results. The target may hold results produced for
 // another former, or for this node before a restart.
-func (f *Former) querySpace(service string, m *targetState, addr string, spec *routes.Batch) {
+func (f *Former) querySpace(p *pool, m *targetState, addr string, spec *routes.Batch) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	free, err := f.worker.Space(ctx, addr)
@@ -43,7 +43,7 @@
 	defer f.mu.Unlock()
 	m.queried, m.querying = true, false
 	if err != nil {
-		f.log.Info("free space query failed", "service", service, "target", m.ID, "err", err)
+		f.log.Info("free space query failed", "service", p.service, "target", m.ID, "err", err)
 		return
 	}
 	now := time.Now()
@@ -55,8 +55,8 @@
 		m.pausedUntil = now
 	}
 	m.foreignUntil = now.Add(foreignTTL)
-	f.log.Info("target free space", "service", service, "target", m.ID, "free", free, "held", m.storedBytes(), "foreign", m.foreignBytes)
-	f.pump(service, f.pool(service), spec)
+	f.log.Info("target free space", "service", p.service, "target", m.ID, "free", free, "held", m.storedBytes(), "foreign", m.foreignBytes)
+	f.pump(p.service, p, spec)
 }
 
 // release releases results at the targets that hold them, after a short delay and together with
@@ -102,13 +102,15 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := f.pool(service)
-	for _, m := range p.states {
-		for _, h := range handles {
-			delete(m.results, h)
+	spec := f.spec(service)
+	for _, p := range f.poolsOf(service) {
+		for _, m := range p.states {
+			for _, h := range handles {
+				delete(m.results, h)
+			}
+		}
+		if spec != nil {
+			f.pump(service, p, spec)
 		}
-	}
-	if spec := f.spec(service); spec != nil {
-		f.pump(service, p, spec)
 	}
 }
--- a/internal/stagebatch/space_test.go
+++ b/internal/stagebatch/space_test.go
@@ -92,7 +92,7 @@
 		c.Assert(err, qt.IsNotNil)
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		for _, m := range f.pools["pool"].states {
+		for _, m := range f.pools[poolKey{service: "pool"}].states {
 			c.Assert(m.slow() > 0.9, qt.IsTrue, qt.Commentf("%.3f", m.slow()))
 		}
 	})
--- /dev/null
+++ b/internal/stagebatch/spill.go
@@ -0,0 +1,96 @@
+package stagebatch
+
+import (
+	"time"
+
+	"topazmoor/internal/routes"
+	"topazmoor/internal/spill"
+)
+
+// RegionWaits are the waits of a service's pool in another region.
+type RegionWaits struct {
+	Region string
+	Waits  Waits
+	// Age is the time since the region reported them.
+	Age time.Duration
+}
+
+// SpillObserver counts decisions on orders that their home region would complete too late.
+type SpillObserver interface {
+	// Spilled reports an order that is sent from its home region to another one.
+	Spilled(service, from, to string)
+	// SpillRefused reports an order that no region can complete by its deadline.
+	SpillRefused(service, region string)
+}
+
+// crossingTrips is the number of additional round trips of an order that runs in another region: one
+// for the order, one to read its results.
+const crossingTrips = 2
+
+// admitToRegion decides whether this region runs an order that another region may run, or that comes
+// from one. It returns nil if so, a SpillError if another region runs it, and ErrLate if none completes
+// it by its deadline. The lock is held.
+func (f *Former) admitToRegion(p *pool, o Order, spec *routes.Batch, now time.Time) error {
+	if p.region == "" || len(o.SpillTo) == 0 && !o.Spilled {
+		return nil
+	}
+	waits := p.wait(spec, now)
+	home := spill.Pool{Region: p.region, Wait: waits.forOrder(o), Late: waits.late(o)}
+	order := f.spillOrder(o, spec, now)
+	if order.MeetsDue(home.Wait) {
+		return nil
+	}
+	d := spill.Decide(order, home, f.otherPools(o))
+	attrs := []any{"request", o.Request, "stage", o.Stage, "service", o.Service, "region", p.region, "wait_ms", home.Wait.Milliseconds(),
+		"late_wait_ms", home.Late.Milliseconds(), "due_ms", order.UntilDue.Milliseconds(), "left_ms", order.UntilDeadline.Milliseconds()}
+	switch d.Action {
+	case spill.Send:
+		f.log.Info("order spilled to another region", append(attrs, "to", d.Region, "to_wait_ms", d.Wait.Milliseconds(), "cost_ms", order.Cost.Milliseconds())...)
+		if f.Spills != nil {
+			f.Spills.Spilled(o.Service, p.region, d.Region)
+		}
+		return &SpillError{Region: d.Region}
+	case spill.Refuse:
+		f.log.Info("order refused: late in every region", append(attrs, "spilled", o.Spilled)...)
+		if f.Spills != nil {
+			f.Spills.SpillRefused(o.Service, p.region)
+		}
+		return ErrLate
+	case spill.Keep:
+	}
+	return nil
+}
+
+// spillOrder describes an order for the decision where it runs.
+func (f *Former) spillOrder(o Order, spec *routes.Batch, now time.Time) spill.Order {
+	return spill.Order{
+		Takes: expected(spec, o.Pieces), UntilDue: o.Due.Sub(now), UntilDeadline: o.Deadline.Sub(now),
+		Trip: f.Crossing.Cost(crossingTrips, 0), Cost: f.Crossing.Cost(crossingTrips, int64(o.Pieces)*o.ResultBytes),
+	}
+}
+
+// otherPools returns the pools of other regions to which an order may be sent.
+func (f *Former) otherPools(o Order) []spill.Pool {
+	if f.OtherWaits == nil || len(o.SpillTo) == 0 {
+		return nil
+	}
+	var out []spill.Pool
+	o.Spilled = true
+	for _, w := range f.OtherWaits(o.Service, o.SpillTo) {
+		out = append(out, spill.Pool{Region: w.Region, Wait: w.Waits.forOrder(o), Late: w.Waits.late(o), Age: w.Age})
+	}
+	return out
+}
+
+// forOrder returns the wait of the pieces of an order that can meet its objective.
+func (w Waits) forOrder(o Order) time.Duration {
+	if o.Spilled {
+		return w.Spilled
+	}
+	return w.ForRank(o.Priority)
+}
+
+// late returns the wait of the pieces of an order that cannot meet its objective.
+func (w Waits) late(o Order) time.Duration {
+	return w.forWork(Work{Rank: o.Priority, Late: true, Begun: len(o.Inputs) > 0})
+}
--- /dev/null
+++ b/internal/stagebatch/spill_test.go
@@ -0,0 +1,214 @@
+package stagebatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"topazmoor/internal/region"
+)
+
+// spillCount counts the orders that leave each region. It implements SpillObserver.
+type spillCount struct {
+	mu            sync.Mutex
+	left, refused map[string]int
+}
+
+func newSpillCount(fl *regionFleet) *spillCount {
+	s := &spillCount{left: make(map[string]int), refused: make(map[string]int)}
+	for _, r := range fl.routers {
+		r.local.Spills = s
+	}
+	return s
+}
+
+func (s *spillCount) Spilled(_, from, _ string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.left[from]++
+}
+
+func (s *spillCount) SpillRefused(_, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[name]++
+}
+
+// played is the outcome of one order.
+type played struct {
+	order  Order
+	err    error
+	onTime bool
+	// madeIn is the region of its results.
+	madeIn string
+}
+
+// play has a node run the orders of next, one each 25 ms.
+func (fl *regionFleet) play(t *testing.T, node string, n int, next func(i int) Order) []played {
+	var wg sync.WaitGroup
+	out := make([]played, n)
+	for i := range n {
+		wg.Go(func() {
+			time.Sleep(time.Duration(i) * 25 * time.Millisecond)
+			o := next(i)
+			res, err := fl.routers[node].Produce(t.Context(), o)
+			out[i] = played{order: o, err: err, onTime: err == nil && !time.Now().After(o.Due)}
+			if made := fl.madeIn(res); len(made) > 0 {
+				out[i].madeIn = made[0]
+			}
+		})
+	}
+	wg.Wait()
+	// Requests for waits that are still in progress end.
+	time.Sleep(time.Second)
+	return out
+}
+
+// shortOrder is the i-th order for a pool that is short: every fourth order is urgent, which is what the
+// pool can do, and every fifth must not leave the region.
+func shortOrder(i int) Order {
+	o := orderDueIn(fmt.Sprint("r", i), 2, min(i%4, 1), 900*time.Millisecond)
+	o.ResultBytes, o.Deadline = 1, o.Due.Add(2*time.Second)
+	if i%5 == 0 {
+		o.Regions = region.Only("north")
+	}
+	return o
+}
+
+func TestShortRegionSpillsWhatIsLeastUrgent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		fl := newRegionFleet(perRegion(2, 2, 0), perRegion(1, 3, 0))
+		count := newSpillCount(fl)
+		left, ordered := make(map[int]int), make(map[int]int)
+		for _, p := range fl.play(t, "north-0", 120, shortOrder) {
+			ordered[p.order.Priority]++
+			if p.madeIn == "south" {
+				left[p.order.Priority]++
+				c.Assert(p.order.Regions.All(), qt.IsTrue)
+			}
+		}
+		c.Assert(left[1] > ordered[1]/3, qt.IsTrue, qt.Commentf("%v of %v", left, ordered))
+		c.Assert(left[0]*ordered[1]*3 < left[1]*ordered[0], qt.IsTrue, qt.Commentf("%v of %v", left, ordered))
+		c.Assert(count.left["north"], qt.Equals, left[0]+left[1])
+		c.Assert(count.left["south"], qt.Equals, 0)
+		for id, n := range fl.pool.made {
+			c.Assert(n, qt.Equals, 1, qt.Commentf("%s is produced twice", id))
+		}
+		for request, regions := range fl.orders {
+			c.Assert(len(regions) <= 2, qt.IsTrue, qt.Commentf("%s was sent to %v", request, regions))
+		}
+	})
+}
+
+func TestSpillingServesMoreOrdersOnTime(t *testing.T) {
+	served := func(exchange bool) (n int) {
+		synctest.Test(t, func(t *testing.T) {
+			fl := newRegionFleet(perRegion(2, 2, 0), perRegion(1, 3, 0))
+			for _, r := range fl.routers {
+				if !exchange {
+					r.Exchange = nil
+				}
+			}
+			for _, p := range fl.play(t, "north-0", 120, shortOrder) {
+				if p.onTime {
+					n++
+				}
+			}
+		})
+		return n
+	}
+	with, without := served(true), served(false)
+	qt.Assert(t, with > without+20, qt.IsTrue, qt.Commentf("with %d, without %d", with, without))
+}
+
+// The orders of a region are not served later because of orders that come from another region.
+func TestRegionKeepsItsOwnOrdersOnTime(t *testing.T) {
+	onTime := func(others int) (n int) {
+		synctest.Test(t, func(t *testing.T) {
+			fl := newRegionFleet(perRegion(1, 1, 0), perRegion(1, 1, 0))
+			var wg sync.WaitGroup
+			wg.Go(func() { fl.play(t, "north-0", others, shortOrder) })
+			own := fl.play(t, "south-0", 40, func(i int) Order {
+				o := orderDueIn(fmt.Sprint("own", i), 1, 1, 1200*time.Millisecond)
+				o.ResultBytes, o.SpillTo = 1, nil
+				return o
+			})
+			wg.Wait()
+			for _, p := range own {
+				if p.onTime {
+					n++
+				}
+			}
+		})
+		return n
+	}
+	alone := onTime(0)
+	qt.Assert(t, alone, qt.Equals, 40)
+	qt.Assert(t, onTime(80), qt.Equals, alone)
+}
+
+func TestSpilledPiecesAreQueuedBehindOwn(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	pieceOf := func(due time.Duration, rank int, spilled bool) *piece {
+		return &piece{order: &order{Order: Order{Due: now.Add(due), Priority: rank, Spilled: spilled}}}
+	}
+	spilled, own, lateOwn := pieceOf(time.Second, 0, true), pieceOf(5*time.Second, 9, false), pieceOf(-time.Second, 0, false)
+	c.Assert(before(own, spilled, now, placement{}), qt.Equals, -1)
+	c.Assert(before(spilled, own, now, placement{}), qt.Equals, 1)
+	c.Assert(before(spilled, lateOwn, now, placement{}), qt.Equals, -1)
+}
+
+// deafExchange knows the waits of a region whose nodes do not answer orders any more.
+type deafExchange struct{}
+
+func (deafExchange) Waits(context.Context, string, string, region.Set) (Waits, error) {
+	return Waits{}, nil
+}
+
+func TestOrderWhoseOtherRegionDiesRunsAtHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		fl := newRegionFleet(perRegion(2, 2, 0), perRegion(1, 1, 0))
+		for _, r := range fl.routers {
+			r.Exchange = deafExchange{}
+		}
+		count := newSpillCount(fl)
+		fl.set(fl.dead, "south-0")
+		fl.set(fl.dead, "south-1")
+		ended := 0
+		for _, p := range fl.play(t, "north-0", 60, shortOrder) {
+			c.Check(p.err == nil || errors.Is(p.err, ErrLate), qt.IsTrue, qt.Commentf("%v", p.err))
+			c.Check(p.madeIn, qt.Not(qt.Equals), "south")
+			if p.err == nil {
+				ended++
+			}
+		}
+		c.Assert(count.left["north"] > 0, qt.IsTrue)
+		c.Assert(ended > 0, qt.IsTrue)
+		for id, n := range fl.pool.made {
+			c.Assert(n, qt.Equals, 1, qt.Commentf("%s is produced twice", id))
+		}
+	})
+}
+
+// Guards against orders that are sent to a region that has not been heard of for long.
+func TestRegionWithoutConnectionGetsNoSpilledOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		fl := newRegionFleet(perRegion(2, 2, 0), perRegion(1, 3, 0))
+		count := newSpillCount(fl)
+		fl.set(fl.cut, "south")
+		for _, p := range fl.play(t, "north-0", 60, shortOrder) {
+			c.Check(p.madeIn, qt.Not(qt.Equals), "south")
+		}
+		c.Assert(count.left["north"], qt.Equals, 0)
+	})
+}
--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -41,6 +41,11 @@
 	DataCentre string
 	// Regions are the regions in which the results may be produced.
 	Regions region.Set
+	// SpillTo are the other regions that may run the order if its home region would complete it too
+	// late, with the lowest wait first. Spilled means that the order comes from such a home region:
+	// it is queued behind orders of this region that can meet their objective, and not sent on.
+	SpillTo []string
+	Spilled bool
 	// Digest identifies the request across all attempts of its caller. Probe is the quarantine
 	// probe under which a quarantined request runs, or "". An order with a probe does not share
 	// its calls with other orders.
@@ -74,6 +79,16 @@
 	ErrNoTarget = errors.New("stagebatch: the pool has no target")
 )
 
+// SpillError is the error of an order that was not accepted because another region completes it
+// sooner.
+type SpillError struct {
+	// Region is that other region.
+	Region string
+}
+
+// Error implements error.
+func (e *SpillError) Error() string { return "stagebatch: to be run in region " + e.Region }
+
 // Item is one piece as sent in a call.
 type Item struct {
 	Request      string
