Spilling: price of the inputs; tests over the wire and of lost regions

Cause: an order with inputs that runs in another region reads them across the link, once a piece; the cost left them out. Change: orders carry the size of their inputs (new optional field), and the crossing costs their bytes and one more round trip.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -33,6 +33,16 @@
 	c.Assert(lines[2], qt.Contains, "answered")
 }
 
+func TestStepShowsWhyAStageLeftItsRegion(t *testing.T) {
+	c := qt.New(t)
+	const line = `{"time":"2026-03-05T05:41:12.1Z","level":"INFO","msg":"order spilled to another region","node":"node-c","request":"r1","stage":1,"service":"drafts","region":"north","wait_ms":900,"due_ms":500,"to":"south","to_wait_ms":100,"cost_ms":84}`
+	steps, _, err := Read(strings.NewReader(line), "r1")
+	c.Assert(err, qt.IsNil)
+	var out bytes.Buffer
+	c.Assert(Write(&out, steps), qt.IsNil)
+	c.Assert(out.String(), qt.Contains, "region=north wait_ms=900 due_ms=500 to=south to_wait_ms=100 cost_ms=84")
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add([]byte(logs))
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/internal/passthrough/stages.go
+++ b/internal/passthrough/stages.go
@@ -187,7 +187,9 @@
 		o.Key = c.meta.PieceKey
 	}
 	for _, dep := range st.After {
-		o.Inputs = append(o.Inputs, in.get(dep).Handles...)
+		handles := in.get(dep).Handles
+		o.Inputs = append(o.Inputs, handles...)
+		o.InputBytes += int64(len(handles)) * c.route.Stages[dep].ResultBytes
 	}
 	start := time.Now()
 	res, err := c.s.cfg.Stages.Produce(ctx, o)
--- a/internal/peer/stages.go
+++ b/internal/peer/stages.go
@@ -88,7 +88,7 @@
 	return &peerpb.Order{
 		Service: o.Service, Request: o.Request, Stage: uint32(o.Stage), Pieces: uint32(o.Pieces),
 		Key: o.Key, Input: o.Inputs, Priority: int32(o.Priority), ResultBytes: o.ResultBytes, DataCentre: o.DataCentre,
-		SpillTo: o.SpillTo, Spilled: o.Spilled,
+		SpillTo: o.SpillTo, Spilled: o.Spilled, InputBytes: o.InputBytes,
 		Digest: o.Digest[:], Probe: o.Probe, Region: o.Regions.Names(), Limited: !o.Regions.All(),
 		DueInMs: o.Due.Sub(now).Milliseconds(), DeadlineInMs: o.Deadline.Sub(now).Milliseconds(),
 	}
@@ -99,7 +99,7 @@
 		Digest: digestFrom(m.Digest), Probe: m.Probe, Regions: regionsFrom(m),
 		Service: m.Service, Request: m.Request, Stage: int(m.Stage), Pieces: int(m.Pieces),
 		Key: m.Key, Inputs: m.Input, Priority: int(m.Priority), ResultBytes: m.ResultBytes, DataCentre: m.DataCentre,
-		SpillTo: m.SpillTo, Spilled: m.Spilled,
+		SpillTo: m.SpillTo, Spilled: m.Spilled, InputBytes: m.InputBytes,
 		Due:      now.Add(time.Duration(m.DueInMs) * time.Millisecond),
 		Deadline: now.Add(time.Duration(m.DeadlineInMs) * time.Millisecond),
 	}
--- a/internal/peer/stages_test.go
+++ b/internal/peer/stages_test.go
@@ -37,8 +37,42 @@
 	return stagebatch.Result{Handles: []string{o.Request + "/0", o.Request + "/1"}}, nil
 }
 
+// spillingStages is a former in a short region. It records the orders that it is sent.
+type spillingStages struct {
+	slowStages
+	got stagebatch.Order
+}
+
+func (s *spillingStages) Produce(_ context.Context, o stagebatch.Order, _ func(stagebatch.Waits)) (stagebatch.Result, error) {
+	s.got = o
+	if len(o.SpillTo) == 0 {
+		return stagebatch.Result{}, stagebatch.ErrLate
+	}
+	return stagebatch.Result{}, &stagebatch.SpillError{Region: o.SpillTo[0]}
+}
+
+func TestOrderIsSentToAnotherRegion(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := qt.New(t)
+		stages := &spillingStages{}
+		cl, addr := stageServer(t, stages)
+		o := stagebatch.Order{Service: "pool", Request: "r", Pieces: 1, Inputs: []string{"a"}, InputBytes: 9, SpillTo: []string{"south", "west"}, Regions: region.Only("north")}
+		_, err := cl.Produce(t.Context(), addr, o, func(stagebatch.Waits) {})
+		c.Assert(err, qt.DeepEquals, &stagebatch.SpillError{Region: "south"})
+		c.Assert(stages.got.SpillTo, qt.DeepEquals, o.SpillTo)
+		c.Assert(stages.got.InputBytes, qt.Equals, int64(9))
+		o.SpillTo, o.Spilled = nil, true
+		_, err = cl.Produce(t.Context(), addr, o, func(stagebatch.Waits) {})
+		c.Assert(err, qt.Equals, stagebatch.ErrLate)
+		c.Assert(stages.got.Spilled, qt.IsTrue)
+		waits, err := cl.Waits(t.Context(), addr, "pool", region.Only("north"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(waits, qt.DeepEquals, stages.Waits("pool", region.Set{}))
+	})
+}
+
 func (s *slowStages) Waits(string, region.Set) stagebatch.Waits {
-	return stagebatch.Waits{OnTime: []time.Duration{0, time.Second}}
+	return stagebatch.Waits{OnTime: []time.Duration{0, time.Second}, Spilled: 2 * time.Second}
 }
 
 func (s *slowStages) Free(string, []string) {}
--- a/internal/stagebatch/spill.go
+++ b/internal/stagebatch/spill.go
@@ -24,7 +24,7 @@
 }
 
 // crossingTrips is the number of additional round trips of an order that runs in another region: one
-// for the order, one to read its results.
+// for the order, one to read its results. Orders with inputs have another one to read these.
 const crossingTrips = 2
 
 // admitToRegion decides whether this region runs an order that another region may run, or that comes
@@ -63,9 +63,13 @@
 
 // spillOrder describes an order for the decision where it runs.
 func (f *Former) spillOrder(o Order, spec *routes.Batch, now time.Time) spill.Order {
+	trips := crossingTrips
+	if len(o.Inputs) > 0 {
+		trips++
+	}
 	return spill.Order{
 		Takes: expected(spec, o.Pieces), UntilDue: o.Due.Sub(now), UntilDeadline: o.Deadline.Sub(now),
-		Trip: f.Crossing.Cost(crossingTrips, 0), Cost: f.Crossing.Cost(crossingTrips, int64(o.Pieces)*o.ResultBytes),
+		Trip: f.Crossing.Cost(trips, 0), Cost: f.Crossing.Cost(trips, int64(o.Pieces)*(o.ResultBytes+o.InputBytes)),
 	}
 }
 
--- a/internal/stagebatch/spill_test.go
+++ b/internal/stagebatch/spill_test.go
@@ -12,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"topazmoor/internal/region"
+	"topazmoor/internal/spill"
 )
 
 // spillCount counts the orders that leave each region. It implements SpillObserver.
@@ -34,6 +35,13 @@
 	s.left[from]++
 }
 
+// of returns the number of orders that left a region.
+func (s *spillCount) of(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.left[name]
+}
+
 func (s *spillCount) SpillRefused(_, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -96,8 +104,8 @@
 		}
 		c.Assert(left[1] > ordered[1]/3, qt.IsTrue, qt.Commentf("%v of %v", left, ordered))
 		c.Assert(left[0]*ordered[1]*3 < left[1]*ordered[0], qt.IsTrue, qt.Commentf("%v of %v", left, ordered))
-		c.Assert(count.left["north"], qt.Equals, left[0]+left[1])
-		c.Assert(count.left["south"], qt.Equals, 0)
+		c.Assert(count.of("north"), qt.Equals, left[0]+left[1])
+		c.Assert(count.of("south"), qt.Equals, 0)
 		for id, n := range fl.pool.made {
 			c.Assert(n, qt.Equals, 1, qt.Commentf("%s is produced twice", id))
 		}
@@ -191,7 +199,7 @@
 				ended++
 			}
 		}
-		c.Assert(count.left["north"] > 0, qt.IsTrue)
+		c.Assert(count.of("north") > 0, qt.IsTrue)
 		c.Assert(ended > 0, qt.IsTrue)
 		for id, n := range fl.pool.made {
 			c.Assert(n, qt.Equals, 1, qt.Commentf("%s is produced twice", id))
@@ -205,10 +213,13 @@
 		c := qt.New(t)
 		fl := newRegionFleet(perRegion(2, 2, 0), perRegion(1, 3, 0))
 		count := newSpillCount(fl)
-		fl.set(fl.cut, "south")
-		for _, p := range fl.play(t, "north-0", 60, shortOrder) {
-			c.Check(p.madeIn, qt.Not(qt.Equals), "south")
-		}
-		c.Assert(count.left["north"], qt.Equals, 0)
+		const cutAt = time.Second
+		atCut := make(chan int, 1)
+		time.AfterFunc(cutAt, func() { fl.set(fl.cut, "south") })
+		time.AfterFunc(cutAt+spill.MaxAge+acceptTimeout, func() { atCut <- count.of("north") })
+		fl.play(t, "north-0", 200, shortOrder)
+		left := <-atCut
+		c.Assert(left > 0, qt.IsTrue)
+		c.Assert(count.of("north"), qt.Equals, left)
 	})
 }
--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -35,8 +35,9 @@
 	// Due is when the results must be complete for the request to meet its objective. After
 	// Deadline the results are useless.
 	Due, Deadline time.Time
-	// ResultBytes is the approximate size of one result.
-	ResultBytes int64
+	// ResultBytes is the approximate size of one result, InputBytes that of all Inputs together. Each
+	// piece reads all of them.
+	ResultBytes, InputBytes int64
 	// DataCentre is the preferred data centre for producing the results; "" means no preference.
 	DataCentre string
 	// Regions are the regions in which the results may be produced.
