Spilling: an order that cannot be done elsewhere goes back home

Change: a region that cannot do such an order by its deadline names the home region, which then keeps it. Test: TestSpilledOrderThatCannotBeDoneIsSentBack.

--- a/internal/stagebatch/home.go
+++ b/internal/stagebatch/home.go
@@ -143,20 +143,24 @@
 	return res, err, true
 }
 
-// followSpill runs an order in the region that its home region named, or else at home after all. It
-// returns res and err if the order has ended at home.
+// followSpill runs an order in the region that its home region named, or at home after all if no node
+// there accepts it or it is sent back. It returns res and err if the order has ended at home.
 func (r *Router) followSpill(ctx context.Context, o Order, res Result, err error) (Result, error) {
 	var spilled *SpillError
 	if !errors.As(err, &spilled) {
 		return res, err
 	}
 	home := o
-	o.Regions, o.SpillTo, o.Spilled = region.Only(spilled.Region), nil, true
-	if res, err, ended := r.produceInRegion(ctx, o, spilled.Region); ended {
+	home.SpillTo = nil
+	o.SpillTo = o.Regions.Names()
+	o.Regions, o.Spilled = region.Only(spilled.Region), true
+	res, err, ended := r.produceInRegion(ctx, o, spilled.Region)
+	if ended && !errors.As(err, &spilled) {
 		return res, err
 	}
-	r.suspectRegion(spilled.Region, o)
-	home.SpillTo = nil
+	if !ended {
+		r.suspectRegion(o.Regions.Sole(), o)
+	}
 	return r.produceWithin(ctx, home)
 }
 
--- a/internal/stagebatch/spill.go
+++ b/internal/stagebatch/spill.go
@@ -51,6 +51,11 @@
 		}
 		return &SpillError{Region: d.Region}
 	case spill.Refuse:
+		if o.Spilled && len(o.SpillTo) > 0 {
+			// The waits that the home region knew were out of date.
+			f.log.Info("spilled order sent back", append(attrs, "to", o.SpillTo[0])...)
+			return &SpillError{Region: o.SpillTo[0]}
+		}
 		f.log.Info("order refused: late in every region", append(attrs, "spilled", o.Spilled)...)
 		if f.Spills != nil {
 			f.Spills.SpillRefused(o.Service, p.region)
@@ -75,7 +80,7 @@
 
 // otherPools returns the pools of other regions to which an order may be sent.
 func (f *Former) otherPools(o Order) []spill.Pool {
-	if f.OtherWaits == nil || len(o.SpillTo) == 0 {
+	if f.OtherWaits == nil || o.Spilled || len(o.SpillTo) == 0 {
 		return nil
 	}
 	var out []spill.Pool
--- a/internal/stagebatch/spill_test.go
+++ b/internal/stagebatch/spill_test.go
@@ -174,6 +174,38 @@
 	c.Assert(before(spilled, lateOwn, now, placement{}), qt.Equals, -1)
 }
 
+// Guards against orders that are refused in another region although their home region could still do
+// them.
+func TestSpilledOrderThatCannotBeDoneIsSentBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		fl := newRegionFleet(perRegion(1, 1, 0), perRegion(1, 1, 0))
+		count := newSpillCount(fl)
+		south := fl.routers["south-0"].local
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		for i := range 40 {
+			wg.Go(func() {
+				o := orderDueIn(fmt.Sprint("own", i), 2, 0, 20*time.Second)
+				o.ResultBytes, o.Regions = 1, region.Only("south")
+				_, err := south.Produce(t.Context(), o, nil)
+				c.Check(err, qt.IsNil)
+			})
+		}
+		time.Sleep(2 * waitsTTL)
+		o := orderDueIn("r", 1, 0, 400*time.Millisecond)
+		o.Deadline = o.Due.Add(400 * time.Millisecond)
+		o.Regions, o.Spilled, o.SpillTo = region.Only("south"), true, []string{"north"}
+		_, err := south.Produce(t.Context(), o, nil)
+		c.Assert(err, qt.DeepEquals, &SpillError{Region: "north"})
+		o.Regions, o.Spilled, o.SpillTo = region.Only("north"), false, []string{"south"}
+		res, err := fl.routers["north-0"].followSpill(t.Context(), o, Result{}, &SpillError{Region: "south"})
+		c.Assert(err, qt.IsNil)
+		c.Assert(fl.madeIn(res), qt.DeepEquals, []string{"north"})
+		c.Assert(count.refused, qt.HasLen, 0)
+	})
+}
+
 // deafExchange knows the waits of a region whose nodes do not answer orders any more.
 type deafExchange struct{}
 
--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -44,7 +44,8 @@
 	Regions region.Set
 	// SpillTo are the other regions that may run the order if its home region would complete it too
 	// late, with the lowest wait first. Spilled means that the order comes from such a home region:
-	// it is queued behind orders of this region that can meet their objective, and not sent on.
+	// it is queued behind orders of this region that can meet their objective, and may only be sent
+	// back, to the home region that SpillTo names then.
 	SpillTo []string
 	Spilled bool
 	// Digest identifies the request across all attempts of its caller. Probe is the quarantine
