--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -3,7 +3,9 @@
 // nodes, share one call. For each pool one node, the former, forms the batches for all nodes:
 // the first live node of the strongest capacity class, in the order of rendezvous hashing. Nodes
 // may disagree for a while on which node that is. Batches are smaller then, and a piece may be
-// produced twice, which is harmless. See docs/design/012-pass-through.md.
+// produced twice, which is harmless. In a fleet of several regions each region has its own former and
+// its own pool of targets, and a region that would complete an order too late leaves it to another
+// one. See docs/design/012-pass-through.md and 024-region-as-a-level.md.
 package stagebatch
 
 import (
