Spilling: calls of a long queue are full

Cause: the decision counted the call of an order's own pieces (220 ms) where the queue fills the call (370 ms), and so kept orders at home that ended late. Change: the duration of the call belongs to the pool: that of the pieces that wait at home, of a full call where pieces wait elsewhere.

--- a/internal/spill/spill.go
+++ b/internal/spill/spill.go
@@ -22,14 +22,20 @@
 	// Wait is the estimated wait of the order if it can meet its objective, Late its wait if it
 	// cannot.
 	Wait, Late time.Duration
+	// Takes is the duration of the call that produces the order's results.
+	Takes time.Duration
 	// Age is the time since the waits were reported; 0 for the pool that decides.
 	Age time.Duration
 }
 
+// onTime and late return the time until the order's call ends, if the order can meet its objective and if
+// it cannot.
+func (p Pool) onTime() time.Duration { return p.Wait + p.Takes }
+
+func (p Pool) late() time.Duration { return max(p.Wait, p.Late) + p.Takes }
+
 // Order is an order that has arrived at its home region.
 type Order struct {
-	// Takes is the duration of its call.
-	Takes time.Duration
 	// UntilDue and UntilDeadline are the times left until the order misses its objective, and until
 	// its results are useless.
 	UntilDue, UntilDeadline time.Duration
@@ -38,6 +44,16 @@
 	Trip, Cost time.Duration
 }
 
+// MeetsDue reports whether the order meets its objective at home.
+func (o Order) MeetsDue(home Pool) bool { return home.onTime() <= o.UntilDue }
+
+// meetsDeadline reports whether an order ends by its deadline in a pool that it cannot reach its
+// objective in, after an additional trip.
+func (o Order) meetsDeadline(p Pool, trip time.Duration) bool {
+	wait := p.late() - p.Takes
+	return time.Duration(estimateShare*float64(wait))+p.Takes+trip <= o.UntilDeadline
+}
+
 // Action is what happens to an order.
 type Action uint8
 
@@ -57,49 +73,41 @@
 }
 
 // Decide returns what happens to an order. It runs at home if it meets its objective there, else in
-// the region where it meets it with the least wait. If it meets it nowhere, it runs at home if it ends
-// by its deadline there, else where it does. Otherwise it is refused. Waits grow with the rank of an
-// order, so the least urgent orders leave first.
+// the region where it meets it soonest. If it meets it nowhere, it runs at home if it ends by its
+// deadline there, else where it does. Otherwise it is refused. Waits grow with the rank of an order, so
+// the least urgent orders leave first.
 func Decide(o Order, home Pool, others []Pool) Decision {
 	others = fresh(others)
-	keep := Decision{Action: Keep, Region: home.Region, Wait: home.Wait}
-	if o.MeetsDue(home.Wait) {
-		return keep
+	if o.MeetsDue(home) {
+		return Decision{Action: Keep, Region: home.Region, Wait: home.Wait}
 	}
-	if p, ok := least(others, func(p Pool) time.Duration { return p.Wait }); ok && o.MeetsDue(p.Wait+o.Trip) && p.Wait+o.Cost < home.Wait {
+	if p, ok := first(others, Pool.onTime); ok && p.onTime()+o.Trip <= o.UntilDue && p.onTime()+o.Cost < home.onTime() {
 		return Decision{Action: Send, Region: p.Region, Wait: p.Wait}
 	}
-	homeLate := max(home.Wait, home.Late)
-	keep.Wait = homeLate
-	if o.meetsDeadline(homeLate) {
-		return keep
+	late := Decision{Region: home.Region, Wait: max(home.Wait, home.Late)}
+	if o.meetsDeadline(home, 0) {
+		late.Action = Keep
+		return late
 	}
-	if p, ok := least(others, Pool.lateWait); ok && o.meetsDeadline(p.lateWait()+o.Trip) && p.lateWait()+o.Cost < homeLate {
-		return Decision{Action: Send, Region: p.Region, Wait: p.lateWait()}
+	if p, ok := first(others, Pool.late); ok && o.meetsDeadline(p, o.Trip) && p.late()+o.Cost < home.late() {
+		return Decision{Action: Send, Region: p.Region, Wait: max(p.Wait, p.Late)}
 	}
-	return Decision{Action: Refuse, Region: home.Region, Wait: homeLate}
+	late.Action = Refuse
+	return late
 }
 
-// MeetsDue reports whether the order meets its objective with the given wait.
-func (o Order) MeetsDue(wait time.Duration) bool { return wait+o.Takes <= o.UntilDue }
-
-func (o Order) meetsDeadline(wait time.Duration) bool {
-	return time.Duration(estimateShare*float64(wait))+o.Takes <= o.UntilDeadline
-}
-
-func (p Pool) lateWait() time.Duration { return max(p.Wait, p.Late) }
-
 // fresh returns the pools whose waits are recent enough to be used.
 func fresh(pools []Pool) []Pool {
 	return slices.DeleteFunc(slices.Clone(pools), func(p Pool) bool { return p.Age > MaxAge })
 }
 
-// least returns the pool with the least wait, and the first by name of equal ones.
-func least(pools []Pool, wait func(Pool) time.Duration) (Pool, bool) {
+// first returns the pool in which an order ends first, by the given estimate, and the first by name of
+// equal ones.
+func first(pools []Pool, ends func(Pool) time.Duration) (Pool, bool) {
 	if len(pools) == 0 {
 		return Pool{}, false
 	}
 	return slices.MinFunc(pools, func(a, b Pool) int {
-		return cmp.Or(cmp.Compare(wait(a), wait(b)), cmp.Compare(a.Region, b.Region))
+		return cmp.Or(cmp.Compare(ends(a), ends(b)), cmp.Compare(a.Region, b.Region))
 	}), true
 }
--- a/internal/spill/spill_test.go
+++ b/internal/spill/spill_test.go
@@ -14,10 +14,10 @@
 const ms = time.Millisecond
 
 // order is due in 500 ms and useless after 2 s.
-var order = spill.Order{Takes: 200 * ms, UntilDue: 500 * ms, UntilDeadline: 2000 * ms, Trip: 24 * ms, Cost: 100 * ms}
+var order = spill.Order{UntilDue: 500 * ms, UntilDeadline: 2000 * ms, Trip: 24 * ms, Cost: 100 * ms}
 
 func pool(name string, wait, late time.Duration) spill.Pool {
-	return spill.Pool{Region: name, Wait: wait, Late: late}
+	return spill.Pool{Region: name, Wait: wait, Late: late, Takes: 200 * ms}
 }
 
 func TestDecisions(t *testing.T) {
@@ -51,13 +51,13 @@
 	draw := func(what string, most int) time.Duration {
 		return time.Duration(rapid.IntRange(0, most).Draw(t, name+" "+what)) * ms
 	}
-	return spill.Pool{Region: name, Wait: draw("wait", 3000), Late: draw("late", 3000), Age: draw("age", 2000)}
+	return spill.Pool{Region: name, Wait: draw("wait", 3000), Late: draw("late", 3000), Takes: 200*ms + draw("takes", 200), Age: draw("age", 2000)}
 }
 
 // ends is the oracle: whether a region would complete the order on time, and by its deadline.
 func ends(o spill.Order, p spill.Pool, trip time.Duration) (onTime, byDeadline bool) {
 	late := max(p.Wait, p.Late)
-	return p.Wait+trip+o.Takes <= o.UntilDue, late*9/10+trip+o.Takes <= o.UntilDeadline
+	return p.Wait+trip+p.Takes <= o.UntilDue, late*9/10+trip+p.Takes <= o.UntilDeadline
 }
 
 func TestOracleOrdersLeaveOnlyForARegionThatServesThemBetter(t *testing.T) {
--- a/internal/stagebatch/spill.go
+++ b/internal/stagebatch/spill.go
@@ -35,12 +35,12 @@
 		return nil
 	}
 	waits := p.wait(spec, now)
-	home := spill.Pool{Region: p.region, Wait: waits.forOrder(o), Late: waits.late(o)}
-	order := f.spillOrder(o, spec, now)
-	if order.MeetsDue(home.Wait) {
+	home := waits.pool(p.region, o, callTime(spec, len(p.queue)+o.Pieces))
+	order := f.spillOrder(o, now)
+	if order.MeetsDue(home) {
 		return nil
 	}
-	d := spill.Decide(order, home, f.otherPools(o))
+	d := spill.Decide(order, home, f.otherPools(o, spec))
 	attrs := []any{"request", o.Request, "stage", o.Stage, "service", o.Service, "region", p.region, "wait_ms", home.Wait.Milliseconds(),
 		"late_wait_ms", home.Late.Milliseconds(), "due_ms", order.UntilDue.Milliseconds(), "left_ms", order.UntilDeadline.Milliseconds()}
 	switch d.Action {
@@ -67,30 +67,47 @@
 }
 
 // spillOrder describes an order for the decision where it runs.
-func (f *Former) spillOrder(o Order, spec *routes.Batch, now time.Time) spill.Order {
+func (f *Former) spillOrder(o Order, now time.Time) spill.Order {
 	trips := crossingTrips
 	if len(o.Inputs) > 0 {
 		trips++
 	}
 	return spill.Order{
-		Takes: expected(spec, o.Pieces), UntilDue: o.Due.Sub(now), UntilDeadline: o.Deadline.Sub(now),
+		UntilDue: o.Due.Sub(now), UntilDeadline: o.Deadline.Sub(now),
 		Trip: f.Crossing.Cost(trips, 0), Cost: f.Crossing.Cost(trips, int64(o.Pieces)*(o.ResultBytes+o.InputBytes)),
 	}
 }
 
 // otherPools returns the pools of other regions to which an order may be sent.
-func (f *Former) otherPools(o Order) []spill.Pool {
+func (f *Former) otherPools(o Order, spec *routes.Batch) []spill.Pool {
 	if f.OtherWaits == nil || o.Spilled || len(o.SpillTo) == 0 {
 		return nil
 	}
 	var out []spill.Pool
 	o.Spilled = true
 	for _, w := range f.OtherWaits(o.Service, o.SpillTo) {
-		out = append(out, spill.Pool{Region: w.Region, Wait: w.Waits.forOrder(o), Late: w.Waits.late(o), Age: w.Age})
+		pieces := o.Pieces
+		if w.Waits.forOrder(o) > 0 {
+			// Pieces wait there, so calls are full.
+			pieces = spec.Items
+		}
+		p := w.Waits.pool(w.Region, o, callTime(spec, pieces))
+		p.Age = w.Age
+		out = append(out, p)
 	}
 	return out
 }
 
+// callTime returns the nominal duration of the call for one of a number of pieces that wait.
+func callTime(spec *routes.Batch, pieces int) time.Duration {
+	return expected(spec, min(pieces, max(spec.Items, 1)))
+}
+
+// pool describes a pool with these waits to an order.
+func (w Waits) pool(name string, o Order, takes time.Duration) spill.Pool {
+	return spill.Pool{Region: name, Wait: w.forOrder(o), Late: w.late(o), Takes: takes}
+}
+
 // forOrder returns the wait of the pieces of an order that can meet its objective.
 func (w Waits) forOrder(o Order) time.Duration {
 	if o.Spilled {
