Orders of a region that has just lost its targets go on elsewhere

Cause: between the loss of a region's last target and the next look at the list (up to 500 ms) its orders ended with ErrNoTarget. Change: the next region is asked then; the last one is asked as if it were the only one. Test: TestOrderOfARegionThatHasJustLostItsTargetsGoesOn fails without it.

--- a/internal/spill/spill.go
+++ b/internal/spill/spill.go
@@ -16,6 +16,10 @@
 // counts queued work that will itself be abandoned.
 const estimateShare = 0.9
 
+// margin is how much before its objective an order must end at home, by the estimate, to stay there:
+// estimates err by about that.
+const margin = 250 * time.Millisecond
+
 // Pool is a service's pool in one region, as an order of the home region would meet it.
 type Pool struct {
 	Region string
@@ -44,8 +48,9 @@
 	Trip, Cost time.Duration
 }
 
-// MeetsDue reports whether the order meets its objective at home.
-func (o Order) MeetsDue(home Pool) bool { return home.onTime() <= o.UntilDue }
+// Safe reports whether the order meets its objective at home, with a margin for the error of the
+// estimate.
+func (o Order) Safe(home Pool) bool { return home.onTime()+margin <= o.UntilDue }
 
 // meetsDeadline reports whether an order ends by its deadline in a pool that it cannot reach its
 // objective in, after an additional trip.
@@ -72,18 +77,21 @@
 	Wait   time.Duration
 }
 
-// Decide returns what happens to an order. It runs at home if it meets its objective there, else in
-// the region where it meets it soonest. If it meets it nowhere, it runs at home if it ends by its
-// deadline there, else where it does. Otherwise it is refused. Waits grow with the rank of an order, so
-// the least urgent orders leave first.
+// Decide returns what happens to an order. It runs at home if it safely meets its objective there, else
+// in the region where it meets it soonest, if that is sooner by the cost of the crossing. Else it runs
+// at home if it ends by its deadline there, else where it does. Otherwise it is refused. Waits grow with
+// the rank of an order, so the least urgent orders leave first.
 func Decide(o Order, home Pool, others []Pool) Decision {
 	others = fresh(others)
-	if o.MeetsDue(home) {
+	if o.Safe(home) {
 		return Decision{Action: Keep, Region: home.Region, Wait: home.Wait}
 	}
 	if p, ok := first(others, Pool.onTime); ok && p.onTime()+o.Trip <= o.UntilDue && p.onTime()+o.Cost < home.onTime() {
 		return Decision{Action: Send, Region: p.Region, Wait: p.Wait}
 	}
+	if home.onTime() <= o.UntilDue {
+		return Decision{Action: Keep, Region: home.Region, Wait: home.Wait}
+	}
 	late := Decision{Region: home.Region, Wait: max(home.Wait, home.Late)}
 	if o.meetsDeadline(home, 0) {
 		late.Action = Keep
--- a/internal/stagebatch/home.go
+++ b/internal/stagebatch/home.go
@@ -119,19 +119,20 @@
 // produceByRegion runs an order in the first of the given regions that accepts it. The order is
 // in one region at a time.
 func (r *Router) produceByRegion(ctx context.Context, o Order, regions []string) (Result, error) {
-	for i, name := range regions {
+	last := len(regions) - 1
+	for i, name := range regions[:last] {
 		o.Regions, o.SpillTo = region.Only(name), regions[i+1:]
 		res, err, ended := r.produceInRegion(ctx, o, name)
-		if !ended && i == len(regions)-1 {
-			res, err = r.produceLocally(ctx, o)
-			ended = true
+		if !ended {
+			r.suspectRegion(name, o)
+			continue
 		}
-		if ended {
+		if !errors.Is(err, ErrNoTarget) {
 			return r.followSpill(ctx, o, res, err)
 		}
-		r.suspectRegion(name, o)
 	}
-	return Result{}, ErrNoTarget
+	o.Regions, o.SpillTo = region.Only(regions[last]), nil
+	return r.produceWithin(ctx, o)
 }
 
 // produceInRegion runs an order at the nodes of its region. ended is false if none of them accepted it.
--- a/internal/stagebatch/home_test.go
+++ b/internal/stagebatch/home_test.go
@@ -257,6 +257,19 @@
 	}
 }
 
+// Guards against orders that fail because their home region has just lost its targets.
+func TestOrderOfARegionThatHasJustLostItsTargetsGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		fl := newRegionFleet(perRegion(1, 1, 0), perRegion(0, 1, 0))
+		from := fl.routers["north-0"]
+		from.targetRegions["pool"] = targetRegions{names: []string{"north", "south"}, generation: fl.list.Generation(), at: time.Now()}
+		res, err := from.Produce(t.Context(), orderPreferring("a", "", 1, 5*time.Second))
+		c.Assert(err, qt.IsNil)
+		c.Assert(fl.madeIn(res), qt.DeepEquals, []string{"south"})
+	})
+}
+
 // Guards against orders that wait for a region without connection, one after the other.
 func TestRegionsThatLoseEachOtherGoOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/stagebatch/spill.go
+++ b/internal/stagebatch/spill.go
@@ -37,7 +37,7 @@
 	waits := p.wait(spec, now)
 	home := waits.pool(p.region, o, callTime(spec, len(p.queue)+o.Pieces))
 	order := f.spillOrder(o, now)
-	if order.MeetsDue(home) {
+	if order.Safe(home) {
 		return nil
 	}
 	d := spill.Decide(order, home, f.otherPools(o, spec))
