--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -3,6 +3,7 @@
 package region
 
 import (
+	"maps"
 	"slices"
 	"strings"
 )
@@ -20,6 +21,14 @@
 	return Set{restricted: true, names: slices.Compact(sorted)}
 }
 
+// Sole returns the name of the only region in the set; "" for any other set.
+func (s Set) Sole() string {
+	if len(s.names) != 1 {
+		return ""
+	}
+	return s.names[0]
+}
+
 // All reports whether every region is in the set.
 func (s Set) All() bool { return !s.restricted }
 
@@ -73,12 +82,19 @@
 	return out
 }
 
-// Names returns the sorted names of the regions in which the Map has a data centre.
-func (m Map) Names() []string {
-	out := make([]string, 0, len(m))
+// Several reports whether the Map has more than one region.
+func (m Map) Several() bool {
+	first, seen := "", false
 	for _, name := range m {
-		out = append(out, name)
+		if seen && name != first {
+			return true
+		}
+		first, seen = name, true
 	}
-	slices.Sort(out)
-	return slices.Compact(out)
+	return false
+}
+
+// Names returns the sorted names of the regions in which the Map has a data centre.
+func (m Map) Names() []string {
+	return slices.Compact(slices.Sorted(maps.Values(m)))
 }
--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -3,7 +3,9 @@
 // nodes, share one call. For each pool one node, the former, forms the batches for all nodes:
 // the first live node of the strongest capacity class, in the order of rendezvous hashing. Nodes
 // may disagree for a while on which node that is. Batches are smaller then, and a piece may be
-// produced twice, which is harmless. See docs/design/012-pass-through.md.
+// produced twice, which is harmless. In a fleet of several regions each region has its own former and
+// its own pool of targets, and a region that would complete an order too late leaves it to another
+// one. See docs/design/012-pass-through.md and 024-region-as-a-level.md.
 package stagebatch
 
 import (
@@ -35,12 +37,19 @@
 	// Due is when the results must be complete for the request to meet its objective. After
 	// Deadline the results are useless.
 	Due, Deadline time.Time
-	// ResultBytes is the approximate size of one result.
-	ResultBytes int64
+	// ResultBytes is the approximate size of one result, InputBytes that of all Inputs together. Each
+	// piece reads all of them.
+	ResultBytes, InputBytes int64
 	// DataCentre is the preferred data centre for producing the results; "" means no preference.
 	DataCentre string
 	// Regions are the regions in which the results may be produced.
 	Regions region.Set
+	// SpillTo are the other regions that may run the order if its home region would complete it too
+	// late, with the lowest wait first. Spilled means that the order comes from such a home region:
+	// it is queued behind orders of this region that can meet their objective, and may only be sent
+	// back, to the home region that SpillTo names then.
+	SpillTo []string
+	Spilled bool
 	// Digest identifies the request across all attempts of its caller. Probe is the quarantine
 	// probe under which a quarantined request runs, or "". An order with a probe does not share
 	// its calls with other orders.
@@ -74,6 +83,16 @@
 	ErrNoTarget = errors.New("stagebatch: the pool has no target")
 )
 
+// SpillError is the error of an order that was not accepted because another region completes it
+// sooner.
+type SpillError struct {
+	// Region is that other region.
+	Region string
+}
+
+// Error implements error.
+func (e *SpillError) Error() string { return "stagebatch: to be run in region " + e.Region }
+
 // Item is one piece as sent in a call.
 type Item struct {
 	Request      string
