Traffic: count what nodes exchange, by call, distance and direction

Cause: nobody counted what crosses regions, though it has a price and a bound. Change: internal/traffic counts bytes and messages with atomic counters. Package peer feeds it by stream; the kind of call comes from the request, the distance from the member table by the node's name that the handshake proved (both ends; an address may move, a name not). What a connection carries beside messages is overhead. httpconn counts bytes to targets by service. Metrics: topazmoor_entry_peer_bytes_total, _peer_messages_total, _target_bytes_total. Tests: new ones in traffic and peer (fail first: the package did not exist). Changed: calls of newMux, NewClient, readFrame and writeFrame take or return one more value.

--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -93,7 +93,7 @@
 		dialed = true
 		return nil, net.ErrClosed
 	}
-	newClient := func() *peer.Client { return peer.NewClient(dial, nil, "a", nil) }
+	newClient := func() *peer.Client { return peer.NewClient(dial, nil, "a", nil, nil) }
 	l := newDeferredClient()
 	first, second := newClient(), newClient()
 	l.set(first)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,6 +37,7 @@
 	"topazmoor/internal/supervise"
 	"topazmoor/internal/suspend"
 	"topazmoor/internal/targets"
+	"topazmoor/internal/traffic"
 	"topazmoor/internal/watch"
 )
 
@@ -141,6 +142,9 @@
 	ready        *http.Server
 	readyLn      net.Listener
 	metrics      *metrics.Entry
+	// traffic counts what is exchanged with other nodes, targetTraffic the same with targets.
+	traffic       *traffic.Meter
+	targetTraffic traffic.TargetCounter
 	// unreadable holds the target rows that are ignored.
 	unreadable unreadable
 	// configStoreVersion is the version of the store from which the configuration in force was
@@ -189,6 +193,7 @@
 	n.targets.Off = set.Off
 	n.targets.Regions = set.Regions
 	n.targets.WarmupRate = n.warmupRate
+	n.provisionTraffic()
 	n.provisionLimits()
 	n.provisionRollouts()
 	n.configTable = &watch.Table{Name: env.ConfigTable, From: env.Store, Wait: watch.ShortWait, Pause: n.pause(0, configPause, configPause), Apply: (&restore.Table{Name: env.ConfigTable, Apply: n.applyOperatorTable, Log: n.log}).Update, Log: n.log}
@@ -387,6 +392,7 @@
 		n.readyLn.Close()
 	}
 	n.peers.close()
+	n.logTraffic()
 	n.env.Conns.Close()
 }
 
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -15,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"topazmoor/internal/ownership"
 	"topazmoor/internal/peer"
 	"topazmoor/internal/poison"
 	"topazmoor/internal/relay"
@@ -103,7 +104,7 @@
 	p := &peers{n: n, repair: make(chan struct{}, 1), client: newDeferredClient(), known: make(chan struct{}), answered: make(chan struct{}), server: &deferredServer{ln: ln, key: make(chan []byte, 1)}}
 	p.missing.Store(2)
 	p.server.start = func(key []byte) *peer.Server {
-		return peer.NewServer(ln, key, n.set.Node, peer.Handler{Nodes: n.OtherNodes, Stages: n.former, Versions: n.versionTracker, Publisher: n.relayServer, Ends: n.guard, Permits: n.limiter, Rollouts: n.owner}, n.log)
+		return peer.NewServer(ln, key, n.set.Node, peer.Handler{Nodes: n.OtherNodes, Stages: n.former, Versions: n.versionTracker, Publisher: n.relayServer, Ends: n.guard, Permits: n.limiter, Rollouts: n.owner, Traffic: n.traffic}, n.log)
 	}
 	p.row, err = json.Marshal(member{Addr: ln.Addr().String(), DataCentre: n.set.DataCentre, Memory: n.set.MemoryBytes, Capacity: n.set.Capacity})
 	if err != nil {
@@ -120,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	p.client.set(peer.NewClient(peer.Dial(p.n.env.Dial), key, p.n.set.Node, p.n.versionTracker))
+	p.client.set(peer.NewClient(peer.Dial(p.n.env.Dial), key, p.n.set.Node, p.n.versionTracker, p.n.traffic))
 	p.server.key <- key
 	if fresh {
 		p.awaitOthers(ctx)
@@ -320,6 +321,7 @@
 	var out []stagebatch.Node
 	var local []relay.Node
 	var sharing []sharedrate.Node
+	places := make(map[string]ownership.Place, len(v.Rows))
 	for name, r := range v.Rows {
 		m, err := decodeMember(r.Value)
 		if err != nil {
@@ -330,6 +332,7 @@
 			local = append(local, relay.Node{Name: name, Addr: m.Addr, Memory: m.Memory})
 		}
 		if name != p.n.set.Node {
+			places[name] = p.n.place(m.DataCentre)
 			sharing = append(sharing, sharedrate.Node{Name: name, Addr: m.Addr})
 			out = append(out, stagebatch.Node{Name: name, Addr: m.Addr, DataCentre: m.DataCentre, Capacity: m.Capacity})
 		}
@@ -337,6 +340,7 @@
 	p.n.state.Members.Store(out)
 	p.n.state.LocalNodes.Store(local)
 	p.n.limiter.SetNodes(sharing)
+	p.n.traffic.Set(places)
 	p.membersRead.Do(p.prerequisiteMet)
 	p.n.relayServer.Wake()
 	p.n.log.Info("member table applied", "others", len(out), "row_version", v.Version)
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -9,6 +9,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -32,7 +33,8 @@
 
 // Pool holds idle connections to targets for reuse. It is safe for concurrent use.
 type Pool struct {
-	cfg Config
+	cfg     Config
+	meterOf func(addr string) Meter
 
 	mu     sync.Mutex
 	idle   map[string][]*conn
@@ -75,7 +77,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(nc, bufferSize), bw: bufio.NewWriterSize(nc, bufferSize)}, nil
+	return p.newConn(nc, addr), nil
+}
+
+func (p *Pool) newConn(nc net.Conn, addr string) *conn {
+	var r io.Reader = nc
+	var w io.Writer = nc
+	if m := p.meter(addr); m != nil {
+		r, w = meteredReader{nc, m}, meteredWriter{nc, m}
+	}
+	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(r, bufferSize), bw: bufio.NewWriterSize(w, bufferSize)}
 }
 
 // pop removes the most recently used idle connection to addr and returns it, or nil
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -71,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	p.client = peer.NewClient(dial, n.env.PeerKey, self.Name, nil)
+	p.client = peer.NewClient(dial, n.env.PeerKey, self.Name, nil, nil)
 	h := peer.Handler{
 		Registries: localLedger{n},
 		Changes:    func(after int64) []catalog.Change { return n.follower.Since(after) },
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -50,7 +50,7 @@
 	cl := NewClient(func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dial(ctx, network, addr)
 		return countedConn{c, bytes}, err
-	}, []byte("key"), "client", nil)
+	}, []byte("key"), "client", nil, nil)
 	defer cl.Close()
 	o := stagebatch.Order{
 		Service: "pool12a", Request: "9c41d07be2a35f68", Stage: 2, Pieces: 6, Priority: 1, ResultBytes: 60000,
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -12,6 +12,7 @@
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/peer/peerpb"
 	"topazmoor/internal/scheduler"
+	"topazmoor/internal/traffic"
 )
 
 // callTimeout bounds one call whose context has no earlier deadline.
@@ -30,6 +31,7 @@
 	key      []byte
 	node     string
 	versions Versions
+	meter    *traffic.Meter
 
 	// closing ends when the client is closed; close ends it.
 	closing context.Context
@@ -56,14 +58,15 @@
 }
 
 // NewClient returns a Client that sends node as its name. versions exchanges
-// configuration versions along with orders; nil disables that.
-func NewClient(dial Dial, key []byte, node string, versions Versions) *Client {
+// configuration versions along with orders; nil disables that. meter counts what is exchanged with
+// other nodes; nil for nothing.
+func NewClient(dial Dial, key []byte, node string, versions Versions, meter *traffic.Meter) *Client {
 	if versions == nil {
 		versions = noVersions{}
 	}
 	closing, closeClient := context.WithCancel(context.Background())
 	return &Client{
-		dial: dial, key: key, node: node, versions: versions, closing: closing, close: closeClient,
+		dial: dial, key: key, node: node, versions: versions, meter: meter, closing: closing, close: closeClient,
 		sessions: make(map[string]*session), retired: make(map[*muxConn]bool),
 	}
 }
@@ -202,21 +205,25 @@
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
 	defer context.AfterFunc(c.closing, cancel)()
-	conn, err := c.dial(ctx, "tcp", addr)
+	dialed, err := c.dial(ctx, "tcp", addr)
 	if err != nil {
 		return nil, eris.Wrap(err, "connect to peer")
 	}
+	link := c.meter.Link()
+	conn := link.Conn(dialed)
 	// The host of a paused peer still accepts connections, but the handshake gets
 	// no answer.
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	if _, err := handshake(conn, c.key, c.node, true); err != nil {
+	peer, err := handshake(conn, c.key, c.node, true)
+	if err != nil {
 		conn.Close()
 		return nil, err
 	}
+	link.SetNode(peer)
 	if !stop() {
 		return nil, eris.Wrap(ctx.Err(), "connect to peer")
 	}
-	return newMux(conn, true)
+	return newMux(conn, true, link)
 }
 
 // call sends one request and returns its first answer. The error is a
--- a/internal/peer/close_test.go
+++ b/internal/peer/close_test.go
@@ -59,7 +59,7 @@
 		s := closeServer(t, pausedListener{ln, resume})
 		served := make(chan error, 1)
 		go func() { served <- s.Serve(t.Context()) }()
-		client := NewClient(network.DialFrom("10.0.0.2"), []byte(closeKey), "client", nil)
+		client := NewClient(network.DialFrom("10.0.0.2"), []byte(closeKey), "client", nil, nil)
 		defer client.Close()
 		connected := make(chan *muxConn, 1)
 		go func() {
@@ -86,7 +86,7 @@
 		qt.Assert(t, err, qt.IsNil)
 		served := make(chan error, 1)
 		go func() { served <- closeServer(t, ln).Serve(t.Context()) }()
-		client := NewClient(network.DialFrom("10.0.0.2"), []byte(closeKey), "client", nil)
+		client := NewClient(network.DialFrom("10.0.0.2"), []byte(closeKey), "client", nil, nil)
 		defer client.Close()
 		mux, err := client.connection(t.Context(), closeAddr)
 		qt.Assert(t, err, qt.IsNil)
@@ -106,7 +106,7 @@
 		c, err := dial(t.Context(), n, addr)
 		<-resume
 		return c, err
-	}, []byte(closeKey), "client", nil)
+	}, []byte(closeKey), "client", nil, nil)
 	connected = make(chan *muxConn, 1)
 	go func() {
 		mux, _ := client.connection(t.Context(), closeAddr)
@@ -149,7 +149,7 @@
 		qt.Assert(t, err, qt.IsNil)
 		s := closeServer(t, ln)
 		go func() { _ = s.Serve(t.Context()) }()
-		client := NewClient(network.DialFrom("10.0.0.2"), []byte(closeKey), "client", nil)
+		client := NewClient(network.DialFrom("10.0.0.2"), []byte(closeKey), "client", nil, nil)
 		mux, err := client.connection(t.Context(), closeAddr)
 		qt.Assert(t, err, qt.IsNil)
 		st, err := mux.OpenStream()
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -29,14 +29,14 @@
 	handshakeTimeout = 3 * time.Second
 )
 
-// writeFrame writes a message with a four-byte big-endian length before it.
-func writeFrame(w io.Writer, m proto.Message) error {
+// writeFrame writes a message with a four-byte big-endian length before it. It returns the number
+// of bytes written.
+func writeFrame(w io.Writer, m proto.Message) (int, error) {
 	frame, err := encodeFrame(m)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	_, err = w.Write(frame)
-	return err
+	return w.Write(frame)
 }
 
 // encodeFrame returns a message as writeFrame writes it.
@@ -49,21 +49,22 @@
 	return append(frame, b...), nil
 }
 
-// readFrame reads a message that writeFrame wrote, of at most limit bytes.
-func readFrame(r io.Reader, m proto.Message, limit uint32) error {
+// readFrame reads a message that writeFrame wrote, of at most limit bytes. It returns the number
+// of bytes of a message that was read to its end, and 0 for others.
+func readFrame(r io.Reader, m proto.Message, limit uint32) (int, error) {
 	var header [4]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return err
+		return 0, err
 	}
 	n := binary.BigEndian.Uint32(header[:])
 	if n > limit {
-		return eris.Errorf("message of %d bytes exceeds limit of %d", n, limit)
+		return 0, eris.Errorf("message of %d bytes exceeds limit of %d", n, limit)
 	}
 	b := make([]byte, n)
 	if _, err := io.ReadFull(r, b); err != nil {
-		return err
+		return 0, err
 	}
-	return eris.Wrap(proto.Unmarshal(b, m), "decode message")
+	return len(header) + len(b), eris.Wrap(proto.Unmarshal(b, m), "decode message")
 }
 
 // The roles are part of the proofs, so that a proof reflected to its sender does
@@ -115,13 +116,15 @@
 // exchange sends one message and receives one; the dialer sends first.
 func exchange(c net.Conn, send, recv proto.Message, first bool) error {
 	if first {
-		if err := writeFrame(c, send); err != nil {
+		if _, err := writeFrame(c, send); err != nil {
 			return eris.Wrap(err, "handshake")
 		}
-		return eris.Wrap(readFrame(c, recv, maxHello), "handshake")
+		_, err := readFrame(c, recv, maxHello)
+		return eris.Wrap(err, "handshake")
 	}
-	if err := readFrame(c, recv, maxHello); err != nil {
+	if _, err := readFrame(c, recv, maxHello); err != nil {
 		return eris.Wrap(err, "handshake")
 	}
-	return eris.Wrap(writeFrame(c, send), "handshake")
+	_, err := writeFrame(c, send)
+	return eris.Wrap(err, "handshake")
 }
--- a/internal/peer/follow.go
+++ b/internal/peer/follow.go
@@ -87,7 +87,7 @@
 			return err
 		}
 		st.SetWriteDeadline(time.Now().Add(followSendTimeout))
-		return writeFrame(st, &peerpb.Response{Result: &peerpb.Response_Told{Told: msg}})
+		return st.send(&peerpb.Response{Result: &peerpb.Response_Told{Told: msg}})
 	})
 }
 
--- a/internal/peer/frames_test.go
+++ b/internal/peer/frames_test.go
@@ -34,7 +34,7 @@
 func TestDeadlineHoldsInTheMidstOfAFrame(t *testing.T) {
 	c := quicktest.New(t)
 	here, there := net.Pipe()
-	m, err := newMux(here, true)
+	m, err := newMux(here, true, nil)
 	c.Assert(err, quicktest.IsNil)
 	c.Cleanup(func() { _ = m.Close() })
 	go func() { _, _ = io.Copy(io.Discard, there) }()
--- a/internal/peer/mux.go
+++ b/internal/peer/mux.go
@@ -8,6 +8,8 @@
 
 	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
+
+	"topazmoor/internal/traffic"
 )
 
 // muxConn multiplexes streams over one connection, as yamux.Session does, but expires the deadlines
@@ -18,6 +20,8 @@
 // a select that is always ready, and can starve that loop of CPU time.
 type muxConn struct {
 	session *yamux.Session
+	// link counts the messages of calls; nil for none.
+	link *traffic.Link
 
 	mu      sync.Mutex
 	streams map[*stream]struct{}
@@ -29,6 +33,8 @@
 type stream struct {
 	*yamux.Stream
 	conn *muxConn
+	// call is the kind of the call that the stream carries.
+	call traffic.Call
 }
 
 // notifyCloseConn is the connection below a session. Its Close calls end first.
@@ -43,9 +49,10 @@
 	return c.Conn.Close()
 }
 
-// newMux starts a session on a connection; dialed is true at the end that dialed it.
-func newMux(c net.Conn, dialed bool) (*muxConn, error) {
-	m := &muxConn{streams: make(map[*stream]struct{})}
+// newMux starts a session on a connection; dialed is true at the end that dialed it. link counts
+// the messages of calls; nil for none.
+func newMux(c net.Conn, dialed bool, link *traffic.Link) (*muxConn, error) {
+	m := &muxConn{link: link, streams: make(map[*stream]struct{})}
 	open := yamux.Server
 	if dialed {
 		open = yamux.Client
--- a/internal/peer/mux_test.go
+++ b/internal/peer/mux_test.go
@@ -35,9 +35,9 @@
 func muxPair(c *quicktest.C, blocked *atomic.Int64) (*muxConn, *muxConn, *heldConn) {
 	here, there := net.Pipe()
 	held := &heldConn{Conn: here, blocked: blocked}
-	near, err := newMux(held, true)
+	near, err := newMux(held, true, nil)
 	c.Assert(err, quicktest.IsNil)
-	far, err := newMux(there, false)
+	far, err := newMux(there, false, nil)
 	c.Assert(err, quicktest.IsNil)
 	c.Cleanup(func() { _ = near.Close(); _ = far.Close() })
 	return near, far, held
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -54,7 +54,7 @@
 func TestCallsAndRefusalsCross(t *testing.T) {
 	c := qt.New(t)
 	addr := startServer(t, "key")
-	cl := NewClient((&net.Dialer{}).DialContext, []byte("key"), "client", nil)
+	cl := NewClient((&net.Dialer{}).DialContext, []byte("key"), "client", nil, nil)
 	defer cl.Close()
 	_, err := cl.Registry(addr).Claim(t.Context(), ledger.Claim{})
 	c.Assert(verdict.CodeOf(err), qt.Equals, verdict.KeyOutcomeUnknown)
@@ -76,7 +76,7 @@
 func TestWrongKeyIsRefusedByBothEnds(t *testing.T) {
 	c := qt.New(t)
 	addr := startServer(t, "key")
-	cl := NewClient((&net.Dialer{}).DialContext, []byte("other"), "client", nil)
+	cl := NewClient((&net.Dialer{}).DialContext, []byte("other"), "client", nil, nil)
 	defer cl.Close()
 	_, _, err := cl.Snapshot(t.Context(), addr)
 	c.Assert(err, qt.IsNotNil)
@@ -84,14 +84,14 @@
 
 func FuzzReadFrame(f *testing.F) {
 	var b bytes.Buffer
-	if err := writeFrame(&b, &peerpb.Request{Call: &peerpb.Request_Snapshot{Snapshot: &peerpb.Empty{}}}); err != nil {
+	if _, err := writeFrame(&b, &peerpb.Request{Call: &peerpb.Request_Snapshot{Snapshot: &peerpb.Empty{}}}); err != nil {
 		f.Fatal(err)
 	}
 	f.Add(b.Bytes())
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		req := &peerpb.Request{}
-		if err := readFrame(bytes.NewReader(b), req, 1<<16); err != nil {
+		if _, err := readFrame(bytes.NewReader(b), req, 1<<16); err != nil {
 			return
 		}
 		if call := req.GetClaim(); call != nil {
--- a/internal/peer/pending.go
+++ b/internal/peer/pending.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/peer/peerpb"
+	"topazmoor/internal/traffic"
 )
 
 // pendingCall is one request to a peer and its answers.
@@ -18,6 +19,7 @@
 	client  *Client
 	ctx     context.Context
 	addr    string
+	call    traffic.Call
 	answers chan answer
 	// conn is the connection that is used; nil until there is one.
 	conn atomic.Pointer[muxConn]
@@ -37,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &pendingCall{client: c, ctx: ctx, addr: addr, answers: make(chan answer)}
+	x := &pendingCall{client: c, ctx: ctx, addr: addr, call: callOf(req), answers: make(chan answer)}
 	go func() {
 		if err := x.run(frame); err != nil {
 			x.deliver(answer{err: err})
@@ -85,12 +87,13 @@
 	if err := x.ctx.Err(); err != nil {
 		return err
 	}
-	if _, err := st.Write(frame); err != nil {
+	st.call = x.call
+	if err := st.sendFrame(frame); err != nil {
 		return eris.Wrap(err, "send request to peer")
 	}
 	for {
 		resp := &peerpb.Response{}
-		if err := readFrame(st, resp, maxFrame); err != nil {
+		if err := st.receive(resp); err != nil {
 			return eris.Wrap(err, "receive answer from peer")
 		}
 		if resp.Refusal != nil {
--- a/internal/peer/pending_test.go
+++ b/internal/peer/pending_test.go
@@ -25,7 +25,7 @@
 		}()
 		return here, nil
 	}
-	return NewClient(dial, key, "a", nil)
+	return NewClient(dial, key, "a", nil, nil)
 }
 
 // TestCallsEndAtTheirDeadlineWhateverThePeerDoes guards against calls that block on the connection
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -14,6 +14,7 @@
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/peer/peerpb"
 	"topazmoor/internal/scheduler"
+	"topazmoor/internal/traffic"
 	"topazmoor/internal/verdict"
 )
 
@@ -58,6 +59,8 @@
 	Rollouts Rollouts
 	// Versions exchanges configuration versions along with orders; nil disables that.
 	Versions Versions
+	// Traffic counts what is exchanged with other nodes; nil for nothing.
+	Traffic *traffic.Meter
 }
 
 // Server accepts connections of other nodes. It implements suture.Service.
@@ -123,17 +126,21 @@
 
 // session authenticates a connection and handles the calls on it until it ends.
 func (s *Server) session(ctx context.Context, c net.Conn) {
-	defer c.Close()
 	if !s.track(c) {
+		c.Close()
 		return
 	}
 	defer s.untrack(c)
-	peer, err := handshake(c, s.key, s.node, false)
+	link := s.h.Traffic.Link()
+	counted := link.Conn(c)
+	defer counted.Close()
+	peer, err := handshake(counted, s.key, s.node, false)
 	if err != nil {
 		s.log.Warn("peer handshake failed", "remote", c.RemoteAddr().String(), "err", err)
 		return
 	}
-	sess, err := newMux(c, false)
+	link.SetNode(peer)
+	sess, err := newMux(counted, false, link)
 	if err != nil {
 		s.log.Warn("peer connection failed", "peer", peer, "err", err)
 		return
@@ -203,7 +210,7 @@
 	defer cancel()
 	st.SetDeadline(time.Now().Add(serveTimeout))
 	req := &peerpb.Request{}
-	if err := readFrame(st, req, maxFrame); err != nil {
+	if err := st.receiveRequest(req); err != nil {
 		return
 	}
 	if f := req.GetFollow(); f != nil {
@@ -214,7 +221,7 @@
 	if err != nil {
 		resp = &peerpb.Response{Refusal: refusalOf(err)}
 	}
-	if err := writeFrame(st, resp); err != nil {
+	if err := st.send(resp); err != nil {
 		s.log.Debug("send answer to peer failed", "err", err)
 	}
 }
@@ -225,7 +232,7 @@
 	if errors.Is(err, context.Canceled) {
 		return
 	}
-	if err := writeFrame(st, &peerpb.Response{Refusal: refusalOf(err)}); err != nil {
+	if err := st.send(&peerpb.Response{Refusal: refusalOf(err)}); err != nil {
 		s.log.Debug("send answer to peer failed", "err", err)
 	}
 }
--- a/internal/peer/stages.go
+++ b/internal/peer/stages.go
@@ -243,7 +243,7 @@
 		msg := state()
 		msg.InputsRead = inputsRead
 		progress := &peerpb.Response{Result: &peerpb.Response_Accepted{Accepted: msg}}
-		if writeFrame(st, progress) != nil && ctx.Err() == nil {
+		if st.send(progress) != nil && ctx.Err() == nil {
 			return <-done
 		}
 	}
--- a/internal/peer/stages_test.go
+++ b/internal/peer/stages_test.go
@@ -55,7 +55,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(ctx) }()
-	cl := NewClient(net.DialFrom("10.0.0.2"), []byte("key"), "client", nil)
+	cl := NewClient(net.DialFrom("10.0.0.2"), []byte("key"), "client", nil, nil)
 	t.Cleanup(func() {
 		cl.Close()
 		cancel()
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -392,6 +392,16 @@
 	return s != nil && s.usable(now) && s.ready.Status(now) != readiness.Resting
 }
 
+// Locate returns the service and the data centre of the target at an address; "" for unknown.
+func (t *Table) Locate(addr string) (service, dataCentre string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.at(addr); s != nil {
+		return s.Service, s.DataCentre
+	}
+	return "", ""
+}
+
 // DataCentreOf returns the data centre of the target at an address; "" for unknown.
 func (t *Table) DataCentreOf(addr string) string {
 	t.mu.Lock()
