Targets: another region costs round trips and bytes; spilling by rank

Cause: a call to another region cost 40 ms or 600 tokens, whatever it carried. Change: region.Crossing from the settings (default 30 ms a round trip, 2 s a MB) prices the bytes of a request and the round trips of it and its stages. A region prefers an engine of its own for a prompt unless the shared parts that it is presumed to lack (0.3) take longer to read. Targets take calls from other regions up to a share of their slots by rank (1.0 less 0.1 a rank, at least 0.5; 2.0 less 0.2, at least 1.0, for a region without a target), and only calls that can still end in time there. A copy of a prompt comes from another region only if that beats reading. Each such call is logged with its reason and cost. One region: nothing changes. Changed: three calls of changed signatures; newTableInRegions sets the Crossing, which was a constant before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,6 +46,9 @@
 	Node, DataCentre, Region string
 	// Regions maps data centres to regions.
 	Regions region.Map
+	// Crossing is the cost of serving a request in another region. The default is
+	// region.DefaultCrossing; it has no effect with a single region.
+	Crossing region.Crossing
 	// ListenCallers is for callers, ListenReady for the balancer's readiness checks and for
 	// metrics, and ListenPeers for calls of other nodes; all are IP:port.
 	ListenCallers, ListenReady, ListenPeers string
@@ -63,6 +66,14 @@
 	Off mechanism.Set
 }
 
+// crossing returns the cost of another region, the default if none is set.
+func (s Settings) crossing() region.Crossing {
+	if s.Crossing == (region.Crossing{}) {
+		return region.DefaultCrossing
+	}
+	return s.Crossing
+}
+
 // RepeatBudget bounds repeated sends, summed over all nodes.
 type RepeatBudget struct {
 	// For each service and Window, the budget is Ratio times the number of requests, plus Fixed.
@@ -192,6 +203,7 @@
 	n.targets = targets.New(set.DataCentre)
 	n.targets.Off = set.Off
 	n.targets.Regions = set.Regions
+	n.targets.Crossing = set.crossing()
 	n.targets.WarmupRate = n.warmupRate
 	n.provisionTraffic()
 	n.provisionLimits()
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -67,6 +67,7 @@
 	c.log.Info("sent", "target", l.ID, "addr", l.Addr, "service", c.service, "send", n.number, "fresh", n.fresh, "chosen_ms", a.start.Sub(n.chosen).Milliseconds(), "rank", c.rank,
 		"left_ms", o.Remaining.Milliseconds(), "config", c.cfg.Version, "candidates", l.Basis.Candidates, "calls", l.Basis.Calls,
 		"failures", l.Basis.Failures, "load_age_ms", l.Basis.LoadAge.Milliseconds(), "limit", l.Basis.Limit, "inputs", len(o.Inputs), "after_event", o.LastEvent, "copy_from", o.CopyFrom)
+	c.logCrossed(l)
 	ans, err := c.s.cfg.Sender.Do(ctx, l.Addr, &httpconn.Request{
 		ID: c.meta.ID, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
 		Header: c.s.cfg.Wire.ToTarget(c.r.Header, o), Body: c.body,
@@ -94,6 +95,17 @@
 	return a, nil
 }
 
+// logCrossed logs why a request goes to another region, and what that costs, as a time.
+func (c *call) logCrossed(l *targets.Lease) {
+	x := l.Basis.Crossed
+	if x.Region == "" {
+		return
+	}
+	e := c.exchange()
+	c.log.Info("sent to another region", "target", l.ID, "region", x.Region, "cost_ms", x.Cost.Milliseconds(), "round_trips", e.RoundTrips, "bytes", e.Bytes,
+		"own_candidates", x.Own, "own_calls", x.OwnCalls, "calls", l.Basis.Calls)
+}
+
 // applyNotice applies what the response reports about the target's readiness and limit. The
 // head of a stream carries this as any other response does.
 func (c *call) applyNotice(a *attempt) {
--- a/internal/passthrough/engine.go
+++ b/internal/passthrough/engine.go
@@ -56,6 +56,19 @@
 	return q
 }
 
+// headBytes is the size of the heads of a request to a target and of its answer, in bytes.
+const headBytes = 1 << 10
+
+// exchange returns what the request exchanges with its target. Each of its stages takes a round trip
+// between the node and the region in which its results are read.
+func (c *call) exchange() targets.Exchange {
+	e := targets.Exchange{RoundTrips: 1, Bytes: int64(len(c.body)) + headBytes}
+	if c.hasStages() {
+		e.RoundTrips += len(c.route.Stages)
+	}
+	return e
+}
+
 const (
 	// largeResultBytes is the size of a result from which the data centre that holds it matters.
 	largeResultBytes = 500 << 10
@@ -79,5 +92,5 @@
 	if c.route.Stages[stage].ResultBytes < largeResultBytes || shared < minAffinityTokens {
 		return ""
 	}
-	return c.s.cfg.Targets.PreferredDataCentre(c.service, hash, shared, c.regions())
+	return c.s.cfg.Targets.PreferredDataCentre(c.service, hash, shared, c.exchange(), c.regions())
 }
--- a/internal/region/crossing.go
+++ b/internal/region/crossing.go
@@ -11,6 +11,10 @@
 	PerMB time.Duration
 }
 
+// DefaultCrossing is the Crossing of fleets whose settings have none: messages take 15 ms each way,
+// and a request of 10 kB is worth the price if it ends 20 ms earlier.
+var DefaultCrossing = Crossing{RoundTrip: 30 * time.Millisecond, PerMB: 2 * time.Second}
+
 // Cost returns the cost of a number of round trips and bytes between regions.
 func (c Crossing) Cost(roundTrips int, bytes int64) time.Duration {
 	return time.Duration(roundTrips)*c.RoundTrip + time.Duration(float64(bytes)/1e6*float64(c.PerMB))
--- a/internal/targets/datacentre_test.go
+++ b/internal/targets/datacentre_test.go
@@ -23,7 +23,7 @@
 	c.Assert(tb.MayCall(l.ID), qt.IsFalse)
 	c.Assert(tb.Usable("engines"), qt.HasLen, 3)
 	c.Assert(tb.Drained(l.Addr), qt.IsTrue)
-	c.Assert(tb.PreferredDataCentre("engines", 7, 0, region.Set{}), qt.Equals, "dc1")
+	c.Assert(tb.PreferredDataCentre("engines", 7, 0, Exchange{}, region.Set{}), qt.Equals, "dc1")
 	for i := range 20 {
 		got := tb.Pick(Query{Service: "engines", Engine: queryOf(uint64(i))})
 		c.Assert(got.DataCentre, qt.Equals, "dc1")
--- a/internal/targets/engine.go
+++ b/internal/targets/engine.go
@@ -10,8 +10,10 @@
 	"topazmoor/internal/routing"
 )
 
-// The cost of a call to an engine is measured in prompt tokens that the engine would have to
-// read: a token takes about 0.03 ms of its time.
+// tokenTime is the time that an engine takes to read a token of a prompt. The cost of a call to an
+// engine is measured in tokens that it would have to read.
+const tokenTime = 30 * time.Microsecond
+
 const (
 	// callTokens is the cost of each call that an engine has more than the least loaded one:
 	// it slows all tokens there, and its prompt may be read first.
@@ -27,9 +29,10 @@
 	// rendezvous order of a prompt is presumed to lack: it serves the calls that the first
 	// one cannot take.
 	secondMissingShare = 0.7
-	// regionTokens is the cost added for an engine in another region: each message of a
-	// request has the delay between regions, and links between regions are expensive.
-	regionTokens = 600
+	// regionMissingShare is the fraction of the shared tokens that the first engine of a region in
+	// the rendezvous order is presumed to lack if each region prefers an engine of its own: some
+	// requests with the same parts come to each region.
+	regionMissingShare = 0.3
 	// failureTokens is the cost added for an engine whose recent calls all failed: a whole
 	// prompt, and the time until the failure is detected. It is scaled by the share of failed
 	// calls.
@@ -84,14 +87,20 @@
 
 // copyFrom returns the address of the engine from which s should copy the beginning of a
 // prompt: one that caches most of it, in the data centre of s if there is one there; "" if
-// none caches more than s.
-func copyFrom(s *state, holders []promptHolder) string {
+// none caches more than s. An engine in another region than s is left out if s reads what it lacks
+// sooner than the way takes.
+func (t *Table) copyFrom(s *state, holders []promptHolder) string {
 	own := s.cachedTokens(holders)
 	addr := ""
+	most := 0
 	for _, k := range holders {
-		if k.tokens <= own || k.tokens < holders[0].tokens {
+		if k.tokens <= own || k.tokens < most {
 			break
 		}
+		if t.regionOf(k.state) != t.regionOf(s) && time.Duration(k.tokens-own)*tokenTime <= t.crossingCost(Exchange{}) {
+			continue
+		}
+		most = k.tokens
 		if k.DataCentre == s.DataCentre {
 			return k.Addr
 		}
@@ -105,17 +114,19 @@
 // copySource returns the address of the engine from whose prompt cache s should copy the beginning
 // of a prompt: an engine that read it for this node, else one that presumably has it, as all nodes
 // prefer the same engine for a prefix; "" if there is none, or s has all that requests share.
-func copySource(s *state, q *EngineQuery, holders []promptHolder, cands []*state) string {
-	if addr := copyFrom(s, holders); addr != "" || s.cachedTokens(holders) >= q.Shared {
+func (t *Table) copySource(s *state, q Query, holders []promptHolder, cands []*state) string {
+	if addr := t.copyFrom(s, holders); addr != "" || s.cachedTokens(holders) >= q.Engine.Shared {
 		return addr
 	}
-	return copyFrom(s, presumedHolders(q, cands))
+	return t.copyFrom(s, presumedHolders(q.Engine, t.affinityCandidates(q.Engine.Shared, q.Exchange, cands)))
 }
 
 // bestEngine returns the candidate of least cost; rendezvous hashing decides between equal
 // ones. off are the mechanisms that an experiment switches off.
-func (t *Table) bestEngine(q *EngineQuery, cands []*state, now time.Time, off mechanism.Set) *state {
-	first, second := preferred(q.Affinity, t.affinityCandidates(q.Shared, cands))
+func (t *Table) bestEngine(query Query, cands []*state, now time.Time, off mechanism.Set) *state {
+	q := query.Engine
+	crossing := inTokens(t.crossingCost(query.Exchange))
+	first, second := preferred(q.Affinity, t.affinityCandidates(q.Shared, query.Exchange, cands))
 	least := cands[0].calls(now)
 	for _, s := range cands {
 		least = min(least, s.calls(now))
@@ -128,7 +139,7 @@
 			c += float64(remoteBytes(q.InputBytes, s.DataCentre)) / bytesPerToken
 		}
 		if t.inOtherRegion(s) {
-			c += regionTokens
+			c += crossing
 		}
 		switch {
 		case q.Affinity == 0 || s == first || off.Has(mechanism.PromptAffinity):
@@ -149,12 +160,14 @@
 
 func (t *Table) regionOf(s *state) string { return t.Regions[s.DataCentre] }
 
+// inTokens returns a time as the number of tokens that an engine reads in it.
+func inTokens(d time.Duration) float64 { return float64(d) / float64(tokenTime) }
+
 // affinityCandidates returns the candidates among which prompt affinity chooses an engine for a
-// prompt with that many shared tokens: all of them if reading the shared tokens again in this
-// region costs at least as much as a call to another region, else those in this node's region,
-// if there is one.
-func (t *Table) affinityCandidates(shared int, cands []*state) []*state {
-	if shared >= regionTokens {
+// prompt with that many shared tokens: all of them if reading shared tokens again in this region
+// costs more than a call to another region, else those in this node's region, if there is one.
+func (t *Table) affinityCandidates(shared int, e Exchange, cands []*state) []*state {
+	if regionMissingShare*float64(shared) > inTokens(t.crossingCost(e)) {
 		return cands
 	}
 	if near := t.inRegion(t.Regions[t.DataCentre], cands); len(near) > 0 {
@@ -199,14 +212,14 @@
 }
 
 // PreferredDataCentre returns the data centre of the engine that prompt affinity prefers for a
-// prompt, among those in some regions; "" if there is none.
-func (t *Table) PreferredDataCentre(service string, affinity uint64, shared int, in region.Set) string {
+// prompt, among those in some regions, for a request with some exchange; "" if there is none.
+func (t *Table) PreferredDataCentre(service string, affinity uint64, shared int, e Exchange, in region.Set) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	cands := t.candidates(Query{Service: service, Regions: in}, t.now())
+	cands := t.candidates(Query{Service: service, Regions: in, Exchange: e}, t.now())
 	if affinity == 0 || len(cands) == 0 {
 		return ""
 	}
-	first, _ := preferred(affinity, t.affinityCandidates(shared, cands))
+	first, _ := preferred(affinity, t.affinityCandidates(shared, e, cands))
 	return first.DataCentre
 }
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -33,6 +33,12 @@
 	// PermitDeadline is until when the request may wait for a permit if the rates of all targets are
 	// bounded.
 	PermitDeadline time.Time
+	// Exchange is what the call exchanges with its target.
+	Exchange Exchange
+	// Rank is the rank of the request; 0 is the most urgent. Left is how long the answer is of use;
+	// 0 for unknown. Both decide whether the call may go to another region.
+	Rank int
+	Left time.Duration
 	// SkipRateBounded leaves out targets whose rate is bounded: an optional call should not use up a
 	// part of that rate.
 	SkipRateBounded bool
@@ -56,9 +62,6 @@
 	// remoteCost is the cost added for a call to another data centre: a round trip of two
 	// times 0.5 to 1 ms, and the price of its bytes.
 	remoteCost = 5 * time.Millisecond
-	// regionCost is added to remoteCost for a call to another region: a round trip of two
-	// times 10 to 20 ms, over expensive links.
-	regionCost = 40 * time.Millisecond
 	// failureCost is the cost added for a target whose recent calls all failed. It is scaled by
 	// the share of failed calls.
 	failureCost = 400 * time.Millisecond
@@ -96,6 +99,8 @@
 type Basis struct {
 	// Candidates is how many targets there were to choose from.
 	Candidates int
+	// Crossed tells why the call goes to another region, if it does.
+	Crossed Crossed
 	// Calls estimates the calls at the target, of all nodes. Failures is its recent share of
 	// failed calls, from 0 to 1.
 	Calls    int
@@ -149,16 +154,17 @@
 			l.tokens, l.prompt = q.Engine.Tokens, q.Engine.Prompt
 		}
 	case q.Engine != nil:
-		l.s = t.bestEngine(q.Engine, cands, now, t.Off)
+		l.s = t.bestEngine(q, cands, now, t.Off)
 		l.tokens, l.prompt = q.Engine.Tokens, q.Engine.Prompt
 		if !t.Off.Has(mechanism.CopyPrompts) {
-			l.CopyFrom = copySource(l.s, q.Engine, t.promptHolders(q, now), cands)
+			l.CopyFrom = t.copySource(l.s, q, t.promptHolders(q, now), cands)
 		}
 	default:
-		l.s = t.cheapest(cands, now)
+		l.s = t.cheapest(q, cands, now)
 	}
 	l.Target = l.s.Target
 	l.Basis = Basis{Candidates: len(cands), Calls: l.s.calls(now), Failures: l.s.failures, LoadAge: -1, Limit: l.s.reported.limit.advertised()}
+	l.Basis.Crossed = t.crossed(q, l.s, cands, now)
 	if !l.s.loadAt.IsZero() {
 		l.Basis.LoadAge = now.Sub(l.s.loadAt)
 	}
@@ -185,8 +191,8 @@
 	return nil
 }
 
-// candidatesOf returns the targets of a target group that may be called, of the first set that is
-// not empty: the healthy ones; those called only where there is no other (see lastResort); the one
+// candidatesOf returns the targets of a target group that may be called and are within reach (see
+// withinReach), of the first set that is not empty: the healthy ones; those called only where there is no other (see lastResort); the one
 // for which a permit is available first, if that is not after q.PermitDeadline; those whose breaker
 // is open.
 func (t *Table) candidatesOf(q Query, now time.Time, admits func(*state) bool) []*state {
@@ -213,14 +219,19 @@
 			healthy = append(healthy, s)
 		}
 	}
+	beyondReach := false
 	for _, cands := range [][]*state{healthy, fallback} {
-		if len(cands) > 0 {
-			return cands
+		if reached := t.withinReach(q, cands, now); len(reached) > 0 {
+			return reached
 		}
+		beyondReach = beyondReach || len(cands) > 0
 	}
 	if nextPermitted != nil && !nextPermitted.reported.limit.availableAt.After(q.PermitDeadline) {
 		return []*state{nextPermitted}
 	}
+	if beyondReach {
+		return nil
+	}
 	return down
 }
 
@@ -240,13 +251,18 @@
 	return max(s.inFlight, s.load.Running+s.load.Waiting+s.inFlight-s.inFlightAtLoad)
 }
 
-// cost estimates the time of a call at a target, and adds the costs of other data centres, other
-// regions and recent failures.
-func (s *state) cost(nodeDataCentre string, otherRegion bool, now time.Time) time.Duration {
-	latency := s.latency.Mean()
-	if latency == 0 {
-		latency = defaultLatency
+// meanLatency returns the mean time of a call at the target, or what is assumed for it.
+func (s *state) meanLatency() time.Duration {
+	if latency := s.latency.Mean(); latency > 0 {
+		return latency
 	}
+	return defaultLatency
+}
+
+// cost estimates the time of a call at a target, and adds the costs of other data centres and
+// recent failures.
+func (s *state) cost(nodeDataCentre string, now time.Time) time.Duration {
+	latency := s.meanLatency()
 	slots := max(s.Slots, 1)
 	calls := s.calls(now)
 	c := latency + latency*time.Duration(calls)/time.Duration(2*slots)
@@ -256,20 +272,24 @@
 	if s.DataCentre != nodeDataCentre {
 		c += remoteCost
 	}
-	if otherRegion {
-		c += regionCost
-	}
 	return c + time.Duration(s.failures*float64(failureCost))
 }
 
 // cheapest returns the candidate of least cost; of equal ones a random one.
-func (t *Table) cheapest(cands []*state, now time.Time) *state {
+func (t *Table) cheapest(q Query, cands []*state, now time.Time) *state {
+	crossing := t.crossingCost(q.Exchange)
+	cost := func(s *state) time.Duration {
+		if t.inOtherRegion(s) {
+			return s.cost(t.DataCentre, now) + crossing
+		}
+		return s.cost(t.DataCentre, now)
+	}
 	start := rand.IntN(len(cands))
 	best := cands[start]
-	bestCost := best.cost(t.DataCentre, t.inOtherRegion(best), now)
+	bestCost := cost(best)
 	for i := 1; i < len(cands); i++ {
 		s := cands[(start+i)%len(cands)]
-		if c := s.cost(t.DataCentre, t.inOtherRegion(s), now); c < bestCost {
+		if c := cost(s); c < bestCost {
 			best, bestCost = s, c
 		}
 	}
--- a/internal/targets/regions_test.go
+++ b/internal/targets/regions_test.go
@@ -15,6 +15,7 @@
 func newTableInRegions(n int) (*Table, *clock) {
 	tb, now := newTable(engines(n)...)
 	tb.Regions = region.Map{"dc1": "north", "dc2": "south"}
+	tb.Crossing = region.DefaultCrossing
 	return tb, now
 }
 
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -92,6 +92,8 @@
 	DataCentre string
 	// Regions gives the region of each data centre.
 	Regions region.Map
+	// Crossing is the cost of a call to another region.
+	Crossing region.Crossing
 	// Off are the mechanisms that an experiment switches off.
 	Off mechanism.Set
 
--- a/internal/targets/targets_test.go
+++ b/internal/targets/targets_test.go
@@ -111,7 +111,7 @@
 		l.MarkPromptRead()
 		l.Done(Served, 0)
 	}
-	c.Assert(tb.PreferredDataCentre("engines", 7, 0, region.Set{}), qt.Equals, first.DataCentre)
+	c.Assert(tb.PreferredDataCentre("engines", 7, 0, Exchange{}, region.Set{}), qt.Equals, first.DataCentre)
 	// Many calls there cost more than to read the prompt elsewhere.
 	for range 30 {
 		first.s.inFlight++
@@ -148,7 +148,7 @@
 			InputBytes: map[string]int64{"dc1": rapid.Int64Range(0, 4<<20).Draw(rt, "here"), "dc2": rapid.Int64Range(0, 4<<20).Draw(rt, "there")},
 		}
 		cands := tb.candidates(Query{Service: "engines"}, now.at)
-		got := tb.bestEngine(q, cands, now.at, 0)
+		got := tb.bestEngine(Query{Engine: q}, cands, now.at, 0)
 		first, second := preferred(q.Affinity, cands)
 		cost := func(s *state) float64 {
 			c := callTokens*float64(s.inFlight) + pendingShare*float64(s.pending)
