Experiment capacity: bytes between nodes and between regions by the level of owners

Cause: a node has a bound of 11 KB a second, and nobody knew what crosses regions at which size. Change: the sizes come from encoded messages (peer.OrderSizes and others), the load from the size to design for.

--- a/internal/experiment/capacity/capacity.go
+++ b/internal/experiment/capacity/capacity.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"runtime"
+	"slices"
 	"time"
 
 	"gonum.org/v1/gonum/stat"
@@ -49,7 +50,7 @@
 // Measure measures all costs at some sizes. done is called after each figure.
 func Measure(sizes []Size, done func()) []Cost {
 	var out []Cost
-	for _, m := range measures {
+	for _, m := range allMeasures() {
 		c := Cost{Name: m.name, Unit: m.unit, Role: m.role}
 		for _, s := range sizes {
 			f := m.run(s)
@@ -64,7 +65,9 @@
 }
 
 // Measures returns how many costs there are.
-func Measures() int { return len(measures) }
+func Measures() int { return len(allMeasures()) }
+
+func allMeasures() []measure { return append(slices.Clone(measures), trafficMeasures()...) }
 
 // power is the slope of a cost over the hosts, by logarithms. Costs that are 0 grow by none.
 func power(figures []Figure) float64 {
