--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,6 +37,7 @@
 	"topazmoor/internal/supervise"
 	"topazmoor/internal/suspend"
 	"topazmoor/internal/targets"
+	"topazmoor/internal/traffic"
 	"topazmoor/internal/watch"
 )
 
@@ -45,8 +46,8 @@
 	Node, DataCentre, Region string
 	// Regions maps data centres to regions.
 	Regions region.Map
-	// Crossing is the cost of producing stage results in another region than their home region;
-	// usually region.DefaultCrossing.
+	// Crossing is the cost of serving a request in another region. The default is
+	// region.DefaultCrossing; it has no effect with a single region.
 	Crossing region.Crossing
 	// ListenCallers is for callers, ListenReady for the balancer's readiness checks and for
 	// metrics, and ListenPeers for calls of other nodes; all are IP:port.
@@ -65,6 +66,14 @@
 	Off mechanism.Set
 }
 
+// crossing returns the cost of another region, the default if none is set.
+func (s Settings) crossing() region.Crossing {
+	if s.Crossing == (region.Crossing{}) {
+		return region.DefaultCrossing
+	}
+	return s.Crossing
+}
+
 // RepeatBudget bounds repeated sends, summed over all nodes.
 type RepeatBudget struct {
 	// For each service and Window, the budget is Ratio times the number of requests, plus Fixed.
@@ -144,6 +153,9 @@
 	ready        *http.Server
 	readyLn      net.Listener
 	metrics      *metrics.Entry
+	// traffic counts what is exchanged with other nodes, targetTraffic the same with targets.
+	traffic       *traffic.Meter
+	targetTraffic traffic.TargetCounter
 	// unreadable holds the target rows that are ignored.
 	unreadable unreadable
 	// configStoreVersion is the version of the store from which the configuration in force was
@@ -191,7 +203,9 @@
 	n.targets = targets.New(set.DataCentre)
 	n.targets.Off = set.Off
 	n.targets.Regions = set.Regions
+	n.targets.Crossing = set.crossing()
 	n.targets.WarmupRate = n.warmupRate
+	n.provisionTraffic()
 	n.provisionLimits()
 	n.provisionRollouts()
 	n.configTable = &watch.Table{Name: env.ConfigTable, From: env.Store, Wait: watch.ShortWait, Pause: n.pause(0, configPause, configPause), Apply: (&restore.Table{Name: env.ConfigTable, Apply: n.applyOperatorTable, Log: n.log}).Update, Log: n.log}
@@ -200,7 +214,7 @@
 	n.versionTracker = &versionTracker{n: n}
 	n.former = stagebatch.NewFormer(env.Worker, n.targets, n.batchSpec, n.log)
 	n.former.Name, n.former.Off = set.Node, set.Off
-	n.former.Regions, n.former.Crossing = set.Regions, set.Crossing
+	n.former.Regions, n.former.Crossing = set.Regions, set.crossing()
 	n.former.Spills = n.metrics
 	var err error
 	if n.peers, err = n.provisionPeers(); err != nil {
@@ -392,6 +406,7 @@
 		n.readyLn.Close()
 	}
 	n.peers.close()
+	n.logTraffic()
 	n.env.Conns.Close()
 }
 
--- a/internal/peer/close_test.go
+++ b/internal/peer/close_test.go
@@ -62,7 +62,7 @@
 func plainListener(l net.Listener) net.Listener { return l }
 
 func closeClient(network *memnet.Network) *Client {
-	return NewClient(network.DialFrom("10.0.0.2"), []byte(closeKey), "client", nil)
+	return NewClient(network.DialFrom("10.0.0.2"), []byte(closeKey), "client", nil, nil)
 }
 
 // checkCloses checks that a connection is closed, or will be as soon as its goroutines run.
@@ -121,7 +121,7 @@
 		close(dialed)
 		<-resume
 		return c, err
-	}, []byte(closeKey), "client", nil)
+	}, []byte(closeKey), "client", nil, nil)
 	connected := make(chan *muxConn, 1)
 	go func() {
 		mux, _ := client.connection(t.Context(), closeAddr)
--- a/internal/stagebatch/spill.go
+++ b/internal/stagebatch/spill.go
@@ -74,7 +74,7 @@
 	}
 	return spill.Order{
 		UntilDue: o.Due.Sub(now), UntilDeadline: o.Deadline.Sub(now),
-		Trip: f.Crossing.Cost(trips, 0), Cost: f.Crossing.Cost(trips, int64(o.Pieces)*(o.ResultBytes+o.InputBytes)),
+		Trip: f.Crossing.Cost(trips, 0), Cost: f.Crossing.ResultCost(trips, int64(o.Pieces)*(o.ResultBytes+o.InputBytes)),
 	}
 }
 
