Roll-outs: streams count by their gaps and ends too

Cause: of a stream only the time to its first event and a broken end counted. A version that answered at once and then stalled between events, or ended streams without an event, was completed; a caller that left a stalled stream even counted as a good answer. Engines that come with empty prompt caches looked slow: a good version was rolled back where prompts share long parts.

Change: the longest wait for an event (its end included) is counted by class and compared with the old version's on the same route; a stream without an event is a failure; the time to the first event of a new target that lacks the shared part of the prompt, as far as the node knows, is not compared. Reports carry the gaps in a new optional field.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -21,6 +21,8 @@
 	ans   *httpconn.Answer
 	info  ResponseMeta
 	start time.Time
+	// longestGap is the longest wait for an event after the first one of a stream.
+	longestGap time.Duration
 }
 
 // failure describes a send that gave no response to deliver.
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -186,9 +186,16 @@
 	mayResume := c.route.Resumable && c.runs-c.stale < c.route.MaxAttempts && !c.s.cfg.Off.Has(mechanism.SilentEngines)
 	first := true
 	for {
+		asked := time.Now()
 		ev, err := events.Next()
+		if !first {
+			a.longestGap = max(a.longestGap, time.Since(asked))
+		}
 		if err == io.EOF {
-			a.lease.Done(targets.Served, 0)
+			if first {
+				a.lease.MarkFaulty()
+			}
+			a.streamDone(targets.Served)
 			c.reportAnswered()
 			if !x.started {
 				x.sendHead(a)
@@ -235,13 +242,19 @@
 	x.c.writeHead(a, nil)
 }
 
+// streamDone ends the lease of a stream.
+func (a *attempt) streamDone(o targets.Outcome) {
+	a.lease.RecordLongestGap(a.longestGap)
+	a.lease.Done(o, 0)
+}
+
 // recordInterrupted records a stream that ended early.
 func (x *streaming) recordInterrupted(ctx context.Context, a *attempt, err error) *failure {
 	outcome := targets.Failed
 	if x.c.ctx.Err() != nil {
 		outcome = targets.Abandoned
 	}
-	a.lease.Done(outcome, 0)
+	a.streamDone(outcome)
 	x.c.log.Info("stream of target ended early", "target", a.lease.ID, "addr", a.lease.Addr, "digest", x.c.digest, "events", x.events, "last", x.lastEvent,
 		"ran_ms", time.Since(a.start).Milliseconds(), "silent", errors.Is(context.Cause(ctx), errSilent), "err", err)
 	x.c.reportInterrupted(a.lease, a.n, a.start, ctx.Err() != nil)
@@ -250,7 +263,7 @@
 
 // callerLeft records that events can no longer be sent to the caller.
 func (x *streaming) callerLeft(a *attempt, err error) *failure {
-	a.lease.Done(targets.Abandoned, 0)
+	a.streamDone(targets.Abandoned)
 	x.c.reportAbandoned(a.n)
 	return &failure{ran: true, noResend: true, err: err}
 }
--- a/internal/peer/rollout.go
+++ b/internal/peer/rollout.go
@@ -53,7 +53,7 @@
 	}
 	for source, t := range r.Evidence.Tallies {
 		m.Tally = append(m.Tally, &peerpb.RolloutTally{
-			Route: source.Route, New: source.New, Target: source.Target, Bad: t.Bad, Took: trimTrailingZeros(t.Took[:]), Left: trimTrailingZeros(t.Left[:]),
+			Route: source.Route, New: source.New, Target: source.Target, Bad: t.Bad, Took: trimTrailingZeros(t.Took[:]), Left: trimTrailingZeros(t.Left[:]), Gaps: trimTrailingZeros(t.Gaps[:]),
 		})
 	}
 	return m
@@ -70,6 +70,7 @@
 		tally := rollout.Tally{Bad: t.Bad}
 		copy(tally.Took[:], t.Took)
 		copy(tally.Left[:], t.Left)
+		copy(tally.Gaps[:], t.Gaps)
 		r.Evidence.Tallies[rollout.Source{Route: t.Route, New: t.New, Target: t.Target}] = tally
 	}
 	return r
--- /dev/null
+++ b/internal/rollout/calls.go
@@ -0,0 +1,117 @@
+package rollout
+
+import "time"
+
+// Call identifies a call of a target in the evidence.
+type Call struct {
+	Service, Version, Target, Route string
+}
+
+// Outcome is how a call ended.
+type Outcome uint8
+
+// The outcomes of calls.
+const (
+	// Good: the target answered without a failure.
+	Good Outcome = iota
+	// Bad: the call failed.
+	Bad
+	// Left: the caller abandoned the call without an answer.
+	Left
+	// Inconclusive: the call was not run, or its end says nothing about the version.
+	Inconclusive
+)
+
+// String returns the outcome as a metric label.
+func (o Outcome) String() string {
+	return [...]string{"good", "bad", "left", "inconclusive"}[o]
+}
+
+// Ending describes how a call ended.
+type Ending struct {
+	Outcome Outcome
+	// Took is the time until the answer, or until the first event of a stream; of a call that was
+	// abandoned without an answer, the time until then.
+	Took time.Duration
+	// Gap is the longest wait for an event of a stream after its first one; 0 for other calls. A wait
+	// that the end of the stream interrupted is included.
+	Gap time.Duration
+	// Total is the time until the end of the call.
+	Total time.Duration
+	// LacksPrompt says that the target had to read a part of the prompt that other targets may have
+	// cached: Took is no measure of the version.
+	LacksPrompt bool
+}
+
+// Sent counts a call that is sent to a target.
+func (g *Gate) Sent(c Call) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.orders[c.Service]
+	if s == nil || s.answer.State.Final() {
+		return
+	}
+	s.evidence.Sent++
+	if c.Version == s.To {
+		s.evidence.SentNew++
+	} else {
+		s.oldInFlight++
+	}
+}
+
+// Ended counts the end of a call that Sent counted.
+func (g *Gate) Ended(c Call, e Ending) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.orders[c.Service]
+	if s == nil {
+		return
+	}
+	isNew := c.Version == s.To
+	if s.answer.State.Final() {
+		return
+	}
+	if !isNew {
+		s.oldInFlight = max(s.oldInFlight-1, 0)
+	}
+	s.addEvidence(c, e, isNew)
+}
+
+// addEvidence adds the end of a call to the evidence. The lock is held.
+func (s *orderState) addEvidence(c Call, e Ending, isNew bool) {
+	source := Source{Route: c.Route, New: isNew}
+	if isNew {
+		source.Target = c.Target
+	}
+	untimed := isNew && e.LacksPrompt
+	t := s.evidence.Tallies[source]
+	switch {
+	case e.Outcome == Inconclusive, e.Outcome == Left && untimed:
+		return
+	case e.Outcome == Good && untimed:
+		// The shortest class is never slow.
+		t.Took[0]++
+	case e.Outcome == Good:
+		t.Took[bucketOf(e.Took)]++
+	case e.Outcome == Left:
+		t.Left[bucketOf(e.Took)]++
+	default:
+		t.Bad++
+	}
+	if e.Outcome == Good && e.Gap > 0 {
+		t.Gaps[bucketOf(e.Gap)]++
+	}
+	s.evidence.Tallies[source] = t
+	if e.Outcome == Bad && isNew {
+		s.unreportedBad = true
+		s.interruptReport()
+	}
+}
+
+// interruptReport ends the hold of the report that is being held, if any.
+func (s *orderState) interruptReport() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -25,6 +25,9 @@
 	// Took counts the good answers by the duration class of their calls. Left counts the calls that
 	// were abandoned without an answer, by the class of their duration until they were abandoned.
 	Took, Left [buckets]uint32
+	// Gaps counts the streams among the good answers by the class of their longest gap between
+	// events.
+	Gaps [buckets]uint32
 }
 
 // add adds the counts of another Tally.
@@ -33,6 +36,7 @@
 	for i := range buckets {
 		t.Took[i] += o.Took[i]
 		t.Left[i] += o.Left[i]
+		t.Gaps[i] += o.Gaps[i]
 	}
 }
 
@@ -42,8 +46,8 @@
 	out := Tally{Bad: t.Bad - before.Bad}
 	restarted := t.Bad < before.Bad
 	for i := range buckets {
-		restarted = restarted || t.Took[i] < before.Took[i] || t.Left[i] < before.Left[i]
-		out.Took[i], out.Left[i] = t.Took[i]-before.Took[i], t.Left[i]-before.Left[i]
+		restarted = restarted || t.Took[i] < before.Took[i] || t.Left[i] < before.Left[i] || t.Gaps[i] < before.Gaps[i]
+		out.Took[i], out.Left[i], out.Gaps[i] = t.Took[i]-before.Took[i], t.Left[i]-before.Left[i], t.Gaps[i]-before.Gaps[i]
 	}
 	if restarted {
 		return t
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -157,10 +157,7 @@
 	for _, s := range g.orders {
 		s.lapses++
 		s.until = time.Time{}
-		select {
-		case s.wake <- struct{}{}:
-		default:
-		}
+		s.interruptReport()
 	}
 }
 
@@ -225,78 +222,6 @@
 	return slices.Clone(g.barred[service])
 }
 
-// Call identifies a call of a target in the evidence.
-type Call struct {
-	Service, Version, Target, Route string
-}
-
-// Sent counts a call that is sent to a target.
-func (g *Gate) Sent(c Call) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	s := g.orders[c.Service]
-	if s == nil || s.answer.State.Final() {
-		return
-	}
-	s.evidence.Sent++
-	if c.Version == s.To {
-		s.evidence.SentNew++
-	} else {
-		s.oldInFlight++
-	}
-}
-
-// Outcome is how a call ended.
-type Outcome uint8
-
-// The outcomes of calls.
-const (
-	// Good: the target answered without a failure.
-	Good Outcome = iota
-	// Bad: the call failed.
-	Bad
-	// Left: the caller abandoned the call without an answer.
-	Left
-	// Inconclusive: the call was not run, or its end says nothing about the version.
-	Inconclusive
-)
-
-// Ended counts the outcome of a call that Sent counted. took is the time until its answer, or until it
-// was abandoned.
-func (g *Gate) Ended(c Call, outcome Outcome, took time.Duration) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	s := g.orders[c.Service]
-	if s == nil || s.answer.State.Final() {
-		return
-	}
-	source := Source{Route: c.Route, New: c.Version == s.To}
-	if source.New {
-		source.Target = c.Target
-	} else {
-		s.oldInFlight = max(s.oldInFlight-1, 0)
-	}
-	t := s.evidence.Tallies[source]
-	switch outcome {
-	case Good:
-		t.Took[bucketOf(took)]++
-	case Left:
-		t.Left[bucketOf(took)]++
-	case Bad:
-		t.Bad++
-		if source.New {
-			s.unreportedBad = true
-			select {
-			case s.wake <- struct{}{}:
-			default:
-			}
-		}
-	case Inconclusive:
-		return
-	}
-	s.evidence.Tallies[source] = t
-}
-
 // Serve implements suture.Service. It reports on each order to its owner.
 func (g *Gate) Serve(ctx context.Context) error {
 	for {
--- a/internal/rollout/judge_test.go
+++ b/internal/rollout/judge_test.go
@@ -107,3 +107,26 @@
 	c.Assert(after.since(before), qt.DeepEquals, Evidence{Tallies: map[Source]Tally{source: {Bad: 2}}, Sent: 30, SentNew: 3})
 	c.Assert(before.since(after), qt.DeepEquals, before)
 }
+
+// The gaps of streams are compared with those of the old version on the same route.
+func TestLongGapsBetweenEventsAreBad(t *testing.T) {
+	for _, alike := range []bool{false, true} {
+		j := NewJudge()
+		stream := func(gap time.Duration) Tally {
+			var t Tally
+			t.Took[bucketOf(50*time.Millisecond)] = 20
+			t.Gaps[bucketOf(gap)] = 20
+			return t
+		}
+		short, long := stream(20*time.Millisecond), stream(200*time.Millisecond)
+		old := short
+		if alike {
+			old = long
+		}
+		for range 10 {
+			j.Add(map[Source]Tally{{Route: "a"}: old, {Route: "a", New: true, Target: "t"}: long, {Route: "b"}: short})
+		}
+		_, bad := j.Bad()
+		qt.Check(t, bad, qt.Equals, !alike)
+	}
+}
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -157,6 +157,9 @@
 	default:
 		l.s = t.cheapest(cands, now)
 	}
+	if q.Engine != nil && t.Rollouts != nil {
+		l.observed.lacksPrompt = l.s.cachedTokens(t.promptHolders(q, now)) < q.Engine.Shared
+	}
 	l.Target = l.s.Target
 	l.Basis = Basis{Candidates: len(cands), Calls: l.s.calls(now), Failures: l.s.failures, LoadAge: -1, Limit: l.s.reported.limit.advertised()}
 	if !l.s.loadAt.IsZero() {
--- a/internal/targets/rollout.go
+++ b/internal/targets/rollout.go
@@ -15,7 +15,7 @@
 	Trial(service string) (version string, share float64)
 	Barred(service string) []string
 	Sent(c rollout.Call)
-	Ended(c rollout.Call, o rollout.Outcome, took time.Duration)
+	Ended(c rollout.Call, e rollout.Ending)
 }
 
 // callObservation is what was observed of a call, to judge the version of its target by.
@@ -23,6 +23,11 @@
 	route string
 	// firstEvent is the time to the first event of a stream.
 	firstEvent time.Duration
+	// longestGap is the longest wait for a later event.
+	longestGap time.Duration
+	// lacksPrompt is set if the target, as far as this node knows, lacks a part of the prompt that
+	// other requests share.
+	lacksPrompt bool
 	// faulty is set if the answer was a failure of the target.
 	faulty bool
 }
@@ -90,22 +95,30 @@
 	if t.Rollouts == nil {
 		return
 	}
-	outcome := rollout.Inconclusive
+	e := rollout.Ending{Outcome: rollout.Inconclusive, Took: took, Gap: l.observed.longestGap, Total: now.Sub(l.began), LacksPrompt: l.observed.lacksPrompt}
 	switch {
 	case l.observed.faulty, o == Failed:
-		outcome = rollout.Bad
+		e.Outcome = rollout.Bad
 	case l.observed.firstEvent > 0:
-		outcome, took = rollout.Good, l.observed.firstEvent
+		e.Outcome, e.Took = rollout.Good, l.observed.firstEvent
 	case o == Served && took > 0:
-		outcome = rollout.Good
+		e.Outcome = rollout.Good
 	case o == Abandoned:
-		outcome, took = rollout.Left, now.Sub(l.began)
+		e.Outcome, e.Took = rollout.Left, e.Total
 	}
-	if outcome != rollout.Bad && l.s.warmup.cold(now) {
+	if e.Outcome != rollout.Bad && l.s.warmup.cold(now) {
 		// A cold target is slow, whatever its version: only its failures are evidence.
-		outcome = rollout.Inconclusive
+		e.Outcome = rollout.Inconclusive
 	}
-	t.Rollouts.Ended(l.rolloutCall(), outcome, took)
+	t.Rollouts.Ended(l.rolloutCall(), e)
+}
+
+// RecordLongestGap records the longest wait for an event after the first one of a stream, its end
+// included. It is called before Done.
+func (l *Lease) RecordLongestGap(gap time.Duration) {
+	l.t.mu.Lock()
+	defer l.t.mu.Unlock()
+	l.observed.longestGap = gap
 }
 
 // Versions counts the usable targets of a service: those of a version, the warm ones among them,
@@ -179,5 +192,5 @@
 	if o != rollout.Bad && to.Warmup > 0 {
 		o = rollout.Inconclusive
 	}
-	t.Rollouts.Ended(stageRolloutCall(to), o, took)
+	t.Rollouts.Ended(stageRolloutCall(to), rollout.Ending{Outcome: o, Took: took, Total: took})
 }
