Roll-outs: move only as far as warm targets, regions and long streams allow

Cause: the moving phase knew only whether any new target was warm; with 1 of 20 warm its share went to 1. It completed orders although a region had only old targets, to which its requests are bound. Streams that outlast the order were cut when the old version stopped; streams that had begun before the order and ended during it hid others in flight, so that completed was written too early; long streams were evidence only at their end.

Change: the share stays within the capacity of warm targets (plus what cold ones bear), bursts and the trial too; an order with less than half of the capacity, or with a restricted set of regions that has only old targets, is rolled back at its deadline. Once the version is held to be good, calls of routes whose calls last longer than the old version is there go to the new one first, repeats too; 1.1 s before the deadline resumable streams continue at the new version, by the repeat budget. Streams count as answers after 2 s. Calls in flight are counted by version, with or without an order. Answers and reports carry this in new optional fields; nodes that do not know them get answers without. The line "sent" has the version, why and the share; metrics count calls by version and outcome, and calls that were cut.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -189,6 +189,7 @@
 	n.targets.Off = set.Off
 	n.targets.Regions = set.Regions
 	n.targets.WarmupRate = n.warmupRate
+	n.targets.RegionSets = n.regionSets
 	n.provisionLimits()
 	n.provisionRollouts()
 	n.configTable = &watch.Table{Name: env.ConfigTable, From: env.Store, Wait: watch.ShortWait, Pause: n.pause(0, configPause, configPause), Apply: (&restore.Table{Name: env.ConfigTable, Apply: n.applyOperatorTable, Log: n.log}).Update, Log: n.log}
@@ -295,6 +296,15 @@
 	return cfg.Services[service].WarmupRate
 }
 
+// regionSets returns the sets of regions to which requests that use a service are restricted.
+func (n *Node) regionSets(service string) []region.Set {
+	cfg := n.state.Routes.Get()
+	if cfg == nil {
+		return nil
+	}
+	return cfg.RegionSets(service)
+}
+
 // current reports whether the configuration can be assumed to be the newest one.
 func (n *Node) current() bool { return n.configTable.Connected() && n.targetTable.Connected() }
 
--- a/internal/entry/rollouts.go
+++ b/internal/entry/rollouts.go
@@ -22,6 +22,7 @@
 		Withdrawn: func(o rollout.Order) bool { return n.gate.Withdrawn(o) },
 	}
 	n.gate = rollout.NewGate(n.set.Node, rolloutReporter{n}, n.nodes, n.log)
+	n.gate.CallEnded = n.metrics.RolloutCallEnded
 	n.targets.Rollouts = n.gate
 	n.metrics.GaugeVec("topazmoor_entry_rollout_share", "Share of the calls that go to the version of a roll-out, where this node decides on it, by service.", "service", func() map[string]float64 {
 		out := make(map[string]float64)
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"topazmoor/internal/passthrough"
+	"topazmoor/internal/rollout"
 )
 
 // Entry holds the metrics of a node that serves pass-through requests. It implements
@@ -19,6 +20,8 @@
 	began         *prometheus.CounterVec
 	estimateError *prometheus.HistogramVec
 	repeats       *prometheus.CounterVec
+	rolloutCalls  *prometheus.CounterVec
+	replaced      *prometheus.CounterVec
 }
 
 // latencyBuckets are in seconds, from a network round trip (5 ms) to the longest
@@ -55,8 +58,15 @@
 		repeats: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "topazmoor_entry_repeats_total", Help: "Requests sent to one more target, by service and reason.",
 		}, []string{"service", "why"}),
+		rolloutCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "topazmoor_entry_rollout_calls_total", Help: "Calls that ended at this node during a roll-out, by service, version of the target and outcome.",
+		}, []string{"service", "version", "outcome"}),
+		replaced: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "topazmoor_entry_rollout_replaced_calls_total",
+			Help: "Calls to the old version that ended after the handover of its streams began, by service and outcome; bad ones were cut off.",
+		}, []string{"service", "outcome"}),
 	}
-	e.registry.MustRegister(e.requests, e.latency, e.stages, e.began, e.estimateError, e.repeats)
+	e.registry.MustRegister(e.requests, e.latency, e.stages, e.began, e.estimateError, e.repeats, e.rolloutCalls, e.replaced)
 	return e
 }
 
@@ -81,3 +91,12 @@
 
 // Repeated implements passthrough.Observer.
 func (e *Entry) Repeated(service, why string) { e.repeats.WithLabelValues(service, why).Inc() }
+
+// RolloutCallEnded counts a call that ended during a roll-out of its service. replaced says that it
+// went to the old version and ended after the handover of its streams began.
+func (e *Entry) RolloutCallEnded(c rollout.Call, o rollout.Outcome, replaced bool) {
+	e.rolloutCalls.WithLabelValues(c.Service, c.Version, o.String()).Inc()
+	if replaced {
+		e.replaced.WithLabelValues(c.Service, o.String()).Inc()
+	}
+}
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -68,7 +68,7 @@
 	a := &attempt{lease: l, n: n, start: time.Now()}
 	c.log.Info("sent", "target", l.ID, "addr", l.Addr, "service", c.service, "send", n.number, "fresh", n.fresh, "chosen_ms", a.start.Sub(n.chosen).Milliseconds(), "rank", c.rank,
 		"left_ms", o.Remaining.Milliseconds(), "config", c.cfg.Version, "candidates", l.Basis.Candidates, "calls", l.Basis.Calls,
-		"failures", l.Basis.Failures, "load_age_ms", l.Basis.LoadAge.Milliseconds(), "limit", l.Basis.Limit, "inputs", len(o.Inputs), "after_event", o.LastEvent, "copy_from", o.CopyFrom)
+		"failures", l.Basis.Failures, "version", l.Version, "version_why", l.Basis.VersionWhy, "share", l.Basis.Share, "load_age_ms", l.Basis.LoadAge.Milliseconds(), "limit", l.Basis.Limit, "inputs", len(o.Inputs), "after_event", o.LastEvent, "copy_from", o.CopyFrom)
 	ans, err := c.s.cfg.Sender.Do(ctx, l.Addr, &httpconn.Request{
 		ID: c.meta.ID, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
 		Header: c.s.cfg.Wire.ToTarget(c.r.Header, o), Body: c.body,
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -27,6 +27,9 @@
 	minGapTimeout = 2 * time.Second
 	// defaultMaxGap is the longest pause between events for a route that sets none.
 	defaultMaxGap = 500 * time.Millisecond
+	// streamProgress is after what time a stream is evidence on the version of its target, although it
+	// has not ended.
+	streamProgress = 2 * time.Second
 )
 
 // serveStream runs the stages, sends the request to an engine and passes its events on. A
@@ -135,8 +138,11 @@
 		return true
 	})
 	defer watchdog.stop()
-	if c.route.Resumable && c.runs-c.stale+1 < c.route.MaxAttempts && !c.s.cfg.Off.Has(mechanism.SilentEngines) {
-		watchdog.watch(max(stallFactor*c.firstEventTime(), minStallTimeout))
+	if mayResume := c.route.Resumable && c.runs-c.stale+1 < c.route.MaxAttempts; mayResume {
+		if !c.s.cfg.Off.Has(mechanism.SilentEngines) {
+			watchdog.watch(max(stallFactor*c.firstEventTime(), minStallTimeout))
+		}
+		defer l.OnHandover(func() { c.continueElsewhere(l, cancel) })()
 	}
 	c.runs++
 	a, f := c.send(ctx, l, n, Outgoing{Inputs: x.in.handles, LastEvent: x.lastEvent, CopyFrom: l.CopyFrom})
@@ -144,7 +150,7 @@
 		if !f.ran {
 			c.runs--
 		}
-		f.budgetCharged = watchdog.fired()
+		f.budgetCharged = watchdog.fired() || isReplaced(ctx)
 		return f
 	}
 	defer a.ans.Body.Close()
@@ -184,7 +190,7 @@
 		gap = defaultMaxGap
 	}
 	mayResume := c.route.Resumable && c.runs-c.stale < c.route.MaxAttempts && !c.s.cfg.Off.Has(mechanism.SilentEngines)
-	first := true
+	first, progressed := true, false
 	for {
 		asked := time.Now()
 		ev, err := events.Next()
@@ -205,9 +211,13 @@
 		}
 		if err != nil {
 			f := x.recordInterrupted(ctx, a, err)
-			f.budgetCharged = watchdog.fired()
+			f.budgetCharged = watchdog.fired() || isReplaced(ctx)
 			return f
 		}
+		if !progressed && !first && time.Since(a.start) >= streamProgress {
+			progressed = true
+			a.lease.RecordProgress(a.longestGap)
+		}
 		if first {
 			first = false
 			a.lease.MarkPromptRead()
@@ -251,12 +261,12 @@
 // recordInterrupted records a stream that ended early.
 func (x *streaming) recordInterrupted(ctx context.Context, a *attempt, err error) *failure {
 	outcome := targets.Failed
-	if x.c.ctx.Err() != nil {
+	if x.c.ctx.Err() != nil || isReplaced(ctx) {
 		outcome = targets.Abandoned
 	}
 	a.streamDone(outcome)
 	x.c.log.Info("stream of target ended early", "target", a.lease.ID, "addr", a.lease.Addr, "digest", x.c.digest, "events", x.events, "last", x.lastEvent,
-		"ran_ms", time.Since(a.start).Milliseconds(), "silent", errors.Is(context.Cause(ctx), errSilent), "err", err)
+		"ran_ms", time.Since(a.start).Milliseconds(), "silent", errors.Is(context.Cause(ctx), errSilent), "replaced", isReplaced(ctx), "err", err)
 	x.c.reportInterrupted(a.lease, a.n, a.start, ctx.Err() != nil)
 	return &failure{ran: true, err: err}
 }
--- a/internal/peer/close_test.go
+++ b/internal/peer/close_test.go
@@ -4,8 +4,8 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -13,18 +13,23 @@
 	"topazmoor/internal/standin/memnet"
 )
 
+// These tests run in real time: yamux shares timers between the tests of a process, and a timer of a
+// synctest bubble must not be used outside of it.
+
 const (
 	closeAddr = "10.0.0.1:7000"
 	closeKey  = "key"
 )
 
-// pausedConn is a connection whose reads wait until resume is closed.
+// pausedConn is a connection whose reads wait until resume is closed. The first read closes reading.
 type pausedConn struct {
 	net.Conn
-	resume chan struct{}
+	once            *sync.Once
+	reading, resume chan struct{}
 }
 
 func (c pausedConn) Read(b []byte) (int, error) {
+	c.once.Do(func() { close(c.reading) })
 	<-c.resume
 	return c.Conn.Read(b)
 }
@@ -32,7 +37,7 @@
 // pausedListener returns its connections as pausedConn.
 type pausedListener struct {
 	net.Listener
-	resume chan struct{}
+	reading, resume chan struct{}
 }
 
 func (l pausedListener) Accept() (net.Conn, error) {
@@ -40,128 +45,113 @@
 	if err != nil {
 		return nil, err
 	}
-	return pausedConn{c, l.resume}, nil
+	return pausedConn{c, &sync.Once{}, l.reading, l.resume}, nil
+}
+
+// listen returns a network with a server on it that serves until the test ends, and its listener.
+func listen(t *testing.T, wrap func(net.Listener) net.Listener) (network *memnet.Network, ln net.Listener, s *Server, served chan error) {
+	network = memnet.New()
+	ln, err := network.Listen(closeAddr)
+	qt.Assert(t, err, qt.IsNil)
+	s = NewServer(wrap(ln), []byte(closeKey), "server", Handler{}, slog.New(slog.DiscardHandler))
+	served = make(chan error, 1)
+	go func() { served <- s.Serve(t.Context()) }()
+	return network, ln, s, served
+}
+
+func plainListener(l net.Listener) net.Listener { return l }
+
+func closeClient(network *memnet.Network) *Client {
+	return NewClient(network.DialFrom("10.0.0.2"), []byte(closeKey), "client", nil)
 }
 
-func closeServer(t *testing.T, ln net.Listener) *Server {
-	return NewServer(ln, []byte(closeKey), "server", Handler{}, slog.New(slog.NewTextHandler(t.Output(), nil)))
+// checkCloses checks that a connection is closed, or will be as soon as its goroutines run.
+func checkCloses(t *testing.T, mux *muxConn) {
+	t.Helper()
+	select {
+	case <-mux.session.CloseChan():
+	case <-time.After(closeTimeout):
+		t.Error("the connection stays open")
+	}
 }
 
 // TestServerClosesConnectionsInTheHandshake guards against a server that has stopped and goes on
 // serving a connection whose handshake was under way: the connection would be registered after
 // Close had looked for connections to close.
 func TestServerClosesConnectionsInTheHandshake(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		network := memnet.New()
-		ln, err := network.Listen(closeAddr)
-		qt.Assert(t, err, qt.IsNil)
-		resume := make(chan struct{})
-		s := closeServer(t, pausedListener{ln, resume})
-		served := make(chan error, 1)
-		go func() { served <- s.Serve(t.Context()) }()
-		client := NewClient(network.DialFrom("10.0.0.2"), []byte(closeKey), "client", nil)
-		defer client.Close()
-		connected := make(chan *muxConn, 1)
-		go func() {
-			mux, _ := client.connection(t.Context(), closeAddr)
-			connected <- mux
-		}()
-		synctest.Wait()
-		s.Close()
-		<-served
-		close(resume)
-		if mux := <-connected; mux != nil {
-			synctest.Wait()
-			qt.Check(t, mux.IsClosed(), qt.IsTrue)
-		}
-	})
+	reading, resume := make(chan struct{}), make(chan struct{})
+	network, _, s, served := listen(t, func(l net.Listener) net.Listener { return pausedListener{l, reading, resume} })
+	client := closeClient(network)
+	defer client.Close()
+	connected := make(chan *muxConn, 1)
+	go func() {
+		mux, _ := client.connection(t.Context(), closeAddr)
+		connected <- mux
+	}()
+	<-reading
+	s.Close()
+	<-served
+	close(resume)
+	if mux := <-connected; mux != nil {
+		checkCloses(t, mux)
+	}
 }
 
 // TestServeClosesItsConnections guards against connections that stay when the listener is closed
-// by another owner, as a node that stops does.
+// by its owner, as a node that stops does.
 func TestServeClosesItsConnections(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		network := memnet.New()
-		ln, err := network.Listen(closeAddr)
-		qt.Assert(t, err, qt.IsNil)
-		served := make(chan error, 1)
-		go func() { served <- closeServer(t, ln).Serve(t.Context()) }()
-		client := NewClient(network.DialFrom("10.0.0.2"), []byte(closeKey), "client", nil)
-		defer client.Close()
-		mux, err := client.connection(t.Context(), closeAddr)
-		qt.Assert(t, err, qt.IsNil)
-		ln.Close()
-		<-served
-		synctest.Wait()
-		qt.Check(t, mux.IsClosed(), qt.IsTrue)
-	})
+	network, ln, _, served := listen(t, plainListener)
+	client := closeClient(network)
+	defer client.Close()
+	mux, err := client.connection(t.Context(), closeAddr)
+	qt.Assert(t, err, qt.IsNil)
+	ln.Close()
+	<-served
+	checkCloses(t, mux)
 }
 
-// closedClient returns a client whose connection is being established, and closes the client before
-// the dial returns. The connection arrives as a caller of connection gets it; nil if it gets none.
-func closedClient(t *testing.T, network *memnet.Network) (client *Client, connected chan *muxConn) {
+// TestClientClosesConnectionsBeingEstablished guards against a connection that the client stores
+// after Close and nobody closes.
+func TestClientClosesConnectionsBeingEstablished(t *testing.T) {
+	network, _, _, _ := listen(t, plainListener)
 	dial := network.DialFrom("10.0.0.2")
-	resume := make(chan struct{})
-	client = NewClient(func(_ context.Context, n, addr string) (net.Conn, error) {
+	dialed, resume := make(chan struct{}), make(chan struct{})
+	client := NewClient(func(_ context.Context, n, addr string) (net.Conn, error) {
 		c, err := dial(t.Context(), n, addr)
+		close(dialed)
 		<-resume
 		return c, err
 	}, []byte(closeKey), "client", nil)
-	connected = make(chan *muxConn, 1)
+	connected := make(chan *muxConn, 1)
 	go func() {
 		mux, _ := client.connection(t.Context(), closeAddr)
 		connected <- mux
 	}()
-	synctest.Wait()
+	<-dialed
 	client.Close()
 	close(resume)
-	return client, connected
-}
-
-// TestClientClosesConnectionsBeingEstablished guards against a connection that the client stores
-// after Close and nobody closes.
-func TestClientClosesConnectionsBeingEstablished(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		network := memnet.New()
-		ln, err := network.Listen(closeAddr)
-		qt.Assert(t, err, qt.IsNil)
-		s := closeServer(t, ln)
-		go func() { _ = s.Serve(t.Context()) }()
-		client, connected := closedClient(t, network)
-		if mux := <-connected; mux != nil {
-			qt.Check(t, mux.IsClosed(), qt.IsTrue)
-		}
-		synctest.Wait()
-		s.mu.Lock()
-		qt.Check(t, s.sessions, qt.HasLen, 0)
-		s.mu.Unlock()
-		_, err = client.connection(t.Context(), closeAddr)
-		qt.Check(t, err, qt.ErrorIs, errClientClosed)
-	})
+	if mux := <-connected; mux != nil {
+		checkCloses(t, mux)
+	}
+	_, err := client.connection(t.Context(), closeAddr)
+	qt.Check(t, err, qt.ErrorIs, errClientClosed)
 }
 
 // TestClientClosesRetiredConnections guards against a connection that was retired with an open
-// stream and outlives the client.
+// stream and outlives the client, and against one that is still used after it was retired.
 func TestClientClosesRetiredConnections(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		network := memnet.New()
-		ln, err := network.Listen(closeAddr)
-		qt.Assert(t, err, qt.IsNil)
-		s := closeServer(t, ln)
-		go func() { _ = s.Serve(t.Context()) }()
-		client := NewClient(network.DialFrom("10.0.0.2"), []byte(closeKey), "client", nil)
-		mux, err := client.connection(t.Context(), closeAddr)
-		qt.Assert(t, err, qt.IsNil)
-		st, err := mux.OpenStream()
-		qt.Assert(t, err, qt.IsNil)
-		defer st.Close()
-		client.retire(mux)
-		next, err := client.connection(t.Context(), closeAddr)
-		qt.Assert(t, err, qt.IsNil)
-		qt.Check(t, next, qt.Not(qt.Equals), mux)
-		client.Close()
-		time.Sleep(2 * retiredPollInterval)
-		qt.Check(t, mux.IsClosed(), qt.IsTrue)
-		qt.Check(t, next.IsClosed(), qt.IsTrue)
-	})
+	network, _, _, _ := listen(t, plainListener)
+	client := closeClient(network)
+	mux, err := client.connection(t.Context(), closeAddr)
+	qt.Assert(t, err, qt.IsNil)
+	st, err := mux.OpenStream()
+	qt.Assert(t, err, qt.IsNil)
+	defer st.Close()
+	client.retire(mux)
+	next, err := client.connection(t.Context(), closeAddr)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, next, qt.Not(qt.Equals), mux)
+	client.Close()
+	checkCloses(t, mux)
+	checkCloses(t, next)
 }
--- a/internal/rollout/calls.go
+++ b/internal/rollout/calls.go
@@ -41,12 +41,38 @@
 	// LacksPrompt says that the target had to read a part of the prompt that other targets may have
 	// cached: Took is no measure of the version.
 	LacksPrompt bool
+	// Progressed says that Progressed has counted the call as an answer already.
+	Progressed bool
+}
+
+// oldInFlight counts the calls in flight at targets of other versions than that of an order. The lock
+// is held.
+func (g *Gate) oldInFlight(o Order) (n int) {
+	for version, calls := range g.inFlight[o.Service] {
+		if version != o.To {
+			n += calls
+		}
+	}
+	return n
+}
+
+// addInFlight adds n to the calls in flight at targets of a version. The lock is held.
+func (g *Gate) addInFlight(c Call, n int) {
+	versions := g.inFlight[c.Service]
+	if versions == nil {
+		versions = make(map[string]int)
+		g.inFlight[c.Service] = versions
+	}
+	if versions[c.Version] += n; versions[c.Version] == 0 {
+		delete(versions, c.Version)
+	}
 }
 
 // Sent counts a call that is sent to a target.
 func (g *Gate) Sent(c Call) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.addInFlight(c, 1)
 	s := g.orders[c.Service]
 	if s == nil || s.answer.State.Final() {
 		return
@@ -54,25 +80,42 @@
 	s.evidence.Sent++
 	if c.Version == s.To {
 		s.evidence.SentNew++
-	} else {
-		s.oldInFlight++
 	}
 }
 
+// Progressed counts a stream in progress as a good answer, so that long streams are evidence before
+// they end. Total is its time so far.
+func (g *Gate) Progressed(c Call, e Ending) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.orders[c.Service]
+	if s == nil || s.answer.State.Final() {
+		return
+	}
+	if c.Version != s.To {
+		s.longest[c.Route] = max(s.longest[c.Route], e.Total)
+	}
+	s.addEvidence(c, e, c.Version == s.To)
+}
+
 // Ended counts the end of a call that Sent counted.
 func (g *Gate) Ended(c Call, e Ending) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.addInFlight(c, -1)
 	s := g.orders[c.Service]
 	if s == nil {
 		return
 	}
 	isNew := c.Version == s.To
+	if g.CallEnded != nil {
+		g.CallEnded(c, e.Outcome, !isNew && (s.answer.Handover || s.answer.State == Completed))
+	}
 	if s.answer.State.Final() {
 		return
 	}
 	if !isNew {
-		s.oldInFlight = max(s.oldInFlight-1, 0)
+		s.longest[c.Route] = max(s.longest[c.Route], e.Total)
 	}
 	s.addEvidence(c, e, isNew)
 }
@@ -88,6 +131,7 @@
 	switch {
 	case e.Outcome == Inconclusive, e.Outcome == Left && untimed:
 		return
+	case e.Outcome == Good && e.Progressed:
 	case e.Outcome == Good && untimed:
 		// The shortest class is never slow.
 		t.Took[0]++
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -12,14 +12,6 @@
 	Share, Slack float64
 }
 
-// Targets counts the usable targets of a service by version.
-type Targets struct {
-	// New counts the targets of the order's version, Warm those of them whose warm-up is over.
-	New, Warm int
-	// Old counts the targets of all other versions.
-	Old int
-}
-
 // Situation is the input of one step of a Controller.
 type Situation struct {
 	Now     time.Time
@@ -49,6 +41,9 @@
 	State State
 	// Share is the share of the calls that go to the new version.
 	Share float64
+	// LongFrom and Handover are those of the Answer.
+	LongFrom time.Duration
+	Handover bool
 	// Phase and Reason describe the decision to operators.
 	Phase, Reason string
 }
@@ -82,6 +77,9 @@
 	// with a minority of the nodes decides one step later, if no other owner did before.
 	decisionMargin         = 500 * time.Millisecond
 	minorityDecisionMargin = decisionMargin - stepInterval
+	// handoverMargin is how long before its deadline an order that may complete moves the streams that
+	// are left at the old version, so that most continue at the new one before the old one stops.
+	handoverMargin = decisionMargin + 3*stepInterval
 	// minRouteAnswers is the number of answers on a route that suffices to detect an excess of bad
 	// ones. With fewer than minAnswers on all routes the new version cannot be assessed.
 	minRouteAnswers = 25
@@ -183,6 +181,9 @@
 		return 0
 	}
 	share := shareMargin * c.Bounds.Share
+	if s.Targets.Warm > 0 {
+		share = min(share, s.Targets.capacity(s.PerSecond))
+	}
 	coming := s.PerSecond * c.at(maxTrialUntil).Sub(s.Now).Seconds()
 	if coming <= 0 {
 		return share
@@ -203,7 +204,7 @@
 		return step
 	}
 	spare := c.remainingCalls(s, shareMargin*c.Bounds.Share)
-	if s.PerSecond > 0 && s.Now.Sub(c.burstEnds) >= burstPause && spare >= burstMargin*share*s.PerSecond*burstTime.Seconds() {
+	if s.PerSecond > 0 && s.Now.Sub(c.burstEnds) >= burstPause && spare >= burstMargin*share*s.PerSecond*burstTime.Seconds() && share <= s.Targets.capacity(s.PerSecond) {
 		c.bursts++
 		c.burstEnds = s.Now.Add(burstTime)
 		step.Share = share
@@ -215,23 +216,51 @@
 	return step
 }
 
-// moveStep moves the traffic in steps and completes the order once no call is in flight at the old
-// version.
+// moveStep moves the traffic in steps, as far as the capacity of the new version allows, and completes
+// the order once no call is in flight at the old version.
 func (c *Controller) moveStep(s Situation, final bool) Step {
-	step := max(c.at(moveUntil).Sub(c.moving)/time.Duration(len(moveShares)), 0)
-	i := len(moveShares) - 1
-	if step > 0 {
-		i = min(int(s.Now.Sub(c.moving)/step), i)
+	obstacle := s.Targets.obstacle(s.PerSecond)
+	if final && obstacle != "" {
+		return Step{State: RolledBack, Reason: obstacle}
 	}
-	share := moveShares[i]
-	if share < 1 {
-		return Step{State: Running, Phase: "moving", Share: share, Reason: "the version is held to be good"}
+	share, longFrom := c.moveShare(s)
+	if share < 1 && !final {
+		reason := "the version is held to be good"
+		if obstacle != "" {
+			reason += ", but " + obstacle
+		}
+		return Step{State: Running, Phase: "moving", Share: share, LongFrom: longFrom, Reason: reason}
 	}
 	if c.settled.IsZero() {
 		c.settled = s.Now
 	}
 	if final || !s.isMinority() && s.OldInFlight == 0 && s.Now.Sub(c.settled) >= settleTime {
-		return Step{State: Completed, Share: 1, Reason: "all traffic goes to the version, which is held to be good"}
+		return Step{State: Completed, Share: 1, Reason: fmt.Sprintf("all traffic goes to the version, which is held to be good; %d calls were left at the old version", s.OldInFlight)}
+	}
+	step := Step{State: Running, Phase: "settling", Share: 1, LongFrom: minLongFrom, Reason: fmt.Sprintf("%d calls are left at the old version", s.OldInFlight)}
+	if !s.Now.Before(c.deadline().Add(-handoverMargin)) {
+		step.Phase, step.Handover = "handover", true
+	}
+	return step
+}
+
+// moveShare returns the share of the new version while the traffic moves, and the duration from which
+// calls are too long for the old version: they would not end before it may stop.
+func (c *Controller) moveShare(s Situation) (share float64, longFrom time.Duration) {
+	each := max(c.at(moveUntil).Sub(c.moving)/time.Duration(len(moveShares)), 0)
+	i := len(moveShares) - 1
+	if each > 0 {
+		i = min(int(s.Now.Sub(c.moving)/each), i)
+	}
+	share = moveShares[i]
+	if capacity := s.Targets.capacity(s.PerSecond); capacity < 1 {
+		// Long calls are not moved ahead of others: the share would be exceeded.
+		return min(share, capacity), 0
+	}
+	if len(s.Targets.Uncovered) > 0 {
+		return min(share, maxUncoveredShare), 0
 	}
-	return Step{State: Running, Phase: "settling", Share: 1, Reason: fmt.Sprintf("%d calls are left at the old version", s.OldInFlight)}
+	nextStep := c.moving.Add(time.Duration(i+1) * each)
+	left := c.deadline().Add(-decisionMargin).Sub(nextStep).Truncate(time.Millisecond)
+	return share, max(left, minLongFrom)
 }
--- a/internal/rollout/controller_test.go
+++ b/internal/rollout/controller_test.go
@@ -75,3 +75,69 @@
 	s.Now = s.Now.Add(stepInterval)
 	qt.Check(t, c.Step(s).State, qt.Equals, RolledBack)
 }
+
+// runMove steps a controller whose version is held to be good through the rest of its time, and
+// returns the largest share, whether it asked for a handover, and the last step.
+func runMove(c *Controller, s Situation, targets func(now time.Time) Targets) (most float64, handover bool, last Step) {
+	addGoodAnswers(c, 200)
+	for s.Now = c.at(maxTrialUntil); ; s.Now = s.Now.Add(stepInterval) {
+		s.Targets = targets(s.Now)
+		last = c.Step(s)
+		handover = handover || last.Handover
+		if last.State.Final() {
+			return most, handover, last
+		}
+		most = max(most, last.Share)
+	}
+}
+
+func TestShareStaysWithinTheCapacityOfWarmTargets(t *testing.T) {
+	s := Situation{Part: 1, Sent: 1000, SentNew: 50, PerSecond: 200}
+	oneWarm := Targets{New: 20, Warm: 1, ColdRate: 19 * 0.5, Old: 20}
+	most, _, last := runMove(newController(60*time.Second), s, func(time.Time) Targets { return oneWarm })
+	qt.Check(t, most <= 1.0/20+oneWarm.ColdRate/200, qt.IsTrue, qt.Commentf("%v", most))
+	qt.Check(t, last.State, qt.Equals, RolledBack)
+
+	c := newController(60 * time.Second)
+	most, _, last = runMove(c, s, func(now time.Time) Targets {
+		if now.Before(c.at(0.9)) {
+			return oneWarm
+		}
+		return Targets{New: 20, Warm: 20, Old: 20}
+	})
+	qt.Check(t, most, qt.Equals, 1.0)
+	qt.Check(t, last.State, qt.Equals, Completed)
+}
+
+// With fewer targets than the old version, warm ones bear all calls.
+func TestFewerTargetsMayReplaceMore(t *testing.T) {
+	qt.Check(t, Targets{New: 4, Warm: 4, Old: 8}.capacity(100), qt.Equals, 1.0)
+	qt.Check(t, Targets{New: 4, Warm: 1, Old: 8}.capacity(100), qt.Equals, 0.25)
+	qt.Check(t, Targets{New: 8, Warm: 2, Old: 4}.capacity(100), qt.Equals, 0.5)
+	qt.Check(t, Targets{New: 4, ColdRate: 5, Old: 4}.capacity(100), qt.Equals, 0.05)
+}
+
+func TestOrderIsNotCompletedWhileARegionDependsOnTheOldVersion(t *testing.T) {
+	s := Situation{Part: 1, Sent: 1000, SentNew: 50, PerSecond: 200}
+	most, handover, last := runMove(newController(30*time.Second), s, func(time.Time) Targets {
+		return Targets{New: 4, Warm: 4, Old: 4, Uncovered: []string{"south"}}
+	})
+	qt.Check(t, most, qt.Equals, maxUncoveredShare)
+	qt.Check(t, handover, qt.IsFalse)
+	qt.Check(t, last.State, qt.Equals, RolledBack)
+	qt.Check(t, last.Reason, qt.Equals, "no warm target of the version in south")
+}
+
+func TestStreamsAreHandedOverBeforeTheLastMoment(t *testing.T) {
+	c := newController(30 * time.Second)
+	s := Situation{Part: 1, Sent: 1000, SentNew: 50, PerSecond: 200, OldInFlight: 7}
+	targets := Targets{New: 4, Warm: 4, Old: 4}
+	addGoodAnswers(c, 200)
+	s.Now, s.Targets = c.at(maxTrialUntil).Add(stepInterval), targets
+	first := c.Step(s)
+	qt.Check(t, first.LongFrom >= c.deadline().Sub(c.at(0.9))-decisionMargin, qt.IsTrue, qt.Commentf("%v", first.LongFrom))
+	qt.Check(t, first.Handover, qt.IsFalse)
+	_, handover, last := runMove(c, s, func(time.Time) Targets { return targets })
+	qt.Check(t, handover, qt.IsTrue)
+	qt.Check(t, last.State, qt.Equals, Completed)
+}
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -23,14 +23,27 @@
 	// differs from Has, for Hold at most.
 	Has  Answer
 	Hold time.Duration
+	// Handover says that the node understands LongFrom and Handover of an Answer.
+	Handover bool
 }
 
 // Answer is the decision of an owner that nodes act on.
 type Answer struct {
 	State State
 	Share float64
+	// LongFrom is set once the version is held to be good: repeats, and calls that are expected to last
+	// that long, go to the new version, whatever the share. It has whole milliseconds; 0 for none.
+	LongFrom time.Duration
+	// Handover says that streams that are left at the old version are to continue at the new one.
+	Handover bool
 }
 
+// minLongFrom is the LongFrom that makes all calls long.
+const minLongFrom = time.Millisecond
+
+// forOld returns the answer without what nodes of earlier releases do not repeat in Report.Has.
+func (a Answer) forOld() Answer { return Answer{State: a.State, Share: a.Share} }
+
 // Remote sends reports to the owner of an order.
 type Remote interface {
 	Report(ctx context.Context, r Report) (Answer, error)
@@ -62,12 +75,19 @@
 	// Nodes returns the number of nodes of the fleet.
 	Nodes func() int
 	Log   *slog.Logger
+	// CallEnded is called for each call that ended while an order of its service stands, with the
+	// Gate's lock held; nil for none. replaced says that the call went to the old version and ended
+	// after the handover began, or after the order was completed.
+	CallEnded func(c Call, o Outcome, replaced bool)
 
 	mu sync.Mutex
 	// orders holds the current order of each service.
 	orders map[string]*orderState
 	// barred lists, by service, the versions that get no calls.
 	barred map[string][]string
+	// inFlight counts the calls in flight, by service and version. It is kept without an order too, as
+	// calls may outlast the change of orders.
+	inFlight map[string]map[string]int
 	// withdrawn holds, by service, the revision of the last order that ended at this node.
 	withdrawn map[string]store.Version
 	// ordersChanged signals Serve that the orders changed.
@@ -83,8 +103,10 @@
 	// until is when the share of the answer expires.
 	until    time.Time
 	evidence Evidence
-	// oldInFlight counts the calls in flight at targets of other versions.
-	oldInFlight int
+	// longest is the longest time of a call to targets of other versions, by route.
+	longest map[string]time.Duration
+	// handovers are called once the answer has Handover.
+	handovers map[*handover]struct{}
 	// unreportedBad says that a bad answer of the new version has not been reported yet. wake
 	// interrupts the report that is being held.
 	unreportedBad bool
@@ -100,7 +122,7 @@
 func NewGate(node string, remote Remote, nodes func() int, log *slog.Logger) *Gate {
 	return &Gate{
 		Node: node, Remote: remote, Nodes: nodes, Log: log, orders: make(map[string]*orderState), barred: make(map[string][]string),
-		withdrawn: make(map[string]store.Version), ordersChanged: make(chan struct{}, 1), random: rand.Float64,
+		inFlight: make(map[string]map[string]int), withdrawn: make(map[string]store.Version), ordersChanged: make(chan struct{}, 1), random: rand.Float64,
 	}
 }
 
@@ -117,7 +139,9 @@
 		}
 		g.end(s)
 		g.barred[o.Service] = slices.DeleteFunc(g.barred[o.Service], func(v string) bool { return v == o.To })
-		g.orders[o.Service] = &orderState{Order: o, evidence: Evidence{Tallies: make(map[Source]Tally)}, wake: make(chan struct{}, 1)}
+		g.orders[o.Service] = &orderState{Order: o, evidence: Evidence{Tallies: make(map[Source]Tally)}, wake: make(chan struct{}, 1),
+			longest: make(map[string]time.Duration), handovers: make(map[*handover]struct{}),
+		}
 	}
 	for service, s := range g.orders {
 		if !stand[service] {
@@ -169,10 +193,11 @@
 	return ok && !last.Before(o.Revision)
 }
 
-// TargetGroups returns the groups of targets that a call for a service may go to, the preferred one
-// first; nil if all targets are allowed. again says that the request is repeated: repeats are not
-// sent to a version on trial. others reports whether targets of versions other than version exist.
-func (g *Gate) TargetGroups(service string, again bool, others func(version string) bool) []TargetGroup {
+// TargetGroups returns the groups of targets that a call of a route for a service may go to, the
+// preferred one first; nil if all targets are allowed. again says that the request is repeated:
+// repeats are not sent to a version on trial. others reports whether targets of versions other than
+// version exist.
+func (g *Gate) TargetGroups(service, route string, again bool, others func(version string) bool) []TargetGroup {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s, barred := g.orders[service], g.barred[service]
@@ -180,19 +205,25 @@
 		if len(barred) == 0 {
 			return nil
 		}
-		return []TargetGroup{{Excluded: barred}}
+		return []TargetGroup{{Excluded: barred, Why: "a version is excluded"}}
 	}
-	old := TargetGroup{Excluded: append(slices.Clone(barred), s.To)}
+	old := TargetGroup{Excluded: append(slices.Clone(barred), s.To), Why: "old version", Share: s.answer.Share}
+	now := time.Now()
 	switch {
 	case s.answer.State == Completed:
-		return []TargetGroup{{Version: s.To, Excluded: barred}, {Excluded: barred}}
+		return []TargetGroup{{Version: s.To, Excluded: barred, Why: "completed"}, {Excluded: barred, Why: "no target of the new version"}}
 	case s.answer.State == Unknown && !others(s.To):
 		// No target of another version exists, so the order was probably completed.
-		return []TargetGroup{{Excluded: barred}}
-	case again || g.random() >= s.share(time.Now()):
+		return []TargetGroup{{Excluded: barred, Why: "no order's state, one version"}}
+	case s.isLong(route, again, now):
+		return []TargetGroup{{Version: s.To, Excluded: barred, Why: "too long for the old version", Share: s.answer.Share}, old}
+	case again:
+		old.Why = "repeats are not tried"
+		return []TargetGroup{old}
+	case g.random() >= s.share(now):
 		return []TargetGroup{old}
 	}
-	return []TargetGroup{{Version: s.To, Excluded: barred, Fraction: s.answer.Share}, old}
+	return []TargetGroup{{Version: s.To, Excluded: barred, Fraction: s.answer.Share, Why: "share", Share: s.answer.Share}, old}
 }
 
 // share returns the share of the calls that the new version gets at a time.
@@ -293,7 +324,7 @@
 	hold := HoldOf(g.Nodes())
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r = Report{Node: g.Node, Order: s.Order, Evidence: s.evidence.Clone(), OldInFlight: s.oldInFlight, Has: s.answer, Hold: hold}
+	r = Report{Node: g.Node, Order: s.Order, Evidence: s.evidence.Clone(), OldInFlight: g.oldInFlight(s.Order), Has: s.answer, Hold: hold, Handover: true}
 	if s.unreportedBad {
 		r.Hold = 0
 	}
@@ -311,6 +342,7 @@
 		g.Log.Info("roll-out", "service", s.Service, "to", s.To, "state", a.State, "share", a.Share, "before", s.answer.State, "share_before", s.answer.Share)
 	}
 	s.answer = a
+	s.startHandover()
 	s.until = time.Now().Add(LeaseOf(r.Hold))
 	if unreportedBad && s.evidence.newBad() == r.Evidence.newBad() {
 		s.unreportedBad = false
--- a/internal/rollout/gate_test.go
+++ b/internal/rollout/gate_test.go
@@ -17,7 +17,7 @@
 	g.SetOrders([]Order{{Service: "s", To: "v2", Lasts: time.Minute}})
 	s := g.orders["s"]
 	tried := func() bool {
-		return g.TargetGroups("s", false, func(string) bool { return true })[0].Version == "v2"
+		return g.TargetGroups("s", "a", false, func(string) bool { return true })[0].Version == "v2"
 	}
 	running := Answer{State: Running, Share: 0.1}
 	r, unreportedBad, lapses := g.next(s)
@@ -32,3 +32,57 @@
 	g.applyAnswer(s, r, unreportedBad, lapses, running)
 	c.Assert(tried(), qt.IsTrue)
 }
+
+// Calls that would outlast the old version go to the new one, and so do repeats. Streams at the old
+// version are handed over once.
+func TestLongCallsAndStreamsLeaveTheOldVersionFirst(t *testing.T) {
+	c := qt.New(t)
+	g := NewGate("a", nil, func() int { return 1 }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	g.random = func() float64 { return 0.99 }
+	g.SetOrders([]Order{{Service: "s", To: "v2", Lasts: time.Minute}})
+	s := g.orders["s"]
+	version := func(route string, again bool) string {
+		return g.TargetGroups("s", route, again, func(string) bool { return true })[0].Version
+	}
+	answer := func(a Answer) {
+		r, unreportedBad, lapses := g.next(s)
+		g.applyAnswer(s, r, unreportedBad, lapses, a)
+	}
+	for route, took := range map[string]time.Duration{"short": time.Second, "long": 20 * time.Second} {
+		call := Call{Service: "s", Version: "v1", Route: route}
+		g.Sent(call)
+		g.Ended(call, Ending{Outcome: Good, Took: time.Second, Total: took})
+	}
+	answer(Answer{State: Running, Share: 0.5})
+	c.Assert(version("long", false), qt.Equals, "")
+	answer(Answer{State: Running, Share: 0.25, LongFrom: 5 * time.Second})
+	c.Assert(version("long", false), qt.Equals, "v2")
+	c.Assert(version("short", false), qt.Equals, "")
+	c.Assert(version("short", true), qt.Equals, "v2")
+
+	started := make(chan string, 3)
+	g.OnHandover(Call{Service: "s", Version: "v1"}, func() { started <- "old" })
+	g.OnHandover(Call{Service: "s", Version: "v2"}, func() { started <- "new" })
+	g.OnHandover(Call{Service: "s", Version: "v1"}, func() { started <- "ended" })()
+	for range 2 {
+		answer(Answer{State: Running, Share: 1, LongFrom: minLongFrom, Handover: true})
+	}
+	c.Assert(<-started, qt.Equals, "old")
+	c.Assert(started, qt.HasLen, 0)
+}
+
+// Calls that began before the order came are in flight at the old version too, and their ends do not
+// hide others.
+func TestCallsFromBeforeTheOrderAreInFlight(t *testing.T) {
+	c := qt.New(t)
+	g := NewGate("a", nil, func() int { return 1 }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	old := Call{Service: "s", Version: "v1", Route: "a"}
+	g.Sent(old)
+	g.Sent(old)
+	g.SetOrders([]Order{{Service: "s", To: "v2", Lasts: time.Minute}})
+	g.Sent(old)
+	g.Sent(Call{Service: "s", Version: "v2"})
+	g.Ended(old, Ending{Outcome: Good})
+	r, _, _ := g.next(g.orders["s"])
+	c.Assert(r.OldInFlight, qt.Equals, 2)
+}
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -83,6 +83,9 @@
 		w.mu.Lock()
 		answer, changed := x.answer, x.changed
 		w.mu.Unlock()
+		if !r.Handover {
+			answer = answer.forOld()
+		}
 		if answer != r.Has && answer.State != Unknown {
 			return answer, nil
 		}
@@ -242,13 +245,13 @@
 func (x *run) applyStep(step Step, view View, now time.Time) {
 	if step.State != x.step.State || step.Phase != x.step.Phase || step.Share != x.step.Share {
 		n := x.trial.Count(now)
-		x.o.Log.Info("roll-out step changed", "service", x.record.Service, "to", x.record.To, "state", step.State, "phase", step.Phase, "share", step.Share, "reason", step.Reason,
-			"sent", n.Sent, "sent_new", n.SentNew, "per_second", n.PerSecond, "new_targets", view.Targets.New, "warm", view.Targets.Warm, "old_targets", view.Targets.Old, "nodes", n.Nodes, "of", view.Nodes)
+		x.o.Log.Info("roll-out step changed", "service", x.record.Service, "to", x.record.To, "state", step.State, "phase", step.Phase, "share", step.Share, "long_from_ms", step.LongFrom.Milliseconds(), "reason", step.Reason,
+			"sent", n.Sent, "sent_new", n.SentNew, "per_second", n.PerSecond, "new_targets", view.Targets.New, "warm", view.Targets.Warm, "cold_rate", view.Targets.ColdRate, "old_targets", view.Targets.Old, "uncovered", view.Targets.Uncovered, "old_in_flight", n.OldInFlight, "nodes", n.Nodes, "of", view.Nodes)
 	}
 	x.step = step
 	if !step.State.Final() {
 		if x.saved {
-			x.publish(Answer{State: Running, Share: step.Share})
+			x.publish(Answer{State: Running, Share: step.Share, LongFrom: step.LongFrom, Handover: step.Handover})
 		}
 		return
 	}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -61,6 +61,10 @@
 	// Fraction is the part of the version's targets that take its calls; 0 means all. A small share
 	// of the traffic, sent to a few targets, shows how the version performs under load.
 	Fraction float64
+	// Why says in few words why the call may go to the group, for logs.
+	Why string
+	// Share is the share of the calls that the version of the order had, for logs.
+	Share float64
 }
 
 // Admits reports whether targets of a version are in the group.
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -37,6 +37,8 @@
 
 	byHost   map[string][]*Route
 	accounts map[string]*Account
+	// accountRegions are the distinct sets of regions to which accounts are restricted.
+	accountRegions []region.Set
 	// requiresKey says that requests on routes that are not public need a key.
 	requiresKey bool
 	// routeRanks is one more than the highest Priority of a route.
@@ -163,6 +165,9 @@
 	}
 	for _, k := range keys {
 		c.accounts[k.Credential] = k.Account
+		if k.Account != nil {
+			c.accountRegions = appendRestricted(c.accountRegions, k.Account.Regions)
+		}
 	}
 	return c
 }
--- a/internal/targets/engine.go
+++ b/internal/targets/engine.go
@@ -203,7 +203,7 @@
 func (t *Table) PreferredDataCentre(service string, affinity uint64, shared int, in region.Set) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	cands := t.candidates(Query{Service: service, Regions: in}, t.now())
+	cands, _ := t.candidates(Query{Service: service, Regions: in}, t.now())
 	if affinity == 0 || len(cands) == 0 {
 		return ""
 	}
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -10,6 +10,7 @@
 	"topazmoor/internal/promptcache"
 	"topazmoor/internal/readiness"
 	"topazmoor/internal/region"
+	"topazmoor/internal/rollout"
 	"topazmoor/internal/sharedrate"
 )
 
@@ -105,6 +106,10 @@
 	// Limit is the rate limit that the target advertises, in requests a second; negative for
 	// none.
 	Limit float64
+	// VersionWhy says why the call goes to the target's version, and Share is the share of the calls
+	// that the version on trial had; "" and 0 without a roll-out.
+	VersionWhy string
+	Share      float64
 }
 
 // Outcome is how a call ended, as evidence on the health of its target.
@@ -134,7 +139,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	cands := t.candidates(q, now)
+	cands, lane := t.candidates(q, now)
 	if len(cands) == 0 {
 		return nil
 	}
@@ -161,7 +166,7 @@
 		l.observed.lacksPrompt = l.s.cachedTokens(t.promptHolders(q, now)) < q.Engine.Shared
 	}
 	l.Target = l.s.Target
-	l.Basis = Basis{Candidates: len(cands), Calls: l.s.calls(now), Failures: l.s.failures, LoadAge: -1, Limit: l.s.reported.limit.advertised()}
+	l.Basis = Basis{Candidates: len(cands), Calls: l.s.calls(now), Failures: l.s.failures, LoadAge: -1, Limit: l.s.reported.limit.advertised(), VersionWhy: lane.Why, Share: lane.Share}
 	if !l.s.loadAt.IsZero() {
 		l.Basis.LoadAge = now.Sub(l.s.loadAt)
 	}
@@ -173,19 +178,19 @@
 	return l
 }
 
-// candidates returns the targets of a service that may be called: those of the first target
-// group that has any; without such groups, those of the whole service.
-func (t *Table) candidates(q Query, now time.Time) []*state {
+// candidates returns the targets of a service that may be called, and their target group: those of
+// the first target group that has any; without such groups, those of the whole service.
+func (t *Table) candidates(q Query, now time.Time) ([]*state, rollout.TargetGroup) {
 	lanes := t.lanes(q)
 	if lanes == nil {
-		return t.candidatesOf(q, now, anyTarget)
+		return t.candidatesOf(q, now, anyTarget), rollout.TargetGroup{}
 	}
 	for _, lane := range lanes {
 		if cands := t.candidatesOf(q, now, t.admits(q.Service, lane, now)); len(cands) > 0 {
-			return cands
+			return cands, lane
 		}
 	}
-	return nil
+	return nil, rollout.TargetGroup{}
 }
 
 // candidatesOf returns the targets of a target group that may be called, of the first set that is
--- a/internal/targets/rollout.go
+++ b/internal/targets/rollout.go
@@ -9,13 +9,15 @@
 
 // Rollouts decides which versions of a service get calls, and records how the calls end;
 // *rollout.Gate in production. It is called with the Table's lock held, except by
-// RecordStageCallStart and RecordStageCallEnd.
+// OnHandover, RecordStageCallStart and RecordStageCallEnd.
 type Rollouts interface {
-	TargetGroups(service string, again bool, others func(version string) bool) []rollout.TargetGroup
+	TargetGroups(service, route string, again bool, others func(version string) bool) []rollout.TargetGroup
 	Trial(service string) (version string, share float64)
 	Barred(service string) []string
 	Sent(c rollout.Call)
+	Progressed(c rollout.Call, e rollout.Ending)
 	Ended(c rollout.Call, e rollout.Ending)
+	OnHandover(c rollout.Call, start func()) (stop func())
 }
 
 // callObservation is what was observed of a call, to judge the version of its target by.
@@ -28,6 +30,8 @@
 	// lacksPrompt is set if the target, as far as this node knows, lacks a part of the prompt that
 	// other requests share.
 	lacksPrompt bool
+	// progressed is set once the stream was counted as an answer.
+	progressed bool
 	// faulty is set if the answer was a failure of the target.
 	faulty bool
 }
@@ -39,7 +43,7 @@
 	if t.Rollouts == nil {
 		return nil
 	}
-	return t.Rollouts.TargetGroups(q.Service, q.Resent, func(version string) bool {
+	return t.Rollouts.TargetGroups(q.Service, q.Route, q.Resent, func(version string) bool {
 		return slices.ContainsFunc(t.services[q.Service], func(s *state) bool { return s.Version != version && !s.Draining })
 	})
 }
@@ -82,6 +86,15 @@
 	return rollout.Call{Service: l.Service, Version: l.Version, Target: l.ID, Route: l.observed.route}
 }
 
+// OnHandover calls start, in a goroutine of its own, when a roll-out asks for the call to continue at
+// another version. stop ends the wait.
+func (l *Lease) OnHandover(start func()) (stop func()) {
+	if l.t.Rollouts == nil {
+		return func() {}
+	}
+	return l.t.Rollouts.OnHandover(l.rolloutCall(), start)
+}
+
 // MarkFaulty records that the answer was a failure of the target.
 func (l *Lease) MarkFaulty() {
 	l.t.mu.Lock()
@@ -95,7 +108,8 @@
 	if t.Rollouts == nil {
 		return
 	}
-	e := rollout.Ending{Outcome: rollout.Inconclusive, Took: took, Gap: l.observed.longestGap, Total: now.Sub(l.began), LacksPrompt: l.observed.lacksPrompt}
+	e := l.ending(now)
+	e.Took = took
 	switch {
 	case l.observed.faulty, o == Failed:
 		e.Outcome = rollout.Bad
@@ -113,6 +127,28 @@
 	t.Rollouts.Ended(l.rolloutCall(), e)
 }
 
+// ending returns what is known of the call, with an inconclusive outcome.
+func (l *Lease) ending(now time.Time) rollout.Ending {
+	return rollout.Ending{
+		Outcome: rollout.Inconclusive, Gap: l.observed.longestGap, Total: now.Sub(l.began), LacksPrompt: l.observed.lacksPrompt, Progressed: l.observed.progressed,
+	}
+}
+
+// RecordProgress records that a stream is well in progress, with its longest gap so far.
+func (l *Lease) RecordProgress(gap time.Duration) {
+	l.t.mu.Lock()
+	defer l.t.mu.Unlock()
+	now := l.t.now()
+	if l.t.Rollouts == nil || l.s.warmup.cold(now) {
+		return
+	}
+	l.observed.longestGap = gap
+	e := l.ending(now)
+	e.Outcome, e.Took = rollout.Good, l.observed.firstEvent
+	l.t.Rollouts.Progressed(l.rolloutCall(), e)
+	l.observed.progressed = true
+}
+
 // RecordLongestGap records the longest wait for an event after the first one of a stream, its end
 // included. It is called before Done.
 func (l *Lease) RecordLongestGap(gap time.Duration) {
@@ -121,28 +157,6 @@
 	l.observed.longestGap = gap
 }
 
-// Versions counts the usable targets of a service: those of a version, the warm ones among them,
-// and those of other versions.
-func (t *Table) Versions(service, version string) rollout.Targets {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var out rollout.Targets
-	now := t.now()
-	for _, s := range t.services[service] {
-		switch {
-		case !s.usable(now):
-		case s.Version != version:
-			out.Old++
-		default:
-			out.New++
-			if !s.warmup.cold(now) {
-				out.Warm++
-			}
-		}
-	}
-	return out
-}
-
 // Trial is how the calls of a service are split between versions during a roll-out.
 type Trial struct {
 	// Version is on trial with a Share of the calls; "" for none.
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -99,6 +99,10 @@
 	// nodes together; 0 for no bound. If it is nil, there is no bound.
 	WarmupRate func(service string) float64
 
+	// RegionSets returns the sets of regions to which requests that use a service are restricted. If
+	// it is nil, there are none.
+	RegionSets func(service string) []region.Set
+
 	// Permits grants permits for calls to targets with a bounded rate. If it is nil, no rate is
 	// bounded.
 	Permits Permits
--- a/internal/targets/targets_test.go
+++ b/internal/targets/targets_test.go
@@ -147,7 +147,7 @@
 			Affinity: rapid.Uint64Range(1, 50).Draw(rt, "affinity"), Shared: rapid.IntRange(0, 8000).Draw(rt, "shared"),
 			InputBytes: map[string]int64{"dc1": rapid.Int64Range(0, 4<<20).Draw(rt, "here"), "dc2": rapid.Int64Range(0, 4<<20).Draw(rt, "there")},
 		}
-		cands := tb.candidates(Query{Service: "engines"}, now.at)
+		cands, _ := tb.candidates(Query{Service: "engines"}, now.at)
 		got := tb.bestEngine(q, cands, now.at, 0)
 		first, second := preferred(q.Affinity, cands)
 		cost := func(s *state) float64 {
