Roll-outs: traffic does not move to a version in doubt

Change: where a route has fewer answers than suffice, the traffic moves only while the score is at most 3; an order that is in doubt at the last moment is rolled back.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -84,6 +84,9 @@
 	// ones. With fewer than minAnswers on all routes the new version cannot be assessed.
 	minRouteAnswers = 25
 	minAnswers      = 15
+	// maxMoveScore is the score of the judge up to which the traffic moves where a route has fewer than
+	// minRouteAnswers answers: a bad version may then be below badThreshold.
+	maxMoveScore = 3
 	// wantedAnswers is the number of answers that a trial aims at where the service has few calls.
 	wantedAnswers = 60
 )
@@ -157,16 +160,19 @@
 // trialStep sends a bounded share of the calls to the new version until it has enough answers.
 func (c *Controller) trialStep(s Situation, final bool) Step {
 	all, least := c.Judge.AnswerCounts()
+	inDoubt := least < minRouteAnswers && c.Judge.Score() > maxMoveScore
 	switch {
+	case final && inDoubt:
+		return Step{State: RolledBack, Reason: fmt.Sprintf("still in doubt: score %.1f after %.0f answers", c.Judge.Score(), all)}
 	case all < minAnswers && (final || !s.isMinority() && s.Now.After(c.at(moveUntil))):
 		return Step{State: RolledBack, Reason: fmt.Sprintf("only %.0f answers to judge the version by", all)}
-	case all >= minAnswers && s.Targets.Warm > 0 && (s.Now.After(c.at(maxTrialUntil)) || least >= minRouteAnswers && c.bursts >= len(burstShares) && s.Now.After(c.at(trialUntil))):
+	case all >= minAnswers && !inDoubt && s.Targets.Warm > 0 && (s.Now.After(c.at(maxTrialUntil)) || least >= minRouteAnswers && c.bursts >= len(burstShares) && s.Now.After(c.at(trialUntil))):
 		c.moving = s.Now
 		return c.moveStep(s, final)
 	case all >= minAnswers && s.Targets.Warm > 0 && s.Now.After(c.at(spreadUntil)):
 		return c.burstStep(s)
 	}
-	return Step{State: Running, Phase: "trial", Share: c.trialShare(s), Reason: fmt.Sprintf("%.0f answers so far, %.0f on the route with the fewest", all, least)}
+	return Step{State: Running, Phase: "trial", Share: c.trialShare(s), Reason: fmt.Sprintf("%.0f answers so far, %.0f on the route with the fewest, score %.1f", all, least, c.Judge.Score())}
 }
 
 // remainingCalls returns how many more calls the new version may receive during its trial, given
@@ -197,7 +203,7 @@
 // burstStep sends a large share of the calls to the new version for burstTime, as often as the
 // bounds allow.
 func (c *Controller) burstStep(s Situation) Step {
-	step := Step{State: Running, Phase: "bursts", Reason: fmt.Sprintf("%d bursts so far", c.bursts)}
+	step := Step{State: Running, Phase: "bursts", Reason: fmt.Sprintf("%d bursts so far, score %.1f", c.bursts, c.Judge.Score())}
 	share := burstShares[min(c.bursts, len(burstShares)-1)]
 	if s.Now.Before(c.burstEnds) {
 		step.Share = burstShares[min(max(c.bursts-1, 0), len(burstShares)-1)]
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -267,9 +267,11 @@
 	return worst
 }
 
-// isBad reports whether the new version is judged bad. The worst target is left out if the new version
-// has enough targets and enough answers come from the other ones.
-func (c *comparison) isBad() bool {
+func (c *comparison) isBad() bool { return c.decisiveScore() >= badThreshold }
+
+// decisiveScore returns the score by which the new version is judged. The worst target is left out if
+// the new version has enough targets and enough answers come from the other ones.
+func (c *comparison) decisiveScore() float64 {
 	worst := c.worst()
 	var all, others float64
 	for target, n := range c.answered {
@@ -279,9 +281,22 @@
 		}
 	}
 	if len(c.answered) < minTargets || others < minOthersShare*all {
-		return c.score >= badThreshold
+		return c.score
+	}
+	return c.others
+}
+
+// Score returns the largest logarithm of a likelihood ratio for an excess of bad answers, of all
+// comparisons.
+func (j *Judge) Score() float64 {
+	score := j.all.decisiveScore()
+	for _, c := range j.routes {
+		score = max(score, c.decisiveScore())
+	}
+	for _, c := range j.gaps {
+		score = max(score, c.decisiveScore())
 	}
-	return c.others >= badThreshold
+	return score
 }
 
 // Bad reports whether the new version is judged bad, and why.
