--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -21,6 +21,8 @@
 	ans   *httpconn.Answer
 	info  ResponseMeta
 	start time.Time
+	// longestGap is the longest wait for an event after the first one of a stream.
+	longestGap time.Duration
 }
 
 // failure describes a send that gave no response to deliver.
@@ -66,7 +68,7 @@
 	a := &attempt{lease: l, n: n, start: time.Now()}
 	c.log.Info("sent", "target", l.ID, "addr", l.Addr, "service", c.service, "send", n.number, "fresh", n.fresh, "chosen_ms", a.start.Sub(n.chosen).Milliseconds(), "rank", c.rank,
 		"left_ms", o.Remaining.Milliseconds(), "config", c.cfg.Version, "candidates", l.Basis.Candidates, "calls", l.Basis.Calls,
-		"failures", l.Basis.Failures, "load_age_ms", l.Basis.LoadAge.Milliseconds(), "limit", l.Basis.Limit, "inputs", len(o.Inputs), "after_event", o.LastEvent, "copy_from", o.CopyFrom)
+		"failures", l.Basis.Failures, "version", l.Version, "version_why", l.Basis.VersionWhy, "share", l.Basis.Share, "load_age_ms", l.Basis.LoadAge.Milliseconds(), "limit", l.Basis.Limit, "inputs", len(o.Inputs), "after_event", o.LastEvent, "copy_from", o.CopyFrom)
 	c.logCrossed(l)
 	ans, err := c.s.cfg.Sender.Do(ctx, l.Addr, &httpconn.Request{
 		ID: c.meta.ID, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
--- a/internal/scheduler/rollouts.go
+++ b/internal/scheduler/rollouts.go
@@ -11,11 +11,11 @@
 // Rollouts decides which versions of a pool's targets get calls, and records how the calls end;
 // *rollout.Gate in production. It is called under the scheduler's lock and must not block.
 type Rollouts interface {
-	TargetGroups(pool string, again bool, others func(version string) bool) []rollout.TargetGroup
+	TargetGroups(pool, stage string, again bool, others func(version string) bool) []rollout.TargetGroup
 	Trial(pool string) (version string, share float64)
 	Barred(pool string) []string
 	Sent(c rollout.Call)
-	Ended(c rollout.Call, o rollout.Outcome, took time.Duration)
+	Ended(c rollout.Call, e rollout.Ending)
 }
 
 // trial is the state of a roll-out for which the version of a call is drawn.
@@ -42,7 +42,7 @@
 	now := trial{version: version, share: share, barred: len(s.cfg.Rollouts.Barred(p.name))}
 	if w.draw == nil || w.draw.of != now {
 		again := len(w.call.Exclude) > 0
-		w.draw = &draw{of: now, groups: s.cfg.Rollouts.TargetGroups(p.name, again, p.hasOther)}
+		w.draw = &draw{of: now, groups: s.cfg.Rollouts.TargetGroups(p.name, w.call.Stage, again, p.hasOther)}
 	}
 	return w.draw.groups
 }
@@ -100,16 +100,16 @@
 	if l.s.cfg.Rollouts == nil {
 		return
 	}
-	outcome := rollout.Inconclusive
+	e := rollout.Ending{Outcome: rollout.Inconclusive, Took: took, Total: took}
 	switch {
 	case o == Failed:
-		outcome = rollout.Bad
+		e.Outcome = rollout.Bad
 	case l.firstToken > 0:
-		outcome, took = rollout.Good, l.firstToken
+		e.Outcome, e.Took = rollout.Good, l.firstToken
 	case o == Succeeded:
-		outcome = rollout.Good
+		e.Outcome = rollout.Good
 	case o == Abandoned:
-		outcome = rollout.Left
+		e.Outcome = rollout.Left
 	}
-	l.s.cfg.Rollouts.Ended(l.evidence(), outcome, took)
+	l.s.cfg.Rollouts.Ended(l.evidence(), e)
 }
--- a/internal/scheduler/rollouts_test.go
+++ b/internal/scheduler/rollouts_test.go
@@ -23,7 +23,7 @@
 	took   []time.Duration
 }
 
-func (f *fakeRollouts) TargetGroups(_ string, again bool, _ func(string) bool) []rollout.TargetGroup {
+func (f *fakeRollouts) TargetGroups(_, _ string, again bool, _ func(string) bool) []rollout.TargetGroup {
 	g := f.groups[f.drawn%len(f.groups)]
 	f.drawn++
 	f.again = append(f.again, again)
@@ -36,9 +36,9 @@
 
 func (f *fakeRollouts) Sent(rollout.Call) {}
 
-func (f *fakeRollouts) Ended(_ rollout.Call, o rollout.Outcome, took time.Duration) {
-	f.ended = append(f.ended, o)
-	f.took = append(f.took, took)
+func (f *fakeRollouts) Ended(_ rollout.Call, e rollout.Ending) {
+	f.ended = append(f.ended, e.Outcome)
+	f.took = append(f.took, e.Took)
 }
 
 // ofVersions returns a scheduler over hosts of one slot with these versions.
