Roll-outs: judge by complete evidence up to the deadline and after a change of owner

Cause, traced in the model by version and seed (good versions rolled back): - at 985 and 2,000 nodes, 29.6 s: a doubt that began less than a step before the last moment was decided by the reports that came at once, those of bad answers. All traffic was at the new version for seconds by then, as a call at the old version shows in flight until the node's next report, 3.5 s later; - 29.8 s, "only 0 answers": an owner that began in the last half second knew nothing of what the earlier one had found. Some of these are of the model only: there an owner decided before any node had reported, and the reports that a killed owner held did not fail; - a new owner took the first reports for those of most nodes; - one target fails: a small share begins with one target. When it fails and nodes avoid it, its answers of before still outweigh those of the others.

Change: a doubt at the last moment has one step more; an answer says that the traffic moves, and a late owner without answers goes by that; until a hold after its first report an owner waits for 0.9 of the fleet; the end of the last call at the old version is reported at once; the worst target is also left out where 0.7 of the answers since the score was last 0 are of others. The model: an owner that nobody reports to decides nothing, held reports fail with their owner, a summary tells seed and reason.

--- a/internal/experiment/rollouts/model.go
+++ b/internal/experiment/rollouts/model.go
@@ -34,6 +34,8 @@
 	stepEach = 200 * time.Millisecond
 	// reportPause is the time between an answer of the owner and the next report.
 	reportPause = 100 * time.Millisecond
+	// reportRetry is the time between a report that failed and the next one.
+	reportRetry = 400 * time.Millisecond
 	// badAnswers and rollBackBound: so long after this bad answer a version may still get calls.
 	badAnswers    = 50
 	rollBackBound = 5 * time.Second
@@ -54,6 +56,8 @@
 	Late     int
 	// Verdict is when the order was decided, after it began.
 	Verdict time.Duration
+	// Reason is why it was decided so.
+	Reason string
 	// Reports is the number of reports that the owner got, Bytes their size.
 	Reports, Bytes int
 }
@@ -147,7 +151,17 @@
 		*n = node{evidence: newEvidence(), reports: r.now + time.Second, life: n.life + 1}
 	}
 	if r.happens(r.v.Trouble.Owners) && !r.state.Final() {
-		r.trial = rollout.NewTrial(r.order, r.s.Bounds, r.began)
+		r.changeOwner()
+	}
+}
+
+// changeOwner ends the process of the owner. The reports that it holds fail, and the nodes send them
+// again to another one.
+func (r *run) changeOwner() {
+	r.trial = rollout.NewTrial(r.order, r.s.Bounds, r.began)
+	for i := range r.nodes {
+		n := &r.nodes[i]
+		n.reports = min(n.reports, r.now+reportRetry)
 	}
 }
 
@@ -241,6 +255,9 @@
 		n.evidence.Count(p.source, p.fails, p.took)
 		if !p.source.New {
 			n.oldInFlight--
+			if n.oldInFlight == 0 && n.has.Share == 1 {
+				n.reports = min(n.reports, r.now)
+			}
 		} else if p.fails {
 			n.unheard = true
 			n.reports = min(n.reports, r.now)
@@ -274,13 +291,13 @@
 
 // step lets the owner decide.
 func (r *run) step() {
-	if r.state.Final() {
+	if r.state.Final() || r.trial.Count(r.began.Add(r.now)).Nodes == 0 {
 		return
 	}
 	s := r.trial.Step(r.began.Add(r.now), rollout.View{Nodes: len(r.nodes), Targets: rollout.Targets{New: targets, Warm: targets, Old: targets}})
-	r.answer = rollout.Answer{State: s.State, Share: s.Share}
+	r.answer = rollout.Answer{State: s.State, Share: s.Share, Moving: s.Moving}
 	if s.State.Final() {
-		r.state, r.res.Verdict = s.State, r.now
+		r.state, r.res.Verdict, r.res.Reason = s.State, r.now, s.Reason
 	}
 }
 
--- a/internal/experiment/rollouts/summary.go
+++ b/internal/experiment/rollouts/summary.go
@@ -1,6 +1,7 @@
 package rollouts
 
 import (
+	"fmt"
 	"io"
 	"slices"
 	"time"
@@ -24,7 +25,8 @@
 	// VerdictMS is the middle time to the verdict, OwnerBytes what an owner gets a second.
 	VerdictMS  float64 `json:"verdict_ms"`
 	OwnerBytes float64 `json:"owner_bytes"`
-	// Failed names the versions that ended wrongly, or got too much.
+	// Failed names the versions that ended wrongly, or got too much, with the reason of the first
+	// such run.
 	Failed []string `json:"failed,omitempty"`
 }
 
@@ -34,7 +36,7 @@
 	var verdicts []time.Duration
 	var bytes, seconds float64
 	for _, v := range versions {
-		failed := false
+		failed := ""
 		for seed := range seeds {
 			r := Play(s, v, uint64(seed+1), size)
 			played()
@@ -48,7 +50,9 @@
 			out.Wrong += one(wrong)
 			out.PastBound += one(past)
 			out.Late += one(late)
-			failed = failed || wrong || past || late
+			if failed == "" && (wrong || past || late) {
+				failed = fmt.Sprintf("%s (seed %d, %s: %s)", v.Name, seed+1, r.State, r.Reason)
+			}
 			end := s.Lasts
 			if r.State.Final() {
 				end = r.Verdict
@@ -57,8 +61,8 @@
 			bytes += float64(r.Bytes)
 			seconds += end.Seconds()
 		}
-		if failed {
-			out.Failed = append(out.Failed, v.Name)
+		if failed != "" {
+			out.Failed = append(out.Failed, failed)
 		}
 	}
 	slices.Sort(verdicts)
--- a/internal/peer/rollout.go
+++ b/internal/peer/rollout.go
@@ -85,9 +85,9 @@
 }
 
 func answerTo(a rollout.Answer) *peerpb.RolloutAnswer {
-	return &peerpb.RolloutAnswer{State: string(a.State), Share: a.Share}
+	return &peerpb.RolloutAnswer{State: string(a.State), Share: a.Share, Moving: a.Moving}
 }
 
 func answerFrom(m *peerpb.RolloutAnswer) rollout.Answer {
-	return rollout.Answer{State: rollout.State(m.GetState()), Share: m.GetShare()}
+	return rollout.Answer{State: rollout.State(m.GetState()), Share: m.GetShare(), Moving: m.GetMoving()}
 }
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -37,6 +37,8 @@
 	// Complete says that the judge has evidence from nearly all nodes up to the same moment, or
 	// that the wait for it is over.
 	Complete bool
+	// Moving says that an earlier owner of the order moved the traffic to the new version.
+	Moving bool
 }
 
 // isMinority reports whether at most half of the nodes report to this owner. Until shortly before
@@ -49,6 +51,8 @@
 	State State
 	// Share is the share of the calls that go to the new version.
 	Share float64
+	// Moving says that the version is held to be good and the traffic moves to it.
+	Moving bool
 	// Phase and Reason describe the decision to operators.
 	Phase, Reason string
 }
@@ -79,9 +83,10 @@
 	// the old version may stop.
 	settleTime = time.Second
 	// decisionMargin is how long before its deadline an order is decided at the latest. An owner
-	// with a minority of the nodes decides one step later, if no other owner did before.
-	decisionMargin         = 500 * time.Millisecond
-	minorityDecisionMargin = decisionMargin - stepInterval
+	// with a minority of the nodes, or with incomplete evidence of a bad version, decides one step
+	// later: another owner may decide before, and the evidence may become complete.
+	decisionMargin     = 500 * time.Millisecond
+	lastDecisionMargin = decisionMargin - stepInterval
 	// minRouteAnswers is the number of answers on a route that suffices to detect an excess of bad
 	// ones. With fewer than minAnswers on all routes the new version cannot be assessed.
 	minRouteAnswers = 25
@@ -129,7 +134,7 @@
 	final := c.mustDecide(s)
 	reason, bad := c.Judge.Bad()
 	switch {
-	case bad && (s.Complete || final):
+	case bad && (s.Complete || c.isDue(s, lastDecisionMargin)):
 		return Step{State: RolledBack, Reason: reason}
 	case bad:
 		// Nodes report bad answers of the new version at once, and those of the old version
@@ -149,17 +154,24 @@
 
 // mustDecide reports whether the order must be decided in this step.
 func (c *Controller) mustDecide(s Situation) bool {
-	before := decisionMargin
 	if s.isMinority() {
-		before = minorityDecisionMargin
+		return c.isDue(s, lastDecisionMargin)
 	}
-	return !s.Now.Before(c.deadline().Add(-before))
+	return c.isDue(s, decisionMargin)
+}
+
+// isDue reports whether at most the given margin is left before the deadline.
+func (c *Controller) isDue(s Situation, margin time.Duration) bool {
+	return !s.Now.Before(c.deadline().Add(-margin))
 }
 
 // trialStep sends a bounded share of the calls to the new version until it has enough answers.
 func (c *Controller) trialStep(s Situation, final bool) Step {
 	all, least := c.Judge.AnswerCounts()
 	switch {
+	case all < minAnswers && final && s.Moving:
+		// This owner is too new to know the answers by which the version was held to be good.
+		return Step{State: Completed, Share: 1, Reason: "an earlier owner held the version to be good"}
 	case all < minAnswers && (final || !s.isMinority() && s.Now.After(c.at(moveUntil))):
 		return Step{State: RolledBack, Reason: fmt.Sprintf("only %.0f answers to judge the version by", all)}
 	case all >= minAnswers && s.Targets.Warm > 0 && (s.Now.After(c.at(maxTrialUntil)) || least >= minRouteAnswers && c.bursts >= len(burstShares) && s.Now.After(c.at(trialUntil))):
@@ -225,7 +237,7 @@
 	}
 	share := moveShares[i]
 	if share < 1 {
-		return Step{State: Running, Phase: "moving", Share: share, Reason: "the version is held to be good"}
+		return Step{State: Running, Phase: "moving", Share: share, Moving: true, Reason: "the version is held to be good"}
 	}
 	if c.settled.IsZero() {
 		c.settled = s.Now
@@ -233,5 +245,5 @@
 	if final || !s.isMinority() && s.OldInFlight == 0 && s.Now.Sub(c.settled) >= settleTime {
 		return Step{State: Completed, Share: 1, Reason: "all traffic goes to the version, which is held to be good"}
 	}
-	return Step{State: Running, Phase: "settling", Share: 1, Reason: fmt.Sprintf("%d calls are left at the old version", s.OldInFlight)}
+	return Step{State: Running, Phase: "settling", Share: 1, Moving: true, Reason: fmt.Sprintf("%d calls are left at the old version", s.OldInFlight)}
 }
--- a/internal/rollout/controller_test.go
+++ b/internal/rollout/controller_test.go
@@ -75,3 +75,25 @@
 	s.Now = s.Now.Add(stepInterval)
 	qt.Check(t, c.Step(s).State, qt.Equals, RolledBack)
 }
+
+// Shortly before the deadline a doubt may end before the order must be decided.
+func TestDoubtBeforeTheDeadlineWaitsForOneMoreStep(t *testing.T) {
+	c := newController(20 * time.Second)
+	addGoodAnswers(c, 200)
+	c.Judge.Add(map[Source]Tally{{Route: "a", New: true, Target: "t"}: {Bad: 50}})
+	s := Situation{Now: c.deadline().Add(-decisionMargin), Targets: Targets{New: 4, Warm: 4}, Part: 1}
+	step := c.Step(s)
+	qt.Check(t, step.State, qt.Equals, Running)
+	qt.Check(t, step.Share, qt.Equals, 0.0)
+	s.Now = s.Now.Add(stepInterval)
+	qt.Check(t, c.Step(s).State, qt.Equals, RolledBack)
+}
+
+// An owner that begins shortly before the deadline goes by what an earlier one found.
+func TestLateOwnerCompletesWhatAnEarlierOneMoved(t *testing.T) {
+	for _, moving := range []bool{false, true} {
+		c := newController(20 * time.Second)
+		s := Situation{Now: c.deadline().Add(-decisionMargin), Targets: Targets{New: 4, Warm: 4}, Part: 1, Moving: moving}
+		qt.Check(t, c.Step(s).State == Completed, qt.Equals, moving)
+	}
+}
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -29,8 +29,13 @@
 type Answer struct {
 	State State
 	Share float64
+	// Moving says that the owner holds the version to be good and moves the traffic to it.
+	Moving bool
 }
 
+// sameShare reports whether nodes do the same by both answers.
+func (a Answer) sameShare(o Answer) bool { return a.State == o.State && a.Share == o.Share }
+
 // Remote sends reports to the owner of an order.
 type Remote interface {
 	Report(ctx context.Context, r Report) (Answer, error)
@@ -157,10 +162,15 @@
 	for _, s := range g.orders {
 		s.lapses++
 		s.until = time.Time{}
-		select {
-		case s.wake <- struct{}{}:
-		default:
-		}
+		s.wakeReport()
+	}
+}
+
+// wakeReport interrupts the report that is being held, so that a new one is sent.
+func (s *orderState) wakeReport() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -275,6 +285,10 @@
 		source.Target = c.Target
 	} else {
 		s.oldInFlight = max(s.oldInFlight-1, 0)
+		if s.oldInFlight == 0 && s.answer.Share == 1 {
+			// The owner may wait for this to complete the order.
+			s.wakeReport()
+		}
 	}
 	t := s.evidence.Tallies[source]
 	switch outcome {
@@ -286,10 +300,7 @@
 		t.Bad++
 		if source.New {
 			s.unreportedBad = true
-			select {
-			case s.wake <- struct{}{}:
-			default:
-			}
+			s.wakeReport()
 		}
 	case Inconclusive:
 		return
--- a/internal/rollout/gate_test.go
+++ b/internal/rollout/gate_test.go
@@ -32,3 +32,17 @@
 	g.applyAnswer(s, r, unreportedBad, lapses, running)
 	c.Assert(tried(), qt.IsTrue)
 }
+
+// The owner hears at once that nothing is left at the old version, where all traffic goes to the new one.
+func TestEndOfTheLastCallAtTheOldVersionIsReportedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	g := NewGate("a", nil, func() int { return 1 }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	g.SetOrders([]Order{{Service: "s", To: "v2", Lasts: time.Minute}})
+	s := g.orders["s"]
+	for _, share := range []float64{0.25, 1} {
+		s.answer = Answer{State: Running, Share: share}
+		g.Sent(Call{Service: "s", Version: "v1"})
+		g.Ended(Call{Service: "s", Version: "v1"}, Good, time.Millisecond)
+		c.Check(len(s.wake) == 1, qt.Equals, share == 1)
+	}
+}
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -31,6 +31,9 @@
 	// the worst one before the worst target is left out of the test: with fewer, a fault of the
 	// worst target cannot be distinguished from a fault of the version.
 	minOthersShare = 0.5
+	// minOthersSince is the same part among the answers since the version seems to have turned bad.
+	// It also tells the worst target from the version where the trial began with that target alone.
+	minOthersSince = 0.7
 	// oldDecay is the factor by which the numbers of the old version's answers, bad answers and
 	// calls by duration are reduced at each step, so that the new version is compared with the
 	// present state of the old version.
@@ -95,8 +98,9 @@
 	oldTook                  [buckets]float64
 	oldLeft                  [buckets]float64
 	// answered counts the new version's answers by target, bad the new version's bad and slow
-	// answers by target.
-	answered, bad map[string]float64
+	// answers by target. since counts its answers by target since score was last 0: since the time
+	// at which the version turned bad, if it did.
+	answered, bad, since map[string]float64
 	// score is the cumulative sum of the test over all targets of the new version, others the
 	// cumulative sum over all of them but the worst.
 	score, others float64
@@ -157,7 +161,7 @@
 
 func (c *comparison) clone() comparison {
 	out := *c
-	out.answered, out.bad = maps.Clone(c.answered), maps.Clone(c.bad)
+	out.answered, out.bad, out.since = maps.Clone(c.answered), maps.Clone(c.bad), maps.Clone(c.since)
 	return out
 }
 
@@ -217,10 +221,14 @@
 // bad answers.
 func (c *comparison) addNew(counts []targetCount, rate float64) {
 	if c.answered == nil {
-		c.answered, c.bad = make(map[string]float64), make(map[string]float64)
+		c.answered, c.bad, c.since = make(map[string]float64), make(map[string]float64), make(map[string]float64)
+	}
+	if c.score == 0 {
+		clear(c.since)
 	}
 	for _, n := range counts {
 		c.answered[n.target] += n.good + n.bad
+		c.since[n.target] += n.good + n.bad
 		c.bad[n.target] += n.bad
 	}
 	worst := c.worst()
@@ -258,19 +266,25 @@
 // has enough targets and enough answers come from the other ones.
 func (c *comparison) isBad() bool {
 	worst := c.worst()
-	var all, others float64
-	for target, n := range c.answered {
-		all += n
-		if target != worst {
-			others += n
-		}
-	}
-	if len(c.answered) < minTargets || others < minOthersShare*all {
+	enough := len(c.answered) >= minTargets && shareOfOthers(c.answered, worst) >= minOthersShare
+	if !enough && shareOfOthers(c.since, worst) < minOthersSince {
 		return c.score >= badThreshold
 	}
 	return c.others >= badThreshold
 }
 
+// shareOfOthers returns the share of the answers that come from other targets than worst.
+func shareOfOthers(answered map[string]float64, worst string) float64 {
+	var all float64
+	for _, n := range answered {
+		all += n
+	}
+	if all == 0 {
+		return 0
+	}
+	return (all - answered[worst]) / all
+}
+
 // Bad reports whether the new version is judged bad, and why.
 func (j *Judge) Bad() (reason string, bad bool) {
 	for name, c := range j.routes {
--- a/internal/rollout/judge_test.go
+++ b/internal/rollout/judge_test.go
@@ -107,3 +107,25 @@
 	c.Assert(after.since(before), qt.DeepEquals, Evidence{Tallies: map[Source]Tally{source: {Bad: 2}}, Sent: 30, SentNew: 3})
 	c.Assert(before.since(after), qt.DeepEquals, before)
 }
+
+// A trial begins with few targets. If it began with one that fails later, most answers since then come
+// from the others, and show that the version is good.
+func TestFaultOfTheFirstTargetIsNotOneOfTheVersion(t *testing.T) {
+	for _, othersFail := range []bool{false, true} {
+		j := NewJudge()
+		var old, good, first, others Tally
+		old.Took[bucketOf(20*time.Millisecond)] = 400
+		good.Took[bucketOf(20*time.Millisecond)] = 60
+		first.Bad = 1
+		others.Took[bucketOf(20*time.Millisecond)] = 3
+		if othersFail {
+			others = Tally{Bad: 3}
+		}
+		j.Add(map[Source]Tally{{Route: "a"}: old, {Route: "a", New: true, Target: "t0"}: good})
+		for range 10 {
+			j.Add(map[Source]Tally{{Route: "a", New: true, Target: "t0"}: first, {Route: "a", New: true, Target: "t1"}: others})
+		}
+		_, bad := j.Bad()
+		qt.Check(t, bad, qt.Equals, othersFail)
+	}
+}
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -83,7 +83,7 @@
 		w.mu.Lock()
 		answer, changed := x.answer, x.changed
 		w.mu.Unlock()
-		if answer != r.Has && answer.State != Unknown {
+		if !answer.sameShare(r.Has) && answer.State != Unknown {
 			return answer, nil
 		}
 		select {
@@ -248,7 +248,7 @@
 	x.step = step
 	if !step.State.Final() {
 		if x.saved {
-			x.publish(Answer{State: Running, Share: step.Share})
+			x.publish(Answer{State: Running, Share: step.Share, Moving: step.Moving})
 		}
 		return
 	}
--- a/internal/rollout/trial.go
+++ b/internal/rollout/trial.go
@@ -31,6 +31,10 @@
 	// doubted is the time at which the new version first looked bad since the evidence was last
 	// complete; zero if it has not looked bad since then.
 	doubted time.Time
+	// first is when the first report came.
+	first time.Time
+	// moving says that a node acts on the answer of an owner that moves the traffic.
+	moving bool
 }
 
 // reporter is the state of one reporting node at the owner.
@@ -60,6 +64,10 @@
 
 // AddReport adds a node's report.
 func (t *Trial) AddReport(r Report, now time.Time) {
+	if t.first.IsZero() {
+		t.first = now
+	}
+	t.moving = t.moving || r.Has.Moving
 	node := t.nodes[r.Node]
 	if node == nil {
 		node = &reporter{since: now, sentBefore: r.Evidence.Sent}
@@ -84,12 +92,12 @@
 
 // Step decides how the order proceeds at a time.
 func (t *Trial) Step(now time.Time, v View) Step {
-	complete := t.judge(now)
+	complete := t.judge(now, v.Nodes)
 	n := t.Count(now)
 	return t.control.Step(Situation{
 		Now: now, Targets: v.Targets, Withdrawn: v.Withdrawn, Part: min(float64(n.Nodes)/float64(v.Nodes), 1),
 		Sent: n.Sent, SentNew: n.SentNew, PerSecond: n.PerSecond, OldInFlight: n.OldInFlight,
-		Complete: complete,
+		Complete: complete, Moving: t.moving,
 	})
 }
 
@@ -99,7 +107,7 @@
 // report is over. So a fault that affects both versions first looks like one of the new version. Once
 // the evidence is complete the judge is reset to its checkpoint, and all tallies since are added to it
 // at once.
-func (t *Trial) judge(now time.Time) (complete bool) {
+func (t *Trial) judge(now time.Time, nodes int) (complete bool) {
 	t.control.Judge.Add(t.delta)
 	addAll(t.pending, t.delta)
 	clear(t.delta)
@@ -109,7 +117,7 @@
 		t.doubted, t.awaited = now, now
 		return false
 	}
-	if !t.isComplete(now) {
+	if !t.isComplete(now, nodes) {
 		return false
 	}
 	t.checkpoint.addSteps(t.pending, t.steps)
@@ -120,8 +128,9 @@
 }
 
 // isComplete reports whether completePart of the reporting nodes have reported since t.awaited, or
-// doubtTimeout is over.
-func (t *Trial) isComplete(now time.Time) bool {
+// doubtTimeout is over. Until a hold after the first report all nodes of the fleet count as
+// reporting: nodes with bad answers are the first to report to a new owner.
+func (t *Trial) isComplete(now time.Time, nodes int) bool {
 	if !t.doubted.IsZero() && now.Sub(t.doubted) >= doubtTimeout {
 		return true
 	}
@@ -135,6 +144,9 @@
 			since++
 		}
 	}
+	if now.Sub(t.first) < HoldOf(nodes) {
+		all = max(all, float64(nodes))
+	}
 	return since >= completePart*all
 }
 
--- a/internal/rollout/trial_test.go
+++ b/internal/rollout/trial_test.go
@@ -82,3 +82,21 @@
 	qt.Check(t, n.Sent, qt.Equals, uint64(100))
 	qt.Check(t, n.SentNew, qt.Equals, uint64(50))
 }
+
+// Nodes with bad answers are the first that report to a new owner: it waits for the others.
+func TestNewOwnerDoesNotJudgeByItsFirstReports(t *testing.T) {
+	trial := NewTrial(oneOrder, Bounds{Share: 0.1, Slack: 50}, start)
+	view := View{Nodes: 10, Targets: Targets{New: 4, Warm: 4, Old: 4}}
+	now := start
+	trial.AddReport(reportOf("a", 120, 20, true), now)
+	trial.Step(now, view)
+	now = now.Add(stepInterval)
+	trial.AddReport(reportOf("a", 121, 20, true), now)
+	qt.Assert(t, trial.Step(now, view).Phase, qt.Equals, "doubt")
+	for i := range view.Nodes {
+		trial.AddReport(reportOf(string(rune('a'+i)), 300, 60, false), now.Add(time.Millisecond))
+	}
+	trial.AddReport(reportOf("a", 121, 20, true), now.Add(time.Millisecond))
+	step := trial.Step(now.Add(stepInterval), view)
+	qt.Assert(t, step.State, qt.Equals, RolledBack, qt.Commentf("%+v", step))
+}
