Roll-outs: an order that ended does not run again in a restored store

Cause: the versions of all rows change with the store's era, so that each order was a new one after the store came back from a copy. A completed order ran again, a bad version got its trial again, a running order began anew with the whole slack.

An order that has the same service, version and time in another era is the same one: if it runs it goes on with its evidence and its deadline, if it ended the nodes keep to that and tell the owner once, spread over a hold. The owner takes it over, answers nodes that started since, and writes the record again under its condition. rollout.Resolve decides which record stands, without clock or network: the first final state, but Completed over RolledBack, as the old version's targets stop at Completed.

--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -12,10 +12,13 @@
 // applyOperatorTable applies the rows of the table that the operator writes: the drains of data
 // centres, the roll-out orders and the configuration. The view holds the rows in force, as
 // restore.Table determines them after the store lost rows or was restored from a backup.
-func (n *Node) applyOperatorTable(v watch.View, _ restore.Result) {
+func (n *Node) applyOperatorTable(v watch.View, r restore.Result) {
 	n.versionTracker.observe(v.Rows)
 	n.applyDrains(v)
 	n.gate.SetOrders(n.env.Sources.Rollouts(v.Rows))
+	if r.Restored {
+		n.gate.StoreRestored()
+	}
 	n.applyConfig(v)
 }
 
--- a/internal/entry/rollouts.go
+++ b/internal/entry/rollouts.go
@@ -58,14 +58,12 @@
 // transaction.
 func (b rolloutStore) Save(ctx context.Context, r rollout.Record) (rollout.Record, error) {
 	row, kept, err := b.load(ctx, r.Service)
-	switch {
-	case err != nil:
+	if err != nil {
 		return rollout.Record{}, err
-	case r.Revision.Before(kept.Revision):
-		return rollout.Record{}, rollout.ErrSuperseded
-	case kept.Revision == r.Revision && (kept.State.Final() || r.State == rollout.Running):
-		// A final decision is not overwritten, and a roll-out starts only once.
-		return kept, nil
+	}
+	r, err = rollout.Resolve(kept, r)
+	if err != nil || r == kept {
+		return r, err
 	}
 	value, err := json.Marshal(r)
 	if err != nil {
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -75,6 +75,8 @@
 	barred map[string][]string
 	// withdrawn holds, by service, the revision of the last order that ended at this node.
 	withdrawn map[string]store.Version
+	// outcomes are the final states of orders that this node knows.
+	outcomes outcomes
 	// ordersChanged signals Serve that the orders changed.
 	ordersChanged chan struct{}
 	// random returns a random number in [0, 1).
@@ -120,9 +122,14 @@
 		if s != nil && s.Order == o {
 			continue
 		}
+		if s != nil && o.isRestored(s.Order) {
+			g.renew(s, o)
+			continue
+		}
 		g.end(s)
 		g.barred[o.Service] = slices.DeleteFunc(g.barred[o.Service], func(v string) bool { return v == o.To })
 		g.orders[o.Service] = &orderState{Order: o, evidence: Evidence{Tallies: make(map[Source]Tally)}, wake: make(chan struct{}, 1)}
+		g.recall(g.orders[o.Service])
 	}
 	for service, s := range g.orders {
 		if !stand[service] {
@@ -130,12 +137,55 @@
 			delete(g.orders, service)
 		}
 	}
+	g.restartReports()
+}
+
+// restartReports makes Serve start the reports on orders that have none. The lock is held.
+func (g *Gate) restartReports() {
 	select {
 	case g.ordersChanged <- struct{}{}:
 	default:
 	}
 }
 
+// renew continues an order under the revision that it has since the store was restored. The lock is
+// held.
+func (g *Gate) renew(s *orderState, o Order) {
+	s.Order = o
+	if s.answer.State.Final() {
+		g.outcomes.set(o, s.answer.State)
+		s.cancel = nil
+	}
+	s.wakeReport()
+	g.Log.Info("roll-out continues after the store was restored", "service", o.Service, "to", o.To, "state", s.answer.State, "row_version", o.Revision)
+}
+
+// recall sets the final state of a new order if this node knows that the order ended before the store
+// was restored. Otherwise the order is new, also if it repeats an earlier one. The lock is held.
+func (g *Gate) recall(s *orderState) {
+	state := g.outcomes.find(s.Order)
+	if state == Unknown {
+		g.outcomes.forget(s.Order)
+		return
+	}
+	s.answer.State = state
+	g.outcomes.set(s.Order, state)
+	g.Log.Info("roll-out had ended before the store was restored", "service", s.Service, "to", s.To, "state", state, "row_version", s.Revision)
+}
+
+// StoreRestored reports the final states of the current orders to their owners again: the store may
+// have lost the records.
+func (g *Gate) StoreRestored() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.orders {
+		if s.answer.State.Final() {
+			s.cancel = nil
+		}
+	}
+	g.restartReports()
+}
+
 // end ends the reports on an order that was removed or replaced. Unless the order was completed, its
 // version gets no calls from then on. The lock is held.
 func (g *Gate) end(s *orderState) {
@@ -149,6 +199,7 @@
 	if s.answer.State == Completed {
 		return
 	}
+	g.outcomes.set(s.Order, RolledBack)
 	barred := append(g.barred[s.Service], s.To)
 	g.barred[s.Service] = barred[max(len(barred)-maxBarred, 0):]
 }
@@ -331,6 +382,7 @@
 // report sends reports on an order until the owner's answer is final. A bad answer of the new version
 // interrupts a report that is being held, so that it is reported at once.
 func (g *Gate) report(ctx context.Context, s *orderState) {
+	g.spreadFinal(ctx, s)
 	for ctx.Err() == nil {
 		r, unreportedBad, lapses := g.next(s)
 		call, cancel := context.WithCancel(ctx)
@@ -364,6 +416,21 @@
 	}
 }
 
+// spreadFinal waits for a random part of a hold if the order was decided before: then all nodes report
+// at once.
+func (g *Gate) spreadFinal(ctx context.Context, s *orderState) {
+	g.mu.Lock()
+	final := s.answer.State.Final()
+	g.mu.Unlock()
+	if !final {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration(g.random() * float64(HoldOf(g.Nodes())))):
+	}
+}
+
 // HoldOf returns how long an owner holds a report in a fleet of a number of nodes.
 func HoldOf(nodes int) time.Duration {
 	return min(max(time.Duration(nodes)*holdPerNode, minHold), maxHold)
@@ -380,6 +447,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r = Report{Node: g.Node, Order: s.Order, Evidence: s.evidence.Clone(), OldInFlight: s.oldInFlight, Has: s.answer, Hold: hold}
+	if s.answer.State.Final() {
+		// The owner needs only the state.
+		r.Evidence.Tallies = nil
+	}
 	if s.unreportedBad {
 		r.Hold = 0
 	}
@@ -390,9 +461,13 @@
 func (g *Gate) applyAnswer(s *orderState, r Report, unreportedBad bool, lapses int, a Answer) (decided bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if lapses != s.lapses {
+	if lapses != s.lapses || r.Order != s.Order {
 		return false
 	}
+	if s.answer.State.Final() && !a.State.prevails(s.answer.State) {
+		// The node acted on this state, which the owner has heard of now.
+		return a.State.Final()
+	}
 	if a != s.answer {
 		g.Log.Info("roll-out", "service", s.Service, "to", s.To, "state", a.State, "share", a.Share, "before", s.answer.State, "share_before", s.answer.Share)
 	}
@@ -401,6 +476,9 @@
 	if unreportedBad && s.evidence.newBad() == r.Evidence.newBad() {
 		s.unreportedBad = false
 	}
+	if a.State.Final() {
+		g.outcomes.set(s.Order, a.State)
+	}
 	return a.State.Final()
 }
 
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -145,6 +145,7 @@
 		x = w.begin(r.Order, now)
 	}
 	x.trial.AddReport(r, now)
+	x.adopt(r.Has.State)
 	if last := x.releases[r.Node]; last != nil {
 		close(last)
 	}
@@ -152,6 +153,19 @@
 	return x
 }
 
+// adopt takes over the final state that a reporting node knows from before the store was restored. The
+// lock is held.
+func (x *run) adopt(state State) {
+	if !state.prevails(x.record.State) {
+		return
+	}
+	x.record.State, x.record.Reason, x.record.Remembered, x.saved = state, "decided before the store was restored", true, false
+	x.o.Log.Info("roll-out was decided before the store was restored", "service", x.record.Service, "to", x.record.To, "state", state)
+	if state == RolledBack {
+		x.publish(Answer{State: Running})
+	}
+}
+
 // begin starts the run of an order. The lock is held.
 func (w *Owner) begin(o Order, now time.Time) *run {
 	x := &run{
@@ -161,6 +175,12 @@
 	if w.runs == nil {
 		w.runs = make(map[Order]*run)
 	}
+	for old, y := range w.runs {
+		if o.isRestored(old) && old.Revision.Before(o.Revision) {
+			y.dropped = true
+			delete(w.runs, old)
+		}
+	}
 	w.runs[o] = x
 	w.Log.Info("roll-out started at this owner", "service", o.Service, "to", o.To, "lasts", o.Lasts)
 	go x.decide()
@@ -172,9 +192,7 @@
 	tick := time.NewTicker(stepInterval)
 	defer tick.Stop()
 	for {
-		if !x.saved {
-			x.save()
-		}
+		x.save()
 		removed, ended := x.evaluate()
 		if removed {
 			return
@@ -186,13 +204,14 @@
 	}
 }
 
-// save writes the run's record to the store, and takes over the record that the store has afterwards.
+// save writes the run's record to the store if the store does not have it yet, and takes over the
+// record that the store has afterwards.
 func (x *run) save() {
 	w := x.o
 	w.mu.Lock()
-	record, dropped := x.record, x.dropped
+	record, done := x.record, x.dropped || x.saved
 	w.mu.Unlock()
-	if dropped {
+	if done {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
@@ -206,6 +225,9 @@
 	case err != nil:
 		w.Log.Info("state of the roll-out not written yet", "service", record.Service, "to", record.To, "state", record.State, "err", err)
 		return
+	case x.record.Remembered && !record.Remembered:
+		// A node told of the final state meanwhile. The next call writes it.
+		return
 	default:
 		x.record, x.saved = kept, true
 		x.trial.control.Began = kept.Began
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -50,6 +50,8 @@
 	// Began is when the first owner received the order, Deadline when its time is over.
 	Began    time.Time `json:"began"`
 	Deadline time.Time `json:"deadline"`
+	// Remembered says that nodes know the state from before the store was restored.
+	Remembered bool `json:"-"`
 }
 
 // TargetGroup is the group of targets of a service, selected by their versions, that a call may go to.
