Roll-outs: metrics of who reports, and how old the evidence is

Cause: an operator saw the share at the owner only, not how many nodes it stands for, nor whether it decides by old reports.

Change: topazmoor_entry_rollout_nodes and topazmoor_entry_rollout_evidence_age_seconds beside the share; the line "roll-out step changed" has evidence_age_ms, "roll-out started at this owner" the level and the version of the order's row. TestChangedOrderEndsTheEarlierOne guards changed, repeated and withdrawn orders and orders of two services; nothing had to be mended there.

--- a/internal/entry/rollouts.go
+++ b/internal/entry/rollouts.go
@@ -23,10 +23,22 @@
 	}
 	n.gate = rollout.NewGate(n.set.Node, rolloutReporter{n}, n.nodes, n.log)
 	n.targets.Rollouts = n.gate
-	n.metrics.GaugeVec("topazmoor_entry_rollout_share", "Share of the calls that go to the version of a roll-out, where this node decides on it, by service.", "service", func() map[string]float64 {
+	n.provisionRolloutMetrics()
+}
+
+// provisionRolloutMetrics adds the metrics of the roll-outs that this node decides on, by service.
+func (n *Node) provisionRolloutMetrics() {
+	n.rolloutGauge("topazmoor_entry_rollout_share", "Share of the calls that go to the version of a roll-out, where this node decides on it, by service.", func(s rollout.Status) float64 { return s.Share })
+	n.rolloutGauge("topazmoor_entry_rollout_nodes", "Nodes that report on a roll-out to this node, which decides on it, by service.", func(s rollout.Status) float64 { return float64(s.Nodes) })
+	n.rolloutGauge("topazmoor_entry_rollout_evidence_age_seconds", "Time since the oldest report of a node that this node decides on a roll-out by, by service.", func(s rollout.Status) float64 { return s.EvidenceAge.Seconds() })
+}
+
+// rolloutGauge adds a metric of the roll-outs that this node decides on, by service.
+func (n *Node) rolloutGauge(name, help string, value func(rollout.Status) float64) {
+	n.metrics.GaugeVec(name, help, "service", func() map[string]float64 {
 		out := make(map[string]float64)
 		for _, s := range n.owner.Orders() {
-			out[s.Service] = s.Share
+			out[s.Service] = value(s)
 		}
 		return out
 	})
--- a/internal/rollout/outcomes_test.go
+++ b/internal/rollout/outcomes_test.go
@@ -127,3 +127,35 @@
 		})
 	}
 }
+
+// Each change of an order ends the earlier one; orders of other services go on.
+func TestChangedOrderEndsTheEarlierOne(t *testing.T) {
+	first, other := orderAt(0, 5), orderAt(0, 6)
+	other.Service = "o"
+	version, longer, repeated := orderAt(0, 7), orderAt(0, 7), orderAt(0, 7)
+	version.To = "v3"
+	longer.Lasts *= 2
+	for name, tc := range map[string]struct {
+		orders []Order
+		barred []string
+	}{
+		"another version": {[]Order{version, other}, []string{"v2"}},
+		"another time":    {[]Order{longer, other}, []string{}},
+		"the same again":  {[]Order{repeated, other}, []string{}},
+		"withdrawn":       {[]Order{other}, []string{"v2"}},
+	} {
+		c := qt.New(t)
+		g := ended(first, Running)
+		g.SetOrders([]Order{first, other})
+		kept := g.orders["o"]
+		g.SetOrders(tc.orders)
+		c.Check(g.Withdrawn(first), qt.IsTrue, qt.Commentf("%s", name))
+		c.Check(g.Withdrawn(other), qt.IsFalse)
+		c.Check(g.orders["o"], qt.Equals, kept)
+		c.Check(g.Barred("s"), qt.DeepEquals, tc.barred, qt.Commentf("%s", name))
+		if s := g.orders["s"]; s != nil {
+			c.Check(s.answer, qt.Equals, Answer{}, qt.Commentf("%s", name))
+			c.Check(g.Withdrawn(s.Order), qt.IsFalse)
+		}
+	}
+}
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"sync"
 	"time"
+
+	"topazmoor/internal/ownership"
 )
 
 // ErrSuperseded reports that the store has the record of a newer roll-out order of the same service.
@@ -182,7 +184,7 @@
 		}
 	}
 	w.runs[o] = x
-	w.Log.Info("roll-out started at this owner", "service", o.Service, "to", o.To, "lasts", o.Lasts)
+	w.Log.Info("roll-out started at this owner", "service", o.Service, "to", o.To, "lasts", o.Lasts, "row_version", o.Revision, "level", ownership.LevelOf(ownership.RolloutDecision))
 	go x.decide()
 	return x
 }
@@ -265,7 +267,7 @@
 	if step.State != x.step.State || step.Phase != x.step.Phase || step.Share != x.step.Share {
 		n := x.trial.Count(now)
 		x.o.Log.Info("roll-out step changed", "service", x.record.Service, "to", x.record.To, "state", step.State, "phase", step.Phase, "share", step.Share, "reason", step.Reason,
-			"sent", n.Sent, "sent_new", n.SentNew, "per_second", n.PerSecond, "new_targets", view.Targets.New, "warm", view.Targets.Warm, "old_targets", view.Targets.Old, "nodes", n.Nodes, "of", view.Nodes)
+			"sent", n.Sent, "sent_new", n.SentNew, "per_second", n.PerSecond, "new_targets", view.Targets.New, "warm", view.Targets.Warm, "old_targets", view.Targets.Old, "nodes", n.Nodes, "of", view.Nodes, "evidence_age_ms", x.trial.EvidenceAge(now).Milliseconds())
 	}
 	x.step = step
 	if !step.State.Final() {
@@ -300,6 +302,8 @@
 	Phase         string
 	Sent, SentNew uint64
 	Nodes         int
+	// EvidenceAge is the time since the oldest report that the owner goes by.
+	EvidenceAge time.Duration
 }
 
 // Orders returns the status of the roll-out orders whose progress this owner decides, from the reports
@@ -311,7 +315,7 @@
 	now := time.Now()
 	for _, x := range w.runs {
 		n := x.trial.Count(now)
-		out = append(out, Status{Record: x.record, Share: x.answer.Share, Phase: x.step.Phase, Sent: n.Sent, SentNew: n.SentNew, Nodes: n.Nodes})
+		out = append(out, Status{Record: x.record, Share: x.answer.Share, Phase: x.step.Phase, Sent: n.Sent, SentNew: n.SentNew, Nodes: n.Nodes, EvidenceAge: x.trial.EvidenceAge(now)})
 	}
 	return out
 }
--- a/internal/rollout/trial.go
+++ b/internal/rollout/trial.go
@@ -201,6 +201,18 @@
 	return c
 }
 
+// EvidenceAge returns the time since the oldest of the last reports of the reporting nodes; 0 if no node
+// reports.
+func (t *Trial) EvidenceAge(now time.Time) time.Duration {
+	var age time.Duration
+	for _, node := range t.nodes {
+		if !now.After(node.until) {
+			age = max(age, now.Sub(node.at))
+		}
+	}
+	return age
+}
+
 // excessNew returns the calls of a node to the new version in excess of a share of its own calls.
 func (r *reporter) excessNew(share float64) uint64 {
 	return uint64(max(float64(r.sentNew)-share*float64(r.sent), 0))
