--- a/internal/peer/rollout.go
+++ b/internal/peer/rollout.go
@@ -87,11 +87,12 @@
 }
 
 func answerTo(a rollout.Answer) *peerpb.RolloutAnswer {
-	return &peerpb.RolloutAnswer{State: string(a.State), Share: a.Share, LongFromMs: a.LongFrom.Milliseconds(), Handover: a.Handover}
+	return &peerpb.RolloutAnswer{State: string(a.State), Share: a.Share, LongFromMs: a.LongFrom.Milliseconds(), Handover: a.Handover, Moving: a.Moving}
 }
 
 func answerFrom(m *peerpb.RolloutAnswer) rollout.Answer {
 	return rollout.Answer{
 		State: rollout.State(m.GetState()), Share: m.GetShare(), LongFrom: time.Duration(m.GetLongFromMs()) * time.Millisecond, Handover: m.GetHandover(),
+		Moving: m.GetMoving(),
 	}
 }
--- a/internal/rollout/calls.go
+++ b/internal/rollout/calls.go
@@ -116,10 +116,19 @@
 	}
 	if !isNew {
 		s.longest[c.Route] = max(s.longest[c.Route], e.Total)
+		s.reportLastOfOld(g.oldInFlight(s.Order))
 	}
 	s.addEvidence(c, e, isNew)
 }
 
+// reportLastOfOld reports at once that no call is left at the old version, where all traffic goes to
+// the new one: the owner may wait for it to complete the order.
+func (s *orderState) reportLastOfOld(inFlight int) {
+	if inFlight == 0 && s.answer.Share == 1 {
+		s.interruptReport()
+	}
+}
+
 // addEvidence adds the end of a call to the evidence. The lock is held.
 func (s *orderState) addEvidence(c Call, e Ending, isNew bool) {
 	source := Source{Route: c.Route, New: isNew}
--- a/internal/rollout/gate_test.go
+++ b/internal/rollout/gate_test.go
@@ -86,3 +86,17 @@
 	r, _, _ := g.next(g.orders["s"])
 	c.Assert(r.OldInFlight, qt.Equals, 2)
 }
+
+// The owner hears at once that nothing is left at the old version, where all traffic goes to the new one.
+func TestEndOfTheLastCallAtTheOldVersionIsReportedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	g := NewGate("a", nil, func() int { return 1 }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	g.SetOrders([]Order{{Service: "s", To: "v2", Lasts: time.Minute}})
+	s := g.orders["s"]
+	for _, share := range []float64{0.25, 1} {
+		s.answer = Answer{State: Running, Share: share}
+		g.Sent(Call{Service: "s", Version: "v1"})
+		g.Ended(Call{Service: "s", Version: "v1"}, Ending{Outcome: Good, Took: time.Millisecond})
+		c.Check(len(s.wake) == 1, qt.Equals, share == 1)
+	}
+}
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"sync"
 	"time"
+
+	"topazmoor/internal/ownership"
 )
 
 // ErrSuperseded reports that the store has the record of a newer roll-out order of the same service.
@@ -86,7 +88,7 @@
 		if !r.Handover {
 			answer = answer.forOld()
 		}
-		if answer != r.Has && answer.State != Unknown {
+		if !answer.sameEffect(r.Has) && answer.State != Unknown {
 			return answer, nil
 		}
 		select {
@@ -148,6 +150,7 @@
 		x = w.begin(r.Order, now)
 	}
 	x.trial.AddReport(r, now)
+	x.adopt(r.Has.State)
 	if last := x.releases[r.Node]; last != nil {
 		close(last)
 	}
@@ -155,6 +158,19 @@
 	return x
 }
 
+// adopt takes over the final state that a reporting node knows from before the store was restored. The
+// lock is held.
+func (x *run) adopt(state State) {
+	if !state.prevails(x.record.State) {
+		return
+	}
+	x.record.State, x.record.Reason, x.record.Remembered, x.saved = state, "decided before the store was restored", true, false
+	x.o.Log.Info("roll-out was decided before the store was restored", "service", x.record.Service, "to", x.record.To, "state", state)
+	if state == RolledBack {
+		x.publish(Answer{State: Running})
+	}
+}
+
 // begin starts the run of an order. The lock is held.
 func (w *Owner) begin(o Order, now time.Time) *run {
 	x := &run{
@@ -164,8 +180,14 @@
 	if w.runs == nil {
 		w.runs = make(map[Order]*run)
 	}
+	for old, y := range w.runs {
+		if o.isRestored(old) && old.Revision.Before(o.Revision) {
+			y.dropped = true
+			delete(w.runs, old)
+		}
+	}
 	w.runs[o] = x
-	w.Log.Info("roll-out started at this owner", "service", o.Service, "to", o.To, "lasts", o.Lasts)
+	w.Log.Info("roll-out started at this owner", "service", o.Service, "to", o.To, "lasts", o.Lasts, "row_version", o.Revision, "level", ownership.LevelOf(ownership.RolloutDecision))
 	go x.decide()
 	return x
 }
@@ -175,9 +197,7 @@
 	tick := time.NewTicker(stepInterval)
 	defer tick.Stop()
 	for {
-		if !x.saved {
-			x.save()
-		}
+		x.save()
 		removed, ended := x.evaluate()
 		if removed {
 			return
@@ -189,13 +209,14 @@
 	}
 }
 
-// save writes the run's record to the store, and takes over the record that the store has afterwards.
+// save writes the run's record to the store if the store does not have it yet, and takes over the
+// record that the store has afterwards.
 func (x *run) save() {
 	w := x.o
 	w.mu.Lock()
-	record, dropped := x.record, x.dropped
+	record, done := x.record, x.dropped || x.saved
 	w.mu.Unlock()
-	if dropped {
+	if done {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), saveTimeout)
@@ -209,6 +230,9 @@
 	case err != nil:
 		w.Log.Info("state of the roll-out not written yet", "service", record.Service, "to", record.To, "state", record.State, "err", err)
 		return
+	case x.record.Remembered && !record.Remembered:
+		// A node told of the final state meanwhile. The next call writes it.
+		return
 	default:
 		x.record, x.saved = kept, true
 		x.trial.control.Began = kept.Began
@@ -246,12 +270,12 @@
 	if step.State != x.step.State || step.Phase != x.step.Phase || step.Share != x.step.Share {
 		n := x.trial.Count(now)
 		x.o.Log.Info("roll-out step changed", "service", x.record.Service, "to", x.record.To, "state", step.State, "phase", step.Phase, "share", step.Share, "long_from_ms", step.LongFrom.Milliseconds(), "reason", step.Reason,
-			"sent", n.Sent, "sent_new", n.SentNew, "per_second", n.PerSecond, "new_targets", view.Targets.New, "warm", view.Targets.Warm, "cold_rate", view.Targets.ColdRate, "old_targets", view.Targets.Old, "uncovered", view.Targets.Uncovered, "old_in_flight", n.OldInFlight, "nodes", n.Nodes, "of", view.Nodes)
+			"sent", n.Sent, "sent_new", n.SentNew, "per_second", n.PerSecond, "new_targets", view.Targets.New, "warm", view.Targets.Warm, "cold_rate", view.Targets.ColdRate, "old_targets", view.Targets.Old, "uncovered", view.Targets.Uncovered, "old_in_flight", n.OldInFlight, "nodes", n.Nodes, "of", view.Nodes, "evidence_age_ms", x.trial.EvidenceAge(now).Milliseconds())
 	}
 	x.step = step
 	if !step.State.Final() {
 		if x.saved {
-			x.publish(Answer{State: Running, Share: step.Share, LongFrom: step.LongFrom, Handover: step.Handover})
+			x.publish(Answer{State: Running, Share: step.Share, LongFrom: step.LongFrom, Handover: step.Handover, Moving: step.Moving})
 		}
 		return
 	}
@@ -281,6 +305,8 @@
 	Phase         string
 	Sent, SentNew uint64
 	Nodes         int
+	// EvidenceAge is the time since the oldest report that the owner goes by.
+	EvidenceAge time.Duration
 }
 
 // Orders returns the status of the roll-out orders whose progress this owner decides, from the reports
@@ -292,7 +318,7 @@
 	now := time.Now()
 	for _, x := range w.runs {
 		n := x.trial.Count(now)
-		out = append(out, Status{Record: x.record, Share: x.answer.Share, Phase: x.step.Phase, Sent: n.Sent, SentNew: n.SentNew, Nodes: n.Nodes})
+		out = append(out, Status{Record: x.record, Share: x.answer.Share, Phase: x.step.Phase, Sent: n.Sent, SentNew: n.SentNew, Nodes: n.Nodes, EvidenceAge: x.trial.EvidenceAge(now)})
 	}
 	return out
 }
