--- a/internal/targets/engine.go
+++ b/internal/targets/engine.go
@@ -32,7 +32,7 @@
 	// regionMissingShare is the fraction of the shared tokens that the first engine of a region in
 	// the rendezvous order is presumed to lack if each region prefers an engine of its own: some
 	// requests with the same parts come to each region.
-	regionMissingShare = 0.3
+	regionMissingShare = 0.5
 	// failureTokens is the cost added for an engine whose recent calls all failed: a whole
 	// prompt, and the time until the failure is detected. It is scaled by the share of failed
 	// calls.
