--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -12,6 +12,7 @@
 
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/standin/memnet"
+	"topazmoor/internal/traffic"
 )
 
 // countedConn counts the bytes of a connection in both directions.
@@ -42,7 +43,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	s := NewServer(ln, []byte("key"), "server", Handler{Stages: &instantStages{}}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	s := NewServer(ln, []byte("key"), "server", Handler{Stages: &instantStages{}, Traffic: &traffic.Meter{}}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = s.Serve(ctx) }()
@@ -50,7 +51,7 @@
 	cl := NewClient(func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dial(ctx, network, addr)
 		return countedConn{c, bytes}, err
-	}, []byte("key"), "client", nil, nil)
+	}, []byte("key"), "client", nil, &traffic.Meter{})
 	defer cl.Close()
 	o := stagebatch.Order{
 		Service: "pool12a", Request: "9c41d07be2a35f68", Stage: 2, Pieces: 6, Priority: 1, ResultBytes: 60000,
--- a/internal/targets/crossing.go
+++ b/internal/targets/crossing.go
@@ -1,6 +1,7 @@
 package targets
 
 import (
+	"slices"
 	"time"
 )
 
@@ -43,13 +44,13 @@
 // region, and those in others that have slots to spare and would answer in time. It returns all
 // candidates of a call that may not be served in this node's region.
 func (t *Table) withinReach(q Query, cands []*state, now time.Time) []*state {
-	near := t.inRegion(t.Regions[t.DataCentre], cands)
-	if len(near) == len(cands) || !t.Regions.Allows(q.Regions, t.DataCentre) {
+	if !slices.ContainsFunc(cands, t.inOtherRegion) || !t.Regions.Allows(q.Regions, t.DataCentre) {
 		return cands
 	}
+	own := slices.ContainsFunc(cands, func(s *state) bool { return !t.inOtherRegion(s) })
 	var out []*state
 	for _, s := range cands {
-		if !t.inOtherRegion(s) || t.mayCross(q, s, len(near) > 0, now) {
+		if !t.inOtherRegion(s) || t.mayCross(q, s, own, now) {
 			out = append(out, s)
 		}
 	}
