Roll-outs: the answers that suffice grow with the old version's failures

Change: an answer counts by what it tells at the old version's rate (25 at 2 of 100, as before, 76 at 14 of 100); below that the traffic moves only at a score of at most 3.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -84,9 +84,6 @@
 	// ones. With fewer than minAnswers on all routes the new version cannot be assessed.
 	minRouteAnswers = 25
 	minAnswers      = 15
-	// maxMoveScore is the score of the judge up to which the traffic moves where a route has fewer than
-	// minRouteAnswers answers: a bad version may then be below badThreshold.
-	maxMoveScore = 3
 	// wantedAnswers is the number of answers that a trial aims at where the service has few calls.
 	wantedAnswers = 60
 )
@@ -160,7 +157,7 @@
 // trialStep sends a bounded share of the calls to the new version until it has enough answers.
 func (c *Controller) trialStep(s Situation, final bool) Step {
 	all, least := c.Judge.AnswerCounts()
-	inDoubt := least < minRouteAnswers && c.Judge.Score() > maxMoveScore
+	inDoubt := c.Judge.InDoubt()
 	switch {
 	case final && inDoubt:
 		return Step{State: RolledBack, Reason: fmt.Sprintf("still in doubt: score %.1f after %.0f answers", c.Judge.Score(), all)}
--- a/internal/rollout/controller_test.go
+++ b/internal/rollout/controller_test.go
@@ -142,18 +142,21 @@
 	qt.Check(t, last.State, qt.Equals, Completed)
 }
 
-// With few answers a bad version may not be found for certain; its traffic does not move.
+// With few answers a bad version may not be found for certain, all the more where the old version fails
+// too; its traffic does not move.
 func TestVersionInDoubtIsNotMovedTo(t *testing.T) {
-	c := newController(30 * time.Second)
-	var old, fresh Tally
-	old.Took[0], old.Bad = 850, 150
-	fresh.Took[0], fresh.Bad = 10, 8
-	c.Judge.Add(map[Source]Tally{{Route: "a"}: old, {Route: "a", New: true, Target: "t"}: fresh})
-	_, bad := c.Judge.Bad()
-	qt.Assert(t, bad, qt.IsFalse)
-	s := Situation{Now: c.at(maxTrialUntil).Add(stepInterval), Targets: Targets{New: 4, Warm: 4, Old: 4}, Part: 1, Sent: 1000, SentNew: 18, PerSecond: 30}
-	qt.Check(t, c.Step(s).Share < 1, qt.IsTrue)
-	qt.Check(t, c.moving.IsZero(), qt.IsTrue)
-	s.Now = c.deadline().Add(-decisionMargin)
-	qt.Check(t, c.Step(s).State, qt.Equals, RolledBack)
+	for _, answers := range [][2]uint32{{10, 8}, {27, 13}} {
+		c := newController(30 * time.Second)
+		var old, fresh Tally
+		old.Took[0], old.Bad = 850, 150
+		fresh.Took[0], fresh.Bad = answers[0], answers[1]
+		c.Judge.Add(map[Source]Tally{{Route: "a"}: old, {Route: "a", New: true, Target: "t"}: fresh})
+		_, bad := c.Judge.Bad()
+		qt.Assert(t, bad, qt.IsFalse)
+		s := Situation{Now: c.at(maxTrialUntil).Add(stepInterval), Targets: Targets{New: 4, Warm: 4, Old: 4}, Part: 1, Sent: 1000, SentNew: 40, PerSecond: 30}
+		qt.Check(t, c.Step(s).Share < 1, qt.IsTrue)
+		qt.Check(t, c.moving.IsZero(), qt.IsTrue)
+		s.Now = c.deadline().Add(-decisionMargin)
+		qt.Check(t, c.Step(s).State, qt.Equals, RolledBack)
+	}
 }
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -24,6 +24,8 @@
 	// minOldAnswers is the number of the old version's answers from which its durations and its
 	// rate of bad answers are known.
 	minOldAnswers = 20
+	// maxRate and maxRaised bound the rates of bad answers without and with an excess.
+	maxRate, maxRaised = 0.9, 0.99
 	// minTargets is the number of targets below which a fault of one target cannot be
 	// distinguished from a fault of the version.
 	minTargets = 3
@@ -251,8 +253,8 @@
 // ratio returns the logarithm of the likelihood ratio of the answers between an excess of bad ones
 // and none.
 func ratio(good, bad, rate, excess float64) float64 {
-	rate = min(rate, 0.9)
-	raised := min(rate+excess, 0.99)
+	rate = min(rate, maxRate)
+	raised := min(rate+excess, maxRaised)
 	return bad*math.Log(raised/rate) + good*math.Log((1-raised)/(1-rate))
 }
 
