Scheduler: tokens of a stream take no lock

Cause: each token of each stream took the scheduler's lock to note the first one, also without a roll-out; a first token without measurable delay was replaced by a later one. Change: the time of the first token is an atomic value, at least 1 ns, set once. Test: TestFirstTokenWithoutDelayIsTheAnswer, failed before with 1 s.

--- a/internal/scheduler/lease.go
+++ b/internal/scheduler/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"topazmoor/internal/flow"
@@ -20,8 +21,8 @@
 	stage string
 	model string
 	start time.Time
-	// firstToken is the time until the first token of a streamed call; 0 without one.
-	firstToken time.Duration
+	// firstToken is the time until the first token of a streamed call, in nanoseconds; 0 without one.
+	firstToken atomic.Int64
 	once       sync.Once
 }
 
--- a/internal/scheduler/rollouts.go
+++ b/internal/scheduler/rollouts.go
@@ -88,10 +88,8 @@
 // FirstToken records that the first token of a streamed call came. In the evidence on a roll-out it
 // counts as the call's answer, as the length of a text says nothing about the version.
 func (l *Lease) FirstToken() {
-	l.s.mu.Lock()
-	defer l.s.mu.Unlock()
-	if l.firstToken == 0 {
-		l.firstToken = time.Since(l.start)
+	if l.firstToken.Load() == 0 {
+		l.firstToken.CompareAndSwap(0, int64(max(time.Since(l.start), 1)))
 	}
 }
 
@@ -101,11 +99,12 @@
 		return
 	}
 	outcome := rollout.Inconclusive
+	first := time.Duration(l.firstToken.Load())
 	switch {
 	case o == Failed:
 		outcome = rollout.Bad
-	case l.firstToken > 0:
-		outcome, took = rollout.Good, l.firstToken
+	case first > 0:
+		outcome, took = rollout.Good, first
 	case o == Succeeded:
 		outcome = rollout.Good
 	case o == Abandoned:
--- a/internal/scheduler/rollouts_test.go
+++ b/internal/scheduler/rollouts_test.go
@@ -135,6 +135,20 @@
 	})
 }
 
+// TestFirstTokenWithoutDelayIsTheAnswer: a later token of the stream does not replace it.
+func TestFirstTokenWithoutDelayIsTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeRollouts{groups: [][]rollout.TargetGroup{groupNew}}
+		l, err := ofVersions(f, "v2").Acquire(t.Context(), call(time.Minute))
+		qt.Assert(t, err, qt.IsNil)
+		l.FirstToken()
+		time.Sleep(time.Second)
+		l.FirstToken()
+		l.Release(Succeeded)
+		qt.Assert(t, f.took[0] < time.Millisecond, qt.IsTrue, qt.Commentf("%v", f.took[0]))
+	})
+}
+
 func TestCallWithoutAnAllowedVersionIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeRollouts{groups: [][]rollout.TargetGroup{groupOld}, barred: []string{"v2"}}
