Scheduler: the trial's part of a version is one of the targets that serve the call

Cause: the part was taken of all targets of the version. If it was one target in another region, or without the call's model, no call reached the version, and it was rolled back for too few answers. Change: the part is taken of the targets in the call's regions with its model and adapter. Test: TestTrialGoesToTargetsThatServeTheCall, failed before (deadline_unreachable).

--- a/internal/scheduler/acquire.go
+++ b/internal/scheduler/acquire.go
@@ -149,9 +149,7 @@
 		Prefix: c.Prefix, Exclude: c.Exclude, LimitFactor: limitFactor[c.Class],
 		RemoteCost: s.cfg.RemoteCost, PrefixGain: s.cfg.PrefixGain, Group: group,
 	}
-	if group != nil {
-		q.MaxHash = p.maxHash(*group)
-	}
+	q.MaxHash = p.maxHash(&q)
 	if i := routing.Pick(&q, p.candidates, s.rng); i >= 0 || len(c.Exclude) == 0 {
 		return i
 	}
--- a/internal/scheduler/rollouts.go
+++ b/internal/scheduler/rollouts.go
@@ -52,20 +52,22 @@
 	return slices.ContainsFunc(p.candidates, func(c routing.Candidate) bool { return c.Version != version && !c.Leaving })
 }
 
-// maxHash returns the largest hash among the targets that take the calls of a group; 0 if all of the
-// group do.
-func (p *pool) maxHash(g rollout.TargetGroup) uint64 {
-	if g.Fraction <= 0 || g.Fraction >= 1 {
+// maxHash returns the largest hash among the targets that take the calls like q of its group; 0 if all
+// of the group do. The part is one of the targets that can serve q: a call that is bound to a region
+// would otherwise miss it.
+func (p *pool) maxHash(q *routing.Query) uint64 {
+	if q.Group == nil || q.Group.Fraction <= 0 || q.Group.Fraction >= 1 {
 		return 0
 	}
+	all := routing.Query{Model: q.Model, Adapter: q.Adapter, Regions: q.Regions, Group: q.Group, LimitFactor: q.LimitFactor}
 	var hashes []uint64
 	for i := range p.candidates {
-		c := &p.candidates[i]
-		if g.Admits(c.Version) && !c.Leaving && !c.Down {
+		switch c := &p.candidates[i]; routing.Filter(&all, c) {
+		case routing.Eligible, routing.AtLimit:
 			hashes = append(hashes, c.Hash)
 		}
 	}
-	return rollout.LastInPart(hashes, g.Fraction)
+	return rollout.LastInPart(hashes, q.Group.Fraction)
 }
 
 // barred returns the group without the versions that get no calls; nil if there are none.
--- a/internal/scheduler/rollouts_test.go
+++ b/internal/scheduler/rollouts_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"topazmoor/internal/region"
 	"topazmoor/internal/rollout"
 	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
@@ -149,6 +150,27 @@
 	})
 }
 
+// TestTrialGoesToTargetsThatServeTheCall: the part of the version that takes the trial's calls is one of
+// the targets in the call's regions.
+func TestTrialGoesToTargetsThatServeTheCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, name := range []string{"north", "south"} {
+			cfg := DefaultConfig("n1", 1)
+			cfg.Regions = region.Map{"n1": "north", "s1": "south"}
+			cfg.Rollouts = &fakeRollouts{groups: [][]rollout.TargetGroup{{{Version: "v2", Fraction: 0.3}}}}
+			s := New(cfg)
+			n, far := host("n", 1), host("s", 1)
+			n.DataCentre, far.DataCentre = "n1", "s1"
+			n.Version, far.Version = "v2", "v2"
+			s.SetHosts([]store.Host{n, far}, never)
+			allowed := region.Only(name)
+			l, err := s.Acquire(t.Context(), bound(&allowed, time.Second))
+			qt.Assert(t, err, qt.IsNil)
+			l.Release(Succeeded)
+		}
+	})
+}
+
 func TestCallWithoutAnAllowedVersionIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeRollouts{groups: [][]rollout.TargetGroup{groupOld}, barred: []string{"v2"}}
