Scheduler: waiting calls are refused when only barred versions are left

Change: the check of the queue refuses them while versions are barred; without barred versions nothing changes. Test: TestWaitingCallWithoutAnAllowedVersionIsRefused, failed before (deadline_unreachable after a minute).

--- a/internal/scheduler/acquire.go
+++ b/internal/scheduler/acquire.go
@@ -120,7 +120,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		p.timer = nil
-		s.refuseUnservedInRegions(p)
+		s.refuseUnservedNow(p)
 		s.grantWaiting(p)
 	})
 }
--- a/internal/scheduler/rollouts_test.go
+++ b/internal/scheduler/rollouts_test.go
@@ -171,6 +171,23 @@
 	})
 }
 
+// TestWaitingCallWithoutAnAllowedVersionIsRefused: also where no host changes.
+func TestWaitingCallWithoutAnAllowedVersionIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeRollouts{groups: [][]rollout.TargetGroup{groupOld}}
+		s := ofVersions(f, "v2")
+		time.AfterFunc(time.Second, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			f.barred = []string{"v2"}
+		})
+		start := time.Now()
+		_, err := s.Acquire(t.Context(), call(time.Minute))
+		qt.Assert(t, verdict.CodeOf(err), qt.Equals, verdict.NoTarget)
+		qt.Assert(t, time.Since(start) <= time.Second+recheckInterval, qt.IsTrue)
+	})
+}
+
 func TestCallWithoutAnAllowedVersionIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeRollouts{groups: [][]rollout.TargetGroup{groupOld}, barred: []string{"v2"}}
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -84,9 +84,11 @@
 	s.refuseIf(p, func(*Call) bool { return true })
 }
 
-// refuseUnservedInRegions is refuseUnserved for the calls that are bound to regions.
-func (s *Scheduler) refuseUnservedInRegions(p *pool) {
-	s.refuseIf(p, func(c *Call) bool { return !c.regions().All() })
+// refuseUnservedNow is refuseUnserved for the calls whose targets may change without a change of the host
+// list: those bound to regions, and all while versions are barred.
+func (s *Scheduler) refuseUnservedNow(p *pool) {
+	barred := s.barred(p.name) != nil
+	s.refuseIf(p, func(c *Call) bool { return barred || !c.regions().All() })
 }
 
 // refuseIf refuses the waiting calls that the condition holds for and no target will serve.
