Catalog: the time of a roll-out is whole milliseconds

Cause: reports carry the time of an order in milliseconds; an order with a finer time was unknown to its owner in every report of another node. Change: such an order is refused with the field. Test: TestRolloutTimeIsOneThatReportsCarry, failed before.

--- a/internal/catalog/rollout.go
+++ b/internal/catalog/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	"topazmoor/internal/strictjson"
 )
@@ -37,6 +38,10 @@
 	if r.Within < MinRolloutTime {
 		probs.Add(path+".within", "is under %v: write a longer time", MinRolloutTime.Std())
 	}
+	if r.Within.Std()%time.Millisecond != 0 {
+		// Reports between nodes carry it in milliseconds.
+		probs.Add(path+".within", "is not a whole number of milliseconds: round it")
+	}
 	if r.Share <= 0 || r.Share > 1 {
 		probs.Add(path+".share", "is %g: write a share above 0 and up to 1", r.Share)
 	}
