Node: a stopped roll-out is barred before its record is read

Cause: the gate got the orders only after the record of each stopped order was read; a store that answers late delayed the stop, and orders of other pools, by its timeout, and a node that starts gave calls to the version meanwhile. A failed read was not logged. A failed read is logged. Test: TestStoppedRolloutIsBarredBeforeItsRecordIsRead, failed before.

--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -120,12 +120,39 @@
 }
 
 // apply passes the orders to the gate. It returns false if the record of a stopped order could not be
-// read.
+// read. A stopped order whose record is not known is withdrawn at the gate before its record is read: the
+// store may answer late.
 func (r *rollouts) apply(ctx context.Context) (known bool) {
-	var standing, fresh []rollout.Order
+	orders := r.n.board.Catalog.Get().Rollouts()
+	r.passOrders(orders)
 	known = true
+	completed := false
+	for _, o := range orders {
+		order := orderOf(o)
+		if !o.Stopped || r.stopped[order].known {
+			continue
+		}
+		rec, err := r.record(ctx, o)
+		if err != nil {
+			r.n.log.Warn("record of a stopped roll-out not read, its version gets no calls", "pool", o.Pool, "to", o.To, "err", err)
+		}
+		s := stoppedOrder{known: err == nil, completed: rec.State == rollout.Completed}
+		r.stopped[order] = s
+		known = known && s.known
+		completed = completed || s.completed
+	}
+	if completed {
+		r.passOrders(orders)
+	}
+	return known
+}
+
+// passOrders passes to the gate the orders that stand: those that are not stopped, or were completed
+// before.
+func (r *rollouts) passOrders(orders map[string]catalog.Rollout) {
+	var standing, fresh []rollout.Order
 	stopped := make(map[rollout.Order]stoppedOrder)
-	for _, o := range r.n.board.Catalog.Get().Rollouts() {
+	for _, o := range orders {
 		order := orderOf(o)
 		if !o.Stopped {
 			standing = append(standing, order)
@@ -135,11 +162,6 @@
 		if !seen {
 			fresh = append(fresh, order)
 		}
-		if !s.known {
-			rec, err := r.record(ctx, o)
-			s = stoppedOrder{known: err == nil, completed: rec.State == rollout.Completed}
-			known = known && s.known
-		}
 		stopped[order] = s
 		if s.completed {
 			standing = append(standing, order)
@@ -151,7 +173,6 @@
 		r.gate.SetOrders(slices.Concat(standing, fresh))
 	}
 	r.gate.SetOrders(standing)
-	return known
 }
 
 // Report implements peer.Rollouts. It adds a report to the evidence of an order that this node decides
--- a/internal/node/rollouts_test.go
+++ b/internal/node/rollouts_test.go
@@ -246,6 +246,25 @@
 	})
 }
 
+// TestStoppedRolloutIsBarredBeforeItsRecordIsRead: a store that answers late does not delay the stop.
+func TestStoppedRolloutIsBarredBeforeItsRecordIsRead(t *testing.T) {
+	inRollout(t, 1, func(c *qt.C, cl *cluster) {
+		cl.startV2(c)
+		code, body := cl.order(0, http.MethodDelete, nil)
+		c.Assert(code, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+		late, err := newRollouts(cl.node(0).Node)
+		c.Assert(err, qt.IsNil)
+		cl.world.Store.SetFaults(store.Faults{Delay: 10 * time.Second})
+		var applied sync.WaitGroup
+		applied.Go(func() { late.apply(tctx) })
+		time.Sleep(100 * time.Millisecond)
+		c.Assert(late.gate.Barred(rolloutPool), qt.DeepEquals, []string{"v2"})
+		cl.world.Store.SetFaults(store.Faults{})
+		applied.Wait()
+		c.Assert(late.gate.Barred(rolloutPool), qt.DeepEquals, []string{"v2"})
+	})
+}
+
 // TestRolloutWaitsForItsOwnerAfterASuspension: after a suspension of the hosts no node acts on a share from
 // before; the store is away, so that no owner can begin anew.
 func TestRolloutWaitsForItsOwnerAfterASuspension(t *testing.T) {
