Scheduler: calls without a roll-out allocate nothing for it

Cause: each call allocated a draw and a function to draw its version, also without an order, and the check for targets at admission looked at all targets, where it used to end at the first one. Change: the draw is a value, the function is kept by the pool, and the check ends at the first target that is up. Test: TestCallsWithoutARolloutAllocateNothingForIt, failed before with 2 allocations.

--- a/internal/scheduler/acquire.go
+++ b/internal/scheduler/acquire.go
@@ -189,8 +189,8 @@
 	round  uint64
 	// refusal is why no target will serve the call; nil if one may.
 	refusal error
-	// draw is which version the call may go to; nil before its first try.
-	draw *draw
+	// draw is which version the call may go to.
+	draw draw
 }
 
 // grant is the result of waiting: a lease or an error.
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -32,6 +32,8 @@
 	round uint64
 	// grants measures the rate of granted calls.
 	grants meter
+	// others is the method hasOther. It is kept so that no call allocates a function.
+	others func(version string) bool
 }
 
 // target is the live state of one target.
--- a/internal/scheduler/rollouts.go
+++ b/internal/scheduler/rollouts.go
@@ -27,6 +27,7 @@
 
 // draw is the result of drawing the version of a call.
 type draw struct {
+	done   bool
 	of     trial
 	groups []rollout.TargetGroup
 }
@@ -40,9 +41,9 @@
 	}
 	version, share := s.cfg.Rollouts.Trial(p.name)
 	now := trial{version: version, share: share, barred: len(s.cfg.Rollouts.Barred(p.name))}
-	if w.draw == nil || w.draw.of != now {
+	if !w.draw.done || w.draw.of != now {
 		again := len(w.call.Exclude) > 0
-		w.draw = &draw{of: now, groups: s.cfg.Rollouts.TargetGroups(p.name, again, p.hasOther)}
+		w.draw = draw{done: true, of: now, groups: s.cfg.Rollouts.TargetGroups(p.name, again, p.others)}
 	}
 	return w.draw.groups
 }
--- a/internal/scheduler/rollouts_test.go
+++ b/internal/scheduler/rollouts_test.go
@@ -188,6 +188,21 @@
 	})
 }
 
+// TestCallsWithoutARolloutAllocateNothingForIt: the version of a call is drawn on the path of each request.
+func TestCallsWithoutARolloutAllocateNothingForIt(t *testing.T) {
+	cfg := DefaultConfig("dc", 1)
+	cfg.Rollouts = rollout.NewGate("n", nil, nil, nil)
+	s := New(cfg)
+	p := s.pool("p")
+	allocs := testing.AllocsPerRun(100, func() {
+		var w waiter
+		if s.groups(p, &w) != nil {
+			t.Error("groups without an order")
+		}
+	})
+	qt.Assert(t, allocs, qt.Equals, 0.0)
+}
+
 func TestCallWithoutAnAllowedVersionIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeRollouts{groups: [][]rollout.TargetGroup{groupOld}, barred: []string{"v2"}}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -178,6 +178,7 @@
 	p := s.pools[name]
 	if p == nil {
 		p = &pool{name: name, budget: flow.NewBudget(s.cfg.RetryRatio), demand: make(map[string]int)}
+		p.others = p.hasOther
 		s.pools[name] = p
 	}
 	return p
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/serve.go
@@ -52,6 +52,9 @@
 		if up := t.availableAt(now); !ok || up.Before(at) {
 			at, ok = up, true
 		}
+		if !at.After(now) {
+			break
+		}
 	}
 	return at, ok
 }
