Node: owners of roll-outs decide again after a restart of the service

Cause: owners were closed when the service ended, also by a panic after which the supervisor restarts it; the node then refused all reports on its orders, and as a refusal shows a live node, no other one became owner. Change: closed owners are dropped; the node refuses reports until the service runs again, and then begins anew. Test: TestOwnerDecidesAgainAfterARestartOfTheService, failed before (the owner is closed).

--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -42,6 +42,8 @@
 	// owners holds, by pool, the owner of the last order that this node decided on. Each order has an
 	// owner of its own, with the order's bounds.
 	owners map[string]ownedOrder
+	// closed says that this node decides on no orders now.
+	closed bool
 	// avoided holds until when nodes are not chosen as owner, by address.
 	avoided map[string]time.Time
 	// stopped holds the stopped orders that were passed to the gate, and whether their record says that
@@ -72,6 +74,7 @@
 
 // Serve implements suture.Service. It keeps the gate's orders as those of the configuration.
 func (r *rollouts) Serve(ctx context.Context) error {
+	r.open()
 	defer r.close()
 	for ctx.Err() == nil {
 		changed := r.n.board.Catalog.Changed()
@@ -185,9 +188,10 @@
 	return owner.Report(ctx, rep)
 }
 
-var errUnknownOrder = errors.New("the configuration in force here does not have the order")
+var errUnknownOrder = errors.New("the configuration in force here does not have the order, or the node stops")
 
-// ownerOf returns the owner of an order; nil if the configuration in force here lacks the order.
+// ownerOf returns the owner of an order; nil if the configuration in force here lacks the order, or
+// this node decides on none now.
 func (r *rollouts) ownerOf(order rollout.Order) *rollout.Owner {
 	o := r.n.board.Catalog.Get().Rollouts()[order.Service]
 	if orderOf(o) != order {
@@ -195,6 +199,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.closed {
+		return nil
+	}
 	if owned := r.owners[order.Service]; owned.order == order {
 		return owned.owner
 	}
@@ -210,13 +217,22 @@
 	return rollout.Bounds{Share: o.Share, Slack: o.Slack}
 }
 
-// close ends the decisions of this node.
+// open lets this node decide on orders.
+func (r *rollouts) open() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = false
+}
+
+// close ends the decisions of this node until open.
 func (r *rollouts) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.closed = true
 	for _, owned := range r.owners {
 		owned.owner.Close()
 	}
+	clear(r.owners)
 }
 
 // ownerReporter sends reports to the node that decides on an order. It implements rollout.Remote.
--- a/internal/node/rollouts_test.go
+++ b/internal/node/rollouts_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -265,6 +266,28 @@
 	})
 }
 
+// TestOwnerDecidesAgainAfterARestartOfTheService: a supervisor restarts the service after a panic, which
+// closed the owners.
+func TestOwnerDecidesAgainAfterARestartOfTheService(t *testing.T) {
+	inRollout(t, 1, func(c *qt.C, cl *cluster) {
+		cl.startV2(c)
+		time.Sleep(time.Second)
+		r := cl.node(0).rollouts
+		r.close()
+		order := orderOf(cl.node(0).board.Catalog.Get().Rollouts()[rolloutPool])
+		_, err := r.Report(tctx, rollout.Report{Node: "x", Order: order, Hold: time.Second})
+		c.Assert(err, qt.IsNotNil)
+		ctx, cancel := context.WithCancel(tctx)
+		var restarted sync.WaitGroup
+		restarted.Go(func() { _ = r.Serve(ctx) })
+		defer restarted.Wait()
+		defer cancel()
+		synctest.Wait()
+		_, err = r.Report(tctx, rollout.Report{Node: "x", Order: order, Hold: time.Second})
+		c.Assert(err, qt.IsNil)
+	})
+}
+
 // TestRolloutWaitsForItsOwnerAfterASuspension: after a suspension of the hosts no node acts on a share from
 // before; the store is away, so that no owner can begin anew.
 func TestRolloutWaitsForItsOwnerAfterASuspension(t *testing.T) {
