--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -42,6 +42,8 @@
 	// owners holds, by pool, the owner of the last order that this node decided on. Each order has an
 	// owner of its own, with the order's bounds.
 	owners map[string]ownedOrder
+	// closed says that this node decides on no orders now.
+	closed bool
 	// avoided holds until when nodes are not chosen as owner, by address.
 	avoided map[string]time.Time
 	// stopped holds the stopped orders that were passed to the gate, and whether their record says that
@@ -72,6 +74,7 @@
 
 // Serve implements suture.Service. It keeps the gate's orders as those of the configuration.
 func (r *rollouts) Serve(ctx context.Context) error {
+	r.open()
 	defer r.close()
 	for ctx.Err() == nil {
 		changed := r.n.board.Catalog.Changed()
@@ -120,12 +123,39 @@
 }
 
 // apply passes the orders to the gate. It returns false if the record of a stopped order could not be
-// read.
+// read. A stopped order whose record is not known is withdrawn at the gate before its record is read: the
+// store may answer late.
 func (r *rollouts) apply(ctx context.Context) (known bool) {
-	var standing, fresh []rollout.Order
+	orders := r.n.board.Catalog.Get().Rollouts()
+	r.passOrders(orders)
 	known = true
+	completed := false
+	for _, o := range orders {
+		order := orderOf(o)
+		if !o.Stopped || r.stopped[order].known {
+			continue
+		}
+		rec, err := r.record(ctx, o)
+		if err != nil {
+			r.n.log.Warn("record of a stopped roll-out not read, its version gets no calls", "pool", o.Pool, "to", o.To, "err", err)
+		}
+		s := stoppedOrder{known: err == nil, completed: rec.State == rollout.Completed}
+		r.stopped[order] = s
+		known = known && s.known
+		completed = completed || s.completed
+	}
+	if completed {
+		r.passOrders(orders)
+	}
+	return known
+}
+
+// passOrders passes to the gate the orders that stand: those that are not stopped, or were completed
+// before.
+func (r *rollouts) passOrders(orders map[string]catalog.Rollout) {
+	var standing, fresh []rollout.Order
 	stopped := make(map[rollout.Order]stoppedOrder)
-	for _, o := range r.n.board.Catalog.Get().Rollouts() {
+	for _, o := range orders {
 		order := orderOf(o)
 		if !o.Stopped {
 			standing = append(standing, order)
@@ -135,11 +165,6 @@
 		if !seen {
 			fresh = append(fresh, order)
 		}
-		if !s.known {
-			rec, err := r.record(ctx, o)
-			s = stoppedOrder{known: err == nil, completed: rec.State == rollout.Completed}
-			known = known && s.known
-		}
 		stopped[order] = s
 		if s.completed {
 			standing = append(standing, order)
@@ -151,7 +176,6 @@
 		r.gate.SetOrders(slices.Concat(standing, fresh))
 	}
 	r.gate.SetOrders(standing)
-	return known
 }
 
 // Report implements peer.Rollouts. It adds a report to the evidence of an order that this node decides
@@ -164,9 +188,10 @@
 	return owner.Report(ctx, rep)
 }
 
-var errUnknownOrder = errors.New("the configuration in force here does not have the order")
+var errUnknownOrder = errors.New("the configuration in force here does not have the order, or the node stops")
 
-// ownerOf returns the owner of an order; nil if the configuration in force here lacks the order.
+// ownerOf returns the owner of an order; nil if the configuration in force here lacks the order, or
+// this node decides on none now.
 func (r *rollouts) ownerOf(order rollout.Order) *rollout.Owner {
 	o := r.n.board.Catalog.Get().Rollouts()[order.Service]
 	if orderOf(o) != order {
@@ -174,6 +199,9 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.closed {
+		return nil
+	}
 	if owned := r.owners[order.Service]; owned.order == order {
 		return owned.owner
 	}
@@ -189,13 +217,22 @@
 	return rollout.Bounds{Share: o.Share, Slack: o.Slack}
 }
 
-// close ends the decisions of this node.
+// open lets this node decide on orders.
+func (r *rollouts) open() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = false
+}
+
+// close ends the decisions of this node until open.
 func (r *rollouts) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.closed = true
 	for _, owned := range r.owners {
 		owned.owner.Close()
 	}
+	clear(r.owners)
 }
 
 // ownerReporter sends reports to the node that decides on an order. It implements rollout.Remote.
--- a/internal/node/rolloutstate.go
+++ b/internal/node/rolloutstate.go
@@ -38,16 +38,15 @@
 	if orderOf(o).Revision != r.Revision {
 		return rollout.Record{}, rollout.ErrSuperseded
 	}
+	if o.Stopped && r.State != rollout.RolledBack {
+		r.State, r.Reason = rollout.RolledBack, stoppedReason
+	}
 	row, kept, err := b.load(ctx, r.Service)
-	switch {
-	case err != nil:
+	if err != nil {
 		return rollout.Record{}, err
-	case kept.Revision == r.Revision && (kept.State.Final() || r.State == rollout.Running && !o.Stopped):
-		// A final decision is not overwritten, and a roll-out starts only once.
-		return kept, nil
 	}
-	if o.Stopped && r.State != rollout.RolledBack {
-		r.State, r.Reason = rollout.RolledBack, stoppedReason
+	if r, err = rollout.Resolve(kept, r); err != nil || r == kept {
+		return r, err
 	}
 	value, err := json.Marshal(r)
 	if err != nil {
--- a/internal/scheduler/acquire.go
+++ b/internal/scheduler/acquire.go
@@ -120,7 +120,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		p.timer = nil
-		s.refuseUnservedInRegions(p)
+		s.refuseUnservedNow(p)
 		s.grantWaiting(p)
 	})
 }
@@ -149,9 +149,7 @@
 		Prefix: c.Prefix, Exclude: c.Exclude, LimitFactor: limitFactor[c.Class],
 		RemoteCost: s.cfg.RemoteCost, PrefixGain: s.cfg.PrefixGain, Group: group,
 	}
-	if group != nil {
-		q.MaxHash = p.maxHash(*group)
-	}
+	q.MaxHash = p.maxHash(&q)
 	if i := routing.Pick(&q, p.candidates, s.rng); i >= 0 || len(c.Exclude) == 0 {
 		return i
 	}
@@ -191,8 +189,8 @@
 	round  uint64
 	// refusal is why no target will serve the call; nil if one may.
 	refusal error
-	// draw is which version the call may go to; nil before its first try.
-	draw *draw
+	// draw is which version the call may go to.
+	draw draw
 }
 
 // grant is the result of waiting: a lease or an error.
--- a/internal/scheduler/rollouts.go
+++ b/internal/scheduler/rollouts.go
@@ -27,6 +27,7 @@
 
 // draw is the result of drawing the version of a call.
 type draw struct {
+	done   bool
 	of     trial
 	groups []rollout.TargetGroup
 }
@@ -40,9 +41,9 @@
 	}
 	version, share := s.cfg.Rollouts.Trial(p.name)
 	now := trial{version: version, share: share, barred: len(s.cfg.Rollouts.Barred(p.name))}
-	if w.draw == nil || w.draw.of != now {
+	if !w.draw.done || w.draw.of != now {
 		again := len(w.call.Exclude) > 0
-		w.draw = &draw{of: now, groups: s.cfg.Rollouts.TargetGroups(p.name, w.call.Stage, again, p.hasOther)}
+		w.draw = draw{done: true, of: now, groups: s.cfg.Rollouts.TargetGroups(p.name, w.call.Stage, again, p.others)}
 	}
 	return w.draw.groups
 }
@@ -52,20 +53,22 @@
 	return slices.ContainsFunc(p.candidates, func(c routing.Candidate) bool { return c.Version != version && !c.Leaving })
 }
 
-// maxHash returns the largest hash among the targets that take the calls of a group; 0 if all of the
-// group do.
-func (p *pool) maxHash(g rollout.TargetGroup) uint64 {
-	if g.Fraction <= 0 || g.Fraction >= 1 {
+// maxHash returns the largest hash among the targets that take the calls like q of its group; 0 if all
+// of the group do. The part is one of the targets that can serve q: a call that is bound to a region
+// would otherwise miss it.
+func (p *pool) maxHash(q *routing.Query) uint64 {
+	if q.Group == nil || q.Group.Fraction <= 0 || q.Group.Fraction >= 1 {
 		return 0
 	}
+	all := routing.Query{Model: q.Model, Adapter: q.Adapter, Regions: q.Regions, Group: q.Group, LimitFactor: q.LimitFactor}
 	var hashes []uint64
 	for i := range p.candidates {
-		c := &p.candidates[i]
-		if g.Admits(c.Version) && !c.Leaving && !c.Down {
+		switch c := &p.candidates[i]; routing.Filter(&all, c) {
+		case routing.Eligible, routing.AtLimit:
 			hashes = append(hashes, c.Hash)
 		}
 	}
-	return rollout.LastInPart(hashes, g.Fraction)
+	return rollout.LastInPart(hashes, q.Group.Fraction)
 }
 
 // barred returns the group without the versions that get no calls; nil if there are none.
@@ -88,10 +91,8 @@
 // FirstToken records that the first token of a streamed call came. In the evidence on a roll-out it
 // counts as the call's answer, as the length of a text says nothing about the version.
 func (l *Lease) FirstToken() {
-	l.s.mu.Lock()
-	defer l.s.mu.Unlock()
-	if l.firstToken == 0 {
-		l.firstToken = time.Since(l.start)
+	if l.firstToken.Load() == 0 {
+		l.firstToken.CompareAndSwap(0, int64(max(time.Since(l.start), 1)))
 	}
 }
 
@@ -101,11 +102,12 @@
 		return
 	}
 	e := rollout.Ending{Outcome: rollout.Inconclusive, Took: took, Total: took}
+	first := time.Duration(l.firstToken.Load())
 	switch {
 	case o == Failed:
 		e.Outcome = rollout.Bad
-	case l.firstToken > 0:
-		e.Outcome, e.Took = rollout.Good, l.firstToken
+	case first > 0:
+		e.Outcome, e.Took = rollout.Good, first
 	case o == Succeeded:
 		e.Outcome = rollout.Good
 	case o == Abandoned:
--- a/internal/scheduler/rollouts_test.go
+++ b/internal/scheduler/rollouts_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"topazmoor/internal/region"
 	"topazmoor/internal/rollout"
 	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
@@ -135,6 +136,73 @@
 	})
 }
 
+// TestFirstTokenWithoutDelayIsTheAnswer: a later token of the stream does not replace it.
+func TestFirstTokenWithoutDelayIsTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeRollouts{groups: [][]rollout.TargetGroup{groupNew}}
+		l, err := ofVersions(f, "v2").Acquire(t.Context(), call(time.Minute))
+		qt.Assert(t, err, qt.IsNil)
+		l.FirstToken()
+		time.Sleep(time.Second)
+		l.FirstToken()
+		l.Release(Succeeded)
+		qt.Assert(t, f.took[0] < time.Millisecond, qt.IsTrue, qt.Commentf("%v", f.took[0]))
+	})
+}
+
+// TestTrialGoesToTargetsThatServeTheCall: the part of the version that takes the trial's calls is one of
+// the targets in the call's regions.
+func TestTrialGoesToTargetsThatServeTheCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, name := range []string{"north", "south"} {
+			cfg := DefaultConfig("n1", 1)
+			cfg.Regions = region.Map{"n1": "north", "s1": "south"}
+			cfg.Rollouts = &fakeRollouts{groups: [][]rollout.TargetGroup{{{Version: "v2", Fraction: 0.3}}}}
+			s := New(cfg)
+			n, far := host("n", 1), host("s", 1)
+			n.DataCentre, far.DataCentre = "n1", "s1"
+			n.Version, far.Version = "v2", "v2"
+			s.SetHosts([]store.Host{n, far}, never)
+			allowed := region.Only(name)
+			l, err := s.Acquire(t.Context(), bound(&allowed, time.Second))
+			qt.Assert(t, err, qt.IsNil)
+			l.Release(Succeeded)
+		}
+	})
+}
+
+// TestWaitingCallWithoutAnAllowedVersionIsRefused: also where no host changes.
+func TestWaitingCallWithoutAnAllowedVersionIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeRollouts{groups: [][]rollout.TargetGroup{groupOld}}
+		s := ofVersions(f, "v2")
+		time.AfterFunc(time.Second, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			f.barred = []string{"v2"}
+		})
+		start := time.Now()
+		_, err := s.Acquire(t.Context(), call(time.Minute))
+		qt.Assert(t, verdict.CodeOf(err), qt.Equals, verdict.NoTarget)
+		qt.Assert(t, time.Since(start) <= time.Second+recheckInterval, qt.IsTrue)
+	})
+}
+
+// TestCallsWithoutARolloutAllocateNothingForIt: the version of a call is drawn on the path of each request.
+func TestCallsWithoutARolloutAllocateNothingForIt(t *testing.T) {
+	cfg := DefaultConfig("dc", 1)
+	cfg.Rollouts = rollout.NewGate("n", nil, nil, nil)
+	s := New(cfg)
+	p := s.pool("p")
+	allocs := testing.AllocsPerRun(100, func() {
+		var w waiter
+		if s.groups(p, &w) != nil {
+			t.Error("groups without an order")
+		}
+	})
+	qt.Assert(t, allocs, qt.Equals, 0.0)
+}
+
 func TestCallWithoutAnAllowedVersionIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakeRollouts{groups: [][]rollout.TargetGroup{groupOld}, barred: []string{"v2"}}
