--- a/internal/rollout/outcomes_test.go
+++ b/internal/rollout/outcomes_test.go
@@ -159,3 +159,21 @@
 		}
 	}
 }
+
+// The platform stopped the old version's targets when a node acted on Completed.
+func TestNodeKeepsToCompleted(t *testing.T) {
+	for _, state := range []State{Completed, RolledBack} {
+		g := ended(orderAt(0, 5), state)
+		g.SetOrders([]Order{orderAt(1, 5)})
+		s := g.orders["s"]
+		for _, answer := range []State{Running, RolledBack, Completed} {
+			r, bad, lapses := g.next(s)
+			qt.Check(t, g.applyAnswer(s, r, bad, lapses, Answer{State: answer}), qt.Equals, answer.Final())
+			want := state
+			if answer == Completed {
+				want = Completed
+			}
+			qt.Check(t, s.answer.State, qt.Equals, want)
+		}
+	}
+}
