Order sent to a region without targets runs at home

Cause: followSpill returned ErrNoTarget of the region that its home region had named, so a request was refused although its home region would have kept the order. Waits are up to 1 s old, and a former without targets reports no wait. Change: ErrNoTarget is handled as an order that is sent back. Result: TestOrderWhoseOtherRegionHasLostItsTargetsRunsAtHome failed first ('the pool has no target').

--- a/internal/stagebatch/home.go
+++ b/internal/stagebatch/home.go
@@ -145,7 +145,8 @@
 }
 
 // followSpill runs an order in the region that its home region named, or at home after all if no node
-// there accepts it or it is sent back. It returns res and err if the order has ended at home.
+// there accepts it, it is sent back or that region has no target. It returns res and err if the order
+// has ended at home.
 func (r *Router) followSpill(ctx context.Context, o Order, res Result, err error) (Result, error) {
 	var spilled *SpillError
 	if !errors.As(err, &spilled) {
@@ -156,7 +157,7 @@
 	o.SpillTo = o.Regions.Names()
 	o.Regions, o.Spilled = region.Only(spilled.Region), true
 	res, err, ended := r.produceInRegion(ctx, o, spilled.Region)
-	if ended && !errors.As(err, &spilled) {
+	if ended && !errors.As(err, &spilled) && !errors.Is(err, ErrNoTarget) {
 		return res, err
 	}
 	if !ended {
--- a/internal/stagebatch/spill_test.go
+++ b/internal/stagebatch/spill_test.go
@@ -255,3 +255,16 @@
 		c.Assert(count.of("north"), qt.Equals, left)
 	})
 }
+
+// Guards against orders that fail because the region to which they were sent has lost its targets.
+func TestOrderWhoseOtherRegionHasLostItsTargetsRunsAtHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		fl := newRegionFleet(perRegion(1, 1, 0), perRegion(1, 0, 0))
+		o := orderPreferring("r", "", 1, 5*time.Second)
+		o.Regions, o.SpillTo = region.Only("north"), []string{"south"}
+		res, err := fl.routers["north-0"].followSpill(t.Context(), o, Result{}, &SpillError{Region: "south"})
+		c.Assert(err, qt.IsNil)
+		c.Assert(fl.madeIn(res), qt.DeepEquals, []string{"north"})
+	})
+}
