Wait of spilled orders is never less than that of own ones

Cause: a former of an earlier version does not report the wait of orders from other regions, which was read as no wait. While nodes of both versions run, all regions would spill to its pool, however busy it is. Change: the receiver takes the wait of the least urgent own orders if that is longer. It never is with formers that report it. Result: TestWaitsOfOrdersFromOtherRegionsAreNeverLessThanOwn failed first (0 s for 900 ms).

--- a/internal/peer/stages.go
+++ b/internal/peer/stages.go
@@ -123,6 +123,8 @@
 	for _, n := range a.WaitMs {
 		w.OnTime = append(w.OnTime, time.Duration(n)*time.Millisecond)
 	}
+	// Nodes of earlier versions do not report the wait of orders from other regions.
+	w.Spilled = max(w.Spilled, w.ForRank(len(w.OnTime)))
 	return w
 }
 
--- a/internal/peer/stages_test.go
+++ b/internal/peer/stages_test.go
@@ -11,6 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"topazmoor/internal/peer/peerpb"
 	"topazmoor/internal/region"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/standin/memnet"
@@ -71,6 +72,14 @@
 	})
 }
 
+// Guards against spilling to a busy pool whose former is of an earlier version and does not report the
+// wait of orders from other regions.
+func TestWaitsOfOrdersFromOtherRegionsAreNeverLessThanOwn(t *testing.T) {
+	w := waitsFrom(&peerpb.Accepted{WaitMs: []int64{100, 900}})
+	qt.Assert(t, w.Spilled, qt.Equals, 900*time.Millisecond)
+	qt.Assert(t, waitsFrom(&peerpb.Accepted{}).Spilled, qt.Equals, time.Duration(0))
+}
+
 func (s *slowStages) Waits(string, region.Set) stagebatch.Waits {
 	return stagebatch.Waits{OnTime: []time.Duration{0, time.Second}, Spilled: 2 * time.Second}
 }
