Regions of the nodes are read once for each node list

Change: the regions are kept until the node list is replaced. The region of a node that stops is still left out at once. TestRegionsWithNodesAreReadOnceForEachNodeList failed first (2 allocations a call).

--- a/internal/stagebatch/home.go
+++ b/internal/stagebatch/home.go
@@ -41,7 +41,7 @@
 	defer r.mu.Unlock()
 	var out []string
 	for _, name := range withTargets {
-		if in.Has(name) && withNodes[name] && now.After(r.suspectRegions[name]) {
+		if in.Has(name) && (withNodes[name] || name == r.region() && !r.stopping) && now.After(r.suspectRegions[name]) {
 			out = append(out, name)
 		}
 	}
@@ -102,18 +102,31 @@
 	return known.names
 }
 
-// regionsWithNodes returns the regions that have a node which forms batches, as seen by this node.
+// nodeRegions are the regions of the nodes in a list.
+type nodeRegions struct {
+	of    []Node
+	names map[string]bool
+}
+
+// read reports whether the regions are those of a node list. Lists are replaced, never modified.
+func (n nodeRegions) read(of []Node) bool {
+	return n.names != nil && len(n.of) == len(of) && (len(of) == 0 || &n.of[0] == &of[0])
+}
+
+// regionsWithNodes returns the regions of the other nodes, as seen by this node. The map is not modified.
 func (r *Router) regionsWithNodes() map[string]bool {
-	out := make(map[string]bool)
-	for _, n := range r.nodes() {
-		out[r.local.Regions[n.DataCentre]] = true
-	}
+	all := r.nodes()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.stopping {
-		out[r.region()] = true
+	if r.nodeRegions.read(all) {
+		return r.nodeRegions.names
 	}
-	return out
+	names := make(map[string]bool)
+	for _, n := range all {
+		names[r.local.Regions[n.DataCentre]] = true
+	}
+	r.nodeRegions = nodeRegions{of: all, names: names}
+	return names
 }
 
 // produceByRegion runs an order in the first of the given regions that accepts it. The order is
--- a/internal/stagebatch/home_test.go
+++ b/internal/stagebatch/home_test.go
@@ -330,3 +330,18 @@
 		wg.Wait()
 	})
 }
+
+// Estimates are requested several times for each request, so the node list is read only when it changes.
+func TestRegionsWithNodesAreReadOnceForEachNodeList(t *testing.T) {
+	c := qt.New(t)
+	r := newRegionFleet(perRegion(1, 2, 0), perRegion(1, 1, 1)).routers["north-0"]
+	c.Assert(r.homeRegions("pool", "", region.Set{}), qt.DeepEquals, []string{"north", "south"})
+	c.Assert(testing.AllocsPerRun(10, func() { r.regionsWithNodes() }), qt.Equals, 0.0)
+	moved := []Node{{Name: "south-0", DataCentre: "south1"}, {Name: "west-0", DataCentre: "west1"}}
+	r.nodes = func() []Node { return moved }
+	c.Assert(r.homeRegions("pool", "", region.Set{}), qt.DeepEquals, []string{"north", "south", "west"})
+	r.Stop()
+	c.Assert(r.homeRegions("pool", "", region.Set{}), qt.DeepEquals, []string{"south", "west"})
+	r.nodes = func() []Node { return nil }
+	c.Assert(r.homeRegions("pool", "", region.Set{}), qt.HasLen, 0)
+}
--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -69,6 +69,7 @@
 	suspectRegions map[string]time.Time
 	waits          map[waitsKey]reportedWaits
 	targetRegions  map[string]targetRegions
+	nodeRegions    nodeRegions
 	// asked is when the waits of other regions were last requested.
 	asked    map[waitsKey]time.Time
 	stopping bool
