Owners are chosen by the levels of internal/ownership

Cause: the owner of a roll-out, the node to follow and the nodes that share permits were chosen by conditions of their own; only the formers of pools consulted the levels that internal/ownership states. Change: Router.Leader takes the kind of work, and the member table is divided by ownership.Same. No choice changes with the levels as they are. Result: TestLeaderStandsAtTheLevelOfItsWork (did not compile before): one leader for a decision on a roll-out, one a region for work of that level.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -322,6 +322,7 @@
 	var out []stagebatch.Node
 	var local []relay.Node
 	var sharing []sharedrate.Node
+	own := p.n.place(p.n.set.DataCentre)
 	places := make(map[string]ownership.Place, len(v.Rows))
 	for name, r := range v.Rows {
 		m, err := decodeMember(r.Value)
@@ -329,13 +330,16 @@
 			p.n.log.Error("row of a node ignored: it cannot be decoded", "peer", name, "err", err)
 			continue
 		}
-		if m.DataCentre == p.n.set.DataCentre {
+		place := p.n.place(m.DataCentre)
+		if ownership.Same(ownership.StoreUpdates, own, place) {
 			local = append(local, relay.Node{Name: name, Addr: m.Addr, Memory: m.Memory})
 		}
 		if name != p.n.set.Node {
-			places[name] = p.n.place(m.DataCentre)
-			sharing = append(sharing, sharedrate.Node{Name: name, Addr: m.Addr})
+			places[name] = place
 			out = append(out, stagebatch.Node{Name: name, Addr: m.Addr, DataCentre: m.DataCentre, Capacity: m.Capacity})
+			if ownership.Same(ownership.RatePermits, own, place) {
+				sharing = append(sharing, sharedrate.Node{Name: name, Addr: m.Addr})
+			}
 		}
 	}
 	p.n.state.Members.Store(out)
--- a/internal/entry/rollouts.go
+++ b/internal/entry/rollouts.go
@@ -7,6 +7,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"topazmoor/internal/ownership"
 	"topazmoor/internal/rollout"
 	"topazmoor/internal/store"
 	"topazmoor/internal/verdict"
@@ -51,7 +52,7 @@
 
 // Report implements rollout.Remote.
 func (o rolloutReporter) Report(ctx context.Context, r rollout.Report) (rollout.Answer, error) {
-	lead, self := o.n.router.Leader("roll-out of " + r.Order.Service)
+	lead, self := o.n.router.Leader(ownership.RolloutDecision, "roll-out of "+r.Order.Service)
 	if self {
 		return o.n.owner.Report(ctx, r)
 	}
--- a/internal/stagebatch/home_test.go
+++ b/internal/stagebatch/home_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"topazmoor/internal/ownership"
 	"topazmoor/internal/region"
 	"topazmoor/internal/targets"
 )
@@ -345,3 +346,21 @@
 	r.nodes = func() []Node { return nil }
 	c.Assert(r.homeRegions("pool", "", region.Set{}), qt.HasLen, 0)
 }
+
+func TestLeaderStandsAtTheLevelOfItsWork(t *testing.T) {
+	c := qt.New(t)
+	leaders := make(map[ownership.Work]map[string]bool)
+	for _, r := range newRegionFleet(perRegion(3, 3, 3), perRegion(1, 1, 1)).routers {
+		for _, w := range []ownership.Work{ownership.RolloutDecision, ownership.StageBatches} {
+			if leaders[w] == nil {
+				leaders[w] = make(map[string]bool)
+			}
+			n, self := r.Leader(w, "task")
+			leaders[w][n.Name] = true
+			c.Assert(self, qt.Equals, n.Name == r.self.Name)
+			c.Assert(ownership.Same(w, r.place(n), r.place(r.self)), qt.IsTrue)
+		}
+	}
+	c.Assert(leaders[ownership.RolloutDecision], qt.HasLen, 1)
+	c.Assert(leaders[ownership.StageBatches], qt.HasLen, 3)
+}
--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"topazmoor/internal/ownership"
 	"topazmoor/internal/region"
 )
 
@@ -320,14 +321,21 @@
 	}()
 }
 
-// Leader returns the node responsible for a task that all nodes share, as seen by this node, and
+// Leader returns the node that owns a task of a kind of work for this node, as seen by this node, and
 // whether it is this node.
-func (r *Router) Leader(name string) (n Node, self bool) {
-	ranked := r.ranked(name, region.Set{})
-	if len(ranked) == 0 {
-		return r.self, true
+func (r *Router) Leader(w ownership.Work, name string) (n Node, self bool) {
+	own := r.place(r.self)
+	for _, n := range r.ranked(name, region.Set{}) {
+		if ownership.Same(w, own, r.place(n)) {
+			return n, n.Name == r.self.Name
+		}
 	}
-	return ranked[0], ranked[0].Name == r.self.Name
+	return r.self, true
+}
+
+// place returns the place of a node.
+func (r *Router) place(n Node) ownership.Place {
+	return ownership.Place{DataCentre: n.DataCentre, Region: r.local.Regions[n.DataCentre]}
 }
 
 // Suspect marks a node that did not respond. The node gets no orders for suspectFor.
