An idle pool of a region is not taken for a slow one

Cause: the rate of a pool is what it produced in the last 1.5 s, unless a call ended with an empty queue since. A pool without orders for 1.5 s has produced nothing, so the first orders after that were estimated at a quarter of its rate: spilled, or refused as late in every region, although the pool was free (wait of 38 pieces 5.2 s in place of 1.4 s). Change: an order that comes to an idle pool of a region restarts the period. Pools of a fleet with one region are unchanged. Result: TestIdlePoolIsNotTakenForASlowOne failed first.

--- a/internal/stagebatch/estimate.go
+++ b/internal/stagebatch/estimate.go
@@ -71,8 +71,9 @@
 type traffic struct {
 	arrived  []pieceCount
 	produced []pieceCount
-	// busySince is the last time at which a call ended with an empty queue, at first the time at
-	// which the pool was created: since then pieces have waited at the end of each call.
+	// busySince is the last time at which a call ended with an empty queue or, for the pool of a region,
+	// at which an order came to the idle pool; at first the time at which the pool was created. Since
+	// then pieces have waited at the end of each call.
 	busySince time.Time
 	// ranks is one more than the highest rank of the orders that have arrived.
 	ranks int
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -97,6 +97,10 @@
 		return Result{}, ErrNoTarget
 	}
 	now := time.Now()
+	if p.region != "" && p.idle() {
+		// What the pool produced while it had no orders says nothing about its rate.
+		p.busySince = now
+	}
 	if err := f.admitToRegion(p, o, spec, now); err != nil {
 		f.mu.Unlock()
 		return Result{}, err
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -356,6 +356,16 @@
 	return pl
 }
 
+// idle reports whether the pool has no piece in the queue or in a call.
+func (p *pool) idle() bool {
+	for _, m := range p.states {
+		if m.calls > 0 {
+			return false
+		}
+	}
+	return len(p.queue) == 0
+}
+
 // dataCentres returns the data centres that have targets of the pool.
 func (p *pool) dataCentres() map[string]bool {
 	out := make(map[string]bool)
--- a/internal/stagebatch/spill_test.go
+++ b/internal/stagebatch/spill_test.go
@@ -268,3 +268,28 @@
 		c.Assert(fl.madeIn(res), qt.DeepEquals, []string{"north"})
 	})
 }
+
+// Guards against orders that leave their region, or are refused, because the pool produced nothing while
+// it had no orders.
+func TestIdlePoolIsNotTakenForASlowOne(t *testing.T) {
+	waitAfter := func(idle time.Duration) (w Waits) {
+		synctest.Test(t, func(t *testing.T) {
+			fl := newRegionFleet(perRegion(1, 1, 0), perRegion(1, 1, 0))
+			burst := func(i int) Order {
+				o := orderDueIn(fmt.Sprint("r", i), 2, 0, 20*time.Second)
+				o.Regions, o.ResultBytes = region.Only("north"), 1
+				return o
+			}
+			fl.play(t, "north-0", 1, burst)
+			time.Sleep(idle)
+			fl.play(t, "north-0", 20, func(i int) Order {
+				if i == 19 {
+					w = fl.routers["north-0"].local.Waits("pool", region.Only("north"))
+				}
+				return burst(i + 1)
+			})
+		})
+		return w
+	}
+	qt.Assert(t, waitAfter(10*time.Second), qt.DeepEquals, waitAfter(0))
+}
