A late order from another region waits for all others

Cause: late orders of the region, with and without results of earlier stages, all precede late ones from other regions (before), but the estimate for one with inputs counted only those with results: a region took an order that it could not do by its deadline in place of sending it back. Change: its wait is LateNew. Result: TestLateSpilledOrderWaitsForAllOthers failed first (2 s for 3 s).

--- a/internal/stagebatch/spill.go
+++ b/internal/stagebatch/spill.go
@@ -116,7 +116,8 @@
 	return w.ForRank(o.Priority)
 }
 
-// late returns the wait of the pieces of an order that cannot meet its objective.
+// late returns the wait of the pieces of an order that cannot meet its objective. One from another
+// region is served after all others.
 func (w Waits) late(o Order) time.Duration {
-	return w.forWork(Work{Rank: o.Priority, Late: true, Begun: len(o.Inputs) > 0})
+	return w.forWork(Work{Rank: o.Priority, Late: true, Begun: len(o.Inputs) > 0 && !o.Spilled})
 }
--- a/internal/stagebatch/spill_test.go
+++ b/internal/stagebatch/spill_test.go
@@ -293,3 +293,10 @@
 	}
 	qt.Assert(t, waitAfter(10*time.Second), qt.DeepEquals, waitAfter(0))
 }
+
+func TestLateSpilledOrderWaitsForAllOthers(t *testing.T) {
+	c := qt.New(t)
+	w := Waits{Spilled: time.Second, LateBegun: 2 * time.Second, LateNew: 3 * time.Second}
+	c.Assert(w.late(Order{Inputs: []string{"a"}}), qt.Equals, 2*time.Second)
+	c.Assert(w.late(Order{Inputs: []string{"a"}, Spilled: true}), qt.Equals, 3*time.Second)
+}
