Waits of a pool of all regions are as before on the wire

Cause: a fleet with one region sent the wait of orders from other regions, which it never has, with each progress message. Change: it is 0, so not sent, unless the pool is that of a region. Result: the check added to TestOneRegionIsServedByOneFormer failed first (320 ms for 0).

--- a/internal/stagebatch/estimate.go
+++ b/internal/stagebatch/estimate.go
@@ -18,7 +18,8 @@
 	// of earlier stages, LateNew otherwise. The estimate assumes that late pieces without
 	// earlier results are served last.
 	LateBegun, LateNew time.Duration
-	// Spilled is the wait of orders from other regions that can meet their objective.
+	// Spilled is the wait of orders from other regions that can meet their objective; 0 for the pool of
+	// all regions.
 	Spilled time.Duration
 }
 
@@ -184,7 +185,9 @@
 		urgent += float64(coming[rank])
 	}
 	before += spilled
-	out.Spilled = timeFor(before)
+	if p.region != "" {
+		out.Spilled = timeFor(before)
+	}
 	out.LateBegun = timeFor(before + lateBegun)
 	out.LateNew = timeFor(before + lateBegun + lateNew)
 	p.waits, p.waitsAt = out, now
--- a/internal/stagebatch/home_test.go
+++ b/internal/stagebatch/home_test.go
@@ -212,6 +212,8 @@
 		rankNodes("pool", all)
 		c.Assert(r.ranked("pool", region.Set{}), qt.DeepEquals, all, qt.Commentf(name))
 		c.Assert(r.FirstBatchNode("pool"), qt.Equals, all[0].Name)
+		waiting := &pool{queue: []*piece{{order: &order{Order: Order{Due: time.Now().Add(time.Minute)}}}}, traffic: traffic{ranks: 1}}
+		c.Assert(waiting.wait(poolSpec(""), time.Now()).Spilled, qt.Equals, time.Duration(0))
 	}
 }
 
