A target that is full in one of its pools is nearly full

Cause: a target is in two pools of a former while nodes that know regions and nodes that do not work together. processNearlyFull looked at one of them, by chance, so results of a full target with a rate limit might not be released. Change: it looks at all pools. Result: TestTargetThatIsFullInOnePoolIsNearlyFull failed first.

--- a/internal/stagebatch/leaving_test.go
+++ b/internal/stagebatch/leaving_test.go
@@ -161,3 +161,17 @@
 		time.Sleep(30 * time.Second)
 	})
 }
+
+// A target is in two pools while nodes that know regions and nodes that do not work together.
+func TestTargetThatIsFullInOnePoolIsNearlyFull(t *testing.T) {
+	c := qt.New(t)
+	pool, list := newFakePool(1)
+	f := NewFormer(pool, list, poolSpec, discardLog)
+	target := targets.Target{ID: "a", Service: "pool", Addr: "10.0.0.1:1"}
+	full := &targetState{Target: target, callBytes: 1 << 20, results: map[string]storedResult{"h": {bytes: 1 << 20, until: time.Now().Add(time.Minute)}}}
+	f.pool(poolKey{"pool", ""}).states["a"] = &targetState{Target: target}
+	f.pool(poolKey{"pool", "north"}).states["a"] = full
+	for range 50 {
+		c.Assert(f.processNearlyFull("pool", target.Process(), poolSpec("")), qt.IsTrue)
+	}
+}
--- a/internal/stagebatch/permits.go
+++ b/internal/stagebatch/permits.go
@@ -100,14 +100,14 @@
 }
 
 // processNearlyFull reports whether the target with the given process may lack space for the results
-// of its next call.
+// of its next call, in one of the pools that contain it.
 func (f *Former) processNearlyFull(service, process string, spec *routes.Batch) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, p := range f.poolsOf(service) {
 		for _, m := range p.states {
-			if m.Process() == process {
-				return m.nearlyFull(spec, time.Now())
+			if m.Process() == process && m.nearlyFull(spec, time.Now()) {
+				return true
 			}
 		}
 	}
