Evidence on a roll-out is at the level at which it is decided

Change: the level is the fleet's, and so are the notes. Nothing but the table reads this level, so nothing else changes.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -44,12 +44,12 @@
 )
 
 // levels gives the level of each kind of work. Work whose owner enforces a bound for all nodes
-// together belongs to the fleet: two owners would each allow the whole bound. Other work stays as
-// near to its nodes as its data does.
+// together belongs to the fleet: two owners would each allow the whole bound. The evidence on a
+// roll-out goes to the node that decides on it. Other work stays as near to its nodes as its data does.
 var levels = map[Work]Level{
 	StoreUpdates:    DataCentre,
 	StageBatches:    Region,
-	RolloutEvidence: Region,
+	RolloutEvidence: Fleet,
 	RolloutDecision: Fleet,
 	RatePermits:     Fleet,
 }
