--- a/internal/stagebatch/estimate.go
+++ b/internal/stagebatch/estimate.go
@@ -18,7 +18,8 @@
 	// of earlier stages, LateNew otherwise. The estimate assumes that late pieces without
 	// earlier results are served last.
 	LateBegun, LateNew time.Duration
-	// Spilled is the wait of orders from other regions that can meet their objective.
+	// Spilled is the wait of orders from other regions that can meet their objective; 0 for the pool of
+	// all regions.
 	Spilled time.Duration
 }
 
@@ -71,8 +72,9 @@
 type traffic struct {
 	arrived  []pieceCount
 	produced []pieceCount
-	// busySince is the last time at which a call ended with an empty queue, at first the time at
-	// which the pool was created: since then pieces have waited at the end of each call.
+	// busySince is the last time at which a call ended with an empty queue or, for the pool of a region,
+	// at which an order came to the idle pool; at first the time at which the pool was created. Since
+	// then pieces have waited at the end of each call.
 	busySince time.Time
 	// ranks is one more than the highest rank of the orders that have arrived.
 	ranks int
@@ -183,7 +185,9 @@
 		urgent += float64(coming[rank])
 	}
 	before += spilled
-	out.Spilled = timeFor(before)
+	if p.region != "" {
+		out.Spilled = timeFor(before)
+	}
 	out.LateBegun = timeFor(before + lateBegun)
 	out.LateNew = timeFor(before + lateBegun + lateNew)
 	p.waits, p.waitsAt = out, now
--- a/internal/stagebatch/home.go
+++ b/internal/stagebatch/home.go
@@ -41,7 +41,7 @@
 	defer r.mu.Unlock()
 	var out []string
 	for _, name := range withTargets {
-		if in.Has(name) && withNodes[name] && now.After(r.suspectRegions[name]) {
+		if in.Has(name) && (withNodes[name] || name == r.region() && !r.stopping) && now.After(r.suspectRegions[name]) {
 			out = append(out, name)
 		}
 	}
@@ -102,18 +102,31 @@
 	return known.names
 }
 
-// regionsWithNodes returns the regions that have a node which forms batches, as seen by this node.
+// nodeRegions are the regions of the nodes in a list.
+type nodeRegions struct {
+	of    []Node
+	names map[string]bool
+}
+
+// read reports whether the regions are those of a node list. Lists are replaced, never modified.
+func (n nodeRegions) read(of []Node) bool {
+	return n.names != nil && len(n.of) == len(of) && (len(of) == 0 || &n.of[0] == &of[0])
+}
+
+// regionsWithNodes returns the regions of the other nodes, as seen by this node. The map is not modified.
 func (r *Router) regionsWithNodes() map[string]bool {
-	out := make(map[string]bool)
-	for _, n := range r.nodes() {
-		out[r.local.Regions[n.DataCentre]] = true
-	}
+	all := r.nodes()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.stopping {
-		out[r.region()] = true
+	if r.nodeRegions.read(all) {
+		return r.nodeRegions.names
 	}
-	return out
+	names := make(map[string]bool)
+	for _, n := range all {
+		names[r.local.Regions[n.DataCentre]] = true
+	}
+	r.nodeRegions = nodeRegions{of: all, names: names}
+	return names
 }
 
 // produceByRegion runs an order in the first of the given regions that accepts it. The order is
@@ -145,7 +158,8 @@
 }
 
 // followSpill runs an order in the region that its home region named, or at home after all if no node
-// there accepts it or it is sent back. It returns res and err if the order has ended at home.
+// there accepts it, it is sent back or that region has no target. It returns res and err if the order
+// has ended at home.
 func (r *Router) followSpill(ctx context.Context, o Order, res Result, err error) (Result, error) {
 	var spilled *SpillError
 	if !errors.As(err, &spilled) {
@@ -156,7 +170,7 @@
 	o.SpillTo = o.Regions.Names()
 	o.Regions, o.Spilled = region.Only(spilled.Region), true
 	res, err, ended := r.produceInRegion(ctx, o, spilled.Region)
-	if ended && !errors.As(err, &spilled) {
+	if ended && !errors.As(err, &spilled) && !errors.Is(err, ErrNoTarget) {
 		return res, err
 	}
 	if !ended {
--- a/internal/stagebatch/home_test.go
+++ b/internal/stagebatch/home_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"topazmoor/internal/ownership"
 	"topazmoor/internal/region"
 	"topazmoor/internal/targets"
 )
@@ -211,6 +212,8 @@
 		rankNodes("pool", all)
 		c.Assert(r.ranked("pool", region.Set{}), qt.DeepEquals, all, qt.Commentf(name))
 		c.Assert(r.FirstBatchNode("pool"), qt.Equals, all[0].Name)
+		waiting := &pool{queue: []*piece{{order: &order{Order: Order{Due: time.Now().Add(time.Minute)}}}}, traffic: traffic{ranks: 1}}
+		c.Assert(waiting.wait(poolSpec(""), time.Now()).Spilled, qt.Equals, time.Duration(0))
 	}
 }
 
@@ -330,3 +333,36 @@
 		wg.Wait()
 	})
 }
+
+// Estimates are requested several times for each request, so the node list is read only when it changes.
+func TestRegionsWithNodesAreReadOnceForEachNodeList(t *testing.T) {
+	c := qt.New(t)
+	r := newRegionFleet(perRegion(1, 2, 0), perRegion(1, 1, 1)).routers["north-0"]
+	c.Assert(r.homeRegions("pool", "", region.Set{}), qt.DeepEquals, []string{"north", "south"})
+	c.Assert(testing.AllocsPerRun(10, func() { r.regionsWithNodes() }), qt.Equals, 0.0)
+	moved := []Node{{Name: "south-0", DataCentre: "south1"}, {Name: "west-0", DataCentre: "west1"}}
+	r.nodes = func() []Node { return moved }
+	c.Assert(r.homeRegions("pool", "", region.Set{}), qt.DeepEquals, []string{"north", "south", "west"})
+	r.Stop()
+	c.Assert(r.homeRegions("pool", "", region.Set{}), qt.DeepEquals, []string{"south", "west"})
+	r.nodes = func() []Node { return nil }
+	c.Assert(r.homeRegions("pool", "", region.Set{}), qt.HasLen, 0)
+}
+
+func TestLeaderStandsAtTheLevelOfItsWork(t *testing.T) {
+	c := qt.New(t)
+	leaders := make(map[ownership.Work]map[string]bool)
+	for _, r := range newRegionFleet(perRegion(3, 3, 3), perRegion(1, 1, 1)).routers {
+		for _, w := range []ownership.Work{ownership.RolloutDecision, ownership.StageBatches} {
+			if leaders[w] == nil {
+				leaders[w] = make(map[string]bool)
+			}
+			n, self := r.Leader(w, "task")
+			leaders[w][n.Name] = true
+			c.Assert(self, qt.Equals, n.Name == r.self.Name)
+			c.Assert(ownership.Same(w, r.place(n), r.place(r.self)), qt.IsTrue)
+		}
+	}
+	c.Assert(leaders[ownership.RolloutDecision], qt.HasLen, 1)
+	c.Assert(leaders[ownership.StageBatches], qt.HasLen, 3)
+}
