Targets: a target of another region that was slow is called again

Cause: a call leaves its region only if it would end in time by the target's mean latency, which did not expire. A node that had once seen a target take longer than its callers wait never called it again, so it never saw that the target is fast; a region without targets was refused for as long as it was lost. Change: the mean counts for latencyMaxAge, then the assumed latency does, as in Table.Latency. Result: TestSlowTargetOfAnotherRegionIsCalledAgain failed before. Conclusion: an estimate that decides whether to call must expire.

--- a/internal/targets/crossing.go
+++ b/internal/targets/crossing.go
@@ -62,7 +62,7 @@
 	if float64(s.calls(now)) >= outsideCalls(q.Rank, s.Slots, own) {
 		return false
 	}
-	return q.Left == 0 || t.crossingCost(q.Exchange)+s.meanLatency() < q.Left
+	return q.Left == 0 || t.crossingCost(q.Exchange)+s.recentLatency(now) < q.Left
 }
 
 // Crossed tells why a call goes to another region, and what that costs.
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -267,6 +267,15 @@
 	return defaultLatency
 }
 
+// recentLatency returns the mean time of a call at the target, if it was measured within
+// latencyMaxAge, or what is assumed for it.
+func (s *state) recentLatency(now time.Time) time.Duration {
+	if now.Sub(s.latencyAt) >= latencyMaxAge {
+		return defaultLatency
+	}
+	return s.meanLatency()
+}
+
 // cost estimates the time of a call at a target, and adds the costs of other data centres and
 // recent failures.
 func (s *state) cost(nodeDataCentre string, now time.Time) time.Duration {
--- /dev/null
+++ b/internal/targets/reach_test.go
@@ -0,0 +1,28 @@
+package targets
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"topazmoor/internal/region"
+)
+
+// newReachTable returns a table of a node in north with one target in south, which has ten slots.
+func newReachTable() (*Table, *clock, *state) {
+	tb, now := newTable(Target{ID: "a", Service: "s", Addr: "a", DataCentre: "south", Slots: 10})
+	tb.DataCentre, tb.Regions, tb.Crossing = "north", region.Map{"north": "north", "south": "south"}, region.DefaultCrossing
+	return tb, now, tb.byID["a"]
+}
+
+// A target that was slow must get calls from other regions again: who calls it no more doesn't see
+// that it is fast.
+func TestSlowTargetOfAnotherRegionIsCalledAgain(t *testing.T) {
+	tb, now, _ := newReachTable()
+	q := Query{Service: "s", Left: time.Second}
+	tb.Pick(q).Done(Served, 3*time.Second)
+	qt.Check(t, tb.Pick(q), qt.IsNil)
+	now.at = now.at.Add(latencyMaxAge)
+	qt.Check(t, tb.Pick(q), qt.IsNotNil)
+}
