Targets: the price of bytes is no time that a call takes

Cause: whether a call would end in time in another region was decided by the cost of the way, with the price of its bytes (2 s a MB). A request of 1 MB with a second left was refused by a region that had lost its targets, although the way takes 24 ms. Change: only the round trips count for the deadline. The price still decides between targets. Result: TestLargeRequestOfALostRegionIsServed failed before.

--- a/internal/targets/crossing.go
+++ b/internal/targets/crossing.go
@@ -16,9 +16,16 @@
 
 // crossingCost returns the cost of an exchange with a target in another region.
 func (t *Table) crossingCost(e Exchange) time.Duration {
-	return t.Crossing.Cost(max(e.RoundTrips, 1), e.Bytes)
+	return t.Crossing.Cost(e.roundTrips(), e.Bytes)
 }
 
+// crossingDelay returns the time that an exchange takes longer with a target in another region.
+func (t *Table) crossingDelay(e Exchange) time.Duration {
+	return t.Crossing.Cost(e.roundTrips(), 0)
+}
+
+func (e Exchange) roundTrips() int { return max(e.RoundTrips, 1) }
+
 // The calls that targets take from other regions, as fractions of their slots. The most urgent
 // requests, those of rank 0, leave a region first and get the most; each further rank gets less, so
 // that the slots that a region has to spare go to the urgent requests of the others.
@@ -62,7 +69,7 @@
 	if float64(s.calls(now)) >= outsideCalls(q.Rank, s.Slots, own) {
 		return false
 	}
-	return q.Left == 0 || t.crossingCost(q.Exchange)+s.recentLatency(now) < q.Left
+	return q.Left == 0 || t.crossingDelay(q.Exchange)+s.recentLatency(now) < q.Left
 }
 
 // Crossed tells why a call goes to another region, and what that costs.
--- a/internal/targets/reach_test.go
+++ b/internal/targets/reach_test.go
@@ -26,3 +26,10 @@
 	now.at = now.at.Add(latencyMaxAge)
 	qt.Check(t, tb.Pick(q), qt.IsNotNil)
 }
+
+// The price of the bytes is no time that a call takes: it must not keep a large request of a region
+// without targets from the only ones that there are.
+func TestLargeRequestOfALostRegionIsServed(t *testing.T) {
+	tb, _, _ := newReachTable()
+	qt.Check(t, tb.Pick(Query{Service: "s", Left: time.Second, Exchange: Exchange{Bytes: 1_000_000}}), qt.IsNotNil)
+}
