Targets: nothing is beyond reach with one region; no copy of the candidates

Cause: targets in data centres without a known region counted as another region, also in a deployment with one region: there a full target was refused by rank. The reach also looked up two regions for each candidate and copied the candidates. Change: the reach is decided only if there are several regions, and the candidates are filtered in place. Result: TestNothingIsBeyondReachWithOneRegion failed before.

--- a/internal/targets/crossing.go
+++ b/internal/targets/crossing.go
@@ -49,19 +49,13 @@
 
 // withinReach returns the candidates that a call may go to by where they are: all in this node's
 // region, and those in others that have slots to spare and would answer in time. It returns all
-// candidates of a call that may not be served in this node's region.
+// candidates of a call that may not be served in this node's region. It reuses the memory of cands.
 func (t *Table) withinReach(q Query, cands []*state, now time.Time) []*state {
-	if !slices.ContainsFunc(cands, t.inOtherRegion) || !t.Regions.Allows(q.Regions, t.DataCentre) {
+	if !t.Regions.Several() || !t.Regions.Allows(q.Regions, t.DataCentre) {
 		return cands
 	}
 	own := slices.ContainsFunc(cands, func(s *state) bool { return !t.inOtherRegion(s) })
-	var out []*state
-	for _, s := range cands {
-		if !t.inOtherRegion(s) || t.mayCross(q, s, own, now) {
-			out = append(out, s)
-		}
-	}
-	return out
+	return slices.DeleteFunc(cands, func(s *state) bool { return t.inOtherRegion(s) && !t.mayCross(q, s, own, now) })
 }
 
 // mayCross reports whether a call may go to a target in another region.
--- a/internal/targets/reach_test.go
+++ b/internal/targets/reach_test.go
@@ -33,3 +33,12 @@
 	tb, _, _ := newReachTable()
 	qt.Check(t, tb.Pick(Query{Service: "s", Left: time.Second, Exchange: Exchange{Bytes: 1_000_000}}), qt.IsNotNil)
 }
+
+// The targets of one region serve all calls, also if the region of some data centres is not known.
+func TestNothingIsBeyondReachWithOneRegion(t *testing.T) {
+	for _, regions := range []region.Map{nil, {"north": "x"}, {"north": "x", "south": "x"}} {
+		tb, _, s := newReachTable()
+		tb.Regions, s.inFlight = regions, 1000
+		qt.Check(t, tb.Pick(Query{Service: "s", Rank: 9, Left: time.Millisecond}), qt.IsNotNil, qt.Commentf("%v", regions))
+	}
+}
