Targets: tests of the shares of outside calls, rank by rank

Cause: three of four plays of internal/targets pass without the shares; the one of the lost region does not see the share for regions with targets of their own. Change: the exact number of calls that another region takes for each rank, with and without targets of the region's own; and that a report of load, which makes a target count as full, expires. TestReportOfAFullTargetExpires passes before and after.

--- a/internal/targets/reach_test.go
+++ b/internal/targets/reach_test.go
@@ -42,3 +42,40 @@
 		qt.Check(t, tb.Pick(Query{Service: "s", Rank: 9, Left: time.Millisecond}), qt.IsNotNil, qt.Commentf("%v", regions))
 	}
 }
+
+// Each rank gets its own share of the slots of another region, with and without targets at home.
+func TestSharesOfOutsideCallsByRank(t *testing.T) {
+	for _, test := range []struct{ rank, spare, lost int }{
+		{0, 10, 20}, {1, 9, 18}, {2, 8, 16}, {4, 6, 12}, {5, 5, 10}, {9, 5, 10},
+	} {
+		for _, own := range []bool{true, false} {
+			tb, _, s := newReachTable()
+			want := test.lost
+			if own {
+				want = test.spare
+				tb.Change(ListUpdate{Updated: []Target{{ID: "b", Service: "s", Addr: "b", DataCentre: "north", Slots: 1}}}, time.Time{})
+				tb.byID["b"].inFlight = 1000
+			}
+			for s.inFlight < 100 {
+				if l := tb.Pick(Query{Service: "s", Rank: test.rank}); l == nil || l.ID != "a" {
+					break
+				}
+			}
+			qt.Check(t, s.inFlight, qt.Equals, want, qt.Commentf("rank %d, own targets: %v", test.rank, own))
+		}
+	}
+}
+
+// A region without targets must not be starved by an old report of load: after loadMaxAge the target
+// counts as free but for this node's calls.
+func TestReportOfAFullTargetExpires(t *testing.T) {
+	tb, now, s := newReachTable()
+	q := Query{Service: "s", Rank: 9}
+	l := tb.Pick(q)
+	l.RecordLoad(Load{Running: 10, Waiting: 50})
+	l.Done(Served, 0)
+	qt.Check(t, tb.Pick(q), qt.IsNil)
+	now.at = now.at.Add(loadMaxAge + time.Millisecond)
+	qt.Check(t, tb.Pick(q), qt.IsNotNil)
+	qt.Check(t, s.inFlight, qt.Equals, 1)
+}
