Streams that have begun go on at full targets of other regions

Cause: a stream whose engine ended was resumed only within the share of slots for calls of other regions. When a region loses its engines all its streams resume at once, and those beyond the share were broken off, which is no refusal: the caller had a part of the answer. Change: a resumed stream may go to any region, as before the shares; the cost still decides where.

--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -123,7 +123,7 @@
 // response to the caller is complete.
 func (x *streaming) run() *failure {
 	c := x.c
-	l, n, f := c.nextSend(targets.Query{Engine: c.engineQuery(x.in)})
+	l, n, f := c.nextSend(targets.Query{Engine: c.engineQuery(x.in), Resumed: x.started})
 	if f != nil {
 		return f
 	}
--- a/internal/targets/crossing.go
+++ b/internal/targets/crossing.go
@@ -49,9 +49,10 @@
 
 // withinReach returns the candidates that a call may go to by where they are: all in this node's
 // region, and those in others that have slots to spare and would answer in time. It returns all
-// candidates of a call that may not be served in this node's region. It reuses the memory of cands.
+// candidates of a resumed call, and of one that may not be served in this node's region. It reuses
+// the memory of cands.
 func (t *Table) withinReach(q Query, cands []*state, now time.Time) []*state {
-	if !t.Regions.Several() || !t.Regions.Allows(q.Regions, t.DataCentre) {
+	if !t.Regions.Several() || q.Resumed || !t.Regions.Allows(q.Regions, t.DataCentre) {
 		return cands
 	}
 	own := slices.ContainsFunc(cands, func(s *state) bool { return !t.inOtherRegion(s) })
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -40,6 +40,9 @@
 	// 0 for unknown. Both decide whether the call may go to another region.
 	Rank int
 	Left time.Duration
+	// Resumed is set if the caller has a part of the answer: the call cannot be refused any more, so
+	// it may go to any region.
+	Resumed bool
 	// SkipRateBounded leaves out targets whose rate is bounded: an optional call should not use up a
 	// part of that rate.
 	SkipRateBounded bool
@@ -200,9 +203,9 @@
 }
 
 // candidatesOf returns the targets of a target group that may be called and are within reach (see
-// withinReach), of the first set that is not empty: the healthy ones; those called only where there is no other (see lastResort); the one
-// for which a permit is available first, if that is not after q.PermitDeadline; those whose breaker
-// is open.
+// withinReach), of the first set that is not empty: the healthy ones; those called only where there
+// is no other (see lastResort); the one for which a permit is available first, if that is not after
+// q.PermitDeadline; those whose breaker is open, unless healthy ones are beyond reach.
 func (t *Table) candidatesOf(q Query, now time.Time, admits func(*state) bool) []*state {
 	var healthy, fallback, down []*state
 	var nextPermitted *state
--- a/internal/targets/reach_test.go
+++ b/internal/targets/reach_test.go
@@ -79,3 +79,13 @@
 	qt.Check(t, tb.Pick(q), qt.IsNotNil)
 	qt.Check(t, s.inFlight, qt.Equals, 1)
 }
+
+// A stream whose caller has a part of the answer is not broken off because another region is full.
+func TestResumedStreamGoesToAFullRegion(t *testing.T) {
+	tb, _, s := newReachTable()
+	s.inFlight = 20
+	q := Query{Service: "s", Rank: 9, Engine: &EngineQuery{Affinity: 7, Tokens: 9000, Shared: 6300}}
+	qt.Check(t, tb.Pick(q), qt.IsNil)
+	q.Resumed = true
+	qt.Check(t, tb.Pick(q), qt.IsNotNil)
+}
