Targets: copy prompts within the region if it has almost as much

Cause: of engines that cache equally much, the first in the list was the source of a copy, also if it is in another region and the next one is not; and an engine elsewhere was taken for a few tokens more, as the way was weighed against all that the target lacks, not against what its own region can give. Change: the fullest engine of the region is the source, unless one elsewhere has so much more that reading the rest takes longer than the way. With one region the order is as before. Result: TestCopiesComeFromTheOwnRegionIfItHasAlmostAsMuch failed before in two of its cases (as many tokens, 100 more).

--- a/internal/targets/engine.go
+++ b/internal/targets/engine.go
@@ -87,28 +87,42 @@
 
 // copyFrom returns the address of the engine from which s should copy the beginning of a
 // prompt: one that caches most of it, in the data centre of s if there is one there; "" if
-// none caches more than s. An engine in another region than s is left out if s reads what it lacks
-// sooner than the way takes.
+// none caches more than s. An engine in another region than s is left out if s reads what it lacks,
+// beside what it can copy in its own region, sooner than the way takes.
 func (t *Table) copyFrom(s *state, holders []promptHolder) string {
-	own := s.cachedTokens(holders)
-	addr := ""
-	most := 0
+	several := t.Regions.Several()
+	far := func(k promptHolder) bool { return several && t.regionOf(k.state) != t.regionOf(s) }
+	have := s.cachedTokens(holders)
+	addr, tokens := fullestHolder(s, holders, have, func(k promptHolder) bool { return !far(k) })
+	if !several {
+		return addr
+	}
+	farAddr, farTokens := fullestHolder(s, holders, have, far)
+	if time.Duration(farTokens-max(tokens, have))*tokenTime > t.crossingCost(Exchange{}) {
+		return farAddr
+	}
+	return addr
+}
+
+// fullestHolder returns the address of the holder that caches most of a prompt, of those that may be
+// used and cache more than some tokens, and how many tokens it caches; one in the data centre of s if
+// there are several. It returns "" and 0 for none.
+func fullestHolder(s *state, holders []promptHolder, have int, use func(promptHolder) bool) (addr string, tokens int) {
 	for _, k := range holders {
-		if k.tokens <= own || k.tokens < most {
+		if k.tokens <= have || k.tokens < tokens {
 			break
 		}
-		if t.regionOf(k.state) != t.regionOf(s) && time.Duration(k.tokens-own)*tokenTime <= t.crossingCost(Exchange{}) {
+		if !use(k) {
 			continue
 		}
-		most = k.tokens
 		if k.DataCentre == s.DataCentre {
-			return k.Addr
+			return k.Addr, k.tokens
 		}
 		if addr == "" {
-			addr = k.Addr
+			addr, tokens = k.Addr, k.tokens
 		}
 	}
-	return addr
+	return addr, tokens
 }
 
 // copySource returns the address of the engine from whose prompt cache s should copy the beginning
--- a/internal/targets/regions_test.go
+++ b/internal/targets/regions_test.go
@@ -86,3 +86,23 @@
 	c.Assert(tb.Pick(Query{Service: "engines", Engine: &q}).DataCentre, qt.Equals, "dc2")
 	c.Assert(tb.Pick(Query{Service: "engines"}).DataCentre, qt.Equals, "dc2")
 }
+
+// A copy comes from the target's own region unless an engine elsewhere has so much more that reading
+// the rest takes longer than the way.
+func TestCopiesComeFromTheOwnRegionIfItHasAlmostAsMuch(t *testing.T) {
+	tb := New("north-a")
+	tb.Regions, tb.Crossing = region.Map{"north-a": "north", "north-b": "north", "south": "south"}, region.DefaultCrossing
+	at := func(dataCentre string, tokens int) promptHolder {
+		return promptHolder{&state{Target: Target{Addr: dataCentre, DataCentre: dataCentre}}, tokens}
+	}
+	s := at("north-a", 0).state
+	for _, test := range []struct {
+		far, near int
+		want      string
+	}{
+		{6300, 6300, "north-b"}, {6400, 6300, "north-b"}, {9000, 6300, "south"}, {6300, 0, "south"}, {700, 0, ""}, {700, 100, "north-b"}, {0, 0, ""},
+	} {
+		holders := []promptHolder{at("south", test.far), at("north-b", test.near)}
+		qt.Check(t, tb.copyFrom(s, holders), qt.Equals, test.want, qt.Commentf("%v", test))
+	}
+}
