Targets: no cost of the way with one region

Cause: entry.Settings.Crossing is said to have no effect with a single region, but a data centre that the map of regions lacks counted as another region: its targets cost a round trip and the price of the bytes more. Change: the cost is 0 unless there are several regions. Result: TestNoCostOfTheWayWithOneRegion failed before.

--- a/internal/targets/crossing.go
+++ b/internal/targets/crossing.go
@@ -14,8 +14,11 @@
 	Bytes int64
 }
 
-// crossingCost returns the cost of an exchange with a target in another region.
+// crossingCost returns the cost of an exchange with a target in another region; 0 with one region.
 func (t *Table) crossingCost(e Exchange) time.Duration {
+	if !t.Regions.Several() {
+		return 0
+	}
 	return t.Crossing.Cost(e.roundTrips(), e.Bytes)
 }
 
--- a/internal/targets/reach_test.go
+++ b/internal/targets/reach_test.go
@@ -89,3 +89,12 @@
 	q.Resumed = true
 	qt.Check(t, tb.Pick(q), qt.IsNotNil)
 }
+
+// With one region the cost of the way has no effect, also if the region of some data centres is not known.
+func TestNoCostOfTheWayWithOneRegion(t *testing.T) {
+	tb, _, _ := newReachTable()
+	tb.Regions = region.Map{"north": "x"}
+	tb.Change(ListUpdate{Updated: []Target{{ID: "b", Service: "s", Addr: "b", DataCentre: "north", Slots: 1}}}, time.Time{})
+	tb.byID["b"].inFlight = 1
+	qt.Check(t, tb.Pick(Query{Service: "s", Exchange: Exchange{Bytes: 100_000}}).ID, qt.Equals, "a")
+}
