--- a/internal/targets/crossing.go
+++ b/internal/targets/crossing.go
@@ -14,11 +14,21 @@
 	Bytes int64
 }
 
-// crossingCost returns the cost of an exchange with a target in another region.
+// crossingCost returns the cost of an exchange with a target in another region; 0 with one region.
 func (t *Table) crossingCost(e Exchange) time.Duration {
-	return t.Crossing.Cost(max(e.RoundTrips, 1), e.Bytes)
+	if !t.Regions.Several() {
+		return 0
+	}
+	return t.Crossing.Cost(e.roundTrips(), e.Bytes)
+}
+
+// crossingDelay returns the time that an exchange takes longer with a target in another region.
+func (t *Table) crossingDelay(e Exchange) time.Duration {
+	return t.Crossing.Cost(e.roundTrips(), 0)
 }
 
+func (e Exchange) roundTrips() int { return max(e.RoundTrips, 1) }
+
 // The calls that targets take from other regions, as fractions of their slots. The most urgent
 // requests, those of rank 0, leave a region first and get the most; each further rank gets less, so
 // that the slots that a region has to spare go to the urgent requests of the others.
@@ -42,19 +52,14 @@
 
 // withinReach returns the candidates that a call may go to by where they are: all in this node's
 // region, and those in others that have slots to spare and would answer in time. It returns all
-// candidates of a call that may not be served in this node's region.
+// candidates of a resumed call, and of one that may not be served in this node's region. It reuses
+// the memory of cands.
 func (t *Table) withinReach(q Query, cands []*state, now time.Time) []*state {
-	if !slices.ContainsFunc(cands, t.inOtherRegion) || !t.Regions.Allows(q.Regions, t.DataCentre) {
+	if !t.Regions.Several() || q.Resumed || !t.Regions.Allows(q.Regions, t.DataCentre) {
 		return cands
 	}
 	own := slices.ContainsFunc(cands, func(s *state) bool { return !t.inOtherRegion(s) })
-	var out []*state
-	for _, s := range cands {
-		if !t.inOtherRegion(s) || t.mayCross(q, s, own, now) {
-			out = append(out, s)
-		}
-	}
-	return out
+	return slices.DeleteFunc(cands, func(s *state) bool { return t.inOtherRegion(s) && !t.mayCross(q, s, own, now) })
 }
 
 // mayCross reports whether a call may go to a target in another region.
@@ -62,7 +67,7 @@
 	if float64(s.calls(now)) >= outsideCalls(q.Rank, s.Slots, own) {
 		return false
 	}
-	return q.Left == 0 || t.crossingCost(q.Exchange)+s.meanLatency() < q.Left
+	return q.Left == 0 || t.crossingDelay(q.Exchange)+s.recentLatency(now) < q.Left
 }
 
 // Crossed tells why a call goes to another region, and what that costs.
