Stage batches: a slow target's batch ends before its orders are due

Cause: whether a slow target completes an order in time was worked out for the order's own pieces, so that it took order after order; its batch of nine orders took 1.3 s where each had 0.9 s. Change: the duration is that of the whole batch, and orders in it must stay in time too. Result: TestBatchOfASlowTargetEndsBeforeItsOrdersAreDue took 54 pieces before, failed; passes after.

--- a/internal/stagebatch/former_test.go
+++ b/internal/stagebatch/former_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -473,3 +474,25 @@
 		c.Assert(len(batch)+len(rest), qt.Equals, 1)
 	}
 }
+
+// TestBatchOfASlowTargetEndsBeforeItsOrdersAreDue guards against a slow target that takes order after
+// order, each of which it would complete in time alone, and misses all of them with the whole batch.
+func TestBatchOfASlowTargetEndsBeforeItsOrdersAreDue(t *testing.T) {
+	spec := poolSpec("")
+	spec.Items, spec.CallTime, spec.ItemTime = 62, 200*time.Millisecond, 3*time.Millisecond
+	now := time.Now()
+	const pieces, slower = 6, 4
+	var queue []*piece
+	for i := range 9 {
+		o := &order{Order: Order{Pieces: pieces, Due: now.Add(time.Second), Deadline: now.Add(4 * time.Second)}, seq: uint64(i), queuedAt: now}
+		for index := range pieces {
+			queue = append(queue, &piece{order: o, index: index, queued: true})
+		}
+	}
+	batch, rest := take(slices.Clone(queue), spec, spec.ResultSpace, now, placement{slower: slower})
+	qt.Check(t, len(batch) > 0, qt.IsTrue)
+	qt.Check(t, times(expected(spec, len(batch)), slower) <= time.Second, qt.IsTrue, qt.Commentf("%d pieces", len(batch)))
+	qt.Check(t, len(batch)+len(rest), qt.Equals, len(queue))
+	batch, _ = take(queue, spec, spec.ResultSpace, now, placement{slower: 1})
+	qt.Check(t, batch, qt.HasLen, len(queue))
+}
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -279,7 +279,7 @@
 			o.finish(ErrLate)
 		case full || o.isolated && len(batch) > 0:
 			rest = append(rest, group...)
-		case n > 0 && len(batch)+n <= size && int64(n)*o.ResultBytes <= space && pl.accepts(o, spec, now) && pl.inTime(o, expected(spec, n), now):
+		case n > 0 && len(batch)+n <= size && int64(n)*o.ResultBytes <= space && pl.accepts(o, spec, now) && pl.allInTime(batch, o, expected(spec, len(batch)+n), now):
 			space -= int64(n) * o.ResultBytes
 			dequeue(group[:n])
 			batch = append(batch, group[:n]...)
@@ -374,6 +374,15 @@
 	return o.DataCentre == pl.dataCentre || !pl.working[o.DataCentre]
 }
 
+// allInTime reports whether the target is fast enough for an order, and for those that are in its batch
+// already, if the order joins the batch. takes is the duration of the whole batch at a healthy target.
+func (pl placement) allInTime(batch []*piece, o *order, takes time.Duration, now time.Time) bool {
+	if !pl.inTime(o, takes, now) {
+		return false
+	}
+	return pl.slower < healthyRatio || !slices.ContainsFunc(batch, func(p *piece) bool { return !pl.inTime(p.order, takes, now) })
+}
+
 // inTime reports whether the target is fast enough for an order. It is if it is not slow compared
 // with the fastest target of the pool, if it would complete the order by Due, or if even a healthy
 // target would miss Due but this one would meet Deadline. takes is the duration at a healthy target.
