--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"reflect"
-	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,7 +19,6 @@
 	"github.com/thejerf/suture/v4"
 
 	"topazmoor/internal/blackboard"
-	"topazmoor/internal/flow"
 	"topazmoor/internal/httpconn"
 	"topazmoor/internal/mechanism"
 	"topazmoor/internal/metrics"
@@ -28,7 +26,6 @@
 	"topazmoor/internal/poison"
 	"topazmoor/internal/region"
 	"topazmoor/internal/relay"
-	"topazmoor/internal/restore"
 	"topazmoor/internal/rollout"
 	"topazmoor/internal/routes"
 	"topazmoor/internal/sharedrate"
@@ -194,108 +191,6 @@
 	memoryShare = 0.75
 )
 
-// Provision builds a node and opens its listeners.
-func Provision(set Settings, env Env) (*Node, error) {
-	n := &Node{set: set, env: env, log: env.Log, started: time.Now(), stopping: make(chan struct{}), metrics: metrics.NewEntry()}
-	if set.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
-	}
-	n.targets = targets.New(set.DataCentre)
-	n.targets.Off = set.Off
-	n.targets.Regions = set.Regions
-	n.targets.Crossing = set.crossing()
-	n.targets.WarmupRate = n.warmupRate
-	n.provisionTraffic()
-	n.targets.RegionSets = n.regionSets
-	n.provisionLimits()
-	n.provisionRollouts()
-	n.configTable = &watch.Table{Name: env.ConfigTable, From: env.Store, Wait: watch.ShortWait, Pause: n.pause(0, configPause, configPause), Apply: (&restore.Table{Name: env.ConfigTable, Apply: n.applyOperatorTable, Log: n.log}).Update, Log: n.log}
-	n.targetTable = &watch.Table{Name: env.TargetTable, From: env.Store, Wait: watch.ShortWait, Pause: n.pause(targetPausePerNode, targetPause, maxTargetPause), Apply: n.applyTargets, OnAvailability: n.storeContactChanged, Log: n.log}
-	n.configTable.Primary = n.targetTable
-	n.versionTracker = &versionTracker{n: n}
-	n.former = stagebatch.NewFormer(env.Worker, n.targets, n.batchSpec, n.log)
-	n.former.Name, n.former.Off = set.Node, set.Off
-	n.former.Regions, n.former.Crossing = set.Regions, set.crossing()
-	n.former.Spills = n.metrics
-	var err error
-	if n.peers, err = n.provisionPeers(); err != nil {
-		return nil, err
-	}
-	if n.detector, err = suspend.New(env.BootAhead, n.hostResumed); err != nil {
-		return nil, err
-	}
-	n.targets.Trusted = n.trusted
-	n.provisionGuard()
-	n.provisionRelay()
-	n.router = stagebatch.NewRouter(stagebatch.Node{Name: set.Node, DataCentre: set.DataCentre, Capacity: set.Capacity}, n.former, n.peers.client, n.state.Members.Get, n.log)
-	n.router.Exchange = n.peers.client
-	n.passThrough = passthrough.New(passthrough.Config{
-		Routes: n.state.Routes.Get, Current: n.current, StoreUnreachable: n.storeUnreachable, SuspendedTime: n.detector.SuspendedTime, Trusted: n.trusted, Targets: n.targets, Stages: n.router,
-		Guard: n.guard, Sender: env.Conns, Wire: env.Wire, Off: set.Off,
-		Repeats:   flow.NewRepeatBudgets(set.Repeats.Ratio, set.Repeats.Fixed, set.Repeats.Window, n.router.Live, n.acquireRepeatPermit),
-		BodyBytes: defaultBodyBytes, ReadTimeout: defaultReadTimeout, Observer: n.metrics, Log: n.log,
-	})
-	n.provisionGauges()
-	if err := n.provisionServers(); err != nil {
-		n.close()
-		return nil, err
-	}
-	return n, nil
-}
-
-// pause returns a function for how long changes of a table are collected, by the number of
-// nodes that read it from the store. With enough nodes in the data centre to relay the table,
-// only a few read it, and the pause is short.
-func (n *Node) pause(perNode, least, most time.Duration) func() time.Duration {
-	return func() time.Duration {
-		if len(n.state.LocalNodes.Get()) >= relay.MinNodes {
-			return least
-		}
-		nodes := n.nodes()
-		return min(max(time.Duration(nodes)*perNode, least), most)
-	}
-}
-
-func (n *Node) provisionGauges() {
-	n.metrics.GaugeVec("topazmoor_entry_store_age_seconds", "Time since the store last answered, by table.", "table", func() map[string]float64 {
-		ages := make(map[string]float64)
-		for _, t := range []*watch.Table{n.configTable, n.targetTable, n.peers.members} {
-			ages[t.Name] = time.Since(t.LastAnswer()).Seconds()
-		}
-		return ages
-	})
-	n.metrics.Gauge("topazmoor_entry_unreadable_targets", "Entries of the list of targets that name no target to use.", func() float64 { return float64(n.unreadable.count()) })
-	n.metrics.GaugeVec("topazmoor_entry_stage_queue", "Pieces that wait at this node, by service.", "service", n.former.Queued)
-	n.metrics.Gauge("topazmoor_entry_config_version", "Version of the configuration in force.", func() float64 {
-		if cfg := n.state.Routes.Get(); cfg != nil {
-			return float64(cfg.Version)
-		}
-		return 0
-	})
-	n.metrics.Gauge("topazmoor_entry_store_followers", "Nodes that follow the store through this one.", func() float64 { return float64(n.relayServer.Followers()) })
-	n.metrics.Gauge("topazmoor_entry_nodes", "Nodes that answer, this one included.", func() float64 { return float64(n.router.Live()) })
-	n.metrics.Gauge("topazmoor_entry_requests_in_flight", "Requests being worked on.", func() float64 { return float64(n.InFlight()) })
-	if n.env.DroppedLogLines != nil {
-		n.metrics.Gauge("topazmoor_entry_log_lines_dropped", "Log lines that did not fit the buffer.", func() float64 { return float64(n.env.DroppedLogLines()) })
-	}
-}
-
-func (n *Node) provisionServers() error {
-	ln, err := n.env.Listen(n.set.ListenCallers)
-	if err != nil {
-		return eris.Wrap(err, "listen for callers")
-	}
-	n.callerServer = newCallerServer(ln, n.passThrough, n.log)
-	if n.readyLn, err = n.env.Listen(n.set.ListenReady); err != nil {
-		return eris.Wrap(err, "listen for the balancer")
-	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /readyz", n.serveReady)
-	mux.Handle("GET /metrics", n.metrics.Handler())
-	n.ready = &http.Server{Handler: mux, ReadHeaderTimeout: defaultReadTimeout}
-	return nil
-}
-
 // batchSpec returns the batch settings of a stage pool; nil for none.
 func (n *Node) batchSpec(service string) *routes.Batch {
 	cfg := n.state.Routes.Get()
