--- a/internal/targets/rollout.go
+++ b/internal/targets/rollout.go
@@ -68,11 +68,7 @@
 			hashes = append(hashes, s.hash)
 		}
 	}
-	if len(hashes) == 0 {
-		return 0
-	}
-	slices.Sort(hashes)
-	return hashes[min(int(lane.Fraction*float64(len(hashes))), len(hashes)-1)]
+	return rollout.LastInPart(hashes, lane.Fraction)
 }
 
 // recordStart records the start of a call with Rollouts. The lock is held.
