scheduler, routing, node: names and comments for a new reader

Cause: trial, draw.of and apart did not say what they hold; scheduler/serve.go has no Serve but refuses calls that no target serves; some comments could only be read with the code around them; rolloutRecords.Save read the order, judged and wrote in one function. Change: trialState, draw.state, groupOf, unserved.go; currentOrder split from Save; comments with units and reasons. No behaviour.

--- a/internal/node/pollers.go
+++ b/internal/node/pollers.go
@@ -103,8 +103,8 @@
 	return out
 }
 
-// hostGroups returns the function that tells apart hosts of which a node keeps some each: by region, and
-// by version while their pool has a roll-out.
+// hostGroups returns the groupOf of routing.Subset: the region of a host, and its version too while its
+// pool has a roll-out. So each node has targets of both versions in each region.
 func (n *Node) hostGroups(cfg *catalog.Compiled) func(store.Host) string {
 	regions, rollouts := n.s.RegionMap(), cfg.Rollouts()
 	return func(h store.Host) string {
--- a/internal/node/rollouts.go
+++ b/internal/node/rollouts.go
@@ -35,27 +35,29 @@
 type rollouts struct {
 	n    *Node
 	gate *rollout.Gate
-	// detector notices suspensions of the host, in which shares do not lapse by themselves.
+	// detector notices suspensions of the host: the clock by which shares lapse stands still in them.
 	detector *suspend.Detector
 
 	mu sync.Mutex
 	// owners holds, by pool, the owner of the last order that this node decided on. Each order has an
 	// owner of its own, with the order's bounds.
 	owners map[string]ownedOrder
-	// closed says that this node decides on no orders now.
+	// closed says that this node decides on no orders: from the end of Serve until it runs again.
 	closed bool
 	// avoided holds until when nodes are not chosen as owner, by address.
 	avoided map[string]time.Time
-	// stopped holds the stopped orders that were passed to the gate, and whether their record says that
-	// they were completed before.
+	// stopped holds the stopped orders that were passed to the gate. Only Serve uses it.
 	stopped map[rollout.Order]stoppedOrder
 }
 
+// ownedOrder is an order that this node decides on, with the owner that does.
 type ownedOrder struct {
 	order rollout.Order
 	owner *rollout.Owner
 }
 
+// stoppedOrder is what a node knows of the record of a stopped order: whether it was read, and whether it
+// says that the order was completed before the stop.
 type stoppedOrder struct{ known, completed bool }
 
 // newRollouts returns the roll-outs of a node whose peers are provisioned.
@@ -172,7 +174,8 @@
 	}
 	r.stopped = stopped
 	if len(fresh) > 0 {
-		// A gate bars the version of an order that it had. One that starts after the stop must have had it.
+		// The gate excludes the version of an order that is taken away from it. So it is given the order
+		// first, also if this node has started after the stop.
 		r.gate.SetOrders(slices.Concat(standing, fresh))
 	}
 	r.gate.SetOrders(standing)
@@ -188,6 +191,7 @@
 	return owner.Report(ctx, rep)
 }
 
+// errUnknownOrder refuses a report; the sender reports again.
 var errUnknownOrder = errors.New("the configuration in force here does not have the order, or the node stops")
 
 // ownerOf returns the owner of an order; nil if the configuration in force here lacks the order, or
@@ -213,6 +217,7 @@
 	return owner
 }
 
+// boundsOf returns the bounds of an order's trial.
 func boundsOf(o catalog.Rollout) rollout.Bounds {
 	return rollout.Bounds{Share: o.Share, Slack: o.Slack}
 }
@@ -277,7 +282,8 @@
 	r.n.log.Warn("owner of roll-outs avoided: it does not answer", "addr", addr, "for", avoidOwner)
 }
 
-// targets counts the targets of a pool that get work, by version.
+// targets counts the targets of a pool that get work, by version. All count as warm: nothing tells when
+// their warm-up is over.
 func (r *rollouts) targets(pool, version string) rollout.Targets {
 	var out rollout.Targets
 	for _, c := range r.versionCounts(pool, version) {
--- a/internal/node/rolloutstate.go
+++ b/internal/node/rolloutstate.go
@@ -24,19 +24,9 @@
 // Save implements rollout.RecordStore. A record is written only while the configuration has its order; a
 // stopped order is rolled back, whatever its owner knows.
 func (b rolloutRecords) Save(ctx context.Context, r rollout.Record) (rollout.Record, error) {
-	item, stands, err := config.NewStore(b.n.env.Store).ObjectAt(ctx, catalog.RolloutItem, r.Service)
-	if errors.Is(err, store.ErrNotFound) {
-		return rollout.Record{}, rollout.ErrSuperseded
-	}
-	var o catalog.Rollout
-	if err == nil {
-		err = json.Unmarshal(item.Value, &o)
-	}
+	o, unchanged, err := b.currentOrder(ctx, r)
 	if err != nil {
-		return rollout.Record{}, eris.Wrap(err, "read order of roll-out")
-	}
-	if orderOf(o).Revision != r.Revision {
-		return rollout.Record{}, rollout.ErrSuperseded
+		return rollout.Record{}, err
 	}
 	if o.Stopped && r.State != rollout.RolledBack {
 		r.State, r.Reason = rollout.RolledBack, stoppedReason
@@ -53,7 +43,7 @@
 		return rollout.Record{}, eris.Wrap(err, "encode record of roll-out")
 	}
 	_, err = b.n.env.Store.Commit(ctx, store.Tx{
-		Conditions: []store.Condition{{Table: rolloutTable, Key: r.Service, Version: row.Version}, stands},
+		Conditions: []store.Condition{{Table: rolloutTable, Key: r.Service, Version: row.Version}, unchanged},
 		Writes:     []store.Write{{Table: rolloutTable, Key: r.Service, Value: value}},
 	})
 	if err != nil {
@@ -63,6 +53,27 @@
 	return r, nil
 }
 
+// currentOrder returns the order of a record as the stored configuration has it, and a condition that
+// holds while it is unchanged. It fails with rollout.ErrSuperseded if the configuration has another order
+// of the pool, or none.
+func (b rolloutRecords) currentOrder(ctx context.Context, r rollout.Record) (catalog.Rollout, store.Condition, error) {
+	var o catalog.Rollout
+	item, unchanged, err := config.NewStore(b.n.env.Store).ObjectAt(ctx, catalog.RolloutItem, r.Service)
+	if errors.Is(err, store.ErrNotFound) {
+		return o, unchanged, rollout.ErrSuperseded
+	}
+	if err == nil {
+		err = json.Unmarshal(item.Value, &o)
+	}
+	if err != nil {
+		return o, unchanged, eris.Wrap(err, "read order of roll-out")
+	}
+	if orderOf(o).Revision != r.Revision {
+		return o, unchanged, rollout.ErrSuperseded
+	}
+	return o, unchanged, nil
+}
+
 // stoppedReason is the reason of the record of an order that an operator stopped.
 const stoppedReason = "an operator stopped it"
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -217,8 +217,9 @@
 
 // preferredTarget returns the index of the target with the highest hash for the
 // prefix, among the candidates that serve the model and adapter, are in a region and
-// the group of the call and are neither leaving nor down, or -1 when its load is above affinityBound. It ignores limits and
-// q.Exclude, so that a prefix stays with a target that is at its limit.
+// the group of the call and are neither leaving nor down, or -1 when its load is above
+// affinityBound. It ignores limits and q.Exclude, so that a prefix stays with a target
+// that is at its limit.
 func preferredTarget(q *Query, candidates []Candidate) int {
 	best, n, total := -1, 0, 0
 	var bestHash uint64
--- a/internal/routing/subset.go
+++ b/internal/routing/subset.go
@@ -22,17 +22,17 @@
 // subsetSize hosts are kept whole. Of a larger pool each node selects its own subset
 // by rendezvous hashing, so that a host that is added or removed changes few
 // selections and all hosts are used by about the same number of nodes. Hosts of a pool
-// with the same models and the same result of apart, such as their region, form a group, of
-// which at least minGroupSize hosts are kept, so that the node can call every model in every
-// region. A nil apart tells no hosts apart.
-func Subset(node string, hosts []store.Host, apart func(store.Host) string) []store.Host {
+// with the same models and the same groupOf, such as their region, form a group, of which at
+// least minGroupSize hosts are kept, so that the node can call every model in every region. A
+// nil groupOf stands for one that is the same for all hosts.
+func Subset(node string, hosts []store.Host, groupOf func(store.Host) string) []store.Host {
 	pools := make(map[string]int)
 	groups := make(map[string][]store.Host)
 	for _, h := range hosts {
 		pools[h.Pool]++
 		key := h.Pool + "\x00" + strings.Join(h.Models, "\x00")
-		if apart != nil {
-			key += "\x00" + apart(h)
+		if groupOf != nil {
+			key += "\x00" + groupOf(h)
 		}
 		groups[key] = append(groups[key], h)
 	}
--- a/internal/scheduler/acquire.go
+++ b/internal/scheduler/acquire.go
@@ -90,7 +90,8 @@
 func (s *Scheduler) grantWaiting(p *pool) {
 	now := time.Now()
 	p.refresh(now)
-	// Each waiting call gets one choice in a round: regions and versions may change before a second one.
+	// In a round the target for a waiting call is picked once: the regions and versions that it may go to
+	// may change before a second pick.
 	fits := func(it *flow.Item) bool {
 		w := it.Value.(*waiter)
 		if w.round != p.round {
@@ -184,12 +185,13 @@
 type waiter struct {
 	call Call
 	done chan grant
-	// picked is the index of the target that the call fits in a round; -1 if there is none.
+	// picked is the index of the target that was picked for the call in the pool's round of the number
+	// round; -1 if there was none.
 	picked int
 	round  uint64
 	// refusal is why no target will serve the call; nil if one may.
 	refusal error
-	// draw is which version the call may go to.
+	// draw holds the groups of targets that were drawn for the call.
 	draw draw
 }
 
--- a/internal/scheduler/meter.go
+++ b/internal/scheduler/meter.go
@@ -5,10 +5,11 @@
 // meterWindow is the time over which a meter counts.
 const meterWindow = 10 * time.Second
 
-// meter measures the rate of events by counting them in windows. The zero meter has seen none.
+// meter measures the rate of events by counting them in windows of meterWindow. The zero meter has seen
+// none.
 type meter struct {
-	// began is when the present window began; count and last are the events in it and in the one
-	// before.
+	// began is when the present window began. count is the number of events in it, last that in the
+	// window before.
 	began       time.Time
 	count, last int
 }
@@ -25,7 +26,7 @@
 	return float64(m.last) / meterWindow.Seconds()
 }
 
-// advance begins the window of a time.
+// advance begins a new window if the present one is over at now.
 func (m *meter) advance(now time.Time) {
 	passed := now.Sub(m.began)
 	switch {
--- a/internal/scheduler/pool.go
+++ b/internal/scheduler/pool.go
@@ -28,11 +28,11 @@
 	demand map[string]int
 	// timer rechecks the queue; nil while none is scheduled.
 	timer *time.Timer
-	// round counts the choices of a waiting call and its target.
+	// round numbers the grants: in each round every waiting call is tried at most once.
 	round uint64
 	// grants measures the rate of granted calls.
 	grants meter
-	// others is the method hasOther. It is kept so that no call allocates a function.
+	// others is the method value of hasOther, made once because making one allocates.
 	others func(version string) bool
 }
 
@@ -161,6 +161,7 @@
 		}
 	}
 	if !regions.All() && busy < capacity {
+		// The calls ahead wait for targets of other regions.
 		return 0
 	}
 	ahead := p.queue.Ahead(class)
--- a/internal/scheduler/rollouts.go
+++ b/internal/scheduler/rollouts.go
@@ -18,17 +18,20 @@
 	Ended(c rollout.Call, e rollout.Ending)
 }
 
-// trial is the state of a roll-out for which the version of a call is drawn.
-type trial struct {
+// trialState is what the draw of a call's version depends on in the roll-out of a pool.
+type trialState struct {
+	// version is the version on trial, and share its share of the calls, from 0 to 1.
 	version string
 	share   float64
-	barred  int
+	// barred is the number of versions that get no calls.
+	barred int
 }
 
-// draw is the result of drawing the version of a call.
+// draw is the result of drawing the version of a call, once done is set.
 type draw struct {
-	done   bool
-	of     trial
+	done bool
+	// state is the state of the roll-out at the draw.
+	state  trialState
 	groups []rollout.TargetGroup
 }
 
@@ -40,10 +43,10 @@
 		return nil
 	}
 	version, share := s.cfg.Rollouts.Trial(p.name)
-	now := trial{version: version, share: share, barred: len(s.cfg.Rollouts.Barred(p.name))}
-	if !w.draw.done || w.draw.of != now {
+	now := trialState{version: version, share: share, barred: len(s.cfg.Rollouts.Barred(p.name))}
+	if !w.draw.done || w.draw.state != now {
 		again := len(w.call.Exclude) > 0
-		w.draw = draw{done: true, of: now, groups: s.cfg.Rollouts.TargetGroups(p.name, w.call.Stage, again, p.others)}
+		w.draw = draw{done: true, state: now, groups: s.cfg.Rollouts.TargetGroups(p.name, w.call.Stage, again, p.others)}
 	}
 	return w.draw.groups
 }
@@ -53,9 +56,9 @@
 	return slices.ContainsFunc(p.candidates, func(c routing.Candidate) bool { return c.Version != version && !c.Leaving })
 }
 
-// maxHash returns the largest hash among the targets that take the calls like q of its group; 0 if all
-// of the group do. The part is one of the targets that can serve q: a call that is bound to a region
-// would otherwise miss it.
+// maxHash returns the MaxHash of q: the largest hash in the fraction of its group's targets that takes
+// calls; 0 if the whole group does. The fraction is that of the targets that can serve q, as none of a
+// fraction of all targets may be in the regions that the call is bound to.
 func (p *pool) maxHash(q *routing.Query) uint64 {
 	if q.Group == nil || q.Group.Fraction <= 0 || q.Group.Fraction >= 1 {
 		return 0
@@ -89,7 +92,7 @@
 }
 
 // FirstToken records that the first token of a streamed call came. In the evidence on a roll-out it
-// counts as the call's answer, as the length of a text says nothing about the version.
+// counts as the call's answer: how long the rest takes depends on the length of the text.
 func (l *Lease) FirstToken() {
 	if l.firstToken.Load() == 0 {
 		l.firstToken.CompareAndSwap(0, int64(max(time.Since(l.start), 1)))
--- a/internal/scheduler/serve.go
+++ b/internal/scheduler/unserved.go
@@ -10,8 +10,8 @@
 	"topazmoor/internal/verdict"
 )
 
-// noTargetRetry is when a call that no target serves may be repeated: the host list may have
-// changed by then.
+// noTargetRetry is how long after its refusal a call that no target serves may be repeated: the host
+// list may have changed by then.
 const noTargetRetry = 2 * time.Second
 
 // CheckTargets returns an error if it is known that no target will serve the call: none that has its
@@ -23,8 +23,8 @@
 	return s.checkTargets(s.pool(c.Pool), &c, time.Now())
 }
 
-// checkTargets is CheckTargets for the calls of one pool. That targets are down is held against calls
-// bound to regions only: few targets serve those, and they fail together.
+// checkTargets is CheckTargets under the lock. Only calls that are bound to regions are refused because
+// targets are down: few targets serve these calls, and they fail together.
 func (s *Scheduler) checkTargets(p *pool, c *Call, now time.Time) error {
 	allowed := c.regions()
 	available, ok := p.availableAt(c, allowed, s.barred(p.name), now)
@@ -39,9 +39,9 @@
 	return nil
 }
 
-// availableAt returns when the first target that has the call's model and adapter, is in an allowed
-// region and in the group and is not leaving is expected to be up; it may be busy then. The result is false if there
-// is no such target.
+// availableAt returns when the first target that may serve the call is expected to be up; it may be busy
+// then. Such a target has the call's model and adapter, is in an allowed region and in the group, and is
+// not leaving. ok is false if there is none.
 func (p *pool) availableAt(c *Call, allowed region.Set, group *rollout.TargetGroup, now time.Time) (at time.Time, ok bool) {
 	q := routing.Query{Model: c.Model, Adapter: c.Adapter, Regions: allowed, Group: group}
 	for i, t := range p.targets {
@@ -81,14 +81,14 @@
 		After(noTargetRetry).At(c.Stage, "")
 }
 
-// refuseUnserved refuses the waiting calls that no target will serve. Their refusal is final, so they
-// get it at once and not at their deadline.
+// refuseUnserved refuses the waiting calls that no target will serve: at once, as waiting until their
+// deadline would not help them.
 func (s *Scheduler) refuseUnserved(p *pool) {
 	s.refuseIf(p, func(*Call) bool { return true })
 }
 
-// refuseUnservedNow is refuseUnserved for the calls whose targets may change without a change of the host
-// list: those bound to regions, and all while versions are barred.
+// refuseUnservedNow is refuseUnserved for the calls that may lose their last target without a change of
+// the host list: those bound to regions, and all calls while versions are barred.
 func (s *Scheduler) refuseUnservedNow(p *pool) {
 	barred := s.barred(p.name) != nil
 	s.refuseIf(p, func(c *Call) bool { return barred || !c.regions().All() })
