catalog, admin, cli, rollout, experiment: comments for a new reader

Cause: comments without units or errors, sentences that said bear, held and last moment where a plain word does; flowOf, handles and freeBytes in the traffic model are private words. Change: comments reworded (in internal/rollout nothing else); callKind, resultNames, releaseBytes, otherRegionPart, namesOrAll; 5e9 written as a time. Result: go vet, staticcheck and the tests of the packages pass.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -334,7 +334,8 @@
 	return res, catalog.AddLines(err, "", src)
 }
 
-// submit validates items against the current configuration and commits them.
+// submit validates items against the current configuration and commits them, unless req asks for a dry
+// run or nothing would change. It fails with strictjson.Problems if they are not valid.
 func (s *Server) submit(ctx context.Context, op settings.Operator, req ApplyRequest, items []catalog.Item) (ApplyResult, error) {
 	cur := s.cfg.Catalog()
 	base := req.Base
--- a/internal/admin/rollouts.go
+++ b/internal/admin/rollouts.go
@@ -195,7 +195,8 @@
 	return s.cfg.Rollouts.Status(r.Context(), o)
 }
 
-// decodeBody decodes the body of a call.
+// decodeBody decodes the JSON body of a call. It fails with verdict.TooLarge if the body cannot be read,
+// and with strictjson.Problems if it is not valid.
 func decodeBody(r *http.Request, out any) error {
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -204,6 +205,7 @@
 	return strictjson.Decode(body, out)
 }
 
+// rolloutOf returns the order of a pool. It fails with verdict.NotFound if the pool has none.
 func rolloutOf(cfg *catalog.Compiled, pool string) (catalog.Rollout, error) {
 	o, ok := cfg.Rollouts()[pool]
 	if !ok {
--- a/internal/catalog/lines.go
+++ b/internal/catalog/lines.go
@@ -8,8 +8,9 @@
 	"topazmoor/internal/strictjson"
 )
 
-// AddLines returns err with the lines of the values in the manifest src, if it is a
-// strictjson.Problems, and otherwise err. file is the manifest's name; "" if it is not known.
+// AddLines adds to each problem of err the file and the line of its value in the manifest src. file is
+// the manifest's name; "" if it is not known. An err that is not a strictjson.Problems is returned as it
+// is.
 func AddLines(err error, file string, src []byte) error {
 	var probs strictjson.Problems
 	if !errors.As(err, &probs) {
@@ -27,7 +28,8 @@
 }
 
 // manifestLine returns the line of the value at the path of a problem; 0 if the manifest does not have
-// the object. The path starts at an object's key, or at the manifest.
+// the object. The path begins with an object's key, such as "account/NAME", or else is one within the
+// manifest.
 func manifestLine(doc *strictjson.Document, path string) int {
 	kind, rest, isObject := strings.Cut(path, "/")
 	if !isObject {
--- a/internal/catalog/regions.go
+++ b/internal/catalog/regions.go
@@ -79,7 +79,8 @@
 	return probs
 }
 
-// addUnknownRegions adds one problem if the set has regions that are not known.
+// addUnknownRegions adds one problem if the set has regions that are not known, unless the path has a
+// problem already: a template is checked once for each account that uses it.
 func addUnknownRegions(probs *strictjson.Problems, path string, s region.Set, known region.Map) {
 	missing := known.Missing(s)
 	if len(missing) == 0 {
--- a/internal/catalog/rollout.go
+++ b/internal/catalog/rollout.go
@@ -27,8 +27,8 @@
 	Stopped bool `json:"stopped,omitempty"`
 }
 
-// MinRolloutTime is the shortest time of an order: below it no trial ends.
-const MinRolloutTime = strictjson.Duration(5e9)
+// MinRolloutTime is the shortest time of an order: in less no trial comes to an end.
+const MinRolloutTime = strictjson.Duration(5 * time.Second)
 
 // Check adds a problem for each invalid value of the order.
 func (r Rollout) Check(probs *strictjson.Problems, path string) {
--- a/internal/cli/operate.go
+++ b/internal/cli/operate.go
@@ -97,7 +97,7 @@
 		return err
 	}
 	if a.Wait > 0 && res.Accepted {
-		return waitForAll(ctx, cl, res.Revision, a.Wait)
+		return waitFnamesOrAll(ctx, cl, res.Revision, a.Wait)
 	}
 	return nil
 }
@@ -136,11 +136,11 @@
 	if slices.Equal(before, after) {
 		return
 	}
-	fmt.Fprintf(w, "  regions %s -> %s\n", orAll(before), orAll(after))
+	fmt.Fprintf(w, "  regions %s -> %s\n", namesOrAll(before), namesOrAll(after))
 }
 
-// orAll returns the names, or "all" if there are none.
-func orAll(names []string) string {
+// namesOrAll returns the names, or "all" if there are none.
+func namesOrAll(names []string) string {
 	if len(names) == 0 {
 		return "all"
 	}
@@ -163,7 +163,7 @@
 const waitPause = 200 * time.Millisecond
 
 // waitForAll returns when every live node has the revision.
-func waitForAll(ctx context.Context, cl *admin.Client, revision int64, limit time.Duration) error {
+func waitFnamesOrAll(ctx context.Context, cl *admin.Client, revision int64, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for {
--- a/internal/experiment/capacity/traffic.go
+++ b/internal/experiment/capacity/traffic.go
@@ -41,19 +41,21 @@
 	pingInterval = 10 * time.Second
 	pingBytes    = 24
 	ownersCalled = 3
+	// mostRegions is the largest number of regions of a fleet that is worked out.
+	mostRegions = 3
 )
 
-// flowOf is the traffic of one kind of call that one node causes, in bytes a second of both
-// directions together.
-type flowOf struct {
-	name  string
+// callKind is a kind of call between nodes, with the traffic that one node causes by it.
+type callKind struct {
+	name string
+	// bytes is in bytes a second, of both directions together.
 	bytes float64
 	// level is that of the owner with which a node has the calls.
 	level ownership.Level
 }
 
-// handles are the names of the results of a stage.
-func handles() []string {
+// resultNames are the names of the results of a stage.
+func resultNames() []string {
 	out := make([]string, pieces)
 	for i := range out {
 		out[i] = fmt.Sprintf("10.1.64.%d:8080/5c1e07a2e440", i)
@@ -61,28 +63,31 @@
 	return out
 }
 
+// orderBytes is the traffic of a node by orders for stage results, in bytes a second.
 func orderBytes() float64 {
 	o := stagebatch.Order{
-		Service: "stage", Request: "9c41d07be2a35f68", Stage: 2, Pieces: pieces, Inputs: handles(), ResultBytes: 60_000, DataCentre: "north-a",
+		Service: "stage", Request: "9c41d07be2a35f68", Stage: 2, Pieces: pieces, Inputs: resultNames(), ResultBytes: 60_000, DataCentre: "north-a",
 		Due: time.Now().Add(time.Second), Deadline: time.Now().Add(4 * time.Second),
 	}
-	request, progress, result := peer.OrderSizes(o, stagebatch.Waits{OnTime: make([]time.Duration, 3)}, handles())
+	request, progress, result := peer.OrderSizes(o, stagebatch.Waits{OnTime: make([]time.Duration, 3)}, resultNames())
 	reports := 1 + int(orderTime/progressInterval)
 	return requestsPerSecond * stages * float64(request+reports*progress+result+peer.StreamOverhead(2+reports))
 }
 
-func freeBytes() float64 {
-	request, answer := peer.FreeSizes("stage", handles())
+// releaseBytes is the traffic of a node by calls that release results, in bytes a second.
+func releaseBytes() float64 {
+	request, answer := peer.FreeSizes("stage", resultNames())
 	return requestsPerSecond * stages * float64(request+answer+peer.StreamOverhead(2))
 }
 
+// permitBytes is the traffic of a node by requests for permits, in bytes a second.
 func permitBytes() float64 {
 	ask := sharedrate.PermitRequest{Key: "repeats/stage", Asker: "node-100", PerSecond: 100, Want: 1, Within: time.Second}
 	request, answer := peer.PermitSizes(ask, sharedrate.Grant{Permits: 1, FirstIn: time.Millisecond, Spacing: time.Millisecond})
 	return permitsPerSecond * float64(request+answer+peer.StreamOverhead(2))
 }
 
-// updateBytes is what a node receives from the node that it follows.
+// updateBytes is what a node receives from the node that it follows, in bytes a second.
 func updateBytes(s Size) float64 {
 	idle := relay.Message{Tables: make([]relay.TableMessage, storeTables)}
 	idleSize, err := peer.UpdateSize(idle)
@@ -100,7 +105,7 @@
 	return float64(time.Second/heartbeatInterval)*float64(idleSize) + changes*float64(changedSize)
 }
 
-// reportBytes is what a node reports during a roll-out.
+// reportBytes is what a node reports during a roll-out, in bytes a second.
 func reportBytes(s Size) float64 {
 	r := rollout.Report{Node: "node-100", Order: rollout.Order{Service: "engines", To: "v2"}, Evidence: rollout.Evidence{Tallies: make(map[rollout.Source]rollout.Tally)}}
 	for i := range versionsOnTrial * routesOnTrial {
@@ -111,13 +116,13 @@
 	return float64(peer.ReportSize(r)+peer.StreamOverhead(2)) / rollout.HoldOf(s.Hosts).Seconds()
 }
 
-// flows are the kinds of calls of a node. former and evidence are the levels of the owners of batches
+// callKinds returns the kinds of calls of a node. former and evidence are the levels of the owners of batches
 // and of the evidence on a roll-out.
-func flows(s Size, former, evidence ownership.Level) []flowOf {
+func callKinds(s Size, former, evidence ownership.Level) []callKind {
 	connections := float64(time.Second) / float64(pingInterval) * pingBytes
-	return []flowOf{
+	return []callKind{
 		{"orders", orderBytes(), former},
-		{"frees", freeBytes(), former},
+		{"frees", releaseBytes(), former},
 		{"updates of the store", updateBytes(s), ownership.LevelOf(ownership.StoreUpdates)},
 		{"permits", permitBytes(), ownership.LevelOf(ownership.RatePermits)},
 		{"reports on a roll-out", reportBytes(s), evidence},
@@ -125,8 +130,9 @@
 	}
 }
 
-// crossing is the fraction of the nodes in other regions than their owner.
-func crossing(l ownership.Level, regions int) float64 {
+// otherRegionPart is the part of the nodes that are in another region than the owner, at the owner's
+// level.
+func otherRegionPart(l ownership.Level, regions int) float64 {
 	if l != ownership.Fleet {
 		return 0
 	}
@@ -136,10 +142,10 @@
 // betweenRegions returns the bytes a second that a node exchanges with other regions, as the mean of
 // all nodes and at a node that owns all shared work of its level. Spilling is left out.
 func betweenRegions(s Size, regions int, former, evidence ownership.Level) (mean, owner float64) {
-	for _, f := range flows(s, former, evidence) {
+	for _, f := range callKinds(s, former, evidence) {
 		// Each byte is sent by one node and received by another.
-		mean += 2 * f.bytes * crossing(f.level, regions)
-		owner += f.bytes * crossing(f.level, regions) * float64(s.Hosts)
+		mean += 2 * f.bytes * otherRegionPart(f.level, regions)
+		owner += f.bytes * otherRegionPart(f.level, regions) * float64(s.Hosts)
 	}
 	return mean, owner
 }
@@ -148,14 +154,14 @@
 func trafficMeasures() []measure {
 	const unit = "B/s"
 	var out []measure
-	for i, f := range flows(Size{Hosts: 1, Targets: 1}, ownership.Region, ownership.Region) {
+	for i, f := range callKinds(Size{Hosts: 1, Targets: 1}, ownership.Region, ownership.Region) {
 		out = append(out, measure{"between nodes: " + f.name, unit, "each node, sent and received", func(s Size) Figure {
-			return Figure{Value: 2 * flows(s, ownership.Region, ownership.Region)[i].bytes}
+			return Figure{Value: 2 * callKinds(s, ownership.Region, ownership.Region)[i].bytes}
 		}})
 	}
 	out = append(out, measure{"between nodes: all of these", unit, "each node, sent and received", func(s Size) Figure {
 		sum := 0.0
-		for _, f := range flows(s, ownership.Region, ownership.Region) {
+		for _, f := range callKinds(s, ownership.Region, ownership.Region) {
 			sum += 2 * f.bytes
 		}
 		return Figure{Value: math.Round(sum)}
@@ -174,6 +180,3 @@
 	}
 	return out
 }
-
-// mostRegions is the largest number of regions of a fleet that is worked out.
-const mostRegions = 3
--- a/internal/experiment/rates/model.go
+++ b/internal/experiment/rates/model.go
@@ -292,7 +292,8 @@
 	}
 }
 
-// affectedNodes are the nodes that a trouble happens to: the granters of the first targets, then others.
+// affectedNodes returns the nodes that a trouble happens to, a share of all: the granters of the first
+// targets, then others at random.
 func (r *run) affectedNodes(share float64) []*node {
 	count := max(int(math.Ceil(share*float64(r.Nodes))), 1)
 	var out []*node
--- a/internal/experiment/rates/ways.go
+++ b/internal/experiment/rates/ways.go
@@ -30,11 +30,13 @@
 
 var errLost = errors.New("rates: no answer")
 
-// rateLimiter is a node's side of a way.
+// rateLimiter keeps a node's requests to the rates of targets, in one of the ways.
 type rateLimiter interface {
-	// acquire calls done when the request may be sent, or may not be.
+	// acquire calls done when a request to t may be sent, or is refused.
 	acquire(t *target, done func(ok bool))
+	// grant answers another node's request for permits.
 	grant(a sharedrate.PermitRequest) sharedrate.Grant
+	// setNodes tells which other nodes are alive.
 	setNodes(others []*node, now time.Time)
 }
 
--- a/internal/experiment/rollouts/model.go
+++ b/internal/experiment/rollouts/model.go
@@ -56,7 +56,7 @@
 	Late     int
 	// Verdict is when the order was decided, after it began.
 	Verdict time.Duration
-	// Reason is why it was decided so.
+	// Reason is why the order ended in State, for people.
 	Reason string
 	// Reports is the number of reports that the owner got, Bytes their size.
 	Reports, Bytes int
--- a/internal/rollout/calls.go
+++ b/internal/rollout/calls.go
@@ -121,8 +121,8 @@
 	s.addEvidence(c, e, isNew)
 }
 
-// reportLastOfOld reports at once that no call is left at the old version, where all traffic goes to
-// the new one: the owner may wait for it to complete the order.
+// reportLastOfOld lets the node report at once that no call is left at the old version, if all traffic
+// goes to the new one: the owner may need only that to complete the order. The lock is held.
 func (s *orderState) reportLastOfOld(inFlight int) {
 	if inFlight == 0 && s.answer.Share == 1 {
 		s.interruptReport()
@@ -161,7 +161,8 @@
 	}
 }
 
-// interruptReport ends the hold of the report that is being held, if any.
+// interruptReport makes the node send its next report at once, in place of one that the owner holds. It
+// does not block.
 func (s *orderState) interruptReport() {
 	select {
 	case s.wake <- struct{}{}:
--- a/internal/rollout/capacity.go
+++ b/internal/rollout/capacity.go
@@ -9,8 +9,8 @@
 type Targets struct {
 	// New counts the targets of the order's version, Warm those of them whose warm-up is over.
 	New, Warm int
-	// ColdRate is how many calls a second the cold ones of them bear in total; infinite if their rates
-	// are not bounded.
+	// ColdRate is how many calls a second the cold ones of them can take in total; infinite if their
+	// rates are not bounded.
 	ColdRate float64
 	// Old counts the targets of all other versions.
 	Old int
@@ -27,10 +27,10 @@
 	maxUncoveredShare = 0.9
 )
 
-// capacity returns the share of the calls, from 0 to 1, that the new version bears, given the rate of
-// all calls; perSecond is 0 if that is unknown. Warm targets bear what targets of the old version
-// bear. Where the new version has fewer targets than the old one, all of them together are meant to
-// bear all calls.
+// capacity returns the share of the calls, from 0 to 1, that the new version can take, given the rate of
+// all calls; perSecond is 0 if that is unknown. A warm target can take as many calls as one of the old
+// version. Where the new version has fewer targets than the old one, all of them together are meant to
+// take all calls.
 func (t Targets) capacity(perSecond float64) float64 {
 	needed := min(t.New, t.Old)
 	if needed == 0 {
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -34,7 +34,7 @@
 	// LongFrom is set once the version is held to be good: repeats, and calls that are expected to last
 	// that long, go to the new version, whatever the share. It has whole milliseconds; 0 for none.
 	LongFrom time.Duration
-	// Handover says that streams that are left at the old version are to continue at the new one.
+	// Handover says that streams that are still at the old version are to continue at the new one.
 	Handover bool
 	// Moving says that the owner holds the version to be good and moves the traffic to it.
 	Moving bool
@@ -43,7 +43,8 @@
 // minLongFrom is the LongFrom that makes all calls long.
 const minLongFrom = time.Millisecond
 
-// forOld returns the answer without what nodes of earlier releases do not repeat in Report.Has.
+// forOld returns the answer for a node of an earlier release: without the fields that it does not know.
+// It could not repeat them in Report.Has, and no report of it would be held.
 func (a Answer) forOld() Answer { return Answer{State: a.State, Share: a.Share} }
 
 // sameEffect reports whether nodes do the same by both answers.
@@ -369,8 +370,8 @@
 	}
 }
 
-// spreadFinal waits for a random part of a hold if the order was decided before: then all nodes report
-// at once.
+// spreadFinal waits for a random part of a hold if the order is decided already: all nodes report it at
+// that moment, and the owner should not get their reports at the same time.
 func (g *Gate) spreadFinal(ctx context.Context, s *orderState) {
 	g.mu.Lock()
 	final := s.answer.State.Final()
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -33,8 +33,9 @@
 	// the worst one before the worst target is left out of the test: with fewer, a fault of the
 	// worst target cannot be distinguished from a fault of the version.
 	minOthersShare = 0.5
-	// minOthersSince is the same part among the answers since the version seems to have turned bad.
-	// It also tells the worst target from the version where the trial began with that target alone.
+	// minOthersSince is the same part of the answers since the score was last 0, that is, since the
+	// version seems to have turned bad. It also applies where most of the earlier answers came from the
+	// worst target, because the trial began with that target alone.
 	minOthersSince = 0.7
 	// oldDecay is the factor by which the numbers of the old version's answers, bad answers and
 	// calls by duration are reduced at each step, so that the new version is compared with the
--- a/internal/rollout/outcomes.go
+++ b/internal/rollout/outcomes.go
@@ -62,8 +62,8 @@
 
 // Resolve decides which record a store has after r is to be saved there and it has kept, of the same
 // service; kept is zero if it has none. It fails with ErrSuperseded if kept is of a later order. The
-// first final state of an order stands, unless r was remembered by nodes from before the store was
-// restored: then r is older than a state of the present era, and Completed prevails.
+// first final state of an order stands, unless nodes remember r from before the store was restored: then
+// r was decided before a state that was written since, and Completed prevails over RolledBack.
 func Resolve(kept, r Record) (Record, error) {
 	switch {
 	case kept.State == Unknown:
--- a/internal/rollout/power.go
+++ b/internal/rollout/power.go
@@ -6,13 +6,13 @@
 	// maxMoveScore is the score up to which the traffic moves where a route has too few answers to tell
 	// a bad version.
 	maxMoveScore = 3
-	// tellingPart is the part of the answers with which an excess of bad ones is expected to be found,
-	// from which a low score shows that there is none.
+	// tellingPart is the part of the number of answers after which a bad version is expected to reach
+	// badThreshold. With that part of them, a low score shows that the version is not bad.
 	tellingPart = 0.5
 )
 
-// telling returns the number of the new version's answers from which a low score shows that it has no
-// excess of bad answers. The more the old version fails, the less each answer tells.
+// telling returns how many answers of the new version it takes until a low score shows that it has no
+// excess of bad ones. The more the old version fails, the less each answer shows.
 func (c *comparison) telling() float64 {
 	rate := min(c.rate(minRate), maxRate)
 	raised := min(rate+c.excess, maxRaised)
