admin: a body that breaks off is not too large

Cause: every error of reading the body of a roll-out was answered with 'too large'. Change: only that of the limit is; others name their cause. Result: TestBodyThatBreaksOffIsNotTooLarge fails before (the code was too_large), passes after.

--- a/internal/admin/rollouts.go
+++ b/internal/admin/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -199,8 +200,12 @@
 // and with strictjson.Problems if it is not valid.
 func decodeBody(r *http.Request, out any) error {
 	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return verdict.New(verdict.NotRun, verdict.TooLarge, "the body is over %d bytes", maxBody)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return verdict.New(verdict.NotRun, verdict.TooLarge, "the body is over %d bytes", tooLarge.Limit)
+	case err != nil:
+		return verdict.New(verdict.NotRun, verdict.InvalidRequest, "the body could not be read: %v", err)
 	}
 	return strictjson.Decode(body, out)
 }
