Roll-outs: an order without warm targets is decided in its time

Cause: with enough answers and no doubt, but no warm target left, no case of the trial's step held at the deadline, so the order stayed running after it. Change: the owner rolls such an order back in the last step. Result: TestOrderWithoutWarmTargetsIsDecidedInTime failed before (state running at the deadline), passes now.

--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -180,6 +180,8 @@
 		return c.moveStep(s, final)
 	case all >= minAnswers && s.Targets.Warm > 0 && s.Now.After(c.at(spreadUntil)):
 		return c.burstStep(s)
+	case final && s.Targets.Warm == 0:
+		return Step{State: RolledBack, Reason: "no target of the version is warm"}
 	}
 	return Step{State: Running, Phase: "trial", Share: c.trialShare(s), Reason: fmt.Sprintf("%.0f answers so far, %.0f on the route with the fewest, score %.1f", all, least, c.Judge.Score())}
 }
--- a/internal/rollout/controller_test.go
+++ b/internal/rollout/controller_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -182,3 +183,13 @@
 		qt.Check(t, c.Step(s).State == Completed, qt.Equals, moving)
 	}
 }
+
+// An order is decided in its time too if the version has lost its warm targets.
+func TestOrderWithoutWarmTargetsIsDecidedInTime(t *testing.T) {
+	for _, targets := range []Targets{{New: 4, Old: 4}, {New: 4, Old: 4, ColdRate: math.Inf(1)}} {
+		c := newController(20 * time.Second)
+		addGoodAnswers(c, 200)
+		s := Situation{Now: c.deadline().Add(-decisionMargin), Targets: targets, Part: 1, Sent: 1000, SentNew: 50, PerSecond: 200}
+		qt.Check(t, c.Step(s).State, qt.Equals, RolledBack)
+	}
+}
