Gate: handover only while calls go to the new version, one report of an order

Cause: a stream that began at the old version while the node's share was over (lease, unreported bad answer) was handed over at once, to the old version again, and took a repeat each time. After the store was restored a second report on a decided order was started beside the first one, whose cancel function was lost. Change: handovers start only while the share is above 0, after the lease of the answer is set; the earlier reports on an order end before new ones start. Result: TestStreamsStayWhereTheShareEnded (2 starts instead of 1) and TestOneReportOfAnOrderIsUnderWay (2, then 3 reports instead of 1, and some left after the order was removed) failed before, pass now.

--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -181,7 +181,7 @@
 	s.Order = o
 	if s.answer.State.Final() {
 		g.outcomes.set(o, s.answer.State)
-		s.cancel = nil
+		s.endReports()
 	}
 	s.interruptReport()
 	g.Log.Info("roll-out continues after the store was restored", "service", o.Service, "to", o.To, "state", s.answer.State, "row_version", o.Revision)
@@ -207,21 +207,28 @@
 	defer g.mu.Unlock()
 	for _, s := range g.orders {
 		if s.answer.State.Final() {
-			s.cancel = nil
+			s.endReports()
 		}
 	}
 	g.restartReports()
 }
 
+// endReports ends the reports on an order; Serve starts them again if the order still stands. The lock
+// is held.
+func (s *orderState) endReports() {
+	if s.cancel != nil {
+		s.cancel()
+		s.cancel = nil
+	}
+}
+
 // end ends the reports on an order that was removed or replaced. Unless the order was completed, its
 // version gets no calls from then on. The lock is held.
 func (g *Gate) end(s *orderState) {
 	if s == nil {
 		return
 	}
-	if s.cancel != nil {
-		s.cancel()
-	}
+	s.endReports()
 	g.withdrawn[s.Service] = s.Revision
 	if s.answer.State == Completed {
 		return
@@ -425,11 +432,11 @@
 		g.Log.Info("roll-out", "service", s.Service, "to", s.To, "state", a.State, "share", a.Share, "before", s.answer.State, "share_before", s.answer.Share)
 	}
 	s.answer = a
-	s.startHandover()
 	s.until = time.Now().Add(LeaseOf(r.Hold))
 	if unreportedBad && s.evidence.newBad() == r.Evidence.newBad() {
 		s.unreportedBad = false
 	}
+	s.startHandover()
 	if a.State.Final() {
 		g.outcomes.set(s.Order, a.State)
 	}
--- a/internal/rollout/gate_test.go
+++ b/internal/rollout/gate_test.go
@@ -1,9 +1,12 @@
 package rollout
 
 import (
+	"context"
 	"io"
 	"log/slog"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -100,3 +103,62 @@
 		c.Check(len(s.wake) == 1, qt.Equals, share == 1)
 	}
 }
+
+// A stream at the old version stays there while this node sends no calls to the new one.
+func TestStreamsStayWhereTheShareEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate("a", nil, func() int { return 1 }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		g.SetOrders([]Order{{Service: "s", To: "v2", Lasts: time.Minute}})
+		s := g.orders["s"]
+		old := Call{Service: "s", Version: "v1"}
+		starts := 0
+		wait := func() { g.OnHandover(old, func() { starts++ }); synctest.Wait() }
+		answer := func() {
+			r, unreportedBad, lapses := g.next(s)
+			g.applyAnswer(s, r, unreportedBad, lapses, Answer{State: Running, Share: 1, LongFrom: minLongFrom, Handover: true})
+			synctest.Wait()
+		}
+		wait()
+		answer()
+		qt.Assert(t, starts, qt.Equals, 1)
+		time.Sleep(LeaseOf(minHold) + time.Millisecond)
+		wait()
+		qt.Assert(t, starts, qt.Equals, 1)
+		answer()
+		qt.Assert(t, starts, qt.Equals, 2)
+	})
+}
+
+// silentOwner counts the reports that wait for its answer.
+type silentOwner struct{ waiting atomic.Int32 }
+
+func (o *silentOwner) Report(ctx context.Context, _ Report) (Answer, error) {
+	o.waiting.Add(1)
+	defer o.waiting.Add(-1)
+	<-ctx.Done()
+	return Answer{}, ctx.Err()
+}
+
+func TestOneReportOfAnOrderIsUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		owner := &silentOwner{}
+		g := ended(orderAt(0, 5), Completed)
+		g.Remote = owner
+		done := make(chan error, 1)
+		go func() { done <- g.Serve(ctx) }()
+		restore := []func(){g.StoreRestored, func() { g.SetOrders([]Order{orderAt(1, 5)}) }, g.StoreRestored}
+		for _, step := range restore {
+			step()
+			time.Sleep(time.Minute)
+			synctest.Wait()
+			qt.Check(t, owner.waiting.Load(), qt.Equals, int32(1))
+		}
+		g.SetOrders(nil)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		qt.Check(t, owner.waiting.Load(), qt.Equals, int32(0))
+		cancel()
+		<-done
+	})
+}
--- a/internal/rollout/handover.go
+++ b/internal/rollout/handover.go
@@ -25,9 +25,10 @@
 	}
 }
 
-// startHandover starts the handovers if the answer asks for them. The lock is held.
+// startHandover starts the handovers if the answer asks for them and calls go to the new version: the
+// streams would continue at the old one otherwise. The lock is held.
 func (s *orderState) startHandover() {
-	if !s.answer.Handover || s.answer.State != Running {
+	if !s.answer.Handover || s.share(time.Now()) <= 0 {
 		return
 	}
 	for h := range s.handovers {
