Roll-outs: an order keeps its deadline when the store loses its record

Cause: an order continues under a new revision after the store was restored. Change: the new run takes over the beginning and the deadline of the run that it replaces. Result: TestOrderKeepsItsDeadlineWhenTheStoreLosesItsRecord failed before (1 s later), passes now.

--- a/internal/rollout/outcomes_test.go
+++ b/internal/rollout/outcomes_test.go
@@ -128,6 +128,29 @@
 	}
 }
 
+// The copy that the store came back from may be from before the order's first record.
+func TestOrderKeepsItsDeadlineWhenTheStoreLosesItsRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{store: &sharedStore{}, nodes: 1}
+		w := f.newOwner(t.Context())
+		report := func(o Order) Status {
+			_, err := w.Report(t.Context(), Report{Node: "a", Order: o, Hold: minHold})
+			qt.Assert(t, err, qt.IsNil)
+			return w.Orders()[0]
+		}
+		first := report(orderAt(0, 5))
+		time.Sleep(time.Second)
+		f.store.kept = Record{}
+		again := report(orderAt(1, 5))
+		qt.Check(t, again.Revision, qt.Equals, orderAt(1, 5).Revision)
+		qt.Check(t, again.Deadline, qt.Equals, first.Deadline)
+		w.mu.Lock()
+		qt.Check(t, w.runs[orderAt(1, 5)].trial.control.deadline(), qt.Equals, first.Deadline)
+		w.mu.Unlock()
+		time.Sleep(time.Minute)
+	})
+}
+
 // Each change of an order ends the earlier one; orders of other services go on.
 func TestChangedOrderEndsTheEarlierOne(t *testing.T) {
 	first, other := orderAt(0, 5), orderAt(0, 6)
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -183,6 +183,7 @@
 	for old, y := range w.runs {
 		if o.isRestored(old) && old.Revision.Before(o.Revision) {
 			y.dropped = true
+			x.record.Began, x.record.Deadline, x.trial.control.Began = y.record.Began, y.record.Deadline, y.record.Began
 			delete(w.runs, old)
 		}
 	}
