Controller: the share follows the rate of calls in steps

Cause: the share for few calls, and that for cold targets, were worked out anew from the rate of calls in each step. Each change releases the reports of all nodes: five a second and node, however long the hold. Change: these shares are rounded down to four steps a doubling.

--- a/internal/rollout/capacity.go
+++ b/internal/rollout/capacity.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 )
 
@@ -43,6 +44,18 @@
 	return min(share, 1)
 }
 
+// shareSteps is the number of steps to which shares that follow the rate of calls are rounded, for each
+// doubling: every change of the share is sent to all nodes.
+const shareSteps = 4
+
+// roundShare rounds a share down to a step; 0 if it is negative.
+func roundShare(share float64) float64 {
+	if share <= 0 {
+		return 0
+	}
+	return math.Exp2(math.Floor(shareSteps*math.Log2(share)) / shareSteps)
+}
+
 // obstacle returns why the old version cannot stop yet; "" if it can.
 func (t Targets) obstacle(perSecond float64) string {
 	switch {
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -199,7 +199,7 @@
 	}
 	share := shareMargin * c.Bounds.Share
 	if s.Targets.Warm > 0 {
-		share = min(share, s.Targets.capacity(s.PerSecond))
+		share = min(share, roundShare(s.Targets.capacity(s.PerSecond)))
 	}
 	coming := s.PerSecond * c.at(maxTrialUntil).Sub(s.Now).Seconds()
 	if coming <= 0 {
@@ -207,7 +207,7 @@
 	}
 	// Half of the remaining calls is reserved for bursts.
 	spare := (c.remainingCalls(s, share) + share*coming) / 2
-	need := min(wantedAnswers-float64(s.SentNew), spare) / coming
+	need := roundShare(min(wantedAnswers-float64(s.SentNew), spare) / coming)
 	return min(max(share, need), 1)
 }
 
@@ -272,7 +272,7 @@
 	share = moveShares[i]
 	if capacity := s.Targets.capacity(s.PerSecond); capacity < 1 {
 		// Long calls are not moved ahead of others: the share would be exceeded.
-		return min(share, capacity), 0
+		return min(share, roundShare(capacity)), 0
 	}
 	if len(s.Targets.Uncovered) > 0 {
 		return min(share, maxUncoveredShare), 0
--- a/internal/rollout/controller_test.go
+++ b/internal/rollout/controller_test.go
@@ -193,3 +193,38 @@
 		qt.Check(t, c.Step(s).State, qt.Equals, RolledBack)
 	}
 }
+
+// Each change of the share is sent to all nodes at once.
+func TestShareRarelyFollowsTheRateOfCalls(t *testing.T) {
+	for name, tc := range map[string]struct {
+		targets   Targets
+		answers   int
+		perSecond float64
+	}{
+		"few calls in the trial":    {Targets{New: 4, Warm: 4, Old: 4}, 0, 5},
+		"cold targets in the trial": {Targets{New: 40, Warm: 1, ColdRate: 5, Old: 40}, 0, 200},
+		"cold targets in the move":  {Targets{New: 40, Warm: 1, ColdRate: 100, Old: 40}, 200, 200},
+	} {
+		c := newController(60 * time.Second)
+		addGoodAnswers(c, tc.answers)
+		began, ends := c.Began, c.at(spreadUntil)
+		if tc.answers > 0 {
+			began, ends = c.at(maxTrialUntil), c.at(moveUntil)
+		}
+		changes, last, steps := 0, -1.0, 0
+		var sent, sentNew float64
+		for now := began.Add(stepInterval); now.Before(ends); now = now.Add(stepInterval) {
+			rate := tc.perSecond * (1 + 0.02*math.Sin(float64(steps)))
+			step := c.Step(Situation{Now: now, Targets: tc.targets, Part: 1, Sent: uint64(sent), SentNew: uint64(sentNew), PerSecond: rate})
+			qt.Assert(t, step.State, qt.Equals, Running, qt.Commentf("%s", name))
+			sent += rate * stepInterval.Seconds()
+			sentNew += step.Share * rate * stepInterval.Seconds()
+			if step.Share != last {
+				changes++
+			}
+			last = step.Share
+			steps++
+		}
+		qt.Check(t, changes <= steps/4, qt.IsTrue, qt.Commentf("%s: %d changes in %d steps", name, changes, steps))
+	}
+}
