Targets: calls without a roll-out do not look for their prompt twice

Cause: each call to an engine looked up the engines that hold its prompt for the evidence on a roll-out, also without an order. Change: only calls whose version a roll-out chose do so. Result: TestCallsWithoutARolloutDoNotLookForThePrompt failed before (more allocations than without roll-outs), passes now.

--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -167,7 +167,7 @@
 	default:
 		l.s = t.cheapest(q, cands, now)
 	}
-	if q.Engine != nil && t.Rollouts != nil {
+	if underRollout := lane.Why != ""; underRollout && q.Engine != nil {
 		l.observed.lacksPrompt = l.s.cachedTokens(t.promptHolders(q, now)) < q.Engine.Shared
 	}
 	l.Target = l.s.Target
--- a/internal/targets/versions_test.go
+++ b/internal/targets/versions_test.go
@@ -1,12 +1,16 @@
 package targets
 
 import (
+	"io"
+	"log/slog"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"topazmoor/internal/promptcache"
 	"topazmoor/internal/region"
+	"topazmoor/internal/rollout"
 )
 
 // A restricted set of regions depends on the old version while it has no warm target of the new one,
@@ -41,3 +45,39 @@
 	tb.Replace(append(list, fresh("n2", "dc2", 0)), time.Time{})
 	c.Assert(uncovered(), qt.HasLen, 0)
 }
+
+// Only a roll-out asks whether an engine lacks the prompt; other calls do nothing for it.
+func TestCallsWithoutARolloutDoNotLookForThePrompt(t *testing.T) {
+	c := qt.New(t)
+	list := engines(4)
+	for i := range list {
+		list[i].Version = "v1"
+	}
+	tb, _ := newTable(list...)
+	prompt := []promptcache.Prefix{{Hash: 1, Tokens: 900}}
+	q := Query{Service: "engines", Engine: &EngineQuery{Affinity: 1, Tokens: 900, Shared: 900, Prompt: prompt}}
+	pick := func() *Lease {
+		l := tb.Pick(q)
+		l.Done(Abandoned, 0)
+		return l
+	}
+	read := tb.Pick(q)
+	read.MarkPromptRead()
+	read.Done(Served, time.Second)
+	before := testing.AllocsPerRun(100, func() { pick() })
+	gate := rollout.NewGate("a", nil, func() int { return 1 }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	tb.Rollouts = gate
+	for _, ordered := range []bool{false, true} {
+		if ordered {
+			gate.SetOrders([]rollout.Order{{Service: "engines", To: "v2", Lasts: time.Minute}})
+		} else {
+			// TargetGroups gets a function.
+			c.Check(testing.AllocsPerRun(100, func() { pick() }) <= before+1, qt.IsTrue)
+		}
+		l := pick()
+		c.Check(l.observed.lacksPrompt, qt.IsFalse)
+		q.Engine.Prompt = []promptcache.Prefix{{Hash: 2, Tokens: 900}}
+		c.Check(pick().observed.lacksPrompt, qt.Equals, ordered)
+		q.Engine.Prompt = prompt
+	}
+}
