Targets: a trial reaches calls that are restricted to a region

Cause: the part of a version's targets that takes the trial's calls was chosen among all of them. Where it lay in one region, calls restricted to another one never went to the version, and all calls then moved to it unjudged there. Change: the part is one of the targets in the call's regions, as in the scheduler, by the same function.

--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -192,7 +192,7 @@
 		return t.candidatesOf(q, now, anyTarget), rollout.TargetGroup{}
 	}
 	for _, lane := range lanes {
-		if cands := t.candidatesOf(q, now, t.admits(q.Service, lane, now)); len(cands) > 0 {
+		if cands := t.candidatesOf(q, now, t.admits(q, lane, now)); len(cands) > 0 {
 			return cands, lane
 		}
 	}
--- a/internal/targets/rollout.go
+++ b/internal/targets/rollout.go
@@ -48,31 +48,28 @@
 	})
 }
 
-// admits returns a function that reports whether a target may get calls that a roll-out directs to
+// admits returns a function that reports whether a target may get calls like q that a roll-out directs to
 // the target group lane: the group must include the target's version and, if only a fraction of the
 // group takes its calls, the target must be in that fraction (see maxHashInPart).
-func (t *Table) admits(service string, lane rollout.TargetGroup, now time.Time) func(*state) bool {
+func (t *Table) admits(q Query, lane rollout.TargetGroup, now time.Time) func(*state) bool {
 	if lane.Fraction <= 0 || lane.Fraction >= 1 {
 		return func(s *state) bool { return lane.Admits(s.Version) }
 	}
-	last := t.maxHashInPart(service, lane, now)
+	last := t.maxHashInPart(q, lane, now)
 	return func(s *state) bool { return lane.Admits(s.Version) && s.hash <= last }
 }
 
-// maxHashInPart returns the largest hash among the part of a target group that takes its calls;
-// the part has at least one target. All nodes that know the same targets choose the same part.
-func (t *Table) maxHashInPart(service string, lane rollout.TargetGroup, now time.Time) uint64 {
+// maxHashInPart returns the largest hash among the part of a target group that takes its calls like q;
+// the part has at least one target. It is one of the targets in the regions of q: a call that is
+// restricted to them would otherwise miss it. All nodes that know the same targets choose the same part.
+func (t *Table) maxHashInPart(q Query, lane rollout.TargetGroup, now time.Time) uint64 {
 	var hashes []uint64
-	for _, s := range t.services[service] {
-		if lane.Admits(s.Version) && s.usable(now) {
+	for _, s := range t.services[q.Service] {
+		if lane.Admits(s.Version) && s.usable(now) && t.Regions.Allows(q.Regions, s.DataCentre) {
 			hashes = append(hashes, s.hash)
 		}
 	}
-	if len(hashes) == 0 {
-		return 0
-	}
-	slices.Sort(hashes)
-	return hashes[min(int(lane.Fraction*float64(len(hashes))), len(hashes)-1)]
+	return rollout.LastInPart(hashes, lane.Fraction)
 }
 
 // recordStart records the start of a call with Rollouts. The lock is held.
--- a/internal/targets/versions_test.go
+++ b/internal/targets/versions_test.go
@@ -81,3 +81,32 @@
 		q.Engine.Prompt = prompt
 	}
 }
+
+// trialOf sends all calls to a fraction of the targets of v2, then to those of v1.
+type trialOf struct {
+	*rollout.Gate
+	fraction float64
+}
+
+func (r trialOf) TargetGroups(string, string, bool, func(string) bool) []rollout.TargetGroup {
+	return []rollout.TargetGroup{{Version: "v2", Fraction: r.fraction, Why: "share"}, {Version: "v1", Why: "old version"}}
+}
+
+// A call that is restricted to a region is tried there, whichever region has the target with the least
+// hash.
+func TestTrialReachesEachRestrictedRegion(t *testing.T) {
+	var list []Target
+	for _, version := range []string{"v1", "v2"} {
+		for _, dc := range []string{"dc1", "dc2"} {
+			id := version + dc
+			list = append(list, Target{ID: id, Service: "engines", Addr: id, Version: version, DataCentre: dc, Slots: 1})
+		}
+	}
+	tb, _ := newTable(list...)
+	tb.Regions = region.Map{"dc1": "north", "dc2": "south"}
+	tb.Rollouts = trialOf{rollout.NewGate("a", nil, func() int { return 1 }, slog.New(slog.NewTextHandler(io.Discard, nil))), 0.1}
+	for _, name := range []string{"north", "south"} {
+		l := tb.Pick(Query{Service: "engines", Regions: region.Only(name), Engine: &EngineQuery{}})
+		qt.Check(t, l.Version, qt.Equals, "v2", qt.Commentf("%s", name))
+	}
+}
