--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -175,44 +175,6 @@
 	}
 }
 
-// renew continues an order under the revision that it has since the store was restored. The lock is
-// held.
-func (g *Gate) renew(s *orderState, o Order) {
-	s.Order = o
-	if s.answer.State.Final() {
-		g.outcomes.set(o, s.answer.State)
-		s.endReports()
-	}
-	s.interruptReport()
-	g.Log.Info("roll-out continues after the store was restored", "service", o.Service, "to", o.To, "state", s.answer.State, "row_version", o.Revision)
-}
-
-// recall sets the final state of a new order if this node knows that the order ended before the store
-// was restored. Otherwise the order is new, also if it repeats an earlier one. The lock is held.
-func (g *Gate) recall(s *orderState) {
-	state := g.outcomes.find(s.Order)
-	if state == Unknown {
-		g.outcomes.forget(s.Order)
-		return
-	}
-	s.answer.State = state
-	g.outcomes.set(s.Order, state)
-	g.Log.Info("roll-out had ended before the store was restored", "service", s.Service, "to", s.To, "state", state, "row_version", s.Revision)
-}
-
-// StoreRestored reports the final states of the current orders to their owners again: the store may
-// have lost the records.
-func (g *Gate) StoreRestored() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, s := range g.orders {
-		if s.answer.State.Final() {
-			s.endReports()
-		}
-	}
-	g.restartReports()
-}
-
 // endReports ends the reports on an order; Serve starts them again if the order still stands. The lock
 // is held.
 func (s *orderState) endReports() {
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -73,3 +73,13 @@
 func (l TargetGroup) Admits(version string) bool {
 	return (l.Version == "" || version == l.Version) && !slices.Contains(l.Excluded, version)
 }
+
+// LastInPart returns the largest of the hashes of the targets that take the calls of a group, if only a
+// fraction of the group does; that is at least one target. It is 0 without hashes. It sorts hashes.
+func LastInPart(hashes []uint64, fraction float64) uint64 {
+	if len(hashes) == 0 {
+		return 0
+	}
+	slices.Sort(hashes)
+	return hashes[min(int(fraction*float64(len(hashes))), len(hashes)-1)]
+}
