Roll-outs: the gap of a stream counts once

Cause: the longest gap of a stream was counted when the stream was counted as an answer after 2 s, and again at its end. The sequential test takes answers for independent: a slow stream weighed twice, so three of them, in place of six, passed the threshold. Result: TestStreamIsCountedOnce failed before (2 in the class), passes now.

--- a/internal/rollout/calls.go
+++ b/internal/rollout/calls.go
@@ -41,8 +41,16 @@
 	// LacksPrompt says that the target had to read a part of the prompt that other targets may have
 	// cached: Took is no measure of the version.
 	LacksPrompt bool
-	// Progressed says that Progressed has counted the call as an answer already.
-	Progressed bool
+	// Progressed says that Progressed has counted the call as an answer already, with ProgressGap as
+	// its Gap.
+	Progressed  bool
+	ProgressGap time.Duration
+}
+
+// hasNewGap reports whether the gap is to be counted: a gap that Progressed has counted is not, unless it
+// has grown.
+func (e Ending) hasNewGap() bool {
+	return e.Gap > 0 && (!e.Progressed || e.ProgressGap <= 0 || bucketOf(e.Gap) > bucketOf(e.ProgressGap))
 }
 
 // oldInFlight counts the calls in flight at targets of other versions than that of an order. The lock
@@ -151,7 +159,7 @@
 	default:
 		t.Bad++
 	}
-	if e.Outcome == Good && e.Gap > 0 {
+	if e.Outcome == Good && e.hasNewGap() {
 		t.Gaps[bucketOf(e.Gap)]++
 	}
 	s.evidence.Tallies[source] = t
--- a/internal/rollout/gate_test.go
+++ b/internal/rollout/gate_test.go
@@ -162,3 +162,29 @@
 		<-done
 	})
 }
+
+// A stream counts once, and its gap again only if it grew after the stream was counted.
+func TestStreamIsCountedOnce(t *testing.T) {
+	for _, tc := range []struct {
+		later time.Duration
+		gaps  map[time.Duration]uint32
+	}{
+		{10 * time.Millisecond, map[time.Duration]uint32{10 * time.Millisecond: 1}},
+		{5 * time.Second, map[time.Duration]uint32{10 * time.Millisecond: 1, 5 * time.Second: 1}},
+	} {
+		g := NewGate("a", nil, func() int { return 1 }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		g.SetOrders([]Order{{Service: "s", To: "v2", Lasts: time.Minute}})
+		call := Call{Service: "s", Version: "v2", Target: "t", Route: "a"}
+		e := Ending{Outcome: Good, Took: time.Second, Gap: 10 * time.Millisecond}
+		var want Tally
+		want.Took[bucketOf(e.Took)] = 1
+		for gap, n := range tc.gaps {
+			want.Gaps[bucketOf(gap)] = n
+		}
+		g.Sent(call)
+		g.Progressed(call, e)
+		e.ProgressGap, e.Gap, e.Progressed = e.Gap, tc.later, true
+		g.Ended(call, e)
+		qt.Check(t, g.orders["s"].evidence.Tallies, qt.DeepEquals, map[Source]Tally{{Route: "a", New: true, Target: "t"}: want}, qt.Commentf("%v", tc.later))
+	}
+}
--- a/internal/targets/rollout.go
+++ b/internal/targets/rollout.go
@@ -30,8 +30,9 @@
 	// lacksPrompt is set if the target, as far as this node knows, lacks a part of the prompt that
 	// other requests share.
 	lacksPrompt bool
-	// progressed is set once the stream was counted as an answer.
-	progressed bool
+	// progressed is set once the stream was counted as an answer, with progressGap as its longest gap.
+	progressed  bool
+	progressGap time.Duration
 	// faulty is set if the answer was a failure of the target.
 	faulty bool
 }
@@ -128,6 +129,7 @@
 func (l *Lease) ending(now time.Time) rollout.Ending {
 	return rollout.Ending{
 		Outcome: rollout.Inconclusive, Gap: l.observed.longestGap, Total: now.Sub(l.began), LacksPrompt: l.observed.lacksPrompt, Progressed: l.observed.progressed,
+		ProgressGap: l.observed.progressGap,
 	}
 }
 
@@ -143,7 +145,7 @@
 	e := l.ending(now)
 	e.Outcome, e.Took = rollout.Good, l.observed.firstEvent
 	l.t.Rollouts.Progressed(l.rolloutCall(), e)
-	l.observed.progressed = true
+	l.observed.progressed, l.observed.progressGap = true, gap
 }
 
 // RecordLongestGap records the longest wait for an event after the first one of a stream, its end
