--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -29,7 +29,8 @@
 	// Complete says that the judge has evidence from nearly all nodes up to the same moment, or
 	// that the wait for it is over.
 	Complete bool
-	// Moving says that an earlier owner of the order moved the traffic to the new version.
+	// Moving says that most of the reporting nodes came from an owner that moves the traffic to the new
+	// version. A few may have missed that the owner stopped the move.
 	Moving bool
 }
 
@@ -168,11 +169,11 @@
 	all, least := c.Judge.AnswerCounts()
 	inDoubt := c.Judge.InDoubt()
 	switch {
-	case final && inDoubt:
-		return Step{State: RolledBack, Reason: fmt.Sprintf("still in doubt: score %.1f after %.0f answers", c.Judge.Score(), all)}
 	case all < minAnswers && final && s.Moving && s.Targets.obstacle(s.PerSecond) == "":
 		// This owner is too new to know the answers by which the version was held to be good.
 		return Step{State: Completed, Share: 1, Reason: "an earlier owner held the version to be good"}
+	case final && inDoubt:
+		return Step{State: RolledBack, Reason: fmt.Sprintf("still in doubt: score %.1f after %.0f answers", c.Judge.Score(), all)}
 	case all < minAnswers && (final || !s.isMinority() && s.Now.After(c.at(moveUntil))):
 		return Step{State: RolledBack, Reason: fmt.Sprintf("only %.0f answers to judge the version by", all)}
 	case all >= minAnswers && !inDoubt && s.Targets.Warm > 0 && (s.Now.After(c.at(maxTrialUntil)) || least >= minRouteAnswers && c.bursts >= len(burstShares) && s.Now.After(c.at(trialUntil))):
--- a/internal/rollout/controller_test.go
+++ b/internal/rollout/controller_test.go
@@ -181,6 +181,13 @@
 		c := newController(20 * time.Second)
 		s := Situation{Now: c.deadline().Add(-decisionMargin), Targets: Targets{New: 4, Warm: 4}, Part: 1, Moving: moving}
 		qt.Check(t, c.Step(s).State == Completed, qt.Equals, moving)
+		// A few bad answers among the first ones leave it in doubt.
+		addGoodAnswers(c, 5)
+		c.Judge.Add(map[Source]Tally{{Route: "a", New: true, Target: "t"}: {Bad: 3}})
+		qt.Assert(t, c.Judge.InDoubt(), qt.IsTrue)
+		qt.Check(t, c.Step(s).State == Completed, qt.Equals, moving)
+		c.Judge.Add(map[Source]Tally{{Route: "a", New: true, Target: "t"}: {Bad: 30}})
+		qt.Check(t, c.Step(s).State == Completed, qt.IsFalse)
 	}
 }
 
--- a/internal/rollout/trial.go
+++ b/internal/rollout/trial.go
@@ -33,8 +33,6 @@
 	doubted time.Time
 	// first is when the first report came.
 	first time.Time
-	// moving says that a node acts on the answer of an owner that moves the traffic.
-	moving bool
 }
 
 // reporter is the state of one reporting node at the owner.
@@ -44,6 +42,8 @@
 	// processes of the node.
 	sent, sentNew uint64
 	oldInFlight   int
+	// moving says that it came with the answer of an owner that moves the traffic.
+	moving bool
 	// since is when this owner received its first report, sentBefore its calls until then.
 	since      time.Time
 	sentBefore uint64
@@ -67,10 +67,9 @@
 	if t.first.IsZero() {
 		t.first = now
 	}
-	t.moving = t.moving || r.Has.Moving
 	node := t.nodes[r.Node]
 	if node == nil {
-		node = &reporter{since: now, sentBefore: r.Evidence.Sent}
+		node = &reporter{since: now, sentBefore: r.Evidence.Sent, moving: r.Has.Moving}
 		t.nodes[r.Node] = node
 	}
 	delta := r.Evidence.since(node.evidence)
@@ -97,7 +96,7 @@
 	return t.control.Step(Situation{
 		Now: now, Targets: v.Targets, Withdrawn: v.Withdrawn, Part: min(float64(n.Nodes)/float64(v.Nodes), 1),
 		Sent: n.Sent, SentNew: n.SentNew, PerSecond: n.PerSecond, OldInFlight: n.OldInFlight,
-		Complete: complete, Moving: t.moving,
+		Complete: complete, Moving: 2*n.Moving > n.Nodes,
 	})
 }
 
@@ -161,8 +160,9 @@
 
 // Count sums up the calls of the nodes that report to an owner.
 type Count struct {
-	// Nodes is the number of reporting nodes.
-	Nodes int
+	// Nodes is the number of reporting nodes, Moving that of those among them that came with the answer
+	// of an owner that moves the traffic.
+	Nodes, Moving int
 	// Sent counts their calls since the order was received. SentNew counts those to the new
 	// version, and excess calls of nodes that report no more.
 	Sent, SentNew uint64
@@ -188,6 +188,9 @@
 			continue
 		}
 		c.Nodes++
+		if node.moving {
+			c.Moving++
+		}
 		c.Sent += node.sent
 		c.SentNew += node.sentNew
 		if since := node.at.Sub(node.since); since >= minRateTime {
--- a/internal/rollout/trial_test.go
+++ b/internal/rollout/trial_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -100,3 +101,19 @@
 	step := trial.Step(now.Add(stepInterval), view)
 	qt.Assert(t, step.State, qt.Equals, RolledBack, qt.Commentf("%+v", step))
 }
+
+// An owner that stopped the move may have been lost before all nodes heard of it.
+func TestMoveIsOngoingWhereMostNodesAreInIt(t *testing.T) {
+	for moving := range 5 {
+		trial := NewTrial(Order{Service: "s", To: "v2", Lasts: 20 * time.Second}, Bounds{Share: 0.1, Slack: 50}, start)
+		now := trial.control.deadline().Add(-decisionMargin)
+		for i := range 4 {
+			r := Report{Node: strconv.Itoa(i), Has: Answer{State: Running, Moving: i < moving}}
+			trial.AddReport(r, now)
+			r.Has = Answer{State: Running}
+			trial.AddReport(r, now)
+		}
+		step := trial.Step(now, View{Nodes: 4, Targets: Targets{New: 4, Warm: 4}})
+		qt.Check(t, step.State == Completed, qt.Equals, moving > 2, qt.Commentf("%d nodes", moving))
+	}
+}
