--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -29,7 +29,8 @@
 	// Complete says that the judge has evidence from nearly all nodes up to the same moment, or
 	// that the wait for it is over.
 	Complete bool
-	// Moving says that an earlier owner of the order moved the traffic to the new version.
+	// Moving says that most of the reporting nodes came from an owner that moves the traffic to the new
+	// version. A few may have missed that the owner stopped the move.
 	Moving bool
 }
 
@@ -168,11 +169,11 @@
 	all, least := c.Judge.AnswerCounts()
 	inDoubt := c.Judge.InDoubt()
 	switch {
-	case final && inDoubt:
-		return Step{State: RolledBack, Reason: fmt.Sprintf("still in doubt: score %.1f after %.0f answers", c.Judge.Score(), all)}
 	case all < minAnswers && final && s.Moving && s.Targets.obstacle(s.PerSecond) == "":
 		// This owner is too new to know the answers by which the version was held to be good.
 		return Step{State: Completed, Share: 1, Reason: "an earlier owner held the version to be good"}
+	case final && inDoubt:
+		return Step{State: RolledBack, Reason: fmt.Sprintf("still in doubt: score %.1f after %.0f answers", c.Judge.Score(), all)}
 	case all < minAnswers && (final || !s.isMinority() && s.Now.After(c.at(moveUntil))):
 		return Step{State: RolledBack, Reason: fmt.Sprintf("only %.0f answers to judge the version by", all)}
 	case all >= minAnswers && !inDoubt && s.Targets.Warm > 0 && (s.Now.After(c.at(maxTrialUntil)) || least >= minRouteAnswers && c.bursts >= len(burstShares) && s.Now.After(c.at(trialUntil))):
@@ -180,6 +181,8 @@
 		return c.moveStep(s, final)
 	case all >= minAnswers && s.Targets.Warm > 0 && s.Now.After(c.at(spreadUntil)):
 		return c.burstStep(s)
+	case final && s.Targets.Warm == 0:
+		return Step{State: RolledBack, Reason: "no target of the version is warm"}
 	}
 	return Step{State: Running, Phase: "trial", Share: c.trialShare(s), Reason: fmt.Sprintf("%.0f answers so far, %.0f on the route with the fewest, score %.1f", all, least, c.Judge.Score())}
 }
@@ -197,7 +200,7 @@
 	}
 	share := shareMargin * c.Bounds.Share
 	if s.Targets.Warm > 0 {
-		share = min(share, s.Targets.capacity(s.PerSecond))
+		share = min(share, roundShare(s.Targets.capacity(s.PerSecond)))
 	}
 	coming := s.PerSecond * c.at(maxTrialUntil).Sub(s.Now).Seconds()
 	if coming <= 0 {
@@ -205,7 +208,7 @@
 	}
 	// Half of the remaining calls is reserved for bursts.
 	spare := (c.remainingCalls(s, share) + share*coming) / 2
-	need := min(wantedAnswers-float64(s.SentNew), spare) / coming
+	need := roundShare(min(wantedAnswers-float64(s.SentNew), spare) / coming)
 	return min(max(share, need), 1)
 }
 
@@ -270,7 +273,7 @@
 	share = moveShares[i]
 	if capacity := s.Targets.capacity(s.PerSecond); capacity < 1 {
 		// Long calls are not moved ahead of others: the share would be exceeded.
-		return min(share, capacity), 0
+		return min(share, roundShare(capacity)), 0
 	}
 	if len(s.Targets.Uncovered) > 0 {
 		return min(share, maxUncoveredShare), 0
--- a/internal/rollout/forecast.go
+++ b/internal/rollout/forecast.go
@@ -1,9 +1,6 @@
 package rollout
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Forecast is what the trial of an order can show at a constant rate of calls.
 type Forecast struct {
@@ -21,14 +18,3 @@
 	calls := shareMargin*b.Share*all + min(slackMargin*b.Slack, all)
 	return Forecast{Calls: calls, Judged: calls >= minAnswers, Thorough: calls >= wantedAnswers}
 }
-
-// LastInPart returns the largest hash among the targets that take calls, where only the given fraction of
-// a group does, from 0 to 1: those with the smallest hashes, at least one. hashes are those of the whole
-// group; they get sorted. The result is 0 if there are none.
-func LastInPart(hashes []uint64, fraction float64) uint64 {
-	if len(hashes) == 0 {
-		return 0
-	}
-	slices.Sort(hashes)
-	return hashes[min(int(fraction*float64(len(hashes))), len(hashes)-1)]
-}
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -176,42 +176,13 @@
 	}
 }
 
-// renew continues an order under the revision that it has since the store was restored. The lock is
-// held.
-func (g *Gate) renew(s *orderState, o Order) {
-	s.Order = o
-	if s.answer.State.Final() {
-		g.outcomes.set(o, s.answer.State)
+// endReports ends the reports on an order; Serve starts them again if the order still stands. The lock
+// is held.
+func (s *orderState) endReports() {
+	if s.cancel != nil {
+		s.cancel()
 		s.cancel = nil
 	}
-	s.interruptReport()
-	g.Log.Info("roll-out continues after the store was restored", "service", o.Service, "to", o.To, "state", s.answer.State, "row_version", o.Revision)
-}
-
-// recall sets the final state of a new order if this node knows that the order ended before the store
-// was restored. Otherwise the order is new, also if it repeats an earlier one. The lock is held.
-func (g *Gate) recall(s *orderState) {
-	state := g.outcomes.find(s.Order)
-	if state == Unknown {
-		g.outcomes.forget(s.Order)
-		return
-	}
-	s.answer.State = state
-	g.outcomes.set(s.Order, state)
-	g.Log.Info("roll-out had ended before the store was restored", "service", s.Service, "to", s.To, "state", state, "row_version", s.Revision)
-}
-
-// StoreRestored reports the final states of the current orders to their owners again: the store may
-// have lost the records.
-func (g *Gate) StoreRestored() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, s := range g.orders {
-		if s.answer.State.Final() {
-			s.cancel = nil
-		}
-	}
-	g.restartReports()
 }
 
 // end ends the reports on an order that was removed or replaced. Unless the order was completed, its
@@ -220,9 +191,7 @@
 	if s == nil {
 		return
 	}
-	if s.cancel != nil {
-		s.cancel()
-	}
+	s.endReports()
 	g.withdrawn[s.Service] = s.Revision
 	if s.answer.State == Completed {
 		return
@@ -426,11 +395,11 @@
 		g.Log.Info("roll-out", "service", s.Service, "to", s.To, "state", a.State, "share", a.Share, "before", s.answer.State, "share_before", s.answer.Share)
 	}
 	s.answer = a
-	s.startHandover()
 	s.until = time.Now().Add(LeaseOf(r.Hold))
 	if unreportedBad && s.evidence.newBad() == r.Evidence.newBad() {
 		s.unreportedBad = false
 	}
+	s.startHandover()
 	if a.State.Final() {
 		g.outcomes.set(s.Order, a.State)
 	}
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -73,3 +73,14 @@
 func (l TargetGroup) Admits(version string) bool {
 	return (l.Version == "" || version == l.Version) && !slices.Contains(l.Excluded, version)
 }
+
+// LastInPart returns the largest hash among the targets that take calls, where only the given fraction of
+// a group does, from 0 to 1: those with the smallest hashes, at least one. hashes are those of the whole
+// group; they get sorted. The result is 0 if there are none.
+func LastInPart(hashes []uint64, fraction float64) uint64 {
+	if len(hashes) == 0 {
+		return 0
+	}
+	slices.Sort(hashes)
+	return hashes[min(int(fraction*float64(len(hashes))), len(hashes)-1)]
+}
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -170,7 +170,7 @@
 	default:
 		l.s = t.cheapest(q, cands, now)
 	}
-	if q.Engine != nil && t.Rollouts != nil {
+	if underRollout := lane.Why != ""; underRollout && q.Engine != nil {
 		l.observed.lacksPrompt = l.s.cachedTokens(t.promptHolders(q, now)) < q.Engine.Shared
 	}
 	l.Target = l.s.Target
@@ -195,7 +195,7 @@
 		return t.candidatesOf(q, now, anyTarget), rollout.TargetGroup{}
 	}
 	for _, lane := range lanes {
-		if cands := t.candidatesOf(q, now, t.admits(q.Service, lane, now)); len(cands) > 0 {
+		if cands := t.candidatesOf(q, now, t.admits(q, lane, now)); len(cands) > 0 {
 			return cands, lane
 		}
 	}
--- a/internal/targets/rollout.go
+++ b/internal/targets/rollout.go
@@ -30,8 +30,9 @@
 	// lacksPrompt is set if the target, as far as this node knows, lacks a part of the prompt that
 	// other requests share.
 	lacksPrompt bool
-	// progressed is set once the stream was counted as an answer.
-	progressed bool
+	// progressed is set once the stream was counted as an answer, with progressGap as its longest gap.
+	progressed  bool
+	progressGap time.Duration
 	// faulty is set if the answer was a failure of the target.
 	faulty bool
 }
@@ -48,23 +49,24 @@
 	})
 }
 
-// admits returns a function that reports whether a target may get calls that a roll-out directs to
+// admits returns a function that reports whether a target may get calls like q that a roll-out directs to
 // the target group lane: the group must include the target's version and, if only a fraction of the
 // group takes its calls, the target must be in that fraction (see maxHashInPart).
-func (t *Table) admits(service string, lane rollout.TargetGroup, now time.Time) func(*state) bool {
+func (t *Table) admits(q Query, lane rollout.TargetGroup, now time.Time) func(*state) bool {
 	if lane.Fraction <= 0 || lane.Fraction >= 1 {
 		return func(s *state) bool { return lane.Admits(s.Version) }
 	}
-	last := t.maxHashInPart(service, lane, now)
+	last := t.maxHashInPart(q, lane, now)
 	return func(s *state) bool { return lane.Admits(s.Version) && s.hash <= last }
 }
 
-// maxHashInPart returns the largest hash among the part of a target group that takes its calls;
-// the part has at least one target. All nodes that know the same targets choose the same part.
-func (t *Table) maxHashInPart(service string, lane rollout.TargetGroup, now time.Time) uint64 {
+// maxHashInPart returns the largest hash among the part of a target group that takes its calls like q;
+// the part has at least one target. It is one of the targets in the regions of q: a call that is
+// restricted to them would otherwise miss it. All nodes that know the same targets choose the same part.
+func (t *Table) maxHashInPart(q Query, lane rollout.TargetGroup, now time.Time) uint64 {
 	var hashes []uint64
-	for _, s := range t.services[service] {
-		if lane.Admits(s.Version) && s.usable(now) {
+	for _, s := range t.services[q.Service] {
+		if lane.Admits(s.Version) && s.usable(now) && t.Regions.Allows(q.Regions, s.DataCentre) {
 			hashes = append(hashes, s.hash)
 		}
 	}
@@ -127,6 +129,7 @@
 func (l *Lease) ending(now time.Time) rollout.Ending {
 	return rollout.Ending{
 		Outcome: rollout.Inconclusive, Gap: l.observed.longestGap, Total: now.Sub(l.began), LacksPrompt: l.observed.lacksPrompt, Progressed: l.observed.progressed,
+		ProgressGap: l.observed.progressGap,
 	}
 }
 
@@ -142,7 +145,7 @@
 	e := l.ending(now)
 	e.Outcome, e.Took = rollout.Good, l.observed.firstEvent
 	l.t.Rollouts.Progressed(l.rolloutCall(), e)
-	l.observed.progressed = true
+	l.observed.progressed, l.observed.progressGap = true, gap
 }
 
 // RecordLongestGap records the longest wait for an event after the first one of a stream, its end
