stagebatch: pools carry their service; shorter functions, plainer comments

Comments on spilled orders could not be read without the code. Change: those functions take the pool alone; enqueue, countQueued and countArrived are split off; unexported names say what they hold (waitsAsked, requestWaits, soonest, isOf); comments reworded.

--- a/internal/spill/spill.go
+++ b/internal/spill/spill.go
@@ -16,11 +16,11 @@
 // counts queued work that will itself be abandoned.
 const estimateShare = 0.9
 
-// margin is how much before its objective an order must end at home, by the estimate, to stay there:
-// estimates err by about that.
+// margin is how long before its objective an order must end at home, by the estimate, to stay there
+// without a comparison with other regions. Estimates err by about that.
 const margin = 250 * time.Millisecond
 
-// Pool is a service's pool in one region, as an order of the home region would meet it.
+// Pool is a service's pool in one region, with the waits that an order of the home region has there.
 type Pool struct {
 	Region string
 	// Wait is the estimated wait of the order if it can meet its objective, Late its wait if it
@@ -32,10 +32,10 @@
 	Age time.Duration
 }
 
-// onTime and late return the time until the order's call ends, if the order can meet its objective and if
-// it cannot.
+// onTime returns the time until the order's call ends if the order can meet its objective.
 func (p Pool) onTime() time.Duration { return p.Wait + p.Takes }
 
+// late returns the time until the order's call ends if the order cannot meet its objective.
 func (p Pool) late() time.Duration { return max(p.Wait, p.Late) + p.Takes }
 
 // Order is an order that has arrived at its home region.
@@ -52,8 +52,8 @@
 // estimate.
 func (o Order) Safe(home Pool) bool { return home.onTime()+margin <= o.UntilDue }
 
-// meetsDeadline reports whether an order ends by its deadline in a pool that it cannot reach its
-// objective in, after an additional trip.
+// meetsDeadline reports whether the order ends by its deadline in a pool in which it cannot meet its
+// objective. trip is the additional time until the results can be read at home.
 func (o Order) meetsDeadline(p Pool, trip time.Duration) bool {
 	wait := p.late() - p.Takes
 	return time.Duration(estimateShare*float64(wait))+p.Takes+trip <= o.UntilDeadline
@@ -69,10 +69,11 @@
 	Refuse
 )
 
-// Decision is an Action with its inputs.
+// Decision is an Action, and where the order runs.
 type Decision struct {
 	Action Action
-	// Region and Wait are those of the pool in which the order runs.
+	// Region and Wait are those of the pool in which the order runs, or of the home region's if it is
+	// refused.
 	Region string
 	Wait   time.Duration
 }
@@ -86,7 +87,7 @@
 	if o.Safe(home) {
 		return Decision{Action: Keep, Region: home.Region, Wait: home.Wait}
 	}
-	if p, ok := first(others, Pool.onTime); ok && p.onTime()+o.Trip <= o.UntilDue && p.onTime()+o.Cost < home.onTime() {
+	if p, ok := soonest(others, Pool.onTime); ok && p.onTime()+o.Trip <= o.UntilDue && p.onTime()+o.Cost < home.onTime() {
 		return Decision{Action: Send, Region: p.Region, Wait: p.Wait}
 	}
 	if home.onTime() <= o.UntilDue {
@@ -97,7 +98,7 @@
 		late.Action = Keep
 		return late
 	}
-	if p, ok := first(others, Pool.late); ok && o.meetsDeadline(p, o.Trip) && p.late()+o.Cost < home.late() {
+	if p, ok := soonest(others, Pool.late); ok && o.meetsDeadline(p, o.Trip) && p.late()+o.Cost < home.late() {
 		return Decision{Action: Send, Region: p.Region, Wait: max(p.Wait, p.Late)}
 	}
 	late.Action = Refuse
@@ -109,9 +110,9 @@
 	return slices.DeleteFunc(slices.Clone(pools), func(p Pool) bool { return p.Age > MaxAge })
 }
 
-// first returns the pool in which an order ends first, by the given estimate, and the first by name of
-// equal ones.
-func first(pools []Pool, ends func(Pool) time.Duration) (Pool, bool) {
+// soonest returns the pool in which an order ends first, by the given estimate; of equal ones the first
+// by region name. ok is false if there are no pools.
+func soonest(pools []Pool, ends func(Pool) time.Duration) (p Pool, ok bool) {
 	if len(pools) == 0 {
 		return Pool{}, false
 	}
--- a/internal/stagebatch/calls.go
+++ b/internal/stagebatch/calls.go
@@ -42,10 +42,10 @@
 	sharedLife = 4 * time.Second
 )
 
+// call is one call to a target, which produces the pieces of a batch.
 type call struct {
-	service string
-	pool    *pool
-	m       *targetState
+	pool *pool
+	m    *targetState
 	// target is the process that was called. m may represent its successor by now.
 	target  targets.Target
 	spec    *routes.Batch
@@ -62,26 +62,26 @@
 	ended, failed bool
 }
 
-// start starts a call. The lock is held.
-func (f *Former) start(service string, pl *pool, m *targetState, spec *routes.Batch, batch []*piece, now time.Time) {
-	slower := m.slower(pl.states, now)
+// start starts a call of a target for a batch of its pool. The lock is held.
+func (f *Former) start(p *pool, m *targetState, spec *routes.Batch, batch []*piece, now time.Time) {
+	slower := m.slower(p.states, now)
 	m.calls++
 	m.lastCall, m.callBytes = now, 0
-	pl.versionSplit.recordCall(m.Version, len(batch), max(spec.Items, 1))
+	p.versionSplit.recordCall(m.Version, len(batch), max(spec.Items, 1))
 	f.list.RecordStageCallStart(m.Target)
-	c := &call{service: service, pool: pl, m: m, target: m.Target, spec: spec, batch: batch, started: now, began: f.list.BeginCall(m.Process()), permit: m.takePermit(), healthy: expected(spec, len(batch))}
+	c := &call{pool: p, m: m, target: m.Target, spec: spec, batch: batch, started: now, began: f.list.BeginCall(m.Process()), permit: m.takePermit(), healthy: expected(spec, len(batch))}
 	c.expected = times(c.healthy, slower)
 	items := make([]Item, len(batch))
-	for i, p := range batch {
-		p.attempts++
-		o := p.order
+	for i, pc := range batch {
+		pc.attempts++
+		o := pc.order
 		m.callBytes += o.ResultBytes
-		items[i] = Item{Request: o.Request, Stage: o.Stage, Piece: p.index, Key: o.Key, Inputs: o.Inputs, Remaining: o.Deadline.Sub(now)}
+		items[i] = Item{Request: o.Request, Stage: o.Stage, Piece: pc.index, Key: o.Key, Inputs: o.Inputs, Remaining: o.Deadline.Sub(now)}
 	}
 	watchdog := time.AfterFunc(times(c.expected, overdueFactor)+overdueSlack, func() { f.overdue(c) })
-	f.log.Info("stage call", "service", service, "target", m.ID, "addr", m.Addr, "items", len(items), "queued", len(pl.queue),
+	f.log.Info("stage call", "service", p.service, "target", m.ID, "addr", m.Addr, "items", len(items), "queued", len(p.queue),
 		"slow", m.slow(), "expected_ms", c.expected.Milliseconds(), "requests", requestsOf(batch))
-	if m.healthy(now) && now.After(pl.sharedUntil) {
+	if m.healthy(now) && now.After(p.sharedUntil) {
 		time.AfterFunc(inputTime, func() { f.inputsRead(c) })
 	}
 	target := m.Target
@@ -185,9 +185,9 @@
 	}
 	c.m.healthyAt = time.Time{}
 	c.m.overdue(float64(time.Since(c.started)) / float64(c.healthy))
-	f.log.Warn("stage call overdue, requeueing its pieces", "service", c.service, "target", c.m.ID, "items", len(c.batch), "ms", time.Since(c.started).Milliseconds(), "requests", requestsOf(c.batch))
+	f.log.Warn("stage call overdue, requeueing its pieces", "service", c.pool.service, "target", c.m.ID, "items", len(c.batch), "ms", time.Since(c.started).Milliseconds(), "requests", requestsOf(c.batch))
 	f.requeue(c)
-	f.pump(c.service, c.pool, c.spec)
+	f.pump(c.pool, c.spec)
 }
 
 // requeue returns the pieces of a call that have no result to the queue. The lock is held.
@@ -234,7 +234,7 @@
 		}
 		f.applyResults(c, reply.Results, now)
 	}
-	f.pump(c.service, c.pool, c.spec)
+	f.pump(c.pool, c.spec)
 }
 
 func producedAny(results []ItemResult) bool {
@@ -255,7 +255,7 @@
 		c.m.failures++
 	}
 	c.m.pausedUntil = now.Add(min(pause, maxFailPause))
-	f.log.Warn("stage call failed", "service", c.service, "target", c.m.ID, "addr", c.m.Addr, "items", len(c.batch), "pause_ms", pause.Milliseconds(), "requests", requestsOf(c.batch), "rest_ms", noticeOf(Reply{}, err).Rest.Milliseconds(), "err", err)
+	f.log.Warn("stage call failed", "service", c.pool.service, "target", c.m.ID, "addr", c.m.Addr, "items", len(c.batch), "pause_ms", pause.Milliseconds(), "requests", requestsOf(c.batch), "rest_ms", noticeOf(Reply{}, err).Rest.Milliseconds(), "err", err)
 	f.requeue(c)
 }
 
@@ -271,9 +271,9 @@
 	}
 	switch f.list.UpdateReadiness(target.Process(), a) {
 	case readiness.StartedLeaving:
-		f.log.Info("target announced that it is leaving", "target", target.ID, "addr", target.Addr, "service", c.service)
+		f.log.Info("target announced that it is leaving", "target", target.ID, "addr", target.Addr, "service", c.pool.service)
 	case readiness.StartedResting:
-		f.log.Info("target announced a pause", "target", target.ID, "addr", target.Addr, "service", c.service, "rest_ms", a.Notice.Rest.Milliseconds())
+		f.log.Info("target announced a pause", "target", target.ID, "addr", target.Addr, "service", c.pool.service, "rest_ms", a.Notice.Rest.Milliseconds())
 	case readiness.Unchanged:
 	}
 	f.list.UpdateLimit(target.Process(), limitOf(reply, err), c.began)
@@ -307,7 +307,7 @@
 		case Produced:
 			c.m.results[r.Handle] = storedResult{bytes: o.ResultBytes, until: now.Add(c.spec.Keep)}
 			if o.ended || o.handles[p.index] != "" {
-				f.release(c.service, []string{r.Handle})
+				f.release(c.pool.service, []string{r.Handle})
 				continue
 			}
 			o.handles[p.index] = r.Handle
--- a/internal/stagebatch/estimate.go
+++ b/internal/stagebatch/estimate.go
@@ -143,26 +143,7 @@
 	if now.Sub(p.waitsAt) < waitsTTL && len(p.waits.OnTime) == p.ranks {
 		return p.waits
 	}
-	ahead, coming := make([]int, p.ranks), make([]int, p.ranks)
-	spilled, lateBegun, lateNew := 0, 0, 0
-	for _, pc := range p.queue {
-		switch {
-		case pc.order.ended:
-		case pc.order.Due.After(now) && pc.order.Spilled:
-			spilled++
-		case pc.order.Due.After(now):
-			ahead[min(max(pc.order.Priority, 0), p.ranks-1)]++
-		case pc.begun():
-			lateBegun++
-		default:
-			lateNew++
-		}
-	}
-	for _, c := range recent(p.arrived, now) {
-		if !c.spilled {
-			coming[c.rank] += c.pieces
-		}
-	}
+	queued, coming := p.countQueued(now), p.countArrived(now)
 	good, idle := p.countTargets(spec, now)
 	rate := p.rate(spec, good, now)
 	var residual time.Duration
@@ -180,20 +161,60 @@
 		return time.Duration(float64(pieces)/left*float64(time.Second)) + residual
 	}
 	for rank := range out.OnTime {
-		before += ahead[rank]
+		before += queued.onTime[rank]
 		out.OnTime[rank] = timeFor(before)
 		urgent += float64(coming[rank])
 	}
-	before += spilled
+	before += queued.spilled
 	if p.region != "" {
 		out.Spilled = timeFor(before)
 	}
-	out.LateBegun = timeFor(before + lateBegun)
-	out.LateNew = timeFor(before + lateBegun + lateNew)
+	out.LateBegun = timeFor(before + queued.lateBegun)
+	out.LateNew = timeFor(before + queued.lateBegun + queued.lateNew)
 	p.waits, p.waitsAt = out, now
 	return out
 }
 
+// queuedPieces counts the pieces in a pool's queue, by the order in which they are served.
+type queuedPieces struct {
+	// onTime counts those of this region that can meet their objective, by rank; spilled those from
+	// other regions.
+	onTime  []int
+	spilled int
+	// lateBegun and lateNew count those that cannot; see Waits.
+	lateBegun, lateNew int
+}
+
+// countQueued counts the pieces in the queue.
+func (p *pool) countQueued(now time.Time) queuedPieces {
+	n := queuedPieces{onTime: make([]int, p.ranks)}
+	for _, pc := range p.queue {
+		switch {
+		case pc.order.ended:
+		case pc.order.Due.After(now) && pc.order.Spilled:
+			n.spilled++
+		case pc.order.Due.After(now):
+			n.onTime[min(max(pc.order.Priority, 0), p.ranks-1)]++
+		case pc.begun():
+			n.lateBegun++
+		default:
+			n.lateNew++
+		}
+	}
+	return n
+}
+
+// countArrived counts the pieces of this region that arrived within rateWindow, by rank.
+func (p *pool) countArrived(now time.Time) []int {
+	n := make([]int, p.ranks)
+	for _, c := range recent(p.arrived, now) {
+		if !c.spilled {
+			n[c.rank] += c.pieces
+		}
+	}
+	return n
+}
+
 // restLeft returns the time until the first target may be called if all targets of the pool
 // rest; otherwise 0.
 func (p *pool) restLeft(now time.Time) time.Duration {
--- a/internal/stagebatch/exchange.go
+++ b/internal/stagebatch/exchange.go
@@ -15,12 +15,12 @@
 	Waits(ctx context.Context, addr, service string, in region.Set) (Waits, error)
 }
 
-// askInterval is the minimum time between two requests for the waits of a pool in another region.
-const askInterval = 250 * time.Millisecond
+// waitsInterval is the minimum time between two requests for the waits of a pool in another region.
+const waitsInterval = 250 * time.Millisecond
 
 // otherWaits returns the last reported waits of a service's pools in other regions, and requests those
-// that are older than askInterval. Formers call it only while they have orders that they would complete
-// too late, so the requests end with the shortage.
+// that are older than waitsInterval. Formers call it only for orders that they would complete too late, so
+// no waits are requested while there are no such orders.
 func (r *Router) otherWaits(service string, regions []string) []RegionWaits {
 	now := time.Now()
 	r.mu.Lock()
@@ -32,16 +32,16 @@
 		if known {
 			out = append(out, RegionWaits{Region: name, Waits: last.waits, Age: now.Sub(last.at)})
 		}
-		if r.Exchange != nil && now.Sub(last.at) >= askInterval && now.Sub(r.asked[key]) >= askInterval {
-			r.asked[key] = now
-			go r.askWaits(service, name)
+		if r.Exchange != nil && now.Sub(last.at) >= waitsInterval && now.Sub(r.waitsAsked[key]) >= waitsInterval {
+			r.waitsAsked[key] = now
+			go r.requestWaits(service, name)
 		}
 	}
 	return out
 }
 
-// askWaits requests the waits of a pool from the node that forms its batches in another region.
-func (r *Router) askWaits(service, name string) {
+// requestWaits requests the waits of a pool from the node that forms its batches in another region.
+func (r *Router) requestWaits(service, name string) {
 	in := region.Only(name)
 	ranked := r.ranked(service, in)
 	if len(ranked) == 0 || ranked[0].Name == r.self.Name {
@@ -63,7 +63,7 @@
 	least := time.Duration(math.MaxInt64)
 	for _, name := range regions {
 		if last := r.waits[waitsKey{service, name}]; time.Since(last.at) < estimateTTL {
-			least = min(least, last.waits.Spilled+r.local.Crossing.Cost(crossingTrips, 0))
+			least = min(least, last.waits.Spilled+r.local.Crossing.Cost(crossingRoundTrips, 0))
 		}
 	}
 	return least
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -50,9 +50,9 @@
 // region is "".
 type poolKey struct{ service, region string }
 
-// poolKey returns the pool whose targets run orders that are limited to the given regions. In a fleet
-// with several regions, orders for a single region have a pool of their own, so that its waits and its
-// working set are those of the region's targets.
+// poolKey returns the key of the pool whose targets run orders that are limited to the given regions. In a
+// fleet with several regions, orders for a single region have a pool of their own, so that the waits and
+// the working set of that pool are those of the region's targets.
 func (f *Former) poolKey(service string, in region.Set) poolKey {
 	if !f.Regions.Several() {
 		return poolKey{service: service}
@@ -91,29 +91,16 @@
 	w := &order{Order: o, isolated: o.Probe != "" || suspect, handles: make([]string, o.Pieces), missing: o.Pieces, unread: o.Pieces, done: make(chan struct{})}
 	f.mu.Lock()
 	p := f.pool(f.poolKey(o.Service, o.Regions))
-	f.refresh(p, o.Service)
+	f.refresh(p)
 	if !f.hasTarget(p, o.Regions) {
 		f.mu.Unlock()
 		return Result{}, ErrNoTarget
 	}
-	now := time.Now()
-	if p.region != "" && p.idle() {
-		// What the pool produced while it had no orders says nothing about its rate.
-		p.busySince = now
-	}
-	if err := f.admitToRegion(p, o, spec, now); err != nil {
-		f.mu.Unlock()
+	waits, err := f.enqueue(p, w, spec)
+	f.mu.Unlock()
+	if err != nil {
 		return Result{}, err
 	}
-	f.orders++
-	w.seq, w.queuedAt = f.orders, now
-	p.recordOrder(o, now)
-	for i := range o.Pieces {
-		p.queue = append(p.queue, &piece{order: w, index: i, queued: true})
-	}
-	f.pump(o.Service, p, spec)
-	waits := p.wait(spec, now)
-	f.mu.Unlock()
 	if accepted != nil {
 		accepted(waits)
 	}
@@ -133,6 +120,27 @@
 	return Result{Handles: slices.Clone(w.handles)}, nil
 }
 
+// enqueue queues the pieces of an order, starts the calls that are possible, and returns the estimated
+// waits. Its error is that of admitToRegion. The lock is held.
+func (f *Former) enqueue(p *pool, w *order, spec *routes.Batch) (Waits, error) {
+	now := time.Now()
+	if p.region != "" && p.idle() {
+		// What the pool produced while it had no orders says nothing about its rate.
+		p.busySince = now
+	}
+	if err := f.admitToRegion(p, w.Order, spec, now); err != nil {
+		return Waits{}, err
+	}
+	f.orders++
+	w.seq, w.queuedAt = f.orders, now
+	p.recordOrder(w.Order, now)
+	for i := range w.Pieces {
+		p.queue = append(p.queue, &piece{order: w, index: i, queued: true})
+	}
+	f.pump(p, spec)
+	return p.wait(spec, now), nil
+}
+
 // Waits returns the estimated waits of the pool of a service whose targets run orders that are limited
 // to the given regions.
 func (f *Former) Waits(service string, in region.Set) Waits {
@@ -190,6 +198,7 @@
 	}
 }
 
+// pool returns a pool, and creates it if there is none. The lock is held.
 func (f *Former) pool(key poolKey) *pool {
 	p := f.pools[key]
 	if p == nil {
@@ -236,9 +245,9 @@
 }
 
 // refresh updates the pool from the target list. The lock is held.
-func (f *Former) refresh(p *pool, service string) {
-	spec, now := f.spec(service), time.Now()
-	p.versionSplit.set(f.list.Trial(service))
+func (f *Former) refresh(p *pool) {
+	spec, now := f.spec(p.service), time.Now()
+	p.versionSplit.set(f.list.Trial(p.service))
 	generation := f.list.Generation()
 	if spec != nil && !p.working.stale(generation, now) {
 		for id, m := range p.states {
@@ -282,27 +291,27 @@
 }
 
 // pump starts calls for the queued pieces at the free targets of the pool. The lock is held.
-func (f *Former) pump(service string, p *pool, spec *routes.Batch) {
+func (f *Former) pump(p *pool, spec *routes.Batch) {
 	if len(p.queue) == 0 {
 		return
 	}
-	f.refresh(p, service)
+	f.refresh(p)
 	now := time.Now()
-	f.queryUnknownSpace(service, p, spec, now)
+	f.queryUnknownSpace(p, spec, now)
 	if !f.Off.Has(mechanism.GiveUpHopeless) {
 		p.failHopeless(spec, now)
 	}
-	f.requestPermits(service, p, spec, now)
-	f.dispatch(service, p, spec, now)
-	for f.widenWorkingSet(service, p, spec, now) {
-		f.queryUnknownSpace(service, p, spec, now)
-		f.dispatch(service, p, spec, now)
+	f.requestPermits(p, spec, now)
+	f.dispatch(p, spec, now)
+	for f.widenWorkingSet(p, spec, now) {
+		f.queryUnknownSpace(p, spec, now)
+		f.dispatch(p, spec, now)
 	}
-	f.wakeLater(service, p, spec, now)
+	f.wakeLater(p, spec, now)
 }
 
 // dispatch gives batches to the free targets. The lock is held.
-func (f *Former) dispatch(service string, p *pool, spec *routes.Batch, now time.Time) {
+func (f *Former) dispatch(p *pool, spec *routes.Batch, now time.Time) {
 	working := p.dataCentres()
 	for _, m := range freeTargets(p.states, spec, now) {
 		if len(p.queue) == 0 {
@@ -311,17 +320,17 @@
 		if !p.versionSplit.mayCall(m.Version) {
 			continue
 		}
-		f.fill(service, p, m, spec, now, f.placementOf(p, m, working, spec, now))
+		f.fill(p, m, spec, now, f.placementOf(p, m, working, spec, now))
 	}
 }
 
 // fill takes a batch of pieces that fits a free target from the queue of its pool (see take) and starts
 // the call. The lock is held.
-func (f *Former) fill(service string, p *pool, m *targetState, spec *routes.Batch, now time.Time, pl placement) {
+func (f *Former) fill(p *pool, m *targetState, spec *routes.Batch, now time.Time, pl placement) {
 	var batch []*piece
 	batch, p.queue = take(p.queue, spec, m.freeBytes(spec, now), now, pl)
 	if len(batch) > 0 {
-		f.start(service, p, m, spec, batch, now)
+		f.start(p, m, spec, batch, now)
 	}
 }
 
@@ -344,7 +353,7 @@
 
 // wakeLater schedules another check of a non-empty queue, because the pause of a target ends, and the
 // results that fill a target expire, without an event that would cause a check. The lock is held.
-func (f *Former) wakeLater(service string, p *pool, spec *routes.Batch, now time.Time) {
+func (f *Former) wakeLater(p *pool, spec *routes.Batch, now time.Time) {
 	if len(p.queue) == 0 || now.Before(p.wakeAt) {
 		return
 	}
@@ -352,6 +361,6 @@
 	time.AfterFunc(wakeInterval, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		f.pump(service, p, spec)
+		f.pump(p, spec)
 	})
 }
--- a/internal/stagebatch/home.go
+++ b/internal/stagebatch/home.go
@@ -20,7 +20,7 @@
 }
 
 // targetRegionsTTL is how long the regions of a service's targets are reused while the target list
-// does not change: whether a target may get work also depends on time.
+// does not change. It is short, as a target can become usable or unusable without a change of the list.
 const targetRegionsTTL = 500 * time.Millisecond
 
 // homeRegions returns the regions in which an order may run, its home region first. That is the
@@ -102,15 +102,16 @@
 	return known.names
 }
 
-// nodeRegions are the regions of the nodes in a list.
+// nodeRegions is the set of the regions of the nodes in a list.
 type nodeRegions struct {
-	of    []Node
+	nodes []Node
 	names map[string]bool
 }
 
-// read reports whether the regions are those of a node list. Lists are replaced, never modified.
-func (n nodeRegions) read(of []Node) bool {
-	return n.names != nil && len(n.of) == len(of) && (len(of) == 0 || &n.of[0] == &of[0])
+// isOf reports whether the regions were determined from the given list. Node lists are replaced, never
+// modified, so it is enough to compare where the lists are stored.
+func (n nodeRegions) isOf(nodes []Node) bool {
+	return n.names != nil && len(n.nodes) == len(nodes) && (len(nodes) == 0 || &n.nodes[0] == &nodes[0])
 }
 
 // regionsWithNodes returns the regions of the other nodes, as seen by this node. The map is not modified.
@@ -118,19 +119,19 @@
 	all := r.nodes()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.nodeRegions.read(all) {
+	if r.nodeRegions.isOf(all) {
 		return r.nodeRegions.names
 	}
 	names := make(map[string]bool)
 	for _, n := range all {
 		names[r.local.Regions[n.DataCentre]] = true
 	}
-	r.nodeRegions = nodeRegions{of: all, names: names}
+	r.nodeRegions = nodeRegions{nodes: all, names: names}
 	return names
 }
 
-// produceByRegion runs an order in the first of the given regions that accepts it. The order is
-// in one region at a time.
+// produceByRegion runs an order in the first of the given regions that accepts it. Only one region at a
+// time has the order.
 func (r *Router) produceByRegion(ctx context.Context, o Order, regions []string) (Result, error) {
 	last := len(regions) - 1
 	for i, name := range regions[:last] {
@@ -157,9 +158,9 @@
 	return res, err, true
 }
 
-// followSpill runs an order in the region that its home region named, or at home after all if no node
-// there accepts it, it is sent back or that region has no target. It returns res and err if the order
-// has ended at home.
+// followSpill takes how an order ended in its home region, and returns res and err unless err is a
+// SpillError. In that case it runs the order in the region that the error names. If no node there
+// accepts the order, the order is sent back or that region has no target, it runs at home after all.
 func (r *Router) followSpill(ctx context.Context, o Order, res Result, err error) (Result, error) {
 	var spilled *SpillError
 	if !errors.As(err, &spilled) {
@@ -185,5 +186,5 @@
 	r.mu.Lock()
 	r.suspectRegions[name] = time.Now().Add(suspectFor)
 	r.mu.Unlock()
-	r.log.Warn("region does not form batches, passed over", "region", name, "request", o.Request, "service", o.Service)
+	r.log.Warn("region does not form batches, skipped", "region", name, "request", o.Request, "service", o.Service)
 }
--- a/internal/stagebatch/leaving_test.go
+++ b/internal/stagebatch/leaving_test.go
@@ -48,7 +48,7 @@
 		again.Born = 2000
 		list.Replace([]targets.Target{again}, time.Time{})
 		f.mu.Lock()
-		f.refresh(f.pools[poolKey{service: "pool"}], "pool")
+		f.refresh(f.pools[poolKey{service: "pool"}])
 		f.mu.Unlock()
 		c.Assert(f.pools[poolKey{service: "pool"}].states["t0"].slow(), qt.Equals, 1.0)
 		c.Assert(f.pools[poolKey{service: "pool"}].states["t0"].results, qt.HasLen, 0)
--- a/internal/stagebatch/permits.go
+++ b/internal/stagebatch/permits.go
@@ -47,7 +47,7 @@
 
 // requestPermits requests a permit for each idle rate-limited target that has none. The lock is
 // held.
-func (f *Former) requestPermits(service string, p *pool, spec *routes.Batch, now time.Time) {
+func (f *Former) requestPermits(p *pool, spec *routes.Batch, now time.Time) {
 	for _, m := range p.states {
 		if !m.bounded || m.requestingPermit || now.Before(m.permit.Until) || now.Before(m.permitOpensAt) || !m.idle(spec, now) {
 			continue
@@ -73,7 +73,7 @@
 		f.log.Info("no permit for a stage call", "service", p.service, "target", m.ID, "limit", m.perSecond, "err", err)
 		return
 	}
-	f.pump(p.service, p, spec)
+	f.pump(p, spec)
 }
 
 // mayRelease reports whether the former may now tell the target at addr to free the results that are
--- a/internal/stagebatch/router.go
+++ b/internal/stagebatch/router.go
@@ -71,9 +71,9 @@
 	waits          map[waitsKey]reportedWaits
 	targetRegions  map[string]targetRegions
 	nodeRegions    nodeRegions
-	// asked is when the waits of other regions were last requested.
-	asked    map[waitsKey]time.Time
-	stopping bool
+	// waitsAsked is when the waits of pools in other regions were last requested.
+	waitsAsked map[waitsKey]time.Time
+	stopping   bool
 }
 
 // waitsKey identifies a pool and a set of regions. Orders that are restricted to some regions go
@@ -91,7 +91,7 @@
 	r := &Router{
 		self: self, local: local, remote: remote, nodes: nodes, log: log,
 		suspects: make(map[string]time.Time), waits: make(map[waitsKey]reportedWaits),
-		suspectRegions: make(map[string]time.Time), targetRegions: make(map[string]targetRegions), asked: make(map[waitsKey]time.Time),
+		suspectRegions: make(map[string]time.Time), targetRegions: make(map[string]targetRegions), waitsAsked: make(map[waitsKey]time.Time),
 	}
 	local.OtherWaits = r.otherWaits
 	return r
@@ -159,8 +159,8 @@
 	return r.produceLocally(ctx, o)
 }
 
-// produceAtOthers runs an order at the nodes that precede this one in the rank of its regions, until
-// one of them accepts it. ended reports whether the order has ended.
+// produceAtOthers runs an order at the nodes that precede this one in the rank order of the order's regions,
+// until one of them accepts it. ended is false if none of them did.
 func (r *Router) produceAtOthers(ctx context.Context, o Order) (res Result, err error, ended bool) {
 	for i, n := range r.ranked(o.Service, o.Regions) {
 		if n.Name == r.self.Name || i >= maxNodes {
@@ -175,6 +175,7 @@
 	return Result{}, nil, false
 }
 
+// produceLocally runs an order at this node.
 func (r *Router) produceLocally(ctx context.Context, o Order) (Result, error) {
 	return r.local.Produce(ctx, o, func(w Waits) { r.recordWaits(o, w) })
 }
--- a/internal/stagebatch/space.go
+++ b/internal/stagebatch/space.go
@@ -20,7 +20,7 @@
 // queryUnknownSpace queries the free space of the targets whose use of space is unknown, and
 // pauses these targets meanwhile. Otherwise a new former would find full targets only by calls
 // that produce nothing. The lock is held.
-func (f *Former) queryUnknownSpace(service string, p *pool, spec *routes.Batch, now time.Time) {
+func (f *Former) queryUnknownSpace(p *pool, spec *routes.Batch, now time.Time) {
 	for _, m := range p.states {
 		if m.standing >= readiness.Resting || m.bounded || !m.spaceUnknown(spec, now) {
 			continue
@@ -56,7 +56,7 @@
 	}
 	m.foreignUntil = now.Add(foreignTTL)
 	f.log.Info("target free space", "service", p.service, "target", m.ID, "free", free, "held", m.storedBytes(), "foreign", m.foreignBytes)
-	f.pump(p.service, p, spec)
+	f.pump(p, spec)
 }
 
 // release releases results at the targets that hold them, after a short delay and together with
@@ -110,7 +110,7 @@
 			}
 		}
 		if spec != nil {
-			f.pump(service, p, spec)
+			f.pump(p, spec)
 		}
 	}
 }
--- a/internal/stagebatch/space_test.go
+++ b/internal/stagebatch/space_test.go
@@ -32,7 +32,7 @@
 
 // Guards against an order that fails after four calls (maxTries) that found no space: such calls
 // do not count.
-func TestOrderWaitsForRoom(t *testing.T) {
+func TestOrderWaitsForSpace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		p, list := newFakePool(1)
--- a/internal/stagebatch/spill.go
+++ b/internal/stagebatch/spill.go
@@ -23,13 +23,13 @@
 	SpillRefused(service, region string)
 }
 
-// crossingTrips is the number of additional round trips of an order that runs in another region: one
-// for the order, one to read its results. Orders with inputs have another one to read these.
-const crossingTrips = 2
+// crossingRoundTrips is the number of additional round trips of an order that runs in another region: one
+// for the order, one to read its results. An order with inputs has one more, to read these.
+const crossingRoundTrips = 2
 
-// admitToRegion decides whether this region runs an order that another region may run, or that comes
-// from one. It returns nil if so, a SpillError if another region runs it, and ErrLate if none completes
-// it by its deadline. The lock is held.
+// admitToRegion decides whether this region runs an order that another region may run instead, or that
+// another region sent. It returns nil if this region runs it, a SpillError if another one is to, and
+// ErrLate if no region completes it by its deadline. The lock is held.
 func (f *Former) admitToRegion(p *pool, o Order, spec *routes.Batch, now time.Time) error {
 	if p.region == "" || len(o.SpillTo) == 0 && !o.Spilled {
 		return nil
@@ -66,15 +66,15 @@
 	return nil
 }
 
-// spillOrder describes an order for the decision where it runs.
+// spillOrder describes an order to package spill.
 func (f *Former) spillOrder(o Order, now time.Time) spill.Order {
-	trips := crossingTrips
+	roundTrips := crossingRoundTrips
 	if len(o.Inputs) > 0 {
-		trips++
+		roundTrips++
 	}
 	return spill.Order{
 		UntilDue: o.Due.Sub(now), UntilDeadline: o.Deadline.Sub(now),
-		Trip: f.Crossing.Cost(trips, 0), Cost: f.Crossing.ResultCost(trips, int64(o.Pieces)*(o.ResultBytes+o.InputBytes)),
+		Trip: f.Crossing.Cost(roundTrips, 0), Cost: f.Crossing.ResultCost(roundTrips, int64(o.Pieces)*(o.ResultBytes+o.InputBytes)),
 	}
 }
 
@@ -103,7 +103,7 @@
 	return expected(spec, min(pieces, max(spec.Items, 1)))
 }
 
-// pool describes a pool with these waits to an order.
+// pool describes the pool that has these waits to package spill, for an order.
 func (w Waits) pool(name string, o Order, takes time.Duration) spill.Pool {
 	return spill.Pool{Region: name, Wait: w.forOrder(o), Late: w.late(o), Takes: takes}
 }
--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -37,17 +37,17 @@
 	// Due is when the results must be complete for the request to meet its objective. After
 	// Deadline the results are useless.
 	Due, Deadline time.Time
-	// ResultBytes is the approximate size of one result, InputBytes that of all Inputs together. Each
-	// piece reads all of them.
+	// ResultBytes is the approximate size of one result, InputBytes that of all Inputs together, in
+	// bytes. Each piece reads all inputs.
 	ResultBytes, InputBytes int64
 	// DataCentre is the preferred data centre for producing the results; "" means no preference.
 	DataCentre string
 	// Regions are the regions in which the results may be produced.
 	Regions region.Set
 	// SpillTo are the other regions that may run the order if its home region would complete it too
-	// late, with the lowest wait first. Spilled means that the order comes from such a home region:
-	// it is queued behind orders of this region that can meet their objective, and may only be sent
-	// back, to the home region that SpillTo names then.
+	// late, with the lowest wait first. Spilled means that the home region sent the order to another
+	// one. There it is queued behind the region's own orders that can meet their objective, and can
+	// only be sent back: SpillTo then names the home region.
 	SpillTo []string
 	Spilled bool
 	// Digest identifies the request across all attempts of its caller. Probe is the quarantine
@@ -103,7 +103,7 @@
 	Remaining time.Duration
 }
 
-// Reason tells why an item has no result, or that it has one.
+// Reason says why an item has no result, or that it has one.
 type Reason uint8
 
 const (
--- a/internal/stagebatch/working.go
+++ b/internal/stagebatch/working.go
@@ -105,7 +105,7 @@
 
 // widenWorkingSet enlarges the working set if pieces wait, no target that could take them is
 // idle, and unused targets exist. It reports whether the set has grown. The lock is held.
-func (f *Former) widenWorkingSet(service string, p *pool, spec *routes.Batch, now time.Time) bool {
+func (f *Former) widenWorkingSet(p *pool, spec *routes.Batch, now time.Time) bool {
 	if len(p.queue) == 0 || p.working.unusedTargets() == 0 {
 		return false
 	}
@@ -121,7 +121,7 @@
 	before := len(p.states)
 	p.working.widened, p.working.widenedAt = widenFactor*before, now
 	p.working.chosenAt = time.Time{}
-	f.refresh(p, service)
+	f.refresh(p)
 	return len(p.states) > before
 }
 
