targets, passthrough: target groups, crossing and streams in plain terms

Change: names and comments say what is counted, with the cases of none and unknown; complete, recordFirstEvent and sendEvent are split off relayEvents. Result: same behaviour; tests of the packages pass.

--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -1,5 +1,5 @@
-// Package ownership defines at which level of the fleet the owner of shared work stands: one owner
-// in each data centre, one in each region, or one in the whole fleet. In a fleet of one region the
+// Package ownership defines at which level of the fleet shared work has its owner: one in each data
+// centre, one in each region, or one in the whole fleet. In a fleet of one region the
 // levels Region and Fleet are the same.
 package ownership
 
@@ -45,7 +45,7 @@
 
 // levels gives the level of each kind of work. Work whose owner enforces a bound for all nodes
 // together belongs to the fleet: two owners would each allow the whole bound. The evidence on a
-// roll-out goes to the node that decides on it. Other work stays as near to its nodes as its data does.
+// roll-out goes to the node that decides on it. Other work belongs to the smallest level whose nodes share its data.
 var levels = map[Work]Level{
 	StoreUpdates:    DataCentre,
 	StageBatches:    Region,
@@ -54,10 +54,10 @@
 	RatePermits:     Fleet,
 }
 
-// LevelOf returns the level at which the owner of some work stands.
+// LevelOf returns the level of a kind of work.
 func LevelOf(w Work) Level { return levels[w] }
 
-// Place is where a node stands. Region is "" if it is not known.
+// Place is where a node or target is. A name is "" if it is not known.
 type Place struct{ DataCentre, Region string }
 
 // Same reports whether two places share the owner of some work.
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -21,7 +21,7 @@
 	ans   *httpconn.Answer
 	info  ResponseMeta
 	start time.Time
-	// longestGap is the longest wait for an event after the first one of a stream.
+	// longestGap is the longest wait for an event of a stream after the first event.
 	longestGap time.Duration
 }
 
--- a/internal/passthrough/engine.go
+++ b/internal/passthrough/engine.go
@@ -56,7 +56,8 @@
 	return q
 }
 
-// headBytes is the size of the heads of a request to a target and of its answer, in bytes.
+// headBytes is the assumed size of the heads of a request to a target and of its answer together, in
+// bytes.
 const headBytes = 1 << 10
 
 // exchange returns what the request exchanges with its target. Each of its stages takes a round trip
@@ -97,18 +98,18 @@
 
 // expectedDataCentre returns the data centre that producerDataCentre will prefer for a stage, if it is
 // known before any stage has run; else "". It is determined once for a request, and only in a fleet of
-// several regions, where the waits of a stage depend on it.
+// several regions: there it decides which region's waits count in the estimate.
 func (c *call) expectedDataCentre(stage int) string {
 	if !c.s.cfg.Targets.Regions.Several() || len(c.route.Stages[stage].After) > 0 {
 		return ""
 	}
-	c.placesOnce.Do(func() {
-		c.places = make([]string, len(c.route.Stages))
+	c.stageDataCentresOnce.Do(func() {
+		c.stageDataCentres = make([]string, len(c.route.Stages))
 		for i, st := range c.route.Stages {
 			if len(st.After) == 0 && st.ResultBytes >= largeResultBytes {
-				c.places[i] = c.producerDataCentre(nil, i)
+				c.stageDataCentres[i] = c.producerDataCentre(nil, i)
 			}
 		}
 	})
-	return c.places[stage]
+	return c.stageDataCentres[stage]
 }
--- a/internal/passthrough/handover.go
+++ b/internal/passthrough/handover.go
@@ -7,12 +7,12 @@
 	"topazmoor/internal/targets"
 )
 
-// errReplaced is the cause of a stream's end at a target whose version is about to stop.
+// errReplaced is why a stream was ended at a target whose version is about to be stopped.
 var errReplaced = errors.New("passthrough: another version replaces that of the target")
 
-// continueElsewhere ends a stream at its target, so that it continues at a target of the version that
-// replaces its own, if the repeat budget allows that. Otherwise the stream goes on until it ends, or
-// until its target stops.
+// continueElsewhere ends a stream at its target if the repeat budget allows that, so that the stream
+// continues at a target of the version that replaces this one. Otherwise the stream stays at its target
+// until either ends.
 func (c *call) continueElsewhere(l *targets.Lease, cancel context.CancelCauseFunc) {
 	allowed := c.s.cfg.Repeats.Take(c.ctx, c.service)
 	c.log.Info("stream of a replaced version", "target", l.ID, "service", c.service, "version", l.Version, "continues", allowed)
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -187,10 +187,11 @@
 	// claimedProbe is the ID of a claimed quarantine probe under which the stages of the request
 	// run; "" for none.
 	claimedProbe string
-	// places are the preferred data centres of the stages, for estimates; see expectedDataCentre.
-	places     []string
-	placesOnce sync.Once
-	arrived    time.Time
+	// stageDataCentres are the preferred data centres of the stages, for estimates; see
+	// expectedDataCentre.
+	stageDataCentres     []string
+	stageDataCentresOnce sync.Once
+	arrived              time.Time
 	// deadline is when the final response is due, by a clock that stops while the host is
 	// suspended. suspendedBefore is the total suspension of the host when the request arrived.
 	// timeLeft combines both.
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -27,8 +27,8 @@
 	minGapTimeout = 2 * time.Second
 	// defaultMaxGap is the longest pause between events for a route that sets none.
 	defaultMaxGap = 500 * time.Millisecond
-	// streamProgress is after what time a stream is evidence on the version of its target, although it
-	// has not ended.
+	// streamProgress is the time after which a stream counts as evidence on the version of its target
+	// although it has not ended.
 	streamProgress = 2 * time.Second
 )
 
@@ -192,21 +192,13 @@
 	mayResume := c.route.Resumable && c.runs-c.stale < c.route.MaxAttempts && !c.s.cfg.Off.Has(mechanism.SilentEngines)
 	first, progressed := true, false
 	for {
-		asked := time.Now()
+		waitBegan := time.Now()
 		ev, err := events.Next()
 		if !first {
-			a.longestGap = max(a.longestGap, time.Since(asked))
+			a.longestGap = max(a.longestGap, time.Since(waitBegan))
 		}
 		if err == io.EOF {
-			if first {
-				a.lease.MarkFaulty()
-			}
-			a.streamDone(targets.Served)
-			c.reportAnswered()
-			if !x.started {
-				x.sendHead(a)
-			}
-			c.recordDone("", http.StatusOK, nil)
+			x.complete(a, first)
 			return nil
 		}
 		if err != nil {
@@ -220,10 +212,7 @@
 		}
 		if first {
 			first = false
-			a.lease.MarkPromptRead()
-			a.lease.RecordFirstEvent(time.Since(a.start))
-			c.s.cfg.Observer.ResponseBegan(c.rank, c.estimated, time.Since(c.arrived), c.route.Objective)
-			x.freeInputs()
+			x.recordFirstEvent(a)
 		}
 		if mayResume {
 			watchdog.watch(max(time.Duration(gapFactor*float64(gap)), minGapTimeout))
@@ -231,13 +220,9 @@
 		if !x.started {
 			x.sendHead(a)
 		}
-		if _, err := c.w.Write(ev.Raw); err != nil {
+		if err := x.sendEvent(ev); err != nil {
 			return x.callerLeft(a, err)
 		}
-		x.events++
-		if ev.ID != "" {
-			x.lastEvent = ev.ID
-		}
 		if !events.Buffered() {
 			if err := flush.Flush(); err != nil {
 				return x.callerLeft(a, err)
@@ -246,13 +231,49 @@
 	}
 }
 
+// sendEvent sends an event to the caller, without flushing it.
+func (x *streaming) sendEvent(ev sse.Event) error {
+	if _, err := x.c.w.Write(ev.Raw); err != nil {
+		return err
+	}
+	x.events++
+	if ev.ID != "" {
+		x.lastEvent = ev.ID
+	}
+	return nil
+}
+
+// complete records a stream that the target ended, and ends the response to the caller. An answer
+// without events is a failure of the target.
+func (x *streaming) complete(a *attempt, empty bool) {
+	if empty {
+		a.lease.MarkFaulty()
+	}
+	a.streamDone(targets.Served)
+	x.c.reportAnswered()
+	if !x.started {
+		x.sendHead(a)
+	}
+	x.c.recordDone("", http.StatusOK, nil)
+}
+
+// recordFirstEvent records the first event of a stream: the target has read the prompt and the results
+// of the stages.
+func (x *streaming) recordFirstEvent(a *attempt) {
+	c := x.c
+	a.lease.MarkPromptRead()
+	a.lease.RecordFirstEvent(time.Since(a.start))
+	c.s.cfg.Observer.ResponseBegan(c.rank, c.estimated, time.Since(c.arrived), c.route.Objective)
+	x.freeInputs()
+}
+
 // sendHead sends the head of the response to the caller.
 func (x *streaming) sendHead(a *attempt) {
 	x.started = true
 	x.c.writeHead(a, nil)
 }
 
-// streamDone ends the lease of a stream.
+// streamDone ends the lease of a stream, with its longest gap.
 func (a *attempt) streamDone(o targets.Outcome) {
 	a.lease.RecordLongestGap(a.longestGap)
 	a.lease.Done(o, 0)
--- a/internal/region/crossing.go
+++ b/internal/region/crossing.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// Crossing is the cost of serving work in another region than its own, as the time by which the
-// work must end earlier there to be worth it. The zero value costs nothing.
+// Crossing gives the cost of serving work in another region than its own, as a time: work goes there
+// only if it would end earlier by more than that. With the zero value, another region costs nothing.
 type Crossing struct {
-	// RoundTrip is the additional time of a message to the other region and its reply.
+	// RoundTrip is the additional time of a message to the other region and its reply, compared with
+	// those within a region.
 	RoundTrip time.Duration
 	// PerMB is the price of 1,000,000 bytes that nodes send between regions, as a time. PerResultMB
 	// is that of stage results, which targets read from each other.
--- a/internal/routes/regions.go
+++ b/internal/routes/regions.go
@@ -7,8 +7,7 @@
 )
 
 // RegionSets returns the distinct sets of regions to which requests that use a service, also for
-// stages, are restricted. Requests without a restriction and those that no region may serve are left
-// out.
+// stages, are restricted by their route and client account. The set of all regions and the empty set are left out.
 func (c *Config) RegionSets(service string) []region.Set {
 	var out []region.Set
 	for _, rs := range c.byHost {
--- a/internal/targets/crossing.go
+++ b/internal/targets/crossing.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// Exchange is what a request exchanges with its target and on behalf of it. It decides what
-// another region costs.
+// Exchange is how much a request exchanges with its target, and with the targets of its stages. It
+// determines what serving the request in another region costs.
 type Exchange struct {
-	// RoundTrips are those of the request and of its stages; at least 1 is counted.
+	// RoundTrips is the number of round trips of the request and its stages; 0 counts as 1.
 	RoundTrips int
-	// Bytes are those of the request and of what is expected of the answer.
+	// Bytes is the size of the request and the expected size of the answer.
 	Bytes int64
 }
 
@@ -22,26 +22,27 @@
 	return t.Crossing.Cost(e.roundTrips(), e.Bytes)
 }
 
-// crossingDelay returns the time that an exchange takes longer with a target in another region.
+// crossingDelay returns how much longer an exchange takes with a target in another region.
 func (t *Table) crossingDelay(e Exchange) time.Duration {
 	return t.Crossing.Cost(e.roundTrips(), 0)
 }
 
 func (e Exchange) roundTrips() int { return max(e.RoundTrips, 1) }
 
-// The calls that targets take from other regions, as fractions of their slots. The most urgent
-// requests, those of rank 0, leave a region first and get the most; each further rank gets less, so
-// that the slots that a region has to spare go to the urgent requests of the others.
+// The number of calls up to which a target takes calls from another region, as a fraction of its slots:
+// spareShare if that region has targets of its own that can be called, lostShare if it has none. These
+// are for rank 0; each further rank has spareStep or lostStep less, down to minSpare or minLost, so
+// that the spare slots of a region go to the urgent requests of the others.
 const (
 	spareShare, lostShare = 1.0, 2.0
 	spareStep, lostStep   = 0.1, 0.2
 	minSpare, minLost     = 0.5, 1.0
 )
 
-// outsideCalls returns up to how many calls a target may have in total to be given one more from
-// another region. own reports whether that region has targets of its own that can be called. Up to
-// its slots, a target runs calls at once: only requests of a region without a target may wait
-// behind those of the target's region, and only a few.
+// outsideCalls returns the number of calls at a target from which it gets no more calls from another
+// region. own reports whether that region has targets of its own that can be called. A target runs as
+// many calls at once as it has slots; only requests of a region without a target may wait for a slot,
+// and only a few.
 func outsideCalls(rank, slots int, own bool) float64 {
 	share := max(spareShare-spareStep*float64(rank), minSpare)
 	if !own {
@@ -62,7 +63,8 @@
 	return slices.DeleteFunc(cands, func(s *state) bool { return t.inOtherRegion(s) && !t.mayCross(q, s, own, now) })
 }
 
-// mayCross reports whether a call may go to a target in another region.
+// mayCross reports whether a call may go to a target in another region. own reports whether there are
+// candidates in this node's region.
 func (t *Table) mayCross(q Query, s *state, own bool, now time.Time) bool {
 	if float64(s.calls(now)) >= outsideCalls(q.Rank, s.Slots, own) {
 		return false
@@ -70,14 +72,14 @@
 	return q.Left == 0 || t.crossingDelay(q.Exchange)+s.recentLatency(now) < q.Left
 }
 
-// Crossed tells why a call goes to another region, and what that costs.
+// Crossed describes why a call goes to another region, and what that costs.
 type Crossed struct {
 	// Region is the region of the target; "" for a call that stays in its own.
 	Region string
-	// Cost is the cost of the way.
+	// Cost is the cost of the crossing; see region.Crossing.
 	Cost time.Duration
-	// Own is how many targets there were to choose from in the node's own region, OwnCalls how
-	// many calls the least busy of them had.
+	// Own is the number of candidates in the node's own region, OwnCalls the number of calls of the
+	// least busy one.
 	Own, OwnCalls int
 }
 
--- a/internal/targets/engine.go
+++ b/internal/targets/engine.go
@@ -30,8 +30,8 @@
 	// one cannot take.
 	secondMissingShare = 0.7
 	// regionMissingShare is the fraction of the shared tokens that the first engine of a region in
-	// the rendezvous order is presumed to lack if each region prefers an engine of its own: some
-	// requests with the same parts come to each region.
+	// the rendezvous order is presumed to lack if each region prefers an engine of its own: other
+	// requests with the same parts have come to each region.
 	regionMissingShare = 0.5
 	// failureTokens is the cost added for an engine whose recent calls all failed: a whole
 	// prompt, and the time until the failure is detected. It is scaled by the share of failed
@@ -87,8 +87,8 @@
 
 // copyFrom returns the address of the engine from which s should copy the beginning of a
 // prompt: one that caches most of it, in the data centre of s if there is one there; "" if
-// none caches more than s. An engine in another region than s is left out if s reads what it lacks,
-// beside what it can copy in its own region, sooner than the way takes.
+// none caches more than s. An engine in another region is chosen only if it saves s more reading
+// time, compared with the best copy within its own region, than the crossing costs.
 func (t *Table) copyFrom(s *state, holders []promptHolder) string {
 	several := t.Regions.Several()
 	far := func(k promptHolder) bool { return several && t.regionOf(k.state) != t.regionOf(s) }
@@ -226,7 +226,7 @@
 }
 
 // PreferredDataCentre returns the data centre of the engine that prompt affinity prefers for a
-// prompt, among those in some regions, for a request with some exchange; "" if there is none.
+// prompt, among those in some regions, for a request with the given exchange; "" if there is none.
 func (t *Table) PreferredDataCentre(service string, affinity uint64, shared int, e Exchange, in region.Set) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -36,8 +36,8 @@
 	PermitDeadline time.Time
 	// Exchange is what the call exchanges with its target.
 	Exchange Exchange
-	// Rank is the rank of the request; 0 is the most urgent. Left is how long the answer is of use;
-	// 0 for unknown. Both decide whether the call may go to another region.
+	// Rank is the rank of the request; 0 is the most urgent. Left is how long the answer will be
+	// of use; 0 for unknown. Both decide whether the call may go to another region.
 	Rank int
 	Left time.Duration
 	// Resumed is set if the caller has a part of the answer: the call cannot be refused any more, so
@@ -103,7 +103,7 @@
 type Basis struct {
 	// Candidates is how many targets there were to choose from.
 	Candidates int
-	// Crossed tells why the call goes to another region, if it does.
+	// Crossed describes why the call goes to another region, if it does.
 	Crossed Crossed
 	// Calls estimates the calls at the target, of all nodes. Failures is its recent share of
 	// failed calls, from 0 to 1.
@@ -147,7 +147,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	cands, lane := t.candidates(q, now)
+	cands, group := t.candidates(q, now)
 	if len(cands) == 0 {
 		return nil
 	}
@@ -174,7 +174,7 @@
 		l.observed.lacksPrompt = l.s.cachedTokens(t.promptHolders(q, now)) < q.Engine.Shared
 	}
 	l.Target = l.s.Target
-	l.Basis = Basis{Candidates: len(cands), Calls: l.s.calls(now), Failures: l.s.failures, LoadAge: -1, Limit: l.s.reported.limit.advertised(), VersionWhy: lane.Why, Share: lane.Share}
+	l.Basis = Basis{Candidates: len(cands), Calls: l.s.calls(now), Failures: l.s.failures, LoadAge: -1, Limit: l.s.reported.limit.advertised(), VersionWhy: group.Why, Share: group.Share}
 	l.Basis.Crossed = t.crossed(q, l.s, cands, now)
 	if !l.s.loadAt.IsZero() {
 		l.Basis.LoadAge = now.Sub(l.s.loadAt)
@@ -190,13 +190,13 @@
 // candidates returns the targets of a service that may be called, and their target group: those of
 // the first target group that has any; without such groups, those of the whole service.
 func (t *Table) candidates(q Query, now time.Time) ([]*state, rollout.TargetGroup) {
-	lanes := t.lanes(q)
-	if lanes == nil {
+	groups := t.targetGroups(q)
+	if groups == nil {
 		return t.candidatesOf(q, now, anyTarget), rollout.TargetGroup{}
 	}
-	for _, lane := range lanes {
-		if cands := t.candidatesOf(q, now, t.admits(q.Service, lane, now)); len(cands) > 0 {
-			return cands, lane
+	for _, group := range groups {
+		if cands := t.candidatesOf(q, now, t.admits(q.Service, group, now)); len(cands) > 0 {
+			return cands, group
 		}
 	}
 	return nil, rollout.TargetGroup{}
@@ -205,7 +205,7 @@
 // candidatesOf returns the targets of a target group that may be called and are within reach (see
 // withinReach), of the first set that is not empty: the healthy ones; those called only where there
 // is no other (see lastResort); the one for which a permit is available first, if that is not after
-// q.PermitDeadline; those whose breaker is open, unless healthy ones are beyond reach.
+// q.PermitDeadline; those whose breaker is open, unless there are healthy ones out of reach.
 func (t *Table) candidatesOf(q Query, now time.Time, admits func(*state) bool) []*state {
 	var healthy, fallback, down []*state
 	var nextPermitted *state
@@ -230,17 +230,17 @@
 			healthy = append(healthy, s)
 		}
 	}
-	beyondReach := false
+	outOfReach := false
 	for _, cands := range [][]*state{healthy, fallback} {
 		if reached := t.withinReach(q, cands, now); len(reached) > 0 {
 			return reached
 		}
-		beyondReach = beyondReach || len(cands) > 0
+		outOfReach = outOfReach || len(cands) > 0
 	}
 	if nextPermitted != nil && !nextPermitted.reported.limit.availableAt.After(q.PermitDeadline) {
 		return []*state{nextPermitted}
 	}
-	if beyondReach {
+	if outOfReach {
 		return nil
 	}
 	return down
@@ -262,7 +262,7 @@
 	return max(s.inFlight, s.load.Running+s.load.Waiting+s.inFlight-s.inFlightAtLoad)
 }
 
-// meanLatency returns the mean time of a call at the target, or what is assumed for it.
+// meanLatency returns the mean time of a call at the target; defaultLatency if none was measured.
 func (s *state) meanLatency() time.Duration {
 	if latency := s.latency.Mean(); latency > 0 {
 		return latency
@@ -270,8 +270,8 @@
 	return defaultLatency
 }
 
-// recentLatency returns the mean time of a call at the target, if it was measured within
-// latencyMaxAge, or what is assumed for it.
+// recentLatency returns the mean time of a call at the target; defaultLatency if none was measured
+// within latencyMaxAge.
 func (s *state) recentLatency(now time.Time) time.Duration {
 	if now.Sub(s.latencyAt) >= latencyMaxAge {
 		return defaultLatency
--- a/internal/targets/rollout.go
+++ b/internal/targets/rollout.go
@@ -30,7 +30,7 @@
 	// lacksPrompt is set if the target, as far as this node knows, lacks a part of the prompt that
 	// other requests share.
 	lacksPrompt bool
-	// progressed is set once the stream was counted as an answer.
+	// progressed is set once RecordProgress has counted the stream as a good call.
 	progressed bool
 	// faulty is set if the answer was a failure of the target.
 	faulty bool
@@ -38,8 +38,8 @@
 
 func anyTarget(*state) bool { return true }
 
-// lanes returns the groups of targets that a call may go to; nil for all.
-func (t *Table) lanes(q Query) []rollout.TargetGroup {
+// targetGroups returns the groups of targets that a call may go to; nil for all.
+func (t *Table) targetGroups(q Query) []rollout.TargetGroup {
 	if t.Rollouts == nil {
 		return nil
 	}
@@ -49,22 +49,22 @@
 }
 
 // admits returns a function that reports whether a target may get calls that a roll-out directs to
-// the target group lane: the group must include the target's version and, if only a fraction of the
+// the target group: the group must include the target's version and, if only a fraction of the
 // group takes its calls, the target must be in that fraction (see maxHashInPart).
-func (t *Table) admits(service string, lane rollout.TargetGroup, now time.Time) func(*state) bool {
-	if lane.Fraction <= 0 || lane.Fraction >= 1 {
-		return func(s *state) bool { return lane.Admits(s.Version) }
+func (t *Table) admits(service string, group rollout.TargetGroup, now time.Time) func(*state) bool {
+	if group.Fraction <= 0 || group.Fraction >= 1 {
+		return func(s *state) bool { return group.Admits(s.Version) }
 	}
-	last := t.maxHashInPart(service, lane, now)
-	return func(s *state) bool { return lane.Admits(s.Version) && s.hash <= last }
+	last := t.maxHashInPart(service, group, now)
+	return func(s *state) bool { return group.Admits(s.Version) && s.hash <= last }
 }
 
 // maxHashInPart returns the largest hash among the part of a target group that takes its calls;
 // the part has at least one target. All nodes that know the same targets choose the same part.
-func (t *Table) maxHashInPart(service string, lane rollout.TargetGroup, now time.Time) uint64 {
+func (t *Table) maxHashInPart(service string, group rollout.TargetGroup, now time.Time) uint64 {
 	var hashes []uint64
 	for _, s := range t.services[service] {
-		if lane.Admits(s.Version) && s.usable(now) {
+		if group.Admits(s.Version) && s.usable(now) {
 			hashes = append(hashes, s.hash)
 		}
 	}
@@ -72,7 +72,7 @@
 		return 0
 	}
 	slices.Sort(hashes)
-	return hashes[min(int(lane.Fraction*float64(len(hashes))), len(hashes)-1)]
+	return hashes[min(int(group.Fraction*float64(len(hashes))), len(hashes)-1)]
 }
 
 // recordStart records the start of a call with Rollouts. The lock is held.
@@ -134,7 +134,8 @@
 	}
 }
 
-// RecordProgress records that a stream is well in progress, with its longest gap so far.
+// RecordProgress records a stream that has run long enough to be evidence on its target's version,
+// with the longest wait for an event so far. Streams of cold targets are left out.
 func (l *Lease) RecordProgress(gap time.Duration) {
 	l.t.mu.Lock()
 	defer l.t.mu.Unlock()
--- a/internal/targets/versions.go
+++ b/internal/targets/versions.go
@@ -9,7 +9,7 @@
 )
 
 // Versions counts the usable targets of a service: those of a version, the warm ones among them, and
-// those of other versions. It lists the restricted sets of regions that depend on other versions.
+// those of other versions. It lists the sets of regions that the version does not cover (see uncovered).
 func (t *Table) Versions(service, version string) rollout.Targets {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -37,7 +37,7 @@
 	return out
 }
 
-// coldRate returns how many calls a second a cold target of a service bears; infinite if that is not
+// coldRate returns how many calls a second a cold target of a service may get; infinite if that is not
 // bounded.
 func (t *Table) coldRate(service string) float64 {
 	if t.WarmupRate == nil {
@@ -57,7 +57,7 @@
 	drainedOld, drainedNew int
 }
 
-// with returns the counts with one more target.
+// with returns the counts with one more target. isNew means that the target has the version.
 func (r regionVersions) with(s *state, isNew, usable bool, now time.Time) regionVersions {
 	drained := s.drained && !s.Draining && !s.moved && s.dropAt.IsZero()
 	switch {
@@ -78,14 +78,15 @@
 	return regionVersions{old: r.old + o.old, warm: r.warm + o.warm, drainedOld: r.drainedOld + o.drainedOld, drainedNew: r.drainedNew + o.drainedNew}
 }
 
-// covered reports whether the version serves the regions as far as other versions do. While all other
-// targets are in drained data centres, it is enough that the version has targets there.
+// covered reports whether the version has a warm target in the regions, or other versions have no usable
+// target there. If other versions have targets there that only a drain makes unusable, the version must
+// have such a target too.
 func (r regionVersions) covered() bool {
 	return r.warm > 0 || r.old == 0 && (r.drainedOld == 0 || r.drainedNew > 0)
 }
 
-// uncovered returns the sorted sets of regions to which requests for a service are restricted and in
-// which only other versions have targets.
+// uncovered returns the sorted sets of regions to which requests for a service are restricted and which
+// the version does not cover.
 func (t *Table) uncovered(service string, regions map[string]regionVersions) []string {
 	if t.RegionSets == nil {
 		return nil
