relay, watch, sharedrate: names of times, and wake-ups throughout

Cause: a rename had left 'the table that wakeups the others'; asked, probe, looked and heard did not say which time they hold; tests still spoke of pokes. Result: same behaviour; tests of the packages pass.

--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -233,10 +233,10 @@
 	watchdog := time.AfterFunc(acceptTimeout, func() { cancel(ErrNoMessage) })
 	defer watchdog.Stop()
 	now := time.Now()
-	s := &session{f: f, node: n, began: now, looked: now, invalidations: f.invalidations()}
-	err := f.Remote.Follow(ctx, n.Addr, f.have(), func(t Message) error {
+	s := &session{f: f, node: n, began: now, choiceChecked: now, invalidations: f.invalidations()}
+	err := f.Remote.Follow(ctx, n.Addr, f.have(), func(m Message) error {
 		watchdog.Reset(silenceTimeout)
-		return s.handle(t, time.Now())
+		return s.handle(m, time.Now())
 	})
 	if errors.Is(context.Cause(ctx), ErrNoMessage) {
 		return ErrNoMessage
--- a/internal/relay/publisher.go
+++ b/internal/relay/publisher.go
@@ -19,7 +19,7 @@
 	tables []*watch.Table
 
 	followers atomic.Int64
-	// refreshed is when refresh last ended the waiting calls, in Unix nanoseconds.
+	// refreshed is when refresh last ended the calls that wait for changes, in Unix nanoseconds.
 	refreshed atomic.Int64
 	stopping  atomic.Bool
 
@@ -86,8 +86,8 @@
 	}
 }
 
-// lacks reports whether a follower at the versions in have lacks changes, as after a cached update
-// with a whole table.
+// lacks reports whether a follower at the versions in have lacks changes: a cached update with a whole
+// table may be older than the copy.
 func (p *Publisher) lacks(have []KnownVersion) bool {
 	for _, h := range have {
 		if table := p.table(h.Table); table != nil && h.Version.Before(table.Copy().Position().Version) {
@@ -138,8 +138,8 @@
 	lead := p.tables[0]
 	// Before the first answer, and after the host was suspended, the copies may be old.
 	message := Message{Away: lead.Lost() || lead.LastAnswer().IsZero(), Tables: make([]TableMessage, len(have))}
-	if heard := lead.LastAnswer(); !heard.IsZero() {
-		message.AnswerAge = time.Since(heard)
+	if answered := lead.LastAnswer(); !answered.IsZero() {
+		message.AnswerAge = time.Since(answered)
 	}
 	for i := range have {
 		table := p.table(have[i].Table)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,7 +29,8 @@
 	Memory int64
 }
 
-// KnownVersion is the version of a table that the requesting node has; NoVersion requests the whole table.
+// KnownVersion is the version of a table that the requesting node has; NoVersion requests the whole
+// table.
 type KnownVersion struct {
 	Table   string
 	Version store.Version
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -14,41 +14,41 @@
 	// began is when the call began; accepted is set after the first message that is usable.
 	began    time.Time
 	accepted bool
-	// behind is since when the node's copy has been older than that of this node; zero if it is not.
-	behind time.Time
-	// asked is when this node last called the store itself because the store does not answer the
-	// other node; probe is the earliest time of the next such call.
-	asked, probe time.Time
-	// looked is when the choice of the node to follow was last evaluated.
-	looked time.Time
-	// invalidations are the values of Invalidations of the tables when the call began.
+	// behindSince is since when the node's copy has been older than that of this node; zero if it is not.
+	behindSince time.Time
+	// lastPoll is when this node last called the store itself because the store does not answer the
+	// other node; nextPoll is the earliest time of the next such call.
+	lastPoll, nextPoll time.Time
+	// choiceChecked is when the choice of the node to follow was last evaluated.
+	choiceChecked time.Time
+	// invalidations holds the value of Invalidations of each table when the call began.
 	invalidations []int64
 }
 
 // handle applies one message; an error ends the call and is the reason to leave the node.
-func (s *session) handle(t Message, now time.Time) error {
-	if now.Sub(s.looked) > recheckInterval {
-		s.looked = now
+func (s *session) handle(m Message, now time.Time) error {
+	if now.Sub(s.choiceChecked) > recheckInterval {
+		s.choiceChecked = now
 		if n, ok := s.f.choose(); !ok || n.Name != s.node.Name {
 			return errMoved
 		}
 	}
-	if len(t.Tables) != len(s.f.Tables) {
+	if len(m.Tables) != len(s.f.Tables) {
 		return ErrEmpty
 	}
-	if !t.Tables[0].Position.Version.IsZero() && !t.Away && t.AnswerAge <= maxAge {
+	if !m.Tables[0].Position.Version.IsZero() && !m.Away && m.AnswerAge <= maxAge {
 		// This precedes the rows, so that their views have the time of the store's return: some rows
 		// may be missing shortly after it.
-		s.recordAnswer(now.Add(-t.AnswerAge))
+		s.recordAnswer(now.Add(-m.AnswerAge))
 	}
 	// An update is sent only once, so it is applied in any case.
-	if err := s.applyTables(t); err != nil {
+	if err := s.applyTables(m); err != nil {
 		return err
 	}
-	if t.Tables[0].Position.Version.IsZero() {
+	if m.Tables[0].Position.Version.IsZero() {
 		return s.checkEmpty(now)
 	}
-	if t.Away || t.AnswerAge > maxAge {
+	if m.Away || m.AnswerAge > maxAge {
 		return s.handleAway(now)
 	}
 	if !s.accepted {
@@ -59,7 +59,7 @@
 	for i, table := range s.f.Tables {
 		table.Confirm(s.invalidations[i])
 	}
-	return s.checkBehind(t, now)
+	return s.checkBehind(m, now)
 }
 
 // recordAnswer records in the tables that the store answered the node at the given time.
@@ -81,12 +81,12 @@
 	}
 	s.f.hold()
 	switch {
-	case s.asked.IsZero(), lead.Lost() && now.After(s.probe):
-		s.asked = now
-		s.probe = now.Add(probeInterval/2 + rand.N(probeInterval))
+	case s.lastPoll.IsZero(), lead.Lost() && now.After(s.nextPoll):
+		s.lastPoll = now
+		s.nextPoll = now.Add(probeInterval/2 + rand.N(probeInterval))
 		lead.PollNow()
 	case lead.Lost():
-	case lead.LastAnswer().After(s.asked), now.Sub(s.asked) > ownAnswerTimeout:
+	case lead.LastAnswer().After(s.lastPoll), now.Sub(s.lastPoll) > ownAnswerTimeout:
 		return ErrStoreUnavailable
 	}
 	return nil
@@ -101,9 +101,9 @@
 }
 
 // applyTables applies the updates of all tables, and compares the copies with the node's.
-func (s *session) applyTables(t Message) error {
+func (s *session) applyTables(m Message) error {
 	for i, table := range s.f.Tables {
-		theirs := t.Tables[i]
+		theirs := m.Tables[i]
 		if theirs.Position.Version.IsZero() {
 			continue
 		}
@@ -122,15 +122,15 @@
 // checkBehind fails with ErrBehind if the node's copy has been older than that of this node for more
 // than behindTimeout. It compares only the first table: the version of a copy rises with each answer
 // of the store, and the calls of the other tables wait long for one.
-func (s *session) checkBehind(t Message, now time.Time) error {
-	if !t.Tables[0].Position.Version.Before(s.f.Tables[0].Copy().Position().Version) {
-		s.behind = time.Time{}
+func (s *session) checkBehind(m Message, now time.Time) error {
+	if !m.Tables[0].Position.Version.Before(s.f.Tables[0].Copy().Position().Version) {
+		s.behindSince = time.Time{}
 		return nil
 	}
-	if s.behind.IsZero() {
-		s.behind = now
+	if s.behindSince.IsZero() {
+		s.behindSince = now
 	}
-	if now.Sub(s.behind) > behindTimeout {
+	if now.Sub(s.behindSince) > behindTimeout {
 		return ErrBehind
 	}
 	return nil
--- a/internal/sharedrate/granter.go
+++ b/internal/sharedrate/granter.go
@@ -13,8 +13,8 @@
 	// Asker is the name of the requesting node.
 	Asker string
 	// PerSecond is the rate that the requesting node last observed, in requests per second.
-	// ConfirmedAge is the duration since that observation or, with Ended, since the node observed the end of the
-	// limit.
+	// ConfirmedAge is the duration since that observation or, with Ended, since the node observed the
+	// end of the limit.
 	PerSecond    float64
 	ConfirmedAge time.Duration
 	// Ended reports that the requesting node observed the end of the limit.
--- a/internal/sharedrate/limiter.go
+++ b/internal/sharedrate/limiter.go
@@ -311,10 +311,10 @@
 }
 
 // Ended reports to the granter of the rate, in the background, that this node observed the end of
-// the limit at heard, and drops this node's permits of the rate.
-func (l *Limiter) Ended(key string, heard time.Time) {
+// the limit at observedAt, and drops this node's permits of the rate.
+func (l *Limiter) Ended(key string, observedAt time.Time) {
 	go func() {
-		if _, _, err := l.askGranter(PermitRequest{Key: key, Asker: l.cfg.Self.Name, Ended: true, ConfirmedAge: time.Since(heard)}); err != nil {
+		if _, _, err := l.askGranter(PermitRequest{Key: key, Asker: l.cfg.Self.Name, Ended: true, ConfirmedAge: time.Since(observedAt)}); err != nil {
 			// The other nodes observe the end in answers of the target to their own requests.
 			l.cfg.Log.Debug("report of an ended limit failed", "key", key, "err", err)
 		}
--- a/internal/watch/poll.go
+++ b/internal/watch/poll.go
@@ -79,11 +79,11 @@
 }
 
 // wakePending reports whether there was a wake-up since the last call began.
-func (t *Table) wakePending() bool { return closed(t.wakeups()) }
+func (t *Table) wakePending() bool { return closed(t.woken()) }
 
-// wakeups returns the channel that the next PollNow closes; it is closed if there was one since
+// woken returns the channel that the next PollNow closes; it is closed if there was one since
 // the last call began.
-func (t *Table) wakeups() <-chan struct{} {
+func (t *Table) woken() <-chan struct{} {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.wake == nil {
@@ -138,7 +138,7 @@
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-	case <-t.wakeups():
+	case <-t.woken():
 	case <-timer.C:
 	}
 }
--- a/internal/watch/relayed.go
+++ b/internal/watch/relayed.go
@@ -60,7 +60,7 @@
 		select {
 		case <-ctx.Done():
 		case <-sourceChanged:
-		case <-t.wakeups():
+		case <-t.woken():
 			return true
 		}
 	}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -31,7 +31,7 @@
 	// force within 3 s also then. It costs a followed node 30 more calls per minute.
 	SharedWait = 1200 * time.Millisecond
 	// SharedLongWait replaces LongWait on a followed node for tables whose changes must be in
-	// force in time: a single call may hang without the table that wakeups the others detecting
+	// force in time: a single call may hang without the table that wakes the others detecting
 	// it. The call is abandoned 0.7 s after this wait, within 3 s.
 	SharedLongWait = 2 * time.Second
 	// answerSlack is how long a call may take beyond the time that it waits for changes.
@@ -104,8 +104,8 @@
 	// lastAnswer is when the store last answered; nil for never, or not since Invalidate.
 	lastAnswer atomic.Pointer[time.Time]
 
-	// invalidations counts the calls of Invalidate. confirmed is the value of that count at the start of the
-	// latest call that confirmed the copy.
+	// invalidations counts the calls of Invalidate. confirmed is the value of that count at the start of
+	// the latest call that confirmed the copy.
 	invalidations, confirmed atomic.Int64
 
 	// updateMu serializes updates of the copy and the calls of Apply. It guards the fields
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -196,7 +196,7 @@
 	return s.Watchable.Changes(ctx, table, after, wait)
 }
 
-func TestPokeEndsACallThatHangs(t *testing.T) {
+func TestWakeUpEndsACallThatHangs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		m := store.NewMemory()
@@ -268,7 +268,7 @@
 
 // A wake-up that is not reset while a read of the whole table is due makes the table call the store
 // without a pause, 200 times a second, as long as the store is unavailable.
-func TestPokesDoNotKeepATableFromPausing(t *testing.T) {
+func TestWakeUpsDoNotKeepATableFromPausing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		m := store.NewMemory()
@@ -287,7 +287,7 @@
 }
 
 // Each wake-up causes at most one call.
-func TestPokeEndsAPauseOnce(t *testing.T) {
+func TestWakeUpEndsAPauseOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s := &failingStore{Watchable: store.NewMemory()}
@@ -307,7 +307,7 @@
 
 // Another node supplies a table's updates, a wake-up starts a call to the store, and Renew comes while the
 // answer is under way: the answer must be applied, as no other call would follow.
-func TestRenewalDoesNotLoseAPoke(t *testing.T) {
+func TestRenewalDoesNotLoseAWakeUp(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		m := store.NewMemory()
