peer, traffic, entry: doc comments, and distinct names for encoders

Cause: permitTo and permitsTo encoded a request and a grant; statusTo encoded a message. Traffic claimed that counting takes no lock, although the handshake and new services do. Several doc comments were missing. Change: permitRequestTo, permitGrantTo, messageTo and messageFrom; comments corrected and added; a refusal says that the node publishes no tables. Result: same behaviour; tests of peer, traffic, httpconn, entry and node pass.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -32,8 +32,10 @@
 	handler http.Handler
 	log     *slog.Logger
 
-	mu      sync.Mutex
-	limits  routes.Limits
+	mu     sync.Mutex
+	limits routes.Limits
+	// current gets the new connections. all has its server and the earlier ones, which serve those that
+	// they have.
 	all     []*http.Server
 	current *connListener
 	closed  bool
@@ -105,11 +107,11 @@
 			return err
 		}
 		c.mu.Lock()
-		server := c.current
+		current := c.current
 		c.mu.Unlock()
 		select {
-		case server.conns <- conn:
-		case <-server.done:
+		case current.conns <- conn:
+		case <-current.done:
 			// The server was shut down after the connection was accepted.
 			conn.Close()
 		case <-ctx.Done():
--- a/internal/entry/deferred.go
+++ b/internal/entry/deferred.go
@@ -26,11 +26,13 @@
 	closed bool
 }
 
+// newDeferredClient returns a client without a peer client.
 func newDeferredClient() *deferredClient { return &deferredClient{ready: make(chan struct{})} }
 
+// errNoKey is the error of calls before the shared secret is known.
 var errNoKey = eris.New("entry: the shared secret is not known yet")
 
-// set replaces the client, and closes the last one.
+// set replaces the client and closes the previous one; after close it closes c instead.
 func (l *deferredClient) set(c *peer.Client) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -139,4 +141,5 @@
 	}
 }
 
+// close closes the listener.
 func (l *deferredServer) close() { l.ln.Close() }
--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -80,6 +80,7 @@
 	}
 }
 
+// provisionGauges adds the metrics of the node's state.
 func (n *Node) provisionGauges() {
 	n.metrics.GaugeVec("topazmoor_entry_store_age_seconds", "Time since the store last answered, by table.", "table", func() map[string]float64 {
 		ages := make(map[string]float64)
@@ -104,6 +105,7 @@
 	}
 }
 
+// provisionServers opens the listeners for callers and for the balancer.
 func (n *Node) provisionServers() error {
 	ln, err := n.env.Listen(n.set.ListenCallers)
 	if err != nil {
--- a/internal/entry/traffic.go
+++ b/internal/entry/traffic.go
@@ -13,7 +13,7 @@
 	n.metrics.Traffic(n.traffic.Totals, n.targetTraffic.Totals)
 }
 
-// place returns the place of what is in a data centre.
+// place returns a data centre together with its region.
 func (n *Node) place(dataCentre string) ownership.Place {
 	return ownership.Place{DataCentre: dataCentre, Region: n.set.Regions[dataCentre]}
 }
@@ -25,7 +25,7 @@
 	return n.targetTraffic.Link(service, traffic.ScopeOf(n.traffic.Self, n.place(dataCentre)))
 }
 
-// logTraffic logs the totals of the traffic between nodes, at the end of the process.
+// logTraffic logs the totals of the traffic with nodes of other regions, at the end of the process.
 func (n *Node) logTraffic() {
 	for _, t := range n.traffic.Totals() {
 		if t.Scope == traffic.OtherRegion {
--- a/internal/httpconn/meter.go
+++ b/internal/httpconn/meter.go
@@ -2,8 +2,10 @@
 
 import "io"
 
-// Meter counts the bytes of one connection to a target.
+// Meter counts the bytes of one connection to a target. One goroutine may call Sent while another
+// calls Received.
 type Meter interface {
+	// Sent adds bytes that were sent to the target, Received those that came from it.
 	Sent(bytes int)
 	Received(bytes int)
 }
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -80,6 +80,7 @@
 	return p.newConn(nc, addr), nil
 }
 
+// newConn wraps a new connection to addr, with a Meter if there is one.
 func (p *Pool) newConn(nc net.Conn, addr string) *conn {
 	var r io.Reader = nc
 	var w io.Writer = nc
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -103,15 +103,15 @@
 }
 
 // SpillRefused implements stagebatch.SpillObserver.
-func (e *Entry) SpillRefused(service, name string) {
-	e.spillRefused.WithLabelValues(service, name).Inc()
+func (e *Entry) SpillRefused(service, region string) {
+	e.spillRefused.WithLabelValues(service, region).Inc()
 }
 
 // Repeated implements passthrough.Observer.
 func (e *Entry) Repeated(service, why string) { e.repeats.WithLabelValues(service, why).Inc() }
 
 // RolloutCallEnded counts a call that ended during a roll-out of its service. replaced says that it
-// went to the old version and ended after the handover of its streams began.
+// went to the old version and ended after the handover of that version's streams began.
 func (e *Entry) RolloutCallEnded(c rollout.Call, o rollout.Outcome, replaced bool) {
 	e.rolloutCalls.WithLabelValues(c.Service, c.Version, o.String()).Inc()
 	if replaced {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -140,7 +140,8 @@
 	return s
 }
 
-// lockedConnection returns the connection of a session, which it locks meanwhile.
+// lockedConnection locks a session, and returns its connection or establishes a new one. It fails if
+// ctx ends before the session is free.
 func (c *Client) lockedConnection(ctx context.Context, s *session, addr string) (*muxConn, error) {
 	select {
 	case s.lock <- struct{}{}:
--- a/internal/peer/follow.go
+++ b/internal/peer/follow.go
@@ -58,7 +58,7 @@
 		if err != nil {
 			return err
 		}
-		msg, err := statusFrom(resp.GetTold(), tables)
+		msg, err := messageFrom(resp.GetTold(), tables)
 		if err != nil {
 			return err
 		}
@@ -71,7 +71,7 @@
 // follow sends updates to a follower until it closes its stream, a write fails or this node stops.
 func (s *Server) follow(ctx context.Context, st *stream, m *peerpb.Follow) error {
 	if s.h.Publisher == nil {
-		return verdict.New(verdict.NotRun, verdict.Internal, "this node tells nothing of the store")
+		return verdict.New(verdict.NotRun, verdict.Internal, "this node publishes no tables")
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -82,7 +82,7 @@
 		have = append(have, relay.KnownVersion{Table: h.Table, Version: store.Version{Era: h.Era, Number: h.Version}})
 	}
 	return s.h.Publisher.Follow(ctx, have, func(t relay.Message) error {
-		msg, err := s.packer.statusTo(t)
+		msg, err := s.packer.messageTo(t)
 		if err != nil {
 			return err
 		}
@@ -111,7 +111,8 @@
 // packedTables is the number of compressed tables that are cached.
 const packedTables = 3
 
-func (p *packer) statusTo(t relay.Message) (*peerpb.Told, error) {
+// messageTo encodes a message about tables.
+func (p *packer) messageTo(t relay.Message) (*peerpb.Told, error) {
 	out := &peerpb.Told{Away: t.Away, AgeMs: t.AnswerAge.Milliseconds()}
 	for _, table := range t.Tables {
 		m := &peerpb.TableTold{Era: table.Position.Version.Era, Version: table.Position.Version.Number, Sum: table.Position.Sum}
@@ -171,8 +172,8 @@
 	return b.Bytes(), nil
 }
 
-// statusFrom decodes a message about tables, which are in the order of the request.
-func statusFrom(m *peerpb.Told, tables []string) (relay.Message, error) {
+// messageFrom decodes a message about tables, which are in the order of the request.
+func messageFrom(m *peerpb.Told, tables []string) (relay.Message, error) {
 	if m == nil || len(m.Table) != len(tables) {
 		return relay.Message{}, eris.New("message from peer has the wrong number of tables")
 	}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -7,7 +7,7 @@
 	"topazmoor/internal/traffic"
 )
 
-// callOf returns the kind of a request, for the traffic counters.
+// callOf returns the kind of call that a request begins, for the traffic counters.
 func callOf(req *peerpb.Request) traffic.Call {
 	switch req.Call.(type) {
 	case *peerpb.Request_Produce:
--- a/internal/peer/permits.go
+++ b/internal/peer/permits.go
@@ -17,7 +17,7 @@
 
 // AskPermits requests permits of a rate limit from the node at addr.
 func (c *Client) AskPermits(ctx context.Context, addr string, a sharedrate.PermitRequest) (sharedrate.Grant, error) {
-	resp, err := c.call(ctx, addr, &peerpb.Request{Call: &peerpb.Request_Permits{Permits: permitTo(a)}})
+	resp, err := c.call(ctx, addr, &peerpb.Request{Call: &peerpb.Request_Permits{Permits: permitRequestTo(a)}})
 	if err != nil {
 		return sharedrate.Grant{}, err
 	}
@@ -37,17 +37,17 @@
 		Key: m.GetKey(), Asker: m.GetAsker(), PerSecond: m.GetPerSecond(), ConfirmedAge: micros(m.GetHeardUs()), Ended: m.GetEnded(),
 		Want: int(m.GetWant()), Within: micros(m.GetWithinUs()),
 	})
-	return &peerpb.Response{Result: &peerpb.Response_Permits{Permits: permitsTo(g)}}, nil
+	return &peerpb.Response{Result: &peerpb.Response_Permits{Permits: permitGrantTo(g)}}, nil
 }
 
-func permitTo(a sharedrate.PermitRequest) *peerpb.PermitAsk {
+func permitRequestTo(a sharedrate.PermitRequest) *peerpb.PermitAsk {
 	return &peerpb.PermitAsk{
 		Key: a.Key, Asker: a.Asker, PerSecond: a.PerSecond, HeardUs: a.ConfirmedAge.Microseconds(), Ended: a.Ended,
 		Want: uint32(a.Want), WithinUs: a.Within.Microseconds(),
 	}
 }
 
-func permitsTo(g sharedrate.Grant) *peerpb.PermitGrant {
+func permitGrantTo(g sharedrate.Grant) *peerpb.PermitGrant {
 	return &peerpb.PermitGrant{
 		Permits: uint32(g.Permits), InUs: g.FirstIn.Microseconds(), SpacingUs: g.Spacing.Microseconds(), OpensUs: g.RetryAfter.Microseconds(),
 		Ended: g.Ended, HeardUs: g.EndedAge.Microseconds(),
--- a/internal/peer/sizes.go
+++ b/internal/peer/sizes.go
@@ -35,13 +35,14 @@
 
 // PermitSizes returns the sizes of a request for permits and of its answer, in bytes.
 func PermitSizes(a sharedrate.PermitRequest, g sharedrate.Grant) (request, answer int) {
-	request = requestSize(&peerpb.Request{Call: &peerpb.Request_Permits{Permits: permitTo(a)}})
-	return request, responseSize(&peerpb.Response{Result: &peerpb.Response_Permits{Permits: permitsTo(g)}})
+	request = requestSize(&peerpb.Request{Call: &peerpb.Request_Permits{Permits: permitRequestTo(a)}})
+	return request, responseSize(&peerpb.Response{Result: &peerpb.Response_Permits{Permits: permitGrantTo(g)}})
 }
 
-// UpdateSize returns the size of a message to a follower, in bytes.
+// UpdateSize returns the size of a message to a follower, in bytes. It fails if a row cannot be
+// encoded.
 func UpdateSize(t relay.Message) (int, error) {
-	m, err := (&packer{}).statusTo(t)
+	m, err := (&packer{}).messageTo(t)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/peer/stages.go
+++ b/internal/peer/stages.go
@@ -68,7 +68,7 @@
 	return stagebatch.ErrFailed
 }
 
-// spillTo returns the region that runs an order instead, by the order's error; "" for none.
+// spillTo returns the region that is to run an order instead, as the order's error says; "" for none.
 func spillTo(err error) string {
 	var spilled *stagebatch.SpillError
 	if errors.As(err, &spilled) {
@@ -123,7 +123,8 @@
 	for _, n := range a.WaitMs {
 		w.OnTime = append(w.OnTime, time.Duration(n)*time.Millisecond)
 	}
-	// Nodes of earlier versions do not report the wait of orders from other regions.
+	// Nodes of earlier versions do not report the wait of orders from other regions; it is at least that
+	// of the least urgent orders.
 	w.Spilled = max(w.Spilled, w.ForRank(len(w.OnTime)))
 	return w
 }
--- a/internal/traffic/link.go
+++ b/internal/traffic/link.go
@@ -39,9 +39,9 @@
 	meter *Meter
 	// node is the name of the other end; nil until the handshake has shown it.
 	node atomic.Pointer[string]
-	// mu guards early, which has the bytes of the handshake until node is known.
-	mu    sync.Mutex
-	early [directions]int64
+	// mu guards handshakeBytes, which counts the bytes of the connection until node is known.
+	mu             sync.Mutex
+	handshakeBytes [directions]int64
 }
 
 // Link returns a Link for a new connection.
@@ -66,11 +66,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for d := range directions {
-		l.meter.wire[l.scope()][d].Add(l.early[d])
-		l.early[d] = 0
+		l.meter.wire[l.scope()][d].Add(l.handshakeBytes[d])
+		l.handshakeBytes[d] = 0
 	}
 }
 
+// scope returns how far away the other end is; Unknown until its name is known.
 func (l *Link) scope() Scope {
 	name := l.node.Load()
 	if name == nil {
@@ -86,11 +87,11 @@
 	}
 }
 
-// transferred counts bytes of the connection.
+// transferred counts bytes that the connection carried.
 func (l *Link) transferred(d Direction, bytes int) {
 	if l.node.Load() == nil {
 		l.mu.Lock()
-		l.early[d] += int64(bytes)
+		l.handshakeBytes[d] += int64(bytes)
 		l.mu.Unlock()
 		return
 	}
@@ -106,6 +107,7 @@
 	return &countingConn{Conn: c, link: l}
 }
 
+// countingConn counts the bytes of a connection to another node.
 type countingConn struct {
 	net.Conn
 	link *Link
--- a/internal/traffic/traffic.go
+++ b/internal/traffic/traffic.go
@@ -1,5 +1,5 @@
 // Package traffic counts the bytes and messages that a node exchanges with other nodes and with
-// targets, by how far away the other end is. Counting takes no lock.
+// targets, by how far away the other end is. Counting bytes takes no lock after the handshake of a connection.
 package traffic
 
 import (
@@ -90,10 +90,11 @@
 // may be called concurrently; a nil Counter counts nothing.
 type Counter struct {
 	messages [calls][scopes][directions]amount
-	// wire counts all bytes of connections, including the messages.
+	// wire counts all bytes of connections, including those of the messages.
 	wire [scopes][directions]atomic.Int64
 }
 
+// addMessage counts one message and its bytes.
 func (c *Counter) addMessage(call Call, s Scope, d Direction, bytes int) {
 	a := &c.messages[call][s][d]
 	a.bytes.Add(int64(bytes))
@@ -122,8 +123,9 @@
 	return out
 }
 
-// appendTotals reads the messages before the bytes of connections: bytes are counted on the
-// connection first, so the overhead never falls.
+// appendTotals appends the totals of one scope and direction. It reads the counts of messages before
+// those of connections: the bytes of a message are counted on its connection first, so the overhead
+// is never too small.
 func (c *Counter) appendTotals(out []Total, s Scope, d Direction) []Total {
 	var sum int64
 	for call := range Overhead {
