entry: Provision in parts; test comments in plain words

Cause: Provision set up targets and tables line by line among the parts that it only calls; test comments spoke of 'the way', short regions and what a region does. Ruled out: 'skipped' in the log line of a region that forms no batches: OPERATIONS.md and the platform tests name it 'passed over', so that text is back. Change: provisionTargets and provisionTables; comments reworded.

--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -24,18 +24,11 @@
 	if set.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
 	}
-	n.targets = targets.New(set.DataCentre)
-	n.targets.Off = set.Off
-	n.targets.Regions = set.Regions
-	n.targets.Crossing = set.crossing()
-	n.targets.WarmupRate = n.warmupRate
+	n.provisionTargets()
 	n.provisionTraffic()
-	n.targets.RegionSets = n.regionSets
 	n.provisionLimits()
 	n.provisionRollouts()
-	n.configTable = &watch.Table{Name: env.ConfigTable, From: env.Store, Wait: watch.ShortWait, Pause: n.pause(0, configPause, configPause), Apply: (&restore.Table{Name: env.ConfigTable, Apply: n.applyOperatorTable, Log: n.log}).Update, Log: n.log}
-	n.targetTable = &watch.Table{Name: env.TargetTable, From: env.Store, Wait: watch.ShortWait, Pause: n.pause(targetPausePerNode, targetPause, maxTargetPause), Apply: n.applyTargets, OnAvailability: n.storeContactChanged, Log: n.log}
-	n.configTable.Primary = n.targetTable
+	n.provisionTables()
 	n.versionTracker = &versionTracker{n: n}
 	n.former = stagebatch.NewFormer(env.Worker, n.targets, n.batchSpec, n.log)
 	n.former.Name, n.former.Off = set.Node, set.Off
@@ -67,6 +60,23 @@
 	return n, nil
 }
 
+// provisionTargets creates the empty list of targets.
+func (n *Node) provisionTargets() {
+	n.targets = targets.New(n.set.DataCentre)
+	n.targets.Off = n.set.Off
+	n.targets.Regions, n.targets.Crossing = n.set.Regions, n.set.crossing()
+	n.targets.WarmupRate = n.warmupRate
+	n.targets.RegionSets = n.regionSets
+}
+
+// provisionTables creates the copies of the operator's table and of the list of targets.
+func (n *Node) provisionTables() {
+	env := n.env
+	n.configTable = &watch.Table{Name: env.ConfigTable, From: env.Store, Wait: watch.ShortWait, Pause: n.pause(0, configPause, configPause), Apply: (&restore.Table{Name: env.ConfigTable, Apply: n.applyOperatorTable, Log: n.log}).Update, Log: n.log}
+	n.targetTable = &watch.Table{Name: env.TargetTable, From: env.Store, Wait: watch.ShortWait, Pause: n.pause(targetPausePerNode, targetPause, maxTargetPause), Apply: n.applyTargets, OnAvailability: n.storeContactChanged, Log: n.log}
+	n.configTable.Primary = n.targetTable
+}
+
 // pause returns a function for how long changes of a table are collected, by the number of
 // nodes that read it from the store. With enough nodes in the data centre to relay the table,
 // only a few read it, and the pause is short.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -171,6 +171,7 @@
 	return true
 }
 
+// untrack removes a connection that has ended.
 func (s *Server) untrack(c net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -197,6 +198,7 @@
 	return max(minSessionLimit, sessionsPerNode*s.h.Nodes())
 }
 
+// remove removes a session that has ended.
 func (s *Server) remove(sess *muxConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/peer/stages_test.go
+++ b/internal/peer/stages_test.go
@@ -38,7 +38,7 @@
 	return stagebatch.Result{Handles: []string{o.Request + "/0", o.Request + "/1"}}, nil
 }
 
-// spillingStages is a former in a short region. It records the orders that it is sent.
+// spillingStages is a former in a region that is short of targets. It records the orders that it is sent.
 type spillingStages struct {
 	slowStages
 	got stagebatch.Order
--- a/internal/stagebatch/home.go
+++ b/internal/stagebatch/home.go
@@ -186,5 +186,5 @@
 	r.mu.Lock()
 	r.suspectRegions[name] = time.Now().Add(suspectFor)
 	r.mu.Unlock()
-	r.log.Warn("region does not form batches, skipped", "region", name, "request", o.Request, "service", o.Service)
+	r.log.Warn("region does not form batches, passed over", "region", name, "request", o.Request, "service", o.Service)
 }
--- a/internal/stagebatch/spill_test.go
+++ b/internal/stagebatch/spill_test.go
@@ -78,8 +78,8 @@
 	return out
 }
 
-// shortOrder is the i-th order for a pool that is short: every fourth order is urgent, which is what the
-// pool can do, and every fifth must not leave the region.
+// shortOrder is the i-th order for a pool with too few targets: every fourth order is urgent, and the
+// pool can complete just these; every fifth must not leave the region.
 func shortOrder(i int) Order {
 	o := orderDueIn(fmt.Sprint("r", i), 2, min(i%4, 1), 1200*time.Millisecond)
 	o.ResultBytes, o.Deadline = 1, o.Due.Add(2*time.Second)
@@ -174,7 +174,7 @@
 	c.Assert(before(spilled, lateOwn, now, placement{}), qt.Equals, -1)
 }
 
-// Guards against orders that are refused in another region although their home region could still do
+// Guards against orders that are refused in another region although their home region could still complete
 // them.
 func TestSpilledOrderThatCannotBeDoneIsSentBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -206,7 +206,7 @@
 	})
 }
 
-// deafExchange knows the waits of a region whose nodes do not answer orders any more.
+// deafExchange returns the waits of a region whose nodes no longer answer orders.
 type deafExchange struct{}
 
 func (deafExchange) Waits(context.Context, string, string, region.Set) (Waits, error) {
@@ -239,7 +239,7 @@
 	})
 }
 
-// Guards against orders that are sent to a region that has not been heard of for long.
+// Guards against orders that are sent to a region from which nothing was received for long.
 func TestRegionWithoutConnectionGetsNoSpilledOrders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/internal/targets/crossing_test.go
+++ b/internal/targets/crossing_test.go
@@ -99,7 +99,7 @@
 		}
 		p.crossed++
 		if l.Basis.Crossed.Region != l.DataCentre || l.Basis.Crossed.Cost < region.DefaultCrossing.RoundTrip {
-			panic("the lease does not tell the cost of its way")
+			panic("the lease does not give the cost of its crossing")
 		}
 	}
 	t := p.targets[l.ID]
@@ -190,7 +190,7 @@
 }
 
 // A prompt keeps to an engine of each region unless its shared parts take longer to read again than
-// the way to another region costs, bytes and round trips of the stages included.
+// crossing to another region costs, bytes and round trips of the stages included.
 func TestEachRegionPrefersAnEngineOfItsOwn(t *testing.T) {
 	for _, test := range []struct {
 		name string
--- a/internal/targets/reach_test.go
+++ b/internal/targets/reach_test.go
@@ -16,8 +16,8 @@
 	return tb, now, tb.byID["a"]
 }
 
-// A target that was slow must get calls from other regions again: who calls it no more doesn't see
-// that it is fast.
+// A target that was slow must get calls from other regions again: a node that no longer
+// calls it cannot measure that it is fast now.
 func TestSlowTargetOfAnotherRegionIsCalledAgain(t *testing.T) {
 	tb, now, _ := newReachTable()
 	q := Query{Service: "s", Left: time.Second}
@@ -27,7 +27,7 @@
 	qt.Check(t, tb.Pick(q), qt.IsNotNil)
 }
 
-// The price of the bytes is no time that a call takes: it must not keep a large request of a region
+// The price of the bytes is not part of the time that a call takes: it must not keep a large request of a region
 // without targets from the only ones that there are.
 func TestLargeRequestOfALostRegionIsServed(t *testing.T) {
 	tb, _, _ := newReachTable()
@@ -90,7 +90,7 @@
 	qt.Check(t, tb.Pick(q), qt.IsNotNil)
 }
 
-// With one region the cost of the way has no effect, also if the region of some data centres is not known.
+// With one region the cost of crossing has no effect, also if the region of some data centres is not known.
 func TestNoCostOfTheWayWithOneRegion(t *testing.T) {
 	tb, _, _ := newReachTable()
 	tb.Regions = region.Map{"north": "x"}
--- a/internal/targets/regions_test.go
+++ b/internal/targets/regions_test.go
@@ -88,7 +88,7 @@
 }
 
 // A copy comes from the target's own region unless an engine elsewhere has so much more that reading
-// the rest takes longer than the way.
+// the rest takes longer than the crossing.
 func TestCopiesComeFromTheOwnRegionIfItHasAlmostAsMuch(t *testing.T) {
 	tb := New("north-a")
 	tb.Regions, tb.Crossing = region.Map{"north-a": "north", "north-b": "north", "south": "south"}, region.DefaultCrossing
