--- a/internal/targets/rollout.go
+++ b/internal/targets/rollout.go
@@ -30,7 +30,7 @@
 	// lacksPrompt is set if the target, as far as this node knows, lacks a part of the prompt that
 	// other requests share.
 	lacksPrompt bool
-	// progressed is set once the stream was counted as an answer, with progressGap as its longest gap.
+	// progressed is set once RecordProgress has counted the stream as a good call, with progressGap as its longest gap.
 	progressed  bool
 	progressGap time.Duration
 	// faulty is set if the answer was a failure of the target.
@@ -39,8 +39,8 @@
 
 func anyTarget(*state) bool { return true }
 
-// lanes returns the groups of targets that a call may go to; nil for all.
-func (t *Table) lanes(q Query) []rollout.TargetGroup {
+// targetGroups returns the groups of targets that a call may go to; nil for all.
+func (t *Table) targetGroups(q Query) []rollout.TargetGroup {
 	if t.Rollouts == nil {
 		return nil
 	}
@@ -50,27 +50,27 @@
 }
 
 // admits returns a function that reports whether a target may get calls like q that a roll-out directs to
-// the target group lane: the group must include the target's version and, if only a fraction of the
+// the target group: the group must include the target's version and, if only a fraction of the
 // group takes its calls, the target must be in that fraction (see maxHashInPart).
-func (t *Table) admits(q Query, lane rollout.TargetGroup, now time.Time) func(*state) bool {
-	if lane.Fraction <= 0 || lane.Fraction >= 1 {
-		return func(s *state) bool { return lane.Admits(s.Version) }
+func (t *Table) admits(q Query, group rollout.TargetGroup, now time.Time) func(*state) bool {
+	if group.Fraction <= 0 || group.Fraction >= 1 {
+		return func(s *state) bool { return group.Admits(s.Version) }
 	}
-	last := t.maxHashInPart(q, lane, now)
-	return func(s *state) bool { return lane.Admits(s.Version) && s.hash <= last }
+	last := t.maxHashInPart(q, group, now)
+	return func(s *state) bool { return group.Admits(s.Version) && s.hash <= last }
 }
 
 // maxHashInPart returns the largest hash among the part of a target group that takes its calls like q;
 // the part has at least one target. It is one of the targets in the regions of q: a call that is
 // restricted to them would otherwise miss it. All nodes that know the same targets choose the same part.
-func (t *Table) maxHashInPart(q Query, lane rollout.TargetGroup, now time.Time) uint64 {
+func (t *Table) maxHashInPart(q Query, group rollout.TargetGroup, now time.Time) uint64 {
 	var hashes []uint64
 	for _, s := range t.services[q.Service] {
-		if lane.Admits(s.Version) && s.usable(now) && t.Regions.Allows(q.Regions, s.DataCentre) {
+		if group.Admits(s.Version) && s.usable(now) && t.Regions.Allows(q.Regions, s.DataCentre) {
 			hashes = append(hashes, s.hash)
 		}
 	}
-	return rollout.LastInPart(hashes, lane.Fraction)
+	return rollout.LastInPart(hashes, group.Fraction)
 }
 
 // recordStart records the start of a call with Rollouts. The lock is held.
@@ -133,7 +133,8 @@
 	}
 }
 
-// RecordProgress records that a stream is well in progress, with its longest gap so far.
+// RecordProgress records a stream that has run long enough to be evidence on its target's version,
+// with the longest wait for an event so far. Streams of cold targets are left out.
 func (l *Lease) RecordProgress(gap time.Duration) {
 	l.t.mu.Lock()
 	defer l.t.mu.Unlock()
