--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -170,7 +170,7 @@
 	default:
 		l.s = t.cheapest(q, cands, now)
 	}
-	if underRollout := lane.Why != ""; underRollout && q.Engine != nil {
+	if underRollout := group.Why != ""; underRollout && q.Engine != nil {
 		l.observed.lacksPrompt = l.s.cachedTokens(t.promptHolders(q, now)) < q.Engine.Shared
 	}
 	l.Target = l.s.Target
