admin: states of roll-outs are those of package rollout

The CLI's test has the new value and checks as much as before. A comment of targets.Latency reworded.

--- a/internal/admin/rollouts.go
+++ b/internal/admin/rollouts.go
@@ -77,9 +77,9 @@
 const (
 	// RolloutOrdered: accepted, and not begun yet.
 	RolloutOrdered    RolloutState = "ordered"
-	RolloutRunning    RolloutState = "running"
-	RolloutCompleted  RolloutState = "completed"
-	RolloutRolledBack RolloutState = "rolled_back"
+	RolloutRunning                 = RolloutState(rollout.Running)
+	RolloutCompleted               = RolloutState(rollout.Completed)
+	RolloutRolledBack              = RolloutState(rollout.RolledBack)
 )
 
 // Final reports whether the state does not change any more.
--- a/internal/cli/rolloutorder_test.go
+++ b/internal/cli/rolloutorder_test.go
@@ -18,7 +18,7 @@
 	c := qt.New(t)
 	token := filepath.Join(t.TempDir(), "token")
 	c.Assert(os.WriteFile(token, []byte("op"), 0o600), qt.IsNil)
-	for state, want := range map[string]int{"completed": ExitOK, "rolled_back": ExitFailed} {
+	for state, want := range map[string]int{"completed": ExitOK, "reverted": ExitFailed} {
 		node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if r.Method == http.MethodPut {
 				fmt.Fprint(w, `{"revision": 7, "accepted": true, "forecast": {"targets": [{"data_centre": "n1", "new": 1, "old": 2}],
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -401,8 +401,8 @@
 	s.latencyAt = now
 }
 
-// Latency returns the mean time of a call at the targets of a service, of those measured within
-// latencyMaxAge; 0 for unknown.
+// Latency returns the mean time of a call at the targets of a service that have a mean no older than
+// latencyMaxAge; 0 if none has.
 func (t *Table) Latency(service string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
