targetlink: a node says whether its own path to targets works

The logs of the incident show refused connects of single targets only; that a node reaches no target at all, while the others do, had to be counted by hand, and an order that fails at the node that forms the batches does not show whose links are gone. A line now says when a node's own path is lost and back, a gauge shows it, and connects are counted by outcome. No decision depends on it yet.

Tested: go test ./internal/targetlink

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,6 +33,7 @@
 	"topazmoor/internal/store"
 	"topazmoor/internal/supervise"
 	"topazmoor/internal/suspend"
+	"topazmoor/internal/targetlink"
 	"topazmoor/internal/targets"
 	"topazmoor/internal/traffic"
 	"topazmoor/internal/watch"
@@ -99,6 +100,8 @@
 	Dial   httpconn.Dial
 	Listen func(addr string) (net.Listener, error)
 	Store  store.Store
+	// Links connects to targets, on behalf of Conns.
+	Links  *targetlink.Dialer
 	Conns  *httpconn.Pool
 	Wire   passthrough.Wire
 	Worker stagebatch.Worker
--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -109,6 +109,7 @@
 	})
 	n.metrics.Gauge("topazmoor_entry_store_followers", "Nodes that follow the store through this one.", func() float64 { return float64(n.relayServer.Followers()) })
 	n.metrics.Gauge("topazmoor_entry_nodes", "Nodes that answer, this one included.", func() float64 { return float64(n.router.Live()) })
+	n.provisionLinkMetrics()
 	n.metrics.Gauge("topazmoor_entry_requests_in_flight", "Requests being worked on.", func() float64 { return float64(n.InFlight()) })
 	if n.env.DroppedLogLines != nil {
 		n.metrics.Gauge("topazmoor_entry_log_lines_dropped", "Log lines that did not fit the buffer.", func() float64 { return float64(n.env.DroppedLogLines()) })
