--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -29,6 +29,7 @@
 	conns     map[*endpoint]bool
 	sockets   map[string]*PacketConn
 	cut       func(from, to string) bool
+	links     links
 	frozen    map[string]chan struct{}
 	nextPort  uint16
 	// dialCount is the number of dials, those that fail included.
@@ -159,12 +160,17 @@
 	n.mu.Lock()
 	l := n.listeners[addr]
 	refused := l == nil || n.cut(from, to)
+	state := n.links.state(from, to)
 	// Connections get different source ports (they repeat after 65535 dials), so
 	// that the server can tell them apart.
 	n.dialCount++
 	port := uint16(n.dialCount%math.MaxUint16) + 1
 	n.mu.Unlock()
-	if refused {
+	if state == Silent {
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.ErrDeadlineExceeded}
+	}
+	if refused || state != Open {
 		return nil, &net.OpError{Op: "dial", Net: "tcp", Err: ErrRefused}
 	}
 	a, b := net.Pipe()
