Targets that end when they reject too much are kept within their slots

Targets may say with all answers how many requests a second they can reject for want of room; one that has to reject more ends for some seconds. Nobody read that. A node now sends such a target no more than one and a half times its even share of the slots and nothing beyond a quarter over its slots, by the load that it reports; after a rejection it gives it a rest as long as the node's share of the rejections demands (a quarter of a second to two); hedges go elsewhere. It acts only on what targets say.

Test: TestBrittleServersAreNotFelledByAnOverload, three times the rate of two servers from six nodes for 10 s: without the change 8 falls and 64 of 1,200 possible served, for 1, 3 and 8 allowed rejections; with it no more than 2 falls and 840 or more served. One and a half times the share rounded up instead of down fells them 8 times where one rejection is allowed. TestSecondOfSilenceInterruptsNobody passes too; no change was made for it.

--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -68,6 +68,8 @@
 	n.targets.Regions, n.targets.Crossing = n.set.Regions, n.set.crossing()
 	n.targets.WarmupRate = n.warmupRate
 	n.targets.RegionSets = n.regionSets
+	n.targets.Nodes = n.nodes
+	n.metrics.GaugeVec("topazmoor_entry_rejection_bound_targets", "Targets whose processes end when they reject too many calls, by service.", "service", n.targets.RejectionBoundTargets)
 }
 
 // provisionTables creates the copies of the operator's table and of the list of targets.
--- a/internal/passthrough/plain.go
+++ b/internal/passthrough/plain.go
@@ -82,7 +82,7 @@
 		case allowed := <-hedges:
 			if allowed && c.mayHedge() && c.mayRunAgain() {
 				c.s.cfg.Observer.Repeated(c.service, "hedge")
-				x.start(targets.Query{SkipRateBounded: true})
+				x.start(targets.Query{SkipScarce: true})
 			}
 		case r := <-x.results:
 			if x.handleResult(r) {
--- a/internal/readiness/notice.go
+++ b/internal/readiness/notice.go
@@ -12,4 +12,7 @@
 	Leaving bool
 	// Rest is for how long the target asks this node to send it no work; 0 if it does not ask.
 	Rest time.Duration
+	// MaxRejections is the number of calls a second, of all nodes together, that the target can reject
+	// for want of room without its process ending; 0 for no such bound.
+	MaxRejections float64
 }
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -43,9 +43,9 @@
 	// Resumed is set if the caller has a part of the answer: the call cannot be refused any more, so
 	// it may go to any region.
 	Resumed bool
-	// SkipRateBounded leaves out targets whose rate is bounded: an optional call should not use up a
-	// part of that rate.
-	SkipRateBounded bool
+	// SkipScarce leaves out targets whose rate is bounded or that bound their rejections: an optional call should not
+	// use up a part of what they can take.
+	SkipScarce bool
 }
 
 // EngineQuery holds the properties of a call that decide the choice of a model engine.
@@ -210,7 +210,7 @@
 	var healthy, fallback, down []*state
 	var nextPermitted *state
 	for _, s := range t.services[q.Service] {
-		if !s.usable(now) || !admits(s) || !t.Regions.Allows(q.Regions, s.DataCentre) || slices.Contains(q.Exclude, s.ID) || q.SkipRateBounded && t.bounded(s, now) {
+		if !s.usable(now) || !admits(s) || !t.Regions.Allows(q.Regions, s.DataCentre) || slices.Contains(q.Exclude, s.ID) || q.SkipScarce && (t.bounded(s, now) || s.boundsRejections()) || t.crowded(s, now) {
 			continue
 		}
 		standing := s.ready.Status(now)
--- a/internal/targets/reported.go
+++ b/internal/targets/reported.go
@@ -14,6 +14,8 @@
 	readiness.State
 	// limit is the rate limit that it advertises, for the requests of all nodes together.
 	limit limit
+	// maxRejections is readiness.Notice.MaxRejections of the last answer.
+	maxRejections float64
 	// listedAt is when an update of the list last named the process, or removed it.
 	listedAt time.Time
 	// drainRevision is the revision of the list entry that drained it; zero if it does not drain.
@@ -86,11 +88,12 @@
 	if s == nil {
 		return readiness.Unchanged
 	}
-	return t.updateReadiness(&s.State, a)
+	return t.updateReadiness(s, a)
 }
 
-func (t *Table) updateReadiness(s *readiness.State, a Answer) readiness.Change {
-	change := s.Update(a.Notice, a.Rejected, t.now())
+func (t *Table) updateReadiness(s *reported, a Answer) readiness.Change {
+	s.maxRejections = a.Notice.MaxRejections
+	change := s.Update(t.withRejectionRest(a), a.Rejected, t.now())
 	if !a.Rejected {
 		s.Accepted(a.Began)
 	}
@@ -122,7 +125,7 @@
 func (l *Lease) UpdateReadiness(n readiness.Notice, rejected bool) readiness.Change {
 	l.t.mu.Lock()
 	defer l.t.mu.Unlock()
-	return l.t.updateReadiness(l.s.ready, Answer{Notice: n, Rejected: rejected, Began: l.began})
+	return l.t.updateReadiness(l.s.reported, Answer{Notice: n, Rejected: rejected, Began: l.began})
 }
 
 // MaySend reports whether the call may be sent now: the state of its target may have changed since
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -101,6 +101,10 @@
 	// nodes together; 0 for no bound. If it is nil, there is no bound.
 	WarmupRate func(service string) float64
 
+	// Nodes returns the number of nodes that call the targets, including this one. If it is nil, this is
+	// the only one.
+	Nodes func() int
+
 	// RegionSets returns the sets of regions to which requests that use a service are restricted. If
 	// it is nil, there are none.
 	RegionSets func(service string) []region.Set
