Caller API: targets are reached through other nodes where the own path to them fails

The same cause on the nodes that serve the caller API: calls, load reports and orders to engines went over the node's own links only. They use the same Dialer now, with the membership as the other nodes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"topazmoor/internal/store"
 	"topazmoor/internal/supervise"
 	"topazmoor/internal/suspend"
+	"topazmoor/internal/targetlink"
 	"topazmoor/internal/watch"
 )
 
@@ -78,8 +79,10 @@
 	log   *slog.Logger
 	board Board
 
-	metrics  *metrics.Set
-	sched    *scheduler.Scheduler
+	metrics *metrics.Set
+	sched   *scheduler.Scheduler
+	// links connects to targets.
+	links    *targetlink.Dialer
 	calls    *dispatch.Client
 	follower *config.Follower
 	// hosts watches the host table.
@@ -112,10 +115,12 @@
 		return nil, err
 	}
 	n.sched = scheduler.New(n.schedulerConfig())
-	n.calls = dispatch.New(env.Dial, s.Limits.AnswerBytes)
+	n.links = targetlink.New(targetlink.Dial(env.Dial), n.log)
+	n.calls = dispatch.New(n.links.DialContext, s.Limits.AnswerBytes)
 	if err := n.provisionPeers(); err != nil {
 		return nil, err
 	}
+	n.provisionLinks()
 	n.hosts = &watch.Table{Name: store.HostTable, From: env.Store, Wait: watch.LongWait, Apply: n.applyHosts, Log: n.log}
 	store := config.NewStore(env.Store)
 	n.follower = config.NewFollower(store, &n.board.Catalog, s.Pools, n.peers, s.Platform.ConfigPoll.Std(), n.log)
@@ -166,6 +171,7 @@
 	sup.Add(supervise.Named("host list", n.hosts))
 	sup.Add(supervise.Named("targets", &hostPublisher{n: n}))
 	sup.Add(supervise.Named("load reports", &loadPoller{n: n}))
+	sup.Add(supervise.Named("links to targets", n.links))
 	sup.Add(supervise.Named("batches", n.batches))
 	sup.Add(supervise.Named("roll-outs", n.rollouts))
 	sup.Add(supervise.Named("roll-out reports", n.rollouts.gate))
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -77,6 +77,7 @@
 		Changes:    func(after int64) []catalog.Change { return n.follower.Since(after) },
 		Snapshot:   func() (int64, []catalog.Item) { c := n.board.Catalog.Get(); return c.Revision, c.Items() },
 		Rollouts:   n.rollouts,
+		Targets:    n.links,
 		Demand:     func() []scheduler.ModelDemand { return n.sched.ModelDemand() },
 	}
 	p.server = peer.NewServer(ln, n.env.PeerKey, self.Name, h, n.log)
--- a/internal/node/pollers.go
+++ b/internal/node/pollers.go
@@ -135,7 +135,7 @@
 
 // Serve implements suture.Service.
 func (p *loadPoller) Serve(ctx context.Context) error {
-	tr := &http.Transport{DialContext: p.n.env.Dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
+	tr := &http.Transport{DialContext: p.n.links.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute}
 	defer tr.CloseIdleConnections()
 	client := &http.Client{Transport: tr, Timeout: loadTimeout}
 	var wg sync.WaitGroup
