--- a/internal/targetlink/dialer.go
+++ b/internal/targetlink/dialer.go
@@ -24,8 +24,8 @@
 	checkDelay = 50 * time.Millisecond
 	// throughNodeTimeout bounds a connect through one other node.
 	throughNodeTimeout = 400 * time.Millisecond
-	// nodesWhileLost is how many other nodes a connect tries while the own path is lost. Where a third of
-	// the nodes lost their paths, three of them are without one in 4 of 100 connects.
+	// nodesWhileLost is how many other nodes a connect tries while the own path is lost: some of them may
+	// have lost theirs too.
 	nodesWhileLost = 3
 )
 
