targetlink: the last of the nodes that are tried are in other data centres

All nodes of a data centre may lose their paths together; three tries near the target then met three of them, and a connect failed although others would have reached it. Two of four tries go by distance now, the others elsewhere. Tests: TestNodesNearTheTargetComeFirstAndOthersAfterThem, TestNodesThatFailedAreAvoidedForAWhile.

--- a/internal/targetlink/dialer.go
+++ b/internal/targetlink/dialer.go
@@ -26,7 +26,7 @@
 	throughNodeTimeout = 400 * time.Millisecond
 	// nodesWhileLost is how many other nodes a connect tries while the own path is lost: some of them may
 	// have lost theirs too.
-	nodesWhileLost = 3
+	nodesWhileLost = 4
 )
 
 var errNoOtherWay = eris.New("targetlink: no other node to connect through")
--- a/internal/targetlink/nodes.go
+++ b/internal/targetlink/nodes.go
@@ -37,32 +37,46 @@
 	c.avoid[n.Name] = now.Add(avoidFor)
 }
 
+// nearNodes is how many of the chosen nodes are chosen by their distance. The others are not in the target's
+// data centre: all nodes there may have lost their paths together.
+const nearNodes = 2
+
 // choose returns at most n nodes, the first choice first: nodes that are not avoided, then those in the
-// target's data centre, so that bytes cross between data centres only once, then those in this node's.
-// Among equal ones the choice is random, which spreads the load.
+// target's data centre, so that bytes cross between data centres only once, then those in this node's; from
+// nearNodes on those in other data centres first. Among equal ones the choice is random, which spreads the load.
 func (c *nodeChoice) choose(o Others, addr string, n int, now time.Time) []Node {
 	nodes := slices.Clone(o.Nodes())
 	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 	near := o.DataCentreOf(addr)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.order(nodes, now, func(n Node) int { return distance(n, near, o.DataCentre) })
+	if len(nodes) > nearNodes {
+		c.order(nodes[nearNodes:], now, func(n Node) int { return -distance(n, near, near) })
+	}
+	return nodes[:min(n, len(nodes))]
+}
+
+// order sorts nodes that are not avoided before the others, then by cost. The lock is held.
+func (c *nodeChoice) order(nodes []Node, now time.Time, cost func(Node) int) {
+	avoided := func(n Node) int {
+		if now.Before(c.avoid[n.Name]) {
+			return 1
+		}
+		return 0
+	}
 	slices.SortStableFunc(nodes, func(a, b Node) int {
-		return cmp.Compare(c.distance(a, near, o.DataCentre, now), c.distance(b, near, o.DataCentre, now))
+		return cmp.Or(cmp.Compare(avoided(a), avoided(b)), cmp.Compare(cost(a), cost(b)))
 	})
-	return nodes[:min(n, len(nodes))]
 }
 
-// distance orders nodes by how suitable they are; the lowest is best.
-func (c *nodeChoice) distance(n Node, near, own string, now time.Time) int {
-	d := 2
+// distance orders nodes by where they are; the lowest is nearest.
+func distance(n Node, near, own string) int {
 	switch n.DataCentre {
 	case near:
-		d = 0
+		return 0
 	case own:
-		d = 1
-	}
-	if now.Before(c.avoid[n.Name]) {
-		d += 3
+		return 1
 	}
-	return d
+	return 2
 }
