targetlink: silent targets are no lost path while others answer

A rack that goes dark is silent to all nodes; three of its targets in a row made the own path count as lost, at nodes that connect for others too, and dropped their idle connections. Silence counts now only if no target sent a byte for half a second. A connect through another node takes at most 250 ms, so that one to a dark target takes 400 ms in all and not 550. Test: TestSilentTargetsAreNoLostPathWhileOthersAnswer (fails without: lost after the third).

--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -24,7 +24,7 @@
 
 const (
 	// tunnelConnectTimeout bounds the set-up of a connection on behalf of another node.
-	tunnelConnectTimeout = 300 * time.Millisecond
+	tunnelConnectTimeout = 200 * time.Millisecond
 	// tunnelWriteTimeout is how long the other end of a tunnel may take no bytes before the tunnel is
 	// closed.
 	tunnelWriteTimeout = 10 * time.Second
--- a/internal/targetlink/conn.go
+++ b/internal/targetlink/conn.go
@@ -54,13 +54,19 @@
 	return c
 }
 
+// receivedWithin reports whether any connection received bytes in the last d.
+func (c *directConns) receivedWithin(d time.Duration) bool {
+	read := c.lastRead.Load()
+	return read > 0 && read > c.now()-int64(d)
+}
+
 // unanswered returns the address of a target that has sent nothing for at least silence after it was
 // sent something, if no other target has sent anything meanwhile; "" for none.
 func (d *directConns) unanswered(silence time.Duration) string {
-	before := d.now() - int64(silence)
-	if d.lastRead.Load() > before {
+	if d.receivedWithin(silence) {
 		return ""
 	}
+	before := d.now() - int64(silence)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for c := range d.open {
--- a/internal/targetlink/dialer.go
+++ b/internal/targetlink/dialer.go
@@ -23,7 +23,7 @@
 	// checkDelay is the same for DialAny, whose caller needs an answer sooner.
 	checkDelay = 50 * time.Millisecond
 	// throughNodeTimeout bounds a connect through one other node.
-	throughNodeTimeout = 400 * time.Millisecond
+	throughNodeTimeout = 250 * time.Millisecond
 	// nodesWhileLost is how many other nodes a connect tries while the own path is lost: some of them may
 	// have lost theirs too.
 	nodesWhileLost = 4
@@ -176,6 +176,10 @@
 // record records the outcome of a connect over the own path.
 func (d *Dialer) record(addr string, o Outcome) {
 	d.counts[o].Add(1)
+	if o == Silent && d.direct.receivedWithin(silenceBeforeCheck) {
+		// Other targets answer, so the silence is this target's.
+		return
+	}
 	c, changed := d.monitor.Record(addr, o, time.Now())
 	if !changed {
 		return
--- a/internal/targetlink/dialer_test.go
+++ b/internal/targetlink/dialer_test.go
@@ -177,3 +177,35 @@
 		conn.Close()
 	})
 }
+
+func TestSilentTargetsAreNoLostPathWhileOthersAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		own, others := &path{}, &path{}
+		d := twoPaths(own, others)
+		others.state.Store(silent)
+		near, far := net.Pipe()
+		alive := d.direct.add(near, "alive")
+		go func() {
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				_, _ = far.Write([]byte("x"))
+			}
+		}()
+		go func() {
+			for range 100 {
+				_, _ = alive.Read(make([]byte, 1))
+			}
+		}()
+		time.Sleep(time.Second)
+		own.state.Store(silent)
+		for _, addr := range []string{"1", "2", "3", "4"} {
+			start := time.Now()
+			_, err := d.DialContext(t.Context(), "tcp", addr)
+			qt.Assert(t, err, qt.Not(qt.IsNil))
+			qt.Assert(t, time.Since(start) <= fallbackDelay+throughNodeTimeout, qt.IsTrue)
+		}
+		qt.Assert(t, d.Lost(), qt.IsFalse)
+		time.Sleep(20 * time.Second)
+		far.Close()
+	})
+}
