targetlink: names for a new reader; targets are called directly as soon as the own path is back

Targets reached through others while the path was lost were called so for up to 3 s after its return. Test: TestLostPathIsUsedAgainOnceItIsBack asks for a direct connection right after the return (failed before).

--- a/internal/targetlink/dialer.go
+++ b/internal/targetlink/dialer.go
@@ -50,14 +50,14 @@
 // Dialer connects to targets: over this node's own path, and through other nodes while that path is lost
 // or gives no answer. It is safe for concurrent use.
 type Dialer struct {
-	dial    Dial
-	log     *slog.Logger
-	others  Others
-	monitor Monitor
-	nodes   nodeChoice
-	detours detours
-	direct  directConns
-	counts  [outcomes]atomic.Int64
+	dial     Dial
+	log      *slog.Logger
+	others   Others
+	monitor  Monitor
+	nodes    nodeChoice
+	indirect indirectTargets
+	direct   directConns
+	counts   [outcomes]atomic.Int64
 	// through and throughFailed count the connects through other nodes, forOthers those on behalf of
 	// other nodes.
 	through, throughFailed, forOthers atomic.Int64
@@ -78,7 +78,7 @@
 	switch {
 	case d.Lost():
 		return race(ctx, fallbackDelay, append(d.waysThrough(addr, nodesWhileLost), direct))
-	case d.detours.active(addr, time.Now()):
+	case d.indirect.active(addr, time.Now()):
 		return race(ctx, fallbackDelay, []way{d.wayThroughFirst(addr), direct})
 	}
 	return race(ctx, fallbackDelay, []way{direct, d.wayThroughFirst(addr)})
@@ -153,7 +153,7 @@
 	conn, err := d.others.Connect(ctx, n.Addr, addr)
 	if err == nil {
 		d.through.Add(1)
-		d.detours.opened(addr, time.Now())
+		d.indirect.opened(addr, time.Now())
 		return &relayedConn{conn}, nil
 	}
 	if !errors.Is(ctx.Err(), context.Canceled) {
@@ -187,6 +187,7 @@
 	if c.Lost {
 		d.log.Warn("own path to targets lost", "refused", c.Refused, "silent", c.Silent)
 	} else {
+		d.indirect.clear()
 		d.log.Info("own path to targets is back", "lost_ms", c.Lasted.Milliseconds())
 	}
 	if d.others.PathChanged != nil {
--- a/internal/targetlink/monitor.go
+++ b/internal/targetlink/monitor.go
@@ -1,5 +1,5 @@
-// Package targetlink opens connections to targets and observes whether this node's own network path to
-// them works.
+// Package targetlink connects to targets: over this node's own network path, and through another node while
+// that path fails. Source: docs/design/029-who-serves-without-links.md.
 package targetlink
 
 import (
