--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -110,6 +110,7 @@
 		}
 		return 0
 	})
+	n.metrics.Gauge("topazmoor_entry_config_behind_seconds", "Time since another node reported a newer row of the operator's table than this node has; 0 if it has the newest.", func() float64 { return n.versionTracker.behind().Seconds() })
 	n.metrics.Gauge("topazmoor_entry_store_followers", "Nodes that follow the store through this one.", func() float64 { return float64(n.relayServer.Followers()) })
 	n.metrics.Gauge("topazmoor_entry_nodes", "Nodes that answer, this one included.", func() float64 { return float64(n.router.Live()) })
 	n.metrics.Gauge("topazmoor_entry_requests_in_flight", "Requests being worked on.", func() float64 { return float64(n.InFlight()) })
--- a/internal/entry/versions.go
+++ b/internal/entry/versions.go
@@ -26,6 +26,9 @@
 	// another node reported.
 	recheckPending bool
 	newest         store.Version
+	// behindSince is when another node first reported a version that this node lacks; zero while it
+	// lacks none.
+	behindSince time.Time
 	// requested is the newest version for which the store was asked again. One request is enough,
 	// as it opens a new call.
 	requested store.Version
@@ -45,6 +48,20 @@
 	for _, r := range rows {
 		v.own = v.own.Max(r.Version)
 	}
+	if !v.own.Before(v.newest) {
+		v.behindSince = time.Time{}
+	}
+}
+
+// behind returns for how long this node has lacked a version that another node reported; 0 if it
+// lacks none.
+func (v *versionTracker) behind() time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.behindSince.IsZero() {
+		return 0
+	}
+	return time.Since(v.behindSince)
 }
 
 // Observe implements peer.Versions.
@@ -52,6 +69,9 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.newest = v.newest.Max(version)
+	if v.own.Before(v.newest) && v.behindSince.IsZero() {
+		v.behindSince = time.Now()
+	}
 	if !v.own.Before(v.newest) || v.newest == v.requested || v.recheckPending {
 		return
 	}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -42,9 +42,9 @@
 	return err
 }
 
-// receive receives a message of the stream's call.
-func (s *stream) receive(m proto.Message) error {
-	n, err := readFrame(s, m, maxFrame)
+// receive receives a message of the stream's call; in shows what has arrived of it meanwhile.
+func (s *stream) receive(m proto.Message, in *incoming) error {
+	n, err := in.read(s, m)
 	s.count(traffic.Received, n)
 	return err
 }
--- a/internal/peer/pending.go
+++ b/internal/peer/pending.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 
 	"topazmoor/internal/peer/peerpb"
 	"topazmoor/internal/traffic"
@@ -23,8 +26,46 @@
 	answers chan answer
 	// conn is the connection that is used; nil until there is one.
 	conn atomic.Pointer[muxConn]
+	// incoming is what has arrived of the next answer.
+	incoming incoming
 }
 
+// incoming is the part of a message that has arrived. It is safe for concurrent use.
+type incoming struct {
+	bytes atomic.Int64
+	// last is when the last byte arrived, in Unix nanoseconds.
+	last atomic.Int64
+}
+
+// read reads a message from r.
+func (p *incoming) read(r io.Reader, m proto.Message) (int, error) {
+	p.bytes.Store(0)
+	return readFrame(readerFunc(func(b []byte) (int, error) {
+		n, err := r.Read(b)
+		if n > 0 {
+			p.bytes.Add(int64(n))
+			p.last.Store(time.Now().UnixNano())
+		}
+		return n, err
+	}), m, maxFrame)
+}
+
+// wrap adds to an error how much of the message has arrived, if any.
+func (p *incoming) wrap(err error) error {
+	n := p.bytes.Load()
+	if n == 0 {
+		return err
+	}
+	since := time.Since(time.Unix(0, p.last.Load()))
+	return eris.Wrapf(err, "%d bytes of an incomplete message, the last %d ms ago", n, since.Milliseconds())
+}
+
+// readerFunc is a function that implements io.Reader.
+type readerFunc func(b []byte) (int, error)
+
+// Read implements io.Reader.
+func (f readerFunc) Read(b []byte) (int, error) { return f(b) }
+
 // answer is one answer of a peer, or the error that ended the call.
 type answer struct {
 	resp *peerpb.Response
@@ -55,7 +96,7 @@
 	case a := <-x.answers:
 		return a.resp, a.err
 	case <-x.ctx.Done():
-		return nil, eris.Wrap(x.ctx.Err(), "receive answer from peer")
+		return nil, eris.Wrap(x.incoming.wrap(x.ctx.Err()), "receive answer from peer")
 	}
 }
 
@@ -93,8 +134,8 @@
 	}
 	for {
 		resp := &peerpb.Response{}
-		if err := st.receive(resp); err != nil {
-			return eris.Wrap(err, "receive answer from peer")
+		if err := st.receive(resp, &x.incoming); err != nil {
+			return eris.Wrap(x.incoming.wrap(err), "receive answer from peer")
 		}
 		if resp.Refusal != nil {
 			return refusalFrom(resp.Refusal)
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -95,8 +95,8 @@
 		return eris.Wrap(err, "send request to peer")
 	}
 	resp := &peerpb.Response{}
-	if err := st.receive(resp); err != nil {
-		return eris.Wrap(err, "receive answer from peer")
+	if err := st.receive(resp, &x.incoming); err != nil {
+		return eris.Wrap(x.incoming.wrap(err), "receive answer from peer")
 	}
 	if resp.Refusal != nil {
 		return refusalFrom(resp.Refusal)
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -239,7 +240,7 @@
 		return s.handle(m, time.Now())
 	})
 	if errors.Is(context.Cause(ctx), ErrNoMessage) {
-		return ErrNoMessage
+		return fmt.Errorf("%w: %w", ErrNoMessage, err)
 	}
 	if errors.Is(context.Cause(ctx), errMoved) {
 		return errMoved
