--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -31,7 +31,9 @@
 	cut       func(from, to string) bool
 	links     links
 	frozen    map[string]chan struct{}
-	nextPort  uint16
+	// rates are the links with a limited rate, by host.
+	rates    map[string]*link
+	nextPort uint16
 	// dialCount is the number of dials, those that fail included.
 	dialCount int
 }
@@ -43,6 +45,7 @@
 		conns:     make(map[*endpoint]bool),
 		sockets:   make(map[string]*PacketConn),
 		frozen:    make(map[string]chan struct{}),
+		rates:     make(map[string]*link),
 		cut:       func(string, string) bool { return false },
 		nextPort:  20000,
 	}
@@ -337,6 +340,7 @@
 			return n, err
 		}
 		s.pending = append(s.pending, b[:n]...)
+		s.awaitPassage(n)
 	}
 	if !s.net.awaitThawUntil(s.from, s.done, s.readDeadline.expired()) {
 		return 0, os.ErrDeadlineExceeded
