Updates between nodes and answers of the store are bounded by their progress, not as a whole

Cause: a change of one line resends the whole row, 0.3 to 1 MB and not compressed, as one message. A follower left a node that had sent no whole message for 1.1 s (0.4 s for the first one), and its own calls of the store ended 0.7 s after they began to be answered or not; each try began anew and the links stayed full of what was given up.

A node is not left for another in the midst of an update. A call whose answer has begun is not ended to be made again.

--- a/internal/entry/versions.go
+++ b/internal/entry/versions.go
@@ -26,8 +26,7 @@
 	// another node reported.
 	recheckPending bool
 	newest         store.Version
-	// behindSince is when another node first reported a version that this node lacks; zero while it
-	// lacks none.
+	// behindSince is when this node's copy was first found to be older than newest; zero while it is not.
 	behindSince time.Time
 	// requested is the newest version for which the store was asked again. One request is enough,
 	// as it opens a new call.
@@ -48,19 +47,21 @@
 	for _, r := range rows {
 		v.own = v.own.Max(r.Version)
 	}
-	if !v.own.Before(v.newest) {
-		v.behindSince = time.Time{}
-	}
 }
 
-// behind returns for how long this node has lacked a version that another node reported; 0 if it
-// lacks none.
+// behind returns for how long this node's copy has been older than a version that another node
+// reported; 0 if it is not.
 func (v *versionTracker) behind() time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.behindSince.IsZero() {
+	// A row may have been removed meanwhile, so the version of the copy counts.
+	if !v.n.configTable.Copy().Position().Version.Before(v.newest) {
+		v.behindSince = time.Time{}
 		return 0
 	}
+	if v.behindSince.IsZero() {
+		v.behindSince = time.Now()
+	}
 	return time.Since(v.behindSince)
 }
 
@@ -69,9 +70,6 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.newest = v.newest.Max(version)
-	if v.own.Before(v.newest) && v.behindSince.IsZero() {
-		v.behindSince = time.Now()
-	}
 	if !v.own.Before(v.newest) || v.newest == v.requested || v.recheckPending {
 		return
 	}
--- a/internal/peer/sizes.go
+++ b/internal/peer/sizes.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -39,14 +40,24 @@
 	return request, responseSize(&peerpb.Response{Result: &peerpb.Response_Permits{Permits: permitGrantTo(g)}})
 }
 
-// UpdateSize returns the size of a message to a follower, in bytes. It fails if a row cannot be
-// encoded.
+// UpdateSize returns the size of the messages that bring a follower an update, in bytes. It fails if a
+// row cannot be encoded.
 func UpdateSize(t relay.Message) (int, error) {
-	m, err := (&packer{}).messageTo(t)
-	if err != nil {
-		return 0, err
+	splitter := &updateSplitter{packer: &packer{}}
+	total := 0
+	for {
+		m, unfinished, err := splitter.next(t)
+		if err != nil {
+			return 0, err
+		}
+		total += responseSize(&peerpb.Response{Result: &peerpb.Response_Told{Told: m}})
+		if !slices.Contains(unfinished, true) {
+			return total, nil
+		}
+		for i := range t.Tables {
+			t.Tables[i].News = nil
+		}
 	}
-	return responseSize(&peerpb.Response{Result: &peerpb.Response_Told{Told: m}}), nil
 }
 
 func requestSize(m *peerpb.Request) int   { return frameHeaderBytes + proto.Size(m) }
--- a/internal/relay/publisher.go
+++ b/internal/relay/publisher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,21 +62,28 @@
 	return p.wake
 }
 
+// Send sends a message to a follower. It may send long updates in parts, one with each message. It
+// returns for each table whether parts remain; nil for none. The next message has no update for such a
+// table.
+type Send func(Message) (unfinished []bool, err error)
+
 // Follow sends a follower what it lacks and all later changes, until ctx ends, send fails or Stop is
 // called. It updates the versions in have to what was sent.
-func (p *Publisher) Follow(ctx context.Context, have []KnownVersion, send func(Message) error) error {
+func (p *Publisher) Follow(ctx context.Context, have []KnownVersion, send Send) error {
 	p.followers.Add(1)
 	p.refresh()
 	defer p.followers.Add(-1)
+	var unfinished []bool
 	for {
 		woken := p.woken()
 		if p.stopping.Load() {
 			return ErrStopping
 		}
-		if err := send(p.buildMessage(have)); err != nil {
+		var err error
+		if unfinished, err = send(p.buildMessage(have, unfinished)); err != nil {
 			return err
 		}
-		if p.lacks(have) {
+		if slices.Contains(unfinished, true) || p.lacks(have) {
 			continue
 		}
 		select {
@@ -133,8 +141,9 @@
 	}
 }
 
-// buildMessage builds one message and records in have the versions that it brings a follower to.
-func (p *Publisher) buildMessage(have []KnownVersion) Message {
+// buildMessage builds one message and records in have the versions that it brings a follower to. It has
+// no updates for tables with an unfinished one.
+func (p *Publisher) buildMessage(have []KnownVersion, unfinished []bool) Message {
 	lead := p.tables[0]
 	// Before the first answer, and after the host was suspended, the copies may be old.
 	message := Message{Away: lead.Lost() || lead.LastAnswer().IsZero(), Tables: make([]TableMessage, len(have))}
@@ -146,8 +155,17 @@
 		if table == nil {
 			continue
 		}
-		message.Tables[i].News, message.Tables[i].Position = table.Copy().CachedSince(have[i].Version)
-		have[i].Version = have[i].Version.Max(message.Tables[i].Position.Version)
+		out := &message.Tables[i]
+		out.AnswerAge = NeverAnswered
+		if answered := table.LastAnswer(); !answered.IsZero() {
+			out.AnswerAge = time.Since(answered)
+		}
+		if unfinished != nil && unfinished[i] {
+			out.Position = table.Copy().Position()
+			continue
+		}
+		out.News, out.Position = table.Copy().CachedSince(have[i].Version)
+		have[i].Version = have[i].Version.Max(out.Position.Version)
 	}
 	return message
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -43,7 +43,8 @@
 type Message struct {
 	// Away is set if the store does not answer the sending node.
 	Away bool
-	// AnswerAge is the time since the store last answered the sending node; 0 also if it never did.
+	// AnswerAge is the time since the store last answered the sending node for the first table; 0 also
+	// if it never did.
 	AnswerAge time.Duration
 	// Tables has an entry for each requested table, in the order of the request.
 	Tables []TableMessage
@@ -55,8 +56,17 @@
 	Position watch.Position
 	// News is the update for the follower; nil if it lacks nothing.
 	News *watch.News
+	// Partial is set while an update is being received in parts. Position is that of the update, and
+	// does not apply to the follower's copy yet.
+	Partial bool
+	// AnswerAge is the time since the store last answered the sending node for this table;
+	// NeverAnswered if it has not.
+	AnswerAge time.Duration
 }
 
+// NeverAnswered is the AnswerAge of a table for which the store has not answered.
+const NeverAnswered time.Duration = -1
+
 // Remote makes calls to other nodes; package peer implements it.
 type Remote interface {
 	// Follow requests from the node at addr what the caller lacks of some tables, and all later
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -14,7 +15,7 @@
 	// began is when the call began; accepted is set after the first message that is usable.
 	began    time.Time
 	accepted bool
-	// behindSince is since when the node's copy has been older than that of this node; zero if it is not.
+	// behindSince is since when the node's copies have been behind; zero if they are not.
 	behindSince time.Time
 	// lastPoll is when this node last called the store itself because the store does not answer the
 	// other node; nextPoll is the earliest time of the next such call.
@@ -27,7 +28,9 @@
 
 // handle applies one message; an error ends the call and is the reason to leave the node.
 func (s *session) handle(m Message, now time.Time) error {
-	if now.Sub(s.choiceChecked) > recheckInterval {
+	// An update that is being received is not discarded for another choice.
+	partial := slices.ContainsFunc(m.Tables, func(t TableMessage) bool { return t.Partial })
+	if !partial && now.Sub(s.choiceChecked) > recheckInterval {
 		s.choiceChecked = now
 		if n, ok := s.f.choose(); !ok || n.Name != s.node.Name {
 			return errMoved
@@ -49,6 +52,9 @@
 		return s.checkEmpty(now)
 	}
 	if m.Away || m.AnswerAge > maxAge {
+		if partial {
+			return nil
+		}
 		return s.handleAway(now)
 	}
 	if !s.accepted {
@@ -57,7 +63,12 @@
 	}
 	s.f.hold()
 	for i, table := range s.f.Tables {
-		table.Confirm(s.invalidations[i])
+		if !m.Tables[i].Partial {
+			table.Confirm(s.invalidations[i])
+		}
+	}
+	if partial {
+		return nil
 	}
 	return s.checkBehind(m, now)
 }
@@ -104,7 +115,7 @@
 func (s *session) applyTables(m Message) error {
 	for i, table := range s.f.Tables {
 		theirs := m.Tables[i]
-		if theirs.Position.Version.IsZero() {
+		if theirs.Position.Version.IsZero() || theirs.Partial {
 			continue
 		}
 		if theirs.News != nil {
--- a/internal/watch/poll.go
+++ b/internal/watch/poll.go
@@ -9,8 +9,8 @@
 	"topazmoor/internal/store"
 )
 
-// PollNow ends the call or the pause in progress and calls the store at once. It is for a caller
-// that found out that the store stopped or resumed answering.
+// PollNow ends the call or the pause in progress and calls the store at once, or after the answer that is
+// being received. It is for a caller that found out that the store stopped or resumed answering.
 func (t *Table) PollNow() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -20,7 +20,7 @@
 	if !closed(t.wake) {
 		close(t.wake)
 	}
-	if t.cancel != nil {
+	if t.cancel != nil && !t.receiving {
 		t.cancel()
 	}
 }
@@ -44,6 +44,13 @@
 	t.waits = waits
 }
 
+// answerBegan records that the answer of the call in progress has begun to arrive.
+func (t *Table) answerBegan() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.waits, t.receiving = false, true
+}
+
 // wasRenewed reports whether Renew ended the last call, and resets that.
 func (t *Table) wasRenewed() bool {
 	t.mu.Lock()
@@ -67,8 +74,8 @@
 func (t *Table) begin(ctx context.Context) (call context.Context, end func(), woken bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	call, t.cancel = context.WithCancel(ctx)
-	t.waits, t.renewed = false, false
+	call, t.cancel = context.WithCancel(store.WithAnswerHook(ctx, t.answerBegan))
+	t.waits, t.renewed, t.receiving = false, false, false
 	if t.wake != nil {
 		woken = closed(t.wake)
 	}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -89,8 +89,9 @@
 	// cancel ends the call in progress. PollNow closes wake; the next call replaces it.
 	cancel context.CancelFunc
 	wake   chan struct{}
-	// waits is set if the call in progress waits for changes, renewed if Renew ended it.
-	waits, renewed bool
+	// waits is set if the call in progress waits for changes, renewed if Renew ended it, and receiving
+	// if its answer has begun to arrive.
+	waits, renewed, receiving bool
 	// relayed is set while another node supplies the updates; sourceChanged is closed when that
 	// changes.
 	relayed       bool
