The copy of a table is as fresh as the store's answers for this table

Cause: a follower took the age of the answers for the first table (targets) as that of all tables, also from a node whose own calls for the configuration failed; a follower's failed call was forgotten at the next message; and answers counted for 6 s, longer than a change may take.

Messages carry the age for each table. A node that knows from others that its copy is old denies nothing, and leaves a node whose copy stays behind one that a third node has. An answer counts for 1.5 s beyond the time that a call waits.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -223,7 +223,9 @@
 }
 
 // current reports whether the configuration can be assumed to be the newest one.
-func (n *Node) current() bool { return n.configTable.Connected() && n.targetTable.Connected() }
+func (n *Node) current() bool {
+	return n.configTable.Connected() && n.targetTable.Connected() && n.versionTracker.behind() == 0
+}
 
 // storeUnreachable reports whether the store does not answer, either for the tables or, at a
 // start, for the secret that the nodes share.
--- a/internal/entry/versions.go
+++ b/internal/entry/versions.go
@@ -67,6 +67,7 @@
 
 // Observe implements peer.Versions.
 func (v *versionTracker) Observe(version store.Version) {
+	v.n.configTable.Report(version)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.newest = v.newest.Max(version)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -42,10 +42,10 @@
 	if !m.Tables[0].Position.Version.IsZero() && !m.Away && m.AnswerAge <= maxAge {
 		// This precedes the rows, so that their views have the time of the store's return: some rows
 		// may be missing shortly after it.
-		s.recordAnswer(now.Add(-m.AnswerAge))
+		s.f.Tables[0].RecordAnswer(now.Add(-m.AnswerAge))
 	}
 	// An update is sent only once, so it is applied in any case.
-	if err := s.applyTables(m); err != nil {
+	if err := s.applyTables(m, now); err != nil {
 		return err
 	}
 	if m.Tables[0].Position.Version.IsZero() {
@@ -73,13 +73,6 @@
 	return s.checkBehind(m, now)
 }
 
-// recordAnswer records in the tables that the store answered the node at the given time.
-func (s *session) recordAnswer(at time.Time) {
-	for _, table := range s.f.Tables {
-		table.RecordAnswer(at)
-	}
-}
-
 // handleAway decides what to do while the store does not answer the node. A node that ranks behind
 // this one is left at once. Otherwise this node calls the store once, and leaves the other node if the
 // store answers the call, or if ownAnswerTimeout passes without the call failing. If the call fails,
@@ -112,12 +105,15 @@
 }
 
 // applyTables applies the updates of all tables, and compares the copies with the node's.
-func (s *session) applyTables(m Message) error {
+func (s *session) applyTables(m Message, now time.Time) error {
 	for i, table := range s.f.Tables {
 		theirs := m.Tables[i]
 		if theirs.Position.Version.IsZero() || theirs.Partial {
 			continue
 		}
+		if i > 0 && theirs.AnswerAge != NeverAnswered {
+			table.RecordAnswer(now.Add(-theirs.AnswerAge))
+		}
 		if theirs.News != nil {
 			if err := table.ApplyUpdate(*theirs.News); err != nil {
 				return eris.Wrapf(err, "table %s at version %s", table.Name, theirs.Position.Version)
@@ -130,11 +126,24 @@
 	return nil
 }
 
-// checkBehind fails with ErrBehind if the node's copy has been older than that of this node for more
-// than behindTimeout. It compares only the first table: the version of a copy rises with each answer
-// of the store, and the calls of the other tables wait long for one.
+// isBehind reports whether the node's copy of the first table is older than that of this node, or lacks
+// a row that a third node has. Only the first table's copies are compared: the version of a copy rises
+// with each answer of the store, and the calls of the other tables wait long for one.
+func (s *session) isBehind(m Message) bool {
+	if m.Tables[0].Position.Version.Before(s.f.Tables[0].Copy().Position().Version) {
+		return true
+	}
+	for i, table := range s.f.Tables {
+		if m.Tables[i].Position.Version.Before(table.Reported()) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkBehind fails with ErrBehind if the node's copies have been behind for more than behindTimeout.
 func (s *session) checkBehind(m Message, now time.Time) error {
-	if !m.Tables[0].Position.Version.Before(s.f.Tables[0].Copy().Position().Version) {
+	if !s.isBehind(m) {
 		s.behindSince = time.Time{}
 		return nil
 	}
--- a/internal/watch/poll.go
+++ b/internal/watch/poll.go
@@ -152,6 +152,8 @@
 
 // recordLoss records that the store does not answer.
 func (t *Table) recordLoss(err error) {
+	now := time.Now()
+	t.lostAt.Store(&now)
 	if t.lost.Swap(true) {
 		return
 	}
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -34,8 +34,8 @@
 	// force in time: a single call may hang without the table that wakes the others detecting
 	// it. The call is abandoned 0.7 s after this wait, within 3 s.
 	SharedLongWait = 2 * time.Second
-	// answerSlack is how long a call may take beyond the time that it waits for changes.
-	answerSlack = 3 * time.Second
+	// answerSlack is how much older than Wait the last answer of a store may be that answers.
+	answerSlack = 1500 * time.Millisecond
 	// firstRetry is the pause before the first retry; it doubles up to maxRetry while the store
 	// does not answer. A store call takes about 5 ms; many nodes retry at once after an outage.
 	firstRetry = 100 * time.Millisecond
@@ -102,6 +102,10 @@
 
 	copy Copy
 	lost atomic.Bool
+	// lostAt is when the store stopped answering; nil for never.
+	lostAt atomic.Pointer[time.Time]
+	// reported is the newest version of a row that other nodes reported; nil for none.
+	reported atomic.Pointer[store.Version]
 	// lastAnswer is when the store last answered; nil for never, or not since Invalidate.
 	lastAnswer atomic.Pointer[time.Time]
 
@@ -161,6 +165,24 @@
 	return !t.lost.Load() && time.Since(t.LastAnswer()) < t.Wait+answerSlack
 }
 
+// Report records the version of a row of this table that another node has.
+func (t *Table) Report(version store.Version) {
+	for {
+		known := t.reported.Load()
+		if known != nil && !known.Before(version) || t.reported.CompareAndSwap(known, &version) {
+			return
+		}
+	}
+}
+
+// Reported returns the newest version that other nodes reported; zero for none.
+func (t *Table) Reported() store.Version {
+	if v := t.reported.Load(); v != nil {
+		return *v
+	}
+	return store.Version{}
+}
+
 // Lost reports whether the store has stopped answering.
 func (t *Table) Lost() bool { return t.lost.Load() }
 
@@ -329,6 +351,9 @@
 			break
 		}
 	}
+	if lostAt := t.lostAt.Load(); lostAt != nil && at.Before(*lostAt) {
+		return
+	}
 	if t.lost.Swap(false) {
 		t.updateMu.Lock()
 		t.regained = time.Now()
