--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -15,7 +15,7 @@
 	"topazmoor/internal/traffic"
 )
 
-// callTimeout bounds one call whose context has no earlier deadline.
+// callTimeout bounds the time in which nothing arrives of the answer to a call.
 const callTimeout = 5 * time.Second
 
 // idleTimeout is the time after which an unused connection is closed.
@@ -231,12 +231,13 @@
 // *verdict.Error if the peer refused the request, and another error if no answer
 // arrived.
 func (c *Client) call(ctx context.Context, addr string, req *peerpb.Request) (*peerpb.Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	x, err := c.request(ctx, addr, req)
 	if err != nil {
 		return nil, err
 	}
+	defer x.incoming.onSilence(callTimeout, func() { cancel(context.DeadlineExceeded) })()
 	return x.next()
 }
 
--- a/internal/peer/pending.go
+++ b/internal/peer/pending.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -60,6 +61,35 @@
 	return eris.Wrapf(err, "%d bytes of an incomplete message, the last %d ms ago", n, since.Milliseconds())
 }
 
+// onSilence calls end once no byte has arrived for a time, and stops watching when the returned function
+// is called.
+func (p *incoming) onSilence(timeout time.Duration, end func()) (stop func()) {
+	began := time.Now()
+	var mu sync.Mutex
+	var timer *time.Timer
+	check := func() {
+		idle := time.Since(began)
+		if last := p.last.Load(); last != 0 {
+			idle = min(idle, time.Since(time.Unix(0, last)))
+		}
+		if idle >= timeout {
+			end()
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		timer.Reset(timeout - idle)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(timeout, check)
+	return func() {
+		mu.Lock()
+		defer mu.Unlock()
+		timer.Stop()
+	}
+}
+
 // readerFunc is a function that implements io.Reader.
 type readerFunc func(b []byte) (int, error)
 
@@ -96,7 +126,7 @@
 	case a := <-x.answers:
 		return a.resp, a.err
 	case <-x.ctx.Done():
-		return nil, eris.Wrap(x.incoming.wrap(x.ctx.Err()), "receive answer from peer")
+		return nil, eris.Wrap(x.incoming.wrap(context.Cause(x.ctx)), "receive answer from peer")
 	}
 }
 
