A stream goes on within its answer only at the software version that began it

Cause: the choice of a target for the rest of a stream did not look at versions, and a roll-out handed streams over to the new version on purpose.

A choice may be bound to a version; one that is barred, or on trial without a share, gets nothing. The handover of a roll-out is gone: what is left at the old version at the last moment is cut and counted. Cached prompts are copied only between engines of one version.

--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -71,7 +71,7 @@
 		}, []string{"service", "version", "outcome"}),
 		replaced: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "topazmoor_entry_rollout_replaced_calls_total",
-			Help: "Calls to the old version that ended after the handover of its streams began, by service and outcome; bad ones were cut off.",
+			Help: "Calls to the old version that ended after it was announced that that version stops, by service and outcome; bad ones were cut off.",
 		}, []string{"service", "outcome"}),
 	}
 	e.registry.MustRegister(e.requests, e.latency, e.stages, e.began, e.estimateError, e.repeats, e.spilled, e.spillRefused, e.rolloutCalls, e.replaced)
@@ -111,7 +111,7 @@
 func (e *Entry) Repeated(service, why string) { e.repeats.WithLabelValues(service, why).Inc() }
 
 // RolloutCallEnded counts a call that ended during a roll-out of its service. replaced says that it
-// went to the old version and ended after the handover of that version's streams began.
+// went to the old version and ended after it was announced that that version stops.
 func (e *Entry) RolloutCallEnded(c rollout.Call, o rollout.Outcome, replaced bool) {
 	e.rolloutCalls.WithLabelValues(c.Service, c.Version, o.String()).Inc()
 	if replaced {
--- a/internal/passthrough/quarantine.go
+++ b/internal/passthrough/quarantine.go
@@ -33,6 +33,7 @@
 	c.claimedProbe = ""
 	n := sendInfo{number: c.sends + 1, chosen: time.Now(), fresh: c.stale > 0 || c.s.cfg.Guard.Suspect(c.digest), probe: probe}
 	q.Service, q.Route, q.Regions, q.Exclude, q.LeastBusy, q.Resent = c.service, c.route.Name, c.regions(), c.tried, probe != "", c.sends > 0
+	q.Version = c.version
 	q.Exchange, q.Rank, q.Left = c.exchange(), c.rank, c.timeLeft()
 	l := c.pickTarget(q)
 	if l == nil {
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -200,6 +200,10 @@
 	// ctx ends when the caller leaves, at the deadline, or when the process ends.
 	ctx context.Context
 
+	// version is the software version of the targets that began the stream; nil for a stream without
+	// events.
+	version *string
+
 	// tried lists the targets that the request was sent to. runs counts the sends that may have
 	// run the request, sends all sends.
 	tried []string
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -138,11 +138,8 @@
 		return true
 	})
 	defer watchdog.stop()
-	if mayResume := c.route.Resumable && c.runs-c.stale+1 < c.route.MaxAttempts; mayResume {
-		if !c.s.cfg.Off.Has(mechanism.SilentEngines) {
-			watchdog.watch(max(stallFactor*c.firstEventTime(), minStallTimeout))
-		}
-		defer l.OnHandover(func() { c.continueElsewhere(l, cancel) })()
+	if mayResume := c.route.Resumable && c.runs-c.stale+1 < c.route.MaxAttempts; mayResume && !c.s.cfg.Off.Has(mechanism.SilentEngines) {
+		watchdog.watch(max(stallFactor*c.firstEventTime(), minStallTimeout))
 	}
 	c.runs++
 	a, f := c.send(ctx, l, n, Outgoing{Inputs: x.in.handles, LastEvent: x.lastEvent, CopyFrom: l.CopyFrom})
@@ -150,7 +147,7 @@
 		if !f.ran {
 			c.runs--
 		}
-		f.budgetCharged = watchdog.fired() || isReplaced(ctx)
+		f.budgetCharged = watchdog.fired()
 		return f
 	}
 	defer a.ans.Body.Close()
@@ -203,7 +200,7 @@
 		}
 		if err != nil {
 			f := x.recordInterrupted(ctx, a, err)
-			f.budgetCharged = watchdog.fired() || isReplaced(ctx)
+			f.budgetCharged = watchdog.fired()
 			return f
 		}
 		if !progressed && !first && time.Since(a.start) >= streamProgress {
@@ -220,6 +217,9 @@
 		if !x.started {
 			x.sendHead(a)
 		}
+		if c.version == nil {
+			c.version = &a.lease.Version
+		}
 		if err := x.sendEvent(ev); err != nil {
 			return x.callerLeft(a, err)
 		}
@@ -282,12 +282,12 @@
 // recordInterrupted records a stream that ended early.
 func (x *streaming) recordInterrupted(ctx context.Context, a *attempt, err error) *failure {
 	outcome := targets.Failed
-	if x.c.ctx.Err() != nil || isReplaced(ctx) {
+	if x.c.ctx.Err() != nil {
 		outcome = targets.Abandoned
 	}
 	a.streamDone(outcome)
 	x.c.log.Info("stream of target ended early", "target", a.lease.ID, "addr", a.lease.Addr, "digest", x.c.digest, "events", x.events, "last", x.lastEvent,
-		"ran_ms", time.Since(a.start).Milliseconds(), "silent", errors.Is(context.Cause(ctx), errSilent), "replaced", isReplaced(ctx), "err", err)
+		"ran_ms", time.Since(a.start).Milliseconds(), "silent", errors.Is(context.Cause(ctx), errSilent), "err", err)
 	x.c.reportInterrupted(a.lease, a.n, a.start, ctx.Err() != nil)
 	return &failure{ran: true, err: err}
 }
--- a/internal/peer/rollout.go
+++ b/internal/peer/rollout.go
@@ -49,7 +49,7 @@
 	m := &peerpb.RolloutReport{
 		Node: r.Node, Service: r.Order.Service, To: r.Order.To, Era: r.Order.Revision.Era, Version: r.Order.Revision.Number,
 		LastsMs: r.Order.Lasts.Milliseconds(), Sent: r.Evidence.Sent, SentNew: r.Evidence.SentNew, OldInFlight: uint32(r.OldInFlight),
-		Has: answerTo(r.Has), HoldMs: r.Hold.Milliseconds(), Handover: r.Handover,
+		Has: answerTo(r.Has), HoldMs: r.Hold.Milliseconds(), Handover: r.KnowsLongFrom,
 	}
 	for source, t := range r.Evidence.Tallies {
 		m.Tally = append(m.Tally, &peerpb.RolloutTally{
@@ -65,7 +65,7 @@
 		Order:       rollout.Order{Service: m.Service, To: m.To, Revision: store.Version{Era: m.Era, Number: m.Version}, Lasts: time.Duration(m.LastsMs) * time.Millisecond},
 		Evidence:    rollout.Evidence{Tallies: make(map[rollout.Source]rollout.Tally, len(m.Tally)), Sent: m.Sent, SentNew: m.SentNew},
 		OldInFlight: int(m.OldInFlight), Has: answerFrom(m.Has), Hold: time.Duration(m.HoldMs) * time.Millisecond,
-		Handover: m.Handover,
+		KnowsLongFrom: m.Handover,
 	}
 	for _, t := range m.Tally {
 		tally := rollout.Tally{Bad: t.Bad}
@@ -87,12 +87,12 @@
 }
 
 func answerTo(a rollout.Answer) *peerpb.RolloutAnswer {
-	return &peerpb.RolloutAnswer{State: string(a.State), Share: a.Share, LongFromMs: a.LongFrom.Milliseconds(), Handover: a.Handover, Moving: a.Moving}
+	return &peerpb.RolloutAnswer{State: string(a.State), Share: a.Share, LongFromMs: a.LongFrom.Milliseconds(), Handover: a.OldStops, Moving: a.Moving}
 }
 
 func answerFrom(m *peerpb.RolloutAnswer) rollout.Answer {
 	return rollout.Answer{
-		State: rollout.State(m.GetState()), Share: m.GetShare(), LongFrom: time.Duration(m.GetLongFromMs()) * time.Millisecond, Handover: m.GetHandover(),
+		State: rollout.State(m.GetState()), Share: m.GetShare(), LongFrom: time.Duration(m.GetLongFromMs()) * time.Millisecond, OldStops: m.GetHandover(),
 		Moving: m.GetMoving(),
 	}
 }
--- a/internal/rollout/calls.go
+++ b/internal/rollout/calls.go
@@ -117,7 +117,7 @@
 	}
 	isNew := c.Version == s.To
 	if g.CallEnded != nil {
-		g.CallEnded(c, e.Outcome, !isNew && (s.answer.Handover || s.answer.State == Completed))
+		g.CallEnded(c, e.Outcome, !isNew && (s.answer.OldStops || s.answer.State == Completed))
 	}
 	if s.answer.State.Final() {
 		return
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -44,9 +44,9 @@
 	State State
 	// Share is the share of the calls that go to the new version.
 	Share float64
-	// LongFrom and Handover are those of the Answer.
+	// LongFrom and OldStops are those of the Answer.
 	LongFrom time.Duration
-	Handover bool
+	OldStops bool
 	// Moving says that the version is held to be good and the traffic moves to it.
 	Moving bool
 	// Phase and Reason describe the decision to operators.
@@ -83,9 +83,9 @@
 	// later: another owner may decide before, and the evidence may become complete.
 	decisionMargin     = 500 * time.Millisecond
 	lastDecisionMargin = decisionMargin - stepInterval
-	// handoverMargin is how long before its deadline an order that may complete moves the streams that
-	// are left at the old version, so that most continue at the new one before the old one stops.
-	handoverMargin = decisionMargin + 3*stepInterval
+	// stoppingMargin is how long before its deadline an order that may complete announces that the old
+	// version stops.
+	stoppingMargin = decisionMargin + 3*stepInterval
 	// minRouteAnswers is the number of answers on a route that suffices to detect an excess of bad
 	// ones. With fewer than minAnswers on all routes the new version cannot be assessed.
 	minRouteAnswers = 25
@@ -256,8 +256,8 @@
 		return Step{State: Completed, Share: 1, Reason: fmt.Sprintf("all traffic goes to the version, which is held to be good; %d calls were left at the old version", s.OldInFlight)}
 	}
 	step := Step{State: Running, Phase: "settling", Share: 1, Moving: true, LongFrom: minLongFrom, Reason: fmt.Sprintf("%d calls are left at the old version", s.OldInFlight)}
-	if !s.Now.Before(c.deadline().Add(-handoverMargin)) {
-		step.Phase, step.Handover = "handover", true
+	if !s.Now.Before(c.deadline().Add(-stoppingMargin)) {
+		step.Phase, step.OldStops = "stopping", true
 	}
 	return step
 }
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -23,8 +23,8 @@
 	// differs from Has, for Hold at most.
 	Has  Answer
 	Hold time.Duration
-	// Handover says that the node understands LongFrom and Handover of an Answer.
-	Handover bool
+	// KnowsLongFrom says that the node understands LongFrom and OldStops of an Answer.
+	KnowsLongFrom bool
 }
 
 // Answer is the decision of an owner that nodes act on.
@@ -34,8 +34,9 @@
 	// LongFrom is set once the version is held to be good: repeats, and calls that are expected to last
 	// that long, go to the new version, whatever the share. It has whole milliseconds; 0 for none.
 	LongFrom time.Duration
-	// Handover says that streams that are still at the old version are to continue at the new one.
-	Handover bool
+	// OldStops says that the targets of the old version are about to stop. Streams there stay: they
+	// cannot continue at another version.
+	OldStops bool
 	// Moving says that the owner holds the version to be good and moves the traffic to it.
 	Moving bool
 }
@@ -86,7 +87,7 @@
 	Log   *slog.Logger
 	// CallEnded is called for each call that ended while an order of its service stands, with the
 	// Gate's lock held; nil for none. replaced says that the call went to the old version and ended
-	// after the handover began, or after the order was completed.
+	// after it was announced that the old version stops, or after the order was completed.
 	CallEnded func(c Call, o Outcome, replaced bool)
 
 	mu sync.Mutex
@@ -116,8 +117,6 @@
 	evidence Evidence
 	// longest is the longest time of a call to targets of other versions, by route.
 	longest map[string]time.Duration
-	// handovers are called once the answer has Handover.
-	handovers map[*handover]struct{}
 	// unreportedBad says that a bad answer of the new version has not been reported yet. wake
 	// interrupts the report that is being held.
 	unreportedBad bool
@@ -155,7 +154,7 @@
 		g.end(s)
 		g.barred[o.Service] = slices.DeleteFunc(g.barred[o.Service], func(v string) bool { return v == o.To })
 		g.orders[o.Service] = &orderState{Order: o, evidence: Evidence{Tallies: make(map[Source]Tally)}, wake: make(chan struct{}, 1),
-			longest: make(map[string]time.Duration), handovers: make(map[*handover]struct{}),
+			longest: make(map[string]time.Duration),
 		}
 		g.recall(g.orders[o.Service])
 	}
@@ -369,7 +368,7 @@
 	hold := HoldOf(g.Nodes())
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r = Report{Node: g.Node, Order: s.Order, Evidence: s.evidence.Clone(), OldInFlight: g.oldInFlight(s.Order), Has: s.answer, Hold: hold, Handover: true}
+	r = Report{Node: g.Node, Order: s.Order, Evidence: s.evidence.Clone(), OldInFlight: g.oldInFlight(s.Order), Has: s.answer, Hold: hold, KnowsLongFrom: true}
 	if s.answer.State.Final() {
 		// The owner needs only the state.
 		r.Evidence.Tallies = nil
@@ -399,7 +398,6 @@
 	if unreportedBad && s.evidence.newBad() == r.Evidence.newBad() {
 		s.unreportedBad = false
 	}
-	s.startHandover()
 	if a.State.Final() {
 		g.outcomes.set(s.Order, a.State)
 	}
--- a/internal/rollout/owner.go
+++ b/internal/rollout/owner.go
@@ -85,7 +85,7 @@
 		w.mu.Lock()
 		answer, changed := x.answer, x.changed
 		w.mu.Unlock()
-		if !r.Handover {
+		if !r.KnowsLongFrom {
 			answer = answer.forOld()
 		}
 		if !answer.sameEffect(r.Has) && answer.State != Unknown {
@@ -276,7 +276,7 @@
 	x.step = step
 	if !step.State.Final() {
 		if x.saved {
-			x.publish(Answer{State: Running, Share: step.Share, LongFrom: step.LongFrom, Handover: step.Handover, Moving: step.Moving})
+			x.publish(Answer{State: Running, Share: step.Share, LongFrom: step.LongFrom, OldStops: step.OldStops, Moving: step.Moving})
 		}
 		return
 	}
--- a/internal/targets/engine.go
+++ b/internal/targets/engine.go
@@ -112,7 +112,8 @@
 		if k.tokens <= have || k.tokens < tokens {
 			break
 		}
-		if !use(k) {
+		// What two versions of the software write does not fit together.
+		if !use(k) || k.Version != s.Version {
 			continue
 		}
 		if k.DataCentre == s.DataCentre {
@@ -132,7 +133,8 @@
 	if addr := t.copyFrom(s, holders); addr != "" || s.cachedTokens(holders) >= q.Engine.Shared {
 		return addr
 	}
-	return t.copyFrom(s, presumedHolders(q.Engine, t.affinityCandidates(q.Engine.Shared, q.Exchange, cands)))
+	same := slices.DeleteFunc(slices.Clone(cands), func(other *state) bool { return other.Version != s.Version })
+	return t.copyFrom(s, presumedHolders(q.Engine, t.affinityCandidates(q.Engine.Shared, q.Exchange, same)))
 }
 
 // bestEngine returns the candidate of least cost; rendezvous hashing decides between equal
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -43,6 +43,9 @@
 	// Resumed is set if the caller has a part of the answer: the call cannot be refused any more, so
 	// it may go to any region.
 	Resumed bool
+	// Version is the software version of the targets that may get the call: a stream that has begun goes
+	// on only at the version that began it. nil for any.
+	Version *string
 	// SkipScarce leaves out targets whose rate is bounded or that bound their rejections: an optional call should not
 	// use up a part of what they can take.
 	SkipScarce bool
@@ -190,6 +193,9 @@
 // candidates returns the targets of a service that may be called, and their target group: those of
 // the first target group that has any; without such groups, those of the whole service.
 func (t *Table) candidates(q Query, now time.Time) ([]*state, rollout.TargetGroup) {
+	if q.Version != nil {
+		return t.candidatesOfVersion(q, now), rollout.TargetGroup{}
+	}
 	groups := t.targetGroups(q)
 	if groups == nil {
 		return t.candidatesOf(q, now, anyTarget), rollout.TargetGroup{}
@@ -202,6 +208,14 @@
 	return nil, rollout.TargetGroup{}
 }
 
+// candidatesOfVersion returns the targets that may go on with a stream that began at q.Version.
+func (t *Table) candidatesOfVersion(q Query, now time.Time) []*state {
+	if t.Rollouts != nil && !t.Rollouts.MayResume(q.Service, *q.Version) {
+		return nil
+	}
+	return t.candidatesOf(q, now, func(s *state) bool { return s.Version == *q.Version })
+}
+
 // candidatesOf returns the targets of a target group that may be called and are within reach (see
 // withinReach), of the first set that is not empty: the healthy ones; those called only where there
 // is no other (see lastResort); the one for which a permit is available first, if that is not after
--- a/internal/targets/rollout.go
+++ b/internal/targets/rollout.go
@@ -9,7 +9,7 @@
 
 // Rollouts decides which versions of a service get calls, and records how the calls end;
 // *rollout.Gate in production. It is called with the Table's lock held, except by
-// OnHandover, RecordStageCallStart and RecordStageCallEnd.
+// RecordStageCallStart and RecordStageCallEnd.
 type Rollouts interface {
 	TargetGroups(service, route string, again bool, others func(version string) bool) []rollout.TargetGroup
 	Trial(service string) (version string, share float64)
@@ -17,7 +17,8 @@
 	Sent(c rollout.Call)
 	Progressed(c rollout.Call, e rollout.Ending)
 	Ended(c rollout.Call, e rollout.Ending)
-	OnHandover(c rollout.Call, start func()) (stop func())
+	// MayResume reports whether a version may get streams that began at it.
+	MayResume(service, version string) bool
 }
 
 // callObservation is what was observed of a call, to judge the version of its target by.
@@ -84,15 +85,6 @@
 	return rollout.Call{Service: l.Service, Version: l.Version, Target: l.ID, Route: l.observed.route}
 }
 
-// OnHandover calls start, in a goroutine of its own, when a roll-out asks for the call to continue at
-// another version. stop ends the wait.
-func (l *Lease) OnHandover(start func()) (stop func()) {
-	if l.t.Rollouts == nil {
-		return func() {}
-	}
-	return l.t.Rollouts.OnHandover(l.rolloutCall(), start)
-}
-
 // MarkFaulty records that the answer was a failure of the target.
 func (l *Lease) MarkFaulty() {
 	l.t.mu.Lock()
