Reads of the store that are late go on beside new ones

Evidence: all nodes' first answers came 3.7 s after the return.

A read without an answer in time is reported as before, so that a silent store is noticed and its return too, and is waited for beside the new reads; the first answer counts. An answer to an earlier read does not show that the store answers now. TestLargeChangeArrivesFromASlowStore passes as before.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -99,6 +99,9 @@
 	Rows []Row
 	// Version is the newest version that the rows include.
 	Version Version
+	// Late is set if a part of this answers an earlier call: it does not show that the store answers
+	// now.
+	Late bool
 }
 
 // Change is one changed row; the last change of a row replaces all earlier ones.
@@ -113,6 +116,8 @@
 	Changes []Change
 	// Version is the version to pass as after to the next call.
 	Version Version
+	// Late is set if this answers an earlier call: it does not show that the store answers now.
+	Late bool
 }
 
 // Watchable is a table service whose changes can be followed.
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -200,11 +200,7 @@
 	invalidations := t.Invalidations()
 	t.forWake = woken
 	if t.needsSnapshot() {
-		err := t.readSnapshot(ctx)
-		if err == nil {
-			t.Confirm(invalidations)
-		}
-		return err
+		return t.readSnapshot(ctx, invalidations)
 	}
 	maxWait := t.Wait
 	if t.SharedWait > 0 && t.HasFollowers() {
@@ -222,9 +218,13 @@
 	if err != nil {
 		return err
 	}
-	t.recordAnswer(time.Now())
+	if !changes.Late {
+		t.recordAnswer(time.Now())
+	}
 	changed := t.applyChanges(asked, changes)
-	t.Confirm(invalidations)
+	if !changes.Late {
+		t.Confirm(invalidations)
+	}
 	if !changed || t.Pause == nil {
 		return nil
 	}
@@ -303,13 +303,22 @@
 }
 
 // readSnapshot reads the whole table and replaces the copy, unless the answer is older than it.
-func (t *Table) readSnapshot(ctx context.Context) error {
+// invalidations is the number of Invalidations when the call began.
+func (t *Table) readSnapshot(ctx context.Context, invalidations int64) error {
 	snap, err := t.From.Snapshot(ctx, t.Name, t.minVersion())
 	if err != nil {
 		return err
 	}
-	t.recordAnswer(time.Now())
-	return t.applySnapshot(snap)
+	if !snap.Late {
+		t.recordAnswer(time.Now())
+	}
+	if err := t.applySnapshot(snap); err != nil {
+		return err
+	}
+	if !snap.Late {
+		t.Confirm(invalidations)
+	}
+	return nil
 }
 
 // applySnapshot replaces the copy by a read of the whole table. It drops a read older than the copy,
