A caller takes a stream up only at the software version that began it

Cause: by which version a stream began was known to the node that served it, and to nobody once that was killed.

internal/resume: the node that serves a stream sends a record of its service and version to two of three nodes that the ID of the caller's attempt names, in two data centres where there are two; any node asks these. Records cross only while a service has had two versions within a minute, and when a second one shows those of the open streams do. A stream whose version nobody knows, or of which no target is left, is refused at once (stream_lost, 503). Calls of the caller API that go on after an engine's failure are bound to its version too.

--- a/internal/entry/deferred.go
+++ b/internal/entry/deferred.go
@@ -12,6 +12,7 @@
 	"topazmoor/internal/poison"
 	"topazmoor/internal/region"
 	"topazmoor/internal/relay"
+	"topazmoor/internal/resume"
 	"topazmoor/internal/rollout"
 	"topazmoor/internal/sharedrate"
 	"topazmoor/internal/stagebatch"
@@ -114,6 +115,24 @@
 	return c.AskPermits(ctx, addr, a)
 }
 
+// SendStreams implements resume.Remote.
+func (l *deferredClient) SendStreams(ctx context.Context, addr string, records []resume.Record) error {
+	c := l.c.Load()
+	if c == nil {
+		return errNoKey
+	}
+	return c.SendStreams(ctx, addr, records)
+}
+
+// FindStream implements resume.Remote.
+func (l *deferredClient) FindStream(ctx context.Context, addr, id, service string) (resume.Answer, error) {
+	c := l.c.Load()
+	if c == nil {
+		return resume.Answer{}, errNoKey
+	}
+	return c.FindStream(ctx, addr, id, service)
+}
+
 // Connect has another node connect to a target.
 func (l *deferredClient) Connect(ctx context.Context, addr, target string) (net.Conn, error) {
 	c := l.c.Load()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"topazmoor/internal/poison"
 	"topazmoor/internal/region"
 	"topazmoor/internal/relay"
+	"topazmoor/internal/resume"
 	"topazmoor/internal/rollout"
 	"topazmoor/internal/routes"
 	"topazmoor/internal/sharedrate"
@@ -142,6 +143,7 @@
 	quarantineTable *watch.Table
 	limiter         *sharedrate.Limiter
 	gate            *rollout.Gate
+	streams         *resume.Registry
 	owner           *rollout.Owner
 	// relayServer and follower relay the tables of the store between the nodes of a data centre.
 	relayServer  *relay.Publisher
@@ -246,6 +248,7 @@
 func (n *Node) applyTargets(v watch.View) {
 	n.relayServer.Wake()
 	changes, gone := n.targets.Change(n.readTargets(v), v.RestoredAt)
+	n.streams.TargetsChanged()
 	for _, addr := range gone {
 		n.env.Conns.CloseIdle(addr)
 	}
@@ -287,7 +290,7 @@
 		supervise.Named("follower", n.follower), supervise.Named("publisher", n.relayServer),
 		supervise.Named("callers", n.callerServer), supervise.Named("quarantine", n.quarantineTable), supervise.Named("guard", n.guard),
 		supervise.Named("suspensions", n.detector), supervise.Named("roll-outs", n.gate), supervise.Named("sweeper", &sweeper{n}),
-		supervise.Named("links to targets", n.env.Links),
+		supervise.Named("links to targets", n.env.Links), supervise.Named("versions of streams", n.streams),
 	} {
 		sup.Add(s)
 	}
--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -28,6 +28,7 @@
 	n.provisionTraffic()
 	n.provisionLimits()
 	n.provisionRollouts()
+	n.provisionStreams()
 	n.provisionTables()
 	n.versionTracker = &versionTracker{n: n}
 	n.former = stagebatch.NewFormer(env.Worker, n.targets, n.batchSpec, n.log)
@@ -38,6 +39,7 @@
 	if n.peers, err = n.provisionPeers(); err != nil {
 		return nil, err
 	}
+	n.streams.Remote = n.peers.client
 	if n.detector, err = suspend.New(env.BootAhead, n.hostResumed); err != nil {
 		return nil, err
 	}
@@ -49,7 +51,7 @@
 	n.router.Exchange = n.peers.client
 	n.passThrough = passthrough.New(passthrough.Config{
 		Routes: n.state.Routes.Get, Current: n.current, StoreUnreachable: n.storeUnreachable, SuspendedTime: n.detector.SuspendedTime, Trusted: n.trusted, Targets: n.targets, Stages: n.router,
-		Guard: n.guard, Sender: env.Conns, Wire: env.Wire, Off: set.Off,
+		Guard: n.guard, Streams: n.streams, Sender: env.Conns, Wire: env.Wire, Off: set.Off,
 		Repeats:   flow.NewRepeatBudgets(set.Repeats.Ratio, set.Repeats.Fixed, set.Repeats.Window, n.router.Live, n.acquireRepeatPermit),
 		BodyBytes: defaultBodyBytes, ReadTimeout: defaultReadTimeout, Observer: n.metrics, Log: n.log,
 	})
--- /dev/null
+++ b/internal/entry/streams.go
@@ -0,0 +1,22 @@
+package entry
+
+import (
+	"topazmoor/internal/resume"
+)
+
+// provisionStreams creates the records of the versions at which streams began.
+func (n *Node) provisionStreams() {
+	n.streams = resume.NewRegistry()
+	n.streams.Self = resume.Node{Name: n.set.Node, DataCentre: n.set.DataCentre}
+	n.streams.Regions = n.set.Regions
+	n.streams.Versions = n.targets.SoftwareVersions
+	n.streams.Log = n.log
+	n.streams.Nodes = func() []resume.Node {
+		var out []resume.Node
+		for _, m := range n.state.Members.Get() {
+			out = append(out, resume.Node{Name: m.Name, Addr: m.Addr, DataCentre: m.DataCentre})
+		}
+		return out
+	}
+	n.metrics.Gauge("topazmoor_entry_stream_records", "Records of the versions at which streams began.", func() float64 { return float64(n.streams.Records()) })
+}
--- a/internal/frontdoor/reply.go
+++ b/internal/frontdoor/reply.go
@@ -64,6 +64,7 @@
 	verdict.DeadlineExceeded:    http.StatusGatewayTimeout,
 	verdict.Canceled:            499,
 	verdict.NoTarget:            http.StatusServiceUnavailable,
+	verdict.StreamLost:          http.StatusServiceUnavailable,
 	verdict.TargetRefused:       http.StatusServiceUnavailable,
 	verdict.TargetFailed:        http.StatusBadGateway,
 	verdict.CrashesTargets:      http.StatusServiceUnavailable,
--- a/internal/passthrough/admit.go
+++ b/internal/passthrough/admit.go
@@ -28,6 +28,9 @@
 	if err := c.s.cfg.Guard.Admit(c.digest); err != nil {
 		return c.quarantineError(err)
 	}
+	if err := c.bindVersion(); err != nil {
+		return err
+	}
 	if err := c.refuseAllPaused(); err != nil {
 		return err
 	}
@@ -40,9 +43,6 @@
 	left := c.timeLeft()
 	c.log.Info("accepted", "route", c.route.Name, "service", c.service, "account", c.account, "rank", c.rank, "config", c.cfg.Version,
 		"need_ms", timeToAnswer.Milliseconds(), "left_ms", left.Milliseconds(), "objective_ms", c.route.Objective.Milliseconds(), "late", late, "pieces", c.meta.Pieces, "digest", c.digest)
-	if c.meta.LastEvent != "" {
-		c.log.Info("stream taken up", "resumes", c.meta.Resumes, "after_event", c.meta.LastEvent)
-	}
 	if time.Duration(admissionFraction*float64(timeToAnswer)) > left {
 		delay := min(timeToAnswer-left+c.retryAfter(), time.Duration(maxRetryAfterFraction*float64(left)))
 		return notRun(verdict.DeadlineUnreachable, "the request needs about %v and %v are left",
--- /dev/null
+++ b/internal/passthrough/resume.go
@@ -0,0 +1,50 @@
+package passthrough
+
+import (
+	"slices"
+
+	"topazmoor/internal/resume"
+	"topazmoor/internal/routes"
+	"topazmoor/internal/verdict"
+)
+
+// resumedStream returns the stream that the request is a part of. A caller that takes a stream up names the
+// attempt that brought its first event.
+func (c *call) resumedStream() resume.Stream {
+	s := resume.Stream{ID: c.meta.ID, Service: c.service, Regions: c.regions(), Deadline: c.deadline}
+	if c.meta.LastEvent != "" {
+		s.ID = c.meta.Resumes
+	}
+	return s
+}
+
+// bindVersion binds a stream that its caller takes up to the version that began it. It refuses the request if
+// that is not known, or if no target of the version is left: waiting would not help.
+func (c *call) bindVersion() error {
+	if c.route.Kind != routes.Stream || c.meta.LastEvent == "" {
+		return nil
+	}
+	origin, err := c.s.cfg.Streams.Find(c.ctx, c.resumedStream())
+	if err != nil {
+		c.logTakenUp("known", false, "err", err)
+		return notRun(verdict.StreamLost, "the version of the targets that began the stream is not known")
+	}
+	usable := c.s.cfg.Targets.HasUsable(origin.Service, origin.Version)
+	routed := slices.ContainsFunc(c.route.Split, func(s routes.Share) bool { return s.Service == origin.Service })
+	c.logTakenUp("known", true, "began_at", origin.Service, "version", origin.Version, "usable", usable, "routed", routed)
+	if !usable || !routed {
+		return notRun(verdict.StreamLost, "the route has no target of version %q of %s left, at which the stream began", origin.Version, origin.Service)
+	}
+	c.service, c.version = origin.Service, &origin.Version
+	return nil
+}
+
+func (c *call) logTakenUp(found ...any) {
+	c.log.Info("stream taken up", append([]any{"resumes", c.meta.Resumes, "after_event", c.meta.LastEvent}, found...)...)
+}
+
+// recordVersion records the version that began the stream.
+func (c *call) recordVersion(version string) {
+	c.version = &version
+	c.endStream = c.s.cfg.Streams.Begin(c.resumedStream(), version)
+}
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -17,6 +17,7 @@
 	"topazmoor/internal/mechanism"
 	"topazmoor/internal/poison"
 	"topazmoor/internal/region"
+	"topazmoor/internal/resume"
 	"topazmoor/internal/routes"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/targets"
@@ -52,6 +53,14 @@
 	Abandoned(d poison.Digest, probe string)
 }
 
+// Streams knows at which version of the targets' software streams began; *resume.Registry in production.
+type Streams interface {
+	// Begin records that a stream began at a version. end is called when the stream has ended here.
+	Begin(s resume.Stream, version string) (end func())
+	// Find returns where a stream began, or an error if that is not known.
+	Find(ctx context.Context, s resume.Stream) (resume.Origin, error)
+}
+
 // Sender sends one request to a target; *httpconn.Pool in production.
 type Sender interface {
 	Do(ctx context.Context, addr string, r *httpconn.Request) (*httpconn.Answer, error)
@@ -110,6 +119,7 @@
 	Sender  Sender
 	Wire    Wire
 	Guard   Guard
+	Streams Streams
 	// Repeats bounds repeated sends, by service.
 	Repeats *flow.RepeatBudgets
 	// Off holds the mechanisms that an experiment disables.
@@ -201,8 +211,9 @@
 	ctx context.Context
 
 	// version is the software version of the targets that began the stream; nil for a stream without
-	// events.
-	version *string
+	// events. endStream ends the record of it at this node; nil if there is none.
+	version   *string
+	endStream func()
 
 	// tried lists the targets that the request was sent to. runs counts the sends that may have
 	// run the request, sends all sends.
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -39,6 +39,11 @@
 	x := &streaming{c: c, lastEvent: c.meta.LastEvent}
 	defer func() { c.freeResults(x.in) }()
 	defer c.releaseProbe()
+	defer func() {
+		if c.endStream != nil {
+			c.endStream()
+		}
+	}()
 	for {
 		if x.in == nil {
 			if err := c.claimProbe(); err != nil {
@@ -217,8 +222,8 @@
 		if !x.started {
 			x.sendHead(a)
 		}
-		if c.version == nil {
-			c.version = &a.lease.Version
+		if c.endStream == nil {
+			c.recordVersion(a.lease.Version)
 		}
 		if err := x.sendEvent(ev); err != nil {
 			return x.callerLeft(a, err)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -57,6 +57,8 @@
 	Permits Permits
 	// Rollouts decides on roll-outs of versions. If it is nil, reports are refused.
 	Rollouts Rollouts
+	// Streams keeps records of streams for other nodes. If it is nil, they are refused.
+	Streams Streams
 	// Targets connects to targets on behalf of other nodes. If it is nil, Connect is refused.
 	Targets Targets
 	// Versions exchanges configuration versions along with orders; nil disables that.
@@ -256,6 +258,10 @@
 		return s.rollout(ctx, call.Rollout)
 	case *peerpb.Request_Waits:
 		return s.waits(call.Waits)
+	case *peerpb.Request_Streams:
+		return s.streams(call.Streams)
+	case *peerpb.Request_FindStream:
+		return s.findStream(call.FindStream)
 	case *peerpb.Request_Produce:
 		return s.produce(ctx, st, call.Produce)
 	case *peerpb.Request_Free:
--- a/internal/pipeline/stage.go
+++ b/internal/pipeline/stage.go
@@ -39,6 +39,8 @@
 	combined verdict.Verdict
 	// exclude lists the IDs of the targets that the stage was sent to.
 	exclude []string
+	// version is the software version of the target that sent the tokens so far; "" before the first.
+	version string
 	// failed is the number of attempts that count against the stage's limit: failed
 	// ones that may have run, except streams that returned tokens before they failed.
 	failed int
@@ -65,7 +67,7 @@
 		Pool: s.st.Pool, Model: s.st.Model, Adapter: s.st.Adapter,
 		Account: s.req.Account, Class: s.req.Class, Stage: s.key(),
 		Latest: s.r.latest(s.req, s.index), Prefix: s.d.prefix(s.st), Exclude: s.exclude,
-		Regions: s.req.Regions,
+		Regions: s.req.Regions, Version: s.version,
 	})
 }
 
@@ -351,6 +353,7 @@
 	a.tokensBefore = len(sink.tokens)
 	a.err = s.r.calls.Stream(ctx, call, a.tokensBefore, stall, func(tok dispatch.Token) error {
 		lease.FirstToken()
+		s.version = lease.Target.Version
 		return sink.add(tok)
 	})
 	return a, nil
--- /dev/null
+++ b/internal/resume/resume_test.go
@@ -0,0 +1,195 @@
+package resume
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// fleet are the registries of some nodes by address; nodes that are down do not answer.
+type fleet struct {
+	nodes map[string]*Registry
+
+	mu   sync.Mutex
+	down map[string]bool
+	// versions are those that each node has seen.
+	versions map[string][]string
+}
+
+// lose makes nodes not answer.
+func (f *fleet) lose(names ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, name := range names {
+		f.down[name] = true
+	}
+}
+
+func (f *fleet) isDown(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.down[name]
+}
+
+// see sets the versions that a node has seen.
+func (f *fleet) see(name string, versions ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.versions[name] = versions
+}
+
+func (f *fleet) seen(name string) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.versions[name]
+}
+
+var errDown = errors.New("the node is down")
+
+func (f *fleet) SendStreams(_ context.Context, addr string, records []Record) error {
+	if f.isDown(addr) {
+		return errDown
+	}
+	f.nodes[addr].Keep(records)
+	return nil
+}
+
+func (f *fleet) FindStream(_ context.Context, addr, id, service string) (Answer, error) {
+	if f.isDown(addr) {
+		return Answer{}, errDown
+	}
+	return f.nodes[addr].Answer(id, service), nil
+}
+
+// newFleet returns n nodes in two data centres, all of which have seen v1 and v2.
+func newFleet(ctx context.Context, n int) *fleet {
+	f := &fleet{nodes: make(map[string]*Registry), down: make(map[string]bool), versions: make(map[string][]string)}
+	var all []Node
+	for i := range n {
+		name := fmt.Sprint("node-", i)
+		all = append(all, Node{Name: name, Addr: name, DataCentre: fmt.Sprint("dc-", i%2)})
+	}
+	for _, self := range all {
+		r := NewRegistry()
+		r.Self, r.Remote, r.Log = self, f, slog.New(slog.NewTextHandler(io.Discard, nil))
+		r.Nodes = func() []Node {
+			var others []Node
+			for _, other := range all {
+				if other != self {
+					others = append(others, other)
+				}
+			}
+			return others
+		}
+		r.Versions = func(string) ([]string, bool) { return f.seen(self.Name), false }
+		f.see(self.Name, "v1", "v2")
+		f.nodes[self.Name] = r
+		go func() { _ = r.Serve(ctx) }()
+	}
+	return f
+}
+
+func inFleet(t *testing.T, n int, test func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		test(t, newFleet(ctx, n))
+	})
+}
+
+func stream(id string) Stream {
+	return Stream{ID: id, Service: "s", Deadline: time.Now().Add(5 * time.Second)}
+}
+
+func TestEveryNodeFindsWhereAStreamBeganAfterItsNodeIsLost(t *testing.T) {
+	inFleet(t, 7, func(t *testing.T, f *fleet) {
+		for i := range 50 {
+			id := fmt.Sprint("stream-", i)
+			f.nodes["node-0"].Begin(stream(id), "v2")
+			time.Sleep(time.Second / 10)
+		}
+		f.lose("node-0")
+		for name, r := range f.nodes {
+			if f.isDown(name) {
+				continue
+			}
+			got, err := r.Find(t.Context(), stream("stream-49"))
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, got, qt.Equals, Origin{"s", "v2"})
+		}
+	})
+}
+
+func TestRecordsOutlastALossOfADataCentre(t *testing.T) {
+	inFleet(t, 8, func(t *testing.T, f *fleet) {
+		for i := range 40 {
+			f.nodes["node-0"].Begin(stream(fmt.Sprint("stream-", i)), "v1")
+		}
+		time.Sleep(time.Second)
+		for i := 0; i < 8; i += 2 {
+			f.lose(fmt.Sprint("node-", i))
+		}
+		found := 0
+		for i := range 40 {
+			if _, err := f.nodes["node-1"].Find(t.Context(), stream(fmt.Sprint("stream-", i))); err == nil {
+				found++
+			}
+		}
+		qt.Check(t, found >= 36, qt.IsTrue, qt.Commentf("%d of 40", found))
+	})
+}
+
+func TestUnknownStreamGoesOnOnlyWhereAllHaveSeenOneVersion(t *testing.T) {
+	inFleet(t, 4, func(t *testing.T, f *fleet) {
+		find := func() (Origin, error) { return f.nodes["node-0"].Find(t.Context(), stream("unknown")) }
+		_, err := find()
+		qt.Check(t, err, qt.Equals, ErrUnknown)
+		for name := range f.nodes {
+			f.see(name, "v2")
+		}
+		got, err := find()
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, got.Version, qt.Equals, "v2")
+		for name := range f.nodes {
+			if name != "node-0" {
+				f.see(name, "v1", "v2")
+			}
+		}
+		_, err = find()
+		qt.Check(t, err, qt.Equals, ErrUnknown)
+	})
+}
+
+func TestNothingIsSentWhileAServiceHasOneVersion(t *testing.T) {
+	inFleet(t, 3, func(t *testing.T, f *fleet) {
+		f.see("node-0", "v1")
+		end := f.nodes["node-0"].Begin(stream("ended"), "v1")
+		end()
+		f.nodes["node-0"].Begin(stream("open"), "v1")
+		time.Sleep(time.Second)
+		qt.Check(t, f.nodes["node-1"].Records()+f.nodes["node-2"].Records(), qt.Equals, 0)
+		f.see("node-0", "v1", "v2")
+		f.nodes["node-0"].TargetsChanged()
+		time.Sleep(time.Second)
+		qt.Check(t, f.nodes["node-1"].Records(), qt.Equals, 1)
+		qt.Check(t, f.nodes["node-2"].Answer("open", "s"), qt.Equals, Answer{Known: true, Origin: Origin{"s", "v1"}})
+	})
+}
+
+func TestRecordsExpire(t *testing.T) {
+	inFleet(t, 2, func(t *testing.T, f *fleet) {
+		f.nodes["node-0"].Begin(stream("a"), "v1")
+		time.Sleep(time.Second)
+		qt.Check(t, f.nodes["node-1"].Records(), qt.Equals, 1)
+		time.Sleep(5*time.Second + retention + sweepInterval)
+		qt.Check(t, f.nodes["node-0"].Records()+f.nodes["node-1"].Records(), qt.Equals, 0)
+	})
+}
--- a/internal/scheduler/rollouts.go
+++ b/internal/scheduler/rollouts.go
@@ -39,6 +39,9 @@
 // all targets are allowed. The version is drawn again only when the roll-out has changed: if it was drawn
 // at each try, a call that waits would sooner or later be sent to the version on trial.
 func (s *Scheduler) groups(p *pool, w *waiter) []rollout.TargetGroup {
+	if w.call.Version != "" {
+		return []rollout.TargetGroup{*s.reachable(p.name, &w.call)}
+	}
 	if s.cfg.Rollouts == nil {
 		return nil
 	}
@@ -74,16 +77,17 @@
 	return rollout.LastInPart(hashes, q.Group.Fraction)
 }
 
-// barred returns the group without the versions that get no calls; nil if there are none.
-func (s *Scheduler) barred(pool string) *rollout.TargetGroup {
-	if s.cfg.Rollouts == nil {
-		return nil
+// reachable returns the group of targets that may ever get a call: those of its version, without the
+// versions that get no calls; nil if all targets may.
+func (s *Scheduler) reachable(pool string, c *Call) *rollout.TargetGroup {
+	var barred []string
+	if s.cfg.Rollouts != nil {
+		barred = s.cfg.Rollouts.Barred(pool)
 	}
-	versions := s.cfg.Rollouts.Barred(pool)
-	if len(versions) == 0 {
+	if len(barred) == 0 && c.Version == "" {
 		return nil
 	}
-	return &rollout.TargetGroup{Excluded: versions}
+	return &rollout.TargetGroup{Version: c.Version, Excluded: barred, Why: "the stream's version"}
 }
 
 // evidence identifies the lease's call in the evidence on a roll-out.
--- a/internal/scheduler/rollouts_test.go
+++ b/internal/scheduler/rollouts_test.go
@@ -210,3 +210,20 @@
 		qt.Assert(t, verdict.CodeOf(err), qt.Equals, verdict.NoTarget)
 	})
 }
+
+func TestCallOfAStreamGoesToItsVersionOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := ofVersions(&fakeRollouts{groups: [][]rollout.TargetGroup{{{}}}}, "v1", "v2", "v1")
+		call := call(time.Minute)
+		call.Exclude, call.Version = []string{"a", "c"}, "v1"
+		for range 20 {
+			l, err := s.Acquire(t.Context(), call)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, l.Target.Version, qt.Equals, "v1")
+			l.Release(Succeeded)
+		}
+		call.Version = "v3"
+		_, err := s.Acquire(t.Context(), call)
+		qt.Assert(t, verdict.CodeOf(err), qt.Equals, verdict.NoTarget)
+	})
+}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -62,6 +62,9 @@
 	// Exclude lists the IDs of targets that this request was sent to already; they
 	// are used again only when no other target can serve the call.
 	Exclude []string
+	// Version is the software version of the targets that may get the call: a stream goes on only at the
+	// version that began it. "" for any.
+	Version string
 	// Regions returns the regions in which the call may be served now; nil stands for all. It is
 	// called under the scheduler's lock and must not block.
 	Regions func() region.Set
--- a/internal/scheduler/unserved.go
+++ b/internal/scheduler/unserved.go
@@ -27,7 +27,7 @@
 // targets are down: few targets serve these calls, and they fail together.
 func (s *Scheduler) checkTargets(p *pool, c *Call, now time.Time) error {
 	allowed := c.regions()
-	available, ok := p.availableAt(c, allowed, s.barred(p.name), now)
+	available, ok := p.availableAt(c, allowed, s.reachable(p.name, c), now)
 	switch {
 	case !ok:
 		return noTargetError(p.name, c, allowed)
@@ -88,10 +88,9 @@
 }
 
 // refuseUnservedNow is refuseUnserved for the calls that may lose their last target without a change of
-// the host list: those bound to regions, and all calls while versions are barred.
+// the host list: those bound to regions or to a version, and all calls while versions are barred.
 func (s *Scheduler) refuseUnservedNow(p *pool) {
-	barred := s.barred(p.name) != nil
-	s.refuseIf(p, func(c *Call) bool { return barred || !c.regions().All() })
+	s.refuseIf(p, func(c *Call) bool { return s.reachable(p.name, c) != nil || !c.regions().All() })
 }
 
 // refuseIf refuses the waiting calls that the condition holds for and no target will serve.
--- /dev/null
+++ b/internal/targets/software.go
@@ -0,0 +1,78 @@
+package targets
+
+import (
+	"slices"
+	"time"
+)
+
+// versionMemory is for how long a version counts after its last target left the list: streams that began
+// there may be taken up again until then.
+const versionMemory = time.Minute
+
+// softwareVersions records which versions of their software the targets of a service have.
+type softwareVersions struct {
+	// listed counts the targets of the list by version; left has when the last one left.
+	listed map[string]int
+	left   map[string]time.Time
+}
+
+// add records that a target with a version was listed.
+func (v *softwareVersions) add(version string) {
+	v.listed[version]++
+	delete(v.left, version)
+}
+
+// remove records that a target with a version left the list.
+func (v *softwareVersions) remove(version string, now time.Time) {
+	v.listed[version]--
+	if v.listed[version] <= 0 {
+		delete(v.listed, version)
+		v.left[version] = now
+	}
+}
+
+// recent returns the versions that are listed or left lately, sorted.
+func (v *softwareVersions) recent(now time.Time) []string {
+	var out []string
+	for version := range v.listed {
+		out = append(out, version)
+	}
+	for version, at := range v.left {
+		if now.Sub(at) < versionMemory {
+			out = append(out, version)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// softwareOf returns the versions of a service. The lock is held.
+func (t *Table) softwareOf(service string) *softwareVersions {
+	v := t.software[service]
+	if v == nil {
+		v = &softwareVersions{listed: make(map[string]int), left: make(map[string]time.Time)}
+		t.software[service] = v
+	}
+	return v
+}
+
+// SoftwareVersions returns the versions of their software that the targets of a service have, or have had
+// within versionMemory, and whether this node has had a list of targets for that long.
+func (t *Table) SoftwareVersions(service string) (versions []string, complete bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	complete = t.received && now.Sub(t.receivedAt) >= versionMemory
+	if v := t.software[service]; v != nil {
+		versions = v.recent(now)
+	}
+	return versions, complete
+}
+
+// HasUsable reports whether a target of a service with a version may get calls, now or once it is free.
+func (t *Table) HasUsable(service, version string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.now()
+	return slices.ContainsFunc(t.services[service], func(s *state) bool { return s.Version == version && s.usable(now) })
+}
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -143,8 +143,11 @@
 	prompts *promptcache.Index
 	// generation counts the changes of the list and of the drained data centres.
 	generation uint64
-	// received is set once a list was received.
-	received bool
+	// received is set once a list was received, at receivedAt.
+	received   bool
+	receivedAt time.Time
+	// software has the software versions of the targets by service.
+	software map[string]*softwareVersions
 	now      func() time.Time
 }
 
@@ -153,6 +156,7 @@
 	return &Table{
 		DataCentre: dataCentre, byID: make(map[string]*state), services: make(map[string][]*state), byProcess: make(map[string]*state), byAddr: make(map[string][]*state),
 		lapsed:   make(map[string]*state),
+		software: make(map[string]*softwareVersions),
 		reported: make(map[string]*reported),
 		prompts:  promptcache.New(maxPrefixes), now: time.Now,
 	}
@@ -198,9 +202,11 @@
 func (t *Table) Change(n ListUpdate, regained time.Time) (changes []Change, gone []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.received = true
-	t.generation++
 	now := t.now()
+	if !t.received {
+		t.received, t.receivedAt = true, now
+	}
+	t.generation++
 	for _, target := range n.Updated {
 		c, changed := t.upsert(target, now)
 		if changed {
@@ -262,7 +268,7 @@
 		t.add(s)
 		return change(s, what), true
 	}
-	if s.Service != target.Service || s.Addr != target.Addr || s.process != target.Process() {
+	if s.Service != target.Service || s.Version != target.Version || s.Addr != target.Addr || s.process != target.Process() {
 		t.remove(s)
 		defer t.add(s)
 	}
@@ -289,6 +295,7 @@
 	t.byID[s.ID] = s
 	t.services[s.Service] = append(t.services[s.Service], s)
 	t.byProcess[s.process] = s
+	t.softwareOf(s.Service).add(s.Version)
 	t.byAddr[s.Addr] = append(t.byAddr[s.Addr], s)
 }
 
@@ -297,6 +304,7 @@
 	s.reported.listedAt = t.now()
 	delete(t.byID, s.ID)
 	delete(t.byProcess, s.process)
+	t.softwareOf(s.Service).remove(s.Version, t.now())
 	t.services[s.Service] = without(t.services[s.Service], s)
 	if t.byAddr[s.Addr] = without(t.byAddr[s.Addr], s); len(t.byAddr[s.Addr]) == 0 {
 		delete(t.byAddr, s.Addr)
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -75,6 +75,7 @@
 	DeadlineExceeded    Code = "deadline_exceeded"
 	Canceled            Code = "canceled"
 	NoTarget            Code = "no_target"
+	StreamLost          Code = "stream_lost"
 	TargetRefused       Code = "target_refused"
 	TargetFailed        Code = "target_failed"
 	CrashesTargets      Code = "crashes_targets"
