--- a/internal/passthrough/resume.go
+++ b/internal/passthrough/resume.go
@@ -29,10 +29,10 @@
 		c.logTakenUp("known", false, "err", err)
 		return notRun(verdict.StreamLost, "the version of the targets that began the stream is not known")
 	}
-	usable := c.s.cfg.Targets.HasUsable(origin.Service, origin.Version)
+	resumable := c.s.cfg.Targets.CanResume(origin.Service, origin.Version)
 	routed := slices.ContainsFunc(c.route.Split, func(s routes.Share) bool { return s.Service == origin.Service })
-	c.logTakenUp("known", true, "began_at", origin.Service, "version", origin.Version, "usable", usable, "routed", routed)
-	if !usable || !routed {
+	c.logTakenUp("known", true, "began_at", origin.Service, "version", origin.Version, "resumable", resumable, "routed", routed)
+	if !resumable || !routed {
 		return notRun(verdict.StreamLost, "the route has no target of version %q of %s left, at which the stream began", origin.Version, origin.Service)
 	}
 	c.service, c.version = origin.Service, &origin.Version
--- a/internal/targets/software.go
+++ b/internal/targets/software.go
@@ -69,8 +69,12 @@
 	return versions, complete
 }
 
-// HasUsable reports whether a target of a service with a version may get calls, now or once it is free.
-func (t *Table) HasUsable(service, version string) bool {
+// CanResume reports whether streams that began at a version of a service can go on, now or once a target of
+// the version is free.
+func (t *Table) CanResume(service, version string) bool {
+	if t.Rollouts != nil && !t.Rollouts.MayResume(service, version) {
+		return false
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
