--- a/internal/passthrough/resume.go
+++ b/internal/passthrough/resume.go
@@ -8,7 +8,7 @@
 	"topazmoor/internal/verdict"
 )
 
-// resumedStream returns the stream that the request is a part of. A caller that takes a stream up names the
+// resumedStream returns the stream that the request is a part of. A caller that resumes a stream names the
 // attempt that brought its first event.
 func (c *call) resumedStream() resume.Stream {
 	s := resume.Stream{ID: c.meta.ID, Service: c.service, Regions: c.regions(), Deadline: c.deadline}
@@ -18,7 +18,7 @@
 	return s
 }
 
-// bindVersion binds a stream that its caller takes up to the version that began it. It refuses the request if
+// bindVersion binds a stream that its caller resumes to the version that began it. It refuses the request if
 // that is not known, or if no target of the version is left: waiting would not help.
 func (c *call) bindVersion() error {
 	if c.route.Kind != routes.Stream || c.meta.LastEvent == "" {
@@ -26,12 +26,12 @@
 	}
 	origin, err := c.s.cfg.Streams.Find(c.ctx, c.resumedStream())
 	if err != nil {
-		c.logTakenUp("known", false, "err", err)
+		c.logResumed("known", false, "err", err)
 		return notRun(verdict.StreamLost, "the version of the targets that began the stream is not known")
 	}
 	resumable := c.s.cfg.Targets.CanResume(origin.Service, origin.Version)
 	routed := slices.ContainsFunc(c.route.Split, func(s routes.Share) bool { return s.Service == origin.Service })
-	c.logTakenUp("known", true, "began_at", origin.Service, "version", origin.Version, "resumable", resumable, "routed", routed)
+	c.logResumed("known", true, "began_at", origin.Service, "version", origin.Version, "resumable", resumable, "routed", routed)
 	if !resumable || !routed {
 		return notRun(verdict.StreamLost, "the route has no target of version %q of %s left, at which the stream began", origin.Version, origin.Service)
 	}
@@ -39,8 +39,8 @@
 	return nil
 }
 
-func (c *call) logTakenUp(found ...any) {
-	c.log.Info("stream taken up", append([]any{"resumes", c.meta.Resumes, "after_event", c.meta.LastEvent}, found...)...)
+func (c *call) logResumed(found ...any) {
+	c.log.Info("stream resumed by its caller", append([]any{"resumes", c.meta.Resumes, "after_event", c.meta.LastEvent}, found...)...)
 }
 
 // recordVersion records the version that began the stream.
--- a/internal/passthrough/wire.go
+++ b/internal/passthrough/wire.go
@@ -32,7 +32,7 @@
 	// LastEvent is the last event that the caller has; "" for none.
 	LastEvent string
 	// Resumes is the ID of the caller's attempt that brought the first event of the stream that this
-	// request takes up; "" for none or unknown.
+	// request resumes; "" for none or unknown.
 	Resumes string
 	// VersionBound reports that only a target with certain weights may run the request. Other
 	// targets answer as if another process had their address.
--- a/internal/peer/parts.go
+++ b/internal/peer/parts.go
@@ -28,8 +28,7 @@
 	encoded  []byte
 }
 
-// next encodes a message, with at most partBytes of long updates, and returns for each table whether
-// parts remain.
+// next encodes a message, with at most partBytes of updates, and returns for each table whether parts remain.
 func (u *updateSplitter) next(m relay.Message) (*peerpb.Told, []bool, error) {
 	if u.rest == nil {
 		u.rest = make([]*unsentUpdate, len(m.Tables))
@@ -38,40 +37,50 @@
 	unfinished := make([]bool, len(m.Tables))
 	space := partBytes
 	for i, table := range m.Tables {
-		if table.News != nil {
-			update, err := u.packer.tableUpdateTo(table.News)
-			if err != nil {
-				return nil, nil, err
-			}
-			if proto.Size(update) <= space {
-				space -= proto.Size(update)
-				out.Table = append(out.Table, tableTo(table, update))
-				continue
-			}
-			encoded, err := proto.Marshal(update)
-			if err != nil {
-				return nil, nil, eris.Wrap(err, "encode update")
-			}
-			u.rest[i] = &unsentUpdate{position: table.Position, encoded: encoded}
+		if err := u.begin(i, table); err != nil {
+			return nil, nil, err
 		}
-		if u.rest[i] == nil {
-			out.Table = append(out.Table, tableTo(table, nil))
-			continue
-		}
-		part := u.rest[i].take(space)
-		space -= len(part)
-		table.Position = u.rest[i].position
-		told := tableTo(table, nil)
-		told.Part, told.Partial = part, len(u.rest[i].encoded) > 0
+		told := u.tell(i, table, space)
+		space -= len(told.Part)
 		out.Table = append(out.Table, told)
 		unfinished[i] = told.Partial
-		if !told.Partial {
-			u.rest[i] = nil
-		}
 	}
 	return out, unfinished, nil
 }
 
+// begin encodes the update that a message has for a table, if any.
+func (u *updateSplitter) begin(i int, table relay.TableMessage) error {
+	if table.News == nil {
+		return nil
+	}
+	update, err := u.packer.tableUpdateTo(table.News)
+	if err != nil {
+		return err
+	}
+	encoded, err := proto.Marshal(update)
+	if err != nil {
+		return eris.Wrap(err, "encode update")
+	}
+	u.rest[i] = &unsentUpdate{position: table.Position, encoded: encoded}
+	return nil
+}
+
+// tell encodes what a message says of a table, with the next part of its update, of at most space bytes.
+func (u *updateSplitter) tell(i int, table relay.TableMessage, space int) *peerpb.TableTold {
+	rest := u.rest[i]
+	if rest == nil {
+		return tableTo(table)
+	}
+	table.Position = rest.position
+	told := tableTo(table)
+	told.Part = rest.take(space)
+	told.Partial = len(rest.encoded) > 0
+	if !told.Partial {
+		u.rest[i] = nil
+	}
+	return told
+}
+
 // take returns the next part, of at most n bytes.
 func (u *unsentUpdate) take(n int) []byte {
 	n = min(n, len(u.encoded))
@@ -81,8 +90,8 @@
 }
 
 // tableTo encodes what a message says of a table.
-func tableTo(t relay.TableMessage, update *peerpb.News) *peerpb.TableTold {
-	out := &peerpb.TableTold{Era: t.Position.Version.Era, Version: t.Position.Version.Number, Sum: t.Position.Sum, News: update}
+func tableTo(t relay.TableMessage) *peerpb.TableTold {
+	out := &peerpb.TableTold{Era: t.Position.Version.Era, Version: t.Position.Version.Number, Sum: t.Position.Sum}
 	out.AgeMs = int64(relay.NeverAnswered)
 	if t.AnswerAge != relay.NeverAnswered {
 		out.AgeMs = t.AnswerAge.Milliseconds()
@@ -104,9 +113,6 @@
 
 // join returns the update of a table that a message completes; nil for none.
 func (j *updateJoiner) join(i int, m *peerpb.TableTold) (*watch.News, error) {
-	if m.News != nil {
-		return tableUpdateFrom(m.News, j.tables[i])
-	}
 	if len(j.received[i])+len(m.Part) > maxTableBytes {
 		return nil, eris.Errorf("update of table %s exceeds %d bytes", j.tables[i], maxTableBytes)
 	}
--- /dev/null
+++ b/internal/resume/registry.go
@@ -0,0 +1,279 @@
+package resume
+
+import (
+	"cmp"
+	"context"
+	"encoding/binary"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"topazmoor/internal/region"
+	"topazmoor/internal/routing"
+)
+
+const (
+	// replicas is the number of nodes that may hold the record of a stream. The node that serves the stream
+	// may be one of them; it sends the record to replicasWritten others.
+	replicas        = 3
+	replicasWritten = 2
+	// partitions is the number of groups of streams with the same nodes for their records. It bounds the
+	// connections of a node in a large fleet.
+	partitions = 64
+	// askTimeout bounds the time in which the nodes answer, sendTimeout the sending of records.
+	askTimeout  = 250 * time.Millisecond
+	sendTimeout = time.Second
+	// flushInterval is the time for which records are collected before they are sent.
+	flushInterval = 10 * time.Millisecond
+	// retention is how long a record is kept after the deadline of its stream: a caller may come back
+	// until then.
+	retention = 10 * time.Second
+	// sweepInterval is the interval at which expired records are removed.
+	sweepInterval = 5 * time.Second
+)
+
+// Versions returns the software versions that the targets of a service have had lately, and whether the
+// node has seen the list of targets for long enough to know all that open streams may have begun at.
+type Versions func(service string) (versions []string, complete bool)
+
+// Registry keeps records of streams. It is safe for concurrent use. It implements suture.Service.
+type Registry struct {
+	// Self is this node; its address is not used.
+	Self Node
+	// Nodes returns the other nodes.
+	Nodes    func() []Node
+	Regions  region.Map
+	Versions Versions
+	Remote   Remote
+	Log      *slog.Logger
+
+	mu      sync.Mutex
+	records map[string]Record
+	// open are the streams that this node serves.
+	open map[*openStream]struct{}
+	// unsent are the records to send, by the address of the node.
+	unsent map[string][]Record
+	wake   chan struct{}
+}
+
+// openStream is a stream that this node serves.
+type openStream struct {
+	Stream
+	version string
+	// sent is set once its record was sent.
+	sent bool
+}
+
+// NewRegistry returns a Registry without records. Its other fields are set before it is used.
+func NewRegistry() *Registry {
+	return &Registry{records: make(map[string]Record), open: make(map[*openStream]struct{}), unsent: make(map[string][]Record), wake: make(chan struct{}, 1)}
+}
+
+// Begin records that a stream began at a version. end is called when this node no longer serves it.
+func (r *Registry) Begin(s Stream, version string) (end func()) {
+	o := &openStream{Stream: s, version: version}
+	if s.ID == "" {
+		return func() {}
+	}
+	versions, _ := r.Versions(s.Service)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open[o] = struct{}{}
+	if len(versions) > 1 {
+		r.record(o)
+	}
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.open, o)
+	}
+}
+
+// TargetsChanged sends records of the open streams whose service has got a second version.
+func (r *Registry) TargetsChanged() {
+	several := make(map[string]bool)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for o := range r.open {
+		if _, known := several[o.Service]; !known {
+			versions, _ := r.Versions(o.Service)
+			several[o.Service] = len(versions) > 1
+		}
+		if several[o.Service] && !o.sent {
+			r.record(o)
+		}
+	}
+}
+
+// record keeps the record of a stream, and queues it for other nodes. The lock is held.
+func (r *Registry) record(o *openStream) {
+	o.sent = true
+	record := Record{ID: o.ID, Origin: Origin{o.Service, o.version}, Expires: o.Deadline.Add(retention)}
+	r.records[o.ID] = record
+	nodes := r.replicasOf(o.Stream)
+	for _, n := range nodes[:min(replicasWritten, len(nodes))] {
+		r.unsent[n.Addr] = append(r.unsent[n.Addr], record)
+	}
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// replicasOf returns the nodes that may hold the record of a stream, without this one, in an order that is
+// the same at all nodes. They are in more than one data centre if the fleet is.
+func (r *Registry) replicasOf(s Stream) []Node {
+	partition := xxhash.Sum64String(s.ID) % partitions
+	key := xxhash.Sum64(binary.BigEndian.AppendUint64(nil, partition))
+	var nodes []Node
+	for _, node := range append(slices.Clone(r.Nodes()), r.Self) {
+		if r.Regions.Allows(s.Regions, node.DataCentre) {
+			nodes = append(nodes, node)
+		}
+	}
+	rank := func(n Node) uint64 { return routing.Mix(key, xxhash.Sum64String(n.Name)) }
+	slices.SortFunc(nodes, func(a, b Node) int { return cmp.Compare(rank(b), rank(a)) })
+	for i, node := range nodes {
+		if node.DataCentre != nodes[0].DataCentre {
+			nodes = slices.Insert(slices.Delete(nodes, i, i+1), 1, node)
+			break
+		}
+	}
+	nodes = nodes[:min(replicas, len(nodes))]
+	return slices.DeleteFunc(nodes, func(n Node) bool { return n.Name == r.Self.Name })
+}
+
+// Keep keeps records of streams that other nodes serve.
+func (r *Registry) Keep(records []Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, record := range records {
+		r.records[record.ID] = record
+	}
+}
+
+// Answer returns what this node knows of a stream.
+func (r *Registry) Answer(id, service string) Answer {
+	if id != "" {
+		r.mu.Lock()
+		record, ok := r.records[id]
+		r.mu.Unlock()
+		if ok {
+			return Answer{Known: true, Origin: record.Origin}
+		}
+	}
+	versions, complete := r.Versions(service)
+	if len(versions) > 1 {
+		return Answer{Several: true}
+	}
+	if len(versions) == 1 && complete {
+		return Answer{Sole: true, Origin: Origin{service, versions[0]}}
+	}
+	return Answer{}
+}
+
+// Find returns where a stream began, or ErrUnknown.
+func (r *Registry) Find(ctx context.Context, s Stream) (Origin, error) {
+	own := r.Answer(s.ID, s.Service)
+	if own.Known || own.Sole {
+		return own.Origin, nil
+	}
+	answers := r.ask(ctx, s)
+	for _, a := range answers {
+		if a.Known {
+			return a.Origin, nil
+		}
+	}
+	for _, a := range answers {
+		if a.Sole && !own.Several {
+			return a.Origin, nil
+		}
+	}
+	several := own.Several || slices.ContainsFunc(answers, func(a Answer) bool { return a.Several })
+	if versions, _ := r.Versions(s.Service); len(versions) == 1 && !several {
+		// All nodes that answer have started lately, and none has seen another version since.
+		return Origin{s.Service, versions[0]}, nil
+	}
+	return Origin{}, ErrUnknown
+}
+
+// ask asks the nodes that may have the record of a stream, until one has it.
+func (r *Registry) ask(ctx context.Context, s Stream) []Answer {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	nodes := r.replicasOf(s)
+	answers := make(chan Answer, len(nodes))
+	for _, n := range nodes {
+		go func() {
+			a, err := r.Remote.FindStream(ctx, n.Addr, s.ID, s.Service)
+			if err != nil && ctx.Err() == nil {
+				r.Log.Info("node not asked for the version of a stream", "peer", n.Name, "err", err)
+			}
+			answers <- a
+		}()
+	}
+	var out []Answer
+	for range nodes {
+		a := <-answers
+		out = append(out, a)
+		if a.Known {
+			break
+		}
+	}
+	return out
+}
+
+// Serve implements suture.Service. It sends records to other nodes and removes expired ones.
+func (r *Registry) Serve(ctx context.Context) error {
+	sweep := time.NewTicker(sweepInterval)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.wake:
+			time.Sleep(flushInterval)
+			r.flush(ctx)
+		case now := <-sweep.C:
+			r.sweep(now)
+		}
+	}
+}
+
+// flush sends all unsent records, to each node in a goroutine of its own.
+func (r *Registry) flush(ctx context.Context) {
+	r.mu.Lock()
+	unsent := r.unsent
+	r.unsent = make(map[string][]Record)
+	r.mu.Unlock()
+	for addr, records := range unsent {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+			defer cancel()
+			if err := r.Remote.SendStreams(ctx, addr, records); err != nil && ctx.Err() == nil {
+				r.Log.Info("versions of streams not sent", "addr", addr, "streams", len(records), "err", err)
+			}
+		}()
+	}
+}
+
+// sweep removes expired records.
+func (r *Registry) sweep(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, record := range r.records {
+		if now.After(record.Expires) {
+			delete(r.records, id)
+		}
+	}
+}
+
+// Records returns the number of records that this node keeps.
+func (r *Registry) Records() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.records)
+}
--- a/internal/targets/software.go
+++ b/internal/targets/software.go
@@ -6,7 +6,7 @@
 )
 
 // versionMemory is for how long a version counts after its last target left the list: streams that began
-// there may be taken up again until then.
+// there may be resumed until then.
 const versionMemory = time.Minute
 
 // softwareVersions records which versions of their software the targets of a service have.
