A node that may have missed changes of the list does not know all versions of its targets

Callers would see events of two versions in one stream, taken up at a node whose host was suspended, or that was cut off from the store and the other nodes, while a version came and went. Cause: the node took the age of its first list for how long it had followed the list.

The time now counts from the last interruption: the end of a suspension, or of a time in which the store did not answer this node or the one it follows; while it lasts the node does not count as knowing. It asks the nodes that keep records then, as after a start. Elsewhere: the other uses of a list's age (restore, shares of roll-outs, permits) already expire in hostResumed.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -236,6 +236,7 @@
 // storeContactChanged makes the other table watches, and the nodes that follow this one, check
 // whether the store answers.
 func (n *Node) storeContactChanged() {
+	n.targets.ListInterrupted()
 	n.relayServer.Wake()
 	if n.follower.PollsStore() {
 		n.configTable.PollNow()
--- a/internal/entry/suspended.go
+++ b/internal/entry/suspended.go
@@ -18,6 +18,7 @@
 	n.untrustedSince.Store(&now)
 	n.log.Warn("host was suspended, asking the store for changes", "ms", gap.Milliseconds(), "in_flight", n.passThrough.InFlight())
 	n.passThrough.HostResumed(gap)
+	n.targets.ListInterrupted()
 	for _, t := range n.followedTables() {
 		t.Invalidate()
 	}
--- a/internal/targets/software.go
+++ b/internal/targets/software.go
@@ -56,13 +56,20 @@
 	return v
 }
 
+// ListInterrupted is called when changes of the list may have been missed: versions may have come and gone.
+func (t *Table) ListInterrupted() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.followedSince = t.now()
+}
+
 // SoftwareVersions returns the versions of their software that the targets of a service have, or have had
-// within versionMemory, and whether this node has had a list of targets for that long.
+// within versionMemory, and whether this node has followed the list of targets for that long.
 func (t *Table) SoftwareVersions(service string) (versions []string, complete bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	complete = t.received && now.Sub(t.receivedAt) >= versionMemory
+	complete = t.received && now.Sub(t.followedSince) >= versionMemory
 	if v := t.software[service]; v != nil {
 		versions = v.recent(now)
 	}
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -143,9 +143,10 @@
 	prompts *promptcache.Index
 	// generation counts the changes of the list and of the drained data centres.
 	generation uint64
-	// received is set once a list was received, at receivedAt.
-	received   bool
-	receivedAt time.Time
+	// received is set once a list was received. followedSince is when the list began to be followed without
+	// a gap.
+	received      bool
+	followedSince time.Time
 	// software has the software versions of the targets by service.
 	software map[string]*softwareVersions
 	now      func() time.Time
@@ -204,7 +205,7 @@
 	defer t.mu.Unlock()
 	now := t.now()
 	if !t.received {
-		t.received, t.receivedAt = true, now
+		t.received, t.followedSince = true, now
 	}
 	t.generation++
 	for _, target := range n.Updated {
