A node that reaches neither the store nor another node takes no version for the only one

Callers would see events of two versions in one stream at a node that is cut off from all: its list has one version, and no other node contradicts. Cause: that nobody answered counted like answers without another version. TestNodeThatReachesNobodyTakesNoVersionForTheOnlyOne failed before; a node whose store alone is away still takes the version that the others know (TestNodeWhoseStoreIsAwayAsksOthersForTheOnlyVersion passed before and after).

--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -9,9 +9,10 @@
 	n.streams = resume.NewRegistry()
 	n.streams.Self = resume.Node{Name: n.set.Node, DataCentre: n.set.DataCentre}
 	n.streams.Regions = n.set.Regions
+	n.streams.FollowsList = func() bool { return !n.targetTable.Lost() }
 	n.streams.Versions = func(service string) (versions []string, complete bool) {
 		versions, complete = n.targets.SoftwareVersions(service)
-		return versions, complete && !n.targetTable.Lost()
+		return versions, complete && n.streams.FollowsList()
 	}
 	n.streams.Log = n.log
 	n.streams.Nodes = func() []resume.Node {
--- a/internal/resume/registry.go
+++ b/internal/resume/registry.go
@@ -47,8 +47,10 @@
 	Nodes    func() []Node
 	Regions  region.Map
 	Versions Versions
-	Remote   Remote
-	Log      *slog.Logger
+	// FollowsList reports whether this node follows the changes of the list of targets now.
+	FollowsList func() bool
+	Remote      Remote
+	Log         *slog.Logger
 
 	mu      sync.Mutex
 	records map[string]Record
@@ -193,32 +195,30 @@
 		}
 	}
 	several := own.Several || slices.ContainsFunc(answers, func(a Answer) bool { return a.Several })
-	if versions, _ := r.Versions(s.Service); len(versions) == 1 && !several {
-		// All nodes that answer have started lately, and none has seen another version since.
+	if versions, _ := r.Versions(s.Service); len(versions) == 1 && !several && (len(answers) > 0 || r.FollowsList()) {
+		// None of the nodes that answer, all of which may have started lately, has seen another version.
 		return Origin{s.Service, versions[0]}, nil
 	}
 	return Origin{}, ErrUnknown
 }
 
-// ask asks the nodes that may have the record of a stream, until one has it.
+// ask asks the nodes that may have the record of a stream, until one has it. It returns the answers of those
+// that could be reached.
 func (r *Registry) ask(ctx context.Context, s Stream) []Answer {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	nodes := r.replicasOf(s)
-	answers := make(chan Answer, len(nodes))
+	answers := make(chan *Answer, len(nodes))
 	for _, n := range nodes {
-		go func() {
-			a, err := r.Remote.FindStream(ctx, n.Addr, s.ID, s.Service)
-			if err != nil && ctx.Err() == nil {
-				r.Log.Info("node not asked for the version of a stream", "peer", n.Name, "err", err)
-			}
-			answers <- a
-		}()
+		go func() { answers <- r.askNode(ctx, n, s) }()
 	}
 	var out []Answer
 	for range nodes {
 		a := <-answers
-		out = append(out, a)
+		if a == nil {
+			continue
+		}
+		out = append(out, *a)
 		if a.Known {
 			break
 		}
@@ -226,6 +226,18 @@
 	return out
 }
 
+// askNode asks a node for the record of a stream. It returns nil if the node does not answer.
+func (r *Registry) askNode(ctx context.Context, n Node, s Stream) *Answer {
+	a, err := r.Remote.FindStream(ctx, n.Addr, s.ID, s.Service)
+	if err == nil {
+		return &a
+	}
+	if ctx.Err() == nil {
+		r.Log.Info("node not asked for the version of a stream", "peer", n.Name, "err", err)
+	}
+	return nil
+}
+
 // Serve implements suture.Service. It sends records to other nodes and removes expired ones.
 func (r *Registry) Serve(ctx context.Context) error {
 	sweep := time.NewTicker(sweepInterval)
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -22,6 +22,8 @@
 	down map[string]bool
 	// versions are those that each node has seen.
 	versions map[string][]string
+	// cut are the nodes that do not follow the list of targets.
+	cut map[string]bool
 }
 
 // lose makes nodes not answer.
@@ -46,6 +48,19 @@
 	f.versions[name] = versions
 }
 
+// cutOff ends that a node follows the list of targets.
+func (f *fleet) cutOff(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[name] = true
+}
+
+func (f *fleet) follows(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.cut[name]
+}
+
 func (f *fleet) seen(name string) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -71,7 +86,7 @@
 
 // newFleet returns n nodes in two data centres, all of which have seen v1 and v2.
 func newFleet(ctx context.Context, n int) *fleet {
-	f := &fleet{nodes: make(map[string]*Registry), down: make(map[string]bool), versions: make(map[string][]string)}
+	f := &fleet{nodes: make(map[string]*Registry), down: make(map[string]bool), versions: make(map[string][]string), cut: make(map[string]bool)}
 	var all []Node
 	for i := range n {
 		name := fmt.Sprint("node-", i)
@@ -90,6 +105,7 @@
 			return others
 		}
 		r.Versions = func(string) ([]string, bool) { return f.seen(self.Name), false }
+		r.FollowsList = func() bool { return f.follows(self.Name) }
 		f.see(self.Name, "v1", "v2")
 		f.nodes[self.Name] = r
 		go func() { _ = r.Serve(ctx) }()
@@ -168,6 +184,30 @@
 	})
 }
 
+func TestNodeThatReachesNobodyTakesNoVersionForTheOnlyOne(t *testing.T) {
+	inFleet(t, 4, func(t *testing.T, f *fleet) {
+		for name := range f.nodes {
+			f.see(name, "v2")
+		}
+		f.lose("node-1", "node-2", "node-3")
+		f.cutOff("node-0")
+		_, err := f.nodes["node-0"].Find(t.Context(), stream("unknown"))
+		qt.Check(t, err, qt.Equals, ErrUnknown)
+	})
+}
+
+func TestNodeWhoseStoreIsAwayAsksOthersForTheOnlyVersion(t *testing.T) {
+	inFleet(t, 4, func(t *testing.T, f *fleet) {
+		for name := range f.nodes {
+			f.see(name, "v2")
+			f.cutOff(name)
+		}
+		got, err := f.nodes["node-0"].Find(t.Context(), stream("unknown"))
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, got.Version, qt.Equals, "v2")
+	})
+}
+
 func TestNothingIsSentWhileAServiceHasOneVersion(t *testing.T) {
 	inFleet(t, 3, func(t *testing.T, f *fleet) {
 		f.see("node-0", "v1")
