Nodes that start together learn from the store which versions a service had

Cause: what the nodes knew of versions was gone with them, and a list with one version was taken for one that had no other.

Three nodes keep a row for each service with several versions, until one has followed the list for a minute with one. It is read on demand, by nodes without a record and without a minute's list; a store that does not answer decides nothing. Streams end with stream_lost there, as the records are gone.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -250,6 +250,7 @@
 	n.relayServer.Wake()
 	changes, gone := n.targets.Change(n.readTargets(v), v.RestoredAt)
 	n.streams.TargetsChanged()
+	n.streams.History.TargetsChanged()
 	for _, addr := range gone {
 		n.env.Conns.CloseIdle(addr)
 	}
@@ -292,6 +293,7 @@
 		supervise.Named("callers", n.callerServer), supervise.Named("quarantine", n.quarantineTable), supervise.Named("guard", n.guard),
 		supervise.Named("suspensions", n.detector), supervise.Named("roll-outs", n.gate), supervise.Named("sweeper", &sweeper{n}),
 		supervise.Named("links to targets", n.env.Links), supervise.Named("versions of streams", n.streams),
+		supervise.Named("versions of services", n.streams.History),
 	} {
 		sup.Add(s)
 	}
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -15,6 +15,7 @@
 		return versions, complete && n.streams.FollowsList()
 	}
 	n.streams.Log = n.log
+	n.streams.History = n.provisionVersionHistory()
 	n.streams.Nodes = func() []resume.Node {
 		var out []resume.Node
 		for _, m := range n.state.Members.Get() {
@@ -24,3 +25,11 @@
 	}
 	n.metrics.Gauge("topazmoor_entry_stream_records", "Records of the versions at which streams began.", func() float64 { return float64(n.streams.Records()) })
 }
+
+// provisionVersionHistory creates the rows of the versions that services have had lately.
+func (n *Node) provisionVersionHistory() *resume.History {
+	h := resume.NewHistory()
+	h.Store, h.Log = n.env.Store, n.log
+	h.Versions, h.Services, h.Writes = n.streams.Versions, n.targets.Services, n.streams.WritesHistory
+	return h
+}
--- a/internal/resume/registry.go
+++ b/internal/resume/registry.go
@@ -49,8 +49,10 @@
 	Versions Versions
 	// FollowsList reports whether this node follows the changes of the list of targets now.
 	FollowsList func() bool
-	Remote      Remote
-	Log         *slog.Logger
+	// History says what the nodes knew that were lost together.
+	History *History
+	Remote  Remote
+	Log     *slog.Logger
 
 	mu      sync.Mutex
 	records map[string]Record
@@ -125,9 +127,19 @@
 	}
 }
 
-// replicasOf returns the nodes that may hold the record of a stream, without this one, in an order that is
-// the same at all nodes. They are in more than one data centre if the fleet is.
+// replicasOf returns the nodes that may hold the record of a stream, without this one.
 func (r *Registry) replicasOf(s Stream) []Node {
+	return slices.DeleteFunc(r.holders(s), func(n Node) bool { return n.Name == r.Self.Name })
+}
+
+// WritesHistory reports whether this node is one of those that write the row of a service in the store.
+func (r *Registry) WritesHistory(service string) bool {
+	return slices.ContainsFunc(r.holders(Stream{ID: service}), func(n Node) bool { return n.Name == r.Self.Name })
+}
+
+// holders returns the nodes that may hold the record of a stream, in an order that is the same at all nodes.
+// They are in more than one data centre if the fleet is.
+func (r *Registry) holders(s Stream) []Node {
 	partition := xxhash.Sum64String(s.ID) % partitions
 	key := xxhash.Sum64(binary.BigEndian.AppendUint64(nil, partition))
 	var nodes []Node
@@ -144,8 +156,7 @@
 			break
 		}
 	}
-	nodes = nodes[:min(replicas, len(nodes))]
-	return slices.DeleteFunc(nodes, func(n Node) bool { return n.Name == r.Self.Name })
+	return nodes[:min(replicas, len(nodes))]
 }
 
 // Keep keeps records of streams that other nodes serve.
@@ -195,11 +206,29 @@
 		}
 	}
 	several := own.Several || slices.ContainsFunc(answers, func(a Answer) bool { return a.Several })
-	if versions, _ := r.Versions(s.Service); len(versions) == 1 && !several && (len(answers) > 0 || r.FollowsList()) {
-		// None of the nodes that answer, all of which may have started lately, has seen another version.
-		return Origin{s.Service, versions[0]}, nil
+	if several || len(answers) == 0 && !r.FollowsList() {
+		return Origin{}, ErrUnknown
+	}
+	return r.onlyVersion(ctx, s.Service)
+}
+
+// onlyVersion returns the only version of a service that this node has seen, unless the service has had
+// others. The nodes that were asked have seen no other, but all may have started lately.
+func (r *Registry) onlyVersion(ctx context.Context, service string) (Origin, error) {
+	versions, _ := r.Versions(service)
+	if len(versions) != 1 {
+		return Origin{}, ErrUnknown
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	several, err := r.History.HadSeveral(ctx, service)
+	if err != nil {
+		r.Log.Info("earlier versions of a service not read", "service", service, "err", err)
+	}
+	if several {
+		return Origin{}, ErrUnknown
 	}
-	return Origin{}, ErrUnknown
+	return Origin{service, versions[0]}, nil
 }
 
 // ask asks the nodes that may have the record of a stream, until one has it. It returns the answers of those
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"topazmoor/internal/store"
 )
 
 // fleet are the registries of some nodes by address; nodes that are down do not answer.
@@ -24,6 +26,9 @@
 	versions map[string][]string
 	// cut are the nodes that do not follow the list of targets.
 	cut map[string]bool
+	// complete are the nodes that have followed the list for long enough.
+	complete map[string]bool
+	store    *store.Memory
 }
 
 // lose makes nodes not answer.
@@ -55,6 +60,21 @@
 	f.cut[name] = true
 }
 
+// followsForLong makes nodes know all versions.
+func (f *fleet) followsForLong(names ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, name := range names {
+		f.complete[name] = true
+	}
+}
+
+func (f *fleet) isComplete(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.complete[name]
+}
+
 func (f *fleet) follows(name string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -86,7 +106,7 @@
 
 // newFleet returns n nodes in two data centres, all of which have seen v1 and v2.
 func newFleet(ctx context.Context, n int) *fleet {
-	f := &fleet{nodes: make(map[string]*Registry), down: make(map[string]bool), versions: make(map[string][]string), cut: make(map[string]bool)}
+	f := &fleet{nodes: make(map[string]*Registry), down: make(map[string]bool), versions: make(map[string][]string), cut: make(map[string]bool), complete: make(map[string]bool), store: store.NewMemory()}
 	var all []Node
 	for i := range n {
 		name := fmt.Sprint("node-", i)
@@ -104,8 +124,11 @@
 			}
 			return others
 		}
-		r.Versions = func(string) ([]string, bool) { return f.seen(self.Name), false }
+		r.Versions = func(string) ([]string, bool) { return f.seen(self.Name), f.isComplete(self.Name) }
 		r.FollowsList = func() bool { return f.follows(self.Name) }
+		r.History = NewHistory()
+		r.History.Store, r.History.Log, r.History.Versions, r.History.Writes = f.store, r.Log, r.Versions, r.WritesHistory
+		r.History.Services = func() []string { return []string{"s"} }
 		f.see(self.Name, "v1", "v2")
 		f.nodes[self.Name] = r
 		go func() { _ = r.Serve(ctx) }()
--- a/internal/targets/software.go
+++ b/internal/targets/software.go
@@ -1,6 +1,7 @@
 package targets
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -76,6 +77,13 @@
 	return versions, complete
 }
 
+// Services returns the services that have or had targets.
+func (t *Table) Services() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Keys(t.software))
+}
+
 // CanResume reports whether streams that began at a version of a service can go on, now or once a target of
 // the version is free.
 func (t *Table) CanResume(service, version string) bool {
