Lent paths stay in the regions of the requests that they may carry

Requests bound to a region, their answers and idle connections for later ones went through nodes of any region while the own nodes' links were lost. Cause: the choice of a node knew data centres and no regions.

A node carries what goes to a target of its own region, or what no route or account of the target's service binds elsewhere. Deployments without regions are served as before: all data centres are in the one region "".

--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -2,7 +2,9 @@
 
 import (
 	"net"
+	"slices"
 
+	"topazmoor/internal/region"
 	"topazmoor/internal/targetlink"
 )
 
@@ -10,7 +12,7 @@
 func (n *Node) provisionLinks() {
 	n.env.Links.Use(targetlink.Others{
 		Nodes: n.linkNodes, Connect: n.peers.client.Connect,
-		DataCentre: n.set.DataCentre, DataCentreOf: n.targets.DataCentreOf, Addresses: n.targets.Addresses,
+		DataCentre: n.set.DataCentre, DataCentreOf: n.targets.DataCentreOf, Addresses: n.targets.Addresses, MayCarry: n.mayCarry,
 		PathChanged: n.pathChanged,
 	})
 	n.metrics.GaugeVec("topazmoor_entry_target_connects", "Connects to targets over this node's own path since its start, by outcome.", "outcome", n.env.Links.Connects)
@@ -23,6 +25,19 @@
 	})
 }
 
+// mayCarry reports whether a node in a data centre may carry what is sent to the target at an address: none of
+// the requests that the target may serve is bound to regions which leave the node's out. The connection
+// serves them all, also later ones.
+func (n *Node) mayCarry(dataCentre, addr string) bool {
+	service, at := n.targets.At(addr)
+	if n.set.Regions[dataCentre] == n.set.Regions[at] {
+		return true
+	}
+	return !slices.ContainsFunc(n.regionSets(service), func(s region.Set) bool {
+		return n.set.Regions.Allows(s, at) && !n.set.Regions.Allows(s, dataCentre)
+	})
+}
+
 // linkNodes returns the other nodes.
 func (n *Node) linkNodes() []targetlink.Node {
 	members := n.state.Members.Get()
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -56,6 +56,20 @@
 	expires time.Time
 }
 
+// Revocable is a connection of Config.Dial that may be barred from further requests while it is idle.
+type Revocable interface {
+	// Revoked reports whether the connection must not be reused.
+	Revoked() bool
+}
+
+// mayReuse reports whether an idle connection can carry another request.
+func (c *conn) mayReuse() bool {
+	if r, ok := c.Conn.(Revocable); ok && r.Revoked() {
+		return false
+	}
+	return time.Now().Before(c.expires) && openWithoutData(c)
+}
+
 // bufferSize is the size of each read and write buffer, in bytes. It holds the head and
 // the body of most requests and answers.
 const bufferSize = 4 << 10
@@ -68,7 +82,7 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.expires) && openWithoutData(c) {
+		if c.mayReuse() {
 			return c, nil
 		}
 		c.Close()
--- a/internal/targetlink/conn.go
+++ b/internal/targetlink/conn.go
@@ -8,7 +8,14 @@
 )
 
 // relayedConn is a connection to a target through another node.
-type relayedConn struct{ net.Conn }
+type relayedConn struct {
+	net.Conn
+	// mayCarry reports whether the node may still carry what is sent to the target.
+	mayCarry func() bool
+}
+
+// Revoked implements httpconn.Revocable.
+func (r *relayedConn) Revoked() bool { return !r.mayCarry() }
 
 // NetConn returns the connection that r wraps.
 func (r *relayedConn) NetConn() net.Conn { return r.Conn }
--- a/internal/targetlink/dialer.go
+++ b/internal/targetlink/dialer.go
@@ -41,12 +41,20 @@
 	// "" for an address at which none is listed.
 	DataCentre   string
 	DataCentreOf func(addr string) string
+	// MayCarry reports whether the connections to the target at an address may go through a node in a data
+	// centre; nil for always. Connections through a node that no longer may are not reused.
+	MayCarry func(dataCentre, addr string) bool
 	// Addresses returns the addresses of the listed targets.
 	Addresses func() []string
 	// PathChanged is called when the own path is lost or back; see Change. It must not block.
 	PathChanged func(Change)
 }
 
+// mayCarry reports whether connections to the target at an address may go through a node.
+func (o Others) mayCarry(n Node, addr string) bool {
+	return o.MayCarry == nil || o.MayCarry(n.DataCentre, addr)
+}
+
 // Dialer connects to targets: over this node's own path, and through other nodes while that path is lost
 // or gives no answer. It is safe for concurrent use.
 type Dialer struct {
@@ -154,7 +162,7 @@
 	if err == nil {
 		d.through.Add(1)
 		d.indirect.opened(addr, time.Now())
-		return &relayedConn{conn}, nil
+		return &relayedConn{conn, func() bool { return d.others.mayCarry(n, addr) }}, nil
 	}
 	if !errors.Is(ctx.Err(), context.Canceled) {
 		d.throughFailed.Add(1)
--- a/internal/targetlink/nodes.go
+++ b/internal/targetlink/nodes.go
@@ -41,11 +41,12 @@
 // data centre: all nodes there may have lost their paths together.
 const nearNodes = 2
 
-// choose returns at most n nodes, the first choice first: nodes that are not avoided, then those in the
-// target's data centre, so that bytes cross between data centres only once, then those in this node's; from
-// nearNodes on those in other data centres first. Among equal ones the choice is random, which spreads the load.
+// choose returns at most n of the nodes that may carry what is sent to a target, the first choice first: nodes
+// that are not avoided, then those in the target's data centre, so that bytes cross between data centres only
+// once, then those in this node's; from nearNodes on those in other data centres first. Among equal ones the
+// choice is random, which spreads the load.
 func (c *nodeChoice) choose(o Others, addr string, n int, now time.Time) []Node {
-	nodes := slices.Clone(o.Nodes())
+	nodes := o.carriers(addr)
 	rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 	near := o.DataCentreOf(addr)
 	c.mu.Lock()
@@ -57,6 +58,19 @@
 	return nodes[:min(n, len(nodes))]
 }
 
+// carriers returns the nodes that may carry what is sent to a target.
+func (o Others) carriers(addr string) []Node {
+	byDataCentre := make(map[string]bool)
+	return slices.DeleteFunc(slices.Clone(o.Nodes()), func(n Node) bool {
+		may, known := byDataCentre[n.DataCentre]
+		if !known {
+			may = o.mayCarry(n, addr)
+			byDataCentre[n.DataCentre] = may
+		}
+		return !may
+	})
+}
+
 // order sorts nodes that are not avoided before the others, then by cost. The lock is held.
 func (c *nodeChoice) order(nodes []Node, now time.Time, cost func(Node) int) {
 	avoided := func(n Node) int {
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -437,10 +437,16 @@
 
 // DataCentreOf returns the data centre of the target at an address; "" for unknown.
 func (t *Table) DataCentreOf(addr string) string {
+	_, dataCentre := t.At(addr)
+	return dataCentre
+}
+
+// At returns the service and the data centre of the target at an address; "" for none.
+func (t *Table) At(addr string) (service, dataCentre string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s := t.at(addr); s != nil {
-		return s.DataCentre
+		return s.Service, s.DataCentre
 	}
-	return ""
+	return "", ""
 }
