A node lends its path to a bounded number of connections

Tunnels were bounded neither by number nor by memory: a node with links paid for all that others asked for.

--- a/internal/targetlink/dialer.go
+++ b/internal/targetlink/dialer.go
@@ -66,9 +66,10 @@
 	indirect indirectTargets
 	direct   directConns
 	counts   [outcomes]atomic.Int64
+	lent     lentConns
 	// through and throughFailed count the connects through other nodes, forOthers those on behalf of
-	// other nodes.
-	through, throughFailed, forOthers atomic.Int64
+	// other nodes, refused those that this node did not try for them.
+	through, throughFailed, forOthers, refused atomic.Int64
 }
 
 // New returns a Dialer that connects with dial.
@@ -100,20 +101,30 @@
 }
 
 // DialFor connects to a target on behalf of another node. Its errors are of type *verdict.Error: NoTarget
-// if the target was not reached, NotReady if this node cannot say whether it would be.
+// if the target was not reached, NotReady if another node should be asked.
 func (d *Dialer) DialFor(ctx context.Context, addr string) (net.Conn, error) {
 	switch {
 	case d.others.DataCentreOf == nil, d.others.DataCentreOf(addr) == "":
-		return nil, verdict.New(verdict.NotRun, verdict.NotReady, "no target is listed at the address")
+		return nil, d.refuse("no target is listed at the address")
 	case d.Lost():
-		return nil, verdict.New(verdict.NotRun, verdict.NotReady, "this node's own path to targets is lost")
+		return nil, d.refuse("this node's own path to targets is lost")
+	case !d.lent.acquire():
+		return nil, d.refuse("this node has as many connections for other nodes as it may")
 	}
 	d.forOthers.Add(1)
 	conn, err := d.dialDirect(ctx, "tcp", addr)
 	if err != nil {
+		d.lent.release()
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.NoTarget, "the target was not reached")
 	}
-	return conn, nil
+	return d.lent.lend(conn), nil
+}
+
+// refuse counts and returns the refusal of a connection for another node.
+func (d *Dialer) refuse(reason string) error {
+	d.refused.Add(1)
+	d.log.Info("no connection for another node", "reason", reason)
+	return verdict.New(verdict.NotRun, verdict.NotReady, "%s", reason)
 }
 
 func (d *Dialer) wayDirect(network, addr string) way {
@@ -229,10 +240,14 @@
 	return out
 }
 
-// Tunnels returns how many connections were opened through other nodes, how many were not, and how many
-// this node was asked to open for other nodes.
+// Tunnels returns how many connections were opened through other nodes, how many were not, how many this node
+// was asked to open for other nodes and tried to, and how many it refused.
 func (d *Dialer) Tunnels() map[string]float64 {
 	return map[string]float64{
-		"opened": float64(d.through.Load()), "failed": float64(d.throughFailed.Load()), "for_others": float64(d.forOthers.Load()),
+		"opened": float64(d.through.Load()), "failed": float64(d.throughFailed.Load()),
+		"for_others": float64(d.forOthers.Load()), "refused": float64(d.refused.Load()),
 	}
 }
+
+// Lent returns how many connections are open on behalf of other nodes.
+func (d *Dialer) Lent() float64 { return float64(d.lent.open.Load()) }
--- a/internal/targetlink/dialer_test.go
+++ b/internal/targetlink/dialer_test.go
@@ -173,6 +173,31 @@
 	c.Assert(others.dials.Load(), qt.Equals, int32(0))
 }
 
+func TestNodeLendsABoundedNumberOfConnections(t *testing.T) {
+	c := qt.New(t)
+	d := twoPaths(&path{}, &path{})
+	var open []net.Conn
+	for range maxLent {
+		conn, err := d.DialFor(t.Context(), "1")
+		c.Assert(err, qt.IsNil)
+		open = append(open, conn)
+	}
+	_, err := d.DialFor(t.Context(), "1")
+	c.Assert(verdict.CodeOf(err), qt.Equals, verdict.NotReady)
+	c.Assert(d.Tunnels()["refused"], qt.Equals, 1.0)
+	open[0].Close()
+	open[0].Close()
+	conn, err := d.DialFor(t.Context(), "1")
+	c.Assert(err, qt.IsNil)
+	open = append(open, conn)
+	_, err = d.DialFor(t.Context(), "1")
+	c.Assert(verdict.CodeOf(err), qt.Equals, verdict.NotReady)
+	for _, conn := range open {
+		conn.Close()
+	}
+	c.Assert(d.Lent(), qt.Equals, 0.0)
+}
+
 func TestAnyPathIsEnoughToReachATarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		own, others := &path{}, &path{}
