--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -30,7 +30,7 @@
 // the requests that the target may serve is bound to regions which leave the node's out. The connection
 // serves them all, also later ones.
 func (n *Node) mayCarry(dataCentre, addr string) bool {
-	service, at := n.targets.At(addr)
+	service, at := n.targets.Locate(addr)
 	if n.set.Regions[dataCentre] == n.set.Regions[at] {
 		return true
 	}
