--- a/internal/targetlink/lenders_test.go
+++ b/internal/targetlink/carriers_test.go
@@ -20,8 +20,8 @@
 	modelSpan  = 20 * time.Second
 )
 
-// lending is a fleet whose cut nodes connect to targets through others.
-type lending struct {
+// cutFleet is a fleet whose cut nodes connect to targets through others.
+type cutFleet struct {
 	nodes []Node
 	cut   map[string]bool
 	// open counts the connections that are open on behalf of others, by node; peak is the most at one
@@ -49,8 +49,8 @@
 	return last
 }
 
-func newLending(isCut func(i int) bool) *lending {
-	l := &lending{cut: make(map[string]bool), open: make(map[string]int), peak: make(map[string]int), opened: make(map[string]int)}
+func newCutFleet(isCut func(i int) bool) *cutFleet {
+	l := &cutFleet{cut: make(map[string]bool), open: make(map[string]int), peak: make(map[string]int), opened: make(map[string]int)}
 	for i := range modelNodes {
 		n := Node{Name: fmt.Sprint("node-", i), DataCentre: fmt.Sprint("dc-", i%modelCentres)}
 		l.nodes = append(l.nodes, n)
@@ -60,7 +60,7 @@
 }
 
 // play has the cut nodes take turns in sending requests.
-func (l *lending) play(rnd *rand.Rand) {
+func (l *cutFleet) play(rnd *rand.Rand) {
 	var askers []Others
 	for _, n := range l.nodes {
 		if l.cut[n.Name] {
@@ -77,7 +77,7 @@
 }
 
 // connect opens a connection through the first node that has links.
-func (l *lending) connect(o Others, c *nodeChoice, target string, now time.Time, rnd *rand.Rand) {
+func (l *cutFleet) connect(o Others, c *nodeChoice, target string, now time.Time, rnd *rand.Rand) {
 	for len(l.ends) > 0 && l.ends[0].at.Before(now) {
 		l.open[heap.Pop(&l.ends).(ending).node]--
 	}
@@ -95,8 +95,8 @@
 	l.refused++
 }
 
-// BenchmarkLenders reports what nodes with links pay while others have none.
-func BenchmarkLenders(b *testing.B) {
+// BenchmarkTunnels reports what nodes with links pay while others have none.
+func BenchmarkTunnels(b *testing.B) {
 	for name, isCut := range map[string]func(i int) bool{
 		"100 of 985 nodes":                     func(i int) bool { return i < 100 },
 		"a data centre of seven":               func(i int) bool { return i%modelCentres == 0 },
@@ -104,7 +104,7 @@
 	} {
 		b.Run(name, func(b *testing.B) {
 			for b.Loop() {
-				l := newLending(isCut)
+				l := newCutFleet(isCut)
 				l.play(rand.New(rand.NewPCG(1, 2)))
 				peak, most, sum := 0, 0, 0
 				for node, n := range l.opened {
--- a/internal/targetlink/dialer.go
+++ b/internal/targetlink/dialer.go
@@ -66,7 +66,7 @@
 	indirect indirectTargets
 	direct   directConns
 	counts   [outcomes]atomic.Int64
-	lent     lentConns
+	tunnels  tunnels
 	// through and throughFailed count the connects through other nodes, forOthers those on behalf of
 	// other nodes, refused those that this node did not try for them.
 	through, throughFailed, forOthers, refused atomic.Int64
@@ -108,16 +108,16 @@
 		return nil, d.refuse("no target is listed at the address")
 	case d.Lost():
 		return nil, d.refuse("this node's own path to targets is lost")
-	case !d.lent.acquire():
+	case !d.tunnels.acquire():
 		return nil, d.refuse("this node has as many connections for other nodes as it may")
 	}
 	d.forOthers.Add(1)
 	conn, err := d.dialDirect(ctx, "tcp", addr)
 	if err != nil {
-		d.lent.release()
+		d.tunnels.release()
 		return nil, verdict.Wrap(err, verdict.NotRun, verdict.NoTarget, "the target was not reached")
 	}
-	return d.lent.lend(conn), nil
+	return d.tunnels.track(conn), nil
 }
 
 // refuse counts and returns the refusal of a connection for another node.
@@ -249,5 +249,5 @@
 	}
 }
 
-// Lent returns how many connections are open on behalf of other nodes.
-func (d *Dialer) Lent() float64 { return float64(d.lent.open.Load()) }
+// OpenTunnels returns how many connections are open on behalf of other nodes.
+func (d *Dialer) OpenTunnels() float64 { return float64(d.tunnels.open.Load()) }
--- a/internal/targetlink/dialer_test.go
+++ b/internal/targetlink/dialer_test.go
@@ -173,11 +173,11 @@
 	c.Assert(others.dials.Load(), qt.Equals, int32(0))
 }
 
-func TestNodeLendsABoundedNumberOfConnections(t *testing.T) {
+func TestNodeOpensABoundedNumberOfConnectionsForOthers(t *testing.T) {
 	c := qt.New(t)
 	d := twoPaths(&path{}, &path{})
 	var open []net.Conn
-	for range maxLent {
+	for range maxTunnels {
 		conn, err := d.DialFor(t.Context(), "1")
 		c.Assert(err, qt.IsNil)
 		open = append(open, conn)
@@ -195,7 +195,7 @@
 	for _, conn := range open {
 		conn.Close()
 	}
-	c.Assert(d.Lent(), qt.Equals, 0.0)
+	c.Assert(d.OpenTunnels(), qt.Equals, 0.0)
 }
 
 func TestAnyPathIsEnoughToReachATarget(t *testing.T) {
