Caller API: connections through other nodes stay in the regions too

The same cause elsewhere: nodes of the caller API use the same dialer, and gave it no rule of regions. TestLinksThroughOtherNodesStayInTheRegion (fails where every node may carry everything, as before). The rule stands once now, in package region (MayPass), as does the collecting of sets. When the configuration changes while connections went through others, idle ones are closed; one that is in use then may carry one more request: net/http's pool cannot be asked before it reuses one (design 029).

--- a/internal/catalog/regions.go
+++ b/internal/catalog/regions.go
@@ -49,6 +49,18 @@
 	return *p.regions
 }
 
+// RegionSets returns the distinct sets of regions to which requests are restricted. The set of all regions and
+// the empty set are left out.
+func (c *Compiled) RegionSets() []region.Set {
+	var out []region.Set
+	for _, a := range c.accounts {
+		for i := range a.plans {
+			out = region.AppendRestricted(out, a.plans[i].allowed())
+		}
+	}
+	return out
+}
+
 // Regions returns the regions in which the account's requests of a pipeline may be served. The result
 // is false if the account has no such pipeline.
 func (a *CompiledAccount) Regions(pipeline string) (region.Set, bool) {
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -2,9 +2,7 @@
 
 import (
 	"net"
-	"slices"
 
-	"topazmoor/internal/region"
 	"topazmoor/internal/targetlink"
 )
 
@@ -26,17 +24,11 @@
 	})
 }
 
-// mayCarry reports whether a node in a data centre may carry what is sent to the target at an address: none of
-// the requests that the target may serve is bound to regions which leave the node's out. The connection
-// serves them all, also later ones.
+// mayCarry reports whether a node in a data centre may carry what is sent to the target at an address. The
+// connection serves all requests that the target may serve, also later ones.
 func (n *Node) mayCarry(dataCentre, addr string) bool {
 	service, at := n.targets.Locate(addr)
-	if n.set.Regions[dataCentre] == n.set.Regions[at] {
-		return true
-	}
-	return !slices.ContainsFunc(n.regionSets(service), func(s region.Set) bool {
-		return n.set.Regions.Allows(s, at) && !n.set.Regions.Allows(s, dataCentre)
-	})
+	return n.set.Regions.MayPass(n.regionSets(service), at, dataCentre)
 }
 
 // linkNodes returns the other nodes.
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -11,11 +11,17 @@
 func (n *Node) provisionLinks() {
 	n.links.Use(targetlink.Others{
 		Nodes: n.linkNodes, Connect: n.peers.client.Connect,
-		DataCentre: n.s.Node.DataCentre, DataCentreOf: n.dataCentreOf, Addresses: n.targetAddresses,
+		DataCentre: n.s.Node.DataCentre, DataCentreOf: n.dataCentreOf, Addresses: n.targetAddresses, MayCarry: n.mayCarry,
 		PathChanged: func(targetlink.Change) { n.calls.Close() },
 	})
 }
 
+// mayCarry reports whether a node in a data centre may carry what is sent to the target at an address. The
+// connection serves all requests that the target may serve, also later ones.
+func (n *Node) mayCarry(dataCentre, addr string) bool {
+	return n.s.RegionMap().MayPass(n.board.Catalog.Get().RegionSets(), n.dataCentreOf(addr), dataCentre)
+}
+
 // linkNodes returns the other nodes.
 func (n *Node) linkNodes() []targetlink.Node {
 	members := n.board.Members.Get()
--- a/internal/node/links_test.go
+++ b/internal/node/links_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,3 +40,26 @@
 		})
 	}
 }
+
+// A connection to a target goes through no node outside of the regions that its requests are bound to.
+func TestLinksThroughOtherNodesStayInTheRegion(t *testing.T) {
+	inTwoRegions(t, 2, func(c *qt.C, cl *cluster) {
+		n := cl.node(0).Node
+		mayPass := func(dataCentre, region string) bool {
+			for id, addr := range cl.world.Addrs {
+				if odd := strings.ContainsAny(id[len(id)-1:], "13579"); odd == (region == "north") && !n.mayCarry(dataCentre, addr) {
+					return false
+				}
+			}
+			return true
+		}
+		c.Assert(mayPass("dc-2", "north"), qt.IsTrue)
+		cl.bindDesk(c, `["north"]`, 2)
+		c.Assert(mayPass("dc-1", "north"), qt.IsTrue)
+		c.Assert(mayPass("dc-2", "north"), qt.IsFalse)
+		// No request that is bound to north goes to south.
+		c.Assert(mayPass("dc-1", "south"), qt.IsTrue)
+		cl.bindDesk(c, `["south", "north"]`, 3)
+		c.Assert(mayPass("dc-2", "north"), qt.IsTrue)
+	})
+}
--- a/internal/node/pollers.go
+++ b/internal/node/pollers.go
@@ -85,6 +85,10 @@
 	if now == p.last {
 		return
 	}
+	if now.revision != p.last.revision && p.n.links.Tunnels()["opened"] > 0 {
+		// Some may go through nodes that may no longer carry them.
+		p.n.calls.Close()
+	}
 	p.last = now
 	p.n.sched.SetNodes(now.nodes)
 	serving := routing.Subset(p.n.s.Node.Name, servingHosts(hosts, cfg), p.n.hostGroups(cfg))
--- a/internal/region/region.go
+++ b/internal/region/region.go
@@ -71,6 +71,24 @@
 // Map is only allowed by the set of all regions.
 func (m Map) Allows(s Set, dataCentre string) bool { return s.All() || s.Has(m[dataCentre]) }
 
+// MayPass reports whether what is sent to a data centre may pass through another one: none of the sets that
+// allow the first leaves out the second.
+func (m Map) MayPass(sets []Set, to, through string) bool {
+	if m[to] == m[through] {
+		return true
+	}
+	return !slices.ContainsFunc(sets, func(s Set) bool { return m.Allows(s, to) && !m.Allows(s, through) })
+}
+
+// AppendRestricted appends a set unless it is empty, has all regions, or is among the sets.
+func AppendRestricted(sets []Set, s Set) []Set {
+	isSame := func(o Set) bool { return o.String() == s.String() }
+	if s.All() || s.Empty() || slices.ContainsFunc(sets, isSame) {
+		return sets
+	}
+	return append(sets, s)
+}
+
 // Missing returns the named regions of the set in which the Map has no data centre.
 func (m Map) Missing(s Set) []string {
 	var out []string
--- a/internal/routes/regions.go
+++ b/internal/routes/regions.go
@@ -15,9 +15,9 @@
 			if !r.uses(service) {
 				continue
 			}
-			out = appendRestricted(out, r.Regions)
+			out = region.AppendRestricted(out, r.Regions)
 			for _, account := range c.accountRegions {
-				out = appendRestricted(out, r.Regions.Intersect(account))
+				out = region.AppendRestricted(out, r.Regions.Intersect(account))
 			}
 		}
 	}
@@ -29,12 +29,3 @@
 	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service }) ||
 		slices.ContainsFunc(r.Stages, func(s Stage) bool { return s.Service == service })
 }
-
-// appendRestricted appends a set unless it is empty, has all regions, or is in the list.
-func appendRestricted(sets []region.Set, s region.Set) []region.Set {
-	isSame := func(o region.Set) bool { return o.String() == s.String() }
-	if s.All() || s.Empty() || slices.ContainsFunc(sets, isSame) {
-		return sets
-	}
-	return append(sets, s)
-}
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -166,7 +166,7 @@
 	for _, k := range keys {
 		c.accounts[k.Credential] = k.Account
 		if k.Account != nil {
-			c.accountRegions = appendRestricted(c.accountRegions, k.Account.Regions)
+			c.accountRegions = region.AppendRestricted(c.accountRegions, k.Account.Regions)
 		}
 	}
 	return c
