Roll-outs: evidence on a version begins when there is a connection to its target

Cause: the time to connect, connects that timed out, and callers who left during one counted against the version, though they tell of the node's path; in a burst all calls go to the new version, so that comparing with the old one does not help. Now the time counts from the connection, for plain calls, streams and stage calls, and a call of which nothing was sent is no evidence, as a refused connect was none before.

Open: the caller API's evidence (scheduler) counts the time to connect.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -133,6 +133,9 @@
 func (c *call) noAnswer(ctx context.Context, l *targets.Lease, n sendInfo, start time.Time, err error) *failure {
 	var ce *httpconn.Error
 	sent := !errors.As(err, &ce) || ce.Sent
+	if !sent {
+		l.MarkUnsent()
+	}
 	switch {
 	case ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent), ce != nil && ce.Withheld:
 		l.Done(targets.Abandoned, 0)
--- a/internal/stagebatch/calls.go
+++ b/internal/stagebatch/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"topazmoor/internal/mechanism"
@@ -53,6 +54,8 @@
 	started time.Time
 	// began is the start of the call as recorded by the target list.
 	began time.Time
+	// connected is when the connection to the target was there; nil before.
+	connected atomic.Pointer[time.Time]
 	// permit is the rate-limit permit of the call; zero if the target advertises no limit.
 	permit sharedrate.Permit
 	// healthy is the duration of the call at a healthy target, expected the duration at this
@@ -88,7 +91,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), times(c.expected, lostFactor)+lostSlack)
 		defer cancel()
-		reply, err := f.worker.Run(ctx, target, items, func() bool { return f.list.MaySend(target.Process(), c.began, c.permit) })
+		reply, err := f.worker.Run(ctx, target, items, func() bool { return f.maySend(c, target) })
 		f.recordNotice(c, target, reply, err)
 		watchdog.Stop()
 		if brokeOff(ctx, err) && f.reportBrokenOff(c, target) {
@@ -98,6 +101,22 @@
 	}()
 }
 
+// maySend reports whether a call may be sent, now that it has a connection.
+func (f *Former) maySend(c *call, target targets.Target) bool {
+	now := time.Now()
+	c.connected.Store(&now)
+	return f.list.MaySend(target.Process(), c.began, c.permit)
+}
+
+// answerTime returns how long the target had the call, which ended now. The time to connect is that of this
+// node's path.
+func (c *call) answerTime(now time.Time) time.Duration {
+	if at := c.connected.Load(); at != nil {
+		return now.Sub(*at)
+	}
+	return now.Sub(c.started)
+}
+
 // brokeOff reports whether a call reached its target and ended without a reply, other than by
 // its timeout.
 func brokeOff(ctx context.Context, err error) bool {
@@ -213,7 +232,7 @@
 	c.ended, c.failed = true, err != nil
 	c.m.calls--
 	now := time.Now()
-	f.list.RecordStageCallEnd(c.target, outcomeOf(reply, err), times(c.spec.CallTime, float64(now.Sub(c.started))/float64(c.healthy)))
+	f.list.RecordStageCallEnd(c.target, outcomeOf(reply, err), times(c.spec.CallTime, float64(c.answerTime(now))/float64(c.healthy)))
 	if err != nil {
 		f.failed(c, err, now)
 	} else {
--- a/internal/targets/reported.go
+++ b/internal/targets/reported.go
@@ -129,7 +129,7 @@
 }
 
 // MaySend reports whether the call may be sent now: the state of its target may have changed since
-// the target was chosen.
+// the target was chosen. It is called when a connection is there.
 func (l *Lease) MaySend() bool {
 	t := l.t
 	if !t.trusted() {
@@ -137,8 +137,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.byID[l.ID]
-	return t.maySend(s, l.began) && t.permitAllows(s, l.permit, t.now())
+	s, now := t.byID[l.ID], t.now()
+	l.observed.connected = now.Sub(l.began)
+	return t.maySend(s, l.began) && t.permitAllows(s, l.permit, now)
 }
 
 // MaySend reports whether a call to a process, for which the process was chosen at began, may be
--- a/internal/targets/rollout.go
+++ b/internal/targets/rollout.go
@@ -24,6 +24,10 @@
 // callObservation is what was observed of a call, to judge the version of its target by.
 type callObservation struct {
 	route string
+	// unsent is set if nothing was sent. connected is the time until a connection was there: the path is
+	// that of this node, and no evidence on the version.
+	unsent    bool
+	connected time.Duration
 	// firstEvent is the time to the first event of a stream.
 	firstEvent time.Duration
 	// longestGap is the longest wait for a later event.
@@ -85,6 +89,18 @@
 	return rollout.Call{Service: l.Service, Version: l.Version, Target: l.ID, Route: l.observed.route}
 }
 
+// MarkUnsent records that nothing was sent to the target. It is called before Done.
+func (l *Lease) MarkUnsent() {
+	l.t.mu.Lock()
+	defer l.t.mu.Unlock()
+	l.observed.unsent = true
+}
+
+// afterConnect returns the part of a time since the start of the call that came after the connect.
+func (o *callObservation) afterConnect(d time.Duration) time.Duration {
+	return max(d-o.connected, 1)
+}
+
 // MarkFaulty records that the answer was a failure of the target.
 func (l *Lease) MarkFaulty() {
 	l.t.mu.Lock()
@@ -99,16 +115,17 @@
 		return
 	}
 	e := l.ending(now)
-	e.Took = took
+	e.Took = l.observed.afterConnect(took)
 	switch {
+	case l.observed.unsent:
 	case l.observed.faulty, o == Failed:
 		e.Outcome = rollout.Bad
 	case l.observed.firstEvent > 0:
-		e.Outcome, e.Took = rollout.Good, l.observed.firstEvent
+		e.Outcome, e.Took = rollout.Good, l.observed.afterConnect(l.observed.firstEvent)
 	case o == Served && took > 0:
 		e.Outcome = rollout.Good
 	case o == Abandoned:
-		e.Outcome, e.Took = rollout.Left, e.Total
+		e.Outcome, e.Took = rollout.Left, l.observed.afterConnect(e.Total)
 	}
 	if e.Outcome != rollout.Bad && l.s.warmup.cold(now) {
 		// A cold target is slow, whatever its version: only its failures are evidence.
@@ -136,7 +153,7 @@
 	}
 	l.observed.longestGap = gap
 	e := l.ending(now)
-	e.Outcome, e.Took = rollout.Good, l.observed.firstEvent
+	e.Outcome, e.Took = rollout.Good, l.observed.afterConnect(l.observed.firstEvent)
 	l.t.Rollouts.Progressed(l.rolloutCall(), e)
 	l.observed.progressed, l.observed.progressGap = true, gap
 }
