Red test: a pool that is slow altogether serves nobody

Its log: calls of 60 ms took more than a second at all targets; each was counted overdue after 308 ms, its pieces queued again, and cancelled after 1040 ms, pause 600 ms to 4.8 s, so that no call ended at all. How long a call may take went by how slow its target is beside the fastest one of the pool: where all are slow, nominal times hold. In virtual time, four targets 15 times slower: 0 of 20 orders with 20 s each.

--- a/internal/stagebatch/former_test.go
+++ b/internal/stagebatch/former_test.go
@@ -496,3 +496,25 @@
 	batch, _ = take(queue, spec, spec.ResultSpace, now, placement{slower: 1})
 	qt.Check(t, batch, qt.HasLen, len(queue))
 }
+
+// A pool all of whose targets are slow goes on to serve orders that have the time.
+func TestPoolThatIsSlowAltogetherServes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, list := newFakePool(4)
+		for i := range 4 {
+			p.host(i).factor = 15
+		}
+		f := NewFormer(p, list, poolSpec, discardLog)
+		served := 0
+		for i := range 20 {
+			res, err := f.Produce(t.Context(), orderDueIn(fmt.Sprint("r", i), 1, 0, 20*time.Second), nil)
+			if err == nil {
+				served++
+				f.Free("pool", res.Handles)
+			}
+		}
+		qt.Check(t, served >= 15, qt.IsTrue, qt.Commentf("%d of 20 served", served))
+		// For calls whose pieces were made elsewhere.
+		time.Sleep(time.Minute)
+	})
+}
