Stage batches: calls of a pool that is slow altogether have the time that they take

Callers of streams with stages were refused for as long as all targets of a pool were slow (some ten times and more), though they had the time: every call was cancelled before it ended, and the work begun again. Where the fastest target is slow too, its slowness counts in full, also for targets that are tried again; otherwise nothing changes.

--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -195,20 +195,38 @@
 	return m.standing < readiness.Resting && m.calls < max(spec.Slots, 1) && !now.Before(m.pausedUntil)
 }
 
-// slower returns the ratio of this target's slowness to that of the fastest target in the pool.
-// It returns 1 if the target's last call is older than slowProbe, so that a call can show
-// whether the target has recovered.
+// slower returns the ratio of this target's slowness to that of the fastest target in the pool, or to the
+// nominal duration if the whole pool is slow. If the target's last call is older than slowProbe, it returns that
+// of the pool, so that a call can show whether the target has recovered.
 func (m *targetState) slower(states map[string]*targetState, now time.Time) float64 {
 	if now.Sub(m.lastCall) > slowProbe {
-		return 1
+		return poolSlowness(states, now)
 	}
 	fastest := m.slow()
 	for _, other := range states {
 		fastest = min(fastest, other.slow())
 	}
+	if fastest >= slowFactor {
+		return m.slow()
+	}
 	return m.slow() / fastest
 }
 
+// poolSlowness returns the slowness of the fastest target of a pool that was called lately if all of them are
+// slow, else 1.
+func poolSlowness(states map[string]*targetState, now time.Time) float64 {
+	fastest := 0.0
+	for _, m := range states {
+		if now.Sub(m.lastCall) <= slowProbe && (fastest == 0 || m.slow() < fastest) {
+			fastest = m.slow()
+		}
+	}
+	if fastest < slowFactor {
+		return 1
+	}
+	return fastest
+}
+
 // expected returns the nominal duration of a call with n items.
 func expected(spec *routes.Batch, n int) time.Duration {
 	return spec.CallTime + time.Duration(n)*spec.ItemTime
@@ -339,7 +357,7 @@
 	working map[string]bool
 	// hold means that orders wait for a while for their preferred data centre.
 	hold bool
-	// slower is how many times slower than the fastest target the target is.
+	// slower is that of the target's state.
 	slower float64
 	// off are the mechanisms that an experiment disables.
 	off mechanism.Set
