--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -199,32 +199,20 @@
 // nominal duration if the whole pool is slow. If the target's last call is older than slowProbe, it returns that
 // of the pool, so that a call can show whether the target has recovered.
 func (m *targetState) slower(states map[string]*targetState, now time.Time) float64 {
-	if now.Sub(m.lastCall) > slowProbe {
-		return poolSlowness(states, now)
-	}
 	fastest := m.slow()
 	for _, other := range states {
 		fastest = min(fastest, other.slow())
 	}
-	if fastest >= slowFactor {
+	probes := now.Sub(m.lastCall) > slowProbe
+	switch {
+	case fastest >= slowFactor && probes:
+		return fastest
+	case fastest >= slowFactor:
 		return m.slow()
-	}
-	return m.slow() / fastest
-}
-
-// poolSlowness returns the slowness of the fastest target of a pool that was called lately if all of them are
-// slow, else 1.
-func poolSlowness(states map[string]*targetState, now time.Time) float64 {
-	fastest := 0.0
-	for _, m := range states {
-		if now.Sub(m.lastCall) <= slowProbe && (fastest == 0 || m.slow() < fastest) {
-			fastest = m.slow()
-		}
-	}
-	if fastest < slowFactor {
+	case probes:
 		return 1
 	}
-	return fastest
+	return m.slow() / fastest
 }
 
 // expected returns the nominal duration of a call with n items.
