resume: a read of the versions' row from before a suspension is not used

Found by asking of each new time.Now whether it is right when a host is suspended: for 5 s of a clock that stands still then, a node went by a read that found no row, though one may have been written meanwhile, and could take the only version of its list for the one that began a stream. TestReadFromBeforeASuspensionIsNotUsed fails without the mend.

--- a/internal/entry/suspended.go
+++ b/internal/entry/suspended.go
@@ -19,6 +19,7 @@
 	n.log.Warn("host was suspended, asking the store for changes", "ms", gap.Milliseconds(), "in_flight", n.passThrough.InFlight())
 	n.passThrough.HostResumed(gap)
 	n.targets.ListInterrupted()
+	n.streams.History.HostResumed()
 	for _, t := range n.followedTables() {
 		t.Invalidate()
 	}
--- a/internal/resume/history.go
+++ b/internal/resume/history.go
@@ -68,6 +68,13 @@
 	}
 }
 
+// HostResumed is called after the host was suspended: reads from before say nothing of the rows that came meanwhile.
+func (h *History) HostResumed() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	clear(h.absentAt)
+}
+
 // Serve implements suture.Service.
 func (h *History) Serve(ctx context.Context) error {
 	tick := time.NewTicker(historyInterval)
--- a/internal/resume/history_test.go
+++ b/internal/resume/history_test.go
@@ -96,3 +96,18 @@
 		go func() { _ = r.History.Serve(t.Context()) }()
 	}
 }
+
+func TestReadFromBeforeASuspensionIsNotUsed(t *testing.T) {
+	inFleet(t, 2, func(t *testing.T, f *fleet) {
+		h := f.nodes["node-0"].History
+		several, err := h.HadSeveral(t.Context(), "s")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, several, qt.IsFalse)
+		_, err = f.store.Commit(t.Context(), store.Tx{Writes: []store.Write{{Table: Table, Key: "s", Value: []byte(`{"versions":["v1","v2"]}`)}}})
+		qt.Assert(t, err, qt.IsNil)
+		h.HostResumed()
+		several, err = h.HadSeveral(t.Context(), "s")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, several, qt.IsTrue)
+	})
+}
