Logs: the parts of a prompt, and whether an answer had begun

The timeline of the incident cannot tell whether requests that end targets share a part of their prompts: no line names the parts, and whether an answer had begun is known only by which of two lines was written. The lines accepted, no answer from target, stream of target ended early and response of target ended early have both now (16 parts at most). No change of logic.

--- a/internal/passthrough/admit.go
+++ b/internal/passthrough/admit.go
@@ -42,7 +42,7 @@
 	c.estimated = timeToAnswer
 	left := c.timeLeft()
 	c.log.Info("accepted", "route", c.route.Name, "service", c.service, "account", c.account, "rank", c.rank, "config", c.cfg.Version,
-		"need_ms", timeToAnswer.Milliseconds(), "left_ms", left.Milliseconds(), "objective_ms", c.route.Objective.Milliseconds(), "late", late, "pieces", c.meta.Pieces, "digest", c.digest)
+		"need_ms", timeToAnswer.Milliseconds(), "left_ms", left.Milliseconds(), "objective_ms", c.route.Objective.Milliseconds(), "late", late, "pieces", c.meta.Pieces, "digest", c.digest, "parts", c.meta.Prompt)
 	if time.Duration(admissionFraction*float64(timeToAnswer)) > left {
 		delay := min(timeToAnswer-left+c.retryAfter(), time.Duration(maxRetryAfterFraction*float64(left)))
 		return notRun(verdict.DeadlineUnreachable, "the request needs about %v and %v are left",
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -145,7 +145,7 @@
 		l.Done(targets.Failed, 0)
 	}
 	stale := ce != nil && ce.Reused && time.Since(start) < staleWithin
-	c.log.Info("no answer from target", "target", l.ID, "addr", l.Addr, "digest", c.digest, "sent", sent, "stale", stale,
+	c.log.Info("no answer from target", "target", l.ID, "addr", l.Addr, "digest", c.digest, "parts", c.meta.Prompt, "began", false, "sent", sent, "stale", stale,
 		"ran_ms", time.Since(start).Milliseconds(), "err", err)
 	if !sent {
 		l.ReturnPermit()
--- a/internal/passthrough/plain.go
+++ b/internal/passthrough/plain.go
@@ -171,7 +171,7 @@
 		}
 		l.Done(outcome, 0)
 		c.reportInterrupted(l, n, a.start, ctx.Err() != nil)
-		c.log.Info("response of target ended early", "target", l.ID, "addr", l.Addr, "digest", c.digest,
+		c.log.Info("response of target ended early", "target", l.ID, "addr", l.Addr, "digest", c.digest, "parts", c.meta.Prompt, "began", true,
 			"ran_ms", time.Since(a.start).Milliseconds(), "err", err)
 		return result{f: &failure{ran: true, err: err}}
 	}
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -291,7 +291,7 @@
 		outcome = targets.Abandoned
 	}
 	a.streamDone(outcome)
-	x.c.log.Info("stream of target ended early", "target", a.lease.ID, "addr", a.lease.Addr, "digest", x.c.digest, "events", x.events, "last", x.lastEvent,
+	x.c.log.Info("stream of target ended early", "target", a.lease.ID, "addr", a.lease.Addr, "digest", x.c.digest, "parts", x.c.meta.Prompt, "began", true, "events", x.events, "last", x.lastEvent,
 		"ran_ms", time.Since(a.start).Milliseconds(), "silent", errors.Is(context.Cause(ctx), errSilent), "err", err)
 	x.c.reportInterrupted(a.lease, a.n, a.start, ctx.Err() != nil)
 	return &failure{ran: true, err: err}
--- a/internal/passthrough/wire.go
+++ b/internal/passthrough/wire.go
@@ -6,7 +6,9 @@
 package passthrough
 
 import (
+	"log/slog"
 	"net/http"
+	"strconv"
 	"time"
 
 	"topazmoor/internal/promptcache"
@@ -49,6 +51,21 @@
 	Parts []promptcache.Part
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 16
+
+// LogValue implements slog.LogValuer by the IDs of the parts, in hexadecimal.
+func (p *Prompt) LogValue() slog.Value {
+	if p == nil {
+		return slog.AnyValue(nil)
+	}
+	ids := make([]string, 0, min(len(p.Parts), maxLoggedParts))
+	for _, part := range p.Parts[:cap(ids)] {
+		ids = append(ids, strconv.FormatUint(part.ID, 16))
+	}
+	return slog.AnyValue(ids)
+}
+
 // Outgoing holds what the node adds to a request that is sent to a target.
 type Outgoing struct {
 	// Target is the ID of the process that must answer.
