--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -18,8 +18,8 @@
 
 // quarantineCmd shows and lifts quarantines of requests that crash targets.
 type quarantineCmd struct {
-	List *quarantineListCmd `arg:"subcommand:list" help:"print the requests under which targets ended"`
-	Lift *quarantineLiftCmd `arg:"subcommand:lift" help:"let a request through again"`
+	List *quarantineListCmd `arg:"subcommand:list" help:"print the requests and parts of prompts under which targets ended"`
+	Lift *quarantineLiftCmd `arg:"subcommand:lift" help:"let a request, or requests with a part, through again"`
 }
 
 // platformArgs say where the store is.
@@ -64,7 +64,7 @@
 	case q.Lift != nil:
 		return q.Lift.run(ctx, c)
 	}
-	return usage(eris.New("write quarantine list, or quarantine lift DIGEST"))
+	return usage(eris.New("write quarantine list, or quarantine lift NAME"))
 }
 
 type quarantineListCmd struct{ platformArgs }
@@ -80,9 +80,9 @@
 	}
 	return c.print(list, func(w io.Writer) {
 		tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-		fmt.Fprintln(tw, "DIGEST\tQUARANTINED\tENDS\tPROBES\tENDED")
+		fmt.Fprintln(tw, "NAME\tQUARANTINED\tENDS\tPROBES\tENDED")
 		for _, l := range list {
-			fmt.Fprintf(tw, "%s\t%t\t%d\t%d\t%v\n", l.Digest, l.Quarantined, len(l.Ended), l.Probes, l.Ended)
+			fmt.Fprintf(tw, "%s\t%t\t%d\t%d\t%v\n", l.Name, l.Quarantined, len(l.Ended), l.Probes, l.Ended)
 		}
 		// The console's writer fails at its end.
 		_ = tw.Flush()
@@ -91,13 +91,13 @@
 
 type quarantineLiftCmd struct {
 	platformArgs
-	Digest string `arg:"positional,required" placeholder:"DIGEST" help:"the request, as the list and the logs name it"`
-	Note   string `arg:"--note,required" help:"reason, for the audit trail"`
-	By     string `arg:"--by" help:"who lifts it (default: the user who runs the command)"`
+	Name string `arg:"positional,required" placeholder:"NAME" help:"the request or part of prompts (part:ID), as the list and the logs name it"`
+	Note string `arg:"--note,required" help:"reason, for the audit trail"`
+	By   string `arg:"--by" help:"who lifts it (default: the user who runs the command)"`
 }
 
 func (q *quarantineLiftCmd) run(ctx context.Context, c *console) error {
-	d, err := poison.ParseDigest(q.Digest)
+	d, err := poison.ParseName(q.Name)
 	if err != nil {
 		return usage(err)
 	}
@@ -118,6 +118,6 @@
 		return storeError(err)
 	}
 	return c.print(lifted, func(w io.Writer) {
-		fmt.Fprintf(w, "lifted: %s, under which %d targets ended; nodes let it through as soon as the store tells them\n", lifted.Digest, len(lifted.Record.Ended))
+		fmt.Fprintf(w, "lifted: %s, under which %d targets ended; nodes let it through as soon as the store tells them\n", lifted.Name, len(lifted.Record.Ended))
 	})
 }
--- a/internal/entry/deferred.go
+++ b/internal/entry/deferred.go
@@ -89,7 +89,7 @@
 }
 
 // SendEnds reports to another node which targets ended during requests.
-func (l *deferredClient) SendEnds(ctx context.Context, addr string, ends []poison.End) error {
+func (l *deferredClient) SendEnds(ctx context.Context, addr string, ends poison.Ends) error {
 	c := l.c.Load()
 	if c == nil {
 		return errNoKey
--- a/internal/entry/guard.go
+++ b/internal/entry/guard.go
@@ -27,6 +27,8 @@
 
 func (n *Node) provisionGuardMetrics() {
 	n.metrics.Gauge("topazmoor_entry_quarantined_requests", "Requests in quarantine, as targets ended under them.", func() float64 { return float64(n.guard.Counts().Quarantined) })
+	n.metrics.Gauge("topazmoor_entry_quarantined_prompt_parts", "Parts of prompts in quarantine, as targets ended under them.", func() float64 { return float64(n.guard.Counts().QuarantinedParts) })
+	n.metrics.Gauge("topazmoor_entry_target_end_reports", "Reports on ended targets by which parts of prompts are judged.", func() float64 { return float64(n.guard.Counts().Reports) })
 	n.metrics.Counter("topazmoor_entry_target_ends_total", "Ends of targets under requests of this node.", func() float64 { return float64(n.guard.Counts().Ends) })
 	n.metrics.Counter("topazmoor_entry_quarantine_probes_total", "Requests in quarantine that were sent alone.", func() float64 { return float64(n.guard.Counts().Probes) })
 	n.metrics.Counter("topazmoor_entry_quarantine_refusals_total", "Requests in quarantine that were not sent.", func() float64 { return float64(n.guard.Counts().Refused) })
--- a/internal/passthrough/admit.go
+++ b/internal/passthrough/admit.go
@@ -25,7 +25,7 @@
 // behind all other work of the stages, so their estimate is longer, and they are refused when
 // too many of them are already queued.
 func (c *call) admit() error {
-	if err := c.s.cfg.Guard.Admit(c.digest); err != nil {
+	if err := c.s.cfg.Guard.Admit(c.guarded()); err != nil {
 		return c.quarantineError(err)
 	}
 	if err := c.bindVersion(); err != nil {
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"topazmoor/internal/httpconn"
+	"topazmoor/internal/poison"
 	"topazmoor/internal/readiness"
 	"topazmoor/internal/targets"
 	"topazmoor/internal/verdict"
@@ -21,6 +22,9 @@
 	ans   *httpconn.Answer
 	info  ResponseMeta
 	start time.Time
+	// firstEvent is when the first event of a stream arrived; progress is how far the answer has come.
+	firstEvent time.Time
+	progress   poison.Progress
 	// longestGap is the longest wait for an event of a stream after the first event.
 	longestGap time.Duration
 }
@@ -80,7 +84,8 @@
 	if err != nil {
 		return nil, c.noAnswer(ctx, l, n, a.start, err)
 	}
-	a.ans, a.info = ans, c.s.cfg.Wire.FromTarget(ans.Status, ans.Header)
+	a.ans, a.progress = ans, poison.Begun
+	a.info = c.s.cfg.Wire.FromTarget(ans.Status, ans.Header)
 	if a.info.Load != nil {
 		l.RecordLoad(*a.info.Load)
 	}
@@ -151,7 +156,7 @@
 		l.ReturnPermit()
 	}
 	if sent && !stale {
-		c.reportInterrupted(l, n, start, ctx.Err() != nil)
+		c.reportInterrupted(l, n, start, poison.Waiting, ctx.Err() != nil)
 	} else {
 		c.reportAbandoned(n)
 	}
--- a/internal/passthrough/plain.go
+++ b/internal/passthrough/plain.go
@@ -144,7 +144,7 @@
 // mayHedge reports whether the request may be sent to a second target while the first
 // processes it. A request during which a target ended runs at one target at a time.
 func (c *call) mayHedge() bool {
-	return c.route.Repeatable() && !c.s.cfg.Off.Has(mechanism.Hedges) && !c.s.cfg.Guard.Suspect(c.digest)
+	return c.route.Repeatable() && !c.s.cfg.Off.Has(mechanism.Hedges) && !c.s.cfg.Guard.Suspect(c.guarded())
 }
 
 // maxSends bounds the sends of one request, including rejected ones.
@@ -170,7 +170,7 @@
 			outcome = targets.Abandoned
 		}
 		l.Done(outcome, 0)
-		c.reportInterrupted(l, n, a.start, ctx.Err() != nil)
+		c.reportInterrupted(l, n, a.start, a.progress, ctx.Err() != nil)
 		c.log.Info("response of target ended early", "target", l.ID, "addr", l.Addr, "digest", c.digest, "parts", c.meta.Prompt, "began", true,
 			"ran_ms", time.Since(a.start).Milliseconds(), "err", err)
 		return result{f: &failure{ran: true, err: err}}
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -38,19 +38,23 @@
 type Guard interface {
 	// Admit returns an error if a request must not be processed, by the state of this node. The
 	// error is *poison.Refused, as is that of Send.
-	Admit(d poison.Digest) error
+	Admit(r poison.Request) error
 	// Send returns an error if a request must not be sent now, for a run of the given duration.
 	// For a request in quarantine it claims and returns the probe: the request then has a single
 	// run, at the target with the least other work.
-	Send(ctx context.Context, d poison.Digest, lasts time.Duration) (probe string, err error)
-	// Suspect reports whether a target ended during the request.
-	Suspect(d poison.Digest) bool
+	Send(ctx context.Context, r poison.Request, lasts time.Duration) (poison.Probe, error)
+	// Suspect reports whether a target ended during the request, or a part of its prompt may crash
+	// targets.
+	Suspect(r poison.Request) bool
 	// Ended, Answered and Abandoned report the outcome of a run: it broke off at a target, the
 	// target answered, or it gives no evidence. The channel of Ended reports whether the target
 	// ended; the request should not be sent again before.
 	Ended(r poison.Run) <-chan bool
-	Answered(d poison.Digest)
-	Abandoned(d poison.Digest, probe string)
+	Answered(r poison.Request)
+	Abandoned(p poison.Probe)
+	// PartsAnswered reports that an answer has come so far that the parts of its prompt do not crash
+	// targets.
+	PartsAnswered(parts []poison.Part)
 }
 
 // Streams knows at which version of the targets' software streams began; *resume.Registry in production.
@@ -194,9 +198,10 @@
 	body     []byte
 	// digest identifies the request across all attempts of its caller.
 	digest poison.Digest
-	// claimedProbe is the ID of a claimed quarantine probe under which the stages of the request
-	// run; "" for none.
-	claimedProbe string
+	// parts are the parts of its prompt that other requests may share; nil without a prompt.
+	parts []poison.Part
+	// claimedProbe is a claimed quarantine probe under which the stages of the request run.
+	claimedProbe poison.Probe
 	// stageDataCentres are the preferred data centres of the stages, for estimates; see
 	// expectedDataCentre.
 	stageDataCentres     []string
@@ -292,6 +297,7 @@
 		return err
 	}
 	c.digest = poison.DigestOf(c.account, c.r.Method, c.r.Host, c.r.RequestURI, c.body)
+	c.parts = c.meta.Prompt.shared()
 	return nil
 }
 
--- a/internal/passthrough/stages.go
+++ b/internal/passthrough/stages.go
@@ -181,7 +181,7 @@
 	o := stagebatch.Order{
 		Service: st.Service, Request: c.meta.ID, Stage: i, Pieces: n, Priority: c.rank,
 		Due: c.due(i), Deadline: c.stageDeadline(i), ResultBytes: st.ResultBytes,
-		DataCentre: c.producerDataCentre(in, i), InputsRead: inputsRead, Digest: c.digest, Probe: c.claimedProbe, Regions: c.regions(),
+		DataCentre: c.producerDataCentre(in, i), InputsRead: inputsRead, Digest: c.digest, Probe: c.claimedProbe.NameFor(c.digest), Regions: c.regions(),
 	}
 	if len(st.After) == 0 {
 		o.Key = c.meta.PieceKey
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"topazmoor/internal/mechanism"
+	"topazmoor/internal/poison"
 	"topazmoor/internal/sse"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/targets"
@@ -30,6 +31,9 @@
 	// streamProgress is the time after which a stream counts as evidence on the version of its target
 	// although it has not ended.
 	streamProgress = 2 * time.Second
+	// provenAfter is how long after its first event a stream shows that its request does not crash the
+	// engine.
+	provenAfter = 250 * time.Millisecond
 )
 
 // serveStream runs the stages, sends the request to an engine and passes its events on. A
@@ -53,7 +57,7 @@
 			in, err := c.produceInputs(c.ctx)
 			if errors.Is(err, stagebatch.ErrCrashed) {
 				// The node that forms the batches has reported the outcome of the run and of the probe.
-				c.claimedProbe = ""
+				c.releaseProbeAfterStages()
 			}
 			if mayRerunStages(err) && x.stageReruns < maxStageReruns && c.ctx.Err() == nil {
 				x.stageReruns++
@@ -167,7 +171,7 @@
 	w, err := readBuffered(a)
 	if err != nil {
 		a.lease.Done(targets.Failed, 0)
-		x.c.reportInterrupted(a.lease, a.n, a.start, x.c.ctx.Err() != nil)
+		x.c.reportInterrupted(a.lease, a.n, a.start, a.progress, x.c.ctx.Err() != nil)
 		return &failure{ran: true, err: err}
 	}
 	if a.ans.Status >= http.StatusInternalServerError {
@@ -216,6 +220,7 @@
 			first = false
 			x.recordFirstEvent(a)
 		}
+		x.recordProven(a)
 		if mayResume {
 			watchdog.watch(max(time.Duration(gapFactor*float64(gap)), minGapTimeout))
 		}
@@ -266,12 +271,22 @@
 // of the stages.
 func (x *streaming) recordFirstEvent(a *attempt) {
 	c := x.c
+	a.firstEvent = time.Now()
 	a.lease.MarkPromptRead()
 	a.lease.RecordFirstEvent(time.Since(a.start))
 	c.s.cfg.Observer.ResponseBegan(c.rank, c.estimated, time.Since(c.arrived), c.route.Objective)
 	x.freeInputs()
 }
 
+// recordProven records an answer that has come so far that its request does not crash the target.
+func (x *streaming) recordProven(a *attempt) {
+	if a.progress == poison.Proven || time.Since(a.firstEvent) < provenAfter {
+		return
+	}
+	a.progress = poison.Proven
+	x.c.s.cfg.Guard.PartsAnswered(x.c.parts)
+}
+
 // sendHead sends the head of the response to the caller.
 func (x *streaming) sendHead(a *attempt) {
 	x.started = true
@@ -293,7 +308,7 @@
 	a.streamDone(outcome)
 	x.c.log.Info("stream of target ended early", "target", a.lease.ID, "addr", a.lease.Addr, "digest", x.c.digest, "parts", x.c.meta.Prompt, "began", true, "events", x.events, "last", x.lastEvent,
 		"ran_ms", time.Since(a.start).Milliseconds(), "silent", errors.Is(context.Cause(ctx), errSilent), "err", err)
-	x.c.reportInterrupted(a.lease, a.n, a.start, ctx.Err() != nil)
+	x.c.reportInterrupted(a.lease, a.n, a.start, a.progress, ctx.Err() != nil)
 	return &failure{ran: true, err: err}
 }
 
--- a/internal/passthrough/wire.go
+++ b/internal/passthrough/wire.go
@@ -8,9 +8,11 @@
 import (
 	"log/slog"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
+	"topazmoor/internal/poison"
 	"topazmoor/internal/promptcache"
 	"topazmoor/internal/readiness"
 	"topazmoor/internal/sharedrate"
@@ -51,6 +53,21 @@
 	Parts []promptcache.Part
 }
 
+// shared returns the parts that other requests may share: all but the last one. It is nil if there is no
+// prompt.
+func (p *Prompt) shared() []poison.Part {
+	if p == nil || len(p.Parts) == 0 {
+		return nil
+	}
+	out := make([]poison.Part, 0, len(p.Parts)-1)
+	for _, part := range p.Parts[:len(p.Parts)-1] {
+		if id := poison.Part(part.ID); !slices.Contains(out, id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // maxLoggedParts bounds the parts of a prompt in a log line.
 const maxLoggedParts = 16
 
--- a/internal/peer/messages_test.go
+++ b/internal/peer/messages_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"topazmoor/internal/ownership"
+	"topazmoor/internal/poison"
 	"topazmoor/internal/standin/memnet"
 	"topazmoor/internal/traffic"
 )
@@ -68,7 +69,7 @@
 		qt.Assert(t, err, qt.IsNil)
 		before := bytesOf(t, near, traffic.Overhead, traffic.Sent)
 		qt.Check(t, before > overhead, qt.IsTrue)
-		qt.Check(t, client.SendEnds(t.Context(), closeAddr, nil), qt.IsNil)
+		qt.Check(t, client.SendEnds(t.Context(), closeAddr, poison.Ends{}), qt.IsNil)
 		qt.Check(t, client.Free(t.Context(), closeAddr, "drafts", []string{"a"}, false), qt.IsNil)
 		awaitSame(t, near, far)
 		overhead = bytesOf(t, near, traffic.Overhead, traffic.Sent)
--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -140,20 +140,24 @@
 // run sends a request at a node; ends says whether the target ends under it. It reports whether the
 // request was sent, and whether as a probe.
 func (f *fleet) run(node int, d Digest, target string, ends bool) (sent, probe bool) {
+	return f.runRequest(node, Request{Digest: d}, target, ends)
+}
+
+func (f *fleet) runRequest(node int, r Request, target string, ends bool) (sent, probe bool) {
 	g := f.guards[node]
-	name, err := g.Send(context.Background(), d, probeLasts)
+	p, err := g.Send(context.Background(), r, probeLasts)
 	if err != nil {
 		return false, false
 	}
 	if !ends {
-		g.Answered(d)
-		return true, name != ""
+		g.Answered(r)
+		return true, p.Claimed()
 	}
 	began := time.Now()
 	time.Sleep(time.Millisecond)
 	f.end(target)
-	<-g.Ended(Run{Digest: d, Began: began, Process: target + "@0", Addr: target, Probe: name})
-	return true, name != ""
+	<-g.Ended(Run{Request: r, Began: began, Process: target + "@0", Addr: target, Progress: Begun, Probe: p})
+	return true, p.Claimed()
 }
 
 // quarantine lets two targets end under a request, and waits until all nodes have read the
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,9 @@
 	maxAnswered = 8192
 	// retryDuringProbe is when a caller may retry a request that is being probed.
 	retryDuringProbe = time.Second
+	// jointProbePause is how much later a request is probed that holds several quarantined records, or
+	// another suspect part: one that holds a single record tells more.
+	jointProbePause = 3 * time.Second
 	// retryWithoutStore is when a caller may retry a request whose probe could not be claimed in
 	// the store.
 	retryWithoutStore = 2 * time.Second
@@ -35,15 +39,21 @@
 
 // Refused is the error of a request that must not be sent.
 type Refused struct {
-	// Ends is the number of targets that are known to have ended under the request.
+	// Ends is the number of targets that are known to have ended under the request, or, if Part is
+	// set, under a part of its prompt.
 	Ends int
+	Part bool
 	// After is the duration until the request may be admitted again; 0 if unknown.
 	After time.Duration
 }
 
 // Error implements error.
 func (e *Refused) Error() string {
-	return fmt.Sprintf("poison: %d targets ended under the request", e.Ends)
+	what := "the request"
+	if e.Part {
+		what = "a part of its prompt"
+	}
+	return fmt.Sprintf("poison: %d targets ended under %s", e.Ends, what)
 }
 
 // Config configures a Guard.
@@ -56,7 +66,7 @@
 	// OtherAddrs returns the addresses of the other nodes. SendEndsTo sends ends of targets that
 	// could not be written to the store to the node at addr; nil disables this.
 	OtherAddrs func() []string
-	SendEndsTo func(ctx context.Context, addr string, ends []End) error
+	SendEndsTo func(ctx context.Context, addr string, ends Ends) error
 	// OnProcessEnd, if set, is called with each process that has ended.
 	OnProcessEnd func(process string)
 	// Nodes returns the number of nodes, which share the removal of old rows.
@@ -84,101 +94,76 @@
 	// target under such a request has another cause and is not counted against the request. The
 	// value is the process that ended; empty if none has ended since the answer.
 	answered *simplelru.LRU[Digest, string]
-}
-
-// storedRecord is a request's record in the store, with the version of its row. since is when this
-// node first read that version.
-type storedRecord struct {
-	Record
-	version store.Version
-	since   time.Time
-}
-
-// localRecord is the information of this node alone on a request.
-type localRecord struct {
-	Record
-	// since is when the node last learned of the end of a target under the request, or last failed
-	// to reach the store to claim a probe of the request.
-	since time.Time
-}
-
-// recordView is the record of a request by which a node decides whether to send the request: the
-// stored record merged with the node's local record.
-type recordView struct {
-	Record
-	// unchanged is how long this node has seen the record unchanged.
-	unchanged time.Duration
-	// listed reports that the store's list of quarantined requests, as last read, contains the
-	// request.
-	listed bool
-}
-
-// decide returns what may be done with the request. after is the duration until a refusal ends; 0 if
-// it lasts as long as the record.
-//
-// A request that the store's list does not contain may be in quarantine only because of the ends of
-// targets in this node's local record. Another node may then have seen a target answer the request and
-// removed its stored record. So this node tries to claim a probe, as a claim reads the current record
-// from the store. If it has already sent a probe that it claimed without the store, it does so only
-// once its local record has been unchanged for retryWithoutStore.
-func (k recordView) decide() (d Decision, after time.Duration) {
-	if k.listed || !k.Quarantined() {
-		return k.Record.Decide(k.unchanged)
-	}
-	if wait := retryWithoutStore - k.unchanged; k.Probes > 0 && wait > 0 {
-		return Refuse, wait
-	}
-	return MayProbe, 0
+	// parts is the evidence on parts of prompts.
+	parts *partEvidence
 }
 
 // New returns a Guard without any records.
 func New(cfg Config) *Guard {
 	return &Guard{
 		cfg: cfg, endDetector: newEndDetector(cfg.Dial), queue: newQueue(), stored: make(map[Digest]storedRecord),
-		local: newLRU[localRecord](maxLocalRecords), answered: newLRU[string](maxAnswered),
+		local: newLRU[Digest, localRecord](maxLocalRecords), answered: newLRU[Digest, string](maxAnswered),
+		parts: newPartEvidence(cfg.Node, cfg.Nodes),
 	}
 }
 
-func newLRU[V any](size int) *simplelru.LRU[Digest, V] {
-	l, err := simplelru.NewLRU[Digest, V](size, nil)
+func newLRU[K comparable, V any](size int) *simplelru.LRU[K, V] {
+	l, err := simplelru.NewLRU[K, V](size, nil)
 	if err != nil {
 		panic(err) // the size is positive
 	}
 	return l
 }
 
-// Apply replaces the quarantined requests with the rows in force of QuarantineTable.
+// Apply replaces the quarantined records and the evidence on parts of prompts with the rows in force of
+// QuarantineTable.
 func (g *Guard) Apply(v watch.View, _ restore.Result) {
-	now := time.Now()
 	next := make(map[Digest]storedRecord, len(v.Rows))
+	var evidence []store.Row
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for key, row := range v.Rows {
-		d, err := ParseDigest(key)
-		if err != nil {
-			g.cfg.Log.Error("invalid quarantine row skipped", "err", err)
+		if isEvidence(key) {
+			evidence = append(evidence, row)
 			continue
 		}
-		r, err := decodeRecord(row.Value)
+		d, f, err := g.decodeStored(row)
 		if err != nil {
-			g.cfg.Log.Error("invalid quarantine row skipped", "digest", d, "err", err)
+			g.cfg.Log.Error("invalid quarantine row skipped", "key", key, "err", err)
 			continue
 		}
-		old, ok := g.stored[d]
-		if ok && old.version == row.Version {
-			next[d] = old
-			continue
-		}
-		next[d] = storedRecord{Record: r, version: row.Version, since: now}
+		next[d] = f
+	}
+	g.logEnded(next)
+	g.stored = next
+	for _, err := range g.parts.apply(evidence, time.Now()) {
+		g.cfg.Log.Error("invalid report of an ended target skipped", "err", err)
+	}
+	g.review()
+}
+
+// decodeStored decodes a row of a record. The caller holds g.mu.
+func (g *Guard) decodeStored(row store.Row) (Digest, storedRecord, error) {
+	d, err := ParseDigest(row.Key)
+	if err != nil {
+		return d, storedRecord{}, err
 	}
+	if old, ok := g.stored[d]; ok && old.version == row.Version {
+		return d, old, nil
+	}
+	r, err := decodeRecord(row.Value)
+	return d, storedRecord{Record: r, version: row.Version, since: time.Now()}, err
+}
+
+// logEnded drops what this node knows of records that are in quarantine no longer: a node saw a target
+// answer, or an operator lifted the quarantine. The caller holds g.mu.
+func (g *Guard) logEnded(next map[Digest]storedRecord) {
 	for d := range g.stored {
 		if _, ok := next[d]; !ok {
-			// A node saw a target answer the request, or an operator lifted the quarantine.
 			g.local.Remove(d)
-			g.cfg.Log.Info("quarantine of a request ended", "digest", d)
+			g.cfg.Log.Info("quarantine ended", "digest", d, "name", d.Name())
 		}
 	}
-	g.stored = next
 }
 
 // RewriteLost repeats the writes that a store which was restored from a copy has lost: records of
@@ -204,93 +189,99 @@
 	g.cfg.Log.Info("rewriting quarantines that the store lost", "lost", len(kept.Lost), "undone", len(kept.Reappeared))
 }
 
-// lookup returns the record of a request: the stored record as last read, merged with the local one.
-func (g *Guard) lookup(d Digest) recordView {
+// Suspect reports whether a target is known to have ended under the request, or a part of its prompt may
+// crash targets.
+func (g *Guard) Suspect(r Request) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	f, listed := g.stored[d]
-	local, _ := g.local.Get(d)
-	k := recordView{listed: listed, unchanged: time.Since(local.since)}
-	if listed {
-		k.Record, k.unchanged = f.Record, time.Since(f.since)
-	}
-	for _, process := range local.Ended {
-		k.Record = k.withEnd(process, "")
+	if len(g.lookup(r.Digest).Ended) > 0 {
+		return true
 	}
-	k.Probes = max(k.Probes, local.Probes)
-	return k
-}
-
-// Suspect reports whether a target is known to have ended under the request.
-func (g *Guard) Suspect(d Digest) bool {
-	return len(g.lookup(d).Ended) > 0
+	return slices.ContainsFunc(r.Parts, g.parts.suspect)
 }
 
 // Quarantined reports whether the request is known to be in quarantine, where only probes are sent.
 func (g *Guard) Quarantined(d Digest) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	return g.lookup(d).Quarantined()
 }
 
 // Admit returns nil if a request that has just arrived may be processed as far as this node knows, and
 // otherwise an error of type *Refused.
-func (g *Guard) Admit(d Digest) error {
-	k := g.lookup(d)
-	decision, after := k.decide()
+func (g *Guard) Admit(r Request) error {
+	decision, after, worst := g.view(r).decide()
 	if decision != Refuse {
 		return nil
 	}
-	return g.refuse(k.Record, after)
+	return g.refuse(worst, after)
 }
 
-func (g *Guard) refuse(r Record, after time.Duration) error {
+func (g *Guard) refuse(k recordView, after time.Duration) error {
 	g.stats.refused.Add(1)
-	if r.Probe != "" {
+	if k.Probe != "" {
 		after = min(after, retryDuringProbe)
 	}
-	return &Refused{Ends: len(r.Ended), After: after}
+	_, isPart := k.digest.Part()
+	return &Refused{Ends: len(k.Ended), Part: isPart, After: after}
 }
 
 // Send decides whether the request may be sent to a target now; lasts is how long the request may run.
-// For a quarantined request Send claims a probe and returns the name of the probe: the request must then
-// be sent alone, and the outcome of the probe reported to Ended, Answered or Abandoned. The error is
-// of type *Refused.
-func (g *Guard) Send(ctx context.Context, d Digest, lasts time.Duration) (probe string, err error) {
-	k := g.lookup(d)
-	decision, after := k.decide()
+// For a request that holds quarantined records Send claims a probe of them: the request must then be sent
+// alone, and the outcome of the probe reported to Ended, Answered or Abandoned. The error is of type
+// *Refused.
+func (g *Guard) Send(ctx context.Context, r Request, lasts time.Duration) (Probe, error) {
+	v := g.view(r)
+	decision, after, worst := v.decide()
 	switch decision {
 	case Pass:
-		return "", nil
+		return Probe{}, nil
 	case Refuse:
-		return "", g.refuse(k.Record, after)
+		return Probe{}, g.refuse(worst, after)
 	}
-	probe, err = g.claim(ctx, d, lasts, k.unchanged)
+	probe, err := g.claim(ctx, v.quarantined, lasts)
 	if err != nil {
-		g.cfg.Log.Info("request in quarantine not sent", "digest", d, "ends", len(k.Ended), "listed", k.listed, "err", err)
-		return "", err
+		g.cfg.Log.Info("request in quarantine not sent", "digest", r.Digest, "of", worst.digest.Name(), "ends", len(worst.Ended), "listed", worst.listed, "err", err)
+		return Probe{}, err
 	}
-	if probe == "" {
+	if !probe.Claimed() {
 		// A target has answered the request meanwhile, so it is no longer in quarantine.
-		return "", nil
+		return Probe{}, nil
 	}
 	g.stats.probes.Add(1)
-	g.cfg.Log.Info("request in quarantine sent alone", "digest", d, "ends", len(k.Ended), "probes", k.Probes+1, "probe", probe)
+	g.cfg.Log.Info("request in quarantine sent alone", "digest", r.Digest, "of", names(probe.Of), "ends", len(worst.Ended), "probes", worst.Probes+1, "probe", probe.Name)
 	return probe, nil
 }
 
 // Run is one run of a request at a target.
 type Run struct {
-	Digest Digest
+	Request
 	// Began is when the run began.
 	Began time.Time
 	// Process identifies one start of the target's process, Addr is the address where it accepts
 	// calls.
 	Process, Addr string
-	// Probe names the probe that the run belongs to; empty if none. ProbeContinues reports that
-	// the probe has further runs unless this one ended its target, so that the probe is not given up.
-	Probe          string
+	// Progress is how far the answer had come.
+	Progress Progress
+	// Probe is the probe that the run belongs to, if any. ProbeContinues reports that the probe has
+	// further runs unless this one ended its target, so that the probe is not given up.
+	Probe          Probe
 	ProbeContinues bool
 }
 
+// Progress is how far the answer to a run has come.
+type Progress uint8
+
+// The stages of an answer.
+const (
+	// Waiting: nothing has arrived.
+	Waiting Progress = iota
+	// Begun: the head has arrived.
+	Begun
+	// Proven: so much has arrived that the request does not crash its target.
+	Proven
+)
+
 // Ended reports that a run broke off at its target. It checks whether the target's process has
 // ended, and if so writes this end to the store. The channel delivers whether the process has ended,
 // once the end is written or reportWait has passed: the request should not be sent again earlier.
@@ -310,26 +301,43 @@
 func (g *Guard) ended(r Run) bool {
 	if !g.endDetector.endedUnder(r.Process, r.Addr, r.Began) {
 		if !r.ProbeContinues {
-			g.Abandoned(r.Digest, r.Probe)
+			g.Abandoned(r.Probe)
 		}
 		return false
 	}
 	if g.cfg.OnProcessEnd != nil {
 		g.cfg.OnProcessEnd(r.Process)
 	}
-	if !g.recordLocal(r) {
-		return true
-	}
-	written := g.queue.push(op{kind: opEnd, digest: r.Digest, process: r.Process, probe: r.Probe})
 	timer := time.NewTimer(reportWait)
 	defer timer.Stop()
-	select {
-	case <-written:
-	case <-timer.C:
+	for _, written := range g.recordEnd(r) {
+		select {
+		case <-written:
+		case <-timer.C:
+			return true
+		}
 	}
 	return true
 }
 
+// recordEnd records an end for the request, for the parts of its prompt, and for what the run probed. The
+// channels are closed once it is written to the store.
+func (g *Guard) recordEnd(r Run) []<-chan struct{} {
+	var written []<-chan struct{}
+	if w := g.recordRun(r); w != nil {
+		written = append(written, w)
+	}
+	for _, d := range r.Probe.Of {
+		if d != r.Digest {
+			written = append(written, g.queue.push(op{kind: opEnd, digest: d, process: r.Process, probe: r.Probe.Name}))
+		}
+	}
+	if g.recordLocal(r) {
+		written = append(written, g.queue.push(op{kind: opEnd, digest: r.Digest, process: r.Process, probe: r.Probe.NameFor(r.Digest)}))
+	}
+	return written
+}
+
 // recordLocal records the end of a target that this node observed during a run, and reports whether the
 // end counts against the request. Clients may send the same request again and again: if a target has
 // just answered the request, the next end of a target under it has another cause.
@@ -337,7 +345,7 @@
 	g.stats.ends.Add(1)
 	g.mu.Lock()
 	lastEnded, ok := g.answered.Get(r.Digest)
-	if ok && r.Probe == "" && (lastEnded == "" || lastEnded == r.Process) {
+	if ok && !r.Probe.Claimed() && (lastEnded == "" || lastEnded == r.Process) {
 		g.answered.Add(r.Digest, r.Process)
 		g.mu.Unlock()
 		g.cfg.Log.Info("target ended under a request that a target recently answered, end not counted against the request", "digest", r.Digest, "process", r.Process, "addr", r.Addr)
@@ -346,7 +354,7 @@
 	g.answered.Remove(r.Digest)
 	local := g.addLocalEnd(r.Digest, r.Process, "")
 	g.mu.Unlock()
-	g.cfg.Log.Info("target ended under the request", "digest", r.Digest, "process", r.Process, "addr", r.Addr, "own_ends", len(local.Ended), "probe", r.Probe)
+	g.cfg.Log.Info("target ended under the request", "digest", r.Digest, "process", r.Process, "addr", r.Addr, "began", r.Progress != Waiting, "own_ends", len(local.Ended), "probe", r.Probe.Name)
 	return true
 }
 
@@ -360,7 +368,8 @@
 }
 
 // Answered reports that a target answered the request, which shows that it does not crash targets.
-func (g *Guard) Answered(d Digest) {
+func (g *Guard) Answered(r Request) {
+	d := r.Digest
 	g.mu.Lock()
 	_, quarantined := g.stored[d]
 	local := g.local.Remove(d)
@@ -369,20 +378,20 @@
 	if quarantined || local {
 		g.queue.push(op{kind: opAnswered, digest: d})
 	}
+	g.PartsAnswered(r.Parts)
 }
 
 // Abandoned reports that a run ended without an answer while its target still runs, or before the
 // target started the run. If the run was a probe, the probe is not counted among the probes of the
 // request, as it does not show whether the request crashes targets.
-func (g *Guard) Abandoned(d Digest, probe string) {
-	if probe == "" {
-		return
-	}
-	g.mu.Lock()
-	released := g.releaseLocalProbe(d, probe)
-	g.mu.Unlock()
-	if !released {
-		g.queue.push(op{kind: opAbandoned, digest: d, probe: probe})
+func (g *Guard) Abandoned(p Probe) {
+	for _, d := range p.Of {
+		g.mu.Lock()
+		released := g.releaseLocalProbe(d, p.Name)
+		g.mu.Unlock()
+		if !released {
+			g.queue.push(op{kind: opAbandoned, digest: d, probe: p.Name})
+		}
 	}
 }
 
@@ -398,3 +407,12 @@
 	g.local.Add(d, local)
 	return true
 }
+
+// names returns the names of records, for logs.
+func names(digests []Digest) []string {
+	out := make([]string, len(digests))
+	for i, d := range digests {
+		out[i] = d.Name()
+	}
+	return out
+}
--- a/internal/poison/guard_test.go
+++ b/internal/poison/guard_test.go
@@ -17,30 +17,30 @@
 		defer f.stop()
 		d := digest("x")
 		f.run(0, d, "e0", true)
-		c.Assert(f.guards[1].Admit(d), qt.IsNil)
+		c.Assert(f.guards[1].Admit(Request{Digest: d}), qt.IsNil)
 		f.run(1, d, "e1", true)
 		time.Sleep(10 * time.Millisecond)
 		// One node claims the probe, and nothing else is sent meanwhile.
-		name, err := f.guards[2].Send(t.Context(), d, probeLasts)
+		name, err := f.guards[2].Send(t.Context(), Request{Digest: d}, probeLasts)
 		c.Assert(err, qt.IsNil)
-		c.Assert(name, qt.Not(qt.Equals), "")
+		c.Assert(name.Claimed(), qt.IsTrue)
 		time.Sleep(10 * time.Millisecond)
 		for _, g := range f.guards {
 			var refused *Refused
-			c.Assert(errors.As(g.Admit(d), &refused), qt.IsTrue)
+			c.Assert(errors.As(g.Admit(Request{Digest: d}), &refused), qt.IsTrue)
 			c.Assert(refused.After, qt.Equals, retryDuringProbe)
 		}
 		f.end("e2")
-		<-f.guards[2].Ended(Run{Digest: d, Began: time.Now().Add(-time.Second), Process: "e2@0", Addr: "e2", Probe: name})
+		<-f.guards[2].Ended(Run{Request: Request{Digest: d}, Began: time.Now().Add(-time.Second), Process: "e2@0", Addr: "e2", Probe: name})
 		time.Sleep(10 * time.Millisecond)
 		for _, g := range f.guards {
 			var refused *Refused
-			c.Assert(errors.As(g.Admit(d), &refused), qt.IsTrue)
+			c.Assert(errors.As(g.Admit(Request{Digest: d}), &refused), qt.IsTrue)
 			c.Assert(refused.After > 10*time.Second, qt.IsTrue, qt.Commentf("come back after %v", refused.After))
 		}
 		// The next probe may run after a pause without new information.
 		time.Sleep(probePauses[1])
-		c.Assert(f.guards[0].Admit(d), qt.IsNil)
+		c.Assert(f.guards[0].Admit(Request{Digest: d}), qt.IsNil)
 		_, probe := f.run(0, d, "e3", false)
 		c.Assert(probe, qt.IsTrue)
 		time.Sleep(10 * time.Millisecond)
@@ -58,9 +58,9 @@
 		f := newFleet(1)
 		defer f.stop()
 		for i := range 5 {
-			<-f.guards[0].Ended(Run{Digest: digest("x"), Began: time.Now(), Process: fmt.Sprint("e", i), Addr: fmt.Sprint("e", i)})
+			<-f.guards[0].Ended(Run{Request: Request{Digest: digest("x")}, Began: time.Now(), Process: fmt.Sprint("e", i), Addr: fmt.Sprint("e", i)})
 		}
-		c.Assert(f.guards[0].Suspect(digest("x")), qt.IsFalse)
+		c.Assert(f.guards[0].Suspect(Request{Digest: digest("x")}), qt.IsFalse)
 	})
 }
 
@@ -90,17 +90,17 @@
 		f := newFleet(2)
 		defer f.stop()
 		f.quarantine(digest("x"))
-		name, err := f.guards[0].Send(t.Context(), digest("x"), probeLasts)
+		name, err := f.guards[0].Send(t.Context(), Request{Digest: digest("x")}, probeLasts)
 		c.Assert(err, qt.IsNil)
-		r := Run{Digest: digest("x"), Began: time.Now(), Process: "c@0", Addr: "c", Probe: name, ProbeContinues: true}
+		r := Run{Request: Request{Digest: digest("x")}, Began: time.Now(), Process: "c@0", Addr: "c", Probe: name, ProbeContinues: true}
 		c.Assert(<-f.guards[0].Ended(r), qt.IsFalse)
 		time.Sleep(10 * time.Millisecond)
-		c.Assert(f.guards[1].Admit(digest("x")), qt.IsNotNil)
+		c.Assert(f.guards[1].Admit(Request{Digest: digest("x")}), qt.IsNotNil)
 		// The last run of the probe.
 		r.ProbeContinues = false
 		c.Assert(<-f.guards[0].Ended(r), qt.IsFalse)
 		time.Sleep(10 * time.Millisecond)
-		c.Assert(f.guards[1].Admit(digest("x")), qt.IsNil)
+		c.Assert(f.guards[1].Admit(Request{Digest: digest("x")}), qt.IsNil)
 	})
 }
 
@@ -112,11 +112,11 @@
 		f := newFleet(2)
 		defer f.stop()
 		f.quarantine(digest("x"))
-		name, err := f.guards[0].Send(t.Context(), digest("x"), 2*time.Second)
+		name, err := f.guards[0].Send(t.Context(), Request{Digest: digest("x")}, 2*time.Second)
 		c.Assert(err, qt.IsNil)
-		c.Assert(name, qt.Not(qt.Equals), "")
+		c.Assert(name.Claimed(), qt.IsTrue)
 		time.Sleep(probePauses[1] - time.Second)
-		c.Assert(f.guards[1].Admit(digest("x")), qt.IsNotNil)
+		c.Assert(f.guards[1].Admit(Request{Digest: digest("x")}), qt.IsNotNil)
 		time.Sleep(2 * time.Second)
 		sent, probe := f.run(1, digest("x"), "sound", false)
 		c.Assert(sent, qt.IsTrue)
@@ -132,8 +132,8 @@
 		defer f.stop()
 		f.run(0, digest("x"), "e", true)
 		time.Sleep(10 * time.Millisecond)
-		c.Assert(<-f.guards[0].Ended(Run{Digest: digest("y"), Began: time.Now(), Process: "e@0", Addr: "e"}), qt.IsFalse)
-		c.Assert(f.guards[0].Suspect(digest("y")), qt.IsFalse)
+		c.Assert(<-f.guards[0].Ended(Run{Request: Request{Digest: digest("y")}, Began: time.Now(), Process: "e@0", Addr: "e"}), qt.IsFalse)
+		c.Assert(f.guards[0].Suspect(Request{Digest: digest("y")}), qt.IsFalse)
 	})
 }
 
@@ -149,7 +149,7 @@
 		g := f.guards[0]
 		f.end("e")
 		for i := range 2 * maxLocalRecords {
-			g.Ended(Run{Digest: digest(fmt.Sprint(i)), Began: time.Now().Add(-time.Second), Process: fmt.Sprint("e@", i), Addr: "e"})
+			g.Ended(Run{Request: Request{Digest: digest(fmt.Sprint(i))}, Began: time.Now().Add(-time.Second), Process: fmt.Sprint("e@", i), Addr: "e"})
 		}
 		time.Sleep(time.Second)
 		g.mu.Lock()
@@ -162,7 +162,7 @@
 		// A batch whose write failed goes back to the queue.
 		c.Assert(queued <= maxQueued+maxBatch, qt.IsTrue, qt.Commentf("%d queued", queued))
 		c.Assert(g.Counts().Dropped > 0, qt.IsTrue)
-		c.Assert(g.Admit(DigestOf("agents", "POST", "port.example", "/1", nil)), qt.IsNil)
+		c.Assert(g.Admit(Request{Digest: DigestOf("agents", "POST", "port.example", "/1", nil)}), qt.IsNil)
 	})
 }
 
@@ -184,7 +184,7 @@
 		// The node writes its ends as soon as it reaches the store again.
 		f.paths[0].setCut(false)
 		time.Sleep(time.Second)
-		c.Assert(f.guards[1].Admit(digest("x")), qt.IsNotNil)
+		c.Assert(f.guards[1].Admit(Request{Digest: digest("x")}), qt.IsNotNil)
 		r := f.guards[1].lookup(digest("x"))
 		c.Assert(r.Probes, qt.Equals, 1)
 	})
--- a/internal/poison/operate.go
+++ b/internal/poison/operate.go
@@ -16,9 +16,10 @@
 // auditTable holds the actions of operators on quarantines, keyed by time and digest.
 const auditTable = "quarantine-audit"
 
-// Listed is a request under which a target ended, as it is shown to operators.
+// Listed is a request, or a part of prompts, under which a target ended, as it is shown to operators.
 type Listed struct {
-	Digest string `json:"digest"`
+	// Name is the digest of a request, or the name of a part.
+	Name string `json:"name"`
 	Record
 	// Quarantined reports that only probes of the request are sent.
 	Quarantined bool `json:"quarantined"`
@@ -39,7 +40,11 @@
 			if err != nil {
 				return nil, eris.Wrapf(err, "request %s", row.Key)
 			}
-			out = append(out, Listed{Digest: row.Key, Record: r, Quarantined: r.Quarantined()})
+			d, err := ParseDigest(row.Key)
+			if err != nil {
+				return nil, err
+			}
+			out = append(out, Listed{Name: d.Name(), Record: r, Quarantined: r.Quarantined()})
 		}
 		if len(page) < sweepPage {
 			break
@@ -51,7 +56,7 @@
 
 // Lifted is the audit record of a quarantine that an operator lifted.
 type Lifted struct {
-	Digest string    `json:"digest"`
+	Name   string    `json:"name"`
 	By     string    `json:"by"`
 	Note   string    `json:"note"`
 	At     time.Time `json:"at"`
@@ -76,13 +81,24 @@
 	if err != nil {
 		return Lifted{}, err
 	}
-	lifted := Lifted{Digest: d.String(), By: by, Note: note, At: at.UTC(), Record: r}
+	lifted := Lifted{Name: d.Name(), By: by, Note: note, At: at.UTC(), Record: r}
 	value, err := json.Marshal(lifted)
 	if err != nil {
 		return Lifted{}, eris.Wrap(err, "encode audit record")
 	}
-	tx := rows(d, row.Version, change{remove: true})
-	tx.Writes = append(tx.Writes, store.Write{Table: auditTable, Key: lifted.At.Format(time.RFC3339Nano) + "/" + lifted.Digest, Value: value})
+	tx := liftTx(d, row.Version, by)
+	tx.Writes = append(tx.Writes, store.Write{Table: auditTable, Key: lifted.At.Format(time.RFC3339Nano) + "/" + d.String(), Value: value})
 	_, err = tables.Commit(ctx, tx)
 	return lifted, err
 }
+
+// liftTx returns the transaction that removes a record at a version. Lifting the quarantine of a part refutes the
+// evidence on it, as an answer does.
+func liftTx(d Digest, version store.Version, by string) store.Tx {
+	if _, ok := d.Part(); !ok {
+		return recordTx(d, version, change{remove: true})
+	}
+	tx := partAnsweredTx(d, by)
+	tx.Conditions = []store.Condition{{Table: crashTable, Key: d.String(), Version: version}}
+	return tx
+}
--- a/internal/poison/operate_test.go
+++ b/internal/poison/operate_test.go
@@ -22,11 +22,11 @@
 		list, err := List(t.Context(), f.store)
 		c.Assert(err, qt.IsNil)
 		c.Assert(list, qt.HasLen, 2)
-		c.Assert(list[0].Digest, qt.Equals, digest("poison").String())
+		c.Assert(list[0].Name, qt.Equals, digest("poison").String())
 		c.Assert(list[0].Quarantined, qt.IsTrue)
 		c.Assert(list[0].Ended, qt.HasLen, 3)
 		c.Assert(list[1].Quarantined, qt.IsFalse)
-		c.Assert(f.guards[1].Admit(digest("poison")), qt.IsNotNil)
+		c.Assert(f.guards[1].Admit(Request{Digest: digest("poison")}), qt.IsNotNil)
 
 		lifted, err := Lift(t.Context(), f.store, digest("poison"), "ana", "the engines were updated", time.Now())
 		c.Assert(err, qt.IsNil)
--- a/internal/poison/oracle_test.go
+++ b/internal/poison/oracle_test.go
@@ -117,7 +117,7 @@
 		// An end with another cause, under a request that any target survives.
 		if !poisonous[st.Request] {
 			s.end(target)
-			<-s.guards[st.Node].Ended(Run{Digest: digest(st.Request), Began: time.Now().Add(-time.Second), Process: target + "@0", Addr: target})
+			<-s.guards[st.Node].Ended(Run{Request: Request{Digest: digest(st.Request)}, Began: time.Now().Add(-time.Second), Process: target + "@0", Addr: target})
 		}
 	case "all ask":
 		s.checkProbesExclude(digest(st.Request))
@@ -132,17 +132,17 @@
 
 // checkProbesExclude lets all nodes send a request at once, and checks that at most one probes it.
 func (s *script) checkProbesExclude(d Digest) {
-	probes := make([]string, len(s.guards))
+	probes := make([]Probe, len(s.guards))
 	var wg sync.WaitGroup
 	for i, g := range s.guards {
-		wg.Go(func() { probes[i], _ = g.Send(context.Background(), d, probeLasts) })
+		wg.Go(func() { probes[i], _ = g.Send(context.Background(), Request{Digest: d}, probeLasts) })
 	}
 	wg.Wait()
 	running := 0
 	for i, p := range probes {
-		if p != "" {
+		if p.Claimed() {
 			running++
-			s.guards[i].Abandoned(d, p)
+			s.guards[i].Abandoned(p)
 		}
 	}
 	if s.healthy && running > 1 {
--- a/internal/poison/record.go
+++ b/internal/poison/record.go
@@ -30,11 +30,23 @@
 // a third end, one is reserved for nodes that have not read of that end yet.
 var probePauses = [...]time.Duration{0, 15 * time.Second, 2 * time.Minute}
 
+// partProbePauses are the same for a part of a prompt. Many requests hold a part, so a verdict on an innocent
+// one must not stand for long because a target ended under its probe for another cause.
+var partProbePauses = [...]time.Duration{0, time.Second, 15 * time.Second, 2 * time.Minute}
+
+// pausesOf returns the pauses between the probes of a record.
+func pausesOf(d Digest) []time.Duration {
+	if _, ok := d.Part(); ok {
+		return partProbePauses[:]
+	}
+	return probePauses[:]
+}
+
 // recordTTL is how long a record is kept without new information.
 const recordTTL = 2 * time.Hour
 
-// Record is the shared information of all nodes on a request under which targets ended. An answered
-// request has none.
+// Record is the shared information of all nodes on a request, or a part of prompts, under which targets
+// ended. One that was answered has none.
 type Record struct {
 	// Ended names the processes that ended under the request, at most maxProcesses.
 	Ended []string `json:"ended"`
@@ -110,18 +122,18 @@
 )
 
 // Decide returns what may be done with the request if its record has been unchanged for a time.
-// after is when a refusal ends; 0 if it lasts as long as the record.
-func (r Record) Decide(unchanged time.Duration) (d Decision, after time.Duration) {
+// pauses are those before each probe. after is when a refusal ends; 0 if it lasts as long as the record.
+func (r Record) Decide(unchanged time.Duration, pauses []time.Duration) (d Decision, after time.Duration) {
 	if !r.Quarantined() {
 		return Pass, 0
 	}
 	if left := r.probeTimeLeft(unchanged); left > 0 {
 		return Refuse, left
 	}
-	if r.Probes >= len(probePauses) {
+	if r.Probes >= len(pauses) {
 		return Refuse, 0
 	}
-	if wait := probePauses[r.Probes] - unchanged; wait > 0 {
+	if wait := pauses[r.Probes] - unchanged; wait > 0 {
 		return Refuse, wait
 	}
 	return MayProbe, 0
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"topazmoor/internal/attribution"
 	"topazmoor/internal/store"
 )
 
@@ -44,6 +44,12 @@
 	opAbandoned
 	// opRestore writes a record that the store lost.
 	opRestore
+	// opReport writes what this node, or another one, observed of a process that ended.
+	opReport
+	// opPartAnswered records that a request with a part was answered, and ends the part's quarantine.
+	opPartAnswered
+	// opConvict puts a part in quarantine.
+	opConvict
 )
 
 // op is a change of a request's record that is to be written to the store.
@@ -52,16 +58,20 @@
 	digest         Digest
 	process, probe string
 	record         Record
+	// report is that of an opReport. answeredAt is, for an opConvict, the version of the row that says that
+	// the part was answered; zero if there is none.
+	report     attribution.Report
+	answeredAt store.Version
 	// shared reports that the end was sent to other nodes, or received from one.
 	shared  bool
 	written chan struct{}
 }
 
-// queue holds the changes of request records that are still to be written to the store. ops holds those
-// that no write has taken yet, oldest first.
+// queue holds the changes that are still to be written to the store. ops holds those of records that no
+// write has taken yet, reports those that are reports; oldest first.
 type queue struct {
-	mu  sync.Mutex
-	ops []op
+	mu           sync.Mutex
+	ops, reports []op
 	// writing are the ops that were taken and are not written yet.
 	writing []op
 	dropped int64
@@ -74,12 +84,11 @@
 func (q *queue) push(o op) <-chan struct{} {
 	o.written = make(chan struct{})
 	q.mu.Lock()
-	if len(q.ops) >= maxQueued {
-		close(q.ops[0].written)
-		q.ops = q.ops[1:]
-		q.dropped++
+	if o.kind == opReport {
+		o = q.pushReport(o)
+	} else {
+		q.ops = q.bounded(append(q.ops, o))
 	}
-	q.ops = append(q.ops, o)
 	q.mu.Unlock()
 	select {
 	case q.wake <- struct{}{}:
@@ -88,11 +97,39 @@
 	return o.written
 }
 
-// take removes the ops of the next write: consecutive ends of different requests together, any
-// other op alone.
+// bounded drops the oldest op if there are too many.
+func (q *queue) bounded(ops []op) []op {
+	if len(ops) <= maxQueued {
+		return ops
+	}
+	close(ops[0].written)
+	q.dropped++
+	return ops[1:]
+}
+
+// pushReport adds a report, in the place of an older one on the same process that still waits.
+func (q *queue) pushReport(o op) op {
+	for i, waiting := range q.reports {
+		if waiting.report.Process == o.report.Process && waiting.report.Node == o.report.Node {
+			o.written = waiting.written
+			q.reports[i] = o
+			return o
+		}
+	}
+	q.reports = q.bounded(append(q.reports, o))
+	return o
+}
+
+// take removes the ops of the next write: reports together, consecutive ends of different requests
+// together, any other op alone.
 func (q *queue) take() []op {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if n := min(len(q.reports), maxBatch); n > 0 {
+		q.writing = q.reports[:n:n]
+		q.reports = q.reports[n:]
+		return q.writing
+	}
 	n := 0
 	digests := make(map[Digest]bool)
 	for n < len(q.ops) && n < maxBatch && (n == 0 || q.ops[n].kind == opEnd && q.ops[0].kind == opEnd && !digests[q.ops[n].digest]) {
@@ -116,19 +153,29 @@
 func (q *queue) requeue(ops []op) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.ops = append(ops, q.ops...)
 	q.writing = nil
+	if len(ops) > 0 && ops[0].kind == opReport {
+		q.reports = append(ops, q.reports...)
+		return
+	}
+	q.ops = append(ops, q.ops...)
 }
 
 // takeUnshared returns the queued ends that were not sent to other nodes, and marks them as sent.
-func (q *queue) takeUnshared() []End {
+func (q *queue) takeUnshared() Ends {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var out []End
+	var out Ends
+	for i := range q.reports {
+		if o := &q.reports[i]; !o.shared {
+			o.shared = true
+			out.Reports = append(out.Reports, o.report)
+		}
+	}
 	for i := range q.ops {
 		if o := &q.ops[i]; o.kind == opEnd && !o.shared {
 			o.shared = true
-			out = append(out, End{Digest: o.digest, Process: o.process, Probe: o.probe})
+			out.Requests = append(out.Requests, End{Digest: o.digest, Process: o.process, Probe: o.probe})
 		}
 	}
 	return out
@@ -145,6 +192,8 @@
 func (g *Guard) Serve(ctx context.Context) error {
 	tick := time.NewTicker(sweepInterval)
 	defer tick.Stop()
+	evidence := time.NewTicker(evidenceSweepInterval)
+	defer evidence.Stop()
 	for ctx.Err() == nil {
 		ops := g.queue.take()
 		if len(ops) > 0 {
@@ -156,6 +205,8 @@
 		case <-g.queue.wake:
 		case <-tick.C:
 			g.sweep(ctx)
+		case <-evidence.C:
+			g.sweepEvidence(ctx)
 		}
 	}
 	return ctx.Err()
@@ -190,15 +241,18 @@
 	}
 }
 
-// writeAll writes ops and returns those that are left after an error.
+// writeAll writes ops of one call of queue.take and returns those that are left after an error.
 func (g *Guard) writeAll(ctx context.Context, ops []op) (left []op, err error) {
+	if ops[0].kind == opReport {
+		return ops, g.writeReports(ctx, ops)
+	}
 	if len(ops) > 1 {
 		if ops, err = g.writeFirstEnds(ctx, ops); err != nil {
 			return ops, err
 		}
 	}
 	for i, o := range ops {
-		if err := g.writeOne(ctx, o); err != nil {
+		if err := g.writeOp(ctx, o); err != nil {
 			return ops[i:], err
 		}
 		close(o.written)
@@ -263,19 +317,34 @@
 	return change{remove: true, none: len(r.Ended) == 0}
 }
 
-// writeOne writes one op. It gives up on a row that others keep changing, as they write the same
+// writeOp writes one op.
+func (g *Guard) writeOp(ctx context.Context, o op) error {
+	switch o.kind {
+	case opPartAnswered:
+		return g.writePartAnswered(ctx, o)
+	case opConvict:
+		return g.writeConviction(ctx, o)
+	}
+	return g.changeRecord(ctx, o)
+}
+
+// changeRecord applies an op to the record of its request or part. It gives up on a row that others keep changing, as they write the same
 // information.
-func (g *Guard) writeOne(ctx context.Context, o op) error {
+func (g *Guard) changeRecord(ctx context.Context, o op) error {
 	for range maxConflicts {
 		row, r, err := g.read(ctx, o.digest)
 		if err != nil {
 			return err
 		}
 		c := o.apply(r)
+		if _, isPart := o.digest.Part(); isPart && len(r.Ended) == 0 {
+			// The part's quarantine has ended.
+			return nil
+		}
 		if c.none {
 			return nil
 		}
-		err = g.commit(ctx, rows(o.digest, row.Version, c))
+		err = g.commit(ctx, recordTx(o.digest, row.Version, c))
 		var conflict *store.ConflictError
 		switch {
 		case err == nil:
@@ -296,14 +365,14 @@
 	case c.remove && before.Quarantined():
 		g.cfg.Log.Info("quarantined request was answered, quarantine ended", "digest", o.digest, "ends", len(before.Ended))
 	case !before.Quarantined() && c.record.Quarantined():
-		g.cfg.Log.Warn("request quarantined: targets end under it", "digest", o.digest, "ended", c.record.Ended)
+		g.cfg.Log.Warn("request quarantined: targets end under it", "digest", o.digest, "name", o.digest.Name(), "ended", c.record.Ended)
 	case len(c.record.Ended) > len(before.Ended):
-		g.cfg.Log.Info("one more target ended under the request", "digest", o.digest, "ended", c.record.Ended, "probes", c.record.Probes)
+		g.cfg.Log.Info("one more target ended under the request", "digest", o.digest, "name", o.digest.Name(), "ended", c.record.Ended, "probes", c.record.Probes)
 	}
 }
 
-// rows returns the transaction that changes a request's rows.
-func rows(d Digest, version store.Version, c change) store.Tx {
+// recordTx returns the transaction that changes a request's rows.
+func recordTx(d Digest, version store.Version, c change) store.Tx {
 	key := d.String()
 	tx := store.Tx{Conditions: []store.Condition{{Table: crashTable, Key: key, Version: version}}}
 	if c.remove {
@@ -339,88 +408,3 @@
 	}
 	return row, r, nil
 }
-
-// claim claims the probe of a quarantined request; lasts is how long the probe may take. unchanged
-// is how long this node has seen the record unchanged.
-func (g *Guard) claim(ctx context.Context, d Digest, lasts, unchanged time.Duration) (string, error) {
-	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
-	defer cancel()
-	probe := fmt.Sprintf("%s/%x", g.cfg.Node, rand.Uint64())
-	for range maxConflicts {
-		row, r, err := g.read(ctx, d)
-		if err != nil {
-			return g.claimLocally(d, probe)
-		}
-		if r.Probe == probe {
-			return probe, nil
-		}
-		r = g.withLostRecord(d, row.Version, r)
-		if !r.Quarantined() {
-			return "", g.resolveUnlisted(d, r)
-		}
-		if decision, after := r.Decide(g.unchangedFor(d, row.Version, unchanged)); decision != MayProbe {
-			return "", g.refuse(r, after)
-		}
-		err = g.commit(ctx, rows(d, row.Version, change{record: r.withProbe(probe, lasts)}))
-		if err == nil {
-			return probe, nil
-		}
-	}
-	return "", &Refused{After: retryWithoutStore}
-}
-
-// withLostRecord returns the store's record, read at a version, merged with the record that this
-// node has from an earlier era: a store that was restored from a copy has lost that one, so that a
-// missing record does not mean that the request was answered.
-func (g *Guard) withLostRecord(d Digest, at store.Version, r Record) Record {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	f, ok := g.stored[d]
-	if !ok || f.version.SameEra(at) {
-		return r
-	}
-	return r.merged(f.Record)
-}
-
-// resolveUnlisted handles a request that only this node considers quarantined. Either its ends are
-// still to be written, then it is refused; or it was answered in the meantime, then its local
-// record is removed.
-func (g *Guard) resolveUnlisted(d Digest, r Record) error {
-	if g.queue.contains(d) {
-		return &Refused{Ends: len(r.Ended), After: retryDuringProbe}
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.local.Remove(d)
-	return nil
-}
-
-// unchangedFor returns how long the store's record has been unchanged: unchanged if it is the
-// version that this node has, 0 if it is newer.
-func (g *Guard) unchangedFor(d Digest, version store.Version, unchanged time.Duration) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.stored[d].version.Before(version) {
-		// The row of QuarantineTable is written in the same transaction.
-		return 0
-	}
-	return unchanged
-}
-
-// claimLocally allows one probe of this node while the store is unavailable. It cannot be known
-// whether other nodes probe too, but without any probe innocent requests would be refused until the
-// store is back.
-func (g *Guard) claimLocally(d Digest, probe string) (string, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	local, _ := g.local.Get(d)
-	local.since = time.Now()
-	if f, ok := g.stored[d]; (ok && f.Probes > 0) || local.Probes > 0 {
-		g.local.Add(d, local)
-		return "", &Refused{Ends: len(local.Ended), After: retryWithoutStore}
-	}
-	local.Probes++
-	local.Probe = probe
-	g.local.Add(d, local)
-	return probe, nil
-}
--- a/internal/poison/stats.go
+++ b/internal/poison/stats.go
@@ -15,20 +15,28 @@
 	// Dropped counts queued changes that were dropped because the queue was full while the store
 	// was unavailable.
 	Dropped int64
-	// Quarantined is the current number of quarantined requests.
-	Quarantined int
+	// Quarantined is the current number of quarantined requests, QuarantinedParts that of parts of prompts.
+	Quarantined, QuarantinedParts int
+	// Reports is the number of reports on ended targets that are evaluated for parts of prompts.
+	Reports int
 }
 
 // Counts returns the totals so far.
 func (g *Guard) Counts() Counts {
 	g.mu.Lock()
-	quarantined := len(g.stored)
+	parts := 0
+	for d := range g.stored {
+		if _, ok := d.Part(); ok {
+			parts++
+		}
+	}
+	quarantined, reports := len(g.stored)-parts, len(g.parts.stored)+len(g.parts.pending)
 	g.mu.Unlock()
 	g.queue.mu.Lock()
 	dropped := g.queue.dropped
 	g.queue.mu.Unlock()
 	return Counts{
 		Ends: g.stats.ends.Load(), Probes: g.stats.probes.Load(), Refused: g.stats.refused.Load(),
-		Dropped: dropped, Quarantined: quarantined,
+		Dropped: dropped, Quarantined: quarantined, QuarantinedParts: parts, Reports: reports,
 	}
 }
--- a/internal/poison/sweep.go
+++ b/internal/poison/sweep.go
@@ -74,7 +74,7 @@
 			g.cfg.Log.Error("request record with invalid key skipped", "err", err)
 			continue
 		}
-		err = g.commit(ctx, rows(d, version, change{remove: true}))
+		err = g.commit(ctx, recordTx(d, version, change{remove: true}))
 		var conflict *store.ConflictError
 		if err != nil && !errors.As(err, &conflict) {
 			g.cfg.Log.Info("removal of old request records failed", "err", err)
--- a/internal/poison/tell.go
+++ b/internal/poison/tell.go
@@ -5,8 +5,20 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"topazmoor/internal/attribution"
 )
 
+// Ends are observations that a node could not write to the store: ends under requests, and reports of what
+// else ran at the processes that ended.
+type Ends struct {
+	Requests []End
+	Reports  []attribution.Report
+}
+
+// size returns the number of observations.
+func (e Ends) size() int { return len(e.Requests) + len(e.Reports) }
+
 // End is an end of a target under a request.
 type End struct {
 	Digest Digest
@@ -26,8 +38,8 @@
 
 // shareEnds sends ends that could not be written to the store to other nodes. They may reach the
 // store, and if none does, they still take the ends into account.
-func (g *Guard) shareEnds(ctx context.Context, ends []End) {
-	if len(ends) == 0 || g.cfg.SendEndsTo == nil {
+func (g *Guard) shareEnds(ctx context.Context, ends Ends) {
+	if ends.size() == 0 || g.cfg.SendEndsTo == nil {
 		return
 	}
 	others := append([]string(nil), g.cfg.OtherAddrs()...)
@@ -38,7 +50,7 @@
 	for _, addr := range others[:min(len(others), maxShareNodes)] {
 		wg.Go(func() {
 			if err := g.cfg.SendEndsTo(ctx, addr, ends); err != nil {
-				g.cfg.Log.Info("sending of ends under requests to another node failed", "addr", addr, "ends", len(ends), "err", err)
+				g.cfg.Log.Info("sending of ends under requests to another node failed", "addr", addr, "ends", ends.size(), "err", err)
 			}
 		})
 	}
@@ -47,8 +59,11 @@
 
 // ReceiveEnds records ends that another node could not write to the store, and queues them to be
 // written.
-func (g *Guard) ReceiveEnds(ends []End) {
-	for _, e := range ends {
+func (g *Guard) ReceiveEnds(ends Ends) {
+	for _, r := range ends.Reports {
+		g.receiveReport(r)
+	}
+	for _, e := range ends.Requests {
 		if e.Digest == (Digest{}) {
 			continue
 		}
@@ -57,5 +72,5 @@
 		g.mu.Unlock()
 		g.queue.push(op{kind: opEnd, digest: e.Digest, process: e.Process, probe: e.Probe, shared: true})
 	}
-	g.cfg.Log.Info("received ends under requests that another node could not write", "ends", len(ends))
+	g.cfg.Log.Info("received ends under requests that another node could not write", "ends", ends.size())
 }
--- a/internal/poison/unlisted_test.go
+++ b/internal/poison/unlisted_test.go
@@ -27,15 +27,15 @@
 				time.Sleep(2 * watch.LongWait)
 				f.run(0, digest("x"), "a", true)
 				f.run(0, digest("x"), "b", true)
-				probe, err := f.guards[0].Send(t.Context(), digest("x"), probeLasts)
+				probe, err := f.guards[0].Send(t.Context(), Request{Digest: digest("x")}, probeLasts)
 				c.Assert(err, qt.IsNil)
-				c.Assert(probe, qt.Not(qt.Equals), "")
+				c.Assert(probe.Claimed(), qt.IsTrue)
 				if abandoned {
-					f.guards[0].Abandoned(digest("x"), probe)
+					f.guards[0].Abandoned(probe)
 					// The probe is inconclusive, so that the next one may run at once.
-					probe, err = f.guards[0].Send(t.Context(), digest("x"), probeLasts)
+					probe, err = f.guards[0].Send(t.Context(), Request{Digest: digest("x")}, probeLasts)
 					c.Assert(err, qt.IsNil)
-					f.guards[0].Abandoned(digest("x"), probe)
+					f.guards[0].Abandoned(probe)
 				}
 				f.paths[0].setCut(false)
 				time.Sleep(5 * time.Second)
@@ -44,7 +44,7 @@
 				time.Sleep(100 * time.Millisecond)
 				f.paths[0].setBlind(false)
 				time.Sleep(5 * time.Second)
-				c.Assert(f.guards[0].Admit(digest("x")), qt.IsNil)
+				c.Assert(f.guards[0].Admit(Request{Digest: digest("x")}), qt.IsNil)
 				sent, _ = f.run(0, digest("x"), "sound", false)
 				c.Assert(sent, qt.IsTrue)
 			})
@@ -61,11 +61,11 @@
 		defer f.stop()
 		f.paths[0].setCut(true)
 		f.quarantine(digest("x"))
-		_, err := f.guards[0].Send(t.Context(), digest("x"), probeLasts)
+		_, err := f.guards[0].Send(t.Context(), Request{Digest: digest("x")}, probeLasts)
 		c.Assert(err, qt.IsNil)
 		before := f.paths[0].gets
 		for range 100 {
-			_, err := f.guards[0].Send(t.Context(), digest("x"), probeLasts)
+			_, err := f.guards[0].Send(t.Context(), Request{Digest: digest("x")}, probeLasts)
 			c.Assert(err, qt.IsNotNil)
 		}
 		c.Assert(f.paths[0].gets-before, qt.Equals, 0)
--- a/internal/stagebatch/calls.go
+++ b/internal/stagebatch/calls.go
@@ -135,7 +135,8 @@
 		o := p.order
 		if reported[o.Digest] == nil {
 			reported[o.Digest] = f.Guard.Ended(poison.Run{
-				Digest: o.Digest, Began: c.started, Process: target.Process(), Addr: target.Addr, Probe: o.Probe, ProbeContinues: true,
+				Request: poison.Request{Digest: o.Digest}, Began: c.started, Process: target.Process(), Addr: target.Addr,
+				Probe: o.claimedProbe(), ProbeContinues: true,
 			})
 		}
 	}
--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"topazmoor/internal/mechanism"
+	"topazmoor/internal/poison"
 	"topazmoor/internal/region"
 	"topazmoor/internal/routes"
 	"topazmoor/internal/targets"
@@ -87,7 +88,7 @@
 	if spec == nil {
 		return Result{}, ErrNoTarget
 	}
-	suspect := f.Guard != nil && f.Guard.Suspect(o.Digest)
+	suspect := f.Guard != nil && f.Guard.Suspect(poison.Request{Digest: o.Digest})
 	w := &order{Order: o, isolated: o.Probe != "" || suspect, handles: make([]string, o.Pieces), missing: o.Pieces, unread: o.Pieces, done: make(chan struct{})}
 	f.mu.Lock()
 	p := f.pool(f.poolKey(o.Service, o.Regions))
--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -60,6 +60,14 @@
 	InputsRead func()
 }
 
+// claimedProbe returns the quarantine probe under which the order runs.
+func (o *Order) claimedProbe() poison.Probe {
+	if o.Probe == "" {
+		return poison.Probe{}
+	}
+	return poison.Probe{Name: o.Probe, Of: []poison.Digest{o.Digest}}
+}
+
 // Result is the outcome of a completed Order.
 type Result struct {
 	// Handles identify the results, in the order of the pieces.
@@ -155,7 +163,7 @@
 type Guard interface {
 	// Suspect reports whether a target ended while it ran the request. Quarantined reports
 	// whether the request may run only under a probe.
-	Suspect(d poison.Digest) bool
+	Suspect(r poison.Request) bool
 	Quarantined(d poison.Digest) bool
 	// Ended records that a call broke off at a target. The channel reports whether the target's
 	// process ended.
