Streams without length or chunks that end before their first event are broken off

Cause: the end of a connection was taken for the end of an answer though nothing had come. Such an answer is an interruption now: a stream that may be resumed goes on elsewhere, and the guard looks after the engine.

--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -36,6 +36,9 @@
 	Header http.Header
 	// Length is the body's length; -1 if the answer does not state it.
 	Length int64
+	// Framed reports that the answer has a length or chunks. The end of one that has neither is the end of
+	// its connection, which does not show whether it is complete.
+	Framed bool
 	// Body returns io.EOF only at the end of a complete answer.
 	Body io.ReadCloser
 }
@@ -97,7 +100,10 @@
 		}
 		return nil, &Error{Sent: true, Reused: c.used, cause: err}
 	}
-	return &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: &body{x: x, resp: resp}}, nil
+	return &Answer{
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0, Body: &body{x: x, resp: resp},
+	}, nil
 }
 
 var errWithheld = eris.New("withheld before its first byte")
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -203,6 +203,10 @@
 		if !first {
 			a.longestGap = max(a.longestGap, time.Since(waitBegan))
 		}
+		if err == io.EOF && first && !a.ans.Framed {
+			// The target ended before its first event.
+			err = sse.ErrTruncated
+		}
 		if err == io.EOF {
 			x.complete(a, first)
 			return nil
