--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -11,6 +11,7 @@
 
 	"github.com/thejerf/suture/v4"
 
+	"topazmoor/internal/overload"
 	"topazmoor/internal/routes"
 )
 
@@ -22,6 +23,11 @@
 	defaultIdleTimeout   = 60 * time.Second
 	// idleSlack is added to the idle timeout: callers use connections up to the end of it.
 	idleSlack = 2 * time.Second
+	// acceptRetry is the pause after a connection could not be accepted.
+	acceptRetry = 20 * time.Millisecond
+	// reservedDescriptors are those that are kept for files, the store, other nodes and idle connections to
+	// targets.
+	reservedDescriptors = 500
 )
 
 // callerServer accepts the connections of callers. When the configuration changes its limits,
@@ -30,6 +36,7 @@
 type callerServer struct {
 	ln      net.Listener
 	handler http.Handler
+	gate    *overload.Gate
 	log     *slog.Logger
 
 	mu     sync.Mutex
@@ -41,8 +48,8 @@
 	closed  bool
 }
 
-func newCallerServer(ln net.Listener, h http.Handler, log *slog.Logger) *callerServer {
-	c := &callerServer{ln: ln, handler: h, log: log}
+func newCallerServer(ln net.Listener, h http.Handler, gate *overload.Gate, log *slog.Logger) *callerServer {
+	c := &callerServer{ln: ln, handler: h, gate: gate, log: log}
 	c.replaceServer(routes.Limits{})
 	return c
 }
@@ -62,7 +69,8 @@
 	srv := &http.Server{
 		Handler: c.handler, MaxHeaderBytes: defaultHeaderBytes,
 		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		ErrorLog: slog.NewLogLogger(c.log.Handler(), slog.LevelDebug),
+		ErrorLog:  slog.NewLogLogger(c.log.Handler(), slog.LevelDebug),
+		ConnState: c.connStateChanged,
 	}
 	if l.HeaderBytes > 0 {
 		srv.MaxHeaderBytes = int(l.HeaderBytes)
@@ -89,6 +97,13 @@
 	}()
 }
 
+// connStateChanged implements http.Server.ConnState.
+func (c *callerServer) connStateChanged(_ net.Conn, s http.ConnState) {
+	if s == http.StateClosed || s == http.StateHijacked {
+		c.gate.Leave()
+	}
+}
+
 // Serve implements suture.Service: it accepts connections.
 func (c *callerServer) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { c.ln.Close() })
@@ -103,23 +118,40 @@
 			return suture.ErrDoNotRestart
 		}
 		if err != nil {
+			// Such as a lack of descriptors: the connection waits in the kernel.
 			c.log.Warn("connection not accepted", "err", err)
-			return err
+			if !sleep(ctx, acceptRetry) {
+				return suture.ErrDoNotRestart
+			}
+			continue
 		}
-		c.mu.Lock()
-		current := c.current
-		c.mu.Unlock()
-		select {
-		case current.conns <- conn:
-		case <-current.done:
-			// The server was shut down after the connection was accepted.
+		if !c.gate.Enter() {
+			// Nothing was read, so that the caller tries again at another node.
 			conn.Close()
-		case <-ctx.Done():
+			continue
+		}
+		if !c.handOver(ctx, conn) {
+			c.gate.Leave()
 			conn.Close()
 		}
 	}
 }
 
+// handOver gives a connection to the current HTTP server. It returns false if that was shut down after the
+// connection was accepted.
+func (c *callerServer) handOver(ctx context.Context, conn net.Conn) bool {
+	c.mu.Lock()
+	current := c.current
+	c.mu.Unlock()
+	select {
+	case current.conns <- conn:
+		return true
+	case <-current.done:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // shutdown closes idle connections and waits for the requests in progress.
 func (c *callerServer) shutdown(ctx context.Context) error {
 	c.ln.Close()
--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"topazmoor/internal/overload"
 	"topazmoor/internal/peer"
 )
 
@@ -36,7 +37,7 @@
 	defer ln.Close()
 	caller, accepted := net.Pipe()
 	ctx, cancel := context.WithCancel(t.Context())
-	c := newCallerServer(&lastAccept{Listener: ln, conn: accepted, end: cancel}, http.NotFoundHandler(), slog.New(slog.DiscardHandler))
+	c := newCallerServer(&lastAccept{Listener: ln, conn: accepted, end: cancel}, http.NotFoundHandler(), &overload.Gate{Share: func() float64 { return 0 }}, slog.New(slog.DiscardHandler))
 	done := make(chan error, 1)
 	go func() { done <- c.Serve(ctx) }()
 	<-done
@@ -73,7 +74,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		caller, accepted := net.Pipe()
 		l := &shutdownAccept{Listener: ln, conn: accepted}
-		c := newCallerServer(l, http.NotFoundHandler(), slog.New(slog.DiscardHandler))
+		c := newCallerServer(l, http.NotFoundHandler(), &overload.Gate{Share: func() float64 { return 0 }}, slog.New(slog.DiscardHandler))
 		l.shutdown = func() { qt.Check(t, c.shutdown(t.Context()), qt.IsNil) }
 		synctest.Wait()
 		done := make(chan error, 1)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 
 	"topazmoor/internal/blackboard"
 	"topazmoor/internal/metrics"
+	"topazmoor/internal/overload"
 	"topazmoor/internal/passthrough"
 	"topazmoor/internal/poison"
 	"topazmoor/internal/region"
@@ -72,9 +73,12 @@
 	router       *stagebatch.Router
 	passThrough  *passthrough.Server
 	callerServer *callerServer
-	ready        *http.Server
-	readyLn      net.Listener
-	metrics      *metrics.Entry
+	// overload measures whether the node keeps up; callerGate decides on new connections of callers.
+	overload   *overload.Detector
+	callerGate *overload.Gate
+	ready      *http.Server
+	readyLn    net.Listener
+	metrics    *metrics.Entry
 	// traffic counts what is exchanged with other nodes, targetTraffic the same with targets.
 	traffic       *traffic.Meter
 	targetTraffic traffic.TargetCounter
@@ -174,7 +178,7 @@
 		supervise.Named("configuration", n.configTable), supervise.Named("list of targets", n.targetTable),
 		supervise.Named("peers", n.peers), supervise.Named("peer server", n.peers.server), supervise.Named("members", n.peers.members),
 		supervise.Named("follower", n.follower), supervise.Named("publisher", n.relayServer),
-		supervise.Named("callers", n.callerServer), supervise.Named("quarantine", n.quarantineTable), supervise.Named("guard", n.guard),
+		supervise.Named("callers", n.callerServer), supervise.Named("overload", n.overload), supervise.Named("quarantine", n.quarantineTable), supervise.Named("guard", n.guard),
 		supervise.Named("suspensions", n.detector), supervise.Named("roll-outs", n.gate), supervise.Named("sweeper", &sweeper{n}),
 		supervise.Named("links to targets", n.env.Links), supervise.Named("versions of streams", n.streams),
 		supervise.Named("versions of services", n.streams.History),
--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -9,6 +9,7 @@
 
 	"topazmoor/internal/flow"
 	"topazmoor/internal/metrics"
+	"topazmoor/internal/overload"
 	"topazmoor/internal/passthrough"
 	"topazmoor/internal/relay"
 	"topazmoor/internal/restore"
@@ -47,10 +48,11 @@
 	n.provisionLinks()
 	n.provisionGuard()
 	n.provisionRelay()
+	n.provisionGate()
 	n.router = stagebatch.NewRouter(stagebatch.Node{Name: set.Node, DataCentre: set.DataCentre, Capacity: set.Capacity}, n.former, n.peers.client, n.state.Members.Get, n.log)
 	n.router.Exchange = n.peers.client
 	n.passThrough = passthrough.New(passthrough.Config{
-		Routes: n.state.Routes.Get, Current: n.current, StoreUnreachable: n.storeUnreachable, SuspendedTime: n.detector.SuspendedTime, Trusted: n.trusted, Targets: n.targets, Stages: n.router,
+		Routes: n.state.Routes.Get, Current: n.current, StoreUnreachable: n.storeUnreachable, SuspendedTime: n.detector.SuspendedTime, Trusted: n.trusted, Crowded: n.callerGate.Crowded, Targets: n.targets, Stages: n.router,
 		Guard: n.guard, Streams: n.streams, Sender: env.Conns, Wire: env.Wire, Off: set.Off,
 		Repeats:   flow.NewRepeatBudgets(set.Repeats.Ratio, set.Repeats.Fixed, set.Repeats.Window, n.router.Live, n.acquireRepeatPermit),
 		BodyBytes: defaultBodyBytes, ReadTimeout: defaultReadTimeout, Observer: n.metrics, Log: n.log,
@@ -121,13 +123,34 @@
 	}
 }
 
+// provisionGate creates what decides on new connections from callers. A request takes up to two descriptors: its
+// caller's connection and one to a target.
+func (n *Node) provisionGate() {
+	n.overload = &overload.Detector{OnChange: func(shedding bool, delay time.Duration) {
+		n.log.Warn("new connections closed unread changed: the node does not keep up, or does again", "closing", shedding, "delay_ms", delay.Milliseconds())
+	}}
+	n.callerGate = &overload.Gate{Share: n.overload.Share}
+	if n.set.Descriptors > 0 {
+		n.callerGate.Most = max(n.set.Descriptors-reservedDescriptors, 0)/2 + 1
+	}
+	n.metrics.Gauge("topazmoor_entry_processor_delay_seconds", "Least time that work waited for the processor in the last half second.", func() float64 { return n.overload.Delay().Seconds() })
+	n.metrics.Gauge("topazmoor_entry_caller_connections", "Open connections of callers.", func() float64 {
+		open, _ := n.callerGate.Counts()
+		return float64(open)
+	})
+	n.metrics.Counter("topazmoor_entry_caller_connections_closed_unread_total", "New connections of callers that were closed unread, as the node does not keep up or has no room.", func() float64 {
+		_, closed := n.callerGate.Counts()
+		return float64(closed)
+	})
+}
+
 // provisionServers opens the listeners for callers and for the balancer.
 func (n *Node) provisionServers() error {
 	ln, err := n.env.Listen(n.set.ListenCallers)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	n.callerServer = newCallerServer(ln, n.passThrough, n.log)
+	n.callerServer = newCallerServer(ln, n.passThrough, n.callerGate, n.log)
 	if n.readyLn, err = n.env.Listen(n.set.ListenReady); err != nil {
 		return eris.Wrap(err, "listen for the balancer")
 	}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -31,6 +31,8 @@
 	ListenCallers, ListenReady, ListenPeers string
 	// MemoryBytes is the memory limit of the process; 0 for none.
 	MemoryBytes int64
+	// Descriptors is the limit of the process on open files and sockets; 0 for none.
+	Descriptors int
 	// Capacity is the capacity of the process for the batches that it forms on behalf of all
 	// nodes.
 	Capacity stagebatch.Capacity
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -115,6 +115,9 @@
 	// Trusted reports whether the node's data is recent enough to act on. After a suspension of
 	// the host it is not, until the store has answered again.
 	Trusted func() bool
+	// Crowded reports whether connections of callers should end with their next response, so that new ones
+	// find room; nil for never.
+	Crowded func() bool
 	// Current reports whether the configuration can be assumed to be the newest one: the store
 	// answered recently.
 	Current func() bool
@@ -238,7 +241,7 @@
 	defer s.inFlight.Add(-1)
 	trusted := s.cfg.Trusted()
 	c := &call{s: s, w: w, r: r, arrived: time.Now(), suspendedBefore: s.cfg.SuspendedTime(), cfg: s.cfg.Routes()}
-	if !s.stopping().IsZero() {
+	if !s.stopping().IsZero() || s.cfg.Crowded != nil && s.cfg.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	if err := c.accept(trusted); err != nil {
