--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -328,6 +328,13 @@
 	return g.changeRecord(ctx, o)
 }
 
+// isOfEndedQuarantine reports whether an op concerns a part whose record is gone: only a conviction begins a
+// quarantine of a part.
+func (o op) isOfEndedQuarantine(r Record) bool {
+	_, isPart := o.digest.Part()
+	return isPart && o.kind != opRestore && len(r.Ended) == 0
+}
+
 // changeRecord applies an op to the record of its request or part. It gives up on a row that others keep changing, as they write the same
 // information.
 func (g *Guard) changeRecord(ctx context.Context, o op) error {
@@ -337,11 +344,7 @@
 			return err
 		}
 		c := o.apply(r)
-		if _, isPart := o.digest.Part(); isPart && len(r.Ended) == 0 {
-			// The part's quarantine has ended.
-			return nil
-		}
-		if c.none {
+		if c.none || o.isOfEndedQuarantine(r) {
 			return nil
 		}
 		err = g.commit(ctx, recordTx(o.digest, row.Version, c))
