Parts of prompts: what began to answer, joint probes, and convictions that are not lost

Probes of a request with several quarantined records count apart (two, after 3 s and 2 minutes); a part alone in its request has three. - The end of a part's probe could create a record beside a quarantine that had just ended, by which no later conviction was written: the part was refused and never probed.

--- a/internal/attribution/attribution.go
+++ b/internal/attribution/attribution.go
@@ -20,7 +20,7 @@
 type Run struct {
 	// Parts are the parts of the request's prompt that other requests may share.
 	Parts []Part `json:"parts,omitempty"`
-	// Begun reports that the head of the answer had arrived.
+	// Begun reports that the head of the answer had arrived, and nothing else.
 	Begun bool `json:"begun,omitempty"`
 }
 
@@ -72,7 +72,7 @@
 
 // Ends evaluates the evidence, by part.
 func (e Evidence) Ends() map[Part]Ends {
-	begun := e.processesThatAnswered()
+	begun := e.processesWithBegun()
 	stored := make(map[Part][]string)
 	out := make(map[Part]Ends)
 	for _, r := range e.Reports {
@@ -92,8 +92,8 @@
 	return out
 }
 
-// processesThatAnswered returns the processes that had begun an answer when they ended.
-func (e Evidence) processesThatAnswered() map[string]bool {
+// processesWithBegun returns the processes that had just begun an answer when they ended.
+func (e Evidence) processesWithBegun() map[string]bool {
 	out := make(map[string]bool)
 	for _, r := range e.Reports {
 		if slices.ContainsFunc(r.Runs, func(run Run) bool { return run.Begun }) {
@@ -104,7 +104,7 @@
 }
 
 // suspects returns the parts of a report that may have ended the process: those of runs whose answers had
-// begun, if there is any such run at any node, else those of all runs.
+// just begun, if there is any such run at any node, else those of all runs.
 func suspects(r Report, onlyBegun bool) map[Part]bool {
 	out := make(map[Part]bool)
 	for _, run := range r.Runs {
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -275,7 +275,7 @@
 // of the stages.
 func (x *streaming) recordFirstEvent(a *attempt) {
 	c := x.c
-	a.firstEvent = time.Now()
+	a.firstEvent, a.progress = time.Now(), poison.Answering
 	a.lease.MarkPromptRead()
 	a.lease.RecordFirstEvent(time.Since(a.start))
 	c.s.cfg.Observer.ResponseBegan(c.rank, c.estimated, time.Since(c.arrived), c.route.Objective)
--- a/internal/poison/claim.go
+++ b/internal/poison/claim.go
@@ -12,6 +12,7 @@
 // claimedRow is the current row of a record whose probe is claimed.
 type claimedRow struct {
 	view   recordView
+	kind   probeKind
 	row    store.Row
 	record Record
 }
@@ -43,7 +44,7 @@
 				continue
 			}
 			p.Of = append(p.Of, r.view.digest)
-			next := recordTx(r.view.digest, r.row.Version, change{record: r.record.withProbe(p.Name, lasts)})
+			next := recordTx(r.view.digest, r.row.Version, change{record: r.record.withProbe(p.Name, r.kind, lasts)})
 			tx.Conditions = append(tx.Conditions, next.Conditions...)
 			tx.Writes = append(tx.Writes, next.Writes...)
 		}
@@ -68,7 +69,7 @@
 		if err != nil {
 			return nil, err
 		}
-		rows = append(rows, claimedRow{view: k, row: row, record: g.withLostRecord(k.digest, row.Version, r)})
+		rows = append(rows, claimedRow{view: k, kind: kindOf(k.digest, len(quarantined) == 1), row: row, record: g.withLostRecord(k.digest, row.Version, r)})
 	}
 	return rows, nil
 }
@@ -80,7 +81,7 @@
 	if !r.record.Quarantined() {
 		return false, g.resolveUnlisted(r.view, r.record)
 	}
-	decision, after := r.record.Decide(g.unchangedFor(d, r.row.Version, r.view.unchanged), pausesOf(d))
+	decision, after := r.record.Decide(g.unchangedFor(d, r.row.Version, r.view.unchanged), r.kind)
 	if decision != MayProbe {
 		return true, g.refuse(recordView{Record: r.record, digest: d}, after)
 	}
@@ -111,7 +112,8 @@
 	defer g.mu.Unlock()
 	g.local.Remove(k.digest)
 	if part, ok := k.digest.Part(); ok && !k.listed && g.parts.convictedBy(part) != nil {
-		// Its quarantine is being written.
+		// Its quarantine is being written, or was to be written by a node that has ended.
+		g.schedule(part, 0)
 		return &Refused{Ends: len(k.Ended), Part: true, After: retryDuringProbe}
 	}
 	return nil
--- a/internal/poison/conviction.go
+++ b/internal/poison/conviction.go
@@ -63,6 +63,15 @@
 	}
 }
 
+// endedByAnother reports, after waitingDelay, whether a node has reported a run whose answer had begun when the
+// process ended. One that waited then is not the cause.
+func (g *Guard) endedByAnother(process string) bool {
+	time.Sleep(waitingDelay)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.parts.begun(process)
+}
+
 // receiveReport records a report that another node could not write, and queues it to be written.
 func (g *Guard) receiveReport(r attribution.Report) {
 	r.Learned = time.Now()
@@ -204,7 +213,7 @@
 	if !needed {
 		return nil
 	}
-	if err := g.commit(ctx, partAnsweredTx(o.digest, g.cfg.Node)); err != nil && !errors.Is(err, store.ErrUnknown) {
+	if err := g.commit(ctx, partAnsweredTx(o.digest, g.cfg.Node)); err != nil {
 		return err
 	}
 	g.cfg.Log.Info("part of prompts was answered, ends of targets not counted against it", "name", o.digest.Name(), "quarantined", listed, "ends", ends)
@@ -214,15 +223,20 @@
 // writeConviction puts a part in quarantine, unless another node has done so, or recorded an answer meanwhile.
 func (g *Guard) writeConviction(ctx context.Context, o op) error {
 	part, _ := o.digest.Part()
-	tx := recordTx(o.digest, store.Version{}, change{record: o.record})
+	row, current, err := g.read(ctx, o.digest)
+	if err != nil || current.Quarantined() {
+		return err
+	}
+	tx := recordTx(o.digest, row.Version, change{record: o.record})
 	tx.Conditions = append(tx.Conditions, store.Condition{Table: QuarantineTable, Key: answeredKey(part), Version: o.answeredAt})
-	err := g.commit(ctx, tx)
+	err = g.commit(ctx, tx)
 	var conflict *store.ConflictError
 	switch {
 	case err == nil:
 		g.cfg.Log.Warn("part of prompts quarantined: targets end under it", "name", o.digest.Name(), "ended", o.record.Ended)
 		return nil
-	case errors.As(err, &conflict), errors.Is(err, store.ErrUnknown):
+	case errors.As(err, &conflict):
+		// Also if the reply to an earlier try was lost.
 		return nil
 	}
 	return err
--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -22,6 +22,7 @@
 	store  *store.Memory
 	paths  []*path
 	guards []*Guard
+	ctx    context.Context
 	stop   func()
 
 	mu sync.Mutex
@@ -104,7 +105,7 @@
 func newFleet(nodes int) *fleet {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
-	f := &fleet{store: store.NewMemory(), closed: make(map[string]bool)}
+	f := &fleet{ctx: ctx, store: store.NewMemory(), closed: make(map[string]bool)}
 	f.stop = func() { cancel(); wg.Wait() }
 	for i := range nodes {
 		p := &path{Store: f.store, watched: f.store}
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -29,9 +29,9 @@
 	maxAnswered = 8192
 	// retryDuringProbe is when a caller may retry a request that is being probed.
 	retryDuringProbe = time.Second
-	// jointProbePause is how much later a request is probed that holds several quarantined records, or
-	// another suspect part: one that holds a single record tells more.
-	jointProbePause = 3 * time.Second
+	// suspectProbePause is how much later a request is probed that holds another suspect part: one without
+	// tells more.
+	suspectProbePause = 3 * time.Second
 	// retryWithoutStore is when a caller may retry a request whose probe could not be claimed in
 	// the store.
 	retryWithoutStore = 2 * time.Second
@@ -276,8 +276,10 @@
 const (
 	// Waiting: nothing has arrived.
 	Waiting Progress = iota
-	// Begun: the head has arrived.
+	// Begun: the head has arrived, and nothing else.
 	Begun
+	// Answering: a part of the answer has arrived.
+	Answering
 	// Proven: so much has arrived that the request does not crash its target.
 	Proven
 )
@@ -308,6 +310,10 @@
 	if g.cfg.OnProcessEnd != nil {
 		g.cfg.OnProcessEnd(r.Process)
 	}
+	if r.Probe.Claimed() && r.Progress == Waiting && g.endedByAnother(r.Process) {
+		g.Abandoned(r.Probe)
+		r.Probe = Probe{}
+	}
 	timer := time.NewTimer(reportWait)
 	defer timer.Stop()
 	for _, written := range g.recordEnd(r) {
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -128,7 +128,7 @@
 		defer f.stop()
 		f.convict(routePart, documentPart)
 		c.Check(f.guards[0].Admit(withParts(routePart, documentPart)), qt.IsNotNil)
-		time.Sleep(jointProbePause + time.Second)
+		time.Sleep(jointProbePauses[0] + time.Second)
 		sent, probe := f.runRequest(1, withParts(routePart, documentPart), "sound", false)
 		c.Check(sent && probe, qt.IsTrue)
 		time.Sleep(100 * time.Millisecond)
@@ -314,3 +314,25 @@
 		c.Check(f.guards[1].Counts().QuarantinedParts, qt.Equals, 1)
 	})
 }
+
+// The target of a probe ends under another request, before it has begun to answer the probe.
+func TestProbeThatWaitedIsNotCountedWhereAnotherRunHadBegun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(2)
+		defer f.stop()
+		f.convict(routePart)
+		r := withParts(routePart)
+		began := time.Now()
+		probe, err := f.guards[0].Send(t.Context(), r, probeLasts)
+		c.Assert(err, qt.IsNil)
+		time.Sleep(10 * time.Millisecond)
+		f.end("x")
+		other := f.guards[1].Ended(Run{Request: withParts(badPart), Began: began, Process: "x@0", Addr: "x", Progress: Begun})
+		<-f.guards[0].Ended(Run{Request: r, Began: began, Process: "x@0", Addr: "x", Progress: Waiting, Probe: probe})
+		<-other
+		time.Sleep(100 * time.Millisecond)
+		sent, again := f.runRequest(1, withParts(routePart), "sound", false)
+		c.Check(sent && again, qt.IsTrue)
+	})
+}
--- a/internal/poison/record.go
+++ b/internal/poison/record.go
@@ -32,12 +32,45 @@
 
 // partProbePauses are the same for a part of a prompt. Many requests hold a part, so a verdict on an innocent
 // one must not stand for long because a target ended under its probe for another cause.
-var partProbePauses = [...]time.Duration{0, time.Second, 15 * time.Second, 2 * time.Minute}
+var partProbePauses = [...]time.Duration{0, time.Second, 15 * time.Second}
 
-// pausesOf returns the pauses between the probes of a record.
-func pausesOf(d Digest) []time.Duration {
-	if _, ok := d.Part(); ok {
+// jointProbePauses are the pauses before a part is probed by a request that holds other quarantined
+// records too. They are longer than the first ones of partProbePauses, as the end of such a probe does not show
+// which of them is the cause, and their number is apart, as a part that crashes targets would use up
+// the probes of those that come with it.
+var jointProbePauses = [...]time.Duration{3 * time.Second, 2 * time.Minute}
+
+// probeKind is how a record may be probed.
+type probeKind uint8
+
+const (
+	// ofRequest: the record is that of a request.
+	ofRequest probeKind = iota
+	// ofPart: the record is that of a part, alone in its request.
+	ofPart
+	// joint: the record is that of a part that comes with other quarantined records.
+	joint
+)
+
+// kindOf returns how a record may be probed; alone reports that no other record in quarantine comes with it.
+func kindOf(d Digest, alone bool) probeKind {
+	_, isPart := d.Part()
+	switch {
+	case !isPart:
+		return ofRequest
+	case alone:
+		return ofPart
+	}
+	return joint
+}
+
+// pauses returns the pauses before each probe.
+func (k probeKind) pauses() []time.Duration {
+	switch k {
+	case ofPart:
 		return partProbePauses[:]
+	case joint:
+		return jointProbePauses[:]
 	}
 	return probePauses[:]
 }
@@ -50,21 +83,40 @@
 type Record struct {
 	// Ended names the processes that ended under the request, at most maxProcesses.
 	Ended []string `json:"ended"`
-	// Probes is the number of probes that were claimed and not abandoned.
-	Probes int `json:"probes,omitempty"`
+	// Probes is the number of probes that were claimed and not abandoned, JointProbes that of those for which
+	// the request held other quarantined records too; they are not among Probes.
+	Probes      int `json:"probes,omitempty"`
+	JointProbes int `json:"joint_probes,omitempty"`
 	// Probe names the probe in progress; empty if none. ProbeMS is how long the probe may take, in
-	// milliseconds.
-	Probe   string `json:"probe,omitempty"`
-	ProbeMS int64  `json:"probe_ms,omitempty"`
+	// milliseconds; ProbeJoint reports that it is among JointProbes.
+	Probe      string `json:"probe,omitempty"`
+	ProbeMS    int64  `json:"probe_ms,omitempty"`
+	ProbeJoint bool   `json:"probe_joint,omitempty"`
 }
 
 // withProbe returns the record with a probe in progress that may take the duration lasts.
-func (r Record) withProbe(name string, lasts time.Duration) Record {
-	r.Probes++
+func (r Record) withProbe(name string, kind probeKind, lasts time.Duration) Record {
+	r.ProbeJoint = kind == joint
+	if r.ProbeJoint {
+		r.JointProbes++
+	} else {
+		r.Probes++
+	}
 	r.Probe, r.ProbeMS = name, min(lasts+probeReportSlack, maxProbeTime).Milliseconds()
 	return r
 }
 
+// withoutProbe returns the record without the probe in progress, which does not count.
+func (r Record) withoutProbe() Record {
+	if r.ProbeJoint {
+		r.JointProbes--
+	} else {
+		r.Probes--
+	}
+	r.Probe, r.ProbeJoint = "", false
+	return r
+}
+
 // probeTimeLeft returns how long the probe in progress may still run if the record has been
 // unchanged for a time; 0 if there is no probe.
 func (r Record) probeTimeLeft(unchanged time.Duration) time.Duration {
@@ -84,7 +136,7 @@
 	known := slices.Contains(r.Ended, process)
 	switch {
 	case probe != "" && r.Probe == probe:
-		r.Probe = ""
+		r.Probe, r.ProbeJoint = "", false
 	case probe != "" && !known:
 		r.Probes++
 	}
@@ -103,8 +155,9 @@
 		r = r.withEnd(process, "")
 	}
 	if o.Probes > r.Probes {
-		r.Probes, r.Probe, r.ProbeMS = o.Probes, o.Probe, o.ProbeMS
+		r.Probes, r.Probe, r.ProbeMS, r.ProbeJoint = o.Probes, o.Probe, o.ProbeMS, o.ProbeJoint
 	}
+	r.JointProbes = max(r.JointProbes, o.JointProbes)
 	return r
 }
 
@@ -122,18 +175,22 @@
 )
 
 // Decide returns what may be done with the request if its record has been unchanged for a time.
-// pauses are those before each probe. after is when a refusal ends; 0 if it lasts as long as the record.
-func (r Record) Decide(unchanged time.Duration, pauses []time.Duration) (d Decision, after time.Duration) {
+// kind is how it would be probed. after is when a refusal ends; 0 if it lasts as long as the record.
+func (r Record) Decide(unchanged time.Duration, kind probeKind) (d Decision, after time.Duration) {
 	if !r.Quarantined() {
 		return Pass, 0
 	}
 	if left := r.probeTimeLeft(unchanged); left > 0 {
 		return Refuse, left
 	}
-	if r.Probes >= len(pauses) {
+	probes, pauses := r.Probes, kind.pauses()
+	if kind == joint {
+		probes = r.JointProbes
+	}
+	if probes >= len(pauses) {
 		return Refuse, 0
 	}
-	if wait := pauses[r.Probes] - unchanged; wait > 0 {
+	if wait := pauses[probes] - unchanged; wait > 0 {
 		return Refuse, wait
 	}
 	return MayProbe, 0
@@ -145,7 +202,7 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return Record{}, eris.Wrap(err, "decode request record")
 	}
-	if len(r.Ended) > maxProcesses || r.Probes < 0 {
+	if len(r.Ended) > maxProcesses || r.Probes < 0 || r.JointProbes < 0 {
 		return Record{}, eris.Errorf("invalid request record: %d ends, %d probes", len(r.Ended), r.Probes)
 	}
 	return r, nil
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -120,6 +120,13 @@
 	return o
 }
 
+// isFirstEnd reports whether an op may create a record. The end of a target under a part does so only with a
+// conviction.
+func (o op) isFirstEnd() bool {
+	_, isPart := o.digest.Part()
+	return o.kind == opEnd && !isPart
+}
+
 // take removes the ops of the next write: reports together, consecutive ends of different requests
 // together, any other op alone.
 func (q *queue) take() []op {
@@ -132,7 +139,7 @@
 	}
 	n := 0
 	digests := make(map[Digest]bool)
-	for n < len(q.ops) && n < maxBatch && (n == 0 || q.ops[n].kind == opEnd && q.ops[0].kind == opEnd && !digests[q.ops[n].digest]) {
+	for n < len(q.ops) && n < maxBatch && (n == 0 || q.ops[0].isFirstEnd() && q.ops[n].isFirstEnd() && !digests[q.ops[n].digest]) {
 		digests[q.ops[n].digest] = true
 		n++
 	}
@@ -307,9 +314,7 @@
 		if r.Probe != o.probe {
 			return change{none: true}
 		}
-		r.Probe = ""
-		r.Probes--
-		return change{record: r}
+		return change{record: r.withoutProbe()}
 	case opRestore:
 		next := r.merged(o.record)
 		return change{record: next, none: len(next.Ended) == len(r.Ended) && next.Probes == r.Probes}
--- a/internal/poison/view.go
+++ b/internal/poison/view.go
@@ -33,17 +33,18 @@
 	listed bool
 }
 
-// decide returns what may be done with a request that has the record. Each probe waits for extra longer
-// than it otherwise does. after is the duration until a refusal ends; 0 if it lasts as long as the record.
+// decide returns what may be done with a request that has the record; kind is how it would be probed, and each
+// probe waits for extra longer than it otherwise does. after is the duration until a refusal ends; 0 if it lasts
+// as long as the record.
 //
 // A record that the store's list does not contain may be in quarantine only because of the ends of
 // targets in this node's local record. Another node may then have seen a target answer the request and
 // removed its stored record. So this node tries to claim a probe, as a claim reads the current record
 // from the store. If it has already sent a probe that it claimed without the store, it does so only
 // once its local record has been unchanged for retryWithoutStore.
-func (k recordView) decide(extra time.Duration) (d Decision, after time.Duration) {
+func (k recordView) decide(kind probeKind, extra time.Duration) (d Decision, after time.Duration) {
 	if k.listed || !k.Quarantined() {
-		return k.Record.Decide(k.unchanged-extra, pausesOf(k.digest))
+		return k.Record.Decide(k.unchanged-extra, kind)
 	}
 	if wait := retryWithoutStore - k.unchanged; k.Probes > 0 && wait > 0 {
 		return Refuse, wait
@@ -94,15 +95,16 @@
 	return v
 }
 
-// decide returns what may be done with the request; worst is the record that decides. A probe is evidence
-// against everything that it holds: a request with a single record in quarantine goes first.
+// decide returns what may be done with the request; worst is the record that decides. The end of a probe is
+// evidence against everything that it holds: a request with a single record in quarantine and no suspect goes
+// first.
 func (v requestView) decide() (d Decision, after time.Duration, worst recordView) {
 	var extra time.Duration
-	if len(v.quarantined) > 1 || v.suspect {
-		extra = jointProbePause
+	if v.suspect {
+		extra = suspectProbePause
 	}
 	for _, k := range v.quarantined {
-		next, wait := k.decide(extra)
+		next, wait := k.decide(kindOf(k.digest, len(v.quarantined) == 1), extra)
 		if next > d || next == d && next == Refuse && wait > after {
 			d, after, worst = next, wait, k
 		}
