--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -257,7 +257,9 @@
 			f.guards[0].PartsAnswered([]Part{Part(1 + i)})
 		}
 		c.Check(f.guards[0].Counts().Reports <= 400, qt.IsTrue)
+		f.guards[0].mu.Lock()
 		c.Check(f.guards[0].parts.proven.Len(), qt.Equals, maxProvenParts)
+		f.guards[0].mu.Unlock()
 		c.Check(f.guards[0].Counts().QuarantinedParts, qt.Equals, 0)
 		time.Sleep(evidenceTTL + 60*evidenceSweepInterval)
 		rows, err := f.store.Scan(context.Background(), QuarantineTable, reportPrefix, "", 1000)
@@ -286,6 +288,8 @@
 			f.guards[0].Ended(Run{Request: withParts(long...), Began: time.Now().Add(-time.Second), Process: addr, Addr: addr, Progress: Begun})
 		}
 		time.Sleep(time.Second)
+		f.guards[0].mu.Lock()
+		defer f.guards[0].mu.Unlock()
 		pending := f.guards[0].parts.pending
 		c.Check(pending, qt.HasLen, reportBurst)
 		for _, r := range pending {
