--- a/internal/poison/claim.go
+++ b/internal/poison/claim.go
@@ -12,21 +12,21 @@
 // claimedRow is the current row of a record whose probe is claimed.
 type claimedRow struct {
 	view   recordView
-	kind   probeKind
+	spec   probeSpec
 	row    store.Row
 	record Record
 }
 
-// claim claims the probes of quarantined records, all or none; lasts is how long the probe may take. The
+// claim claims the probes of a request's quarantined records, all or none; lasts is how long the probe may take. The
 // Probe is empty if the request is no longer in quarantine.
-func (g *Guard) claim(ctx context.Context, quarantined []recordView, lasts time.Duration) (Probe, error) {
+func (g *Guard) claim(ctx context.Context, v requestView, lasts time.Duration) (Probe, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	p := Probe{Name: fmt.Sprintf("%s/%x", g.cfg.Node, rand.Uint64())}
 	for range maxConflicts {
-		rows, err := g.readClaimed(ctx, quarantined)
+		rows, err := g.readClaimed(ctx, v)
 		if err != nil {
-			return g.claimLocally(quarantined, p.Name)
+			return g.claimLocally(v.quarantined, p.Name)
 		}
 		var tx store.Tx
 		p.Of = nil
@@ -44,7 +44,7 @@
 				continue
 			}
 			p.Of = append(p.Of, r.view.digest)
-			next := recordTx(r.view.digest, r.row.Version, change{record: r.record.withProbe(p.Name, r.kind, lasts)})
+			next := recordTx(r.view.digest, r.row.Version, change{record: r.record.withProbe(p.Name, r.spec, lasts)})
 			tx.Conditions = append(tx.Conditions, next.Conditions...)
 			tx.Writes = append(tx.Writes, next.Writes...)
 		}
@@ -62,14 +62,14 @@
 }
 
 // readClaimed reads the rows of quarantined records.
-func (g *Guard) readClaimed(ctx context.Context, quarantined []recordView) ([]claimedRow, error) {
-	rows := make([]claimedRow, 0, len(quarantined))
-	for _, k := range quarantined {
+func (g *Guard) readClaimed(ctx context.Context, v requestView) ([]claimedRow, error) {
+	rows := make([]claimedRow, 0, len(v.quarantined))
+	for _, k := range v.quarantined {
 		row, r, err := g.read(ctx, k.digest)
 		if err != nil {
 			return nil, err
 		}
-		rows = append(rows, claimedRow{view: k, kind: kindOf(k.digest, len(quarantined) == 1), row: row, record: g.withLostRecord(k.digest, row.Version, r)})
+		rows = append(rows, claimedRow{view: k, spec: v.specOf(k.digest), row: row, record: g.withLostRecord(k.digest, row.Version, r)})
 	}
 	return rows, nil
 }
@@ -81,7 +81,7 @@
 	if !r.record.Quarantined() {
 		return false, g.resolveUnlisted(r.view, r.record)
 	}
-	decision, after := r.record.Decide(g.unchangedFor(d, r.row.Version, r.view.unchanged), r.kind)
+	decision, after := r.record.Decide(g.unchangedFor(d, r.row.Version, r.view.unchanged), r.spec)
 	if decision != MayProbe {
 		return true, g.refuse(recordView{Record: r.record, digest: d}, after)
 	}
--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -19,11 +19,12 @@
 
 // fleet is a set of nodes, each with a Guard, that share one store and targets that can end.
 type fleet struct {
-	store  *store.Memory
-	paths  []*path
-	guards []*Guard
-	ctx    context.Context
-	stop   func()
+	store   *store.Memory
+	paths   []*path
+	guards  []*Guard
+	ctx     context.Context
+	lastErr error
+	stop    func()
 
 	mu sync.Mutex
 	// closed holds the addresses that accept no connections.
@@ -147,6 +148,7 @@
 func (f *fleet) runRequest(node int, r Request, target string, ends bool) (sent, probe bool) {
 	g := f.guards[node]
 	p, err := g.Send(context.Background(), r, probeLasts)
+	f.lastErr = err
 	if err != nil {
 		return false, false
 	}
--- a/internal/poison/guard.go
+++ b/internal/poison/guard.go
@@ -29,9 +29,6 @@
 	maxAnswered = 8192
 	// retryDuringProbe is when a caller may retry a request that is being probed.
 	retryDuringProbe = time.Second
-	// suspectProbePause is how much later a request is probed that holds another suspect part: one without
-	// tells more.
-	suspectProbePause = 3 * time.Second
 	// retryWithoutStore is when a caller may retry a request whose probe could not be claimed in
 	// the store.
 	retryWithoutStore = 2 * time.Second
@@ -239,7 +236,7 @@
 	case Refuse:
 		return Probe{}, g.refuse(worst, after)
 	}
-	probe, err := g.claim(ctx, v.quarantined, lasts)
+	probe, err := g.claim(ctx, v, lasts)
 	if err != nil {
 		g.cfg.Log.Info("request in quarantine not sent", "digest", r.Digest, "of", worst.digest.Name(), "ends", len(worst.Ended), "listed", worst.listed, "err", err)
 		return Probe{}, err
--- a/internal/poison/parts.go
+++ b/internal/poison/parts.go
@@ -159,6 +159,9 @@
 	return at
 }
 
+// count returns the number of targets that ended under a part since it was last answered.
+func (e *partEvidence) count(p Part) int { return len(e.ends[p].Processes) }
+
 // suspect reports whether a part may crash targets.
 func (e *partEvidence) suspect(p Part) bool { return e.ends[p].Suspect() }
 
--- a/internal/poison/record.go
+++ b/internal/poison/record.go
@@ -31,48 +31,42 @@
 var probePauses = [...]time.Duration{0, 15 * time.Second, 2 * time.Minute}
 
 // partProbePauses are the same for a part of a prompt. Many requests hold a part, so a verdict on an innocent
-// one must not stand for long because a target ended under its probe for another cause.
-var partProbePauses = [...]time.Duration{0, time.Second, 15 * time.Second}
-
-// jointProbePauses are the pauses before a part is probed by a request that holds other quarantined
-// records too. They are longer than the first ones of partProbePauses, as the end of such a probe does not show
-// which of them is the cause, and their number is apart, as a part that crashes targets would use up
-// the probes of those that come with it.
-var jointProbePauses = [...]time.Duration{3 * time.Second, 2 * time.Minute}
-
-// probeKind is how a record may be probed.
-type probeKind uint8
+// one must not stand for long because a target ended under its probe for another cause. There is one more
+// probe, of a lower risk.
+var partProbePauses = [...]time.Duration{0, time.Second, 15 * time.Second, 2 * time.Minute}
 
 const (
-	// ofRequest: the record is that of a request.
-	ofRequest probeKind = iota
-	// ofPart: the record is that of a part, alone in its request.
-	ofPart
-	// joint: the record is that of a part that comes with other quarantined records.
-	joint
+	// riskPause is how much later a probe of a part runs for each point of risk, so that requests that hold
+	// nothing else of which targets may have ended go first.
+	riskPause = 500 * time.Millisecond
+	// maxRiskOfPart bounds the risk by one other part.
+	maxRiskOfPart = 3
 )
 
-// kindOf returns how a record may be probed; alone reports that no other record in quarantine comes with it.
-func kindOf(d Digest, alone bool) probeKind {
-	_, isPart := d.Part()
-	switch {
-	case !isPart:
-		return ofRequest
-	case alone:
-		return ofPart
-	}
-	return joint
+// probeSpec is how a record would be probed by a request.
+type probeSpec struct {
+	ofPart bool
+	// risk says how likely it is that a target ends for another part of the request's prompt: the number of
+	// targets that ended under the other parts.
+	risk int
 }
 
-// pauses returns the pauses before each probe.
-func (k probeKind) pauses() []time.Duration {
-	switch k {
-	case ofPart:
-		return partProbePauses[:]
-	case joint:
-		return jointProbePauses[:]
+// pause returns the pause before the next probe of a record; ok is false if there is none.
+func (s probeSpec) pause(r Record) (pause time.Duration, ok bool) {
+	if !s.ofPart {
+		if r.Probes >= len(probePauses) {
+			return 0, false
+		}
+		return probePauses[r.Probes], true
+	}
+	extra := time.Duration(s.risk) * riskPause
+	switch {
+	case s.risk+1 < r.EndedRisk && r.Probes <= len(partProbePauses):
+		return extra, true
+	case r.Probes >= len(partProbePauses):
+		return 0, false
 	}
-	return probePauses[:]
+	return partProbePauses[r.Probes] + extra, true
 }
 
 // recordTTL is how long a record is kept without new information.
@@ -83,37 +77,28 @@
 type Record struct {
 	// Ended names the processes that ended under the request, at most maxProcesses.
 	Ended []string `json:"ended"`
-	// Probes is the number of probes that were claimed and not abandoned, JointProbes that of those for which
-	// the request held other quarantined records too; they are not among Probes.
-	Probes      int `json:"probes,omitempty"`
-	JointProbes int `json:"joint_probes,omitempty"`
+	// Probes is the number of probes that were claimed and not abandoned.
+	Probes int `json:"probes,omitempty"`
+	// EndedRisk is one more than the lowest risk of the probes under which a target ended; 0 if there was none.
+	EndedRisk int `json:"ended_risk,omitempty"`
 	// Probe names the probe in progress; empty if none. ProbeMS is how long the probe may take, in
-	// milliseconds; ProbeJoint reports that it is among JointProbes.
-	Probe      string `json:"probe,omitempty"`
-	ProbeMS    int64  `json:"probe_ms,omitempty"`
-	ProbeJoint bool   `json:"probe_joint,omitempty"`
+	// milliseconds, ProbeRisk its risk.
+	Probe     string `json:"probe,omitempty"`
+	ProbeMS   int64  `json:"probe_ms,omitempty"`
+	ProbeRisk int    `json:"probe_risk,omitempty"`
 }
 
 // withProbe returns the record with a probe in progress that may take the duration lasts.
-func (r Record) withProbe(name string, kind probeKind, lasts time.Duration) Record {
-	r.ProbeJoint = kind == joint
-	if r.ProbeJoint {
-		r.JointProbes++
-	} else {
-		r.Probes++
-	}
-	r.Probe, r.ProbeMS = name, min(lasts+probeReportSlack, maxProbeTime).Milliseconds()
+func (r Record) withProbe(name string, spec probeSpec, lasts time.Duration) Record {
+	r.Probes++
+	r.Probe, r.ProbeMS, r.ProbeRisk = name, min(lasts+probeReportSlack, maxProbeTime).Milliseconds(), spec.risk
 	return r
 }
 
 // withoutProbe returns the record without the probe in progress, which does not count.
 func (r Record) withoutProbe() Record {
-	if r.ProbeJoint {
-		r.JointProbes--
-	} else {
-		r.Probes--
-	}
-	r.Probe, r.ProbeJoint = "", false
+	r.Probes--
+	r.Probe = ""
 	return r
 }
 
@@ -136,7 +121,10 @@
 	known := slices.Contains(r.Ended, process)
 	switch {
 	case probe != "" && r.Probe == probe:
-		r.Probe, r.ProbeJoint = "", false
+		r.Probe = ""
+		if r.EndedRisk == 0 || r.ProbeRisk < r.EndedRisk {
+			r.EndedRisk = r.ProbeRisk + 1
+		}
 	case probe != "" && !known:
 		r.Probes++
 	}
@@ -155,9 +143,8 @@
 		r = r.withEnd(process, "")
 	}
 	if o.Probes > r.Probes {
-		r.Probes, r.Probe, r.ProbeMS, r.ProbeJoint = o.Probes, o.Probe, o.ProbeMS, o.ProbeJoint
+		r.Probes, r.EndedRisk, r.Probe, r.ProbeMS, r.ProbeRisk = o.Probes, o.EndedRisk, o.Probe, o.ProbeMS, o.ProbeRisk
 	}
-	r.JointProbes = max(r.JointProbes, o.JointProbes)
 	return r
 }
 
@@ -175,22 +162,19 @@
 )
 
 // Decide returns what may be done with the request if its record has been unchanged for a time.
-// kind is how it would be probed. after is when a refusal ends; 0 if it lasts as long as the record.
-func (r Record) Decide(unchanged time.Duration, kind probeKind) (d Decision, after time.Duration) {
+// spec is how it would be probed. after is when a refusal ends; 0 if it lasts as long as the record.
+func (r Record) Decide(unchanged time.Duration, spec probeSpec) (d Decision, after time.Duration) {
 	if !r.Quarantined() {
 		return Pass, 0
 	}
 	if left := r.probeTimeLeft(unchanged); left > 0 {
 		return Refuse, left
 	}
-	probes, pauses := r.Probes, kind.pauses()
-	if kind == joint {
-		probes = r.JointProbes
-	}
-	if probes >= len(pauses) {
+	pause, ok := spec.pause(r)
+	if !ok {
 		return Refuse, 0
 	}
-	if wait := pauses[probes] - unchanged; wait > 0 {
+	if wait := pause - unchanged; wait > 0 {
 		return Refuse, wait
 	}
 	return MayProbe, 0
@@ -202,7 +186,7 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return Record{}, eris.Wrap(err, "decode request record")
 	}
-	if len(r.Ended) > maxProcesses || r.Probes < 0 || r.JointProbes < 0 {
+	if len(r.Ended) > maxProcesses || r.Probes < 0 {
 		return Record{}, eris.Errorf("invalid request record: %d ends, %d probes", len(r.Ended), r.Probes)
 	}
 	return r, nil
--- a/internal/poison/view.go
+++ b/internal/poison/view.go
@@ -33,18 +33,17 @@
 	listed bool
 }
 
-// decide returns what may be done with a request that has the record; kind is how it would be probed, and each
-// probe waits for extra longer than it otherwise does. after is the duration until a refusal ends; 0 if it lasts
-// as long as the record.
+// decide returns what may be done with a request that has the record; spec is how it would be probed. after is the
+// duration until a refusal ends; 0 if it lasts as long as the record.
 //
 // A record that the store's list does not contain may be in quarantine only because of the ends of
 // targets in this node's local record. Another node may then have seen a target answer the request and
 // removed its stored record. So this node tries to claim a probe, as a claim reads the current record
 // from the store. If it has already sent a probe that it claimed without the store, it does so only
 // once its local record has been unchanged for retryWithoutStore.
-func (k recordView) decide(kind probeKind, extra time.Duration) (d Decision, after time.Duration) {
+func (k recordView) decide(spec probeSpec) (d Decision, after time.Duration) {
 	if k.listed || !k.Quarantined() {
-		return k.Record.Decide(k.unchanged-extra, kind)
+		return k.Record.Decide(k.unchanged, spec)
 	}
 	if wait := retryWithoutStore - k.unchanged; k.Probes > 0 && wait > 0 {
 		return Refuse, wait
@@ -70,41 +69,47 @@
 	return k
 }
 
-// requestView is what a node knows of a request: the records that are in quarantine, and whether another
-// part of its prompt is a suspect.
+// requestView is what a node knows of a request: the records that are in quarantine, and of how many ends each part of its
+// prompt may be the cause.
 type requestView struct {
 	quarantined []recordView
-	suspect     bool
+	ends        map[Digest]int
 }
 
 func (g *Guard) view(r Request) requestView {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var v requestView
+	v := requestView{ends: make(map[Digest]int)}
 	if k := g.lookup(r.Digest); k.Quarantined() {
 		v.quarantined = append(v.quarantined, k)
 	}
 	for _, part := range r.Parts {
-		switch k := g.lookup(PartDigest(part)); {
-		case k.Quarantined():
+		d := PartDigest(part)
+		k := g.lookup(d)
+		if k.Quarantined() {
 			v.quarantined = append(v.quarantined, k)
-		case g.parts.suspect(part):
-			v.suspect = true
 		}
+		v.ends[d] = min(max(len(k.Ended), g.parts.count(part)), maxRiskOfPart)
 	}
 	return v
 }
 
-// decide returns what may be done with the request; worst is the record that decides. The end of a probe is
-// evidence against everything that it holds: a request with a single record in quarantine and no suspect goes
-// first.
-func (v requestView) decide() (d Decision, after time.Duration, worst recordView) {
-	var extra time.Duration
-	if v.suspect {
-		extra = suspectProbePause
+// specOf returns how a record of the request would be probed.
+func (v requestView) specOf(d Digest) probeSpec {
+	_, isPart := d.Part()
+	s := probeSpec{ofPart: isPart}
+	for other, ends := range v.ends {
+		if isPart && other != d {
+			s.risk += ends
+		}
 	}
+	return s
+}
+
+// decide returns what may be done with the request; worst is the record that decides.
+func (v requestView) decide() (d Decision, after time.Duration, worst recordView) {
 	for _, k := range v.quarantined {
-		next, wait := k.decide(kindOf(k.digest, len(v.quarantined) == 1), extra)
+		next, wait := k.decide(v.specOf(k.digest))
 		if next > d || next == d && next == Refuse && wait > after {
 			d, after, worst = next, wait, k
 		}
