--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -103,13 +103,16 @@
 }
 
 // newFleet starts the nodes. The caller must call stop.
-func newFleet(nodes int) *fleet {
+func newFleet(nodes int) *fleet { return newFleetWith(nodes, func(s store.Store) store.Store { return s }) }
+
+// newFleetWith does the same, with a wrapper around the store of each node.
+func newFleetWith(nodes int, wrap func(store.Store) store.Store) *fleet {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	f := &fleet{ctx: ctx, store: store.NewMemory(), closed: make(map[string]bool)}
 	f.stop = func() { cancel(); wg.Wait() }
 	for i := range nodes {
-		p := &path{Store: f.store, watched: f.store}
+		p := &path{Store: wrap(f.store), watched: f.store}
 		g := New(Config{Node: fmt.Sprint("node-", i), Store: p, Dial: f.dial, Nodes: func() int { return nodes }, Log: slog.New(slog.DiscardHandler)})
 		table := &watch.Table{Name: QuarantineTable, From: p, Wait: watch.LongWait, Apply: (&restore.Table{Apply: g.Apply, RewriteLost: g.RewriteLost, Log: slog.New(slog.DiscardHandler)}).Update, Log: slog.New(slog.DiscardHandler)}
 		wg.Go(func() { _ = g.Serve(ctx) })
