--- a/internal/poison/conviction.go
+++ b/internal/poison/conviction.go
@@ -94,14 +94,12 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	known := false
+	counted := false
 	for _, p := range parts {
 		g.parts.proven.Add(p, now)
-		_, suspected := g.parts.ends[p]
-		_, quarantined := g.stored[PartDigest(p)]
-		known = known || suspected || quarantined
+		counted = counted || g.parts.count(p) > 0 || g.isListed(p)
 	}
-	if known {
+	if counted {
 		g.parts.evaluate(now)
 		g.review()
 	}
--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -103,7 +103,9 @@
 }
 
 // newFleet starts the nodes. The caller must call stop.
-func newFleet(nodes int) *fleet { return newFleetWith(nodes, func(s store.Store) store.Store { return s }) }
+func newFleet(nodes int) *fleet {
+	return newFleetWith(nodes, func(s store.Store) store.Store { return s })
+}
 
 // newFleetWith does the same, with a wrapper around the store of each node.
 func newFleetWith(nodes int, wrap func(store.Store) store.Store) *fleet {
--- a/internal/poison/parts_oracle_test.go
+++ b/internal/poison/parts_oracle_test.go
@@ -193,16 +193,3 @@
 	}
 	s.violations = append(s.violations, slices.Clip(refused)...)
 }
-
-// known describes what a node knows of parts.
-func (s *partScript) known(node int, parts ...Part) string {
-	g := s.guards[node]
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var out []string
-	for _, p := range parts {
-		local, _ := g.local.Get(PartDigest(p))
-		out = append(out, fmt.Sprintf("%s: %+v, local %+v, ends %+v", PartDigest(p).Name(), g.lookup(PartDigest(p)), local, g.parts.ends[p]))
-	}
-	return strings.Join(out, "; ")
-}
--- a/internal/poison/view.go
+++ b/internal/poison/view.go
@@ -79,21 +79,31 @@
 func (g *Guard) view(r Request) requestView {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	v := requestView{ends: make(map[Digest]int)}
+	var v requestView
 	if k := g.lookup(r.Digest); k.Quarantined() {
 		v.quarantined = append(v.quarantined, k)
 	}
 	for _, part := range r.Parts {
-		d := PartDigest(part)
-		k := g.lookup(d)
-		if k.Quarantined() {
+		if k := g.lookup(PartDigest(part)); k.Quarantined() {
 			v.quarantined = append(v.quarantined, k)
 		}
-		v.ends[d] = min(max(len(k.Ended), g.parts.count(part)), maxRiskOfPart)
+	}
+	if len(v.quarantined) > 0 {
+		v.ends = g.endsOf(r.Parts)
 	}
 	return v
 }
 
+// endsOf returns of how many ends each part may be the cause, at most maxRiskOfPart. The caller holds g.mu.
+func (g *Guard) endsOf(parts []Part) map[Digest]int {
+	out := make(map[Digest]int, len(parts))
+	for _, part := range parts {
+		d := PartDigest(part)
+		out[d] = min(max(len(g.lookup(d).Ended), g.parts.count(part)), maxRiskOfPart)
+	}
+	return out
+}
+
 // specOf returns how a record of the request would be probed.
 func (v requestView) specOf(d Digest) probeSpec {
 	_, isPart := d.Part()
