TestOracleParts: the mutations that it finds

On a scratch copy, 3,000 scripts of seed 1: an answer that does not clear a part (at once), runs that waited counted beside begun ones (after 2,476 scripts). Not found: a conviction by a single end, probes without a bound, joint probes charged to one record, a lost conviction that is not written again; of these the second is in TestPartUnderWhichTargetsEndIsQuarantinedAtAllNodes.

--- a/internal/poison/parts_oracle_test.go
+++ b/internal/poison/parts_oracle_test.go
@@ -20,8 +20,8 @@
 //   - requests with a bad part reach targets a bounded number of times;
 //   - requests without any are sent again once all faults have ended, at each node.
 //
-// 3,000 scripts of one seed find each of these mutations: an answer that does not clear a part; a conviction
-// by a single end; probes of a part without a bound; a node that counts runs that waited beside begun ones of others.
+// 3,000 scripts of one seed find each of these mutations: an answer that does not clear a part; a node that counts
+// runs that waited beside begun ones of others.
 func TestOracleParts(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		nodes := rapid.IntRange(1, 4).Draw(rt, "nodes")
