--- a/internal/poison/oracle_test.go
+++ b/internal/poison/oracle_test.go
@@ -57,20 +57,24 @@
 func drawStep(nodes int, what []string) func(t *rapid.T) step {
 	return func(t *rapid.T) step {
 		return step{
-			What:    rapid.SampledFrom(what).Draw(t, "what"),
-			Node:    rapid.IntRange(0, nodes-1).Draw(t, "node"),
-			Request: rapid.SampledFrom([]string{"p0", "p0", "p0", "p1", "i0", "i1"}).Draw(t, "request"),
-			Cut:     rapid.Bool().Draw(t, "cut"),
-			Faults: store.Faults{
-				Down: rapid.IntRange(0, 3).Draw(t, "down") == 0, Delay: time.Duration(rapid.IntRange(0, 2).Draw(t, "delay")) * 60 * time.Millisecond,
-				LoseReplies: rapid.IntRange(0, 2).Draw(t, "lost"), DropCommits: rapid.IntRange(0, 2).Draw(t, "dropped"),
-				LateCommits: rapid.IntRange(0, 1).Draw(t, "late"), LateBy: time.Second,
-			},
+			What:     rapid.SampledFrom(what).Draw(t, "what"),
+			Node:     rapid.IntRange(0, nodes-1).Draw(t, "node"),
+			Request:  rapid.SampledFrom([]string{"p0", "p0", "p0", "p1", "i0", "i1"}).Draw(t, "request"),
+			Cut:      rapid.Bool().Draw(t, "cut"),
+			Faults:   drawFaults(t),
 			Duration: time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond,
 		}
 	}
 }
 
+func drawFaults(t *rapid.T) store.Faults {
+	return store.Faults{
+		Down: rapid.IntRange(0, 3).Draw(t, "down") == 0, Delay: time.Duration(rapid.IntRange(0, 2).Draw(t, "delay")) * 60 * time.Millisecond,
+		LoseReplies: rapid.IntRange(0, 2).Draw(t, "lost"), DropCommits: rapid.IntRange(0, 2).Draw(t, "dropped"),
+		LateCommits: rapid.IntRange(0, 1).Draw(t, "late"), LateBy: time.Second,
+	}
+}
+
 // script is the state of a script while it runs, with what the oracle knows.
 type script struct {
 	*fleet
--- a/internal/poison/parts_oracle_test.go
+++ b/internal/poison/parts_oracle_test.go
@@ -64,13 +64,9 @@
 			Documents: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Part {
 				return documentPart + Part(rapid.IntRange(0, documents-1).Draw(t, "document"))
 			}), n, n).Draw(t, "documents"),
-			Begun: rapid.SliceOfN(rapid.Bool(), n, n).Draw(t, "begun"),
-			Cut:   rapid.Bool().Draw(t, "cut"),
-			Faults: store.Faults{
-				Down: rapid.IntRange(0, 3).Draw(t, "down") == 0, Delay: time.Duration(rapid.IntRange(0, 2).Draw(t, "delay")) * 60 * time.Millisecond,
-				LoseReplies: rapid.IntRange(0, 2).Draw(t, "lost"), DropCommits: rapid.IntRange(0, 2).Draw(t, "dropped"),
-				LateCommits: rapid.IntRange(0, 1).Draw(t, "late"), LateBy: time.Second,
-			},
+			Begun:    rapid.SliceOfN(rapid.Bool(), n, n).Draw(t, "begun"),
+			Cut:      rapid.Bool().Draw(t, "cut"),
+			Faults:   drawFaults(t),
 			Duration: time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond,
 		}
 	}
