A message beside others that crash targets is not blamed for their ends

Cause: each run at a process that ended counted against its request, though it is known which answer had just begun. Runs without a prompt, and pieces, count as before.

--- a/internal/poison/run.go
+++ b/internal/poison/run.go
@@ -87,12 +87,36 @@
 			written = append(written, g.queue.push(op{kind: opEnd, digest: d, process: r.Process, probe: r.Probe.Name}))
 		}
 	}
-	if g.recordLocal(r) {
-		written = append(written, g.queue.push(op{kind: opEnd, digest: r.Digest, process: r.Process, probe: r.Probe.NameFor(r.Digest)}))
+	if r.mayBeANeighbour() {
+		// The request may be sent again meanwhile.
+		go func() {
+			if !g.endedByAnother(r.Process) {
+				g.countEnd(r)
+			}
+		}()
+		return written
+	}
+	if w := g.countEnd(r); w != nil {
+		written = append(written, w)
 	}
 	return written
 }
 
+// mayBeANeighbour reports whether the target may have ended under another run, whose answer had just begun. It is
+// known only of runs of prompts whether their answers had begun.
+func (r Run) mayBeANeighbour() bool {
+	return r.Parts != nil && r.Progress != Begun && !r.Probe.Claimed()
+}
+
+// countEnd counts the end of a run's target against its request. The channel is closed once it is written to the store;
+// it is nil if the end does not count.
+func (g *Guard) countEnd(r Run) <-chan struct{} {
+	if !g.recordLocal(r) {
+		return nil
+	}
+	return g.queue.push(op{kind: opEnd, digest: r.Digest, process: r.Process, probe: r.Probe.NameFor(r.Digest)})
+}
+
 // recordLocal records the end of a target that this node observed during a run, and reports whether the
 // end counts against the request. Clients may send the same request again and again: if a target has
 // just answered the request, the next end of a target under it has another cause.
