--- a/internal/poison/run.go
+++ b/internal/poison/run.go
@@ -87,7 +87,7 @@
 			written = append(written, g.queue.push(op{kind: opEnd, digest: d, process: r.Process, probe: r.Probe.Name}))
 		}
 	}
-	if r.mayBeANeighbour() {
+	if r.mayBeInnocent() {
 		// The request may be sent again meanwhile.
 		go func() {
 			if !g.endedByAnother(r.Process) {
@@ -102,9 +102,9 @@
 	return written
 }
 
-// mayBeANeighbour reports whether the target may have ended under another run, whose answer had just begun. It is
-// known only of runs of prompts whether their answers had begun.
-func (r Run) mayBeANeighbour() bool {
+// mayBeInnocent reports whether the target may have ended under another run, whose answer had just begun. That is
+// reported of runs of prompts only.
+func (r Run) mayBeInnocent() bool {
 	return r.Parts != nil && r.Progress != Begun && !r.Probe.Claimed()
 }
 
