A part stays in quarantine though its host was suspended since it was answered

What callers would see: a node whose host was suspended takes an answer from just before for a recent one, as its clock stood still, and lifts a quarantine that the other nodes had set meanwhile, at all nodes.

--- a/internal/poison/conviction.go
+++ b/internal/poison/conviction.go
@@ -239,3 +239,12 @@
 	}
 	return err
 }
+
+// HostResumed forgets which parts were answered before the host was suspended: the clock by which answers are recent
+// stood still meanwhile.
+func (g *Guard) HostResumed() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.parts.proven.Purge()
+	g.parts.evaluate(time.Now())
+}
--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -340,3 +340,25 @@
 		c.Check(sent && again, qt.IsTrue)
 	})
 }
+
+// TestAnswerFromBeforeASuspensionLiftsNoQuarantine guards against a node that takes an answer from before its host was
+// suspended for a recent one, as its clock stood still meanwhile.
+func TestAnswerFromBeforeASuspensionLiftsNoQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(2)
+		defer f.stop()
+		f.paths[0].setBlind(true)
+		// The call in progress ends first.
+		time.Sleep(2 * watch.LongWait)
+		f.guards[0].PartsAnswered([]Part{badPart})
+		for range attribution.ConvictEnds {
+			f.crash(1, withParts(badPart))
+		}
+		f.guards[0].HostResumed()
+		f.paths[0].setBlind(false)
+		time.Sleep(5 * time.Second)
+		c.Check(f.guards[0].Counts().QuarantinedParts, qt.Equals, 1)
+		c.Check(f.guards[1].Counts().QuarantinedParts, qt.Equals, 1)
+	})
+}
