--- a/internal/poison/claim.go
+++ b/internal/poison/claim.go
@@ -22,37 +22,15 @@
 func (g *Guard) claim(ctx context.Context, v requestView, lasts time.Duration) (Probe, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	p := Probe{Name: fmt.Sprintf("%s/%x", g.cfg.Node, rand.Uint64())}
+	name := fmt.Sprintf("%s/%x", g.cfg.Node, rand.Uint64())
 	for range maxConflicts {
 		rows, err := g.readClaimed(ctx, v)
 		if err != nil {
-			return g.claimLocally(v.quarantined, p.Name)
+			return g.claimLocally(v.quarantined, name)
 		}
-		var tx store.Tx
-		p.Of = nil
-		for _, r := range rows {
-			if r.record.Probe == p.Name {
-				// The reply to the last commit was lost.
-				p.Of = append(p.Of, r.view.digest)
-				continue
-			}
-			open, err := g.mayProbe(r)
-			if err != nil {
-				return Probe{}, err
-			}
-			if !open {
-				continue
-			}
-			p.Of = append(p.Of, r.view.digest)
-			next := recordTx(r.view.digest, r.row.Version, change{record: r.record.withProbe(p.Name, r.spec, lasts)})
-			tx.Conditions = append(tx.Conditions, next.Conditions...)
-			tx.Writes = append(tx.Writes, next.Writes...)
-		}
-		if len(p.Of) == 0 {
-			return Probe{}, nil
-		}
-		if len(tx.Writes) == 0 {
-			return p, nil
+		p, tx, err := g.claimTx(rows, name, lasts)
+		if err != nil || !p.Claimed() || len(tx.Writes) == 0 {
+			return p, err
 		}
 		if _, err = g.cfg.Store.Commit(ctx, tx); err == nil {
 			return p, nil
@@ -61,6 +39,34 @@
 	return Probe{}, &Refused{After: retryWithoutStore}
 }
 
+// claimTx returns a probe of the records that are still in quarantine, and the transaction that claims it. The
+// transaction is empty if an earlier one did, whose reply was lost.
+func (g *Guard) claimTx(rows []claimedRow, name string, lasts time.Duration) (Probe, store.Tx, error) {
+	var of []Digest
+	var tx store.Tx
+	for _, r := range rows {
+		if r.record.Probe == name {
+			of = append(of, r.view.digest)
+			continue
+		}
+		quarantined, err := g.mayProbe(r)
+		if err != nil {
+			return Probe{}, store.Tx{}, err
+		}
+		if !quarantined {
+			continue
+		}
+		of = append(of, r.view.digest)
+		next := recordTx(r.view.digest, r.row.Version, change{record: r.record.withProbe(name, r.spec, lasts)})
+		tx.Conditions = append(tx.Conditions, next.Conditions...)
+		tx.Writes = append(tx.Writes, next.Writes...)
+	}
+	if len(of) == 0 {
+		return Probe{}, store.Tx{}, nil
+	}
+	return Probe{Name: name, Of: of}, tx, nil
+}
+
 // readClaimed reads the rows of quarantined records.
 func (g *Guard) readClaimed(ctx context.Context, v requestView) ([]claimedRow, error) {
 	rows := make([]claimedRow, 0, len(v.quarantined))
