review: a node without the store resumes streams at another version

Cause: a node that knows of one software version of a service and has followed the list of servers for a minute answers for itself where a stream began, and asks no node that holds the stream's record. It does so until its call to a silent store has timed out, up to 3.7 s after it lost the store.

The case starts six entry nodes, partitions one from the store, adds servers of a second version 0.2 s later and kills three other nodes after 2 s. Their callers resume their streams at the nodes that run. It breaks ORDER if more than two streams hold events of two versions.

--- a/review/_tool/main.go
+++ b/review/_tool/main.go
@@ -29,7 +29,8 @@
 
 // cases are the cases by name.
 var cases = map[string]func(ctx context.Context, e *environment) (broken bool, err error){
-	"strays": playStrays,
+	"versions": playVersions,
+	"strays":   playStrays,
 }
 
 // environment is what each case gets.
