review: a request that crashes servers at once is never quarantined

Cause: a send on a kept-alive connection that breaks off within 20 ms counts as a connection that the server had closed. The guard that keeps requests which crash servers away from them is not told of it. A request that may not be repeated is sent once in each attempt, so no end of a server is ever counted against it.

The case starts three entry nodes and four servers on loopback with 90 usual requests a second. One request that crashes its server at once comes every 2 s for 20 s; the servers are back after 3 s. It breaks BUDGET if the request reaches servers in more than three retries later than stableMs after the third crash.

--- a/review/_tool/main.go
+++ b/review/_tool/main.go
@@ -31,6 +31,7 @@
 var cases = map[string]func(ctx context.Context, e *environment) (broken bool, err error){
 	"versions": playVersions,
 	"strays":   playStrays,
+	"deadly":   playDeadly,
 }
 
 // environment is what each case gets.
