review: streams of a machine without power are lost as a version comes

Cause: the version at which a stream began is sent to other nodes only once a service has two versions. If the machine that serves the stream loses power before the second version comes, no node has it, and each node that knows of two versions refuses to go on with the stream.

The case starts six entry nodes with 15 streams a second each. One machine loses power for 3.5 s, and servers of a second version register meanwhile. Its callers then take their streams up at the other five. It breaks LOST if the share that goes on is under half of that of new streams that begin.

It takes the place of the request that crashes servers at once, which is the lesser case; that stays in the program as `deadly`.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -7,4 +7,4 @@
 	echo "build first: the line of deploy/system.toml, then review/build.sh" >&2
 	exit 2
 fi
-exec target/review deadly "$dir/record.txt"
+exec target/review dark "$dir/record.txt"
--- a/review/_tool/main.go
+++ b/review/_tool/main.go
@@ -32,6 +32,7 @@
 	"versions": playVersions,
 	"strays":   playStrays,
 	"deadly":   playDeadly,
+	"dark":     playDark,
 }
 
 // environment is what each case gets.
--- a/review/_tool/node.go
+++ b/review/_tool/node.go
@@ -39,6 +39,8 @@
 	settings string
 	log      *os.File
 	proc     *os.Process
+	// front is where callers reach the node, if not at its own address.
+	front string
 
 	mu    sync.Mutex
 	ended chan struct{}
@@ -140,7 +142,12 @@
 }
 
 // callers returns the address that takes callers.
-func (n *node) callers() string { return fmt.Sprintf("%s:%d", n.ip, portCallers) }
+func (n *node) callers() string {
+	if n.front != "" {
+		return n.front
+	}
+	return fmt.Sprintf("%s:%d", n.ip, portCallers)
+}
 
 // ready reports whether the node says that it takes callers.
 func (n *node) ready(ctx context.Context) bool {
--- a/review/_tool/versions.go
+++ b/review/_tool/versions.go
@@ -60,7 +60,9 @@
 	versions map[string]int
 	attempts []string
 	last     int
-	broken   bool
+	// broken is set if the first answer broke off, lastBefore is the last event of that.
+	broken     bool
+	lastBefore int
 }
 
 // versionsCase is the state of the case.
@@ -78,8 +80,12 @@
 	ids    atomic.Int64
 }
 
+func newVersionsCase(e *environment) *versionsCase {
+	return &versionsCase{e: e, dead: make(map[string]bool), polled: make(chan struct{}, 1)}
+}
+
 func playVersions(ctx context.Context, e *environment) (broken bool, err error) {
-	c := &versionsCase{e: e, dead: make(map[string]bool), polled: make(chan struct{}, 1)}
+	c := newVersionsCase(e)
 	if c.w, err = newWorld(); err != nil {
 		return false, err
 	}
@@ -208,15 +214,20 @@
 		return nil
 	}
 	for _, n := range c.nodes[:killed] {
-		c.mu.Lock()
-		c.dead[n.name] = true
-		c.mu.Unlock()
 		c.e.record.write("node %s is killed", n.name)
-		n.kill()
+		c.killNode(n)
 	}
 	return nil
 }
 
+// killNode kills a node; callers do not come to it any more.
+func (c *versionsCase) killNode(n *node) {
+	c.mu.Lock()
+	c.dead[n.name] = true
+	c.mu.Unlock()
+	n.kill()
+}
+
 func (c *versionsCase) heal() error {
 	c.nodes[partitioned].toStore.resume()
 	c.e.record.write("node %s reaches the store again", c.nodes[partitioned].name)
@@ -248,7 +259,7 @@
 	if c.attempt(ctx, s, n, s.id) || s.last == 0 {
 		return
 	}
-	s.broken = true
+	s.broken, s.lastBefore = true, s.last
 	c.attempt(ctx, s, c.otherNode(n), s.id+"r")
 }
 
