review: the node that forms batches stands still, and its stage is dead

Cause: slowness of a target is measured by the node's own clock and falls with calls only. When all targets of a pool look slow, a probe is judged by the fastest of them, and an order that could not end at that slowness is not sent. So no call is made any more, and nothing brings slowness down.

The script freezes the node that forms the batches for 4 s while both servers of the stage work, up to five times. It breaks CONFIG if requests on the route, which a later configuration added, are then served less than a quarter as often as those on the first route.

--- a/review/_tool/main.go
+++ b/review/_tool/main.go
@@ -33,6 +33,7 @@
 	"strays":   playStrays,
 	"deadly":   playDeadly,
 	"dark":     playDark,
+	"frozen":   playFrozen,
 }
 
 // environment is what each case gets.
--- a/review/_tool/stage.go
+++ b/review/_tool/stage.go
@@ -164,6 +164,8 @@
 	}
 	s.slot.Lock()
 	defer s.slot.Unlock()
+	s.c.working.Add(1)
+	defer s.c.working.Add(-1)
 	out := make([]stageResult, len(in.Items))
 	fetched := make([]bool, len(in.Items))
 	for i, it := range in.Items {
--- a/review/_tool/strays.go
+++ b/review/_tool/strays.go
@@ -52,6 +52,10 @@
 	w     *world
 	nodes fleet
 	made  *results
+	// engineWork is the time of a request at a model server.
+	engineWork time.Duration
+	// working counts the calls in progress at the servers of the stages.
+	working atomic.Int64
 	// sending is set while servers send strays.
 	sending atomic.Bool
 	ids     atomic.Int64
@@ -63,7 +67,7 @@
 }
 
 func playStrays(ctx context.Context, e *environment) (broken bool, err error) {
-	c := &strays{e: e, made: newResults()}
+	c := &strays{e: e, made: newResults(), engineWork: engineWork}
 	if c.w, err = newWorld(); err != nil {
 		return false, err
 	}
@@ -151,7 +155,7 @@
 			return
 		}
 		c.e.record.write("model server %s runs %s with %v", id, request, handles)
-		time.Sleep(engineWork)
+		time.Sleep(c.engineWork)
 		w.Header().Set("Topazmoor-Server-Signature", "by."+id+"."+request)
 		w.Header().Set("Content-Type", "text/event-stream")
 		// A failed write means that the caller has left.
