--- a/review/_tool/deadly.go
+++ b/review/_tool/deadly.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -129,20 +128,15 @@
 
 // ask is one request of a caller, on a channel of its own.
 func (c *deadly) ask(ctx context.Context, n *node, id, body string) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.callers()+confirmPath+"7", strings.NewReader(body))
+	req, err := newRequest(ctx, n, http.MethodPost, confirmPath+"7", id, body, map[string]string{"Topazmoor-Request-Deadline": "600"})
 	if err != nil {
 		c.e.record.write("request %s not built: %v", id, err)
 		return
 	}
-	req.Host = callerHost
-	for name, value := range map[string]string{"Topazmoor-Request-Id": id, "Topazmoor-Request-Deadline": "600", "Authorization": "Token " + callerKey} {
-		req.Header.Set(name, value)
-	}
 	if body == deadlyBody {
 		c.e.record.write("sent the deadly request as %s to %s", id, n.name)
 	}
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(req)
+	resp, err := send(req)
 	if err != nil {
 		c.e.record.write("no answer to %s: %v", id, err)
 		return
--- a/review/_tool/frozen.go
+++ b/review/_tool/frozen.go
@@ -247,20 +247,13 @@
 // count sends a request and counts it if the state is steady.
 func (c *frozen) count(ctx context.Context, n *node, id, method, path string, t *tally, header map[string]string) {
 	steady := c.steady.Load()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+n.callers()+path, http.NoBody)
+	req, err := newRequest(ctx, n, method, path, id, "", header)
 	if err != nil {
 		c.e.record.write("request %s not built: %v", id, err)
 		return
 	}
-	req.Host = callerHost
-	req.Header.Set("Topazmoor-Request-Id", id)
-	req.Header.Set("Authorization", "Token "+callerKey)
-	for name, value := range header {
-		req.Header.Set(name, value)
-	}
 	began := time.Now()
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(req)
+	resp, err := send(req)
 	status, text := 0, []byte(nil)
 	if err == nil {
 		defer resp.Body.Close()
--- a/review/_tool/proxy.go
+++ b/review/_tool/proxy.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"io"
 	"net"
 	"sync"
 )
@@ -76,7 +75,7 @@
 		if seen != nil && n > 0 {
 			seen(buf[:n])
 		}
-		if _, werr := to.Write(buf[:n]); werr != nil || err == io.EOF || err != nil {
+		if _, werr := to.Write(buf[:n]); werr != nil || err != nil {
 			return
 		}
 	}
--- a/review/_tool/strays.go
+++ b/review/_tool/strays.go
@@ -217,22 +217,16 @@
 
 // ask is one request of a caller.
 func (c *strays) ask(ctx context.Context, n *node, id string) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.callers()+planPath+"2f", http.NoBody)
+	req, err := newRequest(ctx, n, http.MethodPost, planPath+"2f", id, "", map[string]string{
+		"Topazmoor-Request-Deadline": "8000", "Topazmoor-Pieces": pieceCounts, "Topazmoor-Piece-Key": "k" + id,
+		"Topazmoor-Model": "m", "Topazmoor-Token-Counts": "700,3", "Topazmoor-Prompt-Prefix": "5c1e07a2:172," + id + ":528",
+	})
 	if err != nil {
 		c.e.record.write("request %s not built: %v", id, err)
 		return
 	}
-	req.Host = callerHost
-	for name, value := range map[string]string{
-		"Topazmoor-Request-Id": id, "Topazmoor-Request-Deadline": "8000", "Authorization": "Token " + callerKey,
-		"Topazmoor-Pieces": pieceCounts, "Topazmoor-Piece-Key": "k" + id,
-		"Topazmoor-Model": "m", "Topazmoor-Token-Counts": "700,3", "Topazmoor-Prompt-Prefix": "5c1e07a2:172," + id + ":528",
-	} {
-		req.Header.Set(name, value)
-	}
 	c.e.record.write("sent %s to %s", id, n.name)
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(req)
+	resp, err := send(req)
 	if err != nil {
 		c.e.record.write("no answer to %s: %v", id, err)
 		return
--- a/review/_tool/versions.go
+++ b/review/_tool/versions.go
@@ -75,7 +75,7 @@
 	streams []*callerStream
 	// dead has the nodes that were killed.
 	dead map[string]bool
-	// polled gets the time of each call of the partitioned node for changes of the list of servers.
+	// polled is signaled at each call of the partitioned node for changes of the list of servers.
 	polled chan struct{}
 	ids    atomic.Int64
 }
@@ -277,25 +277,20 @@
 // attempt is one attempt of a caller. It reports whether the stream is complete, or was refused.
 func (c *versionsCase) attempt(ctx context.Context, s *callerStream, n *node, id string) bool {
 	s.attempts = append(s.attempts, n.name)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.callers()+streamPath+"2f", http.NoBody)
+	header := map[string]string{
+		"Topazmoor-Request-Deadline": "20000", "Topazmoor-Model": "m", "Topazmoor-Token-Counts": "700,120",
+		"Topazmoor-Prompt-Prefix": "5c1e07a2:172," + s.id + ":528",
+	}
+	if s.last > 0 {
+		header["Last-Event-Id"], header["Resumes"] = strconv.Itoa(s.last), s.id
+	}
+	req, err := newRequest(ctx, n, http.MethodPost, streamPath+"2f", id, "", header)
 	if err != nil {
 		c.e.record.write("request %s not built: %v", id, err)
 		return true
 	}
-	req.Host = callerHost
-	for name, value := range map[string]string{
-		"Topazmoor-Request-Id": id, "Topazmoor-Request-Deadline": "20000", "Authorization": "Token " + callerKey,
-		"Topazmoor-Model": "m", "Topazmoor-Token-Counts": "700,120", "Topazmoor-Prompt-Prefix": "5c1e07a2:172," + s.id + ":528",
-	} {
-		req.Header.Set(name, value)
-	}
-	if s.last > 0 {
-		req.Header.Set("Last-Event-Id", strconv.Itoa(s.last))
-		req.Header.Set("Resumes", s.id)
-	}
 	c.e.record.write("sent %s to %s, after event %d", id, n.name, s.last)
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(req)
+	resp, err := send(req)
 	if err != nil {
 		c.e.record.write("no answer to %s: %v", id, err)
 		return false
