Streams are resumed by their record before the node's own list of targets

Change: a record decides and is asked for first. Without one the only version is taken if nobody who answers knows of another (from its list or from records that others sent it), and the store confirms at that moment that the list is current, or other nodes answered. A node that reaches neither refuses.

--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -1,7 +1,12 @@
 package entry
 
 import (
+	"context"
+
+	"github.com/rotisserie/eris"
+
 	"topazmoor/internal/resume"
+	"topazmoor/internal/store"
 )
 
 // provisionStreams creates the records of the versions at which streams began.
@@ -9,11 +14,11 @@
 	n.streams = resume.NewRegistry()
 	n.streams.Self = resume.Node{Name: n.set.Node, DataCentre: n.set.DataCentre}
 	n.streams.Regions = n.set.Regions
-	n.streams.FollowsList = func() bool { return !n.targetTable.Lost() }
 	n.streams.Versions = func(service string) (versions []string, complete bool) {
 		versions, complete = n.targets.SoftwareVersions(service)
-		return versions, complete && n.streams.FollowsList()
+		return versions, complete && !n.targetTable.Lost()
 	}
+	n.streams.Confirm = n.confirmVersion
 	n.streams.Log = n.log
 	n.streams.History = n.provisionVersionHistory()
 	n.streams.Nodes = func() []resume.Node {
@@ -33,3 +38,29 @@
 	h.Versions, h.Services, h.Writes = n.streams.Versions, n.targets.Services, n.streams.WritesHistory
 	return h
 }
+
+// confirmVersion implements resume.Confirm: it reads from the store what the list of targets lacks.
+func (n *Node) confirmVersion(ctx context.Context, service, version string) error {
+	have := n.targetTable.Copy().Position().Version
+	changes, err := n.env.Store.Changes(ctx, n.env.TargetTable, have, 0)
+	if err != nil {
+		return eris.Wrap(err, "read changes of the list of targets")
+	}
+	if changes.Late || !changes.Version.SameEra(have) {
+		return eris.Wrap(store.ErrUnavailable, "the store's answer does not continue the list of targets")
+	}
+	for _, change := range changes.Changes {
+		if change.Deleted {
+			continue
+		}
+		target, err := n.env.Sources.Target(change.Row)
+		if err != nil {
+			// No node can use a row that is not readable; each logs it when its list gets it.
+			continue
+		}
+		if target.Service == service && target.Version != version {
+			return resume.ErrOtherVersion
+		}
+	}
+	return nil
+}
--- a/internal/resume/registry.go
+++ b/internal/resume/registry.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/binary"
+	"errors"
 	"log/slog"
 	"slices"
 	"sync"
@@ -26,6 +27,8 @@
 	// askTimeout bounds the time in which the nodes answer, sendTimeout the sending of records.
 	askTimeout  = 250 * time.Millisecond
 	sendTimeout = time.Second
+	// confirmTimeout bounds the calls of the store for a stream without a record.
+	confirmTimeout = 250 * time.Millisecond
 	// flushInterval is the time for which records are collected before they are sent.
 	flushInterval = 10 * time.Millisecond
 	// retention is how long a record is kept after the deadline of its stream: a caller may come back
@@ -39,6 +42,10 @@
 // node has seen the list of targets for long enough to know all that open streams may have begun at.
 type Versions func(service string) (versions []string, complete bool)
 
+// Confirm checks with the store that the targets of a service have no version but the given one at the time of the
+// call. It fails if they have another one or the store does not answer.
+type Confirm func(ctx context.Context, service, version string) error
+
 // Registry keeps records of streams. It is safe for concurrent use. It implements suture.Service.
 type Registry struct {
 	// Self is this node; its address is not used.
@@ -47,8 +54,7 @@
 	Nodes    func() []Node
 	Regions  region.Map
 	Versions Versions
-	// FollowsList reports whether this node follows the changes of the list of targets now.
-	FollowsList func() bool
+	Confirm  Confirm
 	// History says what the nodes knew that were lost together.
 	History *History
 	Remote  Remote
@@ -56,6 +62,8 @@
 
 	mu      sync.Mutex
 	records map[string]Record
+	// recorded are the versions that records named lately.
+	recorded recordedVersions
 	// open are the streams that this node serves.
 	open map[*openStream]struct{}
 	// unsent are the records to send, by the address of the node.
@@ -73,7 +81,7 @@
 
 // NewRegistry returns a Registry without records. Its other fields are set before it is used.
 func NewRegistry() *Registry {
-	return &Registry{records: make(map[string]Record), open: make(map[*openStream]struct{}), unsent: make(map[string][]Record), wake: make(chan struct{}, 1)}
+	return &Registry{records: make(map[string]Record), recorded: make(recordedVersions), open: make(map[*openStream]struct{}), unsent: make(map[string][]Record), wake: make(chan struct{}, 1)}
 }
 
 // Begin records that a stream began at a version. end is called when this node no longer serves it.
@@ -117,6 +125,7 @@
 	o.sent = true
 	record := Record{ID: o.ID, Origin: Origin{o.Service, o.version}, Expires: o.Deadline.Add(retention)}
 	r.records[o.ID] = record
+	r.recorded.add(record.Origin, time.Now())
 	nodes := r.replicasOf(o.Stream)
 	for _, n := range nodes[:min(replicasWritten, len(nodes))] {
 		r.unsent[n.Addr] = append(r.unsent[n.Addr], record)
@@ -163,35 +172,54 @@
 func (r *Registry) Keep(records []Record) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
 	for _, record := range records {
 		r.records[record.ID] = record
+		r.recorded.add(record.Origin, now)
 	}
 }
 
 // Answer returns what this node knows of a stream.
 func (r *Registry) Answer(id, service string) Answer {
-	if id != "" {
-		r.mu.Lock()
-		record, ok := r.records[id]
-		r.mu.Unlock()
-		if ok {
-			return Answer{Known: true, Origin: record.Origin}
-		}
+	if record, ok := r.recordOf(id); ok {
+		return Answer{Known: true, Origin: record.Origin}
 	}
-	versions, complete := r.Versions(service)
-	if len(versions) > 1 {
-		return Answer{Several: true}
+	versions, complete := r.knownVersions(service)
+	switch len(versions) {
+	case 0:
+		return Answer{}
+	case 1:
+		return Answer{Sole: complete, Origin: Origin{service, versions[0]}}
 	}
-	if len(versions) == 1 && complete {
-		return Answer{Sole: true, Origin: Origin{service, versions[0]}}
+	return Answer{Several: true}
+}
+
+// recordOf returns the record of a stream, if this node has it.
+func (r *Registry) recordOf(id string) (Record, bool) {
+	if id == "" {
+		return Record{}, false
 	}
-	return Answer{}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record, ok := r.records[id]
+	return record, ok
 }
 
-// Find returns where a stream began, or ErrUnknown.
+// knownVersions returns the versions of a service that the list of targets or records have named lately, and whether
+// the node knows all that open streams may have begun at.
+func (r *Registry) knownVersions(service string) (versions []string, complete bool) {
+	listed, complete := r.Versions(service)
+	r.mu.Lock()
+	recorded := r.recorded.of(service, time.Now())
+	r.mu.Unlock()
+	return union(listed, recorded), complete
+}
+
+// Find returns where a stream began, or ErrUnknown. A record decides; this node's list of targets may be older than
+// the version at which the stream began, so other nodes are asked also if the list has one version only.
 func (r *Registry) Find(ctx context.Context, s Stream) (Origin, error) {
 	own := r.Answer(s.ID, s.Service)
-	if own.Known || own.Sole {
+	if own.Known {
 		return own.Origin, nil
 	}
 	answers := r.ask(ctx, s)
@@ -200,35 +228,53 @@
 			return a.Origin, nil
 		}
 	}
+	origin, ok := onlyOrigin(append(answers, own))
+	if !ok {
+		return Origin{}, ErrUnknown
+	}
+	return r.onlyVersion(ctx, origin, own, answers)
+}
+
+// onlyOrigin returns the only version that any of the answers knows of, and false if there are several or none.
+func onlyOrigin(answers []Answer) (only Origin, ok bool) {
 	for _, a := range answers {
-		if a.Sole && !own.Several {
-			return a.Origin, nil
+		switch {
+		case a.Several, ok && a.Service != "" && a.Origin != only:
+			return Origin{}, false
+		case a.Service != "":
+			only, ok = a.Origin, true
 		}
 	}
-	several := own.Several || slices.ContainsFunc(answers, func(a Answer) bool { return a.Several })
-	if several || len(answers) == 0 && !r.FollowsList() {
-		return Origin{}, ErrUnknown
-	}
-	return r.onlyVersion(ctx, s.Service)
+	return only, ok
 }
 
-// onlyVersion returns the only version of a service that this node has seen, unless the service has had
-// others. The nodes that were asked have seen no other, but all may have started lately.
-func (r *Registry) onlyVersion(ctx context.Context, service string) (Origin, error) {
-	versions, _ := r.Versions(service)
-	if len(versions) != 1 {
+// onlyVersion returns the only version that this node and those that answered know of, if the stream cannot have
+// begun at another one. If neither the store nor another node answers, a newer version may have come since.
+func (r *Registry) onlyVersion(ctx context.Context, origin Origin, own Answer, answers []Answer) (Origin, error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	err := r.Confirm(ctx, origin.Service, origin.Version)
+	if err != nil {
+		r.Log.Info("only version of a service not confirmed", "service", origin.Service, "version", origin.Version, "answers", len(answers), "err", err)
+	}
+	if errors.Is(err, ErrOtherVersion) || err != nil && len(answers) == 0 && len(r.Nodes()) > 0 {
 		return Origin{}, ErrUnknown
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
+	sole := own.Sole || slices.ContainsFunc(answers, func(a Answer) bool { return a.Sole })
+	if !sole && r.hadSeveral(ctx, origin.Service) {
+		return Origin{}, ErrUnknown
+	}
+	return origin, nil
+}
+
+// hadSeveral reports whether the store says that a service has had several versions: the nodes that were asked may
+// all have started lately.
+func (r *Registry) hadSeveral(ctx context.Context, service string) bool {
 	several, err := r.History.HadSeveral(ctx, service)
 	if err != nil {
 		r.Log.Info("earlier versions of a service not read", "service", service, "err", err)
 	}
-	if several {
-		return Origin{}, ErrUnknown
-	}
-	return Origin{service, versions[0]}, nil
+	return several
 }
 
 // ask asks the nodes that may have the record of a stream, until one has it. It returns the answers of those
@@ -310,6 +356,7 @@
 			delete(r.records, id)
 		}
 	}
+	r.recorded.expire(now)
 }
 
 // Records returns the number of records that this node keeps.
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -16,6 +16,9 @@
 // ErrUnknown: nobody knows at which version the stream began.
 var ErrUnknown = errors.New("resume: the version that began the stream is not known")
 
+// ErrOtherVersion: the targets of the service have another version than the one to confirm.
+var ErrOtherVersion = errors.New("resume: the service has another version")
+
 // Stream is a stream of a caller.
 type Stream struct {
 	// ID is the ID of the caller's attempt that brought the first event.
@@ -42,11 +45,13 @@
 
 // Answer is what a node knows of a stream.
 type Answer struct {
-	// Known is set if the node has a record of the stream, with the Origin.
+	// Known is set if the node has a record of the stream.
 	Known bool
+	// Origin is that of the record if there is one, else the only version of the service that the node knows of;
+	// without a service if it knows of none or several.
 	Origin
-	// Sole is set if the node has no record, and all targets of the service have had one Version for
-	// longer than a stream lasts.
+	// Sole is set if the node has no record, and all targets of the service have had the Version for longer than a
+	// stream lasts, as far as the node knows.
 	Sole bool
 	// Several is set if the targets of the service have had several versions lately.
 	Several bool
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -125,7 +125,12 @@
 			return others
 		}
 		r.Versions = func(string) ([]string, bool) { return f.seen(self.Name), f.isComplete(self.Name) }
-		r.FollowsList = func() bool { return f.follows(self.Name) }
+		r.Confirm = func(context.Context, string, string) error {
+			if !f.follows(self.Name) {
+				return store.ErrUnavailable
+			}
+			return nil
+		}
 		r.History = NewHistory()
 		r.History.Store, r.History.Log, r.History.Versions, r.History.Writes = f.store, r.Log, r.Versions, r.WritesHistory
 		r.History.Services = func() []string { return []string{"s"} }
@@ -231,6 +236,58 @@
 	})
 }
 
+// A stream may have begun at a version that a node has not heard of yet, though it has followed the list for long.
+func TestOldListIsNotTakenForAllVersions(t *testing.T) {
+	for name, tc := range map[string]struct {
+		lost []string
+		cut  bool
+		ok   bool
+	}{
+		"another node knows two versions":               {nil, true, false},
+		"nobody answers":                                {[]string{"node-1", "node-2", "node-3"}, true, false},
+		"nobody answers, but the store says it is sole": {[]string{"node-1", "node-2", "node-3"}, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inFleet(t, 4, func(t *testing.T, f *fleet) {
+				f.see("node-0", "v1")
+				f.followsForLong("node-0")
+				f.lose(tc.lost...)
+				if tc.cut {
+					f.cutOff("node-0")
+				}
+				got, err := f.nodes["node-0"].Find(t.Context(), stream("unknown"))
+				qt.Check(t, err == nil, qt.Equals, tc.ok, qt.Commentf("%v", err))
+				if tc.ok {
+					qt.Check(t, got, qt.Equals, Origin{"s", "v1"})
+				}
+			})
+		})
+	}
+}
+
+// Two nodes with old lists do not confirm each other's version: records have named another one.
+func TestRecordsTellNodesOfVersions(t *testing.T) {
+	inFleet(t, 4, func(t *testing.T, f *fleet) {
+		for _, name := range []string{"node-1", "node-2", "node-3"} {
+			f.see(name, "v1")
+			f.followsForLong(name)
+		}
+		for i := range 20 {
+			f.nodes["node-0"].Begin(stream(fmt.Sprint("stream-", i)), "v2")
+		}
+		time.Sleep(time.Second)
+		f.lose("node-0")
+		for _, name := range []string{"node-1", "node-2", "node-3"} {
+			_, err := f.nodes[name].Find(t.Context(), stream("unknown"))
+			qt.Check(t, err, qt.Equals, ErrUnknown)
+		}
+		time.Sleep(recordedMemory + sweepInterval)
+		got, err := f.nodes["node-1"].Find(t.Context(), stream("unknown"))
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, got, qt.Equals, Origin{"s", "v1"})
+	})
+}
+
 func TestNothingIsSentWhileAServiceHasOneVersion(t *testing.T) {
 	inFleet(t, 3, func(t *testing.T, f *fleet) {
 		f.see("node-0", "v1")
