Streams: their records are sent when they begin, whether or not a second version is known

Cause (hypothesis 1 of docs/incidents/records-that-were-never-sent.md; the nodes log known=false): records were sent only once the serving node knew a second version; a node that is gone by then has sent nothing, and from then on the others cannot tell by which version the stream began.

Change: a record is sent at the first event of each stream, to three nodes instead of two (four may hold one), and again each 5 s while the stream is open: a holder that restarted has lost it.

Also: the sending loop of the registry no longer sleeps past its end.

--- a/internal/entry/targetlist.go
+++ b/internal/entry/targetlist.go
@@ -9,7 +9,6 @@
 func (n *Node) applyTargets(v watch.View) {
 	n.relayServer.Wake()
 	changes, gone := n.targets.Change(n.readTargets(v), v.RestoredAt)
-	n.streams.TargetsChanged()
 	n.streams.History.TargetsChanged()
 	for _, addr := range gone {
 		n.env.Conns.CloseIdle(addr)
--- a/internal/resume/registry.go
+++ b/internal/resume/registry.go
@@ -19,8 +19,8 @@
 const (
 	// replicas is the number of nodes that may hold the record of a stream. The node that serves the stream
 	// may be one of them; it sends the record to replicasWritten others.
-	replicas        = 3
-	replicasWritten = 2
+	replicas        = 4
+	replicasWritten = replicas - 1
 	// partitions is the number of groups of streams with the same nodes for their records. It bounds the
 	// connections of a node in a large fleet.
 	partitions = 64
@@ -34,7 +34,8 @@
 	// retention is how long a record is kept after the deadline of its stream: a caller may come back
 	// until then.
 	retention = 10 * time.Second
-	// sweepInterval is the interval at which expired records are removed.
+	// sweepInterval is the interval at which expired records are removed, and records of open streams are sent
+	// again: a node that has restarted since has lost them.
 	sweepInterval = 5 * time.Second
 )
 
@@ -75,8 +76,8 @@
 type openStream struct {
 	Stream
 	version string
-	// sent is set once its record was sent.
-	sent bool
+	// sentAt is when its record was last sent.
+	sentAt time.Time
 }
 
 // NewRegistry returns a Registry without records. Its other fields are set before it is used.
@@ -84,19 +85,17 @@
 	return &Registry{records: make(map[string]Record), recorded: make(recordedVersions), open: make(map[*openStream]struct{}), unsent: make(map[string][]Record), wake: make(chan struct{}, 1)}
 }
 
-// Begin records that a stream began at a version. end is called when this node no longer serves it.
+// Begin records that a stream began at a version, also if the service has no other one: this node may be lost before
+// another one comes. end is called when this node no longer serves the stream.
 func (r *Registry) Begin(s Stream, version string) (end func()) {
 	o := &openStream{Stream: s, version: version}
 	if s.ID == "" {
 		return func() {}
 	}
-	versions, _ := r.Versions(s.Service)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.open[o] = struct{}{}
-	if len(versions) > 1 {
-		r.record(o)
-	}
+	r.record(o, time.Now())
 	return func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
@@ -104,28 +103,12 @@
 	}
 }
 
-// TargetsChanged sends records of the open streams whose service has got a second version.
-func (r *Registry) TargetsChanged() {
-	several := make(map[string]bool)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for o := range r.open {
-		if _, known := several[o.Service]; !known {
-			versions, _ := r.Versions(o.Service)
-			several[o.Service] = len(versions) > 1
-		}
-		if several[o.Service] && !o.sent {
-			r.record(o)
-		}
-	}
-}
-
 // record keeps the record of a stream, and queues it for other nodes. The lock is held.
-func (r *Registry) record(o *openStream) {
-	o.sent = true
+func (r *Registry) record(o *openStream, now time.Time) {
+	o.sentAt = now
 	record := Record{ID: o.ID, Origin: Origin{o.Service, o.version}, Expires: o.Deadline.Add(retention)}
 	r.records[o.ID] = record
-	r.recorded.add(record.Origin, time.Now())
+	r.recorded.add(record.Origin, now)
 	nodes := r.replicasOf(o.Stream)
 	for _, n := range nodes[:min(replicasWritten, len(nodes))] {
 		r.unsent[n.Addr] = append(r.unsent[n.Addr], record)
@@ -317,15 +300,22 @@
 func (r *Registry) Serve(ctx context.Context) error {
 	sweep := time.NewTicker(sweepInterval)
 	defer sweep.Stop()
+	// flush is nil while no records wait to be sent.
+	var flush <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-r.wake:
-			time.Sleep(flushInterval)
+			if flush == nil {
+				flush = time.After(flushInterval)
+			}
+		case <-flush:
+			flush = nil
 			r.flush(ctx)
 		case now := <-sweep.C:
 			r.sweep(now)
+			r.resend(now)
 		}
 	}
 }
@@ -359,6 +349,17 @@
 	r.recorded.expire(now)
 }
 
+// resend sends the records of streams that have been open for an interval, while their callers wait.
+func (r *Registry) resend(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for o := range r.open {
+		if now.Sub(o.sentAt) >= sweepInterval && now.Before(o.Deadline) {
+			r.record(o, now)
+		}
+	}
+}
+
 // Records returns the number of records that this node keeps.
 func (r *Registry) Records() int {
 	r.mu.Lock()
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -1,8 +1,7 @@
 // Package resume keeps at which version of the targets' software a stream began, so that a caller who
 // resumes the stream at another node gets the rest from targets of that version: what two versions
-// write does not fit together. The node that serves a stream sends a record of it to two other nodes,
-// chosen by the ID of the caller's attempt; any node can ask them. Records are sent only while targets
-// of a service have had several versions lately. Source: docs/design/030-versions-of-streams.md.
+// write does not fit together. The node that serves a stream sends a record of it to three other nodes,
+// chosen by the ID of the caller's attempt; any node can ask them. Source: docs/design/030-versions-of-streams.md.
 package resume
 
 import (
