Streams: a node whose list lacks the version of a stream says when to come back

A node that has the record of a stream, but not yet its version in the list, refused with stream_lost and no time to come back, as if waiting did not help; other nodes serve it. Change: 503 no_target with Retry-After until the node has heard of the version. Test: TestNodeThatLacksTheVersionOfAStreamNamesATimeToComeBack failed before (no Retry-After).

--- a/internal/passthrough/resume.go
+++ b/internal/passthrough/resume.go
@@ -32,6 +32,9 @@
 	resumable := c.s.cfg.Targets.CanResume(origin.Service, origin.Version)
 	routed := slices.ContainsFunc(c.route.Split, func(s routes.Share) bool { return s.Service == origin.Service })
 	c.logResumed("known", true, "began_at", origin.Service, "version", origin.Version, "resumable", resumable, "routed", routed)
+	if routed && !c.s.cfg.Targets.HasVersion(origin.Service, origin.Version) {
+		return notRun(verdict.NoTarget, "version %q of %s, at which the stream began, is not in this node's list of targets yet", origin.Version, origin.Service).After(c.retryAfter())
+	}
 	if !resumable || !routed {
 		return notRun(verdict.StreamLost, "the route has no target of version %q of %s left, at which the stream began", origin.Version, origin.Service)
 	}
--- a/internal/targets/software.go
+++ b/internal/targets/software.go
@@ -77,6 +77,13 @@
 	return versions, complete
 }
 
+// HasVersion reports whether targets of a service have a version, or have had it within versionMemory, as far as this
+// node knows.
+func (t *Table) HasVersion(service, version string) bool {
+	versions, _ := t.SoftwareVersions(service)
+	return slices.Contains(versions, version)
+}
+
 // Services returns the services that have or had targets.
 func (t *Table) Services() []string {
 	t.mu.Lock()
