Heads and events without end end their attempt

Cause: httpconn read heads of any length (net/http bounds those of requests only, not of answers read with ReadResponse), informational ones and their number included; an event of short lines was not bounded either: both until memory or the deadline ended.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -48,6 +48,8 @@
 type conn struct {
 	net.Conn
 	addr string
+	// head bounds what br reads of heads.
+	head *headLimiter
 	br   *bufio.Reader
 	bw   *bufio.Writer
 	// used is set once an answer was read completely from the connection.
@@ -101,7 +103,8 @@
 	if m := p.meter(addr); m != nil {
 		r, w = meteredReader{nc, m}, meteredWriter{nc, m}
 	}
-	return &conn{Conn: nc, addr: addr, br: bufio.NewReaderSize(r, bufferSize), bw: bufio.NewWriterSize(w, bufferSize)}
+	head := &headLimiter{r: r}
+	return &conn{Conn: nc, addr: addr, head: head, br: bufio.NewReaderSize(head, bufferSize), bw: bufio.NewWriterSize(w, bufferSize)}
 }
 
 // pop removes the most recently used idle connection to addr and returns it, or nil
--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -165,9 +165,11 @@
 }
 
 // read returns the answer to the request, with its header read. It skips 1xx answers and
-// a few short answers to other requests.
+// a few short answers to other requests. A target that sends more than maxHeadBytes of heads has
+// given no answer.
 func (x *exchange) read() (*http.Response, error) {
 	req := &http.Request{Method: x.r.Method}
+	x.c.head.limit()
 	for stray := 0; ; {
 		resp, err := http.ReadResponse(x.c.br, req)
 		if err != nil {
@@ -176,6 +178,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		x.c.head.pause()
 		if x.p.cfg.AnswerMatches(resp.Header, x.r.ID) {
 			return resp, nil
 		}
@@ -185,6 +188,7 @@
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, eris.Wrap(err, "read the answer to another request")
 		}
+		x.c.head.resume()
 	}
 }
 
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -216,6 +216,9 @@
 			f.budgetCharged = watchdog.fired()
 			return f
 		}
+		if ev.Empty && first {
+			continue
+		}
 		if !progressed && !first && time.Since(a.start) >= streamProgress {
 			progressed = true
 			a.lease.RecordProgress(a.longestGap)
@@ -225,7 +228,7 @@
 			x.recordFirstEvent(a)
 		}
 		x.recordProven(a)
-		if mayResume {
+		if mayResume && !ev.Empty {
 			watchdog.watch(max(time.Duration(gapFactor*float64(gap)), minGapTimeout))
 		}
 		if !x.started {
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -17,6 +17,8 @@
 	Raw []byte
 	// ID is the event's ID, or "" if it has none.
 	ID string
+	// Empty reports that there is nothing but the blank line: the stream has said nothing.
+	Empty bool
 }
 
 // Reader reads events from a stream.
@@ -29,11 +31,14 @@
 const (
 	// bufferSize is the size of the read buffer, in bytes.
 	bufferSize = 4 << 10
-	// maxEvent bounds an event that contains a line longer than the read buffer, in bytes. It
-	// is not checked after shorter lines.
+	// maxEvent bounds an event, in bytes. It is checked after each line, and within lines
+	// longer than the read buffer.
 	maxEvent = 1 << 20
 )
 
+// ErrTooLong reports an event over maxEvent.
+var ErrTooLong = eris.Errorf("sse: an event is over %d bytes", maxEvent)
+
 // ErrTruncated reports that the stream ended within an event.
 var ErrTruncated = eris.New("sse: the stream ended within an event")
 
@@ -46,8 +51,8 @@
 )
 
 // Next returns the next event. At the end of the stream it returns io.EOF, or
-// ErrTruncated within an event. It returns errors of the reader unchanged, and
-// bufio.ErrBufferFull if a line exceeds the read buffer and the event maxEvent.
+// ErrTruncated within an event. It returns ErrTooLong for an event that does not end within
+// maxEvent, and errors of the reader unchanged.
 func (r *Reader) Next() (Event, error) {
 	r.raw = r.raw[:0]
 	ev := Event{}
@@ -55,7 +60,9 @@
 		line, err := r.br.ReadSlice('\n')
 		r.raw = append(r.raw, line...)
 		switch {
-		case err == bufio.ErrBufferFull && len(r.raw) < maxEvent:
+		case len(r.raw) > maxEvent:
+			return Event{}, ErrTooLong
+		case err == bufio.ErrBufferFull:
 			// A line longer than the buffer is read in parts. An ID is never in a line
 			// that long. The last part is treated as a line of its own.
 			continue
@@ -66,7 +73,7 @@
 		}
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
-			ev.Raw = r.raw
+			ev.Raw, ev.Empty = r.raw, len(r.raw) <= len("\r\n")
 			return ev, nil
 		}
 		if id, ok := bytes.CutPrefix(line, idField); ok {
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -41,6 +41,38 @@
 	}
 }
 
+// repeated is a reader of a text without end. It counts what was read.
+type repeated struct {
+	text string
+	read int
+}
+
+func (r *repeated) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = r.text[(r.read+i)%len(r.text)]
+	}
+	r.read += len(p)
+	return len(p), nil
+}
+
+func TestEventWithoutEndIsAnError(t *testing.T) {
+	for _, text := range []string{"x", "data: x\n", ": x\n", "data: " + strings.Repeat("x", 2*bufferSize) + "\n"} {
+		source := &repeated{text: text}
+		_, err := NewReader(source).Next()
+		qt.Check(t, err, qt.Equals, ErrTooLong)
+		qt.Check(t, source.read <= maxEvent+2*bufferSize, qt.IsTrue, qt.Commentf("%d bytes read", source.read))
+	}
+}
+
+func TestBlankLinesSayNothing(t *testing.T) {
+	r := NewReader(strings.NewReader("\n\r\ndata: a\n\n"))
+	for _, empty := range []bool{true, true, false} {
+		ev, err := r.Next()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, ev.Empty, qt.Equals, empty)
+	}
+}
+
 func FuzzReader(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\n"))
 	f.Add([]byte("\n\n\r\n:x\nid:"))
