Bodies without end: each read from others is bounded in size and time

Cause: looked for as the users ask, at each place that reads what somebody else sends. Found: the rest of a rejection was read until the caller's deadline, though the request has not run and another target could have it; an answer of the store could go on byte by byte for hours, and one over 16 MiB was cut and an object of it taken for whole; refused requests and the listener of the balancer read bodies of their callers without a limit of time; heads of answers to net/http clients took net/http's 10 MB; a response that is passed on had no bound of its own beside the caller's deadline.

--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -18,6 +18,7 @@
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/control"
 	"topazmoor/internal/frontdoor"
+	"topazmoor/internal/httpconn"
 )
 
 // Client calls the administration API of one node.
@@ -34,7 +35,8 @@
 
 // NewClient returns a client with an operator's token.
 func NewClient(addr, token string) *Client {
-	return &Client{Addr: addr, token: token, scheme: "http", http: &http.Client{Timeout: clientTimeout}}
+	tr := &http.Transport{MaxResponseHeaderBytes: httpconn.MaxHeadBytes}
+	return &Client{Addr: addr, token: token, scheme: "http", http: &http.Client{Timeout: clientTimeout, Transport: tr}}
 }
 
 // UseTLS makes the client speak TLS and trust the CA in pem.
@@ -44,7 +46,7 @@
 		return eris.New("the CA file holds no PEM certificate")
 	}
 	c.scheme = "https"
-	c.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
+	c.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}, MaxResponseHeaderBytes: httpconn.MaxHeadBytes}
 	return nil
 }
 
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -19,6 +19,7 @@
 	"topazmoor/internal/batch"
 	"topazmoor/internal/dispatch"
 	"topazmoor/internal/frontdoor"
+	"topazmoor/internal/httpconn"
 )
 
 // Request describes one call that runs a pipeline.
@@ -73,7 +74,7 @@
 
 // New returns a Client that opens its connections with dial.
 func New(dial Dial) *Client {
-	tr := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: 20 * time.Second}
+	tr := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: 20 * time.Second, MaxResponseHeaderBytes: httpconn.MaxHeadBytes}
 	return &Client{http: &http.Client{Transport: tr}}
 }
 
@@ -131,8 +132,11 @@
 	return req, nil
 }
 
+// maxAnswer bounds the body of an answer that is not a stream, in bytes. A longer one is cut and cannot be decoded.
+const maxAnswer = 64 << 20
+
 func (r *Result) readBody(resp *http.Response) error {
-	body, err := io.ReadAll(resp.Body)
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
 		return eris.Wrap(err, "read answer")
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -22,6 +22,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"topazmoor/internal/httpconn"
 	"topazmoor/internal/readiness"
 	"topazmoor/internal/verdict"
 )
@@ -74,6 +75,8 @@
 		MaxIdleConnsPerHost: 32,
 		IdleConnTimeout:     20 * time.Second,
 		Protocols:           new(http.Protocols),
+
+		MaxResponseHeaderBytes: httpconn.MaxHeadBytes,
 	}
 	tr.Protocols.SetHTTP1(true)
 	return &Client{
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -21,6 +21,9 @@
 	defaultHeaderBytes   = 16 << 10
 	defaultHeaderTimeout = 5 * time.Second
 	defaultIdleTimeout   = 60 * time.Second
+	// readyHeaderBytes and readyWriteTimeout bound the requests of the balancer and of those who read metrics.
+	readyHeaderBytes  = 8 << 10
+	readyWriteTimeout = 10 * time.Second
 	// idleSlack is added to the idle timeout: callers use connections up to the end of it.
 	idleSlack = 2 * time.Second
 	// acceptRetry is the pause after a connection could not be accepted.
--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -153,6 +153,9 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /readyz", n.serveReady)
 	mux.Handle("GET /metrics", n.metrics.Handler())
-	n.ready = &http.Server{Handler: mux, ReadHeaderTimeout: defaultReadTimeout}
+	n.ready = &http.Server{
+		Handler: mux, MaxHeaderBytes: readyHeaderBytes,
+		ReadTimeout: defaultReadTimeout, WriteTimeout: readyWriteTimeout, IdleTimeout: defaultIdleTimeout,
+	}
 	return nil
 }
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -6,11 +6,11 @@
 	"github.com/rotisserie/eris"
 )
 
-// maxHeadBytes bounds the heads of all answers that are read for one request, informational ones and those to other
-// requests included, in bytes. Heads of targets take some hundred bytes.
-const maxHeadBytes = 64 << 10
+// MaxHeadBytes bounds the heads of all answers that are read for one request, informational ones and those to other
+// requests included, in bytes. Those of targets and of the store take some hundred bytes.
+const MaxHeadBytes = 64 << 10
 
-var errLongHead = eris.Errorf("the heads of the answer are over %d bytes", maxHeadBytes)
+var errLongHead = eris.Errorf("the heads of the answer are over %d bytes", MaxHeadBytes)
 
 // headLimiter bounds what is read from a connection while heads are read.
 type headLimiter struct {
@@ -21,7 +21,7 @@
 }
 
 // limit begins to bound what is read.
-func (l *headLimiter) limit() { l.left, l.unlimited = maxHeadBytes, false }
+func (l *headLimiter) limit() { l.left, l.unlimited = MaxHeadBytes, false }
 
 // pause ends the bound until resume is called; what is read meanwhile does not count.
 func (l *headLimiter) pause() { l.unlimited = true }
--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -57,7 +57,7 @@
 				p := New(Config{Dial: dial, AnswerMatches: belongs, IdleTimeout: time.Minute, MaxIdle: 4})
 				_, err := p.Do(t.Context(), "target", get("1"))
 				qt.Assert(t, err, qt.ErrorMatches, ".*(the heads of the answer are over|belongs to another|malformed).*")
-				qt.Check(t, sent() <= maxHeadBytes+bufferSize, qt.IsTrue, qt.Commentf("%d bytes read", sent()))
+				qt.Check(t, sent() <= MaxHeadBytes+bufferSize, qt.IsTrue, qt.Commentf("%d bytes read", sent()))
 			})
 		})
 	}
@@ -65,7 +65,7 @@
 
 // A body of any length is not a head.
 func TestLongBodyAfterAHeadIsRead(t *testing.T) {
-	long := strings.Repeat("b", 4*maxHeadBytes)
+	long := strings.Repeat("b", 4*MaxHeadBytes)
 	addr := target(t, func(conn net.Conn, r *http.Request) bool {
 		answer(conn, "other", strings.Repeat("s", maxStrayBytes))
 		answer(conn, r.Header.Get(idHeader), long)
--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -165,7 +165,7 @@
 }
 
 // read returns the answer to the request, with its header read. It skips 1xx answers and
-// a few short answers to other requests. A target that sends more than maxHeadBytes of heads has
+// a few short answers to other requests. A target that sends more than MaxHeadBytes of heads has
 // given no answer.
 func (x *exchange) read() (*http.Response, error) {
 	req := &http.Request{Method: x.r.Method}
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -183,7 +183,9 @@
 // the lease.
 func (c *call) finishRejected(a *attempt, f *failure) {
 	// If the body cannot be read, the connection is not reused.
+	drain := time.AfterFunc(rejectionTimeout, func() { a.ans.Body.Close() })
 	_, _ = io.Copy(io.Discard, io.LimitReader(a.ans.Body, maxRejection))
+	drain.Stop()
 	a.ans.Body.Close()
 	outcome := targets.Failed
 	switch {
@@ -198,8 +200,12 @@
 		"not_run", a.info.NotRun, "moved", a.info.Moved, "load", a.info.Load, "leaving", a.info.Notice.Leaving, "rest_ms", a.info.Notice.Rest.Milliseconds(), "err", f.err)
 }
 
-// maxRejection bounds the bytes that are read of the body of a rejection.
-const maxRejection = 16 << 10
+const (
+	// maxRejection bounds the bytes that are read of the body of a rejection.
+	maxRejection = 16 << 10
+	// rejectionTimeout bounds the time for it: the caller waits for another target meanwhile.
+	rejectionTimeout = 50 * time.Millisecond
+)
 
 // mayRepeat reports whether the request may be sent to one more target after a failure, and
 // charges the repeat budget if that send counts as a repeat.
--- a/internal/passthrough/plain.go
+++ b/internal/passthrough/plain.go
@@ -16,6 +16,8 @@
 	// maxBufferedBody is the largest response, in bytes, that is read completely before it is
 	// delivered: if it ends early, the request can still be repeated.
 	maxBufferedBody = 256 << 10
+	// maxPassedBody bounds the rest of a response that is passed on as it arrives, in bytes.
+	maxPassedBody = 1 << 30
 	// hedgeFactor times the mean duration of a call is the delay after which a repeatable request
 	// is also sent to a second target. That is near the 95th percentile of calls that vary by a
 	// half.
@@ -207,7 +209,7 @@
 	c.writeHead(w.a, w)
 	_, err := c.w.Write(w.start)
 	if err == nil && !w.complete {
-		_, err = io.Copy(c.w, w.a.ans.Body)
+		err = passBody(c.w, w.a.ans.Body)
 		w.a.ans.Body.Close()
 	}
 	if err != nil {
@@ -218,6 +220,17 @@
 	c.recordDone("", w.a.ans.Status, nil)
 }
 
+var errLongBody = errors.New("passthrough: the body of the response does not end")
+
+// passBody passes the rest of a body on.
+func passBody(to io.Writer, from io.Reader) error {
+	n, err := io.Copy(to, io.LimitReader(from, maxPassedBody+1))
+	if err == nil && n > maxPassedBody {
+		return errLongBody
+	}
+	return err
+}
+
 // writeHead sends the status and headers of a target's response.
 func (c *call) writeHead(a *attempt, w *bufferedAnswer) {
 	h := c.w.Header()
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -270,6 +270,7 @@
 	meta, metaErr := c.s.cfg.Wire.ReadMeta(c.r.Header)
 	c.meta = meta
 	c.log = c.s.cfg.Log.With("request", meta.ID)
+	c.limitBodyTime()
 	if c.cfg == nil || !c.s.cfg.Targets.ListReceived() {
 		return notRun(verdict.NotReady, "the node has no configuration yet").After(c.retryAfterUnready())
 	}
@@ -342,15 +343,31 @@
 // defaultTimeout bounds requests on routes without a timeout whose callers name none.
 const defaultTimeout = 30 * time.Second
 
+// bodyTimeout is how long the caller may take to send the body.
+func (c *call) bodyTimeout() time.Duration {
+	if c.cfg == nil {
+		return c.s.cfg.ReadTimeout
+	}
+	return max(c.s.cfg.ReadTimeout, c.cfg.Limits.HeaderTimeout)
+}
+
+// limitBodyTime bounds the time for the body, also where the request is refused before it is read: net/http reads
+// some of the rest then.
+func (c *call) limitBodyTime() {
+	if c.r.ContentLength == 0 {
+		// net/http waits for the caller to leave, which a deadline would end.
+		return
+	}
+	// Not every writer has deadlines; those that do not need none.
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(c.bodyTimeout()))
+}
+
 // readBody reads the whole body, so that it can be sent to more than one target.
 func (c *call) readBody() error {
-	limit, timeout := c.s.cfg.BodyBytes, c.s.cfg.ReadTimeout
+	limit := c.s.cfg.BodyBytes
 	if c.cfg.Limits.BodyBytes > 0 {
 		limit = c.cfg.Limits.BodyBytes
 	}
-	if c.cfg.Limits.HeaderTimeout > 0 {
-		timeout = max(timeout, c.cfg.Limits.HeaderTimeout)
-	}
 	if c.r.ContentLength > limit {
 		c.discardBody(limit)
 		return notRun(verdict.TooLarge, "the body is over %d bytes", limit)
@@ -358,18 +375,15 @@
 	if c.r.ContentLength == 0 {
 		return nil
 	}
-	conn := http.NewResponseController(c.w)
-	// Not every writer has deadlines; those that do not need none.
-	_ = conn.SetReadDeadline(time.Now().Add(timeout))
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return notRun(verdict.TooLarge, "the body is over %d bytes", limit)
 	}
 	if err != nil {
-		return notRun(verdict.BodyTimeout, "the body could not be read within %v", timeout)
+		return notRun(verdict.BodyTimeout, "the body could not be read within %v", c.bodyTimeout())
 	}
-	_ = conn.SetReadDeadline(time.Time{})
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
 	c.body = body
 	return nil
 }
