Stage calls carry an ID of their own, and late answers to others are recognized

Cause: calls of stages carried no ID, and an answer without an ID counts as belonging. Change: each call of a stage server (run, free, report) has an ID, and an answer with another one is skipped; once answers on a connection name their request, one that names none is an error.

--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -54,7 +54,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				dial, sent := endless(tc.start, tc.text)
-				p := New(Config{Dial: dial, AnswerMatches: belongs, IdleTimeout: time.Minute, MaxIdle: 4})
+				p := New(Config{Dial: dial, AnswerID: answerID, IdleTimeout: time.Minute, MaxIdle: 4})
 				_, err := p.Do(t.Context(), "target", get("1"))
 				qt.Assert(t, err, qt.ErrorMatches, ".*(the heads of the answer are over|belongs to another|malformed).*")
 				qt.Check(t, sent() <= MaxHeadBytes+bufferSize, qt.IsTrue, qt.Commentf("%d bytes read", sent()))
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -21,7 +21,7 @@
 
 const idHeader = "X-Id"
 
-func belongs(h http.Header, id string) bool { return h.Get(idHeader) == "" || h.Get(idHeader) == id }
+func answerID(h http.Header) string { return h.Get(idHeader) }
 
 // target starts a target on the loopback interface and returns its address. handle is
 // called with each request, writes raw bytes and reports whether the connection stays open.
@@ -57,7 +57,7 @@
 }
 
 func newPool(t testing.TB) *Pool {
-	p := New(Config{Dial: (&net.Dialer{}).DialContext, AnswerMatches: belongs, IdleTimeout: time.Minute, MaxIdle: 4})
+	p := New(Config{Dial: (&net.Dialer{}).DialContext, AnswerID: answerID, IdleTimeout: time.Minute, MaxIdle: 4})
 	t.Cleanup(p.Close)
 	return p
 }
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -22,8 +22,8 @@
 // Config configures a Pool.
 type Config struct {
 	Dial Dial
-	// AnswerMatches reports whether an answer belongs to the request with this ID.
-	AnswerMatches func(h http.Header, id string) bool
+	// AnswerID returns the ID of the request that an answer belongs to; "" if it names none.
+	AnswerID func(h http.Header) string
 	// IdleTimeout is how long an idle connection may be reused. A shorter timeout
 	// in the target's Keep-Alive header, less idleMargin, takes precedence.
 	IdleTimeout time.Duration
@@ -52,6 +52,8 @@
 	head *headLimiter
 	br   *bufio.Reader
 	bw   *bufio.Writer
+	// named is set once an answer on the connection named its request.
+	named bool
 	// used is set once an answer was read completely from the connection.
 	used bool
 	// expires is the time from which the connection must not be reused.
--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -15,7 +15,8 @@
 
 // Request is one HTTP request to a target.
 type Request struct {
-	// ID identifies the request; Config.AnswerMatches matches answers against it.
+	// ID identifies the request; an answer with another one does not belong to it (see Config.AnswerID). An answer
+	// that names none counts as belonging, unless earlier ones on its connection named theirs.
 	ID string
 	// Method, Target (path and query) and Host are sent unchanged.
 	Method, Target, Host string
@@ -41,8 +42,17 @@
 	Framed bool
 	// Body returns io.EOF only at the end of a complete answer.
 	Body io.ReadCloser
+
+	body *body
 }
 
+// HoldConn keeps the connection out of the pool until Body is closed, so that the caller can look at the whole answer
+// first. It must be called before Body is read.
+func (a *Answer) HoldConn() { a.body.held = true }
+
+// DropConn makes Body.Close close the held connection: the answer may belong to another request.
+func (a *Answer) DropConn() { a.body.complete = false }
+
 // Error reports a request that got no answer.
 type Error struct {
 	// Sent is false only if no byte of the request was written: the target cannot have run
@@ -100,12 +110,15 @@
 		}
 		return nil, &Error{Sent: true, Reused: c.used, cause: err}
 	}
+	b := &body{x: x, resp: resp}
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0, Body: &body{x: x, resp: resp},
+		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0, Body: b, body: b,
 	}, nil
 }
 
+var errUnnamed = eris.New("the answer does not name the request that it belongs to, as earlier ones did")
+
 var errWithheld = eris.New("withheld before its first byte")
 
 // refused reports whether connecting failed with a *net.OpError other than a timeout
@@ -179,7 +192,12 @@
 			continue
 		}
 		x.c.head.pause()
-		if x.p.cfg.AnswerMatches(resp.Header, x.r.ID) {
+		id := x.p.cfg.AnswerID(resp.Header)
+		if id == "" && x.c.named {
+			return nil, errUnnamed
+		}
+		if id == "" || id == x.r.ID {
+			x.c.named = id != ""
 			return resp, nil
 		}
 		if stray++; stray > maxStray || resp.Close || resp.ContentLength < 0 || resp.ContentLength > maxStrayBytes {
@@ -206,16 +224,23 @@
 	x.p.putIdle(x.c)
 }
 
-// body is an answer's body. Reading it to its end or closing it ends the exchange.
+// body is an answer's body. Reading it to its end or closing it ends the exchange; if the connection is held, only
+// closing it does.
 type body struct {
 	x    *exchange
 	resp *http.Response
+	held bool
+	// complete is set once a held body was read to its end.
+	complete bool
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.resp.Body.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == io.EOF && b.held:
+		b.complete = true
+	case err == io.EOF:
 		b.x.end(b.reusable())
 	}
 	return n, err
@@ -238,7 +263,7 @@
 // Close implements io.Closer. If the answer was not read to its end, its
 // connection is closed.
 func (b *body) Close() error {
-	b.x.end(false)
+	b.x.end(b.complete && b.reusable())
 	return nil
 }
 
