Requests that crash their target at once on a kept connection are counted

Cause: a send on a kept connection that breaks off within 20 ms was taken for one on a connection that the target had closed as idle, and nothing was said to the guard. Change: the guard is told of each send without an answer. It looks itself whether the process has ended during the run, so that a connection closed as idle is no evidence.

--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -155,7 +155,8 @@
 	if !sent {
 		l.ReturnPermit()
 	}
-	if sent && !stale {
+	if sent {
+		// The guard finds out whether the target's process has ended, or had closed the connection.
 		c.reportInterrupted(l, n, start, poison.Waiting, ctx.Err() != nil)
 	} else {
 		c.reportAbandoned(n)
