A stage pool that seemed slow once is tried again

Cause: the calls seemed to take 40 times their time at all targets. Which orders may go to a target was decided by that slowness also for a probe, no order was in time for one, and slowness changes with calls only. Change: a probe takes orders as if its target were not slow; how long it may take still goes by how slow the pool is. And a call during which this process stood still (its watchdog is half a second late) is no measure of its target, nor evidence on a version.

--- a/internal/stagebatch/calls.go
+++ b/internal/stagebatch/calls.go
@@ -38,6 +38,9 @@
 	// inputTime is the time after the start of a call by which its inputs have been read.
 	// Targets fetch the inputs first: some 10 MB take 10 ms at 10 Gbit/s.
 	inputTime = 130 * time.Millisecond
+	// maxTimerDelay is the longest that a timer of a busy process is late; a later one shows that the process did not
+	// run.
+	maxTimerDelay = 500 * time.Millisecond
 	// sharedLife is how long a pool counts as shared after a target reported calls of other
 	// formers. Nodes may disagree for some seconds on which node forms the batches.
 	sharedLife = 4 * time.Second
@@ -63,6 +66,28 @@
 	healthy, expected time.Duration
 	// failed means that the target may not have read the inputs.
 	ended, failed bool
+	// overdueAt is when the call becomes overdue, isOverdue that it was found to be.
+	overdueAt time.Time
+	isOverdue bool
+	// stalled means that this process did not run for a while during the call, so that its duration is no measure
+	// of the target.
+	stalled bool
+}
+
+// checkStalled finds out whether this process did not run for a while: the call is long past overdueAt, and the
+// watchdog has not seen it.
+func (c *call) checkStalled(now time.Time) {
+	if !c.isOverdue && now.Sub(c.overdueAt) > maxTimerDelay {
+		c.stalled = true
+	}
+}
+
+// ratio returns the ratio of the call's actual to its nominal duration; 1 if the actual one is not known.
+func (c *call) ratio(took time.Duration) float64 {
+	if c.stalled {
+		return 1
+	}
+	return float64(took) / float64(c.healthy)
 }
 
 // start starts a call of a target for a batch of its pool. The lock is held.
@@ -81,7 +106,9 @@
 		m.callBytes += o.ResultBytes
 		items[i] = Item{Request: o.Request, Stage: o.Stage, Piece: pc.index, Key: o.Key, Inputs: o.Inputs, Remaining: o.Deadline.Sub(now)}
 	}
-	watchdog := time.AfterFunc(times(c.expected, overdueFactor)+overdueSlack, func() { f.overdue(c) })
+	overdueAfter := times(c.expected, overdueFactor) + overdueSlack
+	c.overdueAt = now.Add(overdueAfter)
+	watchdog := time.AfterFunc(overdueAfter, func() { f.overdue(c) })
 	f.log.Info("stage call", "service", p.service, "target", m.ID, "addr", m.Addr, "items", len(items), "queued", len(p.queue),
 		"slow", m.slow(), "expected_ms", c.expected.Milliseconds(), "requests", requestsOf(batch))
 	if m.healthy(now) && now.After(p.sharedUntil) {
@@ -203,9 +230,14 @@
 	if c.ended || f.Off.Has(mechanism.SecondCall) {
 		return
 	}
+	now := time.Now()
 	c.m.healthyAt = time.Time{}
-	c.m.overdue(float64(time.Since(c.started)) / float64(c.healthy))
-	f.log.Warn("stage call overdue, requeueing its pieces", "service", c.pool.service, "target", c.m.ID, "items", len(c.batch), "ms", time.Since(c.started).Milliseconds(), "requests", requestsOf(c.batch))
+	c.checkStalled(now)
+	c.isOverdue = true
+	if !c.stalled {
+		c.m.overdue(c.ratio(now.Sub(c.started)))
+	}
+	f.log.Warn("stage call overdue, requeueing its pieces", "service", c.pool.service, "target", c.m.ID, "items", len(c.batch), "ms", now.Sub(c.started).Milliseconds(), "stalled", c.stalled, "requests", requestsOf(c.batch))
 	f.requeue(c)
 	f.pump(c.pool, c.spec)
 }
@@ -233,18 +265,19 @@
 	c.ended, c.failed = true, err != nil
 	c.m.calls--
 	now := time.Now()
-	f.list.RecordStageCallEnd(c.target, outcomeOf(reply, err), times(c.spec.CallTime, float64(c.answerTime(now))/float64(c.healthy)))
+	c.checkStalled(now)
+	f.list.RecordStageCallEnd(c.target, outcomeOf(reply, err), times(c.spec.CallTime, c.ratio(c.answerTime(now))))
 	if err != nil {
 		f.failed(c, err, now)
 	} else {
 		c.m.failures = 0
-		ratio := float64(now.Sub(c.started)) / float64(c.healthy)
-		if producedAny(reply.Results) {
+		ratio := c.ratio(now.Sub(c.started))
+		if producedAny(reply.Results) && !c.stalled {
 			// A call that produced nothing ends at once and is no measure of the target's speed.
 			c.m.recordRatio(ratio)
 		}
 		c.m.healthyAt = time.Time{}
-		if ratio < healthyRatio {
+		if ratio < healthyRatio && !c.stalled {
 			c.m.healthyAt = now
 		}
 		p := c.pool
--- a/internal/stagebatch/former_test.go
+++ b/internal/stagebatch/former_test.go
@@ -350,6 +350,76 @@
 }
 
 // A pool all of whose targets are slow goes on to serve orders that have the time.
+// A node that stood still while all targets worked takes all of them for slow. Calls must show that they are not,
+// though no order would end in its time at a target that slow.
+func TestPoolThatSeemedSlowOnceServesAgain(t *testing.T) {
+	for _, targets := range []int{1, 2, 5} {
+		t.Run(fmt.Sprint(targets, " targets"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p, list := newFakePool(targets)
+				for i := range targets {
+					p.host(i).factor = 40
+				}
+				f := NewFormer(p, list, poolSpec, discardLog)
+				var all sync.WaitGroup
+				for i := range 2 * targets {
+					all.Go(func() {
+						res, err := f.Produce(t.Context(), orderDueIn(fmt.Sprint("stalled", i), 1, 0, 20*time.Second), nil)
+						if err == nil {
+							f.Free("pool", res.Handles)
+						}
+					})
+				}
+				all.Wait()
+				p.mu.Lock()
+				for _, h := range p.hosts {
+					h.factor = 1
+				}
+				p.mu.Unlock()
+				served := 0
+				for i := range 60 {
+					o := orderDueIn(fmt.Sprint("r", i), 1, 0, time.Second)
+					o.Deadline = time.Now().Add(2 * time.Second)
+					ctx, cancel := context.WithDeadline(t.Context(), o.Deadline)
+					res, err := f.Produce(ctx, o, nil)
+					cancel()
+					if err != nil {
+						continue
+					}
+					f.Free("pool", res.Handles)
+					if i >= 30 {
+						served++
+					}
+				}
+				qt.Check(t, served >= 28, qt.IsTrue, qt.Commentf("%d of 30 served", served))
+				// For calls whose pieces were made elsewhere.
+				time.Sleep(time.Minute)
+			})
+		})
+	}
+}
+
+// The watchdog of a call fires on time unless the process itself stands still.
+func TestCallDuringAStandstillIsNoMeasureOfItsTarget(t *testing.T) {
+	now := time.Now()
+	for name, tc := range map[string]struct {
+		overdueFor time.Duration
+		seen       bool
+		ratio      float64
+	}{
+		"in time":                       {-time.Second, false, 40},
+		"the watchdog fires just now":   {10 * time.Millisecond, false, 40},
+		"overdue, as the watchdog saw":  {3 * time.Second, true, 40},
+		"overdue, and nobody was awake": {3 * time.Second, false, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := &call{healthy: 100 * time.Millisecond, overdueAt: now.Add(-tc.overdueFor), isOverdue: tc.seen}
+			c.checkStalled(now)
+			qt.Check(t, c.ratio(4*time.Second), qt.Equals, tc.ratio)
+		})
+	}
+}
+
 func TestPoolThatIsSlowAltogetherServes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p, list := newFakePool(4)
--- a/internal/stagebatch/pool.go
+++ b/internal/stagebatch/pool.go
@@ -195,21 +195,32 @@
 	return m.standing < readiness.Resting && m.calls < max(spec.Slots, 1) && !now.Before(m.pausedUntil)
 }
 
+// probes reports whether the target's last call is so old that a call should show whether it is still slow.
+func (m *targetState) probes(now time.Time) bool { return now.Sub(m.lastCall) > slowProbe }
+
+// accepting returns the slowness by which orders for the target are chosen: that of slower, but a probe takes orders as
+// if the target were not slow. Where the whole pool seems slow, no order might be in time for one otherwise, and nothing
+// would ever show that the pool has recovered.
+func (m *targetState) accepting(states map[string]*targetState, now time.Time) float64 {
+	if m.probes(now) {
+		return 1
+	}
+	return m.slower(states, now)
+}
+
 // slower returns the ratio of this target's slowness to that of the fastest target in the pool, or to the
-// nominal duration if the whole pool is slow. If the target's last call is older than slowProbe, it returns that
-// of the pool, so that a call can show whether the target has recovered.
+// nominal duration if the whole pool is slow. For a probe it returns that of the pool.
 func (m *targetState) slower(states map[string]*targetState, now time.Time) float64 {
 	fastest := m.slow()
 	for _, other := range states {
 		fastest = min(fastest, other.slow())
 	}
-	probes := now.Sub(m.lastCall) > slowProbe
 	switch {
-	case fastest >= slowFactor && probes:
+	case fastest >= slowFactor && m.probes(now):
 		return fastest
 	case fastest >= slowFactor:
 		return m.slow()
-	case probes:
+	case m.probes(now):
 		return 1
 	}
 	return m.slow() / fastest
@@ -357,7 +368,7 @@
 	hold := float64(len(p.queue)) <= most && !f.Off.Has(mechanism.WaitForPlace)
 	pl := placement{dataCentre: m.DataCentre, regions: f.Regions, working: working, hold: hold, slower: 1, off: f.Off}
 	if !f.Off.Has(mechanism.SlowTargets) {
-		pl.slower = m.slower(p.states, now)
+		pl.slower = m.accepting(p.states, now)
 	}
 	return pl
 }
