The limit of heads holds for open connections too

Cause: each HTTP server has the limit of its start, and keeps its connections. Change: the limit in force is looked at for each request; the servers' own bound is 64 KiB, or the configured one if that is larger. Test: TestHeadLimitHoldsOnOpenConnections, 431 instead of 200 before.

--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -18,7 +18,10 @@
 const (
 	// defaultHeaderBytes, defaultHeaderTimeout and defaultIdleTimeout apply unless a configuration
 	// sets other values.
-	defaultHeaderBytes   = 16 << 10
+	defaultHeaderBytes = 16 << 10
+	// maxOpenHeaderBytes is up to which size the heads on open connections may grow when a configuration raises
+	// its limit.
+	maxOpenHeaderBytes   = 64 << 10
 	defaultHeaderTimeout = 5 * time.Second
 	defaultIdleTimeout   = 60 * time.Second
 	// readyHeaderBytes and readyWriteTimeout bound the requests of the balancer and of those who read metrics.
@@ -30,9 +33,9 @@
 	acceptRetry = 20 * time.Millisecond
 )
 
-// callerServer accepts the connections of callers. When the configuration changes its limits,
-// new connections are served with the new limits, and open connections keep theirs. It
-// implements suture.Service.
+// callerServer accepts the connections of callers. When the configuration changes its limits, the limit on heads holds
+// for the next request of each connection, up to maxOpenHeaderBytes; the timeouts hold for new connections, and open
+// connections keep theirs. It implements suture.Service.
 type callerServer struct {
 	ln      net.Listener
 	handler http.Handler
@@ -67,14 +70,11 @@
 // replaceServer starts an HTTP server with the given limits; it gets all new connections.
 func (c *callerServer) replaceServer(l routes.Limits) {
 	srv := &http.Server{
-		Handler: c.handler, MaxHeaderBytes: defaultHeaderBytes,
+		Handler: http.HandlerFunc(c.checkHead), MaxHeaderBytes: max(maxOpenHeaderBytes, int(l.HeaderBytes)),
 		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
 		ErrorLog:  slog.NewLogLogger(c.log.Handler(), slog.LevelDebug),
 		ConnState: c.connStateChanged,
 	}
-	if l.HeaderBytes > 0 {
-		srv.MaxHeaderBytes = int(l.HeaderBytes)
-	}
 	if l.HeaderTimeout > 0 {
 		srv.ReadHeaderTimeout = l.HeaderTimeout
 	}
@@ -97,6 +97,41 @@
 	}()
 }
 
+// checkHead passes a request on, unless its head is over the limit in force.
+func (c *callerServer) checkHead(w http.ResponseWriter, r *http.Request) {
+	if headBytes(r) <= c.headLimit() {
+		c.handler.ServeHTTP(w, r)
+		return
+	}
+	// The rest of the request is not read.
+	w.Header().Set("Connection", "close")
+	http.Error(w, http.StatusText(http.StatusRequestHeaderFieldsTooLarge), http.StatusRequestHeaderFieldsTooLarge)
+}
+
+// headLimit returns the largest head of a request, in bytes.
+func (c *callerServer) headLimit() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.limits.HeaderBytes > 0 {
+		return c.limits.HeaderBytes + headSlack
+	}
+	return defaultHeaderBytes + headSlack
+}
+
+// headSlack is what a head may be over its limit, as with http.Server.MaxHeaderBytes.
+const headSlack = 4 << 10
+
+// headBytes returns the size of a request's head as it is sent, without superfluous white space.
+func headBytes(r *http.Request) int64 {
+	n := len(r.Method) + len(r.RequestURI) + len("  HTTP/1.1\r\n") + len("Host: \r\n") + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			n += len(name) + len(": \r\n") + len(value)
+		}
+	}
+	return int64(n)
+}
+
 // connStateChanged implements http.Server.ConnState.
 func (c *callerServer) connStateChanged(_ net.Conn, s http.ConnState) {
 	if s == http.StateClosed || s == http.StateHijacked {
--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,7 @@
 
 	"topazmoor/internal/overload"
 	"topazmoor/internal/peer"
+	"topazmoor/internal/routes"
 )
 
 // lastAccept is a listener that returns one connection just after the node has ended.
@@ -109,3 +111,38 @@
 	qt.Check(t, err, qt.IsNotNil)
 	qt.Check(t, dialed, qt.IsFalse)
 }
+
+// A configuration that changes the limit of heads is in force for open connections too.
+func TestHeadLimitHoldsOnOpenConnections(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	c := newCallerServer(ln, ok, &overload.Gate{Share: func() float64 { return 0 }}, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = c.Serve(ctx) }()
+	defer c.close()
+	dials := 0
+	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		dials++
+		return (&net.Dialer{}).DialContext(ctx, network, addr)
+	}}}
+	ask := func(headerBytes int) int {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+ln.Addr().String()+"/x", http.NoBody)
+		qt.Assert(t, err, qt.IsNil)
+		r.Header.Set("X-Long", strings.Repeat("x", headerBytes))
+		resp, err := client.Do(r)
+		qt.Assert(t, err, qt.IsNil)
+		defer resp.Body.Close()
+		_, _ = io.Copy(io.Discard, resp.Body)
+		return resp.StatusCode
+	}
+	c.setLimits(routes.Limits{HeaderBytes: 8 << 10})
+	qt.Check(t, ask(100), qt.Equals, http.StatusOK)
+	c.setLimits(routes.Limits{HeaderBytes: 32 << 10})
+	qt.Check(t, ask(20<<10), qt.Equals, http.StatusOK)
+	qt.Check(t, dials, qt.Equals, 1)
+	c.setLimits(routes.Limits{HeaderBytes: 8 << 10})
+	qt.Check(t, ask(20<<10), qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+	qt.Check(t, ask(100), qt.Equals, http.StatusOK)
+}
