Connections to targets are kept again after a suspension of the host

Cause (seen in the code by the review): after a suspension the pool of connections was closed for good, so that each later request opened one. Change: Pool.Reset closes what is idle, and what is in use once its request has ended; new connections are kept.

--- a/internal/entry/suspended.go
+++ b/internal/entry/suspended.go
@@ -29,7 +29,7 @@
 	n.gate.Expire()
 	n.owner.Expire()
 	// The other ends of these connections may be gone.
-	n.env.Conns.Close()
+	n.env.Conns.Reset()
 }
 
 // followedTables returns the watches of the tables that this node follows.
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -36,8 +36,10 @@
 	cfg     Config
 	meterOf func(addr string) Meter
 
-	mu     sync.Mutex
-	idle   map[string][]*conn
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// resets counts the calls of Reset.
+	resets int
 	closed bool
 }
 
@@ -48,6 +50,8 @@
 type conn struct {
 	net.Conn
 	addr string
+	// resets is the value of Pool.resets when the connection was opened.
+	resets int
 	// head bounds what br reads of heads.
 	head *headLimiter
 	br   *bufio.Reader
@@ -106,7 +110,7 @@
 		r, w = meteredReader{nc, m}, meteredWriter{nc, m}
 	}
 	head := &headLimiter{r: r}
-	return &conn{Conn: nc, addr: addr, head: head, br: bufio.NewReaderSize(head, bufferSize), bw: bufio.NewWriterSize(w, bufferSize)}
+	return &conn{Conn: nc, addr: addr, resets: p.resetCount(), head: head, br: bufio.NewReaderSize(head, bufferSize), bw: bufio.NewWriterSize(w, bufferSize)}
 }
 
 // pop removes the most recently used idle connection to addr and returns it, or nil
@@ -123,14 +127,22 @@
 	return c
 }
 
+// resetCount returns the number of calls of Reset.
+func (p *Pool) resetCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.resets
+}
+
 // putIdle returns a connection to the pool after its last answer was read to its
-// end. It closes the connection if the target already has MaxIdle idle ones or the pool is closed.
+// end. It closes the connection if the target already has MaxIdle idle ones, or if the pool was reset or closed since the
+// connection was opened.
 func (p *Pool) putIdle(c *conn) {
 	c.used = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[c.addr]
-	if p.closed || len(list) >= p.cfg.MaxIdle {
+	if p.closed || c.resets != p.resets || len(list) >= p.cfg.MaxIdle {
 		c.Close()
 		return
 	}
@@ -189,11 +201,24 @@
 	}
 }
 
+// Reset closes all idle connections, and those in use once their request has ended. New connections are kept again.
+func (p *Pool) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resets++
+	p.closeIdle()
+}
+
 // Close closes all idle connections, and those in use once their request has ended.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	p.closeIdle()
+}
+
+// closeIdle closes all idle connections. The lock is held.
+func (p *Pool) closeIdle() {
 	for _, list := range p.idle {
 		for _, c := range list {
 			c.Close()
