--- a/internal/resume/registry.go
+++ b/internal/resume/registry.go
@@ -203,11 +203,13 @@
 func (r *Registry) Find(ctx context.Context, s Stream) (Origin, error) {
 	own := r.Answer(s.ID, s.Service)
 	if own.Known {
+		r.logFound(s, own.Origin, "own record", 0)
 		return own.Origin, nil
 	}
 	answers := r.ask(ctx, s)
 	for _, a := range answers {
 		if a.Known {
+			r.logFound(s, a.Origin, "record of another node", len(answers))
 			return a.Origin, nil
 		}
 	}
@@ -215,7 +217,16 @@
 	if !ok {
 		return Origin{}, ErrUnknown
 	}
-	return r.onlyVersion(ctx, origin, own, answers)
+	origin, err := r.onlyVersion(ctx, origin, own, answers)
+	if err == nil {
+		r.logFound(s, origin, "only version", len(answers))
+	}
+	return origin, err
+}
+
+// logFound logs by what the version of a stream was found, and how many nodes answered.
+func (r *Registry) logFound(s Stream, o Origin, by string, answers int) {
+	r.Log.Info("version of a stream found", "stream", s.ID, "service", o.Service, "version", o.Version, "by", by, "answers", answers)
 }
 
 // onlyOrigin returns the only version that any of the answers knows of, and false if there are several or none.
