--- /dev/null
+++ b/internal/resume/find.go
@@ -0,0 +1,153 @@
+package resume
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+)
+
+// Answer returns what this node knows of a stream.
+func (r *Registry) Answer(id, service string) Answer {
+	if record, ok := r.recordOf(id); ok {
+		return Answer{Known: true, Origin: record.Origin}
+	}
+	versions, complete := r.knownVersions(service)
+	switch len(versions) {
+	case 0:
+		return Answer{}
+	case 1:
+		return Answer{Sole: complete, Origin: Origin{service, versions[0]}}
+	}
+	return Answer{Several: true}
+}
+
+// recordOf returns the record of a stream, if this node has it.
+func (r *Registry) recordOf(id string) (Record, bool) {
+	if id == "" {
+		return Record{}, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record, ok := r.records[id]
+	return record, ok
+}
+
+// knownVersions returns the versions of a service that the list of targets or records have named lately, and whether
+// the node knows all that open streams may have begun at.
+func (r *Registry) knownVersions(service string) (versions []string, complete bool) {
+	listed, complete := r.Versions(service)
+	r.mu.Lock()
+	recorded := r.recorded.of(service, time.Now())
+	r.mu.Unlock()
+	return union(listed, recorded), complete
+}
+
+// Find returns where a stream began, or ErrUnknown. A record decides; this node's list of targets may be older than
+// the version at which the stream began, so other nodes are asked also if the list has one version only.
+func (r *Registry) Find(ctx context.Context, s Stream) (Origin, error) {
+	own := r.Answer(s.ID, s.Service)
+	if own.Known {
+		r.logFound(s, own.Origin, "own record", 0)
+		return own.Origin, nil
+	}
+	answers := r.ask(ctx, s)
+	for _, a := range answers {
+		if a.Known {
+			r.logFound(s, a.Origin, "record of another node", len(answers))
+			return a.Origin, nil
+		}
+	}
+	origin, ok := onlyOrigin(append(answers, own))
+	if !ok {
+		return Origin{}, ErrUnknown
+	}
+	origin, err := r.onlyVersion(ctx, origin, own, answers)
+	if err == nil {
+		r.logFound(s, origin, "only version", len(answers))
+	}
+	return origin, err
+}
+
+// logFound logs by what the version of a stream was found, and how many nodes answered.
+func (r *Registry) logFound(s Stream, o Origin, by string, answers int) {
+	r.Log.Info("version of a stream found", "stream", s.ID, "service", o.Service, "version", o.Version, "by", by, "answers", answers)
+}
+
+// onlyOrigin returns the only version that any of the answers knows of, and false if there are several or none.
+func onlyOrigin(answers []Answer) (only Origin, ok bool) {
+	for _, a := range answers {
+		switch {
+		case a.Several, ok && a.Service != "" && a.Origin != only:
+			return Origin{}, false
+		case a.Service != "":
+			only, ok = a.Origin, true
+		}
+	}
+	return only, ok
+}
+
+// onlyVersion returns the only version that this node and those that answered know of, if the stream cannot have
+// begun at another one. If neither the store nor another node answers, a newer version may have come since.
+func (r *Registry) onlyVersion(ctx context.Context, origin Origin, own Answer, answers []Answer) (Origin, error) {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	err := r.Confirm(ctx, origin.Service, origin.Version)
+	if err != nil {
+		r.Log.Info("only version of a service not confirmed", "service", origin.Service, "version", origin.Version, "answers", len(answers), "err", err)
+	}
+	if errors.Is(err, ErrOtherVersion) || err != nil && len(answers) == 0 && len(r.Nodes()) > 0 {
+		return Origin{}, ErrUnknown
+	}
+	sole := own.Sole || slices.ContainsFunc(answers, func(a Answer) bool { return a.Sole })
+	if !sole && r.hadSeveral(ctx, origin.Service) {
+		return Origin{}, ErrUnknown
+	}
+	return origin, nil
+}
+
+// hadSeveral reports whether the store says that a service has had several versions: the nodes that were asked may
+// all have started lately.
+func (r *Registry) hadSeveral(ctx context.Context, service string) bool {
+	several, err := r.History.HadSeveral(ctx, service)
+	if err != nil {
+		r.Log.Info("earlier versions of a service not read", "service", service, "err", err)
+	}
+	return several
+}
+
+// ask asks the nodes that may have the record of a stream, until one has it. It returns the answers of those
+// that could be reached.
+func (r *Registry) ask(ctx context.Context, s Stream) []Answer {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	nodes := r.replicasOf(s)
+	answers := make(chan *Answer, len(nodes))
+	for _, n := range nodes {
+		go func() { answers <- r.askNode(ctx, n, s) }()
+	}
+	var out []Answer
+	for range nodes {
+		a := <-answers
+		if a == nil {
+			continue
+		}
+		out = append(out, *a)
+		if a.Known {
+			break
+		}
+	}
+	return out
+}
+
+// askNode asks a node for the record of a stream. It returns nil if the node does not answer.
+func (r *Registry) askNode(ctx context.Context, n Node, s Stream) *Answer {
+	a, err := r.Remote.FindStream(ctx, n.Addr, s.ID, s.Service)
+	if err == nil {
+		return &a
+	}
+	if ctx.Err() == nil {
+		r.Log.Info("node not asked for the version of a stream", "peer", n.Name, "err", err)
+	}
+	return nil
+}
