--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -18,12 +18,14 @@
 const (
 	// defaultHeaderBytes, defaultHeaderTimeout and defaultIdleTimeout apply unless a configuration
 	// sets other values.
-	defaultHeaderBytes = 16 << 10
-	// maxOpenHeaderBytes is up to which size the heads on open connections may grow when a configuration raises
-	// its limit.
-	maxOpenHeaderBytes   = 64 << 10
+	defaultHeaderBytes   = 16 << 10
 	defaultHeaderTimeout = 5 * time.Second
 	defaultIdleTimeout   = 60 * time.Second
+	// headSlack is what a head may be over its limit, in bytes, as with http.Server.MaxHeaderBytes.
+	headSlack = 4 << 10
+	// maxOpenHeaderBytes is up to which size the heads on open connections may grow when a configuration raises
+	// its limit.
+	maxOpenHeaderBytes = 64 << 10
 	// readyHeaderBytes and readyWriteTimeout bound the requests of the balancer and of those who read metrics.
 	readyHeaderBytes  = 8 << 10
 	readyWriteTimeout = 10 * time.Second
@@ -103,7 +105,7 @@
 		c.handler.ServeHTTP(w, r)
 		return
 	}
-	// The rest of the request is not read.
+	// The body is not read.
 	w.Header().Set("Connection", "close")
 	http.Error(w, http.StatusText(http.StatusRequestHeaderFieldsTooLarge), http.StatusRequestHeaderFieldsTooLarge)
 }
@@ -118,9 +120,6 @@
 	return defaultHeaderBytes + headSlack
 }
 
-// headSlack is what a head may be over its limit, as with http.Server.MaxHeaderBytes.
-const headSlack = 4 << 10
-
 // headBytes returns the size of a request's head as it is sent, without superfluous white space.
 func headBytes(r *http.Request) int64 {
 	n := len(r.Method) + len(r.RequestURI) + len("  HTTP/1.1\r\n") + len("Host: \r\n") + len(r.Host)
