Calls of a stage server's address have no ID

Change: only /stage-run, which names its server, has an ID; an answer to a call without one may be unnamed on any connection. Test: TestCallsOfAnAddressHaveNoID (red before: each had one), TestCallsWithAndWithoutAnIDShareAConnection. TestRoomIsToldRoundedDown is as it was before.

--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -15,7 +15,7 @@
 
 // Request is one HTTP request to a target.
 type Request struct {
-	// ID identifies the request; an answer with another one does not belong to it (see Config.AnswerID). An answer
+	// ID identifies the request, if it has one; an answer with another one does not belong to it (see Config.AnswerID). An answer
 	// that names none counts as belonging, unless earlier ones on its connection named theirs.
 	ID string
 	// Method, Target (path and query) and Host are sent unchanged.
@@ -193,11 +193,13 @@
 		}
 		x.c.head.pause()
 		id := x.p.cfg.AnswerID(resp.Header)
-		if id == "" && x.c.named {
+		switch {
+		case id == "" && x.r.ID != "" && x.c.named:
 			return nil, errUnnamed
-		}
-		if id == "" || id == x.r.ID {
-			x.c.named = id != ""
+		case id == "":
+			return resp, nil
+		case id == x.r.ID:
+			x.c.named = true
 			return resp, nil
 		}
 		if stray++; stray > maxStray || resp.Close || resp.ContentLength < 0 || resp.ContentLength > maxStrayBytes {
