--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -26,6 +26,7 @@
 type runCase func(rec *record, trouble bool) (result, error)
 
 var byName = map[string]runCase{
+	"extra":    runExtra,
 	"versions": runVersions,
 }
 
