--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -27,7 +27,7 @@
 
 var byName = map[string]runCase{
 	"extra":    runExtra,
-	"power":    runPower,
+	"rolling":  runRolling,
 	"versions": runVersions,
 }
 
