--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -27,6 +27,7 @@
 
 var byName = map[string]runCase{
 	"extra":    runExtra,
+	"deadly":   runDeadly,
 	"rolling":  runRolling,
 	"versions": runVersions,
 }
