Logs: what the connection of a rejected or unanswered request had carried, and whether a rejection names its request

The hypotheses differ in whether a proof came on a connection that had carried the same ID, or names no request; the logs had neither.

--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -428,3 +428,22 @@
 	}
 	qt.Check(t, accepted.Load(), qt.Equals, int64(2))
 }
+
+func TestAnswersSayWhatTheirConnectionHadCarried(t *testing.T) {
+	c := qt.New(t)
+	addr := target(t, func(conn net.Conn, r *http.Request) bool {
+		if r.Header.Get(idHeader) == "2" {
+			answer(conn, "1", "first again")
+		}
+		answer(conn, r.Header.Get(idHeader), "ok")
+		return true
+	})
+	p := newPool(t)
+	for _, want := range []ConnUse{{Requests: 0}, {Requests: 1}} {
+		a, err := p.Do(t.Context(), addr, get(fmt.Sprint(want.Requests+1)))
+		c.Assert(bodyOf(t, a, err), qt.Equals, "ok")
+		c.Check(a.Named, qt.IsTrue)
+		c.Check(a.Conn, qt.Equals, want)
+	}
+	c.Check(p.Strays(), qt.Equals, int64(1))
+}
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -36,6 +37,9 @@
 	cfg     Config
 	meterOf func(addr string) Meter
 
+	// strays counts the answers that were skipped because they belong to other requests.
+	strays atomic.Int64
+
 	mu   sync.Mutex
 	idle map[string][]*conn
 	// resets counts the calls of Reset.
@@ -58,6 +62,8 @@
 	bw   *bufio.Writer
 	// named is set once an answer on the connection named its request.
 	named bool
+	// carried is what the connection has carried.
+	carried carried
 	// used is set once an answer was read completely from the connection.
 	used bool
 	// expires is the time from which the connection must not be reused.
@@ -127,6 +133,9 @@
 	return c
 }
 
+// Strays returns the number of answers that were skipped because they belong to other requests.
+func (p *Pool) Strays() int64 { return p.strays.Load() }
+
 // resetCount returns the number of calls of Reset.
 func (p *Pool) resetCount() int {
 	p.mu.Lock()
--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -40,6 +40,10 @@
 	// Framed reports that the answer has a length or chunks. The end of one that has neither is the end of
 	// its connection, which does not show whether it is complete.
 	Framed bool
+	// Named reports that the answer names the request that it belongs to.
+	Named bool
+	// Conn is what its connection had carried before the request.
+	Conn ConnUse
 	// Body returns io.EOF only at the end of a complete answer.
 	Body io.ReadCloser
 
@@ -67,7 +71,9 @@
 	Refused bool
 	// Withheld is set if the request was not sent because Request.ShouldSend returned false.
 	Withheld bool
-	cause    error
+	// Conn is what the connection had carried before a request that was sent.
+	Conn  ConnUse
+	cause error
 }
 
 // Error implements error.
@@ -100,6 +106,8 @@
 		return nil, &Error{Withheld: true, cause: errWithheld}
 	}
 	x := &exchange{p: p, c: c, r: r}
+	use := c.carried.use(r.ID)
+	c.carried.add(r.ID)
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
 	resp, err := x.run()
 	if err != nil {
@@ -108,12 +116,13 @@
 			// The target may have closed its other idle connections too, or terminated.
 			p.CloseIdle(addr)
 		}
-		return nil, &Error{Sent: true, Reused: c.used, cause: err}
+		return nil, &Error{Sent: true, Reused: c.used, Conn: use, cause: err}
 	}
 	b := &body{x: x, resp: resp}
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0, Body: b, body: b,
+		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+		Named:  p.cfg.AnswerID(resp.Header) != "", Conn: use, Body: b, body: b,
 	}, nil
 }
 
@@ -202,6 +211,7 @@
 			x.c.named = true
 			return resp, nil
 		}
+		x.p.strays.Add(1)
 		if stray++; stray > maxStray || resp.Close || resp.ContentLength < 0 || resp.ContentLength > maxStrayBytes {
 			return nil, eris.New("the answer belongs to another request")
 		}
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -150,8 +150,12 @@
 		l.Done(targets.Failed, 0)
 	}
 	stale := ce != nil && ce.Reused && time.Since(start) < staleWithin
+	var use httpconn.ConnUse
+	if ce != nil {
+		use = ce.Conn
+	}
 	c.log.Info("no answer from target", "target", l.ID, "addr", l.Addr, "digest", c.digest, "parts", c.meta.Prompt, "began", false, "sent", sent, "stale", stale,
-		"ran_ms", time.Since(start).Milliseconds(), "err", err)
+		"ran_ms", time.Since(start).Milliseconds(), "conn_requests", use.Requests, "conn_same_id", use.SameID, "err", err)
 	if !sent {
 		l.ReturnPermit()
 	}
@@ -198,7 +202,8 @@
 	a.lease.Done(outcome, 0)
 	c.reportAbandoned(a.n)
 	c.log.Info("target rejected the request", "target", a.lease.ID, "addr", a.lease.Addr, "status", a.ans.Status,
-		"not_run", a.info.NotRun, "moved", a.info.Moved, "load", a.info.Load, "leaving", a.info.Notice.Leaving, "rest_ms", a.info.Notice.Rest.Milliseconds(), "err", f.err)
+		"not_run", a.info.NotRun, "moved", a.info.Moved, "load", a.info.Load, "leaving", a.info.Notice.Leaving, "rest_ms", a.info.Notice.Rest.Milliseconds(),
+		"named", a.ans.Named, "conn_requests", a.ans.Conn.Requests, "conn_same_id", a.ans.Conn.SameID, "err", f.err)
 }
 
 const (
