--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -312,3 +312,35 @@
 		c.Assert(err, qt.Equals, left)
 	})
 }
+
+// TestLateRefusalWithoutIdentityIsNoProof guards against a second, late copy of a refusal that shows the next call to
+// the target as not run.
+func TestLateRefusalWithoutIdentityIsNoProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const refusal = "HTTP/1.1 429 Too Many\r\nContent-Length: 0\r\n\r\n"
+		n := memnet.New()
+		var calls, ran atomic.Int64
+		rawTarget(t, n, func(conn net.Conn, _ *http.Request, number int) bool {
+			if calls.Add(1) == 1 {
+				io.WriteString(conn, refusal)
+				return true
+			}
+			ran.Add(1)
+			if number > 0 {
+				io.WriteString(conn, refusal)
+			}
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{\"a\":1}")
+			return true
+		})
+		cl := dispatch.New(n.DialFrom("10.0.0.9"), 1<<20)
+		defer cl.Close()
+		call := newCall()
+		call.Echoes = false
+		_, err := cl.Do(t.Context(), call)
+		c.Assert(verdict.Of(err), qt.Equals, verdict.NotRun)
+		_, err = cl.Do(t.Context(), call)
+		c.Check(ran.Load(), qt.Equals, int64(1))
+		c.Check(verdict.Of(err), qt.Equals, verdict.Ran, qt.Commentf("%v", err))
+	})
+}
