A connection carries each request's ID once, and what may be another request's answer proves nothing

What callers saw: a request that may run once ran at two servers, or was answered 503 though it had run. Cause: all sends of one request share its ID, and a connection that has carried it can't tell a late copy of the first answer from the answer to the second send; an answer without an ID was taken for anybody's. The class: a proof that is not bound to the send that it speaks of.

One rule at the connection, not at each way to a second send: - a request that is sent again uses a connection that has not carried its ID (256 requests a connection, so that what is remembered is bounded); - an answer that names no request belongs to this one only if its connection carried none before; otherwise it is dropped, and the request may have run. The connection of such an answer is not used again, unless its holder can tell by the content (stage calls); - the caller API: calls to pools that return no identity have a connection of their own each. A dropped answer says nothing about its target either: a late 421 no longer takes a sound target out (callers got 503 for seconds).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -138,6 +138,8 @@
 			At(call.Identity.Stage, call.Target)
 	}
 	req.ContentLength = int64(len(call.Body))
+	// Without an identity a late answer to an earlier call on the connection looks like that to this one.
+	req.Close = !call.Echoes
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(IdentityHeader, call.Identity.String())
 	req.Header.Set(RequestIDHeader, call.Identity.Request)
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -88,11 +89,11 @@
 // the body of most requests and answers.
 const bufferSize = 4 << 10
 
-// get returns an idle connection to addr, or opens a new one if none is usable or
-// fresh is set.
-func (p *Pool) get(ctx context.Context, addr string, fresh bool) (*conn, error) {
-	for !fresh {
-		c := p.pop(addr)
+// get returns an idle connection to addr that has not carried the request's ID, or opens a new one if none is
+// usable or the request requires one.
+func (p *Pool) get(ctx context.Context, addr string, r *Request) (*conn, error) {
+	for !r.NewConn {
+		c := p.pop(addr, r.ID)
 		if c == nil {
 			break
 		}
@@ -119,18 +120,19 @@
 	return &conn{Conn: nc, addr: addr, resets: p.resetCount(), head: head, br: bufio.NewReaderSize(head, bufferSize), bw: bufio.NewWriterSize(w, bufferSize)}
 }
 
-// pop removes the most recently used idle connection to addr and returns it, or nil
+// pop removes the most recently used idle connection to addr that has not carried the ID and returns it, or nil
 // if there is none.
-func (p *Pool) pop(addr string) *conn {
+func (p *Pool) pop(addr, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; !c.carried.has(id) {
+			p.idle[addr] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // Strays returns the number of answers that were skipped because they belong to other requests.
--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -42,14 +42,18 @@
 	Framed bool
 	// Named reports that the answer names the request that it belongs to.
 	Named bool
-	// Conn is what its connection had carried before the request.
-	Conn ConnUse
+	// Earlier is the number of requests that its connection had carried before this one.
+	Earlier int
 	// Body returns io.EOF only at the end of a complete answer.
 	Body io.ReadCloser
 
 	body *body
 }
 
+// Certain reports whether the answer can only be that to this request. One that names no request may be the late
+// answer to an earlier one on its connection.
+func (a *Answer) Certain() bool { return a.Named || a.Earlier == 0 }
+
 // HoldConn keeps the connection out of the pool until Body is closed, so that the caller can look at the whole answer
 // first. It must be called before Body is read.
 func (a *Answer) HoldConn() { a.body.held = true }
@@ -71,9 +75,9 @@
 	Refused bool
 	// Withheld is set if the request was not sent because Request.ShouldSend returned false.
 	Withheld bool
-	// Conn is what the connection had carried before a request that was sent.
-	Conn  ConnUse
-	cause error
+	// Earlier is the number of requests that the connection had carried before one that was sent.
+	Earlier int
+	cause   error
 }
 
 // Error implements error.
@@ -97,7 +101,7 @@
 // are of type *Error. If ctx ends before the answer was read completely, the connection is
 // closed.
 func (p *Pool) Do(ctx context.Context, addr string, r *Request) (*Answer, error) {
-	c, err := p.get(ctx, addr, r.NewConn)
+	c, err := p.get(ctx, addr, r)
 	if err != nil {
 		return nil, &Error{cause: eris.Wrap(err, "connect"), Refused: refused(err)}
 	}
@@ -106,7 +110,7 @@
 		return nil, &Error{Withheld: true, cause: errWithheld}
 	}
 	x := &exchange{p: p, c: c, r: r}
-	use := c.carried.use(r.ID)
+	earlier := c.carried.requests
 	c.carried.add(r.ID)
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
 	resp, err := x.run()
@@ -116,13 +120,13 @@
 			// The target may have closed its other idle connections too, or terminated.
 			p.CloseIdle(addr)
 		}
-		return nil, &Error{Sent: true, Reused: c.used, Conn: use, cause: err}
+		return nil, &Error{Sent: true, Reused: c.used, Earlier: earlier, cause: err}
 	}
-	b := &body{x: x, resp: resp}
+	b := &body{x: x, resp: resp, named: p.cfg.AnswerID(resp.Header) != ""}
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
-		Named:  p.cfg.AnswerID(resp.Header) != "", Conn: use, Body: b, body: b,
+		Named:  b.named, Earlier: earlier, Body: b, body: b,
 	}, nil
 }
 
@@ -241,7 +245,9 @@
 type body struct {
 	x    *exchange
 	resp *http.Response
-	held bool
+	// named is set if the answer names its request.
+	named bool
+	held  bool
 	// complete is set once a held body was read to its end.
 	complete bool
 }
@@ -259,8 +265,12 @@
 }
 
 // reusable reports whether the connection may carry another request, and sets the
-// time at which it expires.
+// time at which it expires. A late copy of an answer that names no request could be taken for that to the next one;
+// who holds the connection judges that by the content.
 func (b *body) reusable() bool {
+	if !b.named && !b.held && b.x.r.ID != "" || b.x.c.carried.full() {
+		return false
+	}
 	if b.resp.Close || !b.x.written.Load() || b.x.c.br.Buffered() > 0 {
 		return false
 	}
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -85,6 +85,9 @@
 		return nil, c.noAnswer(ctx, l, n, a.start, err)
 	}
 	a.ans, a.progress = ans, poison.Begun
+	if !ans.Certain() {
+		return nil, c.uncertainAnswer(a)
+	}
 	a.info = c.s.cfg.Wire.FromTarget(ans.Status, ans.Header)
 	if a.info.Load != nil {
 		l.RecordLoad(*a.info.Load)
@@ -150,12 +153,12 @@
 		l.Done(targets.Failed, 0)
 	}
 	stale := ce != nil && ce.Reused && time.Since(start) < staleWithin
-	var use httpconn.ConnUse
+	earlier := 0
 	if ce != nil {
-		use = ce.Conn
+		earlier = ce.Earlier
 	}
 	c.log.Info("no answer from target", "target", l.ID, "addr", l.Addr, "digest", c.digest, "parts", c.meta.Prompt, "began", false, "sent", sent, "stale", stale,
-		"ran_ms", time.Since(start).Milliseconds(), "conn_requests", use.Requests, "conn_same_id", use.SameID, "err", err)
+		"ran_ms", time.Since(start).Milliseconds(), "conn_requests", earlier, "err", err)
 	if !sent {
 		l.ReturnPermit()
 	}
@@ -168,6 +171,18 @@
 	return &failure{ran: sent, unsent: !sent, withheld: ce != nil && ce.Withheld, stale: stale, target: l.ID, err: err}
 }
 
+var errUncertain = errors.New("the answer names no request and may belong to an earlier one")
+
+// uncertainAnswer drops an answer that may belong to an earlier request on its connection: it proves nothing, and says
+// nothing about the target.
+func (c *call) uncertainAnswer(a *attempt) *failure {
+	a.ans.Body.Close()
+	a.lease.Done(targets.Abandoned, 0)
+	c.reportAbandoned(a.n)
+	c.log.Info("answer of target dropped", "target", a.lease.ID, "addr", a.lease.Addr, "status", a.ans.Status, "conn_requests", a.ans.Earlier, "err", errUncertain)
+	return &failure{ran: true, target: a.lease.ID, err: errUncertain}
+}
+
 // rejected returns the failure of a response that is not the target's own result of the
 // request, or nil.
 func rejected(a *attempt) *failure {
@@ -203,7 +218,7 @@
 	c.reportAbandoned(a.n)
 	c.log.Info("target rejected the request", "target", a.lease.ID, "addr", a.lease.Addr, "status", a.ans.Status,
 		"not_run", a.info.NotRun, "moved", a.info.Moved, "load", a.info.Load, "leaving", a.info.Notice.Leaving, "rest_ms", a.info.Notice.Rest.Milliseconds(),
-		"named", a.ans.Named, "conn_requests", a.ans.Conn.Requests, "conn_same_id", a.ans.Conn.SameID, "err", f.err)
+		"named", a.ans.Named, "conn_requests", a.ans.Earlier, "err", f.err)
 }
 
 const (
