Closing a stream between nodes ends its reads

Seen: a node that stands still for 6 to 10 s after a cut between machines, then acts by an old configuration. Cause: stream.Close takes the stream out of those whose deadlines expire before the connection closes; a reader of it spins in yamux once the session has ended.

Close ends the reads and writes of its end now.

--- a/internal/peer/mux.go
+++ b/internal/peer/mux.go
@@ -35,6 +35,8 @@
 	conn *muxConn
 	// call is the kind of the call that the stream carries.
 	call traffic.Call
+	// closed is set once this end was closed; the lock of conn guards it.
+	closed bool
 }
 
 // notifyCloseConn is the connection below a session. Its Close calls end first.
@@ -148,20 +150,23 @@
 	s.setUnlessEnded(func() { _ = s.Stream.SetWriteDeadline(t) })
 }
 
-// setUnlessEnded calls set unless end was called: the deadlines that end has
-// set stay in the past.
+// setUnlessEnded calls set unless the stream or its connection ended: the deadlines that were
+// expired then stay in the past.
 func (s *stream) setUnlessEnded(set func()) {
 	s.conn.mu.Lock()
 	defer s.conn.mu.Unlock()
-	if !s.conn.ended {
+	if !s.conn.ended && !s.closed {
 		set()
 	}
 }
 
-// Close closes this end of the stream.
+// Close closes this end of the stream and ends its reads and writes.
 func (s *stream) Close() error {
+	err := s.Stream.Close()
 	s.conn.mu.Lock()
+	defer s.conn.mu.Unlock()
+	s.closed = true
+	s.expire()
 	delete(s.conn.streams, s)
-	s.conn.mu.Unlock()
-	return s.Stream.Close()
+	return err
 }
--- a/internal/peer/mux_test.go
+++ b/internal/peer/mux_test.go
@@ -64,6 +64,25 @@
 	c.Assert(held.left.Load(), quicktest.Equals, int64(0))
 }
 
+// TestReadsOfClosedStreamsEndBeforeTheConnectionCloses does the same for streams that were closed while somebody reads.
+func TestReadsOfClosedStreamsEndBeforeTheConnectionCloses(t *testing.T) {
+	c := quicktest.New(t)
+	var blocked atomic.Int64
+	near, _, held := muxPair(c, &blocked)
+	for range blockedCalls {
+		st, err := near.OpenStream()
+		c.Assert(err, quicktest.IsNil)
+		blocked.Add(1)
+		go func() {
+			defer blocked.Add(-1)
+			_, _ = st.Read(make([]byte, 1))
+		}()
+		c.Assert(st.Close(), quicktest.IsNil)
+	}
+	c.Assert(near.Close(), quicktest.IsNil)
+	c.Assert(held.left.Load(), quicktest.Equals, int64(0))
+}
+
 // TestWritesEndBeforeTheConnectionCloses does the same for writes that wait for the other end to
 // read.
 func TestWritesEndBeforeTheConnectionCloses(t *testing.T) {
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -291,10 +291,7 @@
 	t.closed = true
 	t.changed.Broadcast()
 	t.mu.Unlock()
-	err := t.st.Close()
-	// A stream that is closed at one end would wait for the other end's bytes.
-	t.st.SetReadDeadline(pastDeadline)
-	return err
+	return t.st.Close()
 }
 
 // LocalAddr implements net.Conn; it is the address of the connection to the other node.
