Records of open streams are sent to nodes as they start

Seen: after a planned stop of the nodes in turn 0 of 16 resumed streams go on. Cause: the holders of the records were started again since, and the serving node sends records again by its clock only, after 5 to 10 s.

A change of another node's row says that it has started; the records of open streams that it should hold are sent to it at once.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -314,6 +314,7 @@
 
 // apply applies a new view of the member table.
 func (p *peers) apply(v watch.View, kept restore.Result) {
+	started := startedNodes(p.rows(), v.Rows, p.n.set.Node)
 	p.n.memberRows.Store(v.Rows)
 	p.rowLost.Store(slices.Contains(kept.Lost, p.n.set.Node))
 	var out []stagebatch.Node
@@ -345,7 +346,22 @@
 	p.n.traffic.Set(places)
 	p.membersRead.Do(p.prerequisiteMet)
 	p.n.relayServer.Wake()
-	p.n.log.Info("member table applied", "others", len(out), "row_version", v.Version)
+	if len(started) > 0 {
+		p.n.streams.NodesStarted(started)
+	}
+	p.n.log.Info("member table applied", "others", len(out), "started", len(started), "row_version", v.Version)
+}
+
+// startedNodes returns the names of the other nodes that have written their rows since before: each does so when it
+// starts.
+func startedNodes(before, now map[string]store.Row, self string) []string {
+	var out []string
+	for name, row := range now {
+		if name != self && row.Version != before[name].Version {
+			out = append(out, name)
+		}
+	}
+	return out
 }
 
 // decodeMember decodes a row of the member table.
--- a/internal/resume/registry.go
+++ b/internal/resume/registry.go
@@ -105,11 +105,26 @@
 // record keeps the record of a stream, and queues it for other nodes. The lock is held.
 func (r *Registry) record(o *openStream, now time.Time) {
 	o.sentAt = now
-	record := Record{ID: o.ID, Origin: Origin{o.Service, o.version}, Expires: o.Deadline.Add(retention)}
+	record := o.record()
 	r.records[o.ID] = record
 	r.recorded.add(record.Origin, now)
-	nodes := r.replicasOf(o.Stream)
-	for _, n := range nodes[:min(replicasWritten, len(nodes))] {
+	r.queue(record, r.writtenTo(o.Stream))
+}
+
+// record returns the record of a stream.
+func (o *openStream) record() Record {
+	return Record{ID: o.ID, Origin: Origin{o.Service, o.version}, Expires: o.Deadline.Add(retention)}
+}
+
+// writtenTo returns the nodes to which this node sends the record of a stream.
+func (r *Registry) writtenTo(s Stream) []Node {
+	nodes := r.replicasOf(s)
+	return nodes[:min(replicasWritten, len(nodes))]
+}
+
+// queue has a record sent to some nodes. The lock is held.
+func (r *Registry) queue(record Record, nodes []Node) {
+	for _, n := range nodes {
 		r.unsent[n.Addr] = append(r.unsent[n.Addr], record)
 	}
 	select {
@@ -150,6 +165,20 @@
 	return nodes[:min(replicas, len(nodes))]
 }
 
+// NodesStarted is called when other nodes have joined the fleet or started again: they lack the records of open streams.
+func (r *Registry) NodesStarted(names []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	for o := range r.open {
+		if now.After(o.Deadline) {
+			continue
+		}
+		started := slices.DeleteFunc(r.writtenTo(o.Stream), func(n Node) bool { return !slices.Contains(names, n.Name) })
+		r.queue(o.record(), started)
+	}
+}
+
 // Keep keeps records of streams that other nodes serve.
 func (r *Registry) Keep(records []Record) {
 	r.mu.Lock()
