A read that failed is no proof that a service had one version

Seen: after a kill of all nodes beside a slow store 9 of 16 streams hold events of two versions. Cause: a read of the row of versions that times out counts as one that found none, and a failed check with the store is passed over where another node answers, though that one may have started as lately.

Who takes the only known version needs both: nobody has come (the store or another node), none has left since the stream may have begun (a node that has followed the list for so long, or the store's row). Else the caller is told when to come back. Nodes tell each other for how long they have followed the list.

Two tests asked for the fault or left it open, and were replaced: a subtest wanted the only version although the store does not answer (it must be refused as unconfirmed now, and go on once the store answers); another did not say for how long the other nodes had followed the list (both cases are checked now).

--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -14,9 +15,12 @@
 	n.streams = resume.NewRegistry()
 	n.streams.Self = resume.Node{Name: n.set.Node, DataCentre: n.set.DataCentre}
 	n.streams.Regions = n.set.Regions
-	n.streams.Versions = func(service string) (versions []string, complete bool) {
-		versions, complete = n.targets.SoftwareVersions(service)
-		return versions, complete && !n.targetTable.Lost()
+	n.streams.Versions = func(service string) (versions []string, followed time.Duration) {
+		versions, followed = n.targets.SoftwareVersions(service)
+		if n.targetTable.Lost() {
+			return versions, 0
+		}
+		return versions, followed
 	}
 	n.streams.Confirm = n.confirmVersion
 	n.streams.Log = n.log
--- a/internal/passthrough/resume.go
+++ b/internal/passthrough/resume.go
@@ -1,7 +1,9 @@
 package passthrough
 
 import (
+	"errors"
 	"slices"
+	"time"
 
 	"topazmoor/internal/resume"
 	"topazmoor/internal/routes"
@@ -11,13 +13,25 @@
 // resumedStream returns the stream that the request is a part of. A caller that resumes a stream names the
 // attempt that brought its first event.
 func (c *call) resumedStream() resume.Stream {
-	s := resume.Stream{ID: c.meta.ID, Service: c.service, Regions: c.regions(), Deadline: c.deadline}
+	s := resume.Stream{ID: c.meta.ID, Service: c.service, Regions: c.regions(), Deadline: c.deadline, MaxAge: c.maxStreamAge()}
 	if c.meta.LastEvent != "" {
 		s.ID = c.meta.Resumes
 	}
 	return s
 }
 
+// returnMargin is how much longer than the timeout of its route a caller may take over all its attempts at a stream.
+const returnMargin = 10 * time.Second
+
+// maxStreamAge is how long ago a stream that its caller resumes may have begun.
+func (c *call) maxStreamAge() time.Duration {
+	timeout := c.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	return timeout + returnMargin
+}
+
 // bindVersion binds a stream that its caller resumes to the version that began it. It refuses the request if
 // that is not known, or if no target of the version is left: waiting would not help.
 func (c *call) bindVersion() error {
@@ -25,6 +39,10 @@
 		return nil
 	}
 	origin, err := c.s.cfg.Streams.Find(c.ctx, c.resumedStream())
+	if errors.Is(err, resume.ErrUnconfirmed) {
+		c.logResumed("known", false, "err", err)
+		return notRun(verdict.StoreUnavailable, "the version of the targets that began the stream is not known yet").After(c.retryAfterUnready())
+	}
 	if err != nil {
 		c.logResumed("known", false, "err", err)
 		return notRun(verdict.StreamLost, "the version of the targets that began the stream is not known")
--- a/internal/peer/streams.go
+++ b/internal/peer/streams.go
@@ -33,7 +33,7 @@
 	}
 	m := resp.GetStreamKnown()
 	origin := resume.Origin{Service: m.GetService(), Version: m.GetVersion()}
-	return resume.Answer{Known: m.GetKnown(), Origin: origin, Sole: m.GetSole(), Several: m.GetSeveral()}, nil
+	return resume.Answer{Known: m.GetKnown(), Origin: origin, Followed: time.Duration(m.GetFollowedMs()) * time.Millisecond, Several: m.GetSeveral()}, nil
 }
 
 // streams handles records of streams from another node.
@@ -56,6 +56,6 @@
 		return nil, verdict.New(verdict.NotRun, verdict.Internal, "this node keeps no streams")
 	}
 	a := s.h.Streams.Answer(m.GetId(), m.GetService())
-	known := &peerpb.StreamKnown{Known: a.Known, Service: a.Service, Version: a.Version, Sole: a.Sole, Several: a.Several}
+	known := &peerpb.StreamKnown{Known: a.Known, Service: a.Service, Version: a.Version, FollowedMs: a.Followed.Milliseconds(), Several: a.Several}
 	return &peerpb.Response{Result: &peerpb.Response_StreamKnown{StreamKnown: known}}, nil
 }
--- a/internal/resume/find.go
+++ b/internal/resume/find.go
@@ -12,12 +12,12 @@
 	if record, ok := r.recordOf(id); ok {
 		return Answer{Known: true, Origin: record.Origin}
 	}
-	versions, complete := r.knownVersions(service)
+	versions, followed := r.knownVersions(service)
 	switch len(versions) {
 	case 0:
 		return Answer{}
 	case 1:
-		return Answer{Sole: complete, Origin: Origin{service, versions[0]}}
+		return Answer{Followed: followed, Origin: Origin{service, versions[0]}}
 	}
 	return Answer{Several: true}
 }
@@ -33,17 +33,17 @@
 	return record, ok
 }
 
-// knownVersions returns the versions of a service that the list of targets or records have named lately, and whether
-// the node knows all that open streams may have begun at.
-func (r *Registry) knownVersions(service string) (versions []string, complete bool) {
-	listed, complete := r.Versions(service)
+// knownVersions returns the versions of a service that the list of targets or records have named lately, and for how
+// long the node has followed the list.
+func (r *Registry) knownVersions(service string) (versions []string, followed time.Duration) {
+	listed, followed := r.Versions(service)
 	r.mu.Lock()
 	recorded := r.recorded.of(service, time.Now())
 	r.mu.Unlock()
-	return union(listed, recorded), complete
+	return union(listed, recorded), followed
 }
 
-// Find returns where a stream began, or ErrUnknown. A record decides; this node's list of targets may be older than
+// Find returns where a stream began, or ErrUnknown or ErrUnconfirmed. A record decides; this node's list of targets may be older than
 // the version at which the stream began, so other nodes are asked also if the list has one version only.
 func (r *Registry) Find(ctx context.Context, s Stream) (Origin, error) {
 	own := r.Answer(s.ID, s.Service)
@@ -62,7 +62,7 @@
 	if !ok {
 		return Origin{}, ErrUnknown
 	}
-	origin, err := r.onlyVersion(ctx, origin, own, answers)
+	err := r.confirmOnly(ctx, s, origin, own, answers)
 	if err == nil {
 		r.logFound(s, origin, "only version", len(answers))
 	}
@@ -87,33 +87,49 @@
 	return only, ok
 }
 
-// onlyVersion returns the only version that this node and those that answered know of, if the stream cannot have
-// begun at another one. If neither the store nor another node answers, a newer version may have come since.
-func (r *Registry) onlyVersion(ctx context.Context, origin Origin, own Answer, answers []Answer) (Origin, error) {
+// confirmOnly returns nil if a stream cannot have begun at another version than the only one that this node and those
+// that answered know of. Two things must be known: that no other version has come, from the store or another node, and
+// that none has left since the stream began, from a node that has followed the list of targets for so long, or from the
+// store. What does not answer says nothing.
+func (r *Registry) confirmOnly(ctx context.Context, s Stream, only Origin, own Answer, answers []Answer) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	err := r.Confirm(ctx, origin.Service, origin.Version)
-	if err != nil {
-		r.Log.Info("only version of a service not confirmed", "service", origin.Service, "version", origin.Version, "answers", len(answers), "err", err)
+	history := r.readHistory(ctx, only.Service)
+	current := r.Confirm(ctx, only.Service, only.Version)
+	if errors.Is(current, ErrOtherVersion) {
+		return ErrUnknown
 	}
-	if errors.Is(err, ErrOtherVersion) || err != nil && len(answers) == 0 && len(r.Nodes()) > 0 {
-		return Origin{}, ErrUnknown
+	remembered := slices.ContainsFunc(append(answers, own), func(a Answer) bool { return a.Followed >= s.MaxAge })
+	othersKnow := len(answers) > 0 || len(r.Nodes()) == 0
+	if remembered && (current == nil || othersKnow) {
+		return nil
 	}
-	sole := own.Sole || slices.ContainsFunc(answers, func(a Answer) bool { return a.Sole })
-	if !sole && r.hadSeveral(ctx, origin.Service) {
-		return Origin{}, ErrUnknown
+	past := <-history
+	if past.several {
+		return ErrUnknown
+	}
+	if current == nil && past.err == nil {
+		return nil
 	}
-	return origin, nil
+	r.Log.Info("only version of a service not confirmed", "service", only.Service, "version", only.Version, "answers", len(answers), "current", current, "history", past.err)
+	return ErrUnconfirmed
 }
 
-// hadSeveral reports whether the store says that a service has had several versions: the nodes that were asked may
-// all have started lately.
-func (r *Registry) hadSeveral(ctx context.Context, service string) bool {
-	several, err := r.History.HadSeveral(ctx, service)
-	if err != nil {
-		r.Log.Info("earlier versions of a service not read", "service", service, "err", err)
-	}
-	return several
+// pastVersions is what the store says of the versions that a service has had lately.
+type pastVersions struct {
+	several bool
+	err     error
+}
+
+// readHistory reads whether a service has had several versions lately: the nodes that are asked may all have started
+// lately.
+func (r *Registry) readHistory(ctx context.Context, service string) <-chan pastVersions {
+	out := make(chan pastVersions, 1)
+	go func() {
+		several, err := r.History.HadSeveral(ctx, service)
+		out <- pastVersions{several, err}
+	}()
+	return out
 }
 
 // ask asks the nodes that may have the record of a stream, until one has it. It returns the answers of those
--- a/internal/resume/history.go
+++ b/internal/resume/history.go
@@ -108,7 +108,8 @@
 
 // check makes the row of a service what this node knows, if it is one of those that write it.
 func (h *History) check(ctx context.Context, service string) {
-	versions, complete := h.Versions(service)
+	versions, followed := h.Versions(service)
+	complete := followed >= recordedMemory
 	h.checked[service] = versions
 	one := len(versions) < 2
 	if one && (!complete || h.isSettled(service)) || !h.Writes(service) {
--- a/internal/resume/history_test.go
+++ b/internal/resume/history_test.go
@@ -60,19 +60,16 @@
 }
 
 func TestNodesThatStartTogetherTakeTheOnlyVersionThatThereWas(t *testing.T) {
-	for name, unreadable := range map[string]bool{"no row": false, "the store does not answer": true} {
-		t.Run(name, func(t *testing.T) {
-			inFleet(t, 4, func(t *testing.T, f *fleet) {
-				next := f.restart(t, "v2")
-				if unreadable {
-					f.store.SetFaults(store.Faults{Down: true})
-				}
-				got, err := next.nodes["node-0"].Find(t.Context(), stream("unknown"))
-				qt.Check(t, err, qt.IsNil)
-				qt.Check(t, got, qt.Equals, Origin{"s", "v2"})
-			})
-		})
-	}
+	inFleet(t, 4, func(t *testing.T, f *fleet) {
+		next := f.restart(t, "v2")
+		f.store.SetFaults(store.Faults{Down: true})
+		_, err := next.nodes["node-0"].Find(t.Context(), stream("unknown"))
+		qt.Check(t, err, qt.Equals, ErrUnconfirmed)
+		f.store.SetFaults(store.Faults{})
+		got, err := next.nodes["node-0"].Find(t.Context(), stream("unknown"))
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, got, qt.Equals, Origin{"s", "v2"})
+	})
 }
 
 // The versions that a new node has not seen stay in the row.
--- a/internal/resume/registry.go
+++ b/internal/resume/registry.go
@@ -26,8 +26,9 @@
 	// askTimeout bounds the time in which the nodes answer, sendTimeout the sending of records.
 	askTimeout  = 250 * time.Millisecond
 	sendTimeout = time.Second
-	// confirmTimeout bounds the calls of the store for a stream without a record.
-	confirmTimeout = 250 * time.Millisecond
+	// confirmTimeout bounds the calls of the store for a stream without a record. A slow store takes some
+	// hundred ms.
+	confirmTimeout = 600 * time.Millisecond
 	// flushInterval is the time for which records are collected before they are sent.
 	flushInterval = 10 * time.Millisecond
 	// retention is how long a record is kept after the deadline of its stream: a caller may come back
@@ -38,9 +39,9 @@
 	sweepInterval = 5 * time.Second
 )
 
-// Versions returns the software versions that the targets of a service have had lately, and whether the
-// node has seen the list of targets for long enough to know all that open streams may have begun at.
-type Versions func(service string) (versions []string, complete bool)
+// Versions returns the software versions that the targets of a service have had lately, and for how long the node has
+// followed the list of targets without a gap; 0 while it does not.
+type Versions func(service string) (versions []string, followed time.Duration)
 
 // Confirm checks with the store that the targets of a service have no version but the given one at the time of the
 // call. It fails if they have another one or the store does not answer.
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -15,6 +15,9 @@
 // ErrUnknown: nobody knows at which version the stream began.
 var ErrUnknown = errors.New("resume: the version that began the stream is not known")
 
+// ErrUnconfirmed: those who might know at which version the stream began do not answer, or have started lately.
+var ErrUnconfirmed = errors.New("resume: the only version known of the service is not confirmed")
+
 // ErrOtherVersion: the targets of the service have another version than the one to confirm.
 var ErrOtherVersion = errors.New("resume: the service has another version")
 
@@ -27,6 +30,8 @@
 	Regions region.Set
 	// Deadline is when the caller gives the stream up.
 	Deadline time.Time
+	// MaxAge is how long ago a stream that is resumed may have begun.
+	MaxAge time.Duration
 }
 
 // Origin is where a stream began.
@@ -49,9 +54,9 @@
 	// Origin is that of the record if there is one, else the only version of the service that the node knows of;
 	// without a service if it knows of none or several.
 	Origin
-	// Sole is set if the node has no record, and all targets of the service have had the Version for longer than a
-	// stream lasts, as far as the node knows.
-	Sole bool
+	// Followed is for how long the node has followed the list of targets without a gap. It knows the versions that the
+	// targets have had meanwhile.
+	Followed time.Duration
 	// Several is set if the targets of the service have had several versions lately.
 	Several bool
 }
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -79,10 +79,14 @@
 	}
 }
 
-func (f *fleet) isComplete(name string) bool {
+// followedFor returns for how long a node has followed the list of targets.
+func (f *fleet) followedFor(name string) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.complete[name]
+	if f.complete[name] {
+		return recordedMemory
+	}
+	return time.Second
 }
 
 func (f *fleet) follows(name string) bool {
@@ -134,7 +138,7 @@
 			}
 			return others
 		}
-		r.Versions = func(string) ([]string, bool) { return f.seen(self.Name), f.isComplete(self.Name) }
+		r.Versions = func(string) ([]string, time.Duration) { return f.seen(self.Name), f.followedFor(self.Name) }
 		r.Confirm = func(context.Context, string, string) error {
 			if !f.follows(self.Name) {
 				return store.ErrUnavailable
@@ -160,7 +164,7 @@
 }
 
 func stream(id string) Stream {
-	return Stream{ID: id, Service: "s", Deadline: time.Now().Add(5 * time.Second)}
+	return Stream{ID: id, Service: "s", Deadline: time.Now().Add(5 * time.Second), MaxAge: 20 * time.Second}
 }
 
 func TestEveryNodeFindsWhereAStreamBeganAfterItsNodeIsLost(t *testing.T) {
@@ -230,22 +234,42 @@
 		f.lose("node-1", "node-2", "node-3")
 		f.cutOff("node-0")
 		_, err := f.nodes["node-0"].Find(t.Context(), stream("unknown"))
-		qt.Check(t, err, qt.Equals, ErrUnknown)
+		qt.Check(t, err, qt.Equals, ErrUnconfirmed)
 	})
 }
 
+// Others know the only version if they have followed the list for longer than the stream may have been open.
 func TestNodeWhoseStoreIsAwayAsksOthersForTheOnlyVersion(t *testing.T) {
 	inFleet(t, 4, func(t *testing.T, f *fleet) {
 		for name := range f.nodes {
 			f.see(name, "v2")
 			f.cutOff(name)
 		}
-		got, err := f.nodes["node-0"].Find(t.Context(), stream("unknown"))
+		find := func() (Origin, error) { return f.nodes["node-0"].Find(t.Context(), stream("unknown")) }
+		_, err := find()
+		qt.Check(t, err, qt.Equals, ErrUnconfirmed)
+		for name := range f.nodes {
+			if name != "node-0" {
+				f.followsForLong(name)
+			}
+		}
+		got, err := find()
 		qt.Check(t, err, qt.IsNil)
 		qt.Check(t, got.Version, qt.Equals, "v2")
 	})
 }
 
+func TestHistoryThatIsNotReadIsNoProofOfOneVersion(t *testing.T) {
+	inFleet(t, 4, func(t *testing.T, f *fleet) {
+		for name := range f.nodes {
+			f.see(name, "v2")
+		}
+		f.store.SetFaults(store.Faults{Down: true})
+		_, err := f.nodes["node-0"].Find(t.Context(), stream("unknown"))
+		qt.Check(t, err, qt.Equals, ErrUnconfirmed)
+	})
+}
+
 // A stream may have begun at a version that a node has not heard of yet, though it has followed the list for long.
 func TestOldListIsNotTakenForAllVersions(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/internal/targets/software.go
+++ b/internal/targets/software.go
@@ -65,16 +65,18 @@
 }
 
 // SoftwareVersions returns the versions of their software that the targets of a service have, or have had
-// within versionMemory, and whether this node has followed the list of targets for that long.
-func (t *Table) SoftwareVersions(service string) (versions []string, complete bool) {
+// within versionMemory, and for how long this node has followed the list of targets without a gap.
+func (t *Table) SoftwareVersions(service string) (versions []string, followed time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	complete = t.received && now.Sub(t.followedSince) >= versionMemory
+	if t.received {
+		followed = now.Sub(t.followedSince)
+	}
 	if v := t.software[service]; v != nil {
 		versions = v.recent(now)
 	}
-	return versions, complete
+	return versions, followed
 }
 
 // HasVersion reports whether targets of a service have a version, or have had it within versionMemory, as far as this
