Runs whose first event has just come are suspects as those whose head has

Seen: a part of a prompt that crashes engines right after the first event is never blamed, 38 of 38 requests crash an engine. Cause: a run with an event counted as neither waiting nor begun, so the begun ones beside it, whose heads had come before their prompts were read, were blamed in its place.

An answer is no proof until it has gone on for provenAfter; before, its run is one of those under which the target may have ended.

--- a/internal/attribution/attribution.go
+++ b/internal/attribution/attribution.go
@@ -20,7 +20,8 @@
 type Run struct {
 	// Parts are the parts of the request's prompt that other requests may share.
 	Parts []Part `json:"parts,omitempty"`
-	// Begun reports that the head of the answer had arrived, and nothing else.
+	// Begun reports that the head of the answer had arrived, and at most the first events, too lately to show that
+	// the target survives the request.
 	Begun bool `json:"begun,omitempty"`
 }
 
--- a/internal/poison/conviction.go
+++ b/internal/poison/conviction.go
@@ -32,7 +32,7 @@
 	if r.Progress == Proven || r.Parts == nil || len(r.Parts) == 0 && r.Progress == Waiting {
 		return nil
 	}
-	begun := r.Progress == Begun
+	begun := r.Progress.justBegun()
 	g.mu.Lock()
 	report, ok := g.parts.add(r.Process, attribution.Run{Parts: r.Parts, Begun: begun}, time.Now())
 	if ok {
--- a/internal/poison/run.go
+++ b/internal/poison/run.go
@@ -27,12 +27,15 @@
 	Waiting Progress = iota
 	// Begun: the head has arrived, and nothing else.
 	Begun
-	// Answering: a part of the answer has arrived.
+	// Answering: the first event has arrived, too lately to show anything.
 	Answering
 	// Proven: so much has arrived that the request does not crash its target.
 	Proven
 )
 
+// justBegun reports whether the target had begun the answer, and may have ended as it wrote on.
+func (p Progress) justBegun() bool { return p == Begun || p == Answering }
+
 // Ended reports that a run broke off at its target. It checks whether the target's process has
 // ended, and if so writes this end to the store. The channel delivers whether the process has ended,
 // once the end is written or reportWait has passed: the request should not be sent again earlier.
@@ -105,7 +108,7 @@
 // mayBeInnocent reports whether the target may have ended under another run, whose answer had just begun. That is
 // reported of runs of prompts only.
 func (r Run) mayBeInnocent() bool {
-	return r.Parts != nil && r.Progress != Begun && !r.Probe.Claimed()
+	return r.Parts != nil && !r.Progress.justBegun() && !r.Probe.Claimed()
 }
 
 // countEnd counts the end of a run's target against its request. The channel is closed once it is written to the store;
