Connections and records: keys hashed once, holders found once a group of streams

No change of behaviour: the key of a request is hashed once a look-up, not once a connection; NodesStarted ranks the nodes once a group of streams, not once a stream. The settings page says that calls to pools without an identity take a connection each.

--- a/internal/httpconn/carried.go
+++ b/internal/httpconn/carried.go
@@ -17,22 +17,30 @@
 // ID of its request, so a connection carries each ID once: a request that is sent again uses another connection.
 type carried struct {
 	requests int
-	// ids holds the hashes of their IDs. Equal hashes of two IDs only cost a new connection.
-	ids []uint64
+	// keys are those of the requests that have IDs. Equal keys of two IDs only cost a new connection.
+	keys []requestKey
 }
 
-// has reports whether a request with an ID was carried; never for "".
-func (c *carried) has(id string) bool {
-	return id != "" && slices.Contains(c.ids, maphash.String(idSeed, id))
+// requestKey identifies a request by its ID; 0 for none.
+type requestKey uint64
+
+func keyOf(id string) requestKey {
+	if id == "" {
+		return 0
+	}
+	return requestKey(maphash.String(idSeed, id))
 }
 
+// has reports whether a request was carried; never for one without an ID.
+func (c *carried) has(k requestKey) bool { return k != 0 && slices.Contains(c.keys, k) }
+
 // full reports whether no further request may be carried.
 func (c *carried) full() bool { return c.requests >= maxCarried }
 
 // add records a request.
-func (c *carried) add(id string) {
+func (c *carried) add(k requestKey) {
 	c.requests++
-	if id != "" {
-		c.ids = append(c.ids, maphash.String(idSeed, id))
+	if k != 0 {
+		c.keys = append(c.keys, k)
 	}
 }
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -93,7 +93,7 @@
 // usable or the request requires one.
 func (p *Pool) get(ctx context.Context, addr string, r *Request) (*conn, error) {
 	for !r.NewConn {
-		c := p.pop(addr, r.ID)
+		c := p.pop(addr, keyOf(r.ID))
 		if c == nil {
 			break
 		}
@@ -120,14 +120,14 @@
 	return &conn{Conn: nc, addr: addr, resets: p.resetCount(), head: head, br: bufio.NewReaderSize(head, bufferSize), bw: bufio.NewWriterSize(w, bufferSize)}
 }
 
-// pop removes the most recently used idle connection to addr that has not carried the ID and returns it, or nil
+// pop removes the most recently used idle connection to addr that has not carried the request and returns it, or nil
 // if there is none.
-func (p *Pool) pop(addr, id string) *conn {
+func (p *Pool) pop(addr string, request requestKey) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
 	for i := len(list) - 1; i >= 0; i-- {
-		if c := list[i]; !c.carried.has(id) {
+		if c := list[i]; !c.carried.has(request) {
 			p.idle[addr] = slices.Delete(list, i, i+1)
 			return c
 		}
--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -111,7 +111,7 @@
 	}
 	x := &exchange{p: p, c: c, r: r}
 	earlier := c.carried.requests
-	c.carried.add(r.ID)
+	c.carried.add(keyOf(r.ID))
 	x.stop = context.AfterFunc(ctx, func() { c.Close() })
 	resp, err := x.run()
 	if err != nil {
--- a/internal/resume/registry.go
+++ b/internal/resume/registry.go
@@ -144,11 +144,13 @@
 	return slices.ContainsFunc(r.holders(Stream{ID: service}), func(n Node) bool { return n.Name == r.Self.Name })
 }
 
+// partition returns the group of streams to which a stream belongs.
+func (s Stream) partition() uint64 { return xxhash.Sum64String(s.ID) % partitions }
+
 // holders returns the nodes that may hold the record of a stream, in an order that is the same at all nodes.
 // They are in more than one data centre if the fleet is.
 func (r *Registry) holders(s Stream) []Node {
-	partition := xxhash.Sum64String(s.ID) % partitions
-	key := xxhash.Sum64(binary.BigEndian.AppendUint64(nil, partition))
+	key := xxhash.Sum64(binary.BigEndian.AppendUint64(nil, s.partition()))
 	var nodes []Node
 	for _, node := range append(slices.Clone(r.Nodes()), r.Self) {
 		if r.Regions.Allows(s.Regions, node.DataCentre) {
@@ -171,12 +173,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
+	type group struct {
+		partition uint64
+		regions   string
+	}
+	started := make(map[group][]Node)
 	for o := range r.open {
 		if now.After(o.Deadline) {
 			continue
 		}
-		started := slices.DeleteFunc(r.writtenTo(o.Stream), func(n Node) bool { return !slices.Contains(names, n.Name) })
-		r.queue(o.record(), started)
+		g := group{o.partition(), o.Regions.String()}
+		nodes, ok := started[g]
+		if !ok {
+			nodes = slices.DeleteFunc(r.writtenTo(o.Stream), func(n Node) bool { return !slices.Contains(names, n.Name) })
+			started[g] = nodes
+		}
+		r.queue(o.record(), nodes)
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -170,7 +170,8 @@
 	// as "not run".
 	RefusalStatuses []int `json:"refusal_statuses"`
 	// EchoesIdentity states that targets return the Topazmoor-Attempt header of
-	// the call, so that a misdirected answer is detected. Default true.
+	// the call, so that a misdirected answer is detected. Otherwise each call
+	// takes a connection of its own. Default true.
 	EchoesIdentity *bool `json:"echoes_identity"`
 	// HonoursFencing states that targets refuse an order with an old fencing
 	// number. Orders are safe without it too, but may be corrected later.
