--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -459,12 +459,17 @@
 	return p, opened
 }
 
-func TestConnectionCarriesEachIDOnce(t *testing.T) {
-	c := qt.New(t)
-	addr := target(t, func(conn net.Conn, r *http.Request) bool {
+// soundTarget starts a target that answers each request.
+func soundTarget(t *testing.T) string {
+	return target(t, func(conn net.Conn, r *http.Request) bool {
 		answer(conn, r.Header.Get(idHeader), "ok")
 		return true
 	})
+}
+
+func TestConnectionCarriesEachIDOnce(t *testing.T) {
+	c := qt.New(t)
+	addr := soundTarget(t)
 	p, opened := countingPool(t)
 	for _, step := range []struct {
 		id string
@@ -479,10 +484,7 @@
 
 func TestConnectionCarriesABoundedNumberOfRequests(t *testing.T) {
 	c := qt.New(t)
-	addr := target(t, func(conn net.Conn, r *http.Request) bool {
-		answer(conn, r.Header.Get(idHeader), "ok")
-		return true
-	})
+	addr := soundTarget(t)
 	p, opened := countingPool(t)
 	for i := range 2*maxCarried + 1 {
 		a, err := p.Do(t.Context(), addr, get(fmt.Sprint(i)))
--- a/internal/peer/mux_test.go
+++ b/internal/peer/mux_test.go
@@ -46,41 +46,29 @@
 const blockedCalls = 20
 
 // TestReadsEndBeforeTheConnectionCloses guards against reads that spin on a select that is always
-// ready while the connection closes.
+// ready while the connection closes, also those of streams that were closed while somebody reads.
 func TestReadsEndBeforeTheConnectionCloses(t *testing.T) {
-	c := quicktest.New(t)
-	var blocked atomic.Int64
-	near, _, held := muxPair(c, &blocked)
-	for range blockedCalls {
-		st, err := near.OpenStream()
-		c.Assert(err, quicktest.IsNil)
-		blocked.Add(1)
-		go func() {
-			defer blocked.Add(-1)
-			_, _ = st.Read(make([]byte, 1))
-		}()
-	}
-	c.Assert(near.Close(), quicktest.IsNil)
-	c.Assert(held.left.Load(), quicktest.Equals, int64(0))
-}
-
-// TestReadsOfClosedStreamsEndBeforeTheConnectionCloses does the same for streams that were closed while somebody reads.
-func TestReadsOfClosedStreamsEndBeforeTheConnectionCloses(t *testing.T) {
-	c := quicktest.New(t)
-	var blocked atomic.Int64
-	near, _, held := muxPair(c, &blocked)
-	for range blockedCalls {
-		st, err := near.OpenStream()
-		c.Assert(err, quicktest.IsNil)
-		blocked.Add(1)
-		go func() {
-			defer blocked.Add(-1)
-			_, _ = st.Read(make([]byte, 1))
-		}()
-		c.Assert(st.Close(), quicktest.IsNil)
+	for name, closed := range map[string]bool{"open streams": false, "closed streams": true} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			var blocked atomic.Int64
+			near, _, held := muxPair(c, &blocked)
+			for range blockedCalls {
+				st, err := near.OpenStream()
+				c.Assert(err, quicktest.IsNil)
+				blocked.Add(1)
+				go func() {
+					defer blocked.Add(-1)
+					_, _ = st.Read(make([]byte, 1))
+				}()
+				if closed {
+					c.Assert(st.Close(), quicktest.IsNil)
+				}
+			}
+			c.Assert(near.Close(), quicktest.IsNil)
+			c.Assert(held.left.Load(), quicktest.Equals, int64(0))
+		})
 	}
-	c.Assert(near.Close(), quicktest.IsNil)
-	c.Assert(held.left.Load(), quicktest.Equals, int64(0))
 }
 
 // TestWritesEndBeforeTheConnectionCloses does the same for writes that wait for the other end to
