Runs that were answering clear none that waited

An answering run is a suspect beside those that had begun, and no reason to pass over the waiting ones.

--- a/internal/attribution/attribution.go
+++ b/internal/attribution/attribution.go
@@ -20,9 +20,10 @@
 type Run struct {
 	// Parts are the parts of the request's prompt that other requests may share.
 	Parts []Part `json:"parts,omitempty"`
-	// Begun reports that the head of the answer had arrived, and at most the first events, too lately to show that
-	// the target survives the request.
+	// Begun reports that the head of the answer had arrived, and nothing else.
 	Begun bool `json:"begun,omitempty"`
+	// Answering reports that the first event had arrived, too lately to show that the target survives the request.
+	Answering bool `json:"answering,omitempty"`
 }
 
 // Report is what one node observed of a process that ended.
@@ -104,12 +105,12 @@
 	return out
 }
 
-// suspects returns the parts of a report that may have ended the process: those of runs whose answers had
-// just begun, if there is any such run at any node, else those of all runs.
-func suspects(r Report, onlyBegun bool) map[Part]bool {
+// suspects returns the parts of a report that may have ended the process: those of all runs but, if any node has a run
+// there whose answer had just begun, those that waited.
+func suspects(r Report, withoutWaiting bool) map[Part]bool {
 	out := make(map[Part]bool)
 	for _, run := range r.Runs {
-		if onlyBegun && !run.Begun {
+		if withoutWaiting && !run.Begun && !run.Answering {
 			continue
 		}
 		for _, part := range run.Parts {
--- a/internal/attribution/attribution_test.go
+++ b/internal/attribution/attribution_test.go
@@ -39,6 +39,13 @@
 			}},
 			want: map[Part]Ends{route: {[]string{"a"}, 1}, bad: {[]string{"a"}, 1}, document: {[]string{"b"}, 1}},
 		},
+		"a run that had just begun to answer is a suspect, and clears none that waited": {
+			evidence: Evidence{Reports: []Report{
+				report(1, "a", Run{Parts: []Part{document}}, Run{Parts: []Part{bad}, Answering: true}),
+				report(2, "b", Run{Parts: []Part{document}}, Run{Parts: []Part{route}, Begun: true}, Run{Parts: []Part{bad}, Answering: true}),
+			}},
+			want: map[Part]Ends{document: {[]string{"a"}, 1}, route: {[]string{"b"}, 1}, bad: {[]string{"a", "b"}, 2}},
+		},
 		"a begun run without parts explains the end": {
 			evidence: Evidence{Reports: []Report{report(1, "a", Run{Parts: []Part{document}}), report(2, "a", Run{Begun: true})}},
 			want:     map[Part]Ends{},
--- a/internal/poison/conviction.go
+++ b/internal/poison/conviction.go
@@ -32,9 +32,9 @@
 	if r.Progress == Proven || r.Parts == nil || len(r.Parts) == 0 && r.Progress == Waiting {
 		return nil
 	}
-	begun := r.Progress.justBegun()
+	run := attribution.Run{Parts: r.Parts, Begun: r.Progress == Begun, Answering: r.Progress == Answering}
 	g.mu.Lock()
-	report, ok := g.parts.add(r.Process, attribution.Run{Parts: r.Parts, Begun: begun}, time.Now())
+	report, ok := g.parts.add(r.Process, run, time.Now())
 	if ok {
 		g.parts.evaluate(time.Now())
 		g.review()
@@ -44,7 +44,7 @@
 		g.cfg.Log.Info("end of a target not reported for parts of prompts, too many targets end", "process", r.Process)
 		return nil
 	}
-	if !begun {
+	if r.Progress == Waiting {
 		time.AfterFunc(waitingDelay, func() { g.reportWaiting(r.Process) })
 		return nil
 	}
