A run that was answering counts against its request only where none had begun

Cause: made runs whose first event had just come suspects as those that had begun. It also let their end count at once against the request as a whole (Run.mayBeInnocent).

An answering run's end counts against its request unless a run had begun at that process, as before; for parts it stays a suspect.

The new unit test is red before. Packages poison and attribution pass.

--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -162,6 +162,38 @@
 	})
 }
 
+// TestMessageThatWasAnsweringBesideACulpritIsServed guards against a message that many send being refused for the ends of
+// targets that had just begun other answers.
+func TestMessageThatWasAnsweringBesideACulpritIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newFleet(2)
+		defer f.stop()
+		common := withParts()
+		for i := range 5 {
+			addr := fmt.Sprint("e", i)
+			f.end(addr)
+			at := func(node int, r Request, p Progress) <-chan bool {
+				return f.guards[node].Ended(Run{Request: r, Began: time.Now().Add(-time.Second), Process: addr, Addr: addr, Progress: p})
+			}
+			common.Parts = []Part{Part(100 + i)}
+			answering := at(1, common, Answering)
+			<-at(0, withParts(badPart), Begun)
+			<-answering
+			time.Sleep(200 * time.Millisecond)
+		}
+		c.Check(f.guards[1].Counts().Quarantined, qt.Equals, 0)
+		common.Parts = []Part{documentPart}
+		for i := range 2 {
+			addr := fmt.Sprint("alone-", i)
+			f.end(addr)
+			<-f.guards[1].Ended(Run{Request: common, Began: time.Now().Add(-time.Second), Process: addr, Addr: addr, Progress: Answering})
+			time.Sleep(200 * time.Millisecond)
+		}
+		c.Check(f.guards[1].Counts().Quarantined, qt.Equals, 1)
+	})
+}
+
 func TestQuarantineOfAPartEndsWhenItIsAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/internal/poison/run.go
+++ b/internal/poison/run.go
@@ -33,9 +33,6 @@
 	Proven
 )
 
-// justBegun reports whether the target had begun the answer, and may have ended as it wrote on.
-func (p Progress) justBegun() bool { return p == Begun || p == Answering }
-
 // Ended reports that a run broke off at its target. It checks whether the target's process has
 // ended, and if so writes this end to the store. The channel delivers whether the process has ended,
 // once the end is written or reportWait has passed: the request should not be sent again earlier.
@@ -108,7 +105,7 @@
 // mayBeInnocent reports whether the target may have ended under another run, whose answer had just begun. That is
 // reported of runs of prompts only.
 func (r Run) mayBeInnocent() bool {
-	return r.Parts != nil && !r.Progress.justBegun() && !r.Probe.Claimed()
+	return r.Parts != nil && r.Progress != Begun && !r.Probe.Claimed()
 }
 
 // countEnd counts the end of a run's target against its request. The channel is closed once it is written to the store;
