A red test: a probe of a quarantine is claimed while another one runs

A probe in progress counts as over, four are claimed over each other, none is sent, three stay counted, and sound streams are refused for two minutes.

--- a/internal/poison/fleet_test.go
+++ b/internal/poison/fleet_test.go
@@ -39,8 +39,21 @@
 	cut     bool
 	// blind paths do not deliver what others write.
 	blind bool
-	// gets counts the calls of Get.
-	gets int
+	// gets counts the calls of Get; each takes slowGets, and each report of changes slowChanges.
+	gets                  int
+	slowGets, slowChanges time.Duration
+}
+
+func (p *path) slowDown(gets, changes time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slowGets, p.slowChanges = gets, changes
+}
+
+func (p *path) delays() (gets, changes time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.slowGets, p.slowChanges
 }
 
 func (p *path) countGet() {
@@ -82,6 +95,8 @@
 
 func (p *path) Get(ctx context.Context, table, key string) (store.Row, error) {
 	p.countGet()
+	gets, _ := p.delays()
+	time.Sleep(gets)
 	if p.isCut() {
 		return store.Row{}, store.ErrUnavailable
 	}
@@ -99,7 +114,10 @@
 	if p.isBlind() {
 		return store.Changes{}, store.ErrUnavailable
 	}
-	return p.watched.Changes(ctx, table, after, wait)
+	changes, err := p.watched.Changes(ctx, table, after, wait)
+	_, late := p.delays()
+	time.Sleep(late)
+	return changes, err
 }
 
 // newFleet starts the nodes. The caller must call stop.
--- a/internal/poison/unlisted_test.go
+++ b/internal/poison/unlisted_test.go
@@ -1,12 +1,14 @@
 package poison
 
 import (
+	"errors"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"topazmoor/internal/attribution"
 	"topazmoor/internal/watch"
 )
 
@@ -52,6 +54,33 @@
 	}
 }
 
+// TestProbeIsNotClaimedASecondTimeOnceItIsListed guards against a probe that counts as over because the node looked at its
+// record before it read of the quarantine. Probes that are claimed over each other are used up without a send.
+func TestProbeIsNotClaimedASecondTimeOnceItIsListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const late = 200 * time.Millisecond
+		c := qt.New(t)
+		f := newFleet(1)
+		defer f.stop()
+		f.paths[0].slowDown(0, late)
+		for range attribution.ConvictEnds {
+			f.crash(0, withParts(badPart))
+		}
+		c.Assert(f.guards[0].Counts().QuarantinedParts, qt.Equals, 0)
+		probe, err := f.guards[0].Send(t.Context(), withParts(badPart), probeLasts)
+		c.Assert(err, qt.IsNil)
+		c.Assert(probe.Claimed(), qt.IsTrue)
+		f.paths[0].slowDown(2*late, late)
+		_, err = f.guards[0].Send(t.Context(), withParts(badPart), probeLasts)
+		c.Assert(f.guards[0].Counts().QuarantinedParts, qt.Equals, 1)
+		var refused *Refused
+		c.Assert(errors.As(err, &refused), qt.IsTrue, qt.Commentf("%v", err))
+		f.guards[0].Abandoned(probe)
+		time.Sleep(10 * late)
+		c.Check(f.guards[0].Admit(withParts(badPart)), qt.IsNil)
+	})
+}
+
 // While the store is unavailable, a request that a node quarantines on its own does not make the
 // node call the store for each send.
 func TestStoreThatIsAwayIsNotAskedForEachRequest(t *testing.T) {
