--- a/internal/poison/parts_test.go
+++ b/internal/poison/parts_test.go
@@ -162,8 +162,7 @@
 	})
 }
 
-// TestMessageThatWasAnsweringBesideACulpritIsServed guards against a message that many send being refused for the ends of
-// targets that had just begun other answers.
+// TestMessageThatWasAnsweringBesideACulpritIsServed guards against a message being refused for ends that others caused.
 func TestMessageThatWasAnsweringBesideACulpritIsServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/internal/poison/unlisted_test.go
+++ b/internal/poison/unlisted_test.go
@@ -54,8 +54,7 @@
 	}
 }
 
-// TestProbeIsNotClaimedASecondTimeOnceItIsListed guards against a probe that counts as over because the node looked at its
-// record before it read of the quarantine. Probes that are claimed over each other are used up without a send.
+// TestProbeIsNotClaimedASecondTimeOnceItIsListed guards against probes that use each other up without a send.
 func TestProbeIsNotClaimedASecondTimeOnceItIsListed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const late = 200 * time.Millisecond
