Records of open streams of several versions are kept in the store

Cause: the record of a stream was in the memory of four nodes at most, and a loss of all nodes took all of them; with several versions nobody can say then where a stream began.

Change: while a service has several versions, the first node of each of 64 partitions writes the records of its open streams to the store, 40 writes a second over all nodes at most; streams don't wait. A node that is asked, and may lack the record, reads the row first. A stream is refused for good only after the store and all nodes that may have its record have answered.

Ruled out: a write a stream (3,300 a second at the peak); a row for each node (985 writers); a choice of version by the ID's hash (shares of a roll-out change by the second); asking targets (they forget a run whose connection ends).

TestRecordsTellNodesOfVersions asks for more than before: "unconfirmed" while a node that may have the record is silent, "unknown" once it has left the table of nodes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -181,7 +181,7 @@
 		supervise.Named("callers", n.callerServer), supervise.Named("overload", n.overload), supervise.Named("quarantine", n.quarantineTable), supervise.Named("guard", n.guard),
 		supervise.Named("suspensions", n.detector), supervise.Named("roll-outs", n.gate), supervise.Named("sweeper", &sweeper{n}),
 		supervise.Named("links to targets", n.env.Links), supervise.Named("versions of streams", n.streams),
-		supervise.Named("versions of services", n.streams.History),
+		supervise.Named("versions of services", n.streams.History), supervise.Named("checkpoints of streams", n.streams.Checkpoints),
 	} {
 		sup.Add(s)
 	}
--- a/internal/entry/streams.go
+++ b/internal/entry/streams.go
@@ -25,6 +25,8 @@
 	n.streams.Confirm = n.confirmVersion
 	n.streams.Log = n.log
 	n.streams.History = n.provisionVersionHistory()
+	n.streams.Checkpoints = resume.NewCheckpoints()
+	n.streams.Checkpoints.Store, n.streams.Checkpoints.Streams, n.streams.Checkpoints.Log = n.env.Store, n.streams, n.log
 	n.streams.Nodes = func() []resume.Node {
 		var out []resume.Node
 		for _, m := range n.state.Members.Get() {
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -59,8 +59,9 @@
 
 // Streams knows at which version of the targets' software streams began; *resume.Registry in production.
 type Streams interface {
-	// Begin records that a stream began at a version. end is called when the stream has ended here.
-	Begin(s resume.Stream, version string) (end func())
+	// Begin records that a stream began at a version. end is called when the stream has ended here; complete tells
+	// whether the whole answer has left.
+	Begin(s resume.Stream, version string) (end func(complete bool))
 	// Find returns where a stream began, or an error if that is not known.
 	Find(ctx context.Context, s resume.Stream) (resume.Origin, error)
 }
@@ -221,7 +222,7 @@
 	// version is the software version of the targets that began the stream; nil for a stream without
 	// events. endStream ends the record of it at this node; nil if there is none.
 	version   *string
-	endStream func()
+	endStream func(complete bool)
 
 	// tried lists the targets that the request was sent to. runs counts the sends that may have
 	// run the request, sends all sends.
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -45,7 +45,7 @@
 	defer c.releaseProbe()
 	defer func() {
 		if c.endStream != nil {
-			c.endStream()
+			c.endStream(x.complete)
 		}
 	}()
 	for {
@@ -107,6 +107,8 @@
 	lastEvent   string
 	events      int
 	stageReruns int
+	// complete reports that the target ended the stream and all of it was sent to the caller.
+	complete bool
 	// in holds the results that the next engine reads; nil if they must be produced.
 	in *inputs
 }
@@ -208,7 +210,7 @@
 			err = sse.ErrTruncated
 		}
 		if err == io.EOF {
-			x.complete(a, first)
+			x.finish(a, first)
 			return nil
 		}
 		if err != nil {
@@ -260,9 +262,10 @@
 	return nil
 }
 
-// complete records a stream that the target ended, and ends the response to the caller. An answer
+// finish records a stream that the target ended, and ends the response to the caller. An answer
 // without events is a failure of the target.
-func (x *streaming) complete(a *attempt, empty bool) {
+func (x *streaming) finish(a *attempt, empty bool) {
+	x.complete = true
 	if empty {
 		a.lease.MarkFaulty()
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -261,7 +261,7 @@
 	case *peerpb.Request_Streams:
 		return s.streams(call.Streams)
 	case *peerpb.Request_FindStream:
-		return s.findStream(call.FindStream)
+		return s.findStream(ctx, call.FindStream)
 	case *peerpb.Request_Produce:
 		return s.produce(ctx, st, call.Produce)
 	case *peerpb.Request_Free:
--- a/internal/peer/streams.go
+++ b/internal/peer/streams.go
@@ -12,14 +12,14 @@
 // Streams keeps records of streams for other nodes; *resume.Registry implements it in production.
 type Streams interface {
 	Keep(records []resume.Record)
-	Answer(id, service string) resume.Answer
+	Answer(ctx context.Context, id, service string) resume.Answer
 }
 
 // SendStreams implements resume.Remote.
 func (c *Client) SendStreams(ctx context.Context, addr string, records []resume.Record) error {
 	msg := &peerpb.Streams{}
 	for _, r := range records {
-		msg.Stream = append(msg.Stream, &peerpb.Streams_Stream{Id: r.ID, Service: r.Service, Version: r.Version, TtlMs: time.Until(r.Expires).Milliseconds()})
+		msg.Stream = append(msg.Stream, &peerpb.Streams_Stream{Id: r.ID, Service: r.Service, Version: r.Version, TtlMs: time.Until(r.Expires).Milliseconds(), Complete: r.Complete})
 	}
 	_, err := c.call(ctx, addr, &peerpb.Request{Call: &peerpb.Request_Streams{Streams: msg}})
 	return err
@@ -33,7 +33,7 @@
 	}
 	m := resp.GetStreamKnown()
 	origin := resume.Origin{Service: m.GetService(), Version: m.GetVersion()}
-	return resume.Answer{Known: m.GetKnown(), Origin: origin, Followed: time.Duration(m.GetFollowedMs()) * time.Millisecond, Several: m.GetSeveral()}, nil
+	return resume.Answer{Known: m.GetKnown(), Origin: origin, Followed: time.Duration(m.GetFollowedMs()) * time.Millisecond, Several: m.GetSeveral(), StoreRead: m.GetStoreRead()}, nil
 }
 
 // streams handles records of streams from another node.
@@ -44,18 +44,18 @@
 	var records []resume.Record
 	now := time.Now()
 	for _, r := range m.GetStream() {
-		records = append(records, resume.Record{ID: r.Id, Origin: resume.Origin{Service: r.Service, Version: r.Version}, Expires: now.Add(time.Duration(r.TtlMs) * time.Millisecond)})
+		records = append(records, resume.Record{ID: r.Id, Origin: resume.Origin{Service: r.Service, Version: r.Version}, Expires: now.Add(time.Duration(r.TtlMs) * time.Millisecond), Complete: r.Complete})
 	}
 	s.h.Streams.Keep(records)
 	return &peerpb.Response{Result: &peerpb.Response_Done{Done: &peerpb.Empty{}}}, nil
 }
 
 // findStream handles a question for the version of a stream.
-func (s *Server) findStream(m *peerpb.FindStream) (*peerpb.Response, error) {
+func (s *Server) findStream(ctx context.Context, m *peerpb.FindStream) (*peerpb.Response, error) {
 	if s.h.Streams == nil {
 		return nil, verdict.New(verdict.NotRun, verdict.Internal, "this node keeps no streams")
 	}
-	a := s.h.Streams.Answer(m.GetId(), m.GetService())
-	known := &peerpb.StreamKnown{Known: a.Known, Service: a.Service, Version: a.Version, FollowedMs: a.Followed.Milliseconds(), Several: a.Several}
+	a := s.h.Streams.Answer(ctx, m.GetId(), m.GetService())
+	known := &peerpb.StreamKnown{Known: a.Known, Service: a.Service, Version: a.Version, FollowedMs: a.Followed.Milliseconds(), Several: a.Several, StoreRead: a.StoreRead}
 	return &peerpb.Response{Result: &peerpb.Response_StreamKnown{StreamKnown: known}}, nil
 }
--- a/internal/resume/find.go
+++ b/internal/resume/find.go
@@ -7,8 +7,26 @@
 	"time"
 )
 
-// Answer returns what this node knows of a stream.
-func (r *Registry) Answer(id, service string) Answer {
+// Answer returns what this node knows of a stream, to another node that asks. If this node may lack the record of a
+// stream whose service has, or had lately, several versions, it reads the store first.
+func (r *Registry) Answer(ctx context.Context, id, service string) Answer {
+	a := r.answer(id, service)
+	if a.Known || a.Service != "" && a.Followed >= recordedMemory {
+		return a
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	if err := r.Checkpoints.load(ctx, partitionOf(id)); err != nil {
+		r.Log.Info("records of streams not read for another node", "stream", id, "err", err)
+		return a
+	}
+	a = r.answer(id, service)
+	a.StoreRead = true
+	return a
+}
+
+// answer returns what this node knows of a stream from its memory.
+func (r *Registry) answer(id, service string) Answer {
 	if record, ok := r.recordOf(id); ok {
 		return Answer{Known: true, Origin: record.Origin}
 	}
@@ -30,7 +48,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	record, ok := r.records[id]
-	return record, ok
+	return record.Record, ok
 }
 
 // knownVersions returns the versions of a service that the list of targets or records have named lately, and for how
@@ -43,30 +61,53 @@
 	return union(listed, recorded), followed
 }
 
-// Find returns where a stream began, or ErrUnknown or ErrUnconfirmed. A record decides; this node's list of targets may be older than
-// the version at which the stream began, so other nodes are asked also if the list has one version only.
+// Find returns where a stream began, or ErrUnknown or ErrUnconfirmed. A record decides, of this node, of another one, or in
+// the store. This node's list of targets may be older than the version at which the stream began, so other nodes are asked
+// also if the list has one version only.
 func (r *Registry) Find(ctx context.Context, s Stream) (Origin, error) {
-	own := r.Answer(s.ID, s.Service)
+	own := r.answer(s.ID, s.Service)
 	if own.Known {
 		r.logFound(s, own.Origin, "own record", 0)
 		return own.Origin, nil
 	}
-	answers := r.ask(ctx, s)
+	answers, silent := r.ask(ctx, s)
 	for _, a := range answers {
 		if a.Known {
 			r.logFound(s, a.Origin, "record of another node", len(answers))
 			return a.Origin, nil
 		}
 	}
-	origin, ok := onlyOrigin(append(answers, own))
-	if !ok {
-		return Origin{}, ErrUnknown
+	if origin, ok := onlyOrigin(append(answers, own)); ok {
+		err := r.confirmOnly(ctx, s, origin, own, answers)
+		if err == nil {
+			r.logFound(s, origin, "only version", len(answers))
+		}
+		if !errors.Is(err, ErrUnknown) {
+			return origin, err
+		}
 	}
-	err := r.confirmOnly(ctx, s, origin, own, answers)
-	if err == nil {
-		r.logFound(s, origin, "only version", len(answers))
+	return r.findStored(ctx, s, answers, silent)
+}
+
+// findStored returns where a stream began by the store's records, for a stream of which no node has a record. ErrUnknown
+// takes the word of all: the store, and each node that may have the record.
+func (r *Registry) findStored(ctx context.Context, s Stream, answers []Answer, silent int) (Origin, error) {
+	if !slices.ContainsFunc(answers, func(a Answer) bool { return a.StoreRead }) {
+		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+		defer cancel()
+		if err := r.Checkpoints.load(ctx, s.partition()); err != nil {
+			r.Log.Info("records of streams not read", "stream", s.ID, "service", s.Service, "err", err)
+			return Origin{}, ErrUnconfirmed
+		}
 	}
-	return origin, err
+	if record, ok := r.recordOf(s.ID); ok {
+		r.logFound(s, record.Origin, "record in the store", len(answers))
+		return record.Origin, nil
+	}
+	if silent > 0 {
+		return Origin{}, ErrUnconfirmed
+	}
+	return Origin{}, ErrUnknown
 }
 
 // logFound logs by what the version of a stream was found, and how many nodes answered.
@@ -133,8 +174,8 @@
 }
 
 // ask asks the nodes that may have the record of a stream, until one has it. It returns the answers of those
-// that could be reached.
-func (r *Registry) ask(ctx context.Context, s Stream) []Answer {
+// that could be reached, and how many could not.
+func (r *Registry) ask(ctx context.Context, s Stream) (out []Answer, silent int) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	nodes := r.replicasOf(s)
@@ -142,10 +183,10 @@
 	for _, n := range nodes {
 		go func() { answers <- r.askNode(ctx, n, s) }()
 	}
-	var out []Answer
 	for range nodes {
 		a := <-answers
 		if a == nil {
+			silent++
 			continue
 		}
 		out = append(out, *a)
@@ -153,7 +194,7 @@
 			break
 		}
 	}
-	return out
+	return out, silent
 }
 
 // askNode asks a node for the record of a stream. It returns nil if the node does not answer.
--- a/internal/resume/history_test.go
+++ b/internal/resume/history_test.go
@@ -26,7 +26,7 @@
 	next.store = f.store
 	for name, r := range next.nodes {
 		next.see(name, version)
-		r.History.Store = f.store
+		r.History.Store, r.Checkpoints.Store = f.store, f.store
 	}
 	return next
 }
--- a/internal/resume/registry.go
+++ b/internal/resume/registry.go
@@ -26,6 +26,8 @@
 	// askTimeout bounds the time in which the nodes answer, sendTimeout the sending of records.
 	askTimeout  = 250 * time.Millisecond
 	sendTimeout = time.Second
+	// answerTimeout bounds the call of the store by a node that is asked; the asker waits for askTimeout.
+	answerTimeout = 150 * time.Millisecond
 	// confirmTimeout bounds the calls of the store for a stream without a record. A slow store takes some
 	// hundred ms.
 	confirmTimeout = 600 * time.Millisecond
@@ -56,13 +58,14 @@
 	Regions  region.Map
 	Versions Versions
 	Confirm  Confirm
-	// History says what the nodes knew that were lost together.
-	History *History
-	Remote  Remote
-	Log     *slog.Logger
+	// History and Checkpoints say what the nodes knew that were lost together.
+	History     *History
+	Checkpoints *Checkpoints
+	Remote      Remote
+	Log         *slog.Logger
 
 	mu      sync.Mutex
-	records map[string]Record
+	records map[string]kept
 	// recorded are the versions that records named lately.
 	recorded recordedVersions
 	// open are the streams that this node serves.
@@ -72,6 +75,13 @@
 	wake   chan struct{}
 }
 
+// kept is a record in the memory of this node.
+type kept struct {
+	Record
+	// saved is set if this node has written the record to the store, or read it there.
+	saved bool
+}
+
 // openStream is a stream that this node serves.
 type openStream struct {
 	Stream
@@ -82,24 +92,40 @@
 
 // NewRegistry returns a Registry without records. Its other fields are set before it is used.
 func NewRegistry() *Registry {
-	return &Registry{records: make(map[string]Record), recorded: make(recordedVersions), open: make(map[*openStream]struct{}), unsent: make(map[string][]Record), wake: make(chan struct{}, 1)}
+	return &Registry{records: make(map[string]kept), recorded: make(recordedVersions), open: make(map[*openStream]struct{}), unsent: make(map[string][]Record), wake: make(chan struct{}, 1)}
 }
 
 // Begin records that a stream began at a version, also if the service has no other one: this node may be lost before
-// another one comes. end is called when this node no longer serves the stream.
-func (r *Registry) Begin(s Stream, version string) (end func()) {
+// another one comes. end is called when this node no longer serves the stream; complete tells whether the whole answer
+// has left.
+func (r *Registry) Begin(s Stream, version string) (end func(complete bool)) {
 	o := &openStream{Stream: s, version: version}
 	if s.ID == "" {
-		return func() {}
+		return func(bool) {}
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.open[o] = struct{}{}
 	r.record(o, time.Now())
-	return func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		delete(r.open, o)
+	return func(complete bool) { r.end(o, complete) }
+}
+
+// end records that this node no longer serves a stream.
+func (r *Registry) end(o *openStream, complete bool) {
+	versions, _ := r.knownVersions(o.Service)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.open, o)
+	if !complete {
+		return
+	}
+	record := o.record()
+	record.Complete = true
+	r.keep(record)
+	if len(versions) > 1 {
+		// Only the first node may have to remove the record from the store.
+		nodes := r.replicasOf(o.Stream)
+		r.queue(record, nodes[:min(1, len(nodes))])
 	}
 }
 
@@ -107,11 +133,17 @@
 func (r *Registry) record(o *openStream, now time.Time) {
 	o.sentAt = now
 	record := o.record()
-	r.records[o.ID] = record
+	r.keep(record)
 	r.recorded.add(record.Origin, now)
 	r.queue(record, r.writtenTo(o.Stream))
 }
 
+// keep keeps a record. A record that has come again need not be saved again. The lock is held.
+func (r *Registry) keep(record Record) {
+	before := r.records[record.ID]
+	r.records[record.ID] = kept{Record: record, saved: before.saved && before.Origin == record.Origin}
+}
+
 // record returns the record of a stream.
 func (o *openStream) record() Record {
 	return Record{ID: o.ID, Origin: Origin{o.Service, o.version}, Expires: o.Deadline.Add(retention)}
@@ -145,19 +177,26 @@
 }
 
 // partition returns the group of streams to which a stream belongs.
-func (s Stream) partition() uint64 { return xxhash.Sum64String(s.ID) % partitions }
+func (s Stream) partition() uint64 { return partitionOf(s.ID) }
+
+func partitionOf(id string) uint64 { return xxhash.Sum64String(id) % partitions }
+
+// partitionRank returns the function by which nodes are ranked for a partition; the highest comes first.
+func partitionRank(partition uint64) func(Node) uint64 {
+	key := xxhash.Sum64(binary.BigEndian.AppendUint64(nil, partition))
+	return func(n Node) uint64 { return routing.Mix(key, xxhash.Sum64String(n.Name)) }
+}
 
 // holders returns the nodes that may hold the record of a stream, in an order that is the same at all nodes.
 // They are in more than one data centre if the fleet is.
 func (r *Registry) holders(s Stream) []Node {
-	key := xxhash.Sum64(binary.BigEndian.AppendUint64(nil, s.partition()))
 	var nodes []Node
 	for _, node := range append(slices.Clone(r.Nodes()), r.Self) {
 		if r.Regions.Allows(s.Regions, node.DataCentre) {
 			nodes = append(nodes, node)
 		}
 	}
-	rank := func(n Node) uint64 { return routing.Mix(key, xxhash.Sum64String(n.Name)) }
+	rank := partitionRank(s.partition())
 	slices.SortFunc(nodes, func(a, b Node) int { return cmp.Compare(rank(b), rank(a)) })
 	for i, node := range nodes {
 		if node.DataCentre != nodes[0].DataCentre {
@@ -198,7 +237,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	for _, record := range records {
-		r.records[record.ID] = record
+		r.keep(record)
 		r.recorded.add(record.Origin, now)
 	}
 }
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -1,7 +1,8 @@
 // Package resume keeps at which version of the targets' software a stream began, so that a caller who
 // resumes the stream at another node gets the rest from targets of that version: what two versions
 // write does not fit together. The node that serves a stream sends a record of it to three other nodes,
-// chosen by the ID of the caller's attempt; any node can ask them. Source: docs/design/030-versions-of-streams.md.
+// chosen by the ID of the caller's attempt; any node can ask them. While a service has several versions, the records of
+// its streams are also kept in the store, for a loss of all nodes. Source: docs/design/030-versions-of-streams.md.
 package resume
 
 import (
@@ -45,6 +46,9 @@
 	Origin
 	// Expires is when the record is no longer of use.
 	Expires time.Time
+	// Complete is set once the whole answer has left the node that served the stream. The record is then kept in the
+	// memory of nodes only.
+	Complete bool
 }
 
 // Answer is what a node knows of a stream.
@@ -59,6 +63,9 @@
 	Followed time.Duration
 	// Several is set if the targets of the service have had several versions lately.
 	Several bool
+	// StoreRead is set if the node has read the store's records of the stream's partition since it was asked, or shortly
+	// before.
+	StoreRead bool
 }
 
 // Node is another node.
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -22,6 +22,8 @@
 
 	mu   sync.Mutex
 	down map[string]bool
+	// removed are the nodes that are no longer in the table of nodes.
+	removed map[string]bool
 	// versions are those that each node has seen.
 	versions map[string][]string
 	// cut are the nodes that do not follow the list of targets.
@@ -40,6 +42,21 @@
 	}
 }
 
+// remove takes nodes out of the table of nodes.
+func (f *fleet) remove(names ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, name := range names {
+		f.removed[name] = true
+	}
+}
+
+func (f *fleet) isRemoved(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.removed[name]
+}
+
 func (f *fleet) isDown(name string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -111,16 +128,16 @@
 	return nil
 }
 
-func (f *fleet) FindStream(_ context.Context, addr, id, service string) (Answer, error) {
+func (f *fleet) FindStream(ctx context.Context, addr, id, service string) (Answer, error) {
 	if f.isDown(addr) {
 		return Answer{}, errDown
 	}
-	return f.nodes[addr].Answer(id, service), nil
+	return f.nodes[addr].Answer(ctx, id, service), nil
 }
 
 // newFleet returns n nodes in two data centres, all of which have seen v1 and v2.
 func newFleet(ctx context.Context, n int) *fleet {
-	f := &fleet{nodes: make(map[string]*Registry), down: make(map[string]bool), versions: make(map[string][]string), cut: make(map[string]bool), complete: make(map[string]bool), store: store.NewMemory()}
+	f := &fleet{nodes: make(map[string]*Registry), down: make(map[string]bool), removed: make(map[string]bool), versions: make(map[string][]string), cut: make(map[string]bool), complete: make(map[string]bool), store: store.NewMemory()}
 	var all []Node
 	for i := range n {
 		name := fmt.Sprint("node-", i)
@@ -132,7 +149,7 @@
 		r.Nodes = func() []Node {
 			var others []Node
 			for _, other := range all {
-				if other != self {
+				if other != self && !f.isRemoved(other.Name) {
 					others = append(others, other)
 				}
 			}
@@ -145,6 +162,8 @@
 			}
 			return nil
 		}
+		r.Checkpoints = NewCheckpoints()
+		r.Checkpoints.Store, r.Checkpoints.Streams, r.Checkpoints.Log = f.store, r, r.Log
 		r.History = NewHistory()
 		r.History.Store, r.History.Log, r.History.Versions, r.History.Writes = f.store, r.Log, r.Versions, r.WritesHistory
 		r.History.Services = func() []string { return []string{"s"} }
@@ -311,6 +330,12 @@
 		}
 		time.Sleep(time.Second)
 		f.lose("node-0")
+		for _, name := range []string{"node-1", "node-2", "node-3"} {
+			_, err := f.nodes[name].Find(t.Context(), stream("unknown"))
+			// The node that does not answer may have the record.
+			qt.Check(t, err, qt.Equals, ErrUnconfirmed)
+		}
+		f.remove("node-0")
 		for _, name := range []string{"node-1", "node-2", "node-3"} {
 			_, err := f.nodes[name].Find(t.Context(), stream("unknown"))
 			qt.Check(t, err, qt.Equals, ErrUnknown)
@@ -348,7 +373,7 @@
 		f.forget("node-1", "node-2", "node-3")
 		time.Sleep(2 * sweepInterval)
 		qt.Check(t, f.nodes["node-1"].Records()+f.nodes["node-2"].Records()+f.nodes["node-3"].Records(), qt.Equals, replicasWritten)
-		end()
+		end(false)
 		f.forget("node-1", "node-2", "node-3")
 		time.Sleep(2 * sweepInterval)
 		qt.Check(t, f.nodes["node-1"].Records()+f.nodes["node-2"].Records()+f.nodes["node-3"].Records(), qt.Equals, 0)
