Silent connections to targets end after 2 s, before their streams go on elsewhere

Cause: TCP_USER_TIMEOUT was 2.5 s, and the kernel looks at it with each keep-alive probe: a silent connection ended 3 s after its last byte.

Change: 2 s, in internal/sockets, for the caller API's connections as well, which had Go's probes of 15 s. The in-memory network models the probes for links from nodes to servers.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -5,7 +5,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"net"
 	"os"
 	"os/signal"
 	"syscall"
@@ -17,6 +16,7 @@
 	"topazmoor/internal/mechanism"
 	"topazmoor/internal/node"
 	"topazmoor/internal/settings"
+	"topazmoor/internal/sockets"
 	"topazmoor/platform"
 )
 
@@ -70,7 +70,7 @@
 	if len(key) < minPeerKey {
 		return node.Env{}, eris.Errorf("peers.key_file: the key has %d bytes: write %d or more", len(key), minPeerKey)
 	}
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := sockets.NewDialer(dialTimeout, nil)
 	return node.Env{
 		Dial: dialer.DialContext, Listen: listenTCP, ListenPacket: listenUDP,
 		Store:   platform.NewStoreClient(set.Platform.Addr, set.Platform.Timeout.Std()),
--- a/platform/dialer_test.go
+++ b/internal/sockets/sockets_test.go
@@ -1,8 +1,9 @@
-package platform
+package sockets
 
 import (
 	"net"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sys/unix"
@@ -13,7 +14,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	defer ln.Close()
-	conn, err := newDialer().DialContext(t.Context(), "tcp", ln.Addr().String())
+	conn, err := NewDialer(time.Second, nil).DialContext(t.Context(), "tcp", ln.Addr().String())
 	c.Assert(err, qt.IsNil)
 	defer conn.Close()
 	raw, err := conn.(*net.TCPConn).SyscallConn()
@@ -27,6 +28,6 @@
 		c.Assert(err, qt.IsNil)
 		return value
 	}
-	c.Assert(option(unix.TCP_USER_TIMEOUT), qt.Equals, int(unackedTimeout.Milliseconds()))
+	c.Assert(option(unix.TCP_USER_TIMEOUT), qt.Equals, int(UnackedTimeout.Milliseconds()))
 	c.Assert(option(unix.TCP_KEEPINTVL), qt.Equals, int(probeInterval.Seconds()))
 }
--- a/internal/standin/memnet/links.go
+++ b/internal/standin/memnet/links.go
@@ -44,6 +44,6 @@
 		s.Close()
 	}
 	if state == Silent && match != nil {
-		n.Blackhole(match)
+		n.silence(match)
 	}
 }
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -114,15 +115,35 @@
 // Blackhole makes open connections silent for good: if match(from, to) returns true,
 // those that host from opened to host to. A silent connection drops all data, and
 // neither end gets an error or observes that the other end closes. Connections
-// that are opened later work.
+// that are opened later work. The end that opened a silent connection gets an error if its keep-alive
+// probes find out (see SetKeepAlive).
 func (n *Network) Blackhole(match func(from, to string) bool) {
+	for _, s := range n.silence(match) {
+		if s.keepAlive > 0 {
+			time.AfterFunc(s.keepAlive, s.expireKeepAlive)
+		}
+	}
+}
+
+// silence makes open connections silent and returns the ends that opened them.
+func (n *Network) silence(match func(from, to string) bool) (out []*endpoint) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for s := range n.conns {
 		if match(s.from, s.to) && !s.isSilent() {
 			close(s.silent)
+			out = append(out, s)
 		}
 	}
+	return out
+}
+
+// SetKeepAlive makes a connection, at the end that opened it, end with ETIMEDOUT once Blackhole has made it silent for
+// timeout, as keep-alive probes do.
+func SetKeepAlive(c net.Conn, timeout time.Duration) {
+	if s, ok := c.(*endpoint); ok {
+		s.keepAlive = timeout
+	}
 }
 
 // Listen opens a listener on addr (IP:port; port 0 selects a free port).
@@ -178,8 +199,8 @@
 	}
 	a, b := net.Pipe()
 	silent := make(chan struct{})
-	client := &endpoint{Conn: a, net: n, from: from, to: to, remote: ap, done: make(chan struct{}), silent: silent}
-	server := &endpoint{Conn: b, net: n, from: to, to: from, remote: netip.AddrPortFrom(netip.MustParseAddr(from), port), done: make(chan struct{}), silent: silent}
+	client := &endpoint{Conn: a, net: n, from: from, to: to, remote: ap, done: make(chan struct{}), silent: silent, timedOut: make(chan struct{})}
+	server := &endpoint{Conn: b, net: n, from: to, to: from, remote: netip.AddrPortFrom(netip.MustParseAddr(from), port), done: make(chan struct{}), silent: silent, timedOut: make(chan struct{})}
 	n.mu.Lock()
 	n.conns[client] = true
 	n.mu.Unlock()
@@ -316,6 +337,9 @@
 	// share it.
 	silent       chan struct{}
 	readDeadline deadline
+	// keepAlive is the time after which a silent connection has timed out; 0 for never. timedOut is closed then.
+	keepAlive time.Duration
+	timedOut  chan struct{}
 	// pending is data that was read from the pipe but not yet returned, since the
 	// read deadline expired while the host was frozen or the buffer was too small.
 	pending []byte
@@ -331,6 +355,9 @@
 		if err == io.ErrClosedPipe {
 			err = net.ErrClosed
 		}
+		if isClosed(s.timedOut) {
+			return 0, errTimedOut
+		}
 		if err != nil && s.isSilent() && !isClosed(s.done) && !isClosed(s.readDeadline.expired()) {
 			// The other end closed; a silent connection does not report this.
 			return 0, s.blockRead()
@@ -361,9 +388,21 @@
 		return net.ErrClosed
 	case <-s.readDeadline.expired():
 		return os.ErrDeadlineExceeded
+	case <-s.timedOut:
+		return errTimedOut
 	}
 }
 
+// errTimedOut is what a connection reports whose keep-alive probes were not answered.
+var errTimedOut = &net.OpError{Op: "read", Net: "tcp", Err: syscall.ETIMEDOUT}
+
+// expireKeepAlive ends reads of a silent connection.
+func (s *endpoint) expireKeepAlive() {
+	close(s.timedOut)
+	// It wakes a read in progress; the connection is not used any more.
+	_ = s.Conn.SetReadDeadline(time.Now())
+}
+
 // Write implements net.Conn. On a silent connection the data is lost, and Write
 // reports success.
 func (s *endpoint) Write(b []byte) (int, error) {
