A probe of a quarantine is not claimed while one runs that is not listed yet

Cause: a claim took "for how long unchanged" from the view with which the request began to be decided, and the record from the store: two readings of different ages.

Change: the duration is that since the listed record was read, and zero if the list lacks the record.

--- a/internal/poison/claim.go
+++ b/internal/poison/claim.go
@@ -87,7 +87,7 @@
 	if !r.record.Quarantined() {
 		return false, g.resolveUnlisted(r.view, r.record)
 	}
-	decision, after := r.record.Decide(g.unchangedFor(d, r.row.Version, r.view.unchanged), r.spec)
+	decision, after := r.record.Decide(g.unchangedFor(d, r.row.Version), r.spec)
 	if decision != MayProbe {
 		return true, g.refuse(recordView{Record: r.record, digest: d}, after)
 	}
@@ -125,16 +125,17 @@
 	return nil
 }
 
-// unchangedFor returns how long the store's record has been unchanged: unchanged if it is the
-// version that this node has, 0 if it is newer.
-func (g *Guard) unchangedFor(d Digest, version store.Version, unchanged time.Duration) time.Duration {
+// unchangedFor returns how long the store's record, of which version is the current one, has been unchanged: the time since
+// this node read that version in the list of quarantined records; 0 if the list does not have it yet.
+func (g *Guard) unchangedFor(d Digest, version store.Version) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.stored[d].version.Before(version) {
+	listed, ok := g.stored[d]
+	if !ok || listed.version.Before(version) {
 		// The row of QuarantineTable is written in the same transaction.
 		return 0
 	}
-	return unchanged
+	return time.Since(listed.since)
 }
 
 // claimLocally allows one probe of this node while the store is unavailable. It cannot be known
