Targets that end together are no lost path: a check decides before a node counts its own path as lost

Cause: bad requests end three engines; three connects that are refused in a row made the third node count its own path as lost, for 41 to 176 ms at a time, and connect for nobody.

Change: a connect that would make the path count as lost is checked by connects to up to three listed targets that have not failed.

--- a/internal/targetlink/dialer.go
+++ b/internal/targetlink/dialer.go
@@ -65,8 +65,10 @@
 	nodes    nodeChoice
 	indirect indirectTargets
 	direct   directConns
-	counts   [outcomes]atomic.Int64
-	tunnels  tunnels
+	// verifying is set while verify connects to targets.
+	verifying atomic.Bool
+	counts    [outcomes]atomic.Int64
+	tunnels   tunnels
 	// through and throughFailed count the connects through other nodes, forOthers those on behalf of
 	// other nodes, refused those that this node did not try for them.
 	through, throughFailed, forOthers, refused atomic.Int64
@@ -192,13 +194,21 @@
 	return errors.As(err, &e) && e.Code == verdict.NoTarget
 }
 
-// record records the outcome of a connect over the own path.
+// record records the outcome of a connect over the own path. One that would make the path count as lost is checked first.
 func (d *Dialer) record(addr string, o Outcome) {
 	d.counts[o].Add(1)
 	if o == Silent && d.direct.receivedWithin(silenceBeforeCheck) {
 		// Other targets answer, so the silence is this target's.
 		return
 	}
+	if (o == Refused || o == Silent) && d.monitor.suspects(addr, time.Now()) && d.verify(addr, o) {
+		return
+	}
+	d.judge(addr, o)
+}
+
+// judge has the monitor judge by the outcome of a connect.
+func (d *Dialer) judge(addr string, o Outcome) {
 	c, changed := d.monitor.Record(addr, o, time.Now())
 	if !changed {
 		return
--- a/internal/targetlink/dialer_test.go
+++ b/internal/targetlink/dialer_test.go
@@ -242,3 +242,65 @@
 		far.Close()
 	})
 }
+
+// TestTargetsThatEndedTogetherAreNoLostPath guards against a node that counts its own path as lost, and connects for no other
+// node, because some targets ended at once: a node without links has nobody else.
+func TestTargetsThatEndedTogetherAreNoLostPath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ended := &path{}
+		ended.state.Store(refusing)
+		working, others := &path{}, &path{}
+		others.state.Store(refusing)
+		d := twoPaths(working, others)
+		d.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if addr <= "3" {
+				return ended.dial(ctx, network, addr)
+			}
+			return working.dial(ctx, network, addr)
+		}
+		for range 5 {
+			for _, addr := range []string{"1", "2", "3"} {
+				_, err := d.DialContext(t.Context(), "tcp", addr)
+				c.Assert(err, qt.IsNotNil)
+			}
+			conn, err := d.DialFor(t.Context(), "4")
+			c.Assert(err, qt.IsNil)
+			conn.Close()
+			time.Sleep(100 * time.Millisecond)
+			c.Assert(d.Lost(), qt.IsFalse)
+		}
+	})
+}
+
+// The same at once, while the node itself sends nothing to targets that work.
+func TestOneCheckDecidesWhetherThePathIsLost(t *testing.T) {
+	for name, tc := range map[string]struct {
+		working int32
+		lost    bool
+	}{"others work": {open, false}, "others refuse": {refusing, true}, "others are silent": {silent, true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ended, working, others := &path{}, &path{}, &path{}
+				ended.state.Store(refusing)
+				working.state.Store(tc.working)
+				others.state.Store(refusing)
+				d := twoPaths(working, others)
+				d.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+					if addr <= "3" {
+						return ended.dial(ctx, network, addr)
+					}
+					return working.dial(ctx, network, addr)
+				}
+				for _, addr := range []string{"1", "2", "3", "2", "1"} {
+					_, err := d.DialContext(t.Context(), "tcp", addr)
+					qt.Assert(t, err, qt.IsNotNil)
+				}
+				time.Sleep(probeTimeout)
+				synctest.Wait()
+				qt.Check(t, d.Lost(), qt.Equals, tc.lost)
+				qt.Check(t, working.dials.Load(), qt.Equals, int32(1))
+			})
+		})
+	}
+}
--- a/internal/targetlink/monitor.go
+++ b/internal/targetlink/monitor.go
@@ -36,7 +36,8 @@
 )
 
 // Monitor judges from the outcomes of connects whether the node's own path to targets works. A single
-// target that fails is no evidence: its process may have ended. It is safe for concurrent use. The zero
+// target that fails is no evidence: its process may have ended, and several may have ended together. It is safe for
+// concurrent use. The zero
 // Monitor knows of no failure.
 type Monitor struct {
 	mu sync.Mutex
@@ -84,6 +85,26 @@
 	return c, true
 }
 
+// suspects reports whether one more failure, at addr, would make the path count as lost.
+func (m *Monitor) suspects(addr string, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := m.count(now)
+	failed := c.Refused + c.Silent
+	if _, known := m.failed[addr]; !known {
+		failed++
+	}
+	return !m.lost && failed >= lostAfter
+}
+
+// hasFailed reports whether the last connect to addr failed.
+func (m *Monitor) hasFailed(addr string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, failed := m.failed[addr]
+	return failed
+}
+
 // count drops the failures that are older than failureWindow and counts the others.
 func (m *Monitor) count(now time.Time) Change {
 	c := Change{Lost: true}
--- a/internal/targetlink/watch.go
+++ b/internal/targetlink/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -85,3 +86,54 @@
 	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
 	return addrs[:min(n, len(addrs))]
 }
+
+// verify begins to connect to targets that have not failed lately, before a connect to addr that ended with o makes the own path
+// count as lost: the targets that failed may have ended together. It returns false if there is no such target.
+func (d *Dialer) verify(addr string, o Outcome) bool {
+	others := slices.DeleteFunc(d.anyTargets(math.MaxInt), func(other string) bool { return other == addr || d.monitor.hasFailed(other) })
+	if len(others) == 0 {
+		return false
+	}
+	if !d.verifying.CompareAndSwap(false, true) {
+		// The outcome of the check under way decides.
+		return true
+	}
+	go func() {
+		defer d.verifying.Store(false)
+		if outcome := d.firstOutcome(others[:min(lostAfter, len(others))]); outcome.Outcome == Connected {
+			d.judge(outcome.addr, Connected)
+			return
+		}
+		d.judge(addr, o)
+	}()
+	return true
+}
+
+// dialOutcome is how a connect to a target ended.
+type dialOutcome struct {
+	addr string
+	Outcome
+}
+
+// firstOutcome connects to targets at once, and returns the first success or else the last failure.
+func (d *Dialer) firstOutcome(addrs []string) (out dialOutcome) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	results := make(chan dialOutcome, len(addrs))
+	for _, addr := range addrs {
+		go func() {
+			start := time.Now()
+			conn, err := d.dial(ctx, "tcp", addr)
+			if err == nil {
+				conn.Close()
+			}
+			results <- dialOutcome{addr, outcomeOf(ctx, err, time.Since(start))}
+		}()
+	}
+	for range addrs {
+		if out = <-results; out.Outcome == Connected {
+			return out
+		}
+	}
+	return out
+}
