A target that the first other node does not reach is tried through a second one

Cause: a node reached one server that had started after the loss of its links, so its path counted as working; each connect that was refused was then tried through one other node, the nearest, which had lost its links as well and did not know it yet: no_target.

Change: the second choice is asked where the first one did not reach the target, within the time of one.

--- a/internal/targetlink/dialer.go
+++ b/internal/targetlink/dialer.go
@@ -27,6 +27,9 @@
 	// nodesWhileLost is how many other nodes a connect tries while the own path is lost: some of them may
 	// have lost theirs too.
 	nodesWhileLost = 4
+	// nodesWhileWorking is the same while the own path works, but a target is not reached over it: the first
+	// one may not reach it either, for the same reason.
+	nodesWhileWorking = 2
 )
 
 var errNoOtherWay = eris.New("targetlink: no other node to connect through")
@@ -90,9 +93,9 @@
 	case d.Lost():
 		return race(ctx, fallbackDelay, append(d.waysThrough(addr, nodesWhileLost), direct))
 	case d.indirect.active(addr, time.Now()):
-		return race(ctx, fallbackDelay, []way{d.wayThroughFirst(addr), direct})
+		return race(ctx, fallbackDelay, []way{d.wayThroughOthers(addr), direct})
 	}
-	return race(ctx, fallbackDelay, []way{direct, d.wayThroughFirst(addr)})
+	return race(ctx, fallbackDelay, []way{direct, d.wayThroughOthers(addr)})
 }
 
 // DialAny connects to the target at addr over whichever path works. It fails only if the target was
@@ -133,14 +136,23 @@
 	return way{direct: true, dial: func(ctx context.Context) (net.Conn, error) { return d.dialDirect(ctx, network, addr) }}
 }
 
-// wayThroughFirst returns the way through the node that is the first choice when the way is tried.
-func (d *Dialer) wayThroughFirst(addr string) way {
+// wayThroughOthers returns the way through the nodes that are the first choices when the way is tried: the second one
+// where the first one did not reach the target.
+func (d *Dialer) wayThroughOthers(addr string) way {
 	return way{dial: func(ctx context.Context) (net.Conn, error) {
-		ways := d.waysThrough(addr, 1)
-		if len(ways) == 0 {
-			return nil, errNoOtherWay
+		ctx, cancel := context.WithTimeout(ctx, throughNodeTimeout)
+		defer cancel()
+		err := error(errNoOtherWay)
+		for _, w := range d.waysThrough(addr, nodesWhileWorking) {
+			var conn net.Conn
+			if conn, err = w.dial(ctx); err == nil {
+				return conn, nil
+			}
+			if ctx.Err() != nil {
+				break
+			}
 		}
-		return ways[0].dial(ctx)
+		return nil, err
 	}}
 }
 
--- a/internal/targetlink/dialer_test.go
+++ b/internal/targetlink/dialer_test.go
@@ -304,3 +304,27 @@
 		})
 	}
 }
+
+// TestTargetIsReachedThoughTheFirstOtherNodeDoesNotReachIt guards against a node that has lost its links to some targets, and asks
+// one other node only, which has lost them as well and says that the target was not reached.
+func TestTargetIsReachedThoughTheFirstOtherNodeDoesNotReachIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		own, others := &path{}, &path{}
+		own.state.Store(refusing)
+		d := twoPaths(own, others)
+		reach := d.others.Connect
+		d.others.Connect = func(ctx context.Context, node, target string) (net.Conn, error) {
+			if node == "b" {
+				return nil, verdict.New(verdict.NotRun, verdict.NoTarget, "not reached")
+			}
+			return reach(ctx, node, target)
+		}
+		for range 40 {
+			conn, err := d.DialContext(t.Context(), "tcp", "1")
+			qt.Assert(t, err, qt.IsNil)
+			conn.Close()
+			qt.Assert(t, d.Lost(), qt.IsFalse)
+			d.indirect.clear()
+		}
+	})
+}
