A target whose answers are failures of its own is avoided while others answer well

What callers saw: one of two servers answers all requests with 500.

Cause: an answer with a status of 500 counted as served, and its time as that of a good one. Half of the first tries went to the failing server for as long as it failed, and the budget of repeats ran out.

Change: the moving share of a target's own failures costs what exceeds the best candidate's by 0.25, up to the cost of calls without an answer; it falls to 1/e in 5 s without an answer. Requests that fail at all targets move nothing. Plain targets and engines.

--- a/internal/targets/engine.go
+++ b/internal/targets/engine.go
@@ -147,10 +147,11 @@
 	for _, s := range cands {
 		least = min(least, s.calls(now))
 	}
+	faults := leastFaults(cands, now)
 	var best *state
 	var bestCost float64
 	for _, s := range cands {
-		c := float64(callTokens*(s.calls(now)-least)) + pendingShare*float64(s.pending) + s.failures*failureTokens
+		c := float64(callTokens*(s.calls(now)-least)) + pendingShare*float64(s.pending) + (s.failures+s.excessFaults(faults, now))*failureTokens
 		if !off.Has(mechanism.NearInputs) {
 			c += float64(remoteBytes(q.InputBytes, s.DataCentre)) / bytesPerToken
 		}
--- a/internal/targets/pick.go
+++ b/internal/targets/pick.go
@@ -311,12 +311,13 @@
 
 // cheapest returns the candidate of least cost; of equal ones a random one.
 func (t *Table) cheapest(q Query, cands []*state, now time.Time) *state {
-	crossing := t.crossingCost(q.Exchange)
+	crossing, least := t.crossingCost(q.Exchange), leastFaults(cands, now)
 	cost := func(s *state) time.Duration {
+		c := s.cost(t.DataCentre, now) + time.Duration(s.excessFaults(least, now)*float64(failureCost))
 		if t.inOtherRegion(s) {
-			return s.cost(t.DataCentre, now) + crossing
+			c += crossing
 		}
-		return s.cost(t.DataCentre, now)
+		return c
 	}
 	start := rand.IntN(len(cands))
 	best := cands[start]
@@ -373,6 +374,7 @@
 	case Served:
 		s.breaker.Success()
 		s.failures -= failureWeight * s.failures
+		s.faults.add(l.observed.faulty, now)
 		if took > 0 {
 			s.recordLatency(took, now)
 		}
--- a/internal/targets/targets.go
+++ b/internal/targets/targets.go
@@ -68,7 +68,9 @@
 	breaker routing.Breaker
 	// failures is the recent share of failed calls, from 0 to 1.
 	failures float64
-	latency  flow.Estimate
+	// faults is the recent share of answers that were failures of the target.
+	faults  faultShare
+	latency flow.Estimate
 	// latencyAt is when latency was last updated.
 	latencyAt time.Time
 	// inFlight counts this node's calls, pending the tokens of those of their prompts that the
