Rows of records of streams are removed with their last record, bounded in bytes, and read again after a suspension

Found by reading the change: a row whose last record expired between two ticks stayed in the store; a row was bounded by its number of records, whose IDs callers choose, so that long ones would make the store refuse it and all others of its transaction; and a read from before a suspension of the host counted as recent. Nothing is gathered while all services have one version.

Tests: TestRowIsRemovedThoughItsLastRecordHasExpired, TestRowsStayWithinTheLimitOfTheStore, TestReadOfRecordsFromBeforeASuspensionIsNotUsed.

--- a/internal/entry/suspended.go
+++ b/internal/entry/suspended.go
@@ -20,6 +20,7 @@
 	n.passThrough.HostResumed(gap)
 	n.targets.ListInterrupted()
 	n.streams.History.HostResumed()
+	n.streams.Checkpoints.HostResumed()
 	n.guard.HostResumed()
 	for _, t := range n.followedTables() {
 		t.Invalidate()
--- a/internal/resume/checkpoints.go
+++ b/internal/resume/checkpoints.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -29,9 +30,10 @@
 	checkpointTimeout = 2 * time.Second
 	// loadLifetime is for how long a read of a partition stands.
 	loadLifetime = time.Second
-	// maxRowsWritten and maxRecordsInRow keep a transaction and a row within the store's limits.
-	maxRowsWritten  = 40
-	maxRecordsInRow = 1000
+	// maxRowsWritten bounds a transaction, which has two entries for each row.
+	maxRowsWritten = 40
+	// maxRowBytes bounds the IDs in a row, with what surrounds each, in bytes. The store takes rows of 64 KB.
+	maxRowBytes = 48 << 10
 	// maxRowsRead is more than a partition has: a row for each region.
 	maxRowsRead = 100
 )
@@ -53,7 +55,8 @@
 
 // checkpoint is what this node knows of a row.
 type checkpoint struct {
-	version store.Version
+	partition uint64
+	version   store.Version
 	// records is the number of records in the row.
 	records int
 }
@@ -126,13 +129,20 @@
 
 // due returns the rows that this node has to write.
 func (c *Checkpoints) due(all bool) []dueRow {
+	groups := c.Streams.toSave()
+	c.mu.Lock()
+	rows := maps.Clone(c.rows)
+	c.mu.Unlock()
+	for _, row := range rows {
+		if _, ok := groups[row.partition]; !ok {
+			// No records are left: the row is removed.
+			groups[row.partition] = saving{}
+		}
+	}
 	var out []dueRow
-	for partition, group := range c.Streams.toSave() {
+	for partition, group := range groups {
 		key := c.key(partition)
-		c.mu.Lock()
-		row := c.rows[key]
-		c.mu.Unlock()
-		stale := all && row.records != len(group.records)
+		stale := all && rows[key].records != len(group.records)
 		if (stale || group.unsaved) && c.Streams.leads(partition) {
 			out = append(out, dueRow{partition, key, group.records})
 		}
@@ -201,7 +211,7 @@
 			delete(c.rows, row.key)
 			continue
 		}
-		c.rows[row.key] = checkpoint{version, len(row.records)}
+		c.rows[row.key] = checkpoint{row.partition, version, len(row.records)}
 	}
 	c.mu.Unlock()
 	for _, row := range rows {
@@ -228,6 +238,13 @@
 	return out
 }
 
+// HostResumed is called after the host was suspended: reads from before say nothing of the records that came meanwhile.
+func (c *Checkpoints) HostResumed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.loads)
+}
+
 // load reads the records of a partition into the memory of this node, unless that was done lately. Callers at the same time
 // share a read, which goes on without them.
 func (c *Checkpoints) load(ctx context.Context, partition uint64) error {
@@ -274,7 +291,7 @@
 	if err != nil {
 		return eris.Wrap(err, "read records of streams")
 	}
-	own := checkpoint{}
+	own := checkpoint{partition: partition}
 	for _, row := range rows {
 		records, err := decodeRow(row.Value, time.Now())
 		if err != nil {
@@ -282,7 +299,7 @@
 		}
 		c.Streams.restore(records)
 		if row.Key == c.key(partition) {
-			own = checkpoint{row.Version, len(records)}
+			own.version, own.records = row.Version, len(records)
 		}
 	}
 	c.mu.Lock()
--- a/internal/resume/checkpoints_test.go
+++ b/internal/resume/checkpoints_test.go
@@ -194,3 +194,44 @@
 		qt.Check(t, reads <= replicas*partitions, qt.IsTrue, qt.Commentf("%d reads", reads))
 	})
 }
+
+// TestRowIsRemovedThoughItsLastRecordHasExpired guards against rows that nobody removes.
+func TestRowIsRemovedThoughItsLastRecordHasExpired(t *testing.T) {
+	inFleet(t, 3, func(t *testing.T, f *fleet) {
+		f.serveCheckpoints(t)
+		f.beginMany(20, "v1")
+		time.Sleep(time.Second)
+		qt.Assert(t, f.stored(t), qt.HasLen, 20)
+		f.forget("node-0", "node-1", "node-2")
+		time.Sleep(sweepInterval + time.Second)
+		qt.Check(t, f.stored(t), qt.HasLen, 0)
+	})
+}
+
+// TestRowsStayWithinTheLimitOfTheStore guards against a row that the store refuses, and with it all others of its transaction.
+func TestRowsStayWithinTheLimitOfTheStore(t *testing.T) {
+	var records []Record
+	for i := range 5000 {
+		records = append(records, Record{ID: fmt.Sprintf("%0100d", i), Origin: Origin{"s", "v1"}, Expires: time.Now().Add(time.Duration(i) * time.Millisecond)})
+	}
+	kept := latest(records)
+	value, err := json.Marshal(encodeRow(kept, time.Now()))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, len(value) < 64<<10, qt.IsTrue, qt.Commentf("%d bytes", len(value)))
+	qt.Check(t, len(kept) > 400, qt.IsTrue)
+	qt.Check(t, kept[0].ID, qt.Equals, fmt.Sprintf("%0100d", 4999))
+}
+
+// A suspension of the host makes a read that seems recent an old one.
+func TestReadOfRecordsFromBeforeASuspensionIsNotUsed(t *testing.T) {
+	inFleet(t, 2, func(t *testing.T, f *fleet) {
+		c := f.nodes["node-0"].Checkpoints
+		qt.Assert(t, c.load(t.Context(), 1), qt.IsNil)
+		before := f.store.Counts().Reads
+		qt.Assert(t, c.load(t.Context(), 1), qt.IsNil)
+		qt.Check(t, f.store.Counts().Reads, qt.Equals, before)
+		c.HostResumed()
+		qt.Assert(t, c.load(t.Context(), 1), qt.IsNil)
+		qt.Check(t, f.store.Counts().Reads, qt.Equals, before+1)
+	})
+}
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -17,7 +17,7 @@
 var ErrUnknown = errors.New("resume: the version that began the stream is not known")
 
 // ErrUnconfirmed: those who might know at which version the stream began do not answer, or have started lately.
-var ErrUnconfirmed = errors.New("resume: the only version known of the service is not confirmed")
+var ErrUnconfirmed = errors.New("resume: not all who may know at which version the stream began have answered")
 
 // ErrOtherVersion: the targets of the service have another version than the one to confirm.
 var ErrOtherVersion = errors.New("resume: the service has another version")
--- a/internal/resume/saved.go
+++ b/internal/resume/saved.go
@@ -17,18 +17,21 @@
 // open, of services whose targets have, or had lately, several versions.
 func (r *Registry) toSave() map[uint64]saving {
 	several := r.severalVersions()
+	out := make(map[uint64]saving)
+	if len(several) == 0 {
+		return out
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	out := make(map[uint64]saving)
 	for id, record := range r.records {
-		partition := partitionOf(id)
-		s := out[partition]
-		if several[record.Service] && !record.Complete && now.Before(record.Expires) {
-			s.records = append(s.records, record.Record)
-			s.unsaved = s.unsaved || !record.saved
+		if !several[record.Service] || record.Complete || now.After(record.Expires) {
+			continue
 		}
-		out[partition] = s
+		s := out[partitionOf(id)]
+		s.records = append(s.records, record.Record)
+		s.unsaved = s.unsaved || !record.saved
+		out[partitionOf(id)] = s
 	}
 	for partition, s := range out {
 		s.records = latest(s.records)
@@ -39,19 +42,23 @@
 
 // latest returns the records that fit into a row, those that expire last.
 func latest(records []Record) []Record {
-	if len(records) <= maxRecordsInRow {
-		return records
-	}
 	slices.SortFunc(records, func(a, b Record) int { return cmp.Or(b.Expires.Compare(a.Expires), cmp.Compare(a.ID, b.ID)) })
-	return records[:maxRecordsInRow]
+	size := 0
+	for i, record := range records {
+		if size += len(record.ID) + len(`"",`); size > maxRowBytes {
+			return records[:i]
+		}
+	}
+	return records
 }
 
 // severalVersions returns the services of which this node has records and knows several versions.
 func (r *Registry) severalVersions() map[string]bool {
 	out := make(map[string]bool)
 	for _, service := range r.recordedServices() {
-		versions, _ := r.knownVersions(service)
-		out[service] = len(versions) > 1
+		if versions, _ := r.knownVersions(service); len(versions) > 1 {
+			out[service] = true
+		}
 	}
 	return out
 }
