--- a/internal/resume/checkpoints_test.go
+++ b/internal/resume/checkpoints_test.go
@@ -14,11 +14,22 @@
 	"topazmoor/internal/store"
 )
 
-// serveCheckpoints starts the writes of records to the store at all nodes.
-func (f *fleet) serveCheckpoints(t *testing.T) {
+// serveCheckpoints starts the writes of records to the store at all nodes; kill ends them.
+func (f *fleet) serveCheckpoints(t *testing.T) (kill context.CancelFunc) {
+	ctx, kill := context.WithCancel(t.Context())
 	for _, r := range f.nodes {
-		go func() { _ = r.Checkpoints.Serve(t.Context()) }()
+		go func() { _ = r.Checkpoints.Serve(ctx) }()
 	}
+	return kill
+}
+
+// restartBeside replaces all nodes by new ones that share the store and have seen two versions.
+func (f *fleet) restartBeside(t *testing.T) *fleet {
+	next := f.restart(t, "v2")
+	for name := range next.nodes {
+		next.see(name, "v1", "v2")
+	}
+	return next
 }
 
 // stored returns the IDs of all records in the store.
@@ -72,10 +83,7 @@
 			f.beginMany(60, "v1")
 			f.beginMany(60, "v2")
 			time.Sleep(4 * time.Second)
-			next := f.restart(t, "v2")
-			for name := range next.nodes {
-				next.see(name, "v1", "v2")
-			}
+			next := f.restartBeside(t)
 			qt.Check(t, next.found(t, "node-0", 60, "v1"), qt.Equals, 60, qt.Commentf("%+v", faults))
 			qt.Check(t, next.found(t, "node-5", 60, "v2"), qt.Equals, 60, qt.Commentf("%+v", faults))
 		})
@@ -85,28 +93,16 @@
 // A second loss, before the callers come back, must not take what the first one left: the nodes between them write rows too.
 func TestRecordsOfAnEarlierLossAreKeptInTheStore(t *testing.T) {
 	inFleet(t, 3, func(t *testing.T, f *fleet) {
-		ctx, kill := context.WithCancel(t.Context())
-		for _, r := range f.nodes {
-			go func() { _ = r.Checkpoints.Serve(ctx) }()
-		}
+		kill := f.serveCheckpoints(t)
 		f.beginMany(60, "v1")
 		time.Sleep(time.Second)
 		kill()
-		next := f.restart(t, "v2")
-		for name := range next.nodes {
-			next.see(name, "v1", "v2")
-		}
-		ctx, kill = context.WithCancel(t.Context())
-		for _, r := range next.nodes {
-			go func() { _ = r.Checkpoints.Serve(ctx) }()
-		}
+		next := f.restartBeside(t)
+		kill = next.serveCheckpoints(t)
 		next.beginMany(60, "v2")
 		time.Sleep(time.Second)
 		kill()
-		last := next.restart(t, "v2")
-		for name := range last.nodes {
-			last.see(name, "v1", "v2")
-		}
+		last := next.restartBeside(t)
 		qt.Check(t, last.found(t, "node-0", 60, "v1"), qt.Equals, 60)
 		qt.Check(t, last.found(t, "node-0", 60, "v2"), qt.Equals, 60)
 	})
@@ -182,10 +178,7 @@
 		f.serveCheckpoints(t)
 		f.beginMany(200, "v1")
 		time.Sleep(3 * time.Second)
-		next := f.restart(t, "v2")
-		for name := range next.nodes {
-			next.see(name, "v1", "v2")
-		}
+		next := f.restartBeside(t)
 		before := f.store.Counts().Reads
 		for name := range next.nodes {
 			next.found(t, name, 200, "v1")
--- a/internal/targetlink/dialer_test.go
+++ b/internal/targetlink/dialer_test.go
@@ -243,22 +243,27 @@
 	})
 }
 
+// threeEnded returns a Dialer three of whose targets have ended, so that nobody reaches them; working is its own path to the others.
+func threeEnded(working *path) *Dialer {
+	ended, others := &path{}, &path{}
+	ended.state.Store(refusing)
+	others.state.Store(refusing)
+	d := twoPaths(working, others)
+	d.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if addr <= "3" {
+			return ended.dial(ctx, network, addr)
+		}
+		return working.dial(ctx, network, addr)
+	}
+	return d
+}
+
 // TestTargetsThatEndedTogetherAreNoLostPath guards against a node that counts its own path as lost, and connects for no other
 // node, because some targets ended at once: a node without links has nobody else.
 func TestTargetsThatEndedTogetherAreNoLostPath(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		ended := &path{}
-		ended.state.Store(refusing)
-		working, others := &path{}, &path{}
-		others.state.Store(refusing)
-		d := twoPaths(working, others)
-		d.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
-			if addr <= "3" {
-				return ended.dial(ctx, network, addr)
-			}
-			return working.dial(ctx, network, addr)
-		}
+		d := threeEnded(&path{})
 		for range 5 {
 			for _, addr := range []string{"1", "2", "3"} {
 				_, err := d.DialContext(t.Context(), "tcp", addr)
@@ -281,17 +286,9 @@
 	}{"others work": {open, false}, "others refuse": {refusing, true}, "others are silent": {silent, true}} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				ended, working, others := &path{}, &path{}, &path{}
-				ended.state.Store(refusing)
+				working := &path{}
 				working.state.Store(tc.working)
-				others.state.Store(refusing)
-				d := twoPaths(working, others)
-				d.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
-					if addr <= "3" {
-						return ended.dial(ctx, network, addr)
-					}
-					return working.dial(ctx, network, addr)
-				}
+				d := threeEnded(working)
 				for _, addr := range []string{"1", "2", "3", "2", "1"} {
 					_, err := d.DialContext(t.Context(), "tcp", addr)
 					qt.Assert(t, err, qt.IsNotNil)
