Connections to the port for nodes that do not authenticate give way to others

What was seen: 600 connections that say nothing take 618 of 500 descriptors of a node; with more of them it takes no connection at all.

Cause: a connection has 3 s for its handshake, and nothing bounds how many are within it.

Change: as many as a sixteenth of the descriptors are in a handshake at a time. One more ends the oldest if that has had 500 ms, and is closed else, so that nodes that start together are not closed for each other.

--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -35,6 +35,9 @@
 )
 
 const (
+	// handshakeDivisor is the part of the descriptors that connections to the port for nodes may use before they are
+	// authenticated.
+	handshakeDivisor = 16
 	// keyBytes is the length of the shared secret.
 	keyBytes = 32
 	// storeRetry is the pause between attempts to reach the store, half of it random.
@@ -102,7 +105,7 @@
 	p := &peers{n: n, repair: make(chan struct{}, 1), client: newDeferredClient(), known: make(chan struct{}), answered: make(chan struct{}), server: &deferredServer{ln: ln, key: make(chan []byte, 1)}}
 	p.missing.Store(2)
 	p.server.start = func(key []byte) *peer.Server {
-		return peer.NewServer(ln, key, n.set.Node, peer.Handler{Nodes: n.OtherNodes, Stages: n.former, Versions: n.versionTracker, Publisher: n.relayServer, Ends: n.guard, Permits: n.limiter, Rollouts: n.owner, Targets: n.env.Links, Streams: n.streams, Traffic: n.traffic}, n.log)
+		return peer.NewServer(ln, key, n.set.Node, peer.Handler{Nodes: n.OtherNodes, Stages: n.former, Versions: n.versionTracker, Publisher: n.relayServer, Ends: n.guard, Permits: n.limiter, Rollouts: n.owner, Targets: n.env.Links, Streams: n.streams, Traffic: n.traffic, Handshakes: n.set.Descriptors / handshakeDivisor}, n.log)
 	}
 	p.row, err = json.Marshal(member{Addr: ln.Addr().String(), DataCentre: n.set.DataCentre, Memory: n.set.MemoryBytes, Capacity: n.set.Capacity})
 	if err != nil {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -65,6 +65,8 @@
 	Versions Versions
 	// Traffic counts what is exchanged with other nodes; nil for nothing.
 	Traffic *traffic.Meter
+	// Handshakes bounds the connections that are not authenticated yet; 0 for minSessionLimit.
+	Handshakes int
 }
 
 // Server accepts connections of other nodes. It implements suture.Service.
@@ -82,6 +84,8 @@
 	// conns are the connections of the sessions, and those whose handshake is in progress.
 	conns  map[net.Conn]bool
 	closed bool
+	// handshakes are the connections whose handshake is in progress.
+	handshakes handshakes
 }
 
 // NewServer returns a server that accepts connections from l and sends node as its name.
@@ -135,6 +139,7 @@
 		return
 	}
 	defer s.untrack(c)
+	defer s.handshakeEnded(c)
 	link := s.h.Traffic.Link()
 	counted := link.Conn(c)
 	defer counted.Close()
@@ -143,6 +148,7 @@
 		s.log.Warn("peer handshake failed", "remote", c.RemoteAddr().String(), "err", err)
 		return
 	}
+	s.handshakeEnded(c)
 	link.SetNode(peer)
 	sess, err := newMux(counted, false, link)
 	if err != nil {
@@ -164,17 +170,33 @@
 	}
 }
 
-// track records a connection that Close must close. It returns false if the server is closed.
+// track records a connection that Close must close. It returns false if the server is closed, or has as many handshakes
+// in progress as it may.
 func (s *Server) track(c net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
+	if s.closed || !s.handshakes.add(c, s.handshakeLimit(), time.Now()) {
 		return false
 	}
 	s.conns[c] = true
 	return true
 }
 
+// handshakeLimit returns the limit of connections that are not authenticated yet.
+func (s *Server) handshakeLimit() int {
+	if s.h.Handshakes == 0 {
+		return minSessionLimit
+	}
+	return s.h.Handshakes
+}
+
+// handshakeEnded removes a connection from those whose handshake is in progress.
+func (s *Server) handshakeEnded(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handshakes.remove(c)
+}
+
 // untrack removes a connection that has ended.
 func (s *Server) untrack(c net.Conn) {
 	s.mu.Lock()
