Numbers that callers make up are bounded: one request ended a node

What callers saw: a single request with a key and 4e18 results of a stage (Topazmoor-Pieces) ends the process, at any node, as often as it is sent. One for 1e8 results takes 800 MB with ten clients.

Cause: the number of results decides the size of the order before anybody looks whether it can be done. The estimate that would refuse it multiplies the number with the time of a piece, and overflows to a negative time; the panic is in a goroutine of its own, which net/http does not recover. Numbers of tokens are summed in the same way, and the caller's time was not bounded.

Evidence: panic: makeslice: len out of range, stagebatch.(*Former).Produce (platform/crowd on, requests for more results than can be).

--- a/internal/stagebatch/former.go
+++ b/internal/stagebatch/former.go
@@ -88,6 +88,9 @@
 	if spec == nil {
 		return Result{}, ErrNoTarget
 	}
+	if o.Pieces < 0 || o.Pieces > MaxPieces {
+		return Result{}, ErrLate
+	}
 	suspect := f.Guard != nil && f.Guard.Suspect(poison.Request{Digest: o.Digest})
 	w := &order{Order: o, isolated: o.Probe != "" || suspect, handles: make([]string, o.Pieces), missing: o.Pieces, unread: o.Pieces, done: make(chan struct{})}
 	f.mu.Lock()
@@ -129,6 +132,9 @@
 		// What the pool produced while it had no orders says nothing about its rate.
 		p.busySince = now
 	}
+	if len(p.queue)+w.Pieces > maxQueued {
+		return Waits{}, ErrLate
+	}
 	if err := f.admitToRegion(p, w.Order, spec, now); err != nil {
 		return Waits{}, err
 	}
--- a/internal/stagebatch/stagebatch.go
+++ b/internal/stagebatch/stagebatch.go
@@ -20,6 +20,14 @@
 	"topazmoor/internal/targets"
 )
 
+const (
+	// MaxPieces bounds the results of one order, PieceBytes is what each takes at the node that has the order, in bytes.
+	MaxPieces  = 4096
+	PieceBytes = 256
+	// maxQueued bounds the pieces that wait in one pool: nobody waits for as long as so many take.
+	maxQueued = 32 * MaxPieces
+)
+
 // Order requests the results of one stage of one request.
 type Order struct {
 	Service string
