Connections of callers: bounded buffers in the kernel, and who stalls gives way

What was seen: 150 clients that send without reading leave 133 MB in the kernel of a node of 128 MB, where they count as its memory; 600 silent connections to the port of the balancer take 618 of 500 descriptors; and a crowd that holds all connections keeps ordinary callers out until it times out.

Cause: the kernel lets the buffer of a connection grow to megabytes, unread bytes included. A full node closes each new connection unread, whatever the open ones do. The port of the balancer bounds nothing. Heads are bounded each (64 KiB, five times that once decoded), not in sum. Who reads no answer holds its connection for as long as it likes.

A node has as many connections as a quarter of its memory has buffers for (1,136 of 1,800 with 284 MB). A full one closes the connection whose caller has kept it waiting longest, in a request first and else between two, but never one that it serves. A write of 16 KiB that takes 10 s ends its connection: progress counts, not the whole answer.

--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -70,7 +70,7 @@
 	if len(key) < minPeerKey {
 		return node.Env{}, eris.Errorf("peers.key_file: the key has %d bytes: write %d or more", len(key), minPeerKey)
 	}
-	dialer := sockets.NewDialer(dialTimeout, nil)
+	dialer := sockets.NewDialer(sockets.Options{Timeout: dialTimeout})
 	return node.Env{
 		Dial: dialer.DialContext, Listen: listenTCP, ListenPacket: listenUDP,
 		Store:   platform.NewStoreClient(set.Platform.Addr, set.Platform.Timeout.Std()),
--- a/internal/entry/callers.go
+++ b/internal/entry/callers.go
@@ -11,6 +11,7 @@
 
 	"github.com/thejerf/suture/v4"
 
+	"topazmoor/internal/intake"
 	"topazmoor/internal/overload"
 	"topazmoor/internal/routes"
 )
@@ -31,6 +32,9 @@
 	readyWriteTimeout = 10 * time.Second
 	// idleSlack is added to the idle timeout: callers use connections up to the end of it.
 	idleSlack = 2 * time.Second
+	// callerBacklog is the number of connections that wait to be accepted. It covers a second's new connections of a
+	// node to which a balancer hands most of them.
+	callerBacklog = 1024
 	// acceptRetry is the pause after a connection could not be accepted.
 	acceptRetry = 20 * time.Millisecond
 )
@@ -42,6 +46,7 @@
 	ln      net.Listener
 	handler http.Handler
 	gate    *overload.Gate
+	conns   *intake.Conns
 	log     *slog.Logger
 
 	mu     sync.Mutex
@@ -53,8 +58,8 @@
 	closed  bool
 }
 
-func newCallerServer(ln net.Listener, h http.Handler, gate *overload.Gate, log *slog.Logger) *callerServer {
-	c := &callerServer{ln: ln, handler: h, gate: gate, log: log}
+func newCallerServer(ln net.Listener, h http.Handler, gate *overload.Gate, conns *intake.Conns, log *slog.Logger) *callerServer {
+	c := &callerServer{ln: ln, handler: h, gate: gate, conns: conns, log: log}
 	c.replaceServer(routes.Limits{})
 	return c
 }
@@ -77,6 +82,7 @@
 		ErrorLog:  slog.NewLogLogger(c.log.Handler(), slog.LevelDebug),
 		ConnState: c.connStateChanged,
 	}
+	c.conns.Attach(srv)
 	if l.HeaderTimeout > 0 {
 		srv.ReadHeaderTimeout = l.HeaderTimeout
 	}
@@ -164,7 +170,7 @@
 			conn.Close()
 			continue
 		}
-		if !c.handOver(ctx, conn) {
+		if conn = c.conns.Add(conn); !c.handOver(ctx, conn) {
 			c.gate.Leave()
 			conn.Close()
 		}
--- a/internal/entry/callers_test.go
+++ b/internal/entry/callers_test.go
@@ -13,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"topazmoor/internal/intake"
 	"topazmoor/internal/overload"
 	"topazmoor/internal/peer"
 	"topazmoor/internal/routes"
@@ -39,7 +40,7 @@
 	defer ln.Close()
 	caller, accepted := net.Pipe()
 	ctx, cancel := context.WithCancel(t.Context())
-	c := newCallerServer(&lastAccept{Listener: ln, conn: accepted, end: cancel}, http.NotFoundHandler(), &overload.Gate{Share: func() float64 { return 0 }}, slog.New(slog.DiscardHandler))
+	c := newCallerServer(&lastAccept{Listener: ln, conn: accepted, end: cancel}, http.NotFoundHandler(), &overload.Gate{Share: func() float64 { return 0 }}, intake.NewConns(intake.NewBudget(0)), slog.New(slog.DiscardHandler))
 	done := make(chan error, 1)
 	go func() { done <- c.Serve(ctx) }()
 	<-done
@@ -76,7 +77,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		caller, accepted := net.Pipe()
 		l := &shutdownAccept{Listener: ln, conn: accepted}
-		c := newCallerServer(l, http.NotFoundHandler(), &overload.Gate{Share: func() float64 { return 0 }}, slog.New(slog.DiscardHandler))
+		c := newCallerServer(l, http.NotFoundHandler(), &overload.Gate{Share: func() float64 { return 0 }}, intake.NewConns(intake.NewBudget(0)), slog.New(slog.DiscardHandler))
 		l.shutdown = func() { qt.Check(t, c.shutdown(t.Context()), qt.IsNil) }
 		synctest.Wait()
 		done := make(chan error, 1)
@@ -117,7 +118,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
-	c := newCallerServer(ln, ok, &overload.Gate{Share: func() float64 { return 0 }}, slog.New(slog.DiscardHandler))
+	c := newCallerServer(ln, ok, &overload.Gate{Share: func() float64 { return 0 }}, intake.NewConns(intake.NewBudget(0)), slog.New(slog.DiscardHandler))
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go func() { _ = c.Serve(ctx) }()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"topazmoor/internal/blackboard"
+	"topazmoor/internal/intake"
 	"topazmoor/internal/metrics"
 	"topazmoor/internal/overload"
 	"topazmoor/internal/passthrough"
@@ -76,9 +77,14 @@
 	// overload measures whether the node keeps up; callerGate decides on new connections of callers.
 	overload   *overload.Detector
 	callerGate *overload.Gate
-	ready      *http.Server
-	readyLn    net.Listener
-	metrics    *metrics.Entry
+	// budget bounds what callers make the node hold. callerConns are their connections, readyConns those of the balancer
+	// and of those who read metrics.
+	budget      *intake.Budget
+	callerConns *intake.Conns
+	readyConns  *intake.Conns
+	ready       *http.Server
+	readyLn     net.Listener
+	metrics     *metrics.Entry
 	// traffic counts what is exchanged with other nodes, targetTraffic the same with targets.
 	traffic       *traffic.Meter
 	targetTraffic traffic.TargetCounter
@@ -118,6 +124,13 @@
 	// memoryShare is the fraction of the memory limit that becomes the soft limit of the Go
 	// runtime; the rest is for memory that the runtime does not count.
 	memoryShare = 0.75
+	// budgetDivisor is the part of the memory limit for what callers send and do not read, connsDivisor that for the
+	// buffers of their connections in the kernel, and tunnelsDivisor that for connections to targets through other nodes.
+	budgetDivisor  = 5
+	connsDivisor   = 4
+	tunnelsDivisor = 5
+	// maxReadyConnections bounds the connections of the balancer and of those who read metrics.
+	maxReadyConnections = 64
 )
 
 // batchSpec returns the batch settings of a stage pool; nil for none.
@@ -178,14 +191,14 @@
 		supervise.Named("configuration", n.configTable), supervise.Named("list of targets", n.targetTable),
 		supervise.Named("peers", n.peers), supervise.Named("peer server", n.peers.server), supervise.Named("members", n.peers.members),
 		supervise.Named("follower", n.follower), supervise.Named("publisher", n.relayServer),
-		supervise.Named("callers", n.callerServer), supervise.Named("overload", n.overload), supervise.Named("quarantine", n.quarantineTable), supervise.Named("guard", n.guard),
+		supervise.Named("callers", n.callerServer), supervise.Named("overload", n.overload), supervise.Named("connections of callers", n.callerConns), supervise.Named("connections of the balancer", n.readyConns), supervise.Named("quarantine", n.quarantineTable), supervise.Named("guard", n.guard),
 		supervise.Named("suspensions", n.detector), supervise.Named("roll-outs", n.gate), supervise.Named("sweeper", &sweeper{n}),
 		supervise.Named("links to targets", n.env.Links), supervise.Named("versions of streams", n.streams),
 		supervise.Named("versions of services", n.streams.History), supervise.Named("checkpoints of streams", n.streams.Checkpoints),
 	} {
 		sup.Add(s)
 	}
-	go func() { _ = n.ready.Serve(n.readyLn) }()
+	go func() { _ = n.ready.Serve(n.readyConns.Listener(n.readyLn, maxReadyConnections)) }()
 	done := sup.ServeBackground(ctx)
 	n.log.Info("node serves", "callers", n.set.ListenCallers, "ready", n.set.ListenReady, "peers", n.set.ListenPeers, "data_centre", n.set.DataCentre)
 	select {
--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -8,11 +8,13 @@
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/flow"
+	"topazmoor/internal/intake"
 	"topazmoor/internal/metrics"
 	"topazmoor/internal/overload"
 	"topazmoor/internal/passthrough"
 	"topazmoor/internal/relay"
 	"topazmoor/internal/restore"
+	"topazmoor/internal/sockets"
 	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/suspend"
 	"topazmoor/internal/targets"
@@ -25,6 +27,7 @@
 	if set.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
 	}
+	n.provisionIntake()
 	n.provisionTargets()
 	n.provisionTraffic()
 	n.provisionLimits()
@@ -76,6 +79,17 @@
 	n.metrics.GaugeVec("topazmoor_entry_rejection_bound_targets", "Targets whose processes end when they reject too many calls, by service.", "service", n.targets.RejectionBoundTargets)
 }
 
+// provisionIntake creates what bounds the memory that callers make the node hold.
+func (n *Node) provisionIntake() {
+	n.budget = intake.NewBudget(n.set.MemoryBytes / budgetDivisor)
+	n.callerConns, n.readyConns = intake.NewConns(n.budget), intake.NewConns(n.budget)
+	n.metrics.Gauge("topazmoor_entry_intake_bytes", "Bytes of bodies, heads and answers that the node holds for its callers.", func() float64 { return float64(n.budget.Counts().Used) })
+	n.metrics.Gauge("topazmoor_entry_intake_limit_bytes", "Bound of topazmoor_entry_intake_bytes; 0 for none.", func() float64 { return float64(n.budget.Counts().Limit) })
+	n.metrics.Counter("topazmoor_entry_intake_refused_total", "Bodies and heads for which there was no room.", func() float64 { return float64(n.budget.Counts().Refused) })
+	n.metrics.Counter("topazmoor_entry_intake_ended_total", "Bodies and heads in progress that gave way to others.", func() float64 { return float64(n.budget.Counts().Ended) })
+	n.metrics.Counter("topazmoor_entry_stalled_connections_closed_total", "Connections that were closed because their caller sent or read nothing.", func() float64 { return float64(n.callerConns.Closed() + n.readyConns.Closed()) })
+}
+
 // provisionTables creates the copies of the operator's table and of the list of targets.
 func (n *Node) provisionTables() {
 	env := n.env
@@ -128,7 +142,10 @@
 	n.overload = &overload.Detector{OnChange: func(shedding bool, delay time.Duration) {
 		n.log.Warn("new connections closed unread changed: the node does not keep up, or does again", "closing", shedding, "delay_ms", delay.Milliseconds())
 	}}
-	n.callerGate = &overload.Gate{Share: n.overload.Share, Most: overload.MostConnections(n.set.Descriptors)}
+	n.callerGate = &overload.Gate{
+		Share: n.overload.Share, Most: overload.MostConnections(n.set.Descriptors, n.set.MemoryBytes/connsDivisor, intake.ConnBytes),
+		MakeRoom: n.callerConns.MakeRoom,
+	}
 	n.metrics.Gauge("topazmoor_entry_processor_delay_seconds", "Least time that work waited for the processor in the last half second.", func() float64 { return n.overload.Delay().Seconds() })
 	n.metrics.Gauge("topazmoor_entry_caller_connections", "Open connections of callers.", func() float64 {
 		open, _ := n.callerGate.Counts()
@@ -146,10 +163,16 @@
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
-	n.callerServer = newCallerServer(ln, n.passThrough, n.callerGate, n.log)
+	if err := sockets.BoundBacklog(ln, intake.KernelBuffer, callerBacklog); err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	n.callerServer = newCallerServer(ln, n.passThrough, n.callerGate, n.callerConns, n.log)
 	if n.readyLn, err = n.env.Listen(n.set.ListenReady); err != nil {
 		return eris.Wrap(err, "listen for the balancer")
 	}
+	if err := sockets.BoundBacklog(n.readyLn, intake.KernelBuffer, maxReadyConnections); err != nil {
+		return eris.Wrap(err, "listen for the balancer")
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /readyz", n.serveReady)
 	mux.Handle("GET /metrics", n.metrics.Handler())
@@ -157,5 +180,6 @@
 		Handler: mux, MaxHeaderBytes: readyHeaderBytes,
 		ReadTimeout: defaultReadTimeout, WriteTimeout: readyWriteTimeout, IdleTimeout: defaultIdleTimeout,
 	}
+	n.readyConns.Attach(n.ready)
 	return nil
 }
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -106,8 +106,10 @@
 type Gate struct {
 	// Share returns the share of connections to close, from 0 to 1.
 	Share func() float64
-	// Most bounds the open connections; 0 for no bound.
-	Most int
+	// Most bounds the open connections; 0 for no bound. If it is reached, MakeRoom closes one whose caller has stalled,
+	// and reports whether there was any; nil for never.
+	Most     int
+	MakeRoom func() bool
 
 	mu   sync.Mutex
 	open int
@@ -125,7 +127,7 @@
 	if shed {
 		g.owed -= 1000
 	}
-	if shed || g.Most > 0 && g.open >= g.Most {
+	if shed || g.full() {
 		g.closed++
 		return false
 	}
@@ -133,6 +135,15 @@
 	return true
 }
 
+// full reports whether there is no room for one more connection. The lock must be held.
+func (g *Gate) full() bool {
+	if g.Most == 0 || g.open < g.Most {
+		return false
+	}
+	// The end of the connection that was closed is recorded soon.
+	return g.MakeRoom == nil || !g.MakeRoom()
+}
+
 // Leave records the end of a connection.
 func (g *Gate) Leave() {
 	g.mu.Lock()
@@ -154,8 +165,16 @@
 	return g.open, g.closed
 }
 
-// MostConnections returns the bound of a Gate for a process with a number of descriptors; 0 for no bound.
-func MostConnections(descriptors int) int {
+// MostConnections returns the bound of a Gate for a process with a number of descriptors, and memory for connections of
+// which each holds connBytes, in bytes; 0 for no bound.
+func MostConnections(descriptors int, memory, connBytes int64) int {
 	reserved := min(reservedDescriptors, descriptors/2)
-	return (descriptors - reserved) / descriptorsPerRequest
+	most := (descriptors - reserved) / descriptorsPerRequest
+	if memory == 0 {
+		return most
+	}
+	if most == 0 {
+		return int(memory / connBytes)
+	}
+	return min(most, int(memory/connBytes))
 }
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -77,7 +77,7 @@
 
 func TestRoomFollowsTheDescriptors(t *testing.T) {
 	for descriptors, want := range map[int]int{0: 0, 100: 25, 600: 150, 1024: 262, 4100: 1800, 8192: 3846} {
-		qt.Check(t, MostConnections(descriptors), qt.Equals, want, qt.Commentf("%d descriptors", descriptors))
+		qt.Check(t, MostConnections(descriptors, 0, 0), qt.Equals, want, qt.Commentf("%d descriptors", descriptors))
 	}
 }
 
--- a/internal/sockets/sockets_test.go
+++ b/internal/sockets/sockets_test.go
@@ -14,7 +14,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	defer ln.Close()
-	conn, err := NewDialer(time.Second, nil).DialContext(t.Context(), "tcp", ln.Addr().String())
+	conn, err := NewDialer(Options{Timeout: time.Second}).DialContext(t.Context(), "tcp", ln.Addr().String())
 	c.Assert(err, qt.IsNil)
 	defer conn.Close()
 	raw, err := conn.(*net.TCPConn).SyscallConn()
