Bodies of callers are read within one budget of memory

What callers saw: nodes ended, out of memory. 150 bodies of 1 MiB that stop one byte short hold 258 MB of a node of 128 MB, in small chunks 218 MB; some 45 of the largest size end a node of 284 MB.

Cause: each body is gathered whole by itself, in a buffer that doubles, and nothing adds them up. A body is kept while its request waits and is sent again; beginnings of answers (256 KiB) likewise, and what is kept for each result of a stage. The soft limit of the Go heap does not help, as all of it is in use.

Change: intake.Budget, a fifth of the memory. Bodies are read into segments that are taken from it before they are read, so that a claimed length takes nothing, and are sent from there, without copies, until the request ends. Without room the reader that has occupied most for longest (byte seconds, 500 ms at least) ends and its caller gets 503, not run, and when to come back: when the next one may be ended. A quarter of the budget is for holds up to 64 KiB, so that small bodies are read while large ones stand open. What has been read whole is never taken back. Answers are read in advance as far as there is room, and passed on as they come beyond; they are never refused. Ruled out: pausing the reading alone, which moves the bytes into the kernel; reserving a body's length, which lets those who send nothing keep others out.

--- a/internal/entry/provision.go
+++ b/internal/entry/provision.go
@@ -58,7 +58,7 @@
 		Routes: n.state.Routes.Get, Current: n.current, StoreUnreachable: n.storeUnreachable, SuspendedTime: n.detector.SuspendedTime, Trusted: n.trusted, Crowded: n.callerGate.Crowded, Targets: n.targets, Stages: n.router,
 		Guard: n.guard, Streams: n.streams, Sender: env.Conns, Wire: env.Wire, Off: set.Off,
 		Repeats:   flow.NewRepeatBudgets(set.Repeats.Ratio, set.Repeats.Fixed, set.Repeats.Window, n.router.Live, n.acquireRepeatPermit),
-		BodyBytes: defaultBodyBytes, ReadTimeout: defaultReadTimeout, Observer: n.metrics, Log: n.log,
+		BodyBytes: defaultBodyBytes, Budget: n.budget, ReadTimeout: defaultReadTimeout, Observer: n.metrics, Log: n.log,
 	})
 	n.provisionGauges()
 	if err := n.provisionServers(); err != nil {
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -92,7 +92,7 @@
 	long := strings.Repeat("b\x00", 40<<10)
 	r := &Request{
 		ID: "1", Method: http.MethodPost, Target: "/a%2Fb/../c?q=%20", Host: "Some.Host",
-		Header: http.Header{"X-Own": {"v"}, idHeader: {"1"}}, Body: []byte(long),
+		Header: http.Header{"X-Own": {"v"}, idHeader: {"1"}}, Body: [][]byte{[]byte(long)},
 	}
 	a, err := p.Do(t.Context(), addr, r)
 	c.Assert(bodyOf(t, a, err), qt.Equals, "\x00\xff\r\n\r\nanswer")
@@ -251,7 +251,7 @@
 	defer close(read)
 	p := newPool(t)
 	r := get("1")
-	r.Method, r.Body = http.MethodPost, make([]byte, 32<<20)
+	r.Method, r.Body = http.MethodPost, [][]byte{make([]byte, 32<<20)}
 	a, err := p.Do(t.Context(), addr, r)
 	c.Assert(bodyOf(t, a, err), qt.Equals, "early")
 	p.mu.Lock()
--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -21,7 +21,8 @@
 	// Method, Target (path and query) and Host are sent unchanged.
 	Method, Target, Host string
 	Header               http.Header
-	Body                 []byte
+	// Body is the body, in one or more segments.
+	Body [][]byte
 	// NewConn requires a new connection. If a new connection closes, the target closed it or
 	// terminated after it was opened; it can't be an idle connection that had timed out.
 	NewConn bool
@@ -30,6 +31,15 @@
 	ShouldSend func() bool
 }
 
+// bodyLen returns the size of the body, in bytes.
+func (r *Request) bodyLen() int {
+	n := 0
+	for _, segment := range r.Body {
+		n += len(segment)
+	}
+	return n
+}
+
 // Answer is a target's answer, of which the status and the header were read. The caller must
 // close Body.
 type Answer struct {
@@ -155,7 +165,7 @@
 
 // run sends the request and returns the answer with its header read.
 func (x *exchange) run() (*http.Response, error) {
-	if len(x.r.Body) <= maxSyncBody {
+	if x.r.bodyLen() <= maxSyncBody {
 		if err := x.write(); err != nil {
 			return nil, err
 		}
@@ -178,11 +188,14 @@
 		_, _ = w.WriteString(s)
 	}
 	_ = x.r.Header.Write(w)
-	if len(x.r.Body) > 0 || x.r.Method == http.MethodPost || x.r.Method == http.MethodPut || x.r.Method == http.MethodPatch {
-		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(len(x.r.Body)) + "\r\n")
+	length := x.r.bodyLen()
+	if length > 0 || x.r.Method == http.MethodPost || x.r.Method == http.MethodPut || x.r.Method == http.MethodPatch {
+		_, _ = w.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	_, _ = w.WriteString("\r\n")
-	_, _ = w.Write(x.r.Body)
+	for _, segment := range x.r.Body {
+		_, _ = w.Write(segment)
+	}
 	if err := w.Flush(); err != nil {
 		return eris.Wrap(err, "send")
 	}
--- a/internal/passthrough/admit.go
+++ b/internal/passthrough/admit.go
@@ -5,6 +5,7 @@
 
 	"topazmoor/internal/mechanism"
 	"topazmoor/internal/routes"
+	"topazmoor/internal/stagebatch"
 	"topazmoor/internal/verdict"
 )
 
@@ -28,6 +29,9 @@
 	if err := c.s.cfg.Guard.Admit(c.guarded()); err != nil {
 		return c.quarantineError(err)
 	}
+	if !c.hold.TryGrow(int64(c.allPieces() * stagebatch.PieceBytes)) {
+		return notRun(verdict.Overloaded, "the node holds as many bytes of its callers as it may").After(c.retryAfter())
+	}
 	if err := c.bindVersion(); err != nil {
 		return err
 	}
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -76,7 +76,7 @@
 	c.logCrossed(l)
 	ans, err := c.s.cfg.Sender.Do(ctx, l.Addr, &httpconn.Request{
 		ID: c.meta.ID, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
-		Header: c.s.cfg.Wire.ToTarget(c.r.Header, o), Body: c.body,
+		Header: c.s.cfg.Wire.ToTarget(c.r.Header, o), Body: c.bodySegments(),
 		// The target may report that it leaves, or ask for rest, between its selection and the first
 		// byte, also while a connection is opened.
 		NewConn: n.fresh, ShouldSend: l.MaySend,
--- a/internal/passthrough/engine.go
+++ b/internal/passthrough/engine.go
@@ -63,7 +63,7 @@
 // exchange returns what the request exchanges with its target. Each of its stages takes a round trip
 // between the node and the region in which its results are read.
 func (c *call) exchange() targets.Exchange {
-	e := targets.Exchange{RoundTrips: 1, Bytes: int64(len(c.body)) + headBytes}
+	e := targets.Exchange{RoundTrips: 1, Bytes: int64(c.bodyLen()) + headBytes}
 	if c.hasStages() {
 		e.RoundTrips += len(c.route.Stages)
 	}
--- a/internal/passthrough/plain.go
+++ b/internal/passthrough/plain.go
@@ -29,10 +29,10 @@
 
 var errSilent = errors.New("passthrough: the target sent no data for too long")
 
-// bufferedAnswer is a response whose body was read completely, or up to maxBufferedBody.
+// bufferedAnswer is a response whose body was read completely, or up to maxBufferedBody or the room that there is for it.
 type bufferedAnswer struct {
 	a     *attempt
-	start []byte
+	start [][]byte
 	// complete reports that start is the whole body.
 	complete bool
 }
@@ -164,7 +164,7 @@
 	if f != nil {
 		return result{f: f}
 	}
-	w, err := readBuffered(a)
+	w, err := c.readBuffered(a)
 	if err != nil {
 		a.ans.Body.Close()
 		outcome := targets.Failed
@@ -185,17 +185,25 @@
 	return result{ans: w}
 }
 
+// size returns the number of bytes that were read.
+func (w *bufferedAnswer) size() int {
+	n := 0
+	for _, segment := range w.start {
+		n += len(segment)
+	}
+	return n
+}
+
 // readBuffered reads up to maxBufferedBody bytes of a response.
-func readBuffered(a *attempt) (*bufferedAnswer, error) {
-	body, err := io.ReadAll(io.LimitReader(a.ans.Body, maxBufferedBody))
+func (c *call) readBuffered(a *attempt) (*bufferedAnswer, error) {
+	start, complete, err := c.hold.ReadAnswer(a.ans.Body, a.ans.Length, maxBufferedBody)
 	if err != nil {
 		return nil, err
 	}
-	w := &bufferedAnswer{a: a, start: body, complete: len(body) < maxBufferedBody}
-	if w.complete {
+	if complete {
 		a.ans.Body.Close()
 	}
-	return w, nil
+	return &bufferedAnswer{a: a, start: start, complete: complete}, nil
 }
 
 // deliver sends a target's response to the caller.
@@ -207,11 +215,7 @@
 	}
 	c.s.cfg.Observer.ResponseBegan(c.rank, c.estimated, time.Since(c.arrived), c.route.Objective)
 	c.writeHead(w.a, w)
-	_, err := c.w.Write(w.start)
-	if err == nil && !w.complete {
-		err = passBody(c.w, w.a.ans.Body)
-		w.a.ans.Body.Close()
-	}
+	err := c.writeAnswer(w)
 	if err != nil {
 		// The connection is aborted so that the caller does not take the response for complete.
 		c.recordDone("broken_off", w.a.ans.Status, err)
@@ -220,6 +224,21 @@
 	c.recordDone("", w.a.ans.Status, nil)
 }
 
+// writeAnswer sends the body of a response, with the part that was not read yet.
+func (c *call) writeAnswer(w *bufferedAnswer) error {
+	for _, segment := range w.start {
+		if _, err := c.w.Write(segment); err != nil {
+			w.a.ans.Body.Close()
+			return err
+		}
+	}
+	if w.complete {
+		return nil
+	}
+	defer w.a.ans.Body.Close()
+	return passBody(c.w, w.a.ans.Body)
+}
+
 var errLongBody = errors.New("passthrough: the body of the response does not end")
 
 // passBody passes the rest of a body on.
@@ -243,7 +262,7 @@
 	}
 	switch {
 	case w != nil && w.complete && c.r.Method != http.MethodHead:
-		h.Set("Content-Length", strconv.Itoa(len(w.start)))
+		h.Set("Content-Length", strconv.Itoa(w.size()))
 	case a.ans.Length >= 0:
 		h.Set("Content-Length", strconv.FormatInt(a.ans.Length, 10))
 	}
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -14,6 +14,7 @@
 
 	"topazmoor/internal/flow"
 	"topazmoor/internal/httpconn"
+	"topazmoor/internal/intake"
 	"topazmoor/internal/mechanism"
 	"topazmoor/internal/poison"
 	"topazmoor/internal/region"
@@ -134,6 +135,8 @@
 	Off mechanism.Set
 	// BodyBytes is the limit of a request body if the configuration sets none.
 	BodyBytes int64
+	// Budget bounds the bodies of all requests, and their answers that are not delivered yet.
+	Budget *intake.Budget
 	// ReadTimeout bounds the reading of a body, unless the configuration's header timeout is
 	// longer.
 	ReadTimeout time.Duration
@@ -199,7 +202,9 @@
 	account  string
 	rank     int
 	meta     Meta
-	body     []byte
+	// body is the body of the request; nil if it has none. hold has it and the answers that are read.
+	body *intake.Body
+	hold *intake.Hold
 	// digest identifies the request across all attempts of its caller.
 	digest poison.Digest
 	// parts are the parts of its prompt that other requests may share; nil without a prompt.
@@ -245,7 +250,9 @@
 	if !s.stopping().IsZero() || s.cfg.Crowded != nil && s.cfg.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
-	if err := c.accept(trusted); err != nil {
+	err := c.accept(trusted)
+	defer c.release()
+	if err != nil {
 		c.refuse(err)
 		return
 	}
@@ -301,7 +308,7 @@
 	if err := c.readBody(); err != nil {
 		return err
 	}
-	c.digest = poison.DigestOf(c.account, c.r.Method, c.r.Host, c.r.RequestURI, c.body)
+	c.digest = poison.DigestOf(c.account, c.r.Method, c.r.Host, c.r.RequestURI, c.bodySegments()...)
 	c.parts = c.meta.Prompt.shared()
 	return nil
 }
@@ -365,30 +372,57 @@
 
 // readBody reads the whole body, so that it can be sent to more than one target.
 func (c *call) readBody() error {
-	limit := c.s.cfg.BodyBytes
-	if c.cfg.Limits.BodyBytes > 0 {
-		limit = c.cfg.Limits.BodyBytes
-	}
+	limit := c.bodyLimit()
 	if c.r.ContentLength > limit {
 		c.discardBody(limit)
 		return notRun(verdict.TooLarge, "the body is over %d bytes", limit)
 	}
 	if c.r.ContentLength == 0 {
+		c.hold = c.s.cfg.Budget.NewHold(nil)
 		return nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return notRun(verdict.TooLarge, "the body is over %d bytes", limit)
-	}
+	body, err := c.s.cfg.Budget.Read(c.w, c.r, limit, c.arrived.Add(c.bodyTimeout()))
 	if err != nil {
-		return notRun(verdict.BodyTimeout, "the body could not be read within %v", c.bodyTimeout())
+		// The rest of the body is not read.
+		c.w.Header().Set("Connection", "close")
+		return err
 	}
-	_ = http.NewResponseController(c.w).SetReadDeadline(time.Time{})
-	c.body = body
+	c.body, c.hold = body, body.Hold()
 	return nil
 }
 
+// bodyLimit returns the size of the largest body that is read.
+func (c *call) bodyLimit() int64 {
+	limit := c.s.cfg.BodyBytes
+	if c.cfg.Limits.BodyBytes > 0 {
+		limit = c.cfg.Limits.BodyBytes
+	}
+	return c.s.cfg.Budget.BodyLimit(limit)
+}
+
+// bodySegments returns the content of the body.
+func (c *call) bodySegments() [][]byte {
+	if c.body == nil {
+		return nil
+	}
+	return c.body.Segments()
+}
+
+// bodyLen returns the size of the body, in bytes.
+func (c *call) bodyLen() int {
+	if c.body == nil {
+		return 0
+	}
+	return c.body.Len()
+}
+
+// release gives back what the request holds of the budget.
+func (c *call) release() {
+	if c.hold != nil {
+		c.hold.Release()
+	}
+}
+
 // discardTimeout bounds the reading of a refused body; a caller that is still sending sends at
 // the speed of its link.
 const discardTimeout = 500 * time.Millisecond
--- a/internal/passthrough/stages.go
+++ b/internal/passthrough/stages.go
@@ -51,6 +51,15 @@
 	return 0
 }
 
+// allPieces returns the number of results that all stages produce.
+func (c *call) allPieces() int {
+	n := 0
+	for i := range c.route.Stages {
+		n += c.pieces(i)
+	}
+	return n
+}
+
 // hasStages reports whether any stage runs for the request.
 func (c *call) hasStages() bool { return len(c.route.Stages) > 0 && len(c.meta.Pieces) > 0 }
 
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -170,7 +170,7 @@
 
 // deliverPlain delivers a response that is not a stream.
 func (x *streaming) deliverPlain(a *attempt) *failure {
-	w, err := readBuffered(a)
+	w, err := x.c.readBuffered(a)
 	if err != nil {
 		a.lease.Done(targets.Failed, 0)
 		x.c.reportInterrupted(a.lease, a.n, a.start, a.progress, x.c.ctx.Err() != nil)
--- a/internal/poison/digest.go
+++ b/internal/poison/digest.go
@@ -10,6 +10,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"io"
 
 	"github.com/rotisserie/eris"
 )
@@ -22,19 +23,30 @@
 // 2^-33.
 const digestBytes = 16
 
-// DigestOf returns the digest of a request of a client account.
-func DigestOf(account, method, host, uri string, body []byte) Digest {
+// DigestOf returns the digest of a request of a client account. The body may be in several segments.
+func DigestOf(account, method, host, uri string, body ...[]byte) Digest {
 	h := sha256.New()
-	var size [8]byte
-	for _, part := range [][]byte{[]byte(account), []byte(method), []byte(host), []byte(uri), body} {
-		// The length prefix keeps adjacent parts apart.
-		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
-		_, _ = h.Write(size[:])
-		_, _ = h.Write(part)
+	for _, part := range []string{account, method, host, uri} {
+		writeLength(h, len(part))
+		_, _ = io.WriteString(h, part)
+	}
+	length := 0
+	for _, segment := range body {
+		length += len(segment)
+	}
+	writeLength(h, length)
+	for _, segment := range body {
+		_, _ = h.Write(segment)
 	}
 	return Digest(h.Sum(nil)[:digestBytes])
 }
 
+// writeLength writes the length of what follows, which keeps adjacent parts apart.
+func writeLength(w io.Writer, n int) {
+	// A hash returns no errors.
+	_, _ = w.Write(binary.BigEndian.AppendUint64(nil, uint64(n)))
+}
+
 // String implements fmt.Stringer.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
 
