Connections through other nodes are bounded by the memory that they may hold

What was seen: none of the tests is red for it; by arithmetic. A connection to a target through another node holds up to 352 KB at the end whose reader takes nothing (the window of its stream, 256 KB, and buffers), and a node may have 512 on behalf of others and any number of its own: 180 MB and more of 284 MB.

A node that has as many asks no other one, and refuses with a reason to those that ask it, which ask another one, as before. The window of a stream is written down instead of taken from yamux's default.

--- a/internal/peer/mux.go
+++ b/internal/peer/mux.go
@@ -69,8 +69,12 @@
 	return m, nil
 }
 
+// streamWindow is how many bytes of a stream are received before they are read.
+const streamWindow = 256 << 10
+
 func muxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
+	c.MaxStreamWindowSize = streamWindow
 	c.LogOutput = io.Discard
 	c.KeepAliveInterval = 10 * time.Second
 	c.ConnectionWriteTimeout = 3 * time.Second
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -34,6 +34,9 @@
 	maxSegment = segmentBytes + 1<<10
 	// maxTunnelBuffer is how many received bytes a tunnel keeps for its reader.
 	maxTunnelBuffer = 64 << 10
+	// TunnelBytes is what a tunnel may hold at one of its ends while the other end of its connection takes nothing, in
+	// bytes: the window of its stream, and its buffers.
+	TunnelBytes = streamWindow + maxTunnelBuffer + 2*segmentBytes
 )
 
 // Connect has the node at addr connect to a target, and returns the connection. It has no deadlines.
--- a/internal/targetlink/dialer.go
+++ b/internal/targetlink/dialer.go
@@ -32,6 +32,8 @@
 	nodesWhileWorking = 2
 )
 
+var errManyTunnels = eris.New("targetlink: as many connections through other nodes as there may be")
+
 var errNoOtherWay = eris.New("targetlink: no other node to connect through")
 
 // Others gives a Dialer access to the other nodes and to the list of targets.
@@ -85,6 +87,10 @@
 // Use sets the other nodes. It must be called before the first connect.
 func (d *Dialer) Use(o Others) { d.others = o }
 
+// BoundTunnels bounds the number of connections through other nodes and on their behalf. It must be called before the
+// first connect.
+func (d *Dialer) BoundTunnels(most int64) { d.tunnels.most = min(max(most, 1), maxTunnels) }
+
 // DialContext connects to the target at addr: over the own path first, unless that path is lost or
 // recently failed at this target where another node's did not.
 func (d *Dialer) DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -181,13 +187,20 @@
 
 // dialThrough connects through another node.
 func (d *Dialer) dialThrough(ctx context.Context, n Node, addr string) (net.Conn, error) {
+	if !d.tunnels.acquire() {
+		d.throughFailed.Add(1)
+		return nil, errManyTunnels
+	}
 	ctx, cancel := context.WithTimeout(ctx, throughNodeTimeout)
 	defer cancel()
 	conn, err := d.others.Connect(ctx, n.Addr, addr)
+	if err != nil {
+		d.tunnels.release()
+	}
 	if err == nil {
 		d.through.Add(1)
 		d.indirect.opened(addr, time.Now())
-		return &relayedConn{conn, func() bool { return d.others.mayCarry(n, addr) }}, nil
+		return &relayedConn{d.tunnels.track(conn), func() bool { return d.others.mayCarry(n, addr) }}, nil
 	}
 	if !errors.Is(ctx.Err(), context.Canceled) {
 		d.throughFailed.Add(1)
@@ -271,5 +284,5 @@
 	}
 }
 
-// OpenTunnels returns how many connections are open on behalf of other nodes.
+// OpenTunnels returns how many connections are open through other nodes and on their behalf.
 func (d *Dialer) OpenTunnels() float64 { return float64(d.tunnels.open.Load()) }
--- a/internal/targetlink/tunnels.go
+++ b/internal/targetlink/tunnels.go
@@ -6,16 +6,24 @@
 	"sync/atomic"
 )
 
-// maxTunnels bounds the connections that are open on behalf of other nodes. Each takes some 40 KB of buffers
-// here.
+// maxTunnels bounds the connections through other nodes and on their behalf, unless Dialer.BoundTunnels sets a smaller
+// one.
 const maxTunnels = 512
 
-// tunnels counts the connections that are open on behalf of other nodes.
-type tunnels struct{ open atomic.Int64 }
+// tunnels counts the connections through other nodes, and those that are open on behalf of other nodes.
+type tunnels struct {
+	open atomic.Int64
+	// most bounds them; 0 for maxTunnels.
+	most int64
+}
 
-// acquire reserves a connection, if there are fewer than maxTunnels.
+// acquire reserves a connection, if there are fewer than the bound.
 func (t *tunnels) acquire() bool {
-	if t.open.Add(1) <= maxTunnels {
+	most := t.most
+	if most == 0 {
+		most = maxTunnels
+	}
+	if t.open.Add(1) <= most {
 		return true
 	}
 	t.release()
@@ -29,7 +37,7 @@
 	return &trackedConn{Conn: conn, release: sync.OnceFunc(t.release)}
 }
 
-// trackedConn is a connection on behalf of another node.
+// trackedConn is a connection through another node or on behalf of one.
 type trackedConn struct {
 	net.Conn
 	release func()
