Caller API: bodies within one budget, and none is decoded into many times its size

What callers saw: 300 bodies of 1 MiB that stop short hold 437 MB of a node of 128 MB, 390 and 487 byte by byte and in small chunks. Whole calls whose input is a list of empty objects keep all others from an answer for a minute and more.

Cause: the same as at entry nodes, with the same logic a second time; and bodies are decoded by way of hujson, whose form for comments takes some 45 times the size of such an input, with any number of bodies at a time.

Change: the reader, the budget and the connections of internal/intake; the memory of the process is a setting (limits.memory_bytes, by default GOMEMLIMIT or 1 GiB) and becomes the soft limit of the Go runtime too. Bodies that are JSON are not given to hujson.

--- a/internal/batch/api.go
+++ b/internal/batch/api.go
@@ -9,7 +9,6 @@
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/frontdoor"
 	"topazmoor/internal/store"
-	"topazmoor/internal/strictjson"
 	"topazmoor/internal/verdict"
 )
 
@@ -65,9 +64,10 @@
 	if err != nil {
 		return Batch{}, err
 	}
+	defer body.Hold().Release()
 	var req SubmitRequest
-	if err := strictjson.Decode(body, &req); err != nil {
-		return Batch{}, verdict.New(verdict.NotRun, verdict.InvalidRequest, "%v", err)
+	if err := front.Decode(r.Context(), body.Bytes(), &req); err != nil {
+		return Batch{}, err
 	}
 	if acct.Plan(req.Pipeline) == nil {
 		return Batch{}, verdict.New(verdict.NotRun, verdict.UnknownPipeline, "the account has no pipeline %q", req.Pipeline)
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -31,6 +32,9 @@
 const (
 	// dialTimeout bounds the opening of connections to targets and peers.
 	dialTimeout = 3 * time.Second
+	// memoryShare is the fraction of the memory of the process that becomes the soft limit of the Go runtime; the rest is
+	// for memory that the runtime does not count.
+	memoryShare = 0.75
 	// minPeerKey is the least length of the shared key, in bytes.
 	minPeerKey = 32
 )
@@ -50,6 +54,7 @@
 	if err != nil {
 		return usage(err)
 	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(set.Limits.MemoryBytes)))
 	n, err := node.Provision(set, env)
 	if err != nil {
 		return err
--- a/internal/frontdoor/frontdoor.go
+++ b/internal/frontdoor/frontdoor.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"topazmoor/internal/catalog"
+	"topazmoor/internal/intake"
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/pipeline"
 	"topazmoor/internal/region"
@@ -38,6 +39,8 @@
 	// Share returns the part of each account's rate that this node may use, from 0
 	// to 1.
 	Share func() float64
+	// Budget bounds the bodies of all calls.
+	Budget *intake.Budget
 	// BodyBytes is the maximum size of a body, Requests the maximum number of
 	// requests in flight at this node.
 	BodyBytes int64
@@ -63,6 +66,8 @@
 	limits   *accountLimits
 	inFlight atomic.Int64
 	work     sync.WaitGroup
+	// decoding has a place for the one larger body that is being decoded.
+	decoding chan struct{}
 }
 
 // Paths of the caller API.
@@ -74,7 +79,7 @@
 
 // New returns a Server.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, mux: http.NewServeMux(), limits: newAccountLimits(cfg.Share)}
+	s := &Server{cfg: cfg, mux: http.NewServeMux(), limits: newAccountLimits(cfg.Share), decoding: make(chan struct{}, 1)}
 	s.mux.HandleFunc("POST "+PathRun+"{pipeline}", s.run)
 	s.mux.HandleFunc("POST "+PathTickets, s.ticket)
 	s.mux.HandleFunc("GET "+PathLookup+"{key}", s.lookup)
@@ -215,12 +220,23 @@
 	arrived := time.Now()
 	id := s.cfg.NewID()
 	w.Header().Set(HeaderRequestID, id)
-	e, err := s.newExchange(w, r, id, arrived)
+	acct, plan, err := s.planOf(r)
 	if err != nil {
 		s.refuseEarly(w, r, err, id)
 		return
 	}
-	e.serve()
+	body, err := s.ReadBody(w, r)
+	if err != nil {
+		s.refuseEarly(w, r, err, id)
+		return
+	}
+	defer body.Hold().Release()
+	call, err := s.parseRun(r, body.Bytes(), plan)
+	if err != nil {
+		s.refuseEarly(w, r, err, id)
+		return
+	}
+	s.newExchange(w, r, acct, plan, call, id, arrived).serve()
 }
 
 // refuseEarly refuses a run call that was not accepted. This attempt did not run,
@@ -234,31 +250,29 @@
 	p.Write(w)
 }
 
-// newExchange authenticates and validates a run call.
-func (s *Server) newExchange(w http.ResponseWriter, r *http.Request, id string, arrived time.Time) (*exchange, error) {
+// planOf authenticates a run call and returns the plan of its pipeline.
+func (s *Server) planOf(r *http.Request) (*catalog.CompiledAccount, *catalog.Plan, error) {
 	acct, err := s.authenticate(r)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	name := r.PathValue("pipeline")
 	plan := acct.Plan(name)
 	if plan == nil {
-		return nil, verdict.New(verdict.NotRun, verdict.UnknownPipeline, "the account has no pipeline %q", name)
-	}
-	body, err := readBody(w, r, s.cfg.BodyBytes, s.cfg.ReadTimeout)
-	if err != nil {
-		return nil, err
-	}
-	call, err := parseRun(r, body, plan)
-	if err != nil {
-		return nil, err
+		return nil, nil, verdict.New(verdict.NotRun, verdict.UnknownPipeline, "the account has no pipeline %q", name)
 	}
+	return acct, plan, nil
+}
+
+// newExchange returns the exchange of a validated run call.
+func (s *Server) newExchange(w http.ResponseWriter, r *http.Request, acct *catalog.CompiledAccount, plan *catalog.Plan, call runCall, id string, arrived time.Time) *exchange {
+	name := r.PathValue("pipeline")
 	req := &pipeline.Request{
 		ID: id, Account: acct.Name, Pipeline: name, Plan: plan,
 		Class: call.class, Deadline: arrived.Add(call.deadline), Input: call.input,
 		Regions: s.regionsOf(acct, name),
 	}
-	return &exchange{s: s, w: w, r: r, acct: acct, req: req, call: call, arrived: arrived, revision: s.cfg.Catalog().Revision}, nil
+	return &exchange{s: s, w: w, r: r, acct: acct, req: req, call: call, arrived: arrived, revision: s.cfg.Catalog().Revision}
 }
 
 // regionsOf returns a function that gives the regions of an account's pipeline by the configuration in
--- a/internal/frontdoor/frontdoor_test.go
+++ b/internal/frontdoor/frontdoor_test.go
@@ -19,6 +19,7 @@
 
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/dispatch"
+	"topazmoor/internal/intake"
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/pipeline"
 	"topazmoor/internal/scheduler"
@@ -62,7 +63,7 @@
 		Runner: pipeline.NewRunner(sched, echoTarget{}, pools, discardObserver{}, log),
 		Ledger: router, IssueTicket: router.Issue,
 		NewID: func() string { id++; return "r" + strings.Repeat("i", id) }, Share: func() float64 { return 1 },
-		BodyBytes: 1 << 10, Requests: requests, ReadTimeout: time.Second, Observer: discardObserver{}, Log: log,
+		Budget: intake.NewBudget(0), BodyBytes: 1 << 10, Requests: requests, ReadTimeout: time.Second, Observer: discardObserver{}, Log: log,
 	})
 }
 
@@ -216,10 +217,11 @@
 func FuzzParseRun(f *testing.F) {
 	f.Add([]byte(`{"input":"x","stream":true,"deadline":"1s","class":"batch"}`), "2s")
 	plan := &catalog.Plan{Class: catalog.Standard, Deadline: time.Second}
+	s := newServer(f, 8)
 	f.Fuzz(func(t *testing.T, body []byte, deadline string) {
 		r := httptest.NewRequest(http.MethodPost, "/", nil)
 		r.Header.Set(HeaderDeadline, deadline)
-		call, err := parseRun(r, body, plan)
+		call, err := s.parseRun(r, body, plan)
 		if err != nil {
 			if verdict.Of(err) != verdict.NotRun {
 				t.Fatalf("a parse error has verdict %v", verdict.Of(err))
--- a/internal/frontdoor/item.go
+++ b/internal/frontdoor/item.go
@@ -24,11 +24,6 @@
 	itemAccountPrefix = "\x00batch/"
 )
 
-// ReadBody reads the body of a call within the server's limits.
-func (s *Server) ReadBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	return readBody(w, r, s.cfg.BodyBytes, s.cfg.ReadTimeout)
-}
-
 // Respond sends v as JSON, or a refusal if err is not nil.
 func (s *Server) Respond(w http.ResponseWriter, status int, v any, err error) {
 	if err != nil {
--- a/internal/frontdoor/request.go
+++ b/internal/frontdoor/request.go
@@ -2,10 +2,7 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"topazmoor/internal/catalog"
@@ -58,35 +55,11 @@
 	return verdict.New(verdict.NotRun, verdict.InvalidRequest, format, args...)
 }
 
-// readBody reads at most limit bytes within timeout. On success the read deadline of
-// the connection is removed, because it would otherwise expire while the request runs,
-// as that of http.Server.ReadTimeout would, and cancel it. After a failure it stays, so
-// that the server does not wait for the rest of the body.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) ([]byte, error) {
-	conn := http.NewResponseController(w)
-	// An error means that the writer supports no deadlines; it then needs none.
-	_ = conn.SetReadDeadline(time.Now().Add(timeout))
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, verdict.New(verdict.NotRun, verdict.TooLarge, "the body is over %d bytes", limit)
-	}
-	if err != nil {
-		return nil, invalid("the body could not be read within %v", timeout)
-	}
-	_ = conn.SetReadDeadline(time.Time{})
-	return b, nil
-}
-
 // parseRun parses a run call and validates it against the plan of its pipeline.
-func parseRun(r *http.Request, body []byte, plan *catalog.Plan) (runCall, error) {
-	var b runBody
-	if err := strictjson.Decode(body, &b); err != nil {
-		return runCall{}, invalid("%s", strings.ReplaceAll(err.Error(), "\n", "; "))
-	}
-	input, err := json.Marshal(b.Input)
+func (s *Server) parseRun(r *http.Request, body []byte, plan *catalog.Plan) (runCall, error) {
+	b, input, err := s.decodeRun(r.Context(), body)
 	if err != nil {
-		return runCall{}, invalid("input: %v", err)
+		return runCall{}, err
 	}
 	c := runCall{input: input, stream: b.Stream, key: header(r, HeaderKey, b.Key), deadline: plan.Deadline, class: plan.Class}
 	if len(c.key) > maxKeyBytes {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"topazmoor/internal/config"
 	"topazmoor/internal/dispatch"
 	"topazmoor/internal/frontdoor"
+	"topazmoor/internal/intake"
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/membership"
 	"topazmoor/internal/metrics"
@@ -80,7 +81,9 @@
 	board Board
 
 	metrics *metrics.Set
-	sched   *scheduler.Scheduler
+	// budget bounds what callers make the node hold.
+	budget *intake.Budget
+	sched  *scheduler.Scheduler
 	// links connects to targets.
 	links    *targetlink.Dialer
 	calls    *dispatch.Client
@@ -114,6 +117,7 @@
 	if n.rollouts, err = newRollouts(n); err != nil {
 		return nil, err
 	}
+	n.provisionIntake()
 	n.sched = scheduler.New(n.schedulerConfig())
 	n.links = targetlink.New(targetlink.Dial(env.Dial), n.log)
 	n.calls = dispatch.New(n.links.DialContext, s.Limits.AnswerBytes)
--- a/internal/node/provision.go
+++ b/internal/node/provision.go
@@ -12,12 +12,24 @@
 	"topazmoor/internal/config"
 	"topazmoor/internal/control"
 	"topazmoor/internal/frontdoor"
+	"topazmoor/internal/intake"
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/pipeline"
 	"topazmoor/internal/region"
 	"topazmoor/internal/settings"
 )
 
+// budgetDivisor is the part of the memory for what callers send.
+const budgetDivisor = 5
+
+// provisionIntake creates what bounds the memory that callers make the node hold.
+func (n *Node) provisionIntake() {
+	n.budget = intake.NewBudget(n.s.Limits.MemoryBytes / budgetDivisor)
+	n.metrics.Gauge("topazmoor_intake_bytes", "Bytes of bodies and heads that the node holds for its callers.", func() float64 { return float64(n.budget.Counts().Used) })
+	n.metrics.Gauge("topazmoor_intake_refused_total", "Bodies and heads for which there was no room.", func() float64 { return float64(n.budget.Counts().Refused) })
+	n.metrics.Gauge("topazmoor_intake_ended_total", "Bodies and heads in progress that gave way to others.", func() float64 { return float64(n.budget.Counts().Ended) })
+}
+
 func (n *Node) provisionLedger() {
 	incarnation := n.env.NewID()
 	tickets := ledger.NewTicketIssuer(n.env.PeerKey, n.s.Node.Name, n.peers.server.Addr(), incarnation, n.s.Ledger.TicketLife.Std(), n.env.NewID)
@@ -30,8 +42,8 @@
 	n.front = frontdoor.New(frontdoor.Config{
 		Node: n.s.Node.Name, Catalog: n.board.Catalog.Get, Runner: runner,
 		Ledger: n.ledger, IssueTicket: n.ledger.Issue, NewID: n.env.NewID,
-		Share:     func() float64 { return 1 / float64(n.peers.nodes()) },
-		BodyBytes: n.s.Limits.BodyBytes, Requests: n.s.Limits.Requests, ReadTimeout: n.s.Limits.ReadTimeout.Std(),
+		Share:  func() float64 { return 1 / float64(n.peers.nodes()) },
+		Budget: n.budget, BodyBytes: n.s.Limits.BodyBytes, Requests: n.s.Limits.Requests, ReadTimeout: n.s.Limits.ReadTimeout.Std(),
 		Observer: n.metrics, Log: n.log,
 	})
 }
@@ -128,7 +140,7 @@
 		{adminServer, n.s.Listen.Admin, n.admin, maxAuxConnections},
 		{observeServer, n.s.Listen.Observe, observe, maxAuxConnections},
 	} {
-		srv, err := newServer(l.name, l.listen, l.handler, l.conns, n.s.Limits.ReadTimeout.Std(), n.env.Listen)
+		srv, err := newServer(l.name, l.listen, l.handler, intake.NewConns(n.budget), l.conns, n.s.Limits.ReadTimeout.Std(), n.env.Listen)
 		if err != nil {
 			return err
 		}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -10,9 +10,10 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
-	"golang.org/x/net/netutil"
 
+	"topazmoor/internal/intake"
 	"topazmoor/internal/settings"
+	"topazmoor/internal/sockets"
 )
 
 // The names of a node's servers.
@@ -31,6 +32,8 @@
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes is the maximum size of a request's header.
 	maxHeaderBytes = 16 << 10
+	// backlog is the number of connections that wait to be accepted.
+	backlog = 1024
 )
 
 // server is one HTTP server of a node with its listener. It implements
@@ -39,11 +42,12 @@
 	name     string
 	listener net.Listener
 	http     *http.Server
+	conns    *intake.Conns
 	// cancel cancels the contexts of all requests.
 	cancel context.CancelCauseFunc
 }
 
-func newServer(name string, l settings.Listener, h http.Handler, conns int, readTimeout time.Duration, listen func(string) (net.Listener, error)) (*server, error) {
+func newServer(name string, l settings.Listener, h http.Handler, conns *intake.Conns, most int, readTimeout time.Duration, listen func(string) (net.Listener, error)) (*server, error) {
 	cfg, err := l.TLS.Config()
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen.%s.tls", name)
@@ -52,7 +56,10 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listen.%s.addr", name)
 	}
-	ln = netutil.LimitListener(ln, conns)
+	if err := sockets.BoundBacklog(ln, intake.KernelBuffer, backlog); err != nil {
+		return nil, err
+	}
+	ln = conns.Listener(ln, most)
 	if cfg != nil {
 		ln = tls.NewListener(ln, cfg)
 	}
@@ -64,13 +71,17 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
-	return &server{name: name, listener: ln, http: srv, cancel: cancel}, nil
+	conns.Attach(srv)
+	return &server{name: name, listener: ln, http: srv, conns: conns, cancel: cancel}, nil
 }
 
 // Serve implements suture.Service.
 func (s *server) Serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { s.close() })
 	defer stop()
+	sweep, end := context.WithCancel(ctx)
+	defer end()
+	go func() { _ = s.conns.Serve(sweep) }()
 	err := s.http.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) || ctx.Err() != nil {
 		return suture.ErrDoNotRestart
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,8 +12,10 @@
 	"crypto/x509"
 	"errors"
 	"maps"
+	"math"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -186,6 +188,10 @@
 
 // Limits bounds the resources that callers can occupy on a node.
 type Limits struct {
+	// MemoryBytes is the memory of the process. A fifth of it is for bodies and heads of all callers together;
+	// further bodies are refused with status 503 and a delay. Default: the soft limit of the Go runtime (GOMEMLIMIT),
+	// or 1 GiB if that is not set.
+	MemoryBytes int64 `json:"memory_bytes"`
 	// BodyBytes is the largest request body. Default 1 MiB.
 	BodyBytes int64 `json:"body_bytes"`
 	// ReadTimeout bounds the time to read one request's header and body.
@@ -266,6 +272,14 @@
 	}
 }
 
+// defaultMemory returns the soft limit of the Go runtime, or 1 GiB if there is none.
+func defaultMemory() int64 {
+	if limit := debug.SetMemoryLimit(-1); limit < math.MaxInt64 {
+		return limit
+	}
+	return 1 << 30
+}
+
 // SetDefaults sets the settings that were left out to their defaults.
 func (s *Settings) SetDefaults() {
 	defaultTo(&s.Platform.Timeout, Duration(2*time.Second))
@@ -273,6 +287,7 @@
 	defaultTo(&s.Peers.Interval, Duration(time.Second))
 	defaultTo(&s.Peers.SuspectAfter, Duration(5*time.Second))
 	defaultTo(&s.Regions.RoundTrip, Duration(20*time.Millisecond))
+	defaultTo(&s.Limits.MemoryBytes, defaultMemory())
 	defaultTo(&s.Limits.BodyBytes, 1<<20)
 	defaultTo(&s.Limits.ReadTimeout, Duration(5*time.Second))
 	defaultTo(&s.Limits.Requests, 4096)
@@ -386,6 +401,7 @@
 	positive(p, "platform.config_poll", int64(s.Platform.ConfigPoll))
 	positive(p, "peers.interval", int64(s.Peers.Interval))
 	positive(p, "regions.round_trip", int64(s.Regions.RoundTrip))
+	positive(p, "limits.memory_bytes", s.Limits.MemoryBytes)
 	positive(p, "limits.body_bytes", s.Limits.BodyBytes)
 	positive(p, "limits.requests", int64(s.Limits.Requests))
 	positive(p, "ledger.committers", int64(s.Ledger.Committers))
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -110,9 +110,13 @@
 // valid values, unless the input isn't JSON, so that the caller can validate them and report
 // all faults together.
 func Decode(src []byte, out any) error {
-	std, err := hujson.Standardize(bytes.Clone(src))
-	if err != nil {
-		return Problems{{Path: "(input)", Reason: "not JSON with comments: " + err.Error()}}
+	std := src
+	if !json.Valid(src) {
+		// The form in which hujson keeps comments takes many times the size of the input.
+		var err error
+		if std, err = hujson.Standardize(bytes.Clone(src)); err != nil {
+			return Problems{{Path: "(input)", Reason: "not JSON with comments: " + err.Error()}}
+		}
 	}
 	dec := json.NewDecoder(bytes.NewReader(std))
 	dec.UseNumber()
