Caller API: a body that does not come in time is an invalid request, as before

TestSlowSenderIsCutOff (internal/node) was red since the caller API reads bodies with the common reader, which says 408. The API's pages name 400; that stays.

--- a/internal/frontdoor/decode.go
+++ b/internal/frontdoor/decode.go
@@ -33,6 +33,11 @@
 	body, err := s.cfg.Budget.Read(w, r, limit, until)
 	if err != nil {
 		w.Header().Set("Connection", "close")
+	}
+	if verdict.CodeOf(err) == verdict.BodyTimeout {
+		return nil, invalid("the body could not be read within %v", s.cfg.ReadTimeout)
+	}
+	if err != nil {
 		return nil, err
 	}
 	if err := body.Hold().Grow(int64((copiesOfBody-1)*body.Len()), until); err != nil {
