Budget of callers: a request that takes nothing more is not refused; one wake-up less

A large body that was read whole would have been refused at admission (503) while small ones use the reserve: asking for no more bytes failed there. By reading; TestNothingMoreNeedsNoRoom is red without the change.

The balancer's connections have a write timeout of their server, so that nothing has to look for stalled ones; those of callers are looked at every 2 s.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -191,7 +191,7 @@
 		supervise.Named("configuration", n.configTable), supervise.Named("list of targets", n.targetTable),
 		supervise.Named("peers", n.peers), supervise.Named("peer server", n.peers.server), supervise.Named("members", n.peers.members),
 		supervise.Named("follower", n.follower), supervise.Named("publisher", n.relayServer),
-		supervise.Named("callers", n.callerServer), supervise.Named("overload", n.overload), supervise.Named("connections of callers", n.callerConns), supervise.Named("connections of the balancer", n.readyConns), supervise.Named("quarantine", n.quarantineTable), supervise.Named("guard", n.guard),
+		supervise.Named("callers", n.callerServer), supervise.Named("overload", n.overload), supervise.Named("connections of callers", n.callerConns), supervise.Named("quarantine", n.quarantineTable), supervise.Named("guard", n.guard),
 		supervise.Named("suspensions", n.detector), supervise.Named("roll-outs", n.gate), supervise.Named("sweeper", &sweeper{n}),
 		supervise.Named("links to targets", n.env.Links), supervise.Named("versions of streams", n.streams),
 		supervise.Named("versions of services", n.streams.History), supervise.Named("checkpoints of streams", n.streams.Checkpoints),
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -156,7 +156,7 @@
 
 // take takes n more bytes if they fit. The lock must be held.
 func (h *Hold) take(n int64) bool {
-	if h.b.limit > 0 && h.b.used+n > h.b.room(h.bytes+n) {
+	if n > 0 && h.b.limit > 0 && h.b.used+n > h.b.room(h.bytes+n) {
 		return false
 	}
 	h.b.used += n
--- a/internal/intake/budget_test.go
+++ b/internal/intake/budget_test.go
@@ -71,6 +71,17 @@
 	})
 }
 
+// A large body that was read whole is served although small ones have taken the reserve meanwhile.
+func TestNothingMoreNeedsNoRoom(t *testing.T) {
+	c := qt.New(t)
+	b := NewBudget(testLimit)
+	whole := b.NewHold(nil)
+	c.Assert(whole.TryGrow(3*large), qt.IsTrue)
+	c.Assert(b.NewHold(nil).TryGrow(SmallBytes), qt.IsTrue)
+	c.Assert(whole.TryGrow(1), qt.IsFalse)
+	c.Assert(whole.TryGrow(0), qt.IsTrue)
+}
+
 // A reader that is told to end, and does not, holds up others until their time only.
 func TestGrowWaitsForReadersThatEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/intake/conns.go
+++ b/internal/intake/conns.go
@@ -30,7 +30,7 @@
 	// writeStep is how many bytes are written at a time. A caller that takes none for writeTimeout is closed.
 	writeStep     = 16 << 10
 	writeTimeout  = 10 * time.Second
-	sweepInterval = time.Second
+	sweepInterval = 2 * time.Second
 )
 
 // Conns are the connections of the callers of a server. It is safe for concurrent use. It implements suture.Service.
