Idle connections through other nodes are looked at before they carry a request

What callers saw: nothing was reported; found while looking at who reads answers. A connection through another node that had closed, or had bytes of an earlier answer, while it was idle was given the next request.

Cause: openWithoutData looked through one wrapper only. A connection through another node has two (relayedConn, trackedConn), so that the question never reached the tunnel, and "no file descriptor, a test's connection" was the answer.

--- a/internal/httpconn/quiet.go
+++ b/internal/httpconn/quiet.go
@@ -1,12 +1,10 @@
 package httpconn
 
 import (
-	"net"
 	"syscall"
-)
 
-// wrappedConn is a connection around another one, as a *tls.Conn is.
-type wrappedConn interface{ NetConn() net.Conn }
+	"topazmoor/internal/sockets"
+)
 
 // quietConn is a connection without a file descriptor that knows whether it is open without data.
 type quietConn interface{ OpenWithoutData() bool }
@@ -18,14 +16,10 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	inner := c.Conn
-	if w, ok := inner.(wrappedConn); ok {
-		inner = w.NetConn()
-	}
-	if q, ok := inner.(quietConn); ok {
+	if q, ok := sockets.As[quietConn](c.Conn); ok {
 		return q.OpenWithoutData()
 	}
-	sc, ok := inner.(syscall.Conn)
+	sc, ok := sockets.As[syscall.Conn](c.Conn)
 	if !ok {
 		// A test's connection without a file descriptor.
 		return true
