A reset that a write was told of is no end of an answer

What callers saw: a server answered a long upload with a 200 without length or chunks, sent part of its body and reset; the part was delivered as the whole answer (MIXED).

Cause: the kernel reports a reset once. A body of over 16 KiB is written while the answer is read; if the write takes the report, the next read returns 0, io.EOF, as after an orderly close. The same in a tunnel, where the node at its end writes and reads at once, and tells the other node "closed". And a write that failed closed the connection, so that an answer that had come whole before could be lost.

Change: httpanswer.Conn, for all reads of answers: at io.EOF it ends the write under way and asks what that was told. The kernel says EPIPE for a reset after a close, ECONNRESET for one without; the first one is an orderly end, anything else is ErrBrokenOff. Once a read has failed, all further ones do. Tunnels have it at the end that has the target's connection, and are definite for the other node. A failed write leaves the connection to the read.

Order is forced with sockets of the kernel by cutconn.WriterFirst, which holds reads until a write has failed.

--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -16,6 +16,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"topazmoor/internal/httpanswer"
 )
 
 // Dial opens a connection; net.Dialer.DialContext in production.
@@ -111,10 +113,11 @@
 
 // newConn wraps a new connection to addr, with a Meter if there is one.
 func (p *Pool) newConn(nc net.Conn, addr string) *conn {
-	var r io.Reader = nc
-	var w io.Writer = nc
+	end := httpanswer.NewConn(nc)
+	var r io.Reader = end
+	var w io.Writer = end
 	if m := p.meter(addr); m != nil {
-		r, w = meteredReader{nc, m}, meteredWriter{nc, m}
+		r, w = meteredReader{end, m}, meteredWriter{end, m}
 	}
 	head := &headLimiter{r: r}
 	return &conn{Conn: nc, addr: addr, resets: p.resetCount(), head: head, br: bufio.NewReaderSize(head, bufferSize), bw: bufio.NewWriterSize(w, bufferSize)}
--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -170,12 +170,9 @@
 			return nil, err
 		}
 	} else {
-		// A target may answer before it has read a long body.
-		go func() {
-			if x.write() != nil {
-				x.c.Close()
-			}
-		}()
+		// A target may answer before it has read a long body. If the write fails, the target may have sent a
+		// complete answer before, so that the read decides.
+		go func() { _ = x.write() }()
 	}
 	return x.read()
 }
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
+	"topazmoor/internal/httpanswer"
 	"topazmoor/internal/peer/peerpb"
 	"topazmoor/internal/traffic"
 	"topazmoor/internal/verdict"
@@ -131,12 +132,14 @@
 	}
 	st.SetDeadline(time.Time{})
 	defer context.AfterFunc(ctx, func() { target.Close() })()
+	end := httpanswer.NewConn(target)
 	go func() {
-		// The target's connection ends with the tunnel, which ends with the answer or its caller.
-		defer target.Close()
-		st.copyTo(target)
+		if st.copyTo(end) {
+			// The target's connection ends with the tunnel, which ends with the answer or its caller.
+			target.Close()
+		}
 	}()
-	st.copyFrom(target)
+	st.copyFrom(end)
 }
 
 func (s *Server) connectTarget(ctx context.Context, addr string) (net.Conn, error) {
@@ -172,15 +175,16 @@
 	}
 }
 
-// copyTo writes the bytes of received segments to a connection until the other end closes the tunnel.
-func (s *stream) copyTo(conn net.Conn) {
+// copyTo writes the bytes of received segments to a connection until the other end closes the tunnel, and reports whether it
+// has. Otherwise the connection takes no more bytes; what it has received before is still read.
+func (s *stream) copyTo(conn net.Conn) bool {
 	for {
 		m := &peerpb.Segment{}
 		if err := s.receiveSegment(m); err != nil {
-			return
+			return true
 		}
 		if _, err := conn.Write(m.Data); err != nil {
-			return
+			return false
 		}
 	}
 }
@@ -281,6 +285,9 @@
 	return len(p), nil
 }
 
+// EndIsDefinite implements httpanswer.Definite: the other node says how the target's connection ended.
+func (t *tunnel) EndIsDefinite() {}
+
 // OpenWithoutData reports whether the connection is open and has no unread bytes.
 func (t *tunnel) OpenWithoutData() bool {
 	t.mu.Lock()
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"topazmoor/internal/standin/cutconn"
 	"topazmoor/internal/verdict"
 )
 
@@ -25,8 +26,25 @@
 	return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
 }
 
+// writerFirstTargets does the same, with connections that tell of their end to the write under way first.
+type writerFirstTargets struct{ dialTargets }
+
+func (d writerFirstTargets) DialFor(ctx context.Context, addr string) (net.Conn, error) {
+	conn, err := d.dialTargets.DialFor(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return cutconn.WriterFirst(conn), nil
+}
+
 // tunnelTo serves a target with serve, and returns a connection to it through another node.
 func tunnelTo(t *testing.T, serve func(conn *net.TCPConn)) net.Conn {
+	t.Helper()
+	return tunnelOver(t, dialTargets{}, serve)
+}
+
+// tunnelOver does the same through a node that connects with targets.
+func tunnelOver(t *testing.T, targets Targets, serve func(conn *net.TCPConn)) net.Conn {
 	t.Helper()
 	target, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
@@ -37,19 +55,19 @@
 			serve(conn.(*net.TCPConn))
 		}
 	}()
-	conn, err := tunnelClient(t).Connect(t.Context(), closeAddr, target.Addr().String())
+	conn, err := tunnelClient(t, targets).Connect(t.Context(), closeAddr, target.Addr().String())
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() { conn.Close() })
 	return conn
 }
 
 // tunnelClient returns a client of a node that connects to targets.
-func tunnelClient(t *testing.T) *Client {
+func tunnelClient(t *testing.T, targets Targets) *Client {
 	network, ln, _, _ := listen(t, plainListener)
 	ln.Close()
 	ln, err := network.Listen(closeAddr)
 	qt.Assert(t, err, qt.IsNil)
-	server := NewServer(ln, []byte(closeKey), "server", Handler{Targets: dialTargets{}}, slog.New(slog.DiscardHandler))
+	server := NewServer(ln, []byte(closeKey), "server", Handler{Targets: targets}, slog.New(slog.DiscardHandler))
 	go func() { _ = server.Serve(t.Context()) }()
 	client := closeClient(network)
 	t.Cleanup(client.Close)
@@ -89,6 +107,35 @@
 	c.Assert(conn.(*tunnel).OpenWithoutData(), qt.IsFalse)
 }
 
+// TestTunnelTellsAResetDuringAWriteFromAClose guards against a reset of which only the write to the target is told, so that the next
+// read from it returns io.EOF.
+func TestTunnelTellsAResetDuringAWriteFromAClose(t *testing.T) {
+	upload := make([]byte, 32<<20)
+	for name, tc := range map[string]struct {
+		end  func(*net.TCPConn)
+		want error
+	}{
+		"reset": {func(target *net.TCPConn) { _ = target.SetLinger(0) }, errTunnelBroken},
+		"close, then reset": {func(target *net.TCPConn) {
+			_ = target.CloseWrite()
+			_ = target.SetLinger(0)
+		}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := tunnelOver(t, writerFirstTargets{}, func(target *net.TCPConn) {
+				_, _ = target.Read(make([]byte, 1))
+				_, _ = target.Write([]byte("answer"))
+				tc.end(target)
+				target.Close()
+			})
+			go func() { _, _ = conn.Write(upload) }()
+			received, err := io.ReadAll(conn)
+			qt.Check(t, string(received), qt.Equals, "answer")
+			qt.Check(t, err, qt.Equals, tc.want)
+		})
+	}
+}
+
 func TestTargetSeesThatATunnelIsClosed(t *testing.T) {
 	closed := make(chan error, 1)
 	conn := tunnelTo(t, func(target *net.TCPConn) {
@@ -102,6 +149,6 @@
 }
 
 func TestTunnelToATargetThatRefusesFails(t *testing.T) {
-	_, err := tunnelClient(t).Connect(t.Context(), closeAddr, noTarget)
+	_, err := tunnelClient(t, dialTargets{}).Connect(t.Context(), closeAddr, noTarget)
 	qt.Assert(t, verdict.CodeOf(err), qt.Equals, verdict.NoTarget)
 }
