Malformed heads are no answers, for all who read answers

What callers saw: a server in trouble sent an answer with status 000, or with a field whose name held a blank. A rejection with such a head said that a request had not run.

Cause: heads were taken as net/http reads them. It keeps names with blanks, reads 000 as a number, knows no lowest or highest status, and drops a coding of HTTP/1.0; httpconn took each status below 200 for an informational answer.

Already handled before, tests kept: control bytes in names and values, an empty name, a blank before the first name, two lengths; status 000 alone was no answer, but its caller waited while the connection stayed open.

--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -18,7 +18,7 @@
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/control"
 	"topazmoor/internal/frontdoor"
-	"topazmoor/internal/httpconn"
+	"topazmoor/internal/httpanswer"
 )
 
 // Client calls the administration API of one node.
@@ -35,7 +35,7 @@
 
 // NewClient returns a client with an operator's token.
 func NewClient(addr, token string) *Client {
-	tr := &http.Transport{MaxResponseHeaderBytes: httpconn.MaxHeadBytes}
+	tr := httpanswer.NewTransport(httpanswer.Options{})
 	return &Client{Addr: addr, token: token, scheme: "http", http: &http.Client{Timeout: clientTimeout, Transport: tr}}
 }
 
@@ -46,7 +46,7 @@
 		return eris.New("the CA file holds no PEM certificate")
 	}
 	c.scheme = "https"
-	c.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}, MaxResponseHeaderBytes: httpconn.MaxHeadBytes}
+	c.http.Transport = httpanswer.NewTransport(httpanswer.Options{TLS: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}})
 	return nil
 }
 
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -19,7 +19,7 @@
 	"topazmoor/internal/batch"
 	"topazmoor/internal/dispatch"
 	"topazmoor/internal/frontdoor"
-	"topazmoor/internal/httpconn"
+	"topazmoor/internal/httpanswer"
 )
 
 // Request describes one call that runs a pipeline.
@@ -74,7 +74,7 @@
 
 // New returns a Client that opens its connections with dial.
 func New(dial Dial) *Client {
-	tr := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 256, IdleConnTimeout: 20 * time.Second, MaxResponseHeaderBytes: httpconn.MaxHeadBytes}
+	tr := httpanswer.NewTransport(httpanswer.Options{Dial: httpanswer.Dial(dial), MaxIdle: 256, IdleTimeout: 20 * time.Second})
 	return &Client{http: &http.Client{Transport: tr}}
 }
 
--- a/internal/cli/demo_platform.go
+++ b/internal/cli/demo_platform.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/entry"
+	"topazmoor/internal/httpanswer"
 	"topazmoor/internal/verdict"
 	"topazmoor/platform"
 	platformstandin "topazmoor/platform/standin"
@@ -102,6 +103,9 @@
 	return nil
 }
 
+// demoClient is the caller of the demo.
+var demoClient = &http.Client{Transport: httpanswer.NewTransport(httpanswer.Options{})}
+
 // platformCall makes one request and compares its status.
 func platformCall(ctx context.Context, name string, n *entry.Node, path, key, pieces string, want int) demoRow {
 	row := demoRow{Request: name, Node: n.Name(), Deadline: "3s"}
@@ -111,7 +115,7 @@
 		row.Problem = err.Error()
 		return row
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := demoClient.Do(req)
 	if err != nil {
 		row.Problem = err.Error()
 		return row
--- /dev/null
+++ b/internal/dispatch/broken_test.go
@@ -0,0 +1,43 @@
+package dispatch_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"topazmoor/internal/dispatch"
+	"topazmoor/internal/standin/cutconn"
+	"topazmoor/internal/verdict"
+)
+
+// brokenAnswers are answers of a target in trouble, by what is wrong with them. ID stands for the identity of the call.
+func brokenAnswers(id string) map[string]string {
+	const body = "Content-Length: 2\r\n\r\n{}"
+	named := dispatch.IdentityHeader + ": " + id + "\r\n"
+	return map[string]string{
+		"status 000":                     "HTTP/1.1 000 \r\n" + named + body,
+		"status 099":                     "HTTP/1.1 099 X\r\n" + named + body,
+		"blank in a name":                "HTTP/1.1 200 OK\r\n" + named + "X y: z\r\n" + body,
+		"blank after a name":             "HTTP/1.1 200 OK\r\n" + named + "Content-Length : 9\r\n\r\n{}",
+		"control byte in a name":         "HTTP/1.1 200 OK\r\n" + named + "X\x01y: z\r\n" + body,
+		"another version":                "HTTP/2.0 200 OK\r\n" + named + body,
+		"another protocol":               "HTTP/1.1 101 Switching Protocols\r\n" + named + body,
+		"control byte in the reason":     "HTTP/1.1 200 O\x00K\r\n" + named + body,
+		"blank in a name of the trailer": "HTTP/1.1 200 OK\r\n" + named + "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX y: z\r\n\r\n",
+	}
+}
+
+// TestMalformedAnswerOfATargetIsNoAnswer guards against a stage of a pipeline whose answer is malformed and counts.
+func TestMalformedAnswerOfATargetIsNoAnswer(t *testing.T) {
+	id := dispatch.Identity{Request: "r", Stage: "s", Attempt: 1}
+	call := dispatch.Call{Identity: id, Target: "t", Addr: targetAddr, Path: "/x", Body: []byte("{}"), Echoes: true}
+	for name, answer := range brokenAnswers(id.String()) {
+		t.Run(name, func(t *testing.T) {
+			c := dispatch.New(cutconn.Dial(answer, cutconn.Ends[0]), 1<<20)
+			defer c.Close()
+			got, err := c.Do(t.Context(), call)
+			qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%q gave %q", answer, got))
+			qt.Check(t, verdict.Of(err), qt.Equals, verdict.MayHaveRun)
+		})
+	}
+}
--- a/internal/dispatch/conn.go
+++ b/internal/dispatch/conn.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/rotisserie/eris"
+
+	"topazmoor/internal/sockets"
 )
 
 var errSealed = eris.New("dispatch: connection sealed before anything was written")
@@ -84,7 +86,7 @@
 func (h *connLog) gotConn(info httptrace.GotConnInfo) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	c, ok := info.Conn.(*conn)
+	c, ok := sockets.As[*conn](info.Conn)
 	if !ok {
 		h.untracked = true
 		return
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -22,7 +22,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"topazmoor/internal/httpconn"
+	"topazmoor/internal/httpanswer"
 	"topazmoor/internal/readiness"
 	"topazmoor/internal/verdict"
 )
@@ -69,16 +69,7 @@
 
 // New returns a Client that accepts answers of at most maxBytes.
 func New(dial Dial, maxBytes int64) *Client {
-	tr := &http.Transport{
-		DialContext:         tracked(dial),
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: 32,
-		IdleConnTimeout:     20 * time.Second,
-		Protocols:           new(http.Protocols),
-
-		MaxResponseHeaderBytes: httpconn.MaxHeadBytes,
-	}
-	tr.Protocols.SetHTTP1(true)
+	tr := httpanswer.NewTransport(httpanswer.Options{Dial: httpanswer.Dial(tracked(dial)), MaxIdle: 32, IdleTimeout: 20 * time.Second})
 	return &Client{
 		maxBytes: maxBytes,
 		http: &http.Client{
--- a/internal/httpanswer/conn.go
+++ b/internal/httpanswer/conn.go
@@ -1,4 +1,3 @@
-// Package httpanswer defines what a well-formed and complete HTTP/1 answer is, for all that read answers.
 package httpanswer
 
 import (
--- a/internal/httpconn/head.go
+++ b/internal/httpconn/head.go
@@ -4,13 +4,11 @@
 	"io"
 
 	"github.com/rotisserie/eris"
-)
 
-// MaxHeadBytes bounds the heads of all answers that are read for one request, informational ones and those to other
-// requests included, in bytes. Those of targets and of the store take some hundred bytes.
-const MaxHeadBytes = 64 << 10
+	"topazmoor/internal/httpanswer"
+)
 
-var errLongHead = eris.Errorf("the heads of the answer are over %d bytes", MaxHeadBytes)
+var errLongHead = eris.Errorf("the heads of the answer are over %d bytes", httpanswer.MaxHeadBytes)
 
 // headLimiter bounds what is read from a connection while heads are read.
 type headLimiter struct {
@@ -21,7 +19,7 @@
 }
 
 // limit begins to bound what is read.
-func (l *headLimiter) limit() { l.left, l.unlimited = MaxHeadBytes, false }
+func (l *headLimiter) limit() { l.left, l.unlimited = httpanswer.MaxHeadBytes, false }
 
 // pause ends the bound until resume is called; what is read meanwhile does not count.
 func (l *headLimiter) pause() { l.unlimited = true }
--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"topazmoor/internal/httpanswer"
 )
 
 // endless returns a Dial whose connections carry start and then text without end, and a function that returns how
@@ -57,7 +59,7 @@
 				p := New(Config{Dial: dial, AnswerID: answerID, IdleTimeout: time.Minute, MaxIdle: 4})
 				_, err := p.Do(t.Context(), "target", get("1"))
 				qt.Assert(t, err, qt.ErrorMatches, ".*(the heads of the answer are over|belongs to another|malformed).*")
-				qt.Check(t, sent() <= MaxHeadBytes+bufferSize, qt.IsTrue, qt.Commentf("%d bytes read", sent()))
+				qt.Check(t, sent() <= httpanswer.MaxHeadBytes+bufferSize, qt.IsTrue, qt.Commentf("%d bytes read", sent()))
 			})
 		})
 	}
@@ -65,7 +67,7 @@
 
 // A body of any length is not a head.
 func TestLongBodyAfterAHeadIsRead(t *testing.T) {
-	long := strings.Repeat("b", 4*MaxHeadBytes)
+	long := strings.Repeat("b", 4*httpanswer.MaxHeadBytes)
 	addr := target(t, func(conn net.Conn, r *http.Request) bool {
 		answer(conn, "other", strings.Repeat("s", maxStrayBytes))
 		answer(conn, r.Header.Get(idHeader), long)
--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"topazmoor/internal/httpanswer"
 )
 
 // Request is one HTTP request to a target.
@@ -135,7 +137,7 @@
 	b := &body{x: x, resp: resp, named: p.cfg.AnswerID(resp.Header) != ""}
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0,
+		Framed: httpanswer.Framed(resp),
 		Named:  b.named, Earlier: earlier, Body: b, body: b,
 	}, nil
 }
@@ -201,13 +203,13 @@
 }
 
 // read returns the answer to the request, with its header read. It skips 1xx answers and
-// a few short answers to other requests. A target that sends more than MaxHeadBytes of heads has
-// given no answer.
+// a few short answers to other requests. A target that sends more than httpanswer.MaxHeadBytes of heads,
+// or a malformed one, has given no answer.
 func (x *exchange) read() (*http.Response, error) {
 	req := &http.Request{Method: x.r.Method}
 	x.c.head.limit()
 	for stray := 0; ; {
-		resp, err := http.ReadResponse(x.c.br, req)
+		resp, err := httpanswer.Read(x.c.br, req)
 		if err != nil {
 			return nil, eris.Wrap(err, "read answer")
 		}
@@ -265,6 +267,9 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.resp.Body.Read(p)
+	if err == io.EOF {
+		err = httpanswer.End(b.resp)
+	}
 	switch {
 	case err == io.EOF && b.held:
 		b.complete = true
--- a/internal/node/balance.go
+++ b/internal/node/balance.go
@@ -8,7 +8,7 @@
 
 	"topazmoor/internal/control"
 	"topazmoor/internal/fleet"
-	"topazmoor/internal/httpconn"
+	"topazmoor/internal/httpanswer"
 	"topazmoor/internal/scheduler"
 	"topazmoor/internal/settings"
 )
@@ -22,7 +22,7 @@
 	c := &fleet.Controller{
 		Tables: n.env.Store, Engines: n.engines, Demand: n.demand, Limits: fleet.DefaultLimits, Log: n.log,
 		Node: n.s.Node.Name, NewID: n.env.NewID,
-		Client: &http.Client{Transport: &http.Transport{DialContext: n.links.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: httpconn.MaxHeadBytes}},
+		Client: &http.Client{Transport: httpanswer.NewTransport(httpanswer.Options{Dial: n.links.DialContext, NoKeepAlive: true})},
 	}
 	s := &control.Shard{
 		Name: "balance", Node: n.s.Node.Name, Task: c, Preferred: n.peers.isPreferredNode,
--- a/internal/node/pollers.go
+++ b/internal/node/pollers.go
@@ -13,7 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"topazmoor/internal/catalog"
-	"topazmoor/internal/httpconn"
+	"topazmoor/internal/httpanswer"
 	"topazmoor/internal/routing"
 	"topazmoor/internal/scheduler"
 	"topazmoor/internal/store"
@@ -140,7 +140,7 @@
 
 // Serve implements suture.Service.
 func (p *loadPoller) Serve(ctx context.Context) error {
-	tr := &http.Transport{DialContext: p.n.links.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: httpconn.MaxHeadBytes}
+	tr := httpanswer.NewTransport(httpanswer.Options{Dial: p.n.links.DialContext, MaxIdle: 1, IdleTimeout: time.Minute})
 	defer tr.CloseIdleConnections()
 	client := &http.Client{Transport: tr, Timeout: loadTimeout}
 	var wg sync.WaitGroup
