Load reports and orders: a failure or a cut answer is no report and no receipt

What was seen: nothing reported; found while checking who reads answers. A 404 or 500 with a JSON object counted as a report of a target without load, which then got most calls; a report cut after its object counted too; an order whose answer broke off counted as received.

Cause: fetchLoad decoded the first value whatever the status and the rest of the body; Controller.post left out the error of the body.

--- a/internal/fleet/controller.go
+++ b/internal/fleet/controller.go
@@ -27,6 +27,8 @@
 	// resendInterval is the minimum time between two sends of an order that the
 	// engine has not carried out.
 	resendInterval = 15 * time.Second
+	// maxOrderReply bounds what is read of the answer to an order, in bytes.
+	maxOrderReply = 1 << 10
 	// scanLimit is the maximum number of orders that are read.
 	scanLimit = 10_000
 )
@@ -152,7 +154,9 @@
 		return eris.Wrap(err, "send order")
 	}
 	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<10))
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxOrderReply)); err != nil {
+		return eris.Wrap(err, "answer to order")
+	}
 	if resp.StatusCode != http.StatusOK {
 		return eris.Errorf("engine answered %d", resp.StatusCode)
 	}
--- a/internal/node/pollers.go
+++ b/internal/node/pollers.go
@@ -199,10 +199,17 @@
 		return 0, eris.Wrap(err, "fetch load report")
 	}
 	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxLoadReportBytes))
+	if err != nil {
+		return 0, eris.Wrap(err, "read load report")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return 0, eris.Errorf("the target answered %d", resp.StatusCode)
+	}
 	var l struct {
 		Running int `json:"running"`
 		Waiting int `json:"waiting"`
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxLoadReportBytes)).Decode(&l)
+	err = json.Unmarshal(body, &l)
 	return l.Running + l.Waiting, eris.Wrap(err, "decode load report")
 }
