A refusal that breaks off does not show that a request has not run

What callers saw: a request that may not be repeated was sent to a second server after a rejection whose body broke off (TWICE where the first one had run it); in the caller API a call counted as not run.

Cause: the verdict was taken from the head, and the error of the body was left out (passthrough), or the body was not read (dispatch). The same for 421, another process at the address.

Change: httpanswer.Drain reads the rest, up to 16 KiB and 50 ms as before, and tells whether it broke off; then the attempt may have run. A body that is only long or slow is left, and its head believed, as TestRejectionWithoutEndDelaysNobody asks. Stage calls and the store read bodies first already.

--- a/internal/dispatch/broken_test.go
+++ b/internal/dispatch/broken_test.go
@@ -41,3 +41,30 @@
 		})
 	}
 }
+
+// TestBrokenRefusalDoesNotShowThatACallHasNotRun guards against a second run of a call after a refusal that is malformed or breaks off.
+func TestBrokenRefusalDoesNotShowThatACallHasNotRun(t *testing.T) {
+	id := dispatch.Identity{Request: "r", Stage: "s", Attempt: 1}
+	call := dispatch.Call{Identity: id, Target: "t", Addr: targetAddr, Path: "/x", Body: []byte("{}"), Echoes: true, RefusalStatuses: []int{503}}
+	head := "HTTP/1.1 503 Service Unavailable\r\n" + dispatch.IdentityHeader + ": " + id.String() + "\r\n"
+	for name, tc := range map[string]struct {
+		answer string
+		end    cutconn.End
+		want   verdict.Verdict
+	}{
+		"whole":               {head + "Content-Length: 4\r\n\r\nbusy", cutconn.Ends[0], verdict.NotRun},
+		"whole, no length":    {head + "\r\nbusy", cutconn.Ends[0], verdict.NotRun},
+		"malformed":           {head + "X y: z\r\nContent-Length: 4\r\n\r\nbusy", cutconn.Ends[0], verdict.MayHaveRun},
+		"cut within its body": {head + "Content-Length: 9\r\n\r\nbusy", cutconn.Ends[0], verdict.MayHaveRun},
+		"cut within a chunk":  {head + "Transfer-Encoding: chunked\r\n\r\n9\r\nbusy", cutconn.Ends[0], verdict.MayHaveRun},
+		"reset":               {head + "\r\nbusy", cutconn.Ends[1], verdict.MayHaveRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := dispatch.New(cutconn.Dial(tc.answer, tc.end), 1<<20)
+			defer c.Close()
+			_, err := c.Do(t.Context(), call)
+			qt.Assert(t, err, qt.IsNotNil)
+			qt.Check(t, verdict.Of(err), qt.Equals, tc.want)
+		})
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -144,6 +144,9 @@
 		resp.Body.Close()
 		return nil, nil, err
 	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, nil, c.refusal(ctx, resp, call)
+	}
 	return resp, h, nil
 }
 
@@ -153,17 +156,23 @@
 		return verdict.New(verdict.MayHaveRun, verdict.WrongAnswer,
 			"the target answered for %q", resp.Header.Get(IdentityHeader)).At(call.Identity.Stage, call.Target)
 	}
-	if resp.StatusCode == http.StatusOK {
+	if resp.StatusCode == http.StatusOK || slices.Contains(call.RefusalStatuses, resp.StatusCode) {
 		return nil
 	}
-	if slices.Contains(call.RefusalStatuses, resp.StatusCode) {
-		return verdict.New(verdict.NotRun, verdict.TargetRefused, "the target refused with status %d", resp.StatusCode).
-			After(readiness.ParseRetryAfter(resp.Header.Values("Retry-After"), resp.Header.Get("Date"), time.Now())).At(call.Identity.Stage, call.Target)
-	}
 	return verdict.New(verdict.MayHaveRun, verdict.TargetFailed, "the target failed with status %d", resp.StatusCode).
 		At(call.Identity.Stage, call.Target)
 }
 
+// refusal reads the rest of a refusal and returns its error. One that breaks off does not show that the target has not run the call.
+func (c *Client) refusal(ctx context.Context, resp *http.Response, call Call) error {
+	if err := httpanswer.Drain(resp.Body); err != nil && ctx.Err() == nil {
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.TargetFailed, "the refusal of the target broke off").
+			At(call.Identity.Stage, call.Target)
+	}
+	return verdict.New(verdict.NotRun, verdict.TargetRefused, "the target refused with status %d", resp.StatusCode).
+		After(readiness.ParseRetryAfter(resp.Header.Values("Retry-After"), resp.Header.Get("Date"), time.Now())).At(call.Identity.Stage, call.Target)
+}
+
 // failure returns a transport error as an error with a verdict.
 func (c *Client) failure(ctx context.Context, call Call, h *connLog, err error) error {
 	v := verdict.MayHaveRun
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"slices"
 	"time"
 
+	"topazmoor/internal/httpanswer"
 	"topazmoor/internal/httpconn"
 	"topazmoor/internal/poison"
 	"topazmoor/internal/readiness"
@@ -99,8 +99,7 @@
 		a.info.Moved = false
 	}
 	if f := rejected(a); f != nil {
-		c.finishRejected(a, f)
-		return nil, f
+		return nil, c.finishRejected(ctx, a, f)
 	}
 	return a, nil
 }
@@ -199,14 +198,12 @@
 	return nil
 }
 
-// finishRejected reads the rest of a rejection, so that its connection can be reused, and ends
-// the lease.
-func (c *call) finishRejected(a *attempt, f *failure) {
-	// If the body cannot be read, the connection is not reused.
-	drain := time.AfterFunc(rejectionTimeout, func() { a.ans.Body.Close() })
-	_, _ = io.Copy(io.Discard, io.LimitReader(a.ans.Body, maxRejection))
-	drain.Stop()
-	a.ans.Body.Close()
+// finishRejected reads the rest of a rejection and ends the lease. It returns f, or the failure of a rejection that breaks off, which
+// does not show that the target has not run the request.
+func (c *call) finishRejected(ctx context.Context, a *attempt, f *failure) *failure {
+	if err := httpanswer.Drain(a.ans.Body); err != nil && ctx.Err() == nil {
+		return c.endedEarly(ctx, a, err)
+	}
 	outcome := targets.Failed
 	switch {
 	case a.info.Moved:
@@ -219,14 +216,22 @@
 	c.log.Info("target rejected the request", "target", a.lease.ID, "addr", a.lease.Addr, "status", a.ans.Status,
 		"not_run", a.info.NotRun, "moved", a.info.Moved, "load", a.info.Load, "leaving", a.info.Notice.Leaving, "rest_ms", a.info.Notice.Rest.Milliseconds(),
 		"named", a.ans.Named, "conn_requests", a.ans.Earlier, "err", f.err)
+	return f
 }
 
-const (
-	// maxRejection bounds the bytes that are read of the body of a rejection.
-	maxRejection = 16 << 10
-	// rejectionTimeout bounds the time for it: the caller waits for another target meanwhile.
-	rejectionTimeout = 50 * time.Millisecond
-)
+// endedEarly ends the lease of an attempt whose response broke off before anything of it was delivered, and returns the failure.
+func (c *call) endedEarly(ctx context.Context, a *attempt, err error) *failure {
+	a.ans.Body.Close()
+	outcome := targets.Failed
+	if ctx.Err() != nil {
+		outcome = targets.Abandoned
+	}
+	a.lease.Done(outcome, 0)
+	c.reportInterrupted(a.lease, a.n, a.start, a.progress, ctx.Err() != nil)
+	c.log.Info("response of target ended early", "target", a.lease.ID, "addr", a.lease.Addr, "digest", c.digest, "parts", c.meta.Prompt, "began", true,
+		"ran_ms", time.Since(a.start).Milliseconds(), "err", err)
+	return &failure{ran: true, target: a.lease.ID, err: err}
+}
 
 // mayRepeat reports whether the request may be sent to one more target after a failure, and
 // charges the repeat budget if that send counts as a repeat.
--- a/internal/passthrough/plain.go
+++ b/internal/passthrough/plain.go
@@ -166,16 +166,7 @@
 	}
 	w, err := c.readBuffered(a)
 	if err != nil {
-		a.ans.Body.Close()
-		outcome := targets.Failed
-		if ctx.Err() != nil {
-			outcome = targets.Abandoned
-		}
-		l.Done(outcome, 0)
-		c.reportInterrupted(l, n, a.start, a.progress, ctx.Err() != nil)
-		c.log.Info("response of target ended early", "target", l.ID, "addr", l.Addr, "digest", c.digest, "parts", c.meta.Prompt, "began", true,
-			"ran_ms", time.Since(a.start).Milliseconds(), "err", err)
-		return result{f: &failure{ran: true, err: err}}
+		return result{f: c.endedEarly(ctx, a, err)}
 	}
 	if a.ans.Status >= http.StatusInternalServerError {
 		l.MarkFaulty()
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -172,9 +172,7 @@
 func (x *streaming) deliverPlain(a *attempt) *failure {
 	w, err := x.c.readBuffered(a)
 	if err != nil {
-		a.lease.Done(targets.Failed, 0)
-		x.c.reportInterrupted(a.lease, a.n, a.start, a.progress, x.c.ctx.Err() != nil)
-		return &failure{ran: true, err: err}
+		return x.c.endedEarly(x.c.ctx, a, err)
 	}
 	if a.ans.Status >= http.StatusInternalServerError {
 		a.lease.MarkFaulty()
