Heads and events that do not end are bounded in sum

What was reported: a faulty server sent bytes that were no answer, without end, in a head or in a body; the machine that had called it kept them all and ran out of memory, and the requests of others on it ended with it (LOST).

Change: a head has at most 256 lines, and what it has beyond the first read buffer is reserved in the budget of callers' bytes, twice, for its copy; an event over 16 KiB is reserved there too (sse.Reader asks for room). Without room the answer is none, and the request goes elsewhere as after any other. Small heads and events take no lock.

TestLinesOfAHeadAreBounded, TestLargeHeadsReserveTheirRoom, TestLargeEventsReserveTheirRoom.

--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"topazmoor/internal/httpanswer"
+	"topazmoor/internal/standin/cutconn"
 )
 
 // endless returns a Dial whose connections carry start and then text without end, and a function that returns how
@@ -79,3 +81,67 @@
 		qt.Check(t, bodyOf(t, a, err), qt.Equals, long)
 	}
 }
+
+// headOf returns an answer whose head has some lines before its empty one, each of some bytes.
+func headOf(lines, size int) string {
+	fields := idHeader + ": 1\r\nContent-Length: 2\r\n"
+	for i := range lines - 3 {
+		name := fmt.Sprintf("F%d: ", i)
+		fields += name + strings.Repeat("v", size-len(name)) + "\r\n"
+	}
+	// The lines of the body do not count.
+	return "HTTP/1.1 200 OK\r\n" + fields + "\r\n\n\n"
+}
+
+func TestLinesOfAHeadAreBounded(t *testing.T) {
+	early := "HTTP/1.1 103 Early Hints\r\n" + strings.Repeat("X: y\r\n", maxHeadLines-10) + "\r\n"
+	for name, tc := range map[string]struct {
+		answer string
+		whole  bool
+	}{
+		"as many as may be":         {headOf(maxHeadLines-1, 10), true},
+		"more":                      {headOf(maxHeadLines+1, 10), false},
+		"more, in several reads":    {headOf(maxHeadLines+1, 100), false},
+		"after informational ones":  {early + early + headOf(maxHeadLines-1, 10), true},
+		"more in informational one": {"HTTP/1.1 103 Early Hints\r\n" + strings.Repeat("X: y\r\n", maxHeadLines) + "\r\n" + headOf(10, 10), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := New(Config{Dial: Dial(cutconn.Dial(tc.answer, cutconn.Ends[0])), AnswerID: answerID, IdleTimeout: time.Minute, MaxIdle: 4})
+			a, err := p.Do(t.Context(), "target", get("1"))
+			if tc.whole {
+				qt.Check(t, bodyOf(t, a, err), qt.Equals, "\n\n")
+				return
+			}
+			qt.Check(t, err, qt.ErrorMatches, ".* lines")
+		})
+	}
+}
+
+// A head that fits the read buffer needs no room.
+func TestLargeHeadsReserveTheirRoom(t *testing.T) {
+	for name, tc := range map[string]struct {
+		size  int
+		room  int64
+		whole bool
+	}{
+		"small":               {10, 0, true},
+		"large":               {200, headCost * 20 << 10, true},
+		"large, without room": {200, headCost * 10 << 10, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var reserved int64
+			r := get("1")
+			r.Room = func(bytes int64) bool {
+				reserved += bytes
+				return reserved <= tc.room
+			}
+			p := New(Config{Dial: Dial(cutconn.Dial(headOf(100, tc.size), cutconn.Ends[0])), AnswerID: answerID, IdleTimeout: time.Minute, MaxIdle: 4})
+			a, err := p.Do(t.Context(), "target", r)
+			if tc.whole {
+				qt.Check(t, bodyOf(t, a, err), qt.Equals, "\n\n")
+				return
+			}
+			qt.Check(t, err, qt.ErrorIs, errNoRoom)
+		})
+	}
+}
--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -28,6 +28,8 @@
 	// NewConn requires a new connection. If a new connection closes, the target closed it or
 	// terminated after it was opened; it can't be an idle connection that had timed out.
 	NewConn bool
+	// Room, if set, is called to reserve bytes for a head of the answer that is large, and reports whether there is room for them.
+	Room func(bytes int64) bool
 	// ShouldSend, if set, is called after a connection was obtained, which may take a while, and
 	// before the first byte is written. If it returns false, nothing is sent.
 	ShouldSend func() bool
@@ -207,13 +209,14 @@
 // or a malformed one, has given no answer.
 func (x *exchange) read() (*http.Response, error) {
 	req := &http.Request{Method: x.r.Method}
-	x.c.head.limit()
+	x.c.head.limit(x.r.Room)
 	for stray := 0; ; {
 		resp, err := httpanswer.Read(x.c.br, req)
 		if err != nil {
 			return nil, eris.Wrap(err, "read answer")
 		}
 		if resp.StatusCode < http.StatusOK {
+			x.c.head.next()
 			continue
 		}
 		x.c.head.pause()
--- a/internal/passthrough/attempt.go
+++ b/internal/passthrough/attempt.go
@@ -79,7 +79,7 @@
 		Header: c.s.cfg.Wire.ToTarget(c.r.Header, o), Body: c.bodySegments(),
 		// The target may report that it leaves, or ask for rest, between its selection and the first
 		// byte, also while a connection is opened.
-		NewConn: n.fresh, ShouldSend: l.MaySend,
+		NewConn: n.fresh, ShouldSend: l.MaySend, Room: c.hold.TryGrow,
 	})
 	if err != nil {
 		return nil, c.noAnswer(ctx, l, n, a.start, err)
--- a/internal/passthrough/stream.go
+++ b/internal/passthrough/stream.go
@@ -189,7 +189,7 @@
 // relayEvents passes the events of a response on until its end.
 func (x *streaming) relayEvents(ctx context.Context, a *attempt, watchdog *watchdog) *failure {
 	c := x.c
-	events := sse.NewReader(a.ans.Body)
+	events := sse.NewReader(a.ans.Body, c.hold.TryGrow)
 	flush := http.NewResponseController(c.w)
 	gap := c.route.MaxGap
 	if gap <= 0 {
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"slices"
 
 	"github.com/rotisserie/eris"
 )
@@ -26,6 +27,8 @@
 	br *bufio.Reader
 	// raw holds the bytes of the current event.
 	raw []byte
+	// room reserves bytes for events.
+	room func(bytes int64) bool
 }
 
 const (
@@ -34,16 +37,24 @@
 	// maxEvent bounds an event, in bytes. It is checked after each line, and within lines
 	// longer than the read buffer.
 	maxEvent = 1 << 20
+	// freeEvent is the size up to which an event needs no reserved room, in bytes.
+	freeEvent = 16 << 10
 )
 
 // ErrTooLong reports an event over maxEvent.
 var ErrTooLong = eris.Errorf("sse: an event is over %d bytes", maxEvent)
 
+// ErrNoRoom reports an event over freeEvent for which there is no room.
+var ErrNoRoom = eris.New("sse: there is no room for a large event")
+
 // ErrTruncated reports that the stream ended within an event.
 var ErrTruncated = eris.New("sse: the stream ended within an event")
 
-// NewReader returns a Reader of the stream r.
-func NewReader(r io.Reader) *Reader { return &Reader{br: bufio.NewReaderSize(r, bufferSize)} }
+// NewReader returns a Reader of the stream r. room is called to reserve bytes for events over freeEvent, and reports whether there is
+// room for them; the Reader keeps them to its end.
+func NewReader(r io.Reader, room func(bytes int64) bool) *Reader {
+	return &Reader{br: bufio.NewReaderSize(r, bufferSize), room: room}
+}
 
 var (
 	idField = []byte("id:")
@@ -52,12 +63,15 @@
 
 // Next returns the next event. At the end of the stream it returns io.EOF, or
 // ErrTruncated within an event. It returns ErrTooLong for an event that does not end within
-// maxEvent, and errors of the reader unchanged.
+// maxEvent, ErrNoRoom, and errors of the reader unchanged.
 func (r *Reader) Next() (Event, error) {
 	r.raw = r.raw[:0]
 	ev := Event{}
 	for {
 		line, err := r.br.ReadSlice('\n')
+		if !r.grow(len(line)) {
+			return Event{}, ErrNoRoom
+		}
 		r.raw = append(r.raw, line...)
 		switch {
 		case len(r.raw) > maxEvent:
@@ -82,5 +96,23 @@
 	}
 }
 
+// grow makes room for n more bytes of the current event, and reports whether there is any.
+func (r *Reader) grow(n int) bool {
+	size := len(r.raw) + n
+	if size <= cap(r.raw) {
+		return true
+	}
+	if size <= freeEvent {
+		r.raw = slices.Grow(r.raw, n)
+		return true
+	}
+	grown := max(2*cap(r.raw), size, 2*freeEvent)
+	if !r.room(int64(grown - cap(r.raw))) {
+		return false
+	}
+	r.raw = append(make([]byte, 0, grown), r.raw...)
+	return true
+}
+
 // Buffered reports whether bytes after the last event are already in the read buffer.
 func (r *Reader) Buffered() bool { return r.br.Buffered() > 0 }
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -11,10 +11,13 @@
 	qt "github.com/frankban/quicktest"
 )
 
+// anyRoom has room for everything.
+func anyRoom(int64) bool { return true }
+
 func TestEventsKeepTheirBytes(t *testing.T) {
 	c := qt.New(t)
 	raw := "id: 1\ndata: a\ndata: b\n\n: comment\r\nid:2\r\ndata: c\r\n\r\n" + "data: " + strings.Repeat("x", 3*bufferSize) + "\n\n"
-	r := NewReader(iotest.OneByteReader(strings.NewReader(raw)))
+	r := NewReader(iotest.OneByteReader(strings.NewReader(raw)), anyRoom)
 	var got, ids []string
 	for {
 		ev, err := r.Next()
@@ -30,7 +33,7 @@
 
 func TestTruncatedEventIsReported(t *testing.T) {
 	for _, raw := range []string{"id: 1", "id: 1\n", "id: 1\ndata: a\n", "id: 1\ndata: a\n\nid"} {
-		r := NewReader(strings.NewReader(raw))
+		r := NewReader(strings.NewReader(raw), anyRoom)
 		var err error
 		for err == nil {
 			_, err = r.Next()
@@ -58,14 +61,34 @@
 func TestEventWithoutEndIsAnError(t *testing.T) {
 	for _, text := range []string{"x", "data: x\n", ": x\n", "data: " + strings.Repeat("x", 2*bufferSize) + "\n"} {
 		source := &repeated{text: text}
-		_, err := NewReader(source).Next()
+		_, err := NewReader(source, anyRoom).Next()
 		qt.Check(t, err, qt.Equals, ErrTooLong)
 		qt.Check(t, source.read <= maxEvent+2*bufferSize, qt.IsTrue, qt.Commentf("%d bytes read", source.read))
 	}
 }
 
+// Small events need no room. A large one keeps what it has reserved, for the next ones.
+func TestLargeEventsReserveTheirRoom(t *testing.T) {
+	event := func(size int) string { return strings.Repeat("x", size-2) + "\n\n" }
+	var reserved int64
+	r := NewReader(strings.NewReader(event(freeEvent)+event(5*freeEvent)+event(5*freeEvent)+event(maxEvent)), func(bytes int64) bool {
+		reserved += bytes
+		return reserved < 16*freeEvent
+	})
+	_, err := r.Next()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, reserved, qt.Equals, int64(0))
+	for range 2 {
+		_, err = r.Next()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, reserved+freeEvent >= int64(cap(r.raw)), qt.IsTrue, qt.Commentf("%d bytes reserved for %d", reserved, cap(r.raw)))
+	}
+	_, err = r.Next()
+	qt.Assert(t, err, qt.Equals, ErrNoRoom)
+}
+
 func TestBlankLinesSayNothing(t *testing.T) {
-	r := NewReader(strings.NewReader("\n\r\ndata: a\n\n"))
+	r := NewReader(strings.NewReader("\n\r\ndata: a\n\n"), anyRoom)
 	for _, empty := range []bool{true, true, false} {
 		ev, err := r.Next()
 		qt.Assert(t, err, qt.IsNil)
@@ -77,7 +100,7 @@
 	f.Add([]byte("id: 1\ndata: a\n\n"))
 	f.Add([]byte("\n\n\r\n:x\nid:"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		r := NewReader(bytes.NewReader(b))
+		r := NewReader(bytes.NewReader(b), anyRoom)
 		n := 0
 		for {
 			ev, err := r.Next()
