Caller API: answers of targets that do not end are bounded in sum

Here: with 128 MB, 150 calls whose targets send a body that stays below 8 MiB and goes on slowly took 1,396 MB (in chunks 855, at once and without end 201), and 191 MB for heads of short fields.

Cause: each answer was bounded (8 MiB, a line of a stream 1 MiB, a head 64 KiB), their sum was not; net/http bounds the bytes of a head, not what they cost decoded.

Change: answers that are being read share a budget of an eighth of the memory beyond their first 16 KiB (intake.Budget.ReadWhole); without room the one that has occupied most for longest gives way, as with bodies of callers, and may have run. Lines of streams over 4 KiB reserve there too. The bounds on heads move to httpanswer.HeadLimiter, and Transport learns from httptrace when a head is read, so that 256 lines hold for all users of net/http.

Not bounded in sum: answers of stage servers of entry nodes (1 MiB each, as many as calls that their slots allow; 69 MB with four faulty ones) and of the store (16 MiB each).

--- a/internal/dispatch/broken_test.go
+++ b/internal/dispatch/broken_test.go
@@ -6,6 +6,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"topazmoor/internal/dispatch"
+	"topazmoor/internal/intake"
 	"topazmoor/internal/standin/cutconn"
 	"topazmoor/internal/verdict"
 )
@@ -33,7 +34,7 @@
 	call := dispatch.Call{Identity: id, Target: "t", Addr: targetAddr, Path: "/x", Body: []byte("{}"), Echoes: true}
 	for name, answer := range brokenAnswers(id.String()) {
 		t.Run(name, func(t *testing.T) {
-			c := dispatch.New(cutconn.Dial(answer, cutconn.Ends[0]), 1<<20)
+			c := dispatch.New(cutconn.Dial(answer, cutconn.Ends[0]), 1<<20, intake.NewBudget(0))
 			defer c.Close()
 			got, err := c.Do(t.Context(), call)
 			qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%q gave %q", answer, got))
@@ -60,7 +61,7 @@
 		"reset":               {head + "\r\nbusy", cutconn.Ends[1], verdict.MayHaveRun},
 	} {
 		t.Run(name, func(t *testing.T) {
-			c := dispatch.New(cutconn.Dial(tc.answer, tc.end), 1<<20)
+			c := dispatch.New(cutconn.Dial(tc.answer, tc.end), 1<<20, intake.NewBudget(0))
 			defer c.Close()
 			_, err := c.Do(t.Context(), call)
 			qt.Assert(t, err, qt.IsNotNil)
--- a/internal/dispatch/conn_test.go
+++ b/internal/dispatch/conn_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"bufio"
 	"bytes"
 	"net"
 	"testing"
@@ -43,7 +44,7 @@
 	f.Add([]byte("data: {\"choices\":[{\"text\":\"a\",\"token_index\":0}]}\n\ndata: [DONE]\n\n"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		next := 0
-		_, err := readStream(bytes.NewReader(b), 0, func() {}, func(tok Token) error {
+		_, err := readStream(&lineReader{br: bufio.NewReader(bytes.NewReader(b)), room: func(int64) bool { return true }}, 0, func() {}, func(tok Token) error {
 			if tok.Index != next {
 				t.Fatalf("token %d came as number %d", tok.Index, next)
 			}
--- a/internal/dispatch/cut_test.go
+++ b/internal/dispatch/cut_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"topazmoor/internal/dispatch"
+	"topazmoor/internal/intake"
 	"topazmoor/internal/standin/cutconn"
 	"topazmoor/internal/verdict"
 )
@@ -28,7 +29,7 @@
 		for _, end := range cutconn.Ends {
 			t.Run(name+", "+end.Name, func(t *testing.T) {
 				for n := range len(whole) {
-					c := dispatch.New(cutconn.Dial(whole[:n], end), 1<<20)
+					c := dispatch.New(cutconn.Dial(whole[:n], end), 1<<20, intake.NewBudget(0))
 					got, err := c.Do(t.Context(), call)
 					qt.Check(t, err, qt.IsNotNil, qt.Commentf("cut after %d of %d bytes: %q", n, len(whole), got))
 					qt.Check(t, verdict.Of(err), qt.Equals, verdict.MayHaveRun, qt.Commentf("cut after %d bytes", n))
@@ -51,7 +52,7 @@
 	// Its last line may lack its end.
 	for n := range len(whole) - len("\n\n") {
 		for _, end := range cutconn.Ends {
-			c := dispatch.New(cutconn.Dial(whole[:n], end), 1<<20)
+			c := dispatch.New(cutconn.Dial(whole[:n], end), 1<<20, intake.NewBudget(0))
 			err := c.Stream(t.Context(), call, 0, dispatch.Stall{First: time.Minute, Next: time.Minute}, func(dispatch.Token) error { return nil })
 			qt.Check(t, err, qt.IsNotNil, qt.Commentf("cut after %d of %d bytes, %s", n, len(whole), end.Name))
 			c.Close()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -20,9 +20,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"topazmoor/internal/httpanswer"
+	"topazmoor/internal/intake"
 	"topazmoor/internal/readiness"
 	"topazmoor/internal/verdict"
 )
@@ -64,14 +63,17 @@
 type Client struct {
 	http     *http.Client
 	maxBytes int64
-	wrong    atomic.Int64
+	// answers bounds the answers that are being read, all together.
+	answers *intake.Budget
+	wrong   atomic.Int64
 }
 
-// New returns a Client that accepts answers of at most maxBytes.
-func New(dial Dial, maxBytes int64) *Client {
+// New returns a Client that accepts answers of at most maxBytes, as far as there is room in a budget for those that are being read.
+func New(dial Dial, maxBytes int64, answers *intake.Budget) *Client {
 	tr := httpanswer.NewTransport(httpanswer.Options{Dial: httpanswer.Dial(tracked(dial)), MaxIdle: 32, IdleTimeout: 20 * time.Second})
 	return &Client{
 		maxBytes: maxBytes,
+		answers:  answers,
 		http: &http.Client{
 			Transport:     tr,
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -93,7 +95,7 @@
 		return nil, err
 	}
 	defer resp.Body.Close()
-	body, err := c.readAll(resp.Body)
+	body, err := c.answers.ReadWhole(resp.Body, c.maxBytes)
 	if err != nil {
 		return nil, c.failure(ctx, call, h, err)
 	}
@@ -104,17 +106,6 @@
 	return body, nil
 }
 
-func (c *Client) readAll(r io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, c.maxBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > c.maxBytes {
-		return nil, eris.Errorf("the answer is over %d bytes", c.maxBytes)
-	}
-	return body, nil
-}
-
 // opaque hides the type of a reader, so that net/http cannot rewind it.
 type opaque struct{ io.Reader }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -17,6 +17,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"topazmoor/internal/dispatch"
+	"topazmoor/internal/intake"
 	"topazmoor/internal/standin/memnet"
 	"topazmoor/internal/verdict"
 )
@@ -113,7 +114,7 @@
 				c := qt.New(t)
 				n := memnet.New()
 				requests := rawTarget(t, n, func(conn net.Conn, _ *http.Request, _ int) bool { return tt.serve(conn) })
-				cl := dispatch.New(n.DialFrom("10.0.0.9"), 1<<20)
+				cl := dispatch.New(n.DialFrom("10.0.0.9"), 1<<20, intake.NewBudget(0))
 				defer cl.Close()
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 				defer cancel()
@@ -134,7 +135,7 @@
 func TestDialRefusedIsNotRun(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		cl := dispatch.New(memnet.New().DialFrom("10.0.0.9"), 1<<20)
+		cl := dispatch.New(memnet.New().DialFrom("10.0.0.9"), 1<<20, intake.NewBudget(0))
 		_, err := cl.Do(t.Context(), newCall())
 		c.Assert(verdict.Of(err), qt.Equals, verdict.NotRun)
 		c.Assert(verdict.CodeOf(err), qt.Equals, verdict.TargetFailed)
@@ -157,7 +158,7 @@
 			_, _ = io.ReadFull(conn, make([]byte, 200))
 			conn.Close()
 		}()
-		cl := dispatch.New(n.DialFrom("10.0.0.9"), 1<<20)
+		cl := dispatch.New(n.DialFrom("10.0.0.9"), 1<<20, intake.NewBudget(0))
 		defer cl.Close()
 		call := newCall()
 		call.Body = []byte(`"` + strings.Repeat("x", 100_000) + `"`)
@@ -178,7 +179,7 @@
 			<-release
 			return nil, net.ErrClosed
 		}
-		cl := dispatch.New(dial, 1<<20)
+		cl := dispatch.New(dial, 1<<20, intake.NewBudget(0))
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		_, err := cl.Do(ctx, newCall())
@@ -203,7 +204,7 @@
 			io.WriteString(conn, answer("200 OK", id, `{}`))
 			return true
 		})
-		cl := dispatch.New(n.DialFrom("10.0.0.9"), 1<<20)
+		cl := dispatch.New(n.DialFrom("10.0.0.9"), 1<<20, intake.NewBudget(0))
 		defer cl.Close()
 		_, err := cl.Do(t.Context(), newCall())
 		c.Assert(err, qt.IsNil)
@@ -283,7 +284,7 @@
 				c := qt.New(t)
 				n := memnet.New()
 				streamTarget(t, n, tt.events...)
-				cl := dispatch.New(n.DialFrom("10.0.0.9"), 1<<20)
+				cl := dispatch.New(n.DialFrom("10.0.0.9"), 1<<20, intake.NewBudget(0))
 				var got []dispatch.Token
 				err := cl.Stream(t.Context(), newCall(), 0, dispatch.Stall{First: time.Second, Next: time.Second}, func(tok dispatch.Token) error {
 					got = append(got, tok)
@@ -306,7 +307,7 @@
 		c := qt.New(t)
 		n := memnet.New()
 		streamTarget(t, n, token(0), token(1), "[DONE]")
-		cl := dispatch.New(n.DialFrom("10.0.0.9"), 1<<20)
+		cl := dispatch.New(n.DialFrom("10.0.0.9"), 1<<20, intake.NewBudget(0))
 		left := errors.New("caller left")
 		err := cl.Stream(t.Context(), newCall(), 0, dispatch.Stall{First: time.Second, Next: time.Second}, func(dispatch.Token) error { return left })
 		c.Assert(err, qt.Equals, left)
@@ -333,7 +334,7 @@
 			io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{\"a\":1}")
 			return true
 		})
-		cl := dispatch.New(n.DialFrom("10.0.0.9"), 1<<20)
+		cl := dispatch.New(n.DialFrom("10.0.0.9"), 1<<20, intake.NewBudget(0))
 		defer cl.Close()
 		call := newCall()
 		call.Echoes = false
--- a/internal/dispatch/stream.go
+++ b/internal/dispatch/stream.go
@@ -34,9 +34,6 @@
 	doneMark   = []byte("[DONE]")
 )
 
-// maxEvent bounds one event of a stream, in bytes.
-const maxEvent = 1 << 20
-
 // Stall holds the timeouts of a stream that sends no event.
 type Stall struct {
 	// First limits the wait for the first event, Next the wait for each later one.
@@ -59,7 +56,10 @@
 	}
 	defer resp.Body.Close()
 	alive := func() { watchdog.Reset(stall.Next) }
-	done, err := readStream(resp.Body, next, alive, emit, call)
+	hold := c.answers.NewHold(nil)
+	defer hold.Release()
+	lines := &lineReader{br: bufio.NewReaderSize(resp.Body, lineBuffer), room: hold.TryGrow}
+	done, err := readStream(lines, next, alive, emit, call)
 	if done || err != nil {
 		return err
 	}
@@ -68,11 +68,13 @@
 
 // readStream reads events until the end mark. It returns false if the stream
 // breaks off before. Its error reports invalid content or comes from emit.
-func readStream(body io.Reader, next int, alive func(), emit func(Token) error, call Call) (done bool, err error) {
-	events := bufio.NewScanner(body)
-	events.Buffer(make([]byte, 0, 4096), maxEvent)
-	for events.Scan() {
-		data, ok := bytes.CutPrefix(events.Bytes(), dataPrefix)
+func readStream(lines *lineReader, next int, alive func(), emit func(Token) error, call Call) (done bool, err error) {
+	for {
+		line, err := lines.next()
+		if err != nil {
+			return false, nil
+		}
+		data, ok := bytes.CutPrefix(line, dataPrefix)
 		if !ok {
 			continue
 		}
@@ -85,7 +87,6 @@
 			return false, err
 		}
 	}
-	return false, nil
 }
 
 var errStalled = eris.New("dispatch: stream stalled")
--- a/internal/httpanswer/head.go
+++ b/internal/httpanswer/head.go
@@ -10,10 +10,6 @@
 	"github.com/rotisserie/eris"
 )
 
-// MaxHeadBytes bounds the heads of all answers that are read for one request, informational ones and those to other
-// requests included, in bytes. Those of targets and of the store take some hundred bytes.
-const MaxHeadBytes = 64 << 10
-
 // ErrMalformed is the cause of errors that report an answer that breaks the syntax of HTTP/1.
 var ErrMalformed = eris.New("httpanswer: malformed")
 
--- a/internal/httpanswer/transport.go
+++ b/internal/httpanswer/transport.go
@@ -1,10 +1,14 @@
 package httpanswer
 
 import (
+	"context"
 	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"sync/atomic"
 	"time"
 )
 
@@ -38,16 +42,71 @@
 	if o.Dial == nil {
 		o.Dial = (&net.Dialer{}).DialContext
 	}
-	base.DialContext = Over(o.Dial)
+	base.DialContext = limited(Over(o.Dial))
 	return &Transport{base: base}
 }
 
+// headConn is a connection whose heads are bounded.
+type headConn struct {
+	net.Conn
+	head *HeadLimiter
+}
+
+// limited returns a Dial whose connections are headConns over those of dial.
+func limited(dial Dial) Dial {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &headConn{Conn: conn, head: NewHeadLimiter(conn)}, nil
+	}
+}
+
+// NetConn returns the connection that c wraps.
+func (c *headConn) NetConn() net.Conn { return c.Conn }
+
+// Read implements net.Conn.
+func (c *headConn) Read(p []byte) (int, error) { return c.head.Read(p) }
+
+// headOf is the head that the answer to one request has on its connection.
+type headOf struct{ conn atomic.Pointer[headConn] }
+
+// trace returns a context in which net/http tells on which connection it reads the answer. Those of TLS are not bounded: what they read
+// is no head.
+func (h *headOf) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*headConn); ok {
+				c.head.Begin(nil)
+				h.conn.Store(c)
+			}
+		},
+		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+			if c := h.conn.Load(); c != nil {
+				c.head.Next()
+			}
+			return nil
+		},
+	})
+}
+
+// end ends the bound: what follows is a body.
+func (h *headOf) end() {
+	if c := h.conn.Load(); c != nil {
+		c.head.Pause()
+	}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	resp, err := t.base.RoundTrip(req)
+	head := &headOf{}
+	resp, err := t.base.RoundTrip(req.WithContext(head.trace(req.Context())))
 	if err != nil {
 		return nil, err
 	}
+	head.end()
+	resp.Request = req
 	if err := Check(resp); err != nil {
 		// The body is not read to its end, so that its connection is closed.
 		resp.Body.Close()
--- a/internal/httpconn/head_test.go
+++ b/internal/httpconn/head_test.go
@@ -94,16 +94,16 @@
 }
 
 func TestLinesOfAHeadAreBounded(t *testing.T) {
-	early := "HTTP/1.1 103 Early Hints\r\n" + strings.Repeat("X: y\r\n", maxHeadLines-10) + "\r\n"
+	early := "HTTP/1.1 103 Early Hints\r\n" + strings.Repeat("X: y\r\n", httpanswer.MaxHeadLines-10) + "\r\n"
 	for name, tc := range map[string]struct {
 		answer string
 		whole  bool
 	}{
-		"as many as may be":         {headOf(maxHeadLines-1, 10), true},
-		"more":                      {headOf(maxHeadLines+1, 10), false},
-		"more, in several reads":    {headOf(maxHeadLines+1, 100), false},
-		"after informational ones":  {early + early + headOf(maxHeadLines-1, 10), true},
-		"more in informational one": {"HTTP/1.1 103 Early Hints\r\n" + strings.Repeat("X: y\r\n", maxHeadLines) + "\r\n" + headOf(10, 10), false},
+		"as many as may be":         {headOf(httpanswer.MaxHeadLines-1, 10), true},
+		"more":                      {headOf(httpanswer.MaxHeadLines+1, 10), false},
+		"more, in several reads":    {headOf(httpanswer.MaxHeadLines+1, 100), false},
+		"after informational ones":  {early + early + headOf(httpanswer.MaxHeadLines-1, 10), true},
+		"more in informational one": {"HTTP/1.1 103 Early Hints\r\n" + strings.Repeat("X: y\r\n", httpanswer.MaxHeadLines) + "\r\n" + headOf(10, 10), false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := New(Config{Dial: Dial(cutconn.Dial(tc.answer, cutconn.Ends[0])), AnswerID: answerID, IdleTimeout: time.Minute, MaxIdle: 4})
@@ -125,8 +125,8 @@
 		whole bool
 	}{
 		"small":               {10, 0, true},
-		"large":               {200, headCost * 20 << 10, true},
-		"large, without room": {200, headCost * 10 << 10, false},
+		"large":               {200, httpanswer.HeadCost * 20 << 10, true},
+		"large, without room": {200, httpanswer.HeadCost * 10 << 10, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var reserved int64
@@ -141,7 +141,7 @@
 				qt.Check(t, bodyOf(t, a, err), qt.Equals, "\n\n")
 				return
 			}
-			qt.Check(t, err, qt.ErrorIs, errNoRoom)
+			qt.Check(t, err, qt.ErrorIs, httpanswer.ErrNoRoom)
 		})
 	}
 }
--- a/internal/httpconn/pool.go
+++ b/internal/httpconn/pool.go
@@ -60,7 +60,7 @@
 	// resets is the value of Pool.resets when the connection was opened.
 	resets int
 	// head bounds what br reads of heads.
-	head *headLimiter
+	head *httpanswer.HeadLimiter
 	br   *bufio.Reader
 	bw   *bufio.Writer
 	// named is set once an answer on the connection named its request.
@@ -119,7 +119,7 @@
 	if m := p.meter(addr); m != nil {
 		r, w = meteredReader{end, m}, meteredWriter{end, m}
 	}
-	head := &headLimiter{r: r}
+	head := httpanswer.NewHeadLimiter(r)
 	return &conn{Conn: nc, addr: addr, resets: p.resetCount(), head: head, br: bufio.NewReaderSize(head, bufferSize), bw: bufio.NewWriterSize(w, bufferSize)}
 }
 
--- a/internal/httpconn/request.go
+++ b/internal/httpconn/request.go
@@ -209,17 +209,17 @@
 // or a malformed one, has given no answer.
 func (x *exchange) read() (*http.Response, error) {
 	req := &http.Request{Method: x.r.Method}
-	x.c.head.limit(x.r.Room)
+	x.c.head.Begin(x.r.Room)
 	for stray := 0; ; {
 		resp, err := httpanswer.Read(x.c.br, req)
 		if err != nil {
 			return nil, eris.Wrap(err, "read answer")
 		}
 		if resp.StatusCode < http.StatusOK {
-			x.c.head.next()
+			x.c.head.Next()
 			continue
 		}
-		x.c.head.pause()
+		x.c.head.Pause()
 		id := x.p.cfg.AnswerID(resp.Header)
 		switch {
 		case id == "" && x.r.ID != "" && x.c.named:
@@ -237,7 +237,7 @@
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, eris.Wrap(err, "read the answer to another request")
 		}
-		x.c.head.resume()
+		x.c.head.Resume()
 	}
 }
 
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -18,6 +18,7 @@
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/config"
 	"topazmoor/internal/dispatch"
+	"topazmoor/internal/intake"
 	"topazmoor/internal/ledger"
 	"topazmoor/internal/membership"
 	"topazmoor/internal/settings"
@@ -95,7 +96,7 @@
 	}
 	n, world := startOnLoopback(b, specs)
 	b.Run("direct", func(b *testing.B) {
-		cl := dispatch.New((&net.Dialer{}).DialContext, 1<<20)
+		cl := dispatch.New((&net.Dialer{}).DialContext, 1<<20, intake.NewBudget(0))
 		defer cl.Close()
 		b.ReportAllocs()
 		for b.Loop() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,7 +120,7 @@
 	n.provisionIntake()
 	n.sched = scheduler.New(n.schedulerConfig())
 	n.links = targetlink.New(targetlink.Dial(env.Dial), n.log)
-	n.calls = dispatch.New(n.links.DialContext, s.Limits.AnswerBytes)
+	n.calls = dispatch.New(n.links.DialContext, s.Limits.AnswerBytes, n.provisionAnswers())
 	if err := n.provisionPeers(); err != nil {
 		return nil, err
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -17,6 +17,7 @@
 	"topazmoor/internal/catalog"
 	"topazmoor/internal/control"
 	"topazmoor/internal/dispatch"
+	"topazmoor/internal/intake"
 	"topazmoor/internal/naive"
 	"topazmoor/internal/pipeline"
 	"topazmoor/internal/settings"
@@ -318,7 +319,7 @@
 	if err != nil {
 		return []string{err.Error()}
 	}
-	calls := dispatch.New(cl.net.DialFrom("10.8.8.8"), 1<<20)
+	calls := dispatch.New(cl.net.DialFrom("10.8.8.8"), 1<<20, intake.NewBudget(0))
 	defer calls.Close()
 	base := naive.New(calls, hosts)
 	plan := cl.node(0).board.Catalog.Get().Account("pilots").Plan("berth-confirmation")
--- a/internal/node/provision.go
+++ b/internal/node/provision.go
@@ -19,8 +19,11 @@
 	"topazmoor/internal/settings"
 )
 
-// budgetDivisor is the part of the memory for what callers send.
-const budgetDivisor = 5
+// budgetDivisor is the part of the memory for what callers send, answersDivisor that for answers of targets that are being read.
+const (
+	budgetDivisor  = 5
+	answersDivisor = 8
+)
 
 // provisionIntake creates what bounds the memory that callers make the node hold.
 func (n *Node) provisionIntake() {
@@ -30,6 +33,16 @@
 	n.metrics.Gauge("topazmoor_intake_ended_total", "Bodies and heads in progress that gave way to others.", func() float64 { return float64(n.budget.Counts().Ended) })
 }
 
+// provisionAnswers creates what bounds the answers of targets that are being read.
+func (n *Node) provisionAnswers() *intake.Budget {
+	answers := intake.NewBudget(n.s.Limits.MemoryBytes / answersDivisor)
+	n.metrics.Gauge("topazmoor_answers_bytes", "Bytes of large answers of targets that the node is reading.", func() float64 { return float64(answers.Counts().Used) })
+	n.metrics.Gauge("topazmoor_answers_ended_total", "Large answers of targets that gave way to others, or found no room.", func() float64 {
+		return float64(answers.Counts().Ended + answers.Counts().Refused)
+	})
+	return answers
+}
+
 func (n *Node) provisionLedger() {
 	incarnation := n.env.NewID()
 	tickets := ledger.NewTicketIssuer(n.env.PeerKey, n.s.Node.Name, n.peers.server.Addr(), incarnation, n.s.Ledger.TicketLife.Std(), n.env.NewID)
