A stopping node passes on late requests only if they cannot outlast it

What was reported: in a planned stop of one machine, requests that came late in the grace were passed on and cut at its end with no answer, among them requests that may not be repeated (LOST).

Here: a request whose body comes slowly is whole 3.5 s into a grace of 8 s; it was taken when its first event was expected in time. Streams that last longer were cut after 5.6 s (unexpected EOF); plain ones got 502, may have run, at the end, also those that must not run twice.

Cause: admission during a stop compared the time until the answer begins with the rest of the grace, not the time that the request may last.

Change: PlannedStop.admits. Once the balancer sends no callers any more (2.5 s), a request is taken only if its deadline lies before the end of the process, less 500 ms; others are refused at once, not run, come back in 20 ms, at another node. Before that nothing changes. A suspension moves both times.

Streams that are taken in the first 2.5 s may still be cut at the end.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"topazmoor/internal/passthrough"
 )
 
 const (
@@ -28,9 +30,10 @@
 	if grace <= 0 {
 		grace = defaultGrace
 	}
-	ends := time.Now().Add(grace - endMargin)
+	began := time.Now()
+	ends := began.Add(grace - endMargin)
 	n.stopped.Store(true)
-	n.passThrough.Stop(ends)
+	n.passThrough.Stop(passthrough.PlannedStop{Left: began.Add(balancerLag), Ends: ends})
 	n.router.Stop()
 	n.relayServer.Stop()
 	n.log.Info("stopping", "in_flight", n.passThrough.InFlight(), "grace_ms", grace.Milliseconds())
--- a/internal/passthrough/admit.go
+++ b/internal/passthrough/admit.go
@@ -16,8 +16,6 @@
 	// maxRetryAfterFraction is the largest fraction of the caller's remaining time that a refusal
 	// names as retry delay: callers honour delays of up to a third of what is left.
 	maxRetryAfterFraction = 0.3
-	// stopMargin is the time kept free before the end of the process.
-	stopMargin = 500 * time.Millisecond
 )
 
 // admit refuses a request at once if it cannot be served by its deadline. A request that will
@@ -52,7 +50,7 @@
 		return notRun(verdict.DeadlineUnreachable, "the request needs about %v and %v are left",
 			timeToAnswer.Round(time.Millisecond), left.Round(time.Millisecond)).After(delay)
 	}
-	if ends := c.s.stopping(); !ends.IsZero() && time.Until(ends) < timeToAnswer+stopMargin {
+	if stop := c.s.stop.Load(); stop != nil && !stop.admits(timeToAnswer, left) {
 		return notRun(verdict.Stopping, "the node stops").After(stopRetryAfter)
 	}
 	return nil
--- a/internal/passthrough/server.go
+++ b/internal/passthrough/server.go
@@ -148,8 +148,8 @@
 type Server struct {
 	cfg      Config
 	inFlight atomic.Int64
-	// endsAt is when the process ends, in Unix nanoseconds; 0 while it is not stopping.
-	endsAt atomic.Int64
+	// stop is the planned stop of the process; nil while it is not stopping.
+	stop   atomic.Pointer[PlannedStop]
 	ending context.Context
 	abort  context.CancelCauseFunc
 
@@ -170,22 +170,13 @@
 
 // Stop makes the server refuse requests that cannot end before the process does, and close
 // connections after their responses.
-func (s *Server) Stop(endsAt time.Time) { s.endsAt.Store(endsAt.UnixNano()) }
+func (s *Server) Stop(p PlannedStop) { s.stop.Store(&p) }
 
 // Abort cancels all requests in progress.
 func (s *Server) Abort() { s.abort(errStopping) }
 
 var errStopping = errors.New("passthrough: the process ends")
 
-// stopping returns the time at which the process ends, as given to Stop; the zero time before Stop.
-func (s *Server) stopping() time.Time {
-	n := s.endsAt.Load()
-	if n == 0 {
-		return time.Time{}
-	}
-	return time.Unix(0, n)
-}
-
 // call is one request of a caller.
 type call struct {
 	s   *Server
@@ -247,7 +238,7 @@
 	defer s.inFlight.Add(-1)
 	trusted := s.cfg.Trusted()
 	c := &call{s: s, w: w, r: r, arrived: time.Now(), suspendedBefore: s.cfg.SuspendedTime(), cfg: s.cfg.Routes()}
-	if !s.stopping().IsZero() || s.cfg.Crowded != nil && s.cfg.Crowded() {
+	if s.stop.Load() != nil || s.cfg.Crowded != nil && s.cfg.Crowded() {
 		w.Header().Set("Connection", "close")
 	}
 	err := c.accept(trusted)
--- a/internal/passthrough/suspended.go
+++ b/internal/passthrough/suspended.go
@@ -28,8 +28,8 @@
 // end now, the others at their deadline: the timers of their contexts run on a clock that stopped
 // meanwhile.
 func (s *Server) HostResumed(gap time.Duration) {
-	if n := s.endsAt.Load(); n != 0 {
-		s.endsAt.Store(n - int64(gap))
+	if stop := s.stop.Load(); stop != nil {
+		s.Stop(stop.earlier(gap))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
