A head that was too large stays so for all further reads

Cause: textproto leaves out an error within the continuation of a line and reads on, so that bytes that were refused could be missing from a head that parses. Seen by TestLargeHeadsReserveTheirRoom, once an empty read reserved nothing. HeadLimiter keeps its error until the next answer.

--- a/internal/httpanswer/limit.go
+++ b/internal/httpanswer/limit.go
@@ -40,6 +40,8 @@
 	last byte
 	// room reserves bytes for heads that take more than one read; nil if none need to be reserved.
 	room func(bytes int64) bool
+	// broken is the error of all further reads once a head was too large: textproto leaves out errors within continued lines.
+	broken error
 }
 
 // NewHeadLimiter returns a HeadLimiter of what r reads, that does not limit anything yet.
@@ -49,7 +51,7 @@
 func (l *HeadLimiter) Begin(room func(bytes int64) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.left, l.limited, l.room = MaxHeadBytes, true, room
+	l.left, l.limited, l.room, l.broken = MaxHeadBytes, true, room, nil
 	l.next()
 }
 
@@ -95,6 +97,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
+	case l.broken != nil:
+		return 0, l.broken
 	case !l.limited:
 		return n, nil
 	case l.left <= 0:
@@ -112,14 +116,14 @@
 	}
 	first := l.left == MaxHeadBytes
 	l.left -= len(p)
-	if !first && l.room != nil && !l.room(int64(HeadCost*len(p))) {
-		return ErrNoRoom
-	}
 	l.count(p)
-	if l.lines > MaxHeadLines {
-		return errManyLines
+	switch {
+	case l.lines > MaxHeadLines:
+		l.broken = errManyLines
+	case !first && len(p) > 0 && l.room != nil && !l.room(int64(HeadCost*len(p))):
+		l.broken = ErrNoRoom
 	}
-	return nil
+	return l.broken
 }
 
 // count counts the lines of the current head in what was read. What follows the head may be a body.
